--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements, demonstrations and the test runner."""
--- /dev/null
+++ b/fighitch/backends/__init__.py
@@ -0,0 +1,1 @@
+"""Protocols that a sidecar speaks to its backend server."""
--- /dev/null
+++ b/fighitch/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The command line."""
--- /dev/null
+++ b/fighitch/core/__init__.py
@@ -0,0 +1,1 @@
+"""Model and rules: no sockets, files, timers, threads or clock."""
--- /dev/null
+++ b/fighitch/core/configuration.py
@@ -0,0 +1,168 @@
+"""A process's copy of the configuration.
+
+The object API orders all changes; a copy holds a prefix of that sequence (everything
+up to ``revision``) and may hold single changes beyond it, handed over by an operator.
+Merging keeps, for each resource, the change with the highest revision, so it does not
+matter in which order or how often changes arrive, and nothing ever reverts.
+"""
+
+from collections.abc import Iterable, Iterator
+from functools import lru_cache
+
+import msgspec
+
+from fighitch.core.labels import Selector
+from fighitch.core.resources import SPEC_TYPES, Kind, Resource, selector_of
+from fighitch.types import Revision
+
+# Tombstones are needed to reject an older copy of a deleted resource from a peer. The
+# newest 10,000 cover more than half a day at 16,000 changes a day.
+MAX_TOMBSTONES = 10_000
+
+_ResourceKey = tuple[Kind, str]
+
+
+class ConfigurationStore:
+    """Resources by kind and name, merged by revision.
+
+    ``generation`` counts the merges that changed something; users of the store compare
+    it to know when to recompute what they derived.
+    """
+
+    def __init__(self) -> None:
+        self._resources: dict[_ResourceKey, Resource] = {}
+        self._by_kind: dict[Kind, dict[str, Resource]] = {kind: {} for kind in Kind}
+        self._tombstones: dict[_ResourceKey, Resource] = {}
+        self._revision: Revision = 0
+        self._tombstones_complete_since: Revision = 0
+        self._generation = 0
+
+    @property
+    def revision(self) -> Revision:
+        """Every change up to this revision is known."""
+        return self._revision
+
+    @property
+    def generation(self) -> int:
+        """Number of merges that changed something."""
+        return self._generation
+
+    def __len__(self) -> int:
+        return len(self._resources)
+
+    def get(self, kind: Kind, name: str) -> Resource | None:
+        """Returns the resource, or None if it does not exist."""
+        return self._by_kind[kind].get(name)
+
+    def of_kind(self, kind: Kind) -> Iterator[Resource]:
+        """Iterates over the resources of a kind."""
+        return iter(self._by_kind[kind].values())
+
+    def merge(
+        self, resources: Iterable[Resource], *, revision: Revision, base: Revision = 0
+    ) -> bool:
+        """Merges changes.
+
+        Args:
+            resources: Changed resources; tombstones have no specification.
+            revision: Revision up to which the changes are complete; 0 if they come
+                ahead of the sequence.
+            base: Revision after which they are complete; 0 for a full list.
+
+        Returns:
+            Whether anything changed.
+        """
+        resources = tuple(resources)
+        changed = [item for item in resources if self._merge_one(item)]
+        is_full_list = base == 0 and revision > self._revision
+        if is_full_list:
+            changed += self._delete_unlisted(resources, revision)
+        if revision > self._revision and base <= self._revision:
+            self._revision = revision
+        self._trim_tombstones()
+        if changed:
+            self._generation += 1
+        return bool(changed)
+
+    def changes_since(self, since: Revision) -> tuple[Revision, tuple[Resource, ...]]:
+        """Returns what a peer at ``since`` lacks.
+
+        Args:
+            since: Revision of the peer.
+
+        Returns:
+            The base after which the changes count (0 if a full copy is needed, since
+            tombstones that the peer may lack were dropped) and the resources.
+        """
+        if since < self._tombstones_complete_since or since == 0:
+            return 0, tuple(self._by_revision(0, with_tombstones=False))
+        return since, tuple(self._by_revision(since, with_tombstones=True))
+
+    def _by_revision(
+        self, since: Revision, *, with_tombstones: bool
+    ) -> Iterator[Resource]:
+        for item in self._resources.values():
+            if item.revision > since and (with_tombstones or not item.is_deleted):
+                yield item
+
+    def _merge_one(self, item: Resource) -> bool:
+        key = (item.kind, item.name)
+        known = self._resources.get(key)
+        if known is not None and known.revision >= item.revision:
+            return False
+        self._resources[key] = item
+        if item.is_deleted:
+            self._tombstones[key] = item
+            self._by_kind[item.kind].pop(item.name, None)
+            return True
+        self._tombstones.pop(key, None)
+        self._by_kind[item.kind][item.name] = item
+        return True
+
+    def _delete_unlisted(
+        self, listed: tuple[Resource, ...], revision: Revision
+    ) -> list[Resource]:
+        names = {(item.kind, item.name) for item in listed}
+        gone = [
+            Resource(kind=item.kind, name=item.name, revision=revision)
+            for key, item in self._resources.items()
+            if key not in names and not item.is_deleted and item.revision <= revision
+        ]
+        return [item for item in gone if self._merge_one(item)]
+
+    def _trim_tombstones(self) -> None:
+        excess = len(self._tombstones) - MAX_TOMBSTONES
+        if excess <= 0:
+            return
+        oldest = sorted(self._tombstones.items(), key=lambda pair: pair[1].revision)
+        for key, item in oldest[:excess]:
+            del self._tombstones[key]
+            del self._resources[key]
+            self._tombstones_complete_since = item.revision
+
+
+@lru_cache(maxsize=4096)
+def cached_selector(text: str) -> Selector:
+    """Returns the parsed form of a selector that was checked before."""
+    return selector_of(text)
+
+
+def encode_resources(resources: Iterable[Resource]) -> bytes:
+    """Returns resources as JSON for a peer."""
+    return msgspec.json.encode(list(resources))
+
+
+def decode_resources(data: bytes) -> tuple[Resource, ...]:
+    """Reads resources from a peer.
+
+    Raises:
+        msgspec.MsgspecError: If the data is not an array of resources.
+    """
+    return tuple(
+        item
+        if item.is_deleted
+        else msgspec.structs.replace(
+            item, spec=msgspec.convert(item.spec, SPEC_TYPES[item.kind])
+        )
+        for item in msgspec.json.decode(data, type=list[Resource])
+    )
--- /dev/null
+++ b/fighitch/core/tickets.py
@@ -0,0 +1,119 @@
+"""Issued idempotency keys.
+
+A ticket binds one order to one incarnation of one sidecar, which alone may run it. It
+is signed, so that a caller cannot make one up, and carries the sidecar's ticket epoch,
+so that the sidecar can refuse tickets older than the records it still keeps.
+"""
+
+import base64
+import hashlib
+import hmac
+from collections.abc import Sequence
+from dataclasses import dataclass
+
+import msgspec
+from expression import Error, Ok, Result
+
+from fighitch.core.errors import ErrorKind, Failure
+from fighitch.types import CallerName, Incarnation, InstanceName
+
+PREFIX = "fk1"
+MAX_TICKET_CHARS = 1_024
+_MAC_BYTES = 16
+
+
+@dataclass(frozen=True, slots=True)
+class SharedKey:
+    """A key that the project's own processes share."""
+
+    key_id: str
+    secret: bytes
+
+
+class Ticket(msgspec.Struct, frozen=True, array_like=True):
+    """The content of an issued idempotency key.
+
+    Attributes:
+        caller: Caller that it was issued to.
+        instance: Sidecar that alone may run the order.
+        incarnation: Incarnation of that sidecar.
+        epoch: Ticket epoch of the sidecar when it was issued.
+        nonce: Makes it unique.
+    """
+
+    caller: CallerName
+    instance: InstanceName
+    incarnation: Incarnation
+    epoch: int
+    nonce: str
+
+
+def is_ticket(key: str) -> bool:
+    """Returns whether an idempotency key claims to be an issued one."""
+    return key.startswith(f"{PREFIX}.")
+
+
+class TicketSigner:
+    """Signs tickets with the first shared key and accepts any of them."""
+
+    def __init__(self, keys: Sequence[SharedKey]) -> None:
+        """Takes the valid keys.
+
+        Args:
+            keys: The first signs; the others are accepted during a rotation.
+
+        Raises:
+            ValueError: If there is no key.
+        """
+        if not keys:
+            raise ValueError("no shared key given; at least one is needed")
+        self._signing_key = keys[0]
+        self._secrets = {key.key_id: key.secret for key in keys}
+
+    def sign(self, ticket: Ticket) -> str:
+        """Returns the ticket as text for an ``Idempotency-Key`` header."""
+        payload = _encode(msgspec.json.encode(ticket))
+        signed = f"{PREFIX}.{self._signing_key.key_id}.{payload}"
+        return f"{signed}.{_mac(self._signing_key.secret, signed)}"
+
+    def verify(self, text: str) -> Result[Ticket, Failure]:
+        """Reads a ticket and checks its signature.
+
+        Args:
+            text: Value of the ``Idempotency-Key`` header.
+
+        Returns:
+            The ticket, or a failure of kind ``BAD_REQUEST``.
+        """
+        parts = text.split(".")
+        if len(parts) != 4 or len(text) > MAX_TICKET_CHARS or not is_ticket(text):
+            return _bad("is not an issued key")
+        secret = self._secrets.get(parts[1])
+        if secret is None:
+            return _bad(f"was signed with the unknown key {parts[1]!r}")
+        if not hmac.compare_digest(
+            _mac(secret, text.rpartition(".")[0]).encode(), parts[3].encode()
+        ):
+            return _bad("has a wrong signature")
+        try:
+            return Ok(msgspec.json.decode(_decode(parts[2]), type=Ticket))
+        except (msgspec.MsgspecError, ValueError):
+            return _bad("has unreadable content")
+
+
+def _bad(problem: str) -> Result[Ticket, Failure]:
+    detail = f"Idempotency-Key {problem}; request one at /v1/idempotency-keys"
+    return Error(Failure(ErrorKind.BAD_REQUEST, detail))
+
+
+def _mac(secret: bytes, signed: str) -> str:
+    digest = hmac.new(secret, signed.encode(), hashlib.sha256).digest()
+    return _encode(digest[:_MAC_BYTES])
+
+
+def _encode(data: bytes) -> str:
+    return base64.urlsafe_b64encode(data).rstrip(b"=").decode()
+
+
+def _decode(text: str) -> bytes:
+    return base64.urlsafe_b64decode(text + "=" * (-len(text) % 4))
--- /dev/null
+++ b/fighitch/daemons/__init__.py
@@ -0,0 +1,1 @@
+"""The long-running processes: entry and sidecar."""
--- /dev/null
+++ b/fighitch/observability/__init__.py
@@ -0,0 +1,1 @@
+"""Logs, metrics and traces."""
--- /dev/null
+++ b/fighitch/platforms/__init__.py
@@ -0,0 +1,1 @@
+"""Clients of the platform: object API and instance list."""
--- /dev/null
+++ b/fighitch/runtime/__init__.py
@@ -0,0 +1,1 @@
+"""Sockets, timers, HTTP server and HTTP transfers around the core."""
--- /dev/null
+++ b/fighitch/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests, one module for each module tested."""
--- /dev/null
+++ b/fighitch/tests/test_configuration.py
@@ -0,0 +1,100 @@
+"""Tests of ``fighitch.core.configuration``."""
+
+import unittest
+
+from hypothesis import given, seed, settings, strategies as st
+
+from fighitch.core.configuration import (
+    ConfigurationStore,
+    decode_resources,
+    encode_resources,
+)
+from fighitch.core.resources import Kind, Resource, WeightStoreSpec
+
+
+def resource(name, revision, *, deleted=False):
+    spec = None if deleted else WeightStoreSpec(loads_per_second=1, max_in_transit=1)
+    return Resource(kind=Kind.WEIGHT_STORE, name=name, revision=revision, spec=spec)
+
+
+class MergeTests(unittest.TestCase):
+    def test_older_change_from_a_late_peer_is_ignored(self):
+        """Guards against a configuration that reverts."""
+        store = ConfigurationStore()
+        store.merge([resource("a", 5)], revision=5)
+        self.assertFalse(store.merge([resource("a", 3)], revision=3, base=2))
+        self.assertEqual(store.get(Kind.WEIGHT_STORE, "a").revision, 5)
+        self.assertEqual(store.revision, 5)
+
+    def test_deleted_resource_does_not_come_back(self):
+        """Guards against a late peer that still knows a deleted resource."""
+        store = ConfigurationStore()
+        store.merge([resource("a", 5)], revision=5)
+        store.merge([resource("a", 6, deleted=True)], revision=6, base=5)
+        store.merge([resource("a", 5)], revision=5, base=4)
+        self.assertIsNone(store.get(Kind.WEIGHT_STORE, "a"))
+
+    def test_change_ahead_of_the_sequence_does_not_advance_the_revision(self):
+        """Guards against a gap: revisions between must still be asked for."""
+        store = ConfigurationStore()
+        store.merge([resource("a", 5)], revision=5)
+        store.merge([resource("b", 9)], revision=0)
+        self.assertEqual(store.revision, 5)
+        self.assertIsNotNone(store.get(Kind.WEIGHT_STORE, "b"))
+
+    def test_full_list_deletes_what_it_lacks_but_not_newer_changes(self):
+        """Guards against losing an accepted change to a list made before it."""
+        store = ConfigurationStore()
+        store.merge([resource("a", 1), resource("b", 2)], revision=2)
+        store.merge([resource("new", 9)], revision=0)
+        store.merge([resource("b", 2)], revision=7)
+        self.assertIsNone(store.get(Kind.WEIGHT_STORE, "a"))
+        self.assertIsNotNone(store.get(Kind.WEIGHT_STORE, "new"))
+
+    def test_delta_with_a_gap_does_not_advance_the_revision(self):
+        store = ConfigurationStore()
+        store.merge([resource("a", 1)], revision=1)
+        store.merge([resource("b", 9)], revision=9, base=5)
+        self.assertEqual(store.revision, 1)
+
+    @seed(20261204)
+    @settings(max_examples=200, deadline=None)
+    @given(
+        st.lists(
+            st.tuples(st.sampled_from("abc"), st.integers(1, 30), st.booleans()),
+            max_size=20,
+            unique_by=lambda change: change[1],
+        ),
+        st.randoms(use_true_random=False),
+    )
+    def test_order_and_repetition_do_not_matter(self, changes, random):
+        """Guards against copies that differ after the same changes."""
+        items = [resource(name, rev, deleted=gone) for name, rev, gone in changes]
+        one, other = ConfigurationStore(), ConfigurationStore()
+        for item in items:
+            one.merge([item], revision=0)
+        shuffled = items * 2
+        random.shuffle(shuffled)
+        for item in shuffled:
+            other.merge([item], revision=0)
+        self.assertEqual(
+            sorted(map(repr, one.of_kind(Kind.WEIGHT_STORE))),
+            sorted(map(repr, other.of_kind(Kind.WEIGHT_STORE))),
+        )
+
+
+class PeerExchangeTests(unittest.TestCase):
+    def test_delta_brings_a_peer_to_the_same_state(self):
+        store, peer = ConfigurationStore(), ConfigurationStore()
+        store.merge([resource("a", 1), resource("b", 2)], revision=2)
+        peer.merge([resource("a", 1), resource("b", 2)], revision=2)
+        store.merge([resource("a", 3, deleted=True)], revision=3, base=2)
+        base, changes = store.changes_since(peer.revision)
+        decoded = decode_resources(encode_resources(changes))
+        peer.merge(decoded, revision=store.revision, base=base)
+        self.assertEqual(peer.revision, 3)
+        self.assertIsNone(peer.get(Kind.WEIGHT_STORE, "a"))
+        self.assertEqual(
+            peer.get(Kind.WEIGHT_STORE, "b").spec,
+            WeightStoreSpec(loads_per_second=1, max_in_transit=1),
+        )
--- /dev/null
+++ b/fighitch/wire/__init__.py
@@ -0,0 +1,1 @@
+"""Messages between own processes as bytes on TCP."""
--- /dev/null
+++ b/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins for the systems that fighitch is connected to."""
--- /dev/null
+++ b/standins/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the stand-ins."""
