--- /dev/null
+++ b/fighitch/wire/framing.py
@@ -0,0 +1,55 @@
+"""Frames on a byte stream: a 4-byte big-endian length, then the message."""
+
+import struct
+from collections.abc import Iterator
+
+from fighitch.core.messages import MAX_MESSAGE_BYTES
+from fighitch.wire.codec import CodecError
+
+_LENGTH = struct.Struct("!I")
+
+
+def frame(data: bytes) -> bytes:
+    """Returns the message with its length in front."""
+    return _LENGTH.pack(len(data)) + data
+
+
+class FrameReader:
+    """Cuts a byte stream into messages.
+
+    Until ``raise_limit`` is called, only small messages are accepted, so that a peer
+    that has not proved its identity cannot make the process hold much memory.
+    """
+
+    _INITIAL_LIMIT_BYTES = 4_096
+
+    def __init__(self) -> None:
+        self._buffer = bytearray()
+        self._limit = self._INITIAL_LIMIT_BYTES
+
+    def raise_limit(self) -> None:
+        """Accepts messages of full size from now on."""
+        self._limit = MAX_MESSAGE_BYTES
+
+    def feed(self, data: bytes) -> None:
+        """Adds received bytes."""
+        self._buffer += data
+
+    def messages(self) -> Iterator[bytes]:
+        """Yields every whole message.
+
+        Raises:
+            CodecError: If a length is zero or over the limit.
+        """
+        while len(self._buffer) >= _LENGTH.size:
+            (length,) = _LENGTH.unpack_from(self._buffer)
+            if not 0 < length <= self._limit:
+                raise CodecError(
+                    f"frame length {length} is not in 1..{self._limit} bytes"
+                )
+            end = _LENGTH.size + length
+            if len(self._buffer) < end:
+                return
+            message = bytes(self._buffer[_LENGTH.size : end])
+            del self._buffer[:end]
+            yield message
