--- /dev/null
+++ b/fighitch/backends/engine.py
@@ -0,0 +1,359 @@
+"""What a sidecar sends to a model engine and how it reads the answer.
+
+Engines speak the OpenAI completion protocol; adapters are loaded and unloaded by
+``/v1/load_lora_adapter`` and ``/v1/unload_lora_adapter``. The answer is always asked
+for as a stream when it can be continued after a preemption; a caller that wants a whole
+answer then gets one assembled from the stream.
+"""
+
+from collections.abc import Callable, Iterator
+from typing import Any, TypeAlias
+
+import msgspec
+
+from fighitch.core.effects import CallBackend, LoadAdapter, UnloadAdapter
+from fighitch.core.inputs import (
+    AdapterLoaded,
+    AdapterLoadFailed,
+    AdapterUnloaded,
+    BackendData,
+    BackendEnded,
+    BackendFailed,
+    BackendStarted,
+    EngineReported,
+)
+from fighitch.core.messages import AdapterVersion
+from fighitch.runtime.transfers import (
+    Transfer,
+    TransferData,
+    TransferEnded,
+    TransferEvent,
+    TransferFailed,
+    TransferStarted,
+)
+from fighitch.types import Seconds
+
+CALL_TIMEOUT: Seconds = 3_600.0
+COMMAND_TIMEOUT: Seconds = 30.0
+STATUS_TIMEOUT: Seconds = 2.0
+FENCING_HEADER = "X-Fencing-Token"
+
+# Answers to these cannot be put together again from generated text alone.
+_NOT_CONTINUABLE = ("logprobs", "top_logprobs", "tools", "functions", "echo", "best_of")
+_STATUS_OK = 200
+_DONE = b"[DONE]"
+_JSON = {"Content-Type": "application/json"}
+
+BackendEvent: TypeAlias = BackendStarted | BackendData | BackendEnded | BackendFailed
+Emit: TypeAlias = Callable[[Any], None]
+
+
+def is_continuable(body: dict[str, Any]) -> bool:
+    """Returns whether an interrupted answer can go on from its generated text."""
+    if body.get("n", 1) != 1:
+        return False
+    return not any(body.get(name) for name in _NOT_CONTINUABLE)
+
+
+def call_transfer(call: CallBackend, url: str) -> tuple[Transfer, "AnswerReader"]:
+    """Returns the HTTP call and the reader of its answer.
+
+    Args:
+        call: What to call; its body is a JSON object.
+        url: Base URL of the engine.
+    """
+    body = msgspec.json.decode(call.body)
+    continuable = is_continuable(body)
+    body["model"] = str(call.adapter_version)
+    body["priority"] = call.rank
+    if continuable:
+        body["stream"] = True
+        body["stream_options"] = {"include_usage": True}
+    if call.generated:
+        body["continue_from"] = {
+            "text": call.generated,
+            "tokens": call.generated_tokens,
+        }
+    headers = {**_JSON, "X-Request-Id": call.request_id}
+    if call.traceparent:
+        headers["traceparent"] = call.traceparent
+    transfer = Transfer(
+        call.method,
+        url + call.path,
+        headers=headers,
+        body=msgspec.json.encode(body),
+        timeout=CALL_TIMEOUT,
+    )
+    streams = continuable or bool(body.get("stream"))
+    reader: AnswerReader
+    if not streams:
+        reader = WholeReader(call)
+    elif call.streamed:
+        reader = StreamReader(call)
+    else:
+        reader = AssemblingReader(call)
+    return transfer, reader
+
+
+def load_transfer(command: LoadAdapter, url: str) -> Transfer:
+    """Returns the HTTP call that loads an adapter version."""
+    name = str(command.adapter_version)
+    body = {"lora_name": name, "lora_path": command.source or name}
+    return _command(url + "/v1/load_lora_adapter", body, command.fencing_token)
+
+
+def unload_transfer(command: UnloadAdapter, url: str) -> Transfer:
+    """Returns the HTTP call that unloads an adapter version."""
+    body = {"lora_name": str(command.adapter_version)}
+    return _command(url + "/v1/unload_lora_adapter", body, command.fencing_token)
+
+
+def status_transfer(url: str) -> Transfer:
+    """Returns the HTTP call that asks for the engine's state."""
+    return Transfer("GET", url + "/load", timeout=STATUS_TIMEOUT)
+
+
+def parse_status(data: bytes) -> EngineReported:
+    """Reads the engine's state.
+
+    Raises:
+        msgspec.MsgspecError: If it is not a JSON object of the expected shape.
+    """
+    status = msgspec.json.decode(data, type=_EngineStatus)
+    return EngineReported(
+        boot_id=status.boot_id,
+        resident=frozenset(
+            AdapterVersion(*name.rsplit("@", 1))
+            for name in status.resident
+            if "@" in name
+        ),
+        fencing_token=status.fencing_token,
+    )
+
+
+def load_outcome(
+    command: LoadAdapter | UnloadAdapter, status: int, data: bytes
+) -> AdapterLoaded | AdapterUnloaded | AdapterLoadFailed:
+    """Returns what the answer to a load or unload command means."""
+    if status != _STATUS_OK:
+        detail = f"engine answered {status}: {data[:200].decode(errors='replace')}"
+        return AdapterLoadFailed(command.adapter_version, detail)
+    if isinstance(command, UnloadAdapter):
+        return AdapterUnloaded(command.adapter_version)
+    try:
+        answer = msgspec.json.decode(data, type=_LoadAnswer)
+    except msgspec.MsgspecError as error:
+        return AdapterLoadFailed(command.adapter_version, f"unreadable: {error}")
+    return AdapterLoaded(command.adapter_version, answer.boot_id)
+
+
+class _EngineStatus(msgspec.Struct, frozen=True):
+    boot_id: str
+    resident: list[str] = []
+    fencing_token: int = 0
+
+
+class _LoadAnswer(msgspec.Struct, frozen=True):
+    boot_id: str = ""
+
+
+def _command(url: str, body: dict[str, str], fencing_token: int) -> Transfer:
+    return Transfer(
+        "POST",
+        url,
+        headers={**_JSON, FENCING_HEADER: str(fencing_token)},
+        body=msgspec.json.encode(body),
+        timeout=COMMAND_TIMEOUT,
+    )
+
+
+class AnswerReader:
+    """Turns the transfer events of one call into backend events."""
+
+    def __init__(self, call: CallBackend) -> None:
+        self._call = call
+        self._ids = (call.request_id, call.attempt, call.call)
+        self._status = 0
+        self._content_type = ""
+        self._buffer = bytearray()
+
+    def read(self, event: TransferEvent) -> Iterator[BackendEvent]:
+        """Yields what an event means."""
+        if isinstance(event, TransferStarted):
+            self._status = event.status
+            self._content_type = event.headers.get("content-type", "application/json")
+            return
+        if isinstance(event, TransferFailed):
+            yield BackendFailed(*self._ids, sent=event.sent, detail=event.detail)
+            return
+        if isinstance(event, TransferData):
+            self._buffer += event.data
+        if self._status == _STATUS_OK:
+            yield from self._read_answer(ended=isinstance(event, TransferEnded))
+        elif isinstance(event, TransferEnded):
+            yield from self._whole(model="")
+
+    def _read_answer(self, *, ended: bool) -> Iterator[BackendEvent]:
+        raise NotImplementedError
+
+    def _whole(self, *, model: str) -> Iterator[BackendEvent]:
+        yield BackendStarted(*self._ids, self._status, model, self._content_type)
+        yield BackendData(*self._ids, bytes(self._buffer))
+        yield BackendEnded(*self._ids)
+
+    def _cut(self) -> BackendFailed:
+        return BackendFailed(*self._ids, sent=True, detail="the stream was cut")
+
+
+class WholeReader(AnswerReader):
+    """Reads an answer that comes as one JSON object."""
+
+    def _read_answer(self, *, ended: bool) -> Iterator[BackendEvent]:
+        if not ended:
+            return
+        try:
+            model = str(msgspec.json.decode(bytes(self._buffer)).get("model", ""))
+        except (msgspec.MsgspecError, AttributeError):
+            yield BackendFailed(*self._ids, sent=True, detail="unreadable answer")
+            return
+        yield from self._whole(model=model)
+
+
+class _SseReader(AnswerReader):
+    """Reads the events of a server-sent event stream."""
+
+    def __init__(self, call: CallBackend) -> None:
+        super().__init__(call)
+        self._has_started = False
+        self._is_done = False
+        self._model = ""
+
+    def _read_answer(self, *, ended: bool) -> Iterator[BackendEvent]:
+        *events, rest = bytes(self._buffer).split(b"\n\n")
+        self._buffer = bytearray(rest)
+        for event in events:
+            if not event.startswith(b"data:"):
+                continue
+            payload = event[len(b"data:") :].strip()
+            if payload == _DONE:
+                self._is_done = True
+                yield from self._finish()
+                continue
+            yield from self._read_event(payload)
+        if ended and not self._is_done:
+            yield self._cut()
+
+    def _read_event(self, payload: bytes) -> Iterator[BackendEvent]:
+        try:
+            event = msgspec.json.decode(payload)
+            self._model = event.get("model", "")
+            choices = event.get("choices") or []
+            text = _text(choices[0]) if choices else ""
+        except (msgspec.MsgspecError, AttributeError, TypeError):
+            yield BackendFailed(*self._ids, sent=True, detail="unreadable event")
+            return
+        if not self._has_started:
+            self._has_started = True
+            yield self._started()
+        yield from self._event(event, text)
+
+    def _started(self) -> BackendStarted:
+        return BackendStarted(*self._ids, self._status, self._model, self._content_type)
+
+    def _event(self, event: dict[str, Any], text: str) -> Iterator[BackendEvent]:
+        raise NotImplementedError
+
+    def _finish(self) -> Iterator[BackendEvent]:
+        raise NotImplementedError
+
+
+class StreamReader(_SseReader):
+    """Passes the events on as they come, under one id for all calls of a request."""
+
+    def __init__(self, call: CallBackend) -> None:
+        super().__init__(call)
+        options = msgspec.json.decode(call.body).get("stream_options") or {}
+        self._wants_usage = bool(options.get("include_usage"))
+
+    def _event(self, event: dict[str, Any], text: str) -> Iterator[BackendEvent]:
+        choices = event.get("choices")
+        if not choices and not self._wants_usage:
+            return
+        if self._call.generated and not text and _is_role_only(choices):
+            return
+        event["id"] = self._call.request_id
+        if "usage" in event:
+            _add_generated(event, self._call.generated_tokens)
+        data = b"data: " + msgspec.json.encode(event) + b"\n\n"
+        yield BackendData(*self._ids, data, text, 1 if text else 0)
+
+    def _finish(self) -> Iterator[BackendEvent]:
+        yield BackendData(*self._ids, b"data: [DONE]\n\n")
+        yield BackendEnded(*self._ids)
+
+
+class AssemblingReader(_SseReader):
+    """Builds one JSON answer from the events."""
+
+    def __init__(self, call: CallBackend) -> None:
+        super().__init__(call)
+        self._content_type = "application/json"
+        self._text = [call.generated]
+        self._answer: dict[str, Any] = {}
+        self._finish_reason: str | None = None
+        self._usage: dict[str, Any] | None = None
+
+    def _started(self) -> BackendStarted:
+        self._content_type = "application/json"
+        return super()._started()
+
+    def _event(self, event: dict[str, Any], text: str) -> Iterator[BackendEvent]:
+        self._answer = self._answer or event
+        for choice in event.get("choices") or ():
+            self._finish_reason = choice.get("finish_reason") or self._finish_reason
+        if event.get("usage"):
+            _add_generated(event, self._call.generated_tokens)
+            self._usage = event["usage"]
+        if text:
+            self._text.append(text)
+            yield BackendData(*self._ids, b"", text, 1)
+
+    def _finish(self) -> Iterator[BackendEvent]:
+        whole = "".join(self._text)
+        choice: dict[str, Any] = {"index": 0, "finish_reason": self._finish_reason}
+        is_chat = self._call.path.endswith("/chat/completions")
+        if is_chat:
+            choice["message"] = {"role": "assistant", "content": whole}
+        else:
+            choice["text"] = whole
+        answer = {
+            "id": self._call.request_id,
+            "object": "chat.completion" if is_chat else "text_completion",
+            "created": self._answer.get("created", 0),
+            "model": self._model,
+            "choices": [choice],
+        }
+        if self._usage is not None:
+            answer["usage"] = self._usage
+        yield BackendData(*self._ids, msgspec.json.encode(answer))
+        yield BackendEnded(*self._ids)
+
+
+def _text(choice: dict[str, Any]) -> str:
+    if "delta" in choice:
+        return choice["delta"].get("content") or ""
+    return choice.get("text") or ""
+
+
+def _is_role_only(choices: list[dict[str, Any]] | None) -> bool:
+    if not choices:
+        return False
+    return "role" in choices[0].get("delta", {}) and not choices[0].get("finish_reason")
+
+
+def _add_generated(event: dict[str, Any], tokens: int) -> None:
+    usage = event.get("usage")
+    if not usage or not tokens:
+        return
+    for name in ("completion_tokens", "total_tokens"):
+        usage[name] = usage.get(name, 0) + tokens
--- /dev/null
+++ b/fighitch/daemons/admin_app.py
@@ -0,0 +1,150 @@
+"""The operators' HTTP interface of a daemon."""
+
+import hashlib
+import hmac
+from collections.abc import Callable, Mapping, Sequence
+from typing import Any, Protocol
+
+import msgspec
+from werkzeug.exceptions import HTTPException
+from werkzeug.routing import Map, Rule
+from werkzeug.wrappers import Request, Response
+
+from fighitch.core.errors import ErrorKind, Failure
+from fighitch.core.resources import Resource, parse_resource
+from fighitch.core.tickets import SharedKey
+from fighitch.daemons.errors import error_response, json_response
+from fighitch.observability.metrics import CONTENT_TYPE, Metrics
+
+SIGNATURE_HEADER = "X-Fighitch-Signature"
+# The largest value of the object API, some of which fit into one message.
+MAX_CONFIGURATION_BYTES = 4 * 1024 * 1024
+
+_ROUTES = Map(
+    [
+        Rule("/healthz", endpoint="health", methods=["GET"]),
+        Rule("/readyz", endpoint="ready", methods=["GET"]),
+        Rule("/metrics", endpoint="render_metrics", methods=["GET"]),
+        Rule("/status", endpoint="status", methods=["GET"]),
+        Rule("/configuration", endpoint="configuration", methods=["GET"]),
+        Rule("/configuration", endpoint="take_configuration", methods=["POST"]),
+        Rule("/explain/<request_id>", endpoint="explain", methods=["GET"]),
+        Rule("/drain", endpoint="drain", methods=["POST"]),
+    ]
+)
+
+
+class Administered(Protocol):
+    """What the application needs of a daemon."""
+
+    def is_ready(self) -> bool:
+        """Returns whether the daemon can serve."""
+
+    def status(self) -> Any:
+        """Returns a snapshot that can be written as JSON."""
+
+    def configuration(self) -> Mapping[str, Any]:
+        """Returns the revision and the revision of each resource."""
+
+    def take_configuration(self, resources: Sequence[Resource]) -> None:
+        """Merges resources that an operator handed over."""
+
+    def explain(self, request_id: str) -> list[dict[str, Any]]:
+        """Returns the records of a request."""
+
+    def drain(self) -> None:
+        """Begins a drain."""
+
+
+class AdminApp:
+    """WSGI application for operators and the platform."""
+
+    def __init__(
+        self,
+        daemon: Administered,
+        *,
+        metrics: Metrics,
+        keys: Callable[[], Sequence[SharedKey]],
+    ) -> None:
+        """Connects the application to its daemon.
+
+        Args:
+            daemon: The entry or sidecar.
+            metrics: Metrics of the process.
+            keys: Returns the valid shared keys.
+        """
+        self._daemon = daemon
+        self._metrics = metrics
+        self._keys = keys
+
+    def __call__(self, environ: dict[str, Any], start_response: Any) -> Any:
+        """Answers one HTTP request."""
+        request = Request(environ)
+        request.max_content_length = MAX_CONFIGURATION_BYTES
+        try:
+            endpoint, arguments = _ROUTES.bind_to_environ(environ).match()
+            response = getattr(self, f"_{endpoint}")(request, **arguments)
+        except HTTPException as error:
+            response = error.get_response(environ)
+        return response(environ, start_response)
+
+    def _health(self, _request: Request) -> Response:
+        return json_response({"status": "alive"})
+
+    def _ready(self, _request: Request) -> Response:
+        if self._daemon.is_ready():
+            return json_response({"status": "ready"})
+        return json_response({"status": "not ready"}, 503)
+
+    def _render_metrics(self, _request: Request) -> Response:
+        return Response(self._metrics.render(), content_type=CONTENT_TYPE)
+
+    def _status(self, _request: Request) -> Response:
+        return json_response(self._daemon.status())
+
+    def _configuration(self, _request: Request) -> Response:
+        return json_response(self._daemon.configuration())
+
+    def _explain(self, _request: Request, request_id: str) -> Response:
+        return json_response({"records": self._daemon.explain(request_id)})
+
+    def _drain(self, request: Request) -> Response:
+        if not self._is_signed(request):
+            return _unsigned()
+        self._daemon.drain()
+        return json_response({"status": "draining"}, 202)
+
+    def _take_configuration(self, request: Request) -> Response:
+        if not self._is_signed(request):
+            return _unsigned()
+        try:
+            handover = msgspec.json.decode(request.get_data(), type=_Handover)
+        except msgspec.MsgspecError as error:
+            return error_response(Failure(ErrorKind.BAD_REQUEST, str(error)))
+        resources = []
+        for document in handover.resources:
+            parsed = parse_resource(document)
+            if parsed.is_error():
+                return error_response(parsed.error)
+            resources.append(parsed.ok)
+        self._daemon.take_configuration(resources)
+        return json_response(self._daemon.configuration())
+
+    def _is_signed(self, request: Request) -> bool:
+        header = request.headers.get(SIGNATURE_HEADER, "")
+        key_id, _, signature = header.partition(":")
+        secrets = {key.key_id: key.secret for key in self._keys()}
+        secret = secrets.get(key_id)
+        if secret is None:
+            return False
+        expected = hmac.new(secret, request.get_data(), hashlib.sha256).hexdigest()
+        return hmac.compare_digest(expected, signature)
+
+
+class _Handover(msgspec.Struct, frozen=True):
+    resources: list[dict[str, Any]]
+
+
+def _unsigned() -> Response:
+    detail = f"{SIGNATURE_HEADER} is missing or was not made with a valid shared key"
+    return error_response(Failure(ErrorKind.UNAUTHENTICATED, detail))
--- /dev/null
+++ b/fighitch/daemons/callers_app.py
@@ -0,0 +1,411 @@
+"""The callers' HTTP interface of an entry."""
+
+import hashlib
+import math
+import queue
+import socket
+import time
+from collections.abc import Callable, Iterator
+from typing import Any, Protocol
+
+import msgspec
+from expression import Error, Ok, Result
+from werkzeug.exceptions import (
+    ClientDisconnected,
+    HTTPException,
+    MethodNotAllowed,
+    RequestEntityTooLarge,
+)
+from werkzeug.routing import Map, Rule
+from werkzeug.wrappers import Request, Response
+
+from fighitch.core.effects import (
+    AnswerData,
+    AnswerEnded,
+    AnswerFailed,
+    AnswerStarted,
+    TicketIssued,
+)
+from fighitch.core.errors import ErrorKind, Failure
+from fighitch.core.inputs import CallerGone, CallerRequest, TicketRequested
+from fighitch.daemons.errors import (
+    REQUEST_ID_HEADER,
+    RUN_STATE_HEADER,
+    error_body,
+    error_response,
+    json_response,
+)
+from fighitch.observability.metrics import Metrics
+from fighitch.observability.traces import OpenSpan, Traces
+from fighitch.types import RequestId, Seconds
+
+TIMEOUT_HEADER = "X-Request-Timeout-Ms"
+WORK_HEADER = "X-Work-Policy"
+MODEL_HEADER = "X-Model"
+MAX_HEADER_CHARS = 1_024
+# The core answers every request by its deadline; this only guards against a fault.
+LAST_RESORT_TIMEOUT: Seconds = 3_600.0
+_CALLER_POLL: Seconds = 0.5
+_MS = 1_000
+
+_ROUTES = Map(
+    [
+        Rule("/v1/completions", endpoint="complete", methods=["POST"]),
+        Rule("/v1/chat/completions", endpoint="complete", methods=["POST"]),
+        Rule("/v1/models", endpoint="models", methods=["GET"]),
+        Rule("/v1/idempotency-keys", endpoint="ticket", methods=["POST"]),
+        Rule("/services/<service>/<path:path>", endpoint="service"),
+        Rule("/healthz", endpoint="health", methods=["GET"]),
+        Rule("/readyz", endpoint="ready", methods=["GET"]),
+    ]
+)
+
+AnswerEvent = AnswerStarted | AnswerData | AnswerEnded | AnswerFailed | TicketIssued
+
+
+class EntryLink(Protocol):
+    """What the application needs of the entry."""
+
+    def open_request(self) -> tuple[RequestId, "queue.SimpleQueue[AnswerEvent]"]:
+        """Returns a new request id and the queue that its answer comes through."""
+
+    def close_request(self, request_id: RequestId) -> None:
+        """Forgets the queue."""
+
+    def post(self, message: Any) -> None:
+        """Hands an input to the core."""
+
+    def models(self, key_digest: str) -> Result[list[dict[str, Any]], Failure]:
+        """Returns the models that a caller may ask for."""
+
+    def is_ready(self) -> bool:
+        """Returns whether the balancer may send requests."""
+
+
+class StreamCutError(ConnectionError):
+    """Ends a streamed answer without the final chunk, so that the caller notices."""
+
+
+class CallersApp:
+    """WSGI application for callers."""
+
+    def __init__(
+        self,
+        link: EntryLink,
+        *,
+        metrics: Metrics,
+        traces: Traces,
+        max_body_bytes: Callable[[], int],
+    ) -> None:
+        """Connects the application to the entry.
+
+        Args:
+            link: The entry.
+            metrics: Metrics of the process.
+            traces: Traces of the process.
+            max_body_bytes: Returns the largest body that is accepted.
+        """
+        self._link = link
+        self._metrics = metrics
+        self._traces = traces
+        self._max_body_bytes = max_body_bytes
+
+    def __call__(self, environ: dict[str, Any], start_response: Any) -> Any:
+        """Answers one HTTP request."""
+        return self._answer(Request(environ))(environ, start_response)
+
+    def _answer(self, request: Request) -> Response:
+        request.max_content_length = self._max_body_bytes()
+        try:
+            endpoint, arguments = _ROUTES.bind_to_environ(request.environ).match()
+            return getattr(self, f"_{endpoint}")(request, **arguments)
+        except RequestEntityTooLarge:
+            limit = self._max_body_bytes()
+            detail = f"the body is larger than the allowed {limit} bytes"
+            return error_response(Failure(ErrorKind.BODY_TOO_LARGE, detail))
+        except MethodNotAllowed as error:
+            detail = f"{request.method} is not one of {error.valid_methods}"
+            return error_response(Failure(ErrorKind.METHOD_NOT_ALLOWED, detail))
+        except ClientDisconnected:
+            detail = "the body ended before its announced length"
+            return error_response(Failure(ErrorKind.BAD_REQUEST, detail))
+        except HTTPException:
+            routes = sorted({rule.rule for rule in _ROUTES.iter_rules()})
+            detail = f"path {request.path!r} is not one of {routes}"
+            return error_response(Failure(ErrorKind.UNKNOWN_ROUTE, detail))
+
+    # --- Endpoints ---
+
+    def _health(self, _request: Request) -> Response:
+        return json_response({"status": "alive"})
+
+    def _ready(self, _request: Request) -> Response:
+        if self._link.is_ready():
+            return json_response({"status": "ready"})
+        return json_response({"status": "not ready"}, 503)
+
+    def _models(self, request: Request) -> Response:
+        models = self._link.models(_key_digest(request))
+        if models.is_error():
+            return error_response(models.error)
+        return json_response({"object": "list", "data": models.ok})
+
+    def _complete(self, request: Request) -> Response:
+        body = _json_object(request)
+        if body.is_error():
+            return error_response(body.error)
+        model = body.ok.get("model")
+        if not isinstance(model, str) or not model:
+            detail = (
+                f"model {model!r} must name an adapter, as 'name' or 'name@version'"
+            )
+            return error_response(Failure(ErrorKind.BAD_REQUEST, detail))
+        streamed = body.ok.get("stream", False)
+        if not isinstance(streamed, bool):
+            detail = f"stream {streamed!r} must be true or false"
+            return error_response(Failure(ErrorKind.BAD_REQUEST, detail))
+        return self._submit(request, model=model, streamed=streamed, path=request.path)
+
+    def _service(self, request: Request, service: str, path: str) -> Response:
+        query = request.query_string.decode("latin-1")
+        target = f"/{path}" + (f"?{query}" if query else "")
+        return self._submit(request, service=service, path=target)
+
+    def _ticket(self, request: Request) -> Response:
+        body = _json_object(request)
+        if body.is_error():
+            return error_response(body.error)
+        names = {name: str(body.ok.get(name) or "") for name in ("model", "service")}
+        if bool(names["model"]) == bool(names["service"]):
+            detail = f"{names}: exactly one of 'model' and 'service' must be given"
+            return error_response(Failure(ErrorKind.BAD_REQUEST, detail))
+        request_id, events = self._link.open_request()
+        try:
+            digest = _key_digest(request)
+            self._link.post(TicketRequested(request_id, digest, **names))
+            event = events.get(timeout=LAST_RESORT_TIMEOUT)
+        finally:
+            self._link.close_request(request_id)
+        if isinstance(event, TicketIssued):
+            return json_response({"idempotency_key": event.ticket}, 201)
+        if isinstance(event, AnswerFailed):
+            return error_response(event.failure, request_id)
+        return error_response(Failure(ErrorKind.INTERNAL, f"unexpected {event}"))
+
+    # --- Requests ---
+
+    def _submit(
+        self,
+        request: Request,
+        *,
+        path: str,
+        model: str = "",
+        service: str = "",
+        streamed: bool = False,
+    ) -> Response:
+        headers = _checked_headers(request)
+        if headers.is_error():
+            return error_response(headers.error)
+        timeout, idempotency_key, work = headers.ok
+        body = request.get_data()
+        request_id, events = self._link.open_request()
+        span = self._traces.start(
+            "entry.request",
+            request.headers.get("traceparent", ""),
+            {"request_id": request_id, "target": model or service},
+        )
+        self._link.post(
+            CallerRequest(
+                request_id=request_id,
+                key_digest=_key_digest(request),
+                model=model,
+                service=service,
+                path=path,
+                body=body,
+                method=request.method,
+                streamed=streamed,
+                work=work,
+                timeout=timeout,
+                idempotency_key=idempotency_key,
+                traceparent=span.traceparent,
+            )
+        )
+        exchange = _Exchange(
+            request_id, events, self._link, self._metrics, span, request.environ
+        )
+        return exchange.response()
+
+
+class _Exchange:
+    """One request that was handed to the core, until its answer has ended."""
+
+    def __init__(
+        self,
+        request_id: RequestId,
+        events: "queue.SimpleQueue[AnswerEvent]",
+        link: EntryLink,
+        metrics: Metrics,
+        span: OpenSpan,
+        environ: dict[str, Any],
+    ) -> None:
+        self._request_id = request_id
+        self._events = events
+        self._link = link
+        self._metrics = metrics
+        self._span = span
+        self._socket: socket.socket | None = environ.get("werkzeug.socket")
+        self._started_at = time.monotonic()
+        self._is_closed = False
+        self._metrics.in_flight.inc()
+
+    def response(self) -> Response:
+        """Waits for the first event of the answer and returns the response."""
+        event = self._next_event()
+        if isinstance(event, AnswerStarted):
+            return self._streamed(event)
+        if isinstance(event, AnswerEnded):
+            return self._whole(event)
+        if isinstance(event, AnswerFailed):
+            failure = event.failure
+        else:
+            failure = Failure(ErrorKind.INTERNAL, f"unexpected {event}")
+        self._close(failure=failure)
+        return error_response(failure, self._request_id)
+
+    def _whole(self, event: AnswerEnded) -> Response:
+        self._metrics.first_byte(time.monotonic() - self._started_at)
+        self._close(ended=event)
+        return Response(
+            event.body,
+            event.status,
+            _answer_headers(self._request_id, event),
+            content_type=event.content_type,
+        )
+
+    def _streamed(self, event: AnswerStarted) -> Response:
+        self._metrics.first_byte(time.monotonic() - self._started_at)
+        headers = {REQUEST_ID_HEADER: self._request_id, RUN_STATE_HEADER: "ran"}
+        if event.model:
+            headers[MODEL_HEADER] = event.model
+        return Response(
+            self._chunks(),
+            event.status,
+            headers,
+            content_type=event.content_type,
+            direct_passthrough=True,
+        )
+
+    def _chunks(self) -> Iterator[bytes]:
+        try:
+            while True:
+                event = self._next_event()
+                if isinstance(event, AnswerData):
+                    yield event.data
+                elif isinstance(event, AnswerEnded):
+                    self._close(ended=event)
+                    return
+                elif isinstance(event, AnswerFailed):
+                    self._close(failure=event.failure)
+                    body = error_body(event.failure, self._request_id)
+                    yield b"event: error\ndata: " + body + b"\n\n"
+                    raise StreamCutError(event.failure.detail)
+        finally:
+            self._close()
+
+    def _next_event(self) -> AnswerEvent | None:
+        deadline = time.monotonic() + LAST_RESORT_TIMEOUT
+        while time.monotonic() < deadline:
+            try:
+                return self._events.get(timeout=_CALLER_POLL)
+            except queue.Empty:
+                if self._is_caller_gone():
+                    break
+        self._close()
+        return None
+
+    def _is_caller_gone(self) -> bool:
+        if self._socket is None:
+            return False
+        try:
+            flags = socket.MSG_PEEK | socket.MSG_DONTWAIT
+            return self._socket.recv(1, flags) == b""
+        except BlockingIOError:
+            return False
+        except OSError:
+            return True
+
+    def _close(
+        self, *, ended: AnswerEnded | None = None, failure: Failure | None = None
+    ) -> None:
+        if self._is_closed:
+            return
+        self._is_closed = True
+        self._link.close_request(self._request_id)
+        self._metrics.in_flight.dec()
+        seconds = time.monotonic() - self._started_at
+        if ended is not None:
+            kind, run_state = "ok", ended.run_state.value
+            self._span.set("backend_server", ended.backend_server)
+            self._span.set("attempts", ended.attempts)
+        elif failure is not None:
+            kind, run_state = failure.kind.value, failure.run_state.value
+        else:
+            kind, run_state = "caller_gone", "unknown"
+            self._link.post(CallerGone(self._request_id))
+        self._metrics.answered(kind=kind, run_state=run_state, seconds=seconds)
+        self._span.set("result", kind)
+        self._span.end()
+
+
+def _answer_headers(request_id: RequestId, event: AnswerEnded) -> dict[str, str]:
+    headers = {
+        REQUEST_ID_HEADER: request_id,
+        RUN_STATE_HEADER: event.run_state.value,
+        "X-Backend-Server": event.backend_server,
+        "X-Attempts": str(event.attempts),
+        "X-Queued-Ms": str(event.queued),
+        "X-Stalled-Ms": str(event.stalled),
+    }
+    if event.model:
+        headers[MODEL_HEADER] = event.model
+    if event.replayed:
+        headers["Idempotency-Replayed"] = "true"
+    return headers
+
+
+def _key_digest(request: Request) -> str:
+    scheme, _, key = request.headers.get("Authorization", "").partition(" ")
+    if scheme.lower() != "bearer" or not key:
+        return ""
+    return hashlib.sha256(key.strip().encode()).hexdigest()
+
+
+def _json_object(request: Request) -> Result[dict[str, Any], Failure]:
+    try:
+        return Ok(msgspec.json.decode(request.get_data(), type=dict[str, Any]))
+    except msgspec.MsgspecError as error:
+        detail = f"the body is not a JSON object: {error}"
+        return Error(Failure(ErrorKind.BAD_REQUEST, detail))
+
+
+def _checked_headers(
+    request: Request,
+) -> Result[tuple[Seconds | None, str, str], Failure]:
+    for name in ("Idempotency-Key", WORK_HEADER):
+        if len(request.headers.get(name, "")) > MAX_HEADER_CHARS:
+            detail = f"{name} has more than {MAX_HEADER_CHARS} characters"
+            return Error(Failure(ErrorKind.BAD_REQUEST, detail))
+    key = request.headers.get("Idempotency-Key", "")
+    work = request.headers.get(WORK_HEADER, "")
+    text = request.headers.get(TIMEOUT_HEADER)
+    if text is None:
+        return Ok((None, key, work))
+    try:
+        milliseconds = float(text)
+    except ValueError:
+        milliseconds = math.nan
+    if not 0 < milliseconds <= LAST_RESORT_TIMEOUT * _MS:
+        limit = int(LAST_RESORT_TIMEOUT * _MS)
+        detail = f"{TIMEOUT_HEADER} {text!r} must be a number in (0, {limit}]"
+        return Error(Failure(ErrorKind.BAD_REQUEST, detail))
+    return Ok((milliseconds / _MS, key, work))
--- /dev/null
+++ b/fighitch/observability/logs.py
@@ -0,0 +1,66 @@
+"""Structured logs: one line of key=value pairs for each event."""
+
+import sys
+from typing import Any
+
+import logbook
+
+from fighitch.core.effects import LogEvent
+
+_NEEDS_QUOTES = frozenset(' "=\n\t')
+
+
+def format_event(name: str, fields: Any) -> str:
+    """Returns an event as one line.
+
+    Args:
+        name: Event name.
+        fields: Pairs of key and value.
+    """
+    pairs = [f"event={name}", *(f"{key}={_quote(value)}" for key, value in fields)]
+    return " ".join(pairs)
+
+
+def _quote(value: Any) -> str:
+    text = str(value)
+    if text and not _NEEDS_QUOTES.intersection(text):
+        return text
+    escaped = text.replace("\\", "\\\\").replace('"', '\\"').replace("\n", "\\n")
+    return f'"{escaped}"'
+
+
+class EventLog:
+    """Writes events through logbook."""
+
+    def __init__(self, *, instance: str, level: str = "info", path: str = "") -> None:
+        """Opens the log.
+
+        Args:
+            instance: Name of this instance, in every line.
+            level: Least severe level to write, by its logbook name.
+            path: File to append to; empty for standard error.
+        """
+        least = logbook.lookup_level(level.upper())
+        line = (
+            "time={record.time:%Y-%m-%dT%H:%M:%S.%f}Z level={record.level_name} "
+            "{record.message}"
+        )
+        logbook.set_datetime_format("utc")
+        self._handler: logbook.Handler
+        if path:
+            self._handler = logbook.FileHandler(path, level=least)
+        else:
+            self._handler = logbook.StreamHandler(sys.stderr, level=least)
+        self._handler.format_string = line
+        self._handler.push_application()
+        self._logger = logbook.Logger(instance)
+        self._instance = instance
+
+    def write(self, event: LogEvent, *, level: str = "info") -> None:
+        """Writes one event."""
+        fields = (("instance", self._instance), *event.fields)
+        self._logger.log(level.upper(), format_event(event.name, fields))
+
+    def event(self, name: str, *, level: str = "info", **fields: Any) -> None:
+        """Writes one event given by keyword arguments."""
+        self.write(LogEvent(name, tuple(fields.items())), level=level)
--- /dev/null
+++ b/fighitch/runtime/transfers.py
@@ -0,0 +1,276 @@
+"""The transfer task: owns a ``pycurl.CurlMulti`` for all outgoing HTTP streams."""
+
+import selectors
+import socket
+import threading
+import time
+from collections import deque
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass, field
+from typing import Any, TypeAlias
+
+import pycurl
+
+from fighitch.types import Seconds
+
+CONNECT_TIMEOUT: Seconds = 1.0
+_MS = 1_000
+
+
+@dataclass(frozen=True, slots=True)
+class Transfer:
+    """An HTTP call to make.
+
+    Attributes:
+        method: HTTP method.
+        url: Full URL.
+        headers: Header names and values.
+        body: Body; sent if not None.
+        timeout: Time until the call is given up.
+        is_repeatable: Whether the call may reach the server twice. libcurl silently
+            repeats a call on a new connection when a reused one turns out to be
+            closed, also a POST; other calls get a connection of their own, where
+            this cannot happen.
+    """
+
+    method: str
+    url: str
+    headers: Mapping[str, str] = field(default_factory=dict)
+    body: bytes | None = None
+    timeout: Seconds = 60.0
+    is_repeatable: bool = True
+
+
+@dataclass(frozen=True, slots=True)
+class TransferStarted:
+    """Status and headers have arrived; header names are lower case."""
+
+    status: int
+    headers: Mapping[str, str]
+
+
+@dataclass(frozen=True, slots=True)
+class TransferData:
+    """A part of the body."""
+
+    data: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class TransferEnded:
+    """The whole answer has arrived."""
+
+
+@dataclass(frozen=True, slots=True)
+class TransferFailed:
+    """The call failed.
+
+    Attributes:
+        sent: Whether any byte of the call may have reached the server.
+        detail: What happened.
+    """
+
+    sent: bool
+    detail: str
+
+
+TransferEvent: TypeAlias = (
+    TransferStarted | TransferData | TransferEnded | TransferFailed
+)
+OnEvent: TypeAlias = Callable[[TransferEvent], None]
+
+
+class _Running:
+    """A call with its curl handle and the state of its answer."""
+
+    def __init__(self, number: int, transfer: Transfer, on_event: OnEvent) -> None:
+        self.number = number
+        self.on_event = on_event
+        self.handle = pycurl.Curl()
+        self._headers: dict[str, str] = {}
+        self._has_started = False
+        handle = self.handle
+        handle.setopt(pycurl.URL, transfer.url)
+        handle.setopt(pycurl.CUSTOMREQUEST, transfer.method)
+        handle.setopt(pycurl.NOSIGNAL, 1)
+        handle.setopt(pycurl.TCP_NODELAY, 1)
+        handle.setopt(pycurl.CONNECTTIMEOUT_MS, int(CONNECT_TIMEOUT * _MS))
+        handle.setopt(pycurl.TIMEOUT_MS, max(1, int(transfer.timeout * _MS)))
+        headers = [f"{name}: {value}" for name, value in transfer.headers.items()]
+        # An empty Expect header stops libcurl from waiting for 100 Continue.
+        handle.setopt(pycurl.HTTPHEADER, [*headers, "Expect:"])
+        if transfer.body is not None:
+            handle.setopt(pycurl.POSTFIELDS, transfer.body)
+        if not transfer.is_repeatable:
+            handle.setopt(pycurl.FRESH_CONNECT, 1)
+            handle.setopt(pycurl.FORBID_REUSE, 1)
+        handle.setopt(pycurl.HEADERFUNCTION, self._on_header)
+        handle.setopt(pycurl.WRITEFUNCTION, self._on_body)
+
+    def finish(self, error_code: int, detail: str) -> None:
+        """Reports the end of the call."""
+        if error_code == pycurl.E_OK:
+            self._start()
+            self.on_event(TransferEnded())
+            return
+        sent = self.handle.getinfo(pycurl.REQUEST_SIZE) > 0
+        self.on_event(TransferFailed(sent, f"curl error {error_code}: {detail}"))
+
+    def _on_header(self, line: bytes) -> None:
+        text = line.decode("latin-1").strip()
+        if text.startswith("HTTP/"):
+            self._headers = {}
+            return
+        name, colon, value = text.partition(":")
+        if colon:
+            self._headers[name.lower()] = value.strip()
+
+    def _on_body(self, data: bytes) -> None:
+        self._start()
+        self.on_event(TransferData(data))
+
+    def _start(self) -> None:
+        if self._has_started:
+            return
+        self._has_started = True
+        status = self.handle.getinfo(pycurl.RESPONSE_CODE)
+        self.on_event(TransferStarted(status, self._headers))
+
+
+class Transfers:
+    """Runs HTTP calls on one thread; events are passed on from that thread."""
+
+    def __init__(self) -> None:
+        self._selector = selectors.DefaultSelector()
+        self._multi = pycurl.CurlMulti()
+        self._multi.setopt(pycurl.M_SOCKETFUNCTION, self._on_socket)
+        self._multi.setopt(pycurl.M_TIMERFUNCTION, self._on_timer)
+        self._timer_at: Seconds | None = None
+        self._running: dict[int, _Running] = {}
+        self._commands: deque[Callable[[], None]] = deque()
+        self._next_number = 1
+        self._number_lock = threading.Lock()
+        self._wake_receive, self._wake_send = socket.socketpair()
+        self._wake_receive.setblocking(False)
+        self._wake_send.setblocking(False)
+        self._selector.register(self._wake_receive, selectors.EVENT_READ, "wake")
+        self._is_stopping = False
+
+    def submit(self, transfer: Transfer, on_event: OnEvent) -> int:
+        """Starts a call, from any thread.
+
+        Args:
+            transfer: The call.
+            on_event: Gets the events on the transfer thread; must not block.
+
+        Returns:
+            Number of the call, for ``cancel``.
+        """
+        with self._number_lock:
+            number = self._next_number
+            self._next_number += 1
+        self._command(lambda: self._start(number, transfer, on_event))
+        return number
+
+    def cancel(self, number: int) -> None:
+        """Closes a call's connection, from any thread; no more events follow."""
+        self._command(lambda: self._cancel(number))
+
+    def stop(self) -> None:
+        """Ends ``run``, from any thread."""
+        self._command(self._stop)
+
+    def run(self) -> None:
+        """Runs calls until ``stop``."""
+        while not self._is_stopping:
+            timeout = None
+            if self._timer_at is not None:
+                timeout = max(0.0, self._timer_at - time.monotonic())
+            for key, events in self._selector.select(timeout):
+                self._handle_ready(key, events)
+            if self._timer_at is not None and time.monotonic() >= self._timer_at:
+                self._timer_at = None
+                self._multi.socket_action(pycurl.SOCKET_TIMEOUT, 0)
+            while self._commands:
+                self._commands.popleft()()
+            self._collect()
+        for number in list(self._running):
+            self._cancel(number)
+        self._multi.close()
+        self._selector.close()
+
+    def _command(self, command: Callable[[], None]) -> None:
+        self._commands.append(command)
+        try:
+            self._wake_send.send(b"\0")
+        except (BlockingIOError, OSError):
+            return
+
+    def _stop(self) -> None:
+        self._is_stopping = True
+
+    def _start(self, number: int, transfer: Transfer, on_event: OnEvent) -> None:
+        try:
+            running = _Running(number, transfer, on_event)
+        except (pycurl.error, UnicodeEncodeError, ValueError) as error:
+            on_event(TransferFailed(sent=False, detail=str(error)))
+            return
+        self._running[number] = running
+        self._multi.add_handle(running.handle)
+
+    def _cancel(self, number: int) -> None:
+        running = self._running.pop(number, None)
+        if running is not None:
+            self._multi.remove_handle(running.handle)
+            running.handle.close()
+
+    def _collect(self) -> None:
+        remaining = 1
+        while remaining:
+            remaining, done, failed = self._multi.info_read()
+            for handle in done:
+                self._finish(handle, pycurl.E_OK, "")
+            for handle, code, detail in failed:
+                self._finish(handle, code, detail)
+
+    def _finish(self, handle: Any, code: int, detail: str) -> None:
+        for running in self._running.values():
+            if running.handle is handle:
+                break
+        else:
+            return
+        running.finish(code, detail)
+        self._cancel(running.number)
+
+    def _handle_ready(self, key: selectors.SelectorKey, events: int) -> None:
+        if key.data == "wake":
+            self._wake_receive.recv(4096)
+            return
+        mask = 0
+        if events & selectors.EVENT_READ:
+            mask |= pycurl.CSELECT_IN
+        if events & selectors.EVENT_WRITE:
+            mask |= pycurl.CSELECT_OUT
+        self._multi.socket_action(key.fd, mask)
+
+    def _on_socket(self, what: int, fd: int, _multi: Any, _data: Any) -> None:
+        is_known = fd in self._selector.get_map()
+        if what == pycurl.POLL_REMOVE:
+            if is_known:
+                self._selector.unregister(fd)
+            return
+        events = 0
+        if what in (pycurl.POLL_IN, pycurl.POLL_INOUT):
+            events |= selectors.EVENT_READ
+        if what in (pycurl.POLL_OUT, pycurl.POLL_INOUT):
+            events |= selectors.EVENT_WRITE
+        if is_known:
+            self._selector.modify(fd, events, "transfer")
+        else:
+            self._selector.register(fd, events, "transfer")
+
+    def _on_timer(self, timeout_ms: int) -> None:
+        if timeout_ms < 0:
+            self._timer_at = None
+            return
+        self._timer_at = time.monotonic() + timeout_ms / _MS
