--- /dev/null
+++ b/fighitch/daemons/backend_calls.py
@@ -0,0 +1,154 @@
+"""Runs a sidecar's calls and commands to its backend server on the transfer task."""
+
+from collections.abc import Callable
+from dataclasses import replace
+from types import ModuleType
+from typing import Any
+
+import msgspec
+
+from fighitch.backends import engine, service
+from fighitch.core.effects import (
+    CallBackend,
+    LoadAdapter,
+    UnloadAdapter,
+)
+from fighitch.core.inputs import BackendFailed, BackendUnreachable
+from fighitch.observability.traces import OpenSpan, Traces
+from fighitch.runtime.transfers import (
+    Transfer,
+    TransferData,
+    TransferEnded,
+    TransferEvent,
+    TransferFailed,
+    Transfers,
+    TransferStarted,
+)
+
+_PROTOCOLS: dict[str, ModuleType] = {"engine": engine, "service": service}
+
+
+class BackendCalls:
+    """The outgoing side of a sidecar."""
+
+    def __init__(
+        self,
+        transfers: Transfers,
+        *,
+        backend_type: str,
+        url: str,
+        post: Callable[[Any], None],
+        traces: Traces,
+    ) -> None:
+        """Connects the backend server to the core.
+
+        Args:
+            transfers: The transfer task.
+            backend_type: ``engine`` or ``service``.
+            url: Base URL of the backend server.
+            post: Hands an input to the core.
+            traces: Traces of the process.
+        """
+        self._transfers = transfers
+        self._protocol = _PROTOCOLS[backend_type]
+        self._url = url.rstrip("/")
+        self._post = post
+        self._traces = traces
+        # Transfer number of each running call, by the call's own number.
+        self._numbers: dict[int, int] = {}
+
+    def call(self, call: CallBackend) -> None:
+        """Starts a call."""
+        span = self._traces.start(
+            "backend.call",
+            call.traceparent,
+            {"request_id": call.request_id, "model": str(call.adapter_version or "")},
+        )
+        try:
+            transfer, reader = self._protocol.call_transfer(
+                replace(call, traceparent=span.traceparent), self._url
+            )
+        except (msgspec.MsgspecError, TypeError) as error:
+            ids = (call.request_id, call.attempt, call.call)
+            self._post(BackendFailed(*ids, sent=False, detail=str(error)))
+            return
+
+        def on_event(event: TransferEvent) -> None:
+            for item in reader.read(event):
+                self._post(item)
+            if isinstance(event, TransferEnded | TransferFailed):
+                self._numbers.pop(call.call, None)
+                _end_span(span, event)
+
+        self._numbers[call.call] = self._transfers.submit(transfer, on_event)
+
+    def cancel(self, call: int) -> None:
+        """Closes the connection of a call."""
+        number = self._numbers.pop(call, None)
+        if number is not None:
+            self._transfers.cancel(number)
+
+    def load(self, command: LoadAdapter) -> None:
+        """Sends a load command."""
+        self._command(command, engine.load_transfer(command, self._url))
+
+    def unload(self, command: UnloadAdapter) -> None:
+        """Sends an unload command."""
+        self._command(command, engine.unload_transfer(command, self._url))
+
+    def ask_status(self, on_done: Callable[[], None]) -> None:
+        """Asks the backend server for its state.
+
+        Args:
+            on_done: Called when the answer was handed to the core, or failed.
+        """
+
+        def on_answer(status: int, data: bytes) -> None:
+            try:
+                self._post(engine.parse_status(data))
+            except msgspec.MsgspecError as error:
+                detail = f"status {status}, unreadable: {error}"
+                self._post(BackendUnreachable(detail))
+            on_done()
+
+        def on_failure(detail: str) -> None:
+            self._post(BackendUnreachable(detail))
+            on_done()
+
+        self._collect(engine.status_transfer(self._url), on_answer, on_failure)
+
+    def _command(self, command: LoadAdapter | UnloadAdapter, call: Transfer) -> None:
+        def on_answer(status: int, data: bytes) -> None:
+            self._post(engine.load_outcome(command, status, data))
+
+        def on_failure(detail: str) -> None:
+            self._post(engine.load_outcome(command, 0, detail.encode()))
+
+        self._collect(call, on_answer, on_failure)
+
+    def _collect(
+        self,
+        call: Transfer,
+        on_answer: Callable[[int, bytes], None],
+        on_failure: Callable[[str], None],
+    ) -> None:
+        body = bytearray()
+        status = 0
+
+        def on_event(event: TransferEvent) -> None:
+            nonlocal status
+            if isinstance(event, TransferStarted):
+                status = event.status
+            elif isinstance(event, TransferData):
+                body.extend(event.data)
+            elif isinstance(event, TransferEnded):
+                on_answer(status, bytes(body))
+            else:
+                on_failure(event.detail)
+
+        self._transfers.submit(call, on_event)
+
+
+def _end_span(span: OpenSpan, event: TransferEvent) -> None:
+    span.set("result", type(event).__name__)
+    span.end()
--- /dev/null
+++ b/fighitch/daemons/base.py
@@ -0,0 +1,259 @@
+"""What entry and sidecar have in common: settings, logs, metrics, loop, admin port."""
+
+import secrets
+import sys
+import threading
+import time
+from collections.abc import Callable, Mapping, Sequence
+from dataclasses import asdict
+from typing import Any, Generic, TypeVar
+
+from fighitch.core.audit import AuditLog
+from fighitch.core.configuration import ConfigurationStore
+from fighitch.core.effects import LogEvent
+from fighitch.core.inputs import ConfigurationReceived, DrainRequested
+from fighitch.core.messages import Peer, Role
+from fighitch.core.resources import Kind, Resource
+from fighitch.core.tickets import SharedKey, TicketSigner
+from fighitch.daemons.admin_app import AdminApp
+from fighitch.observability.logs import EventLog
+from fighitch.observability.metrics import Metrics
+from fighitch.observability.traces import Traces
+from fighitch.runtime.http_server import HttpServer
+from fighitch.runtime.lifecycle import Signals
+from fighitch.runtime.loop import Loop
+from fighitch.settings import EntrySettings, SidecarSettings, load_settings
+from fighitch.types import Seconds
+
+ADMIN_WORKERS = 8
+ANSWER_TIMEOUT: Seconds = 5.0
+_INCARNATION_BITS = 63
+_POLL: Seconds = 0.1
+_EXIT_SETTINGS = 2
+# Events that happen for every request or more often; logged at debug only.
+_FREQUENT_EVENTS = frozenset({"chunk_dropped", "heartbeat_sent"})
+
+_Settings = TypeVar("_Settings", EntrySettings, SidecarSettings)
+
+
+class Daemon(Generic[_Settings]):
+    """A process around one core.
+
+    A subclass creates the core and the tasks of its own; ``run`` starts everything and
+    returns when the drain is complete.
+    """
+
+    role: Role
+    settings_type: type[_Settings]
+
+    def __init__(self, settings_path: str, settings: _Settings) -> None:
+        """Prepares the process.
+
+        Args:
+            settings_path: File that is read again on SIGHUP.
+            settings: The settings read from it.
+        """
+        self.settings = settings
+        self._settings_path = settings_path
+        self.incarnation = secrets.randbits(_INCARNATION_BITS)
+        self.identity = Peer(
+            self.role,
+            settings.instance,
+            self.incarnation,
+            settings.availability_zone,
+        )
+        self.log = EventLog(
+            instance=settings.instance,
+            level=settings.log.level,
+            path=settings.log.file,
+        )
+        self.metrics = Metrics(instance=settings.instance, role=self.role.value)
+        self.traces = Traces(
+            instance=settings.instance,
+            exporter=settings.traces.exporter,
+            path=settings.traces.path,
+        )
+        self.keys: tuple[SharedKey, ...] = self._keys_of(settings)
+        self.audit = AuditLog(settings.instance, self.incarnation, capacity=20_000)
+        self.loop = self.create_loop(TicketSigner(self.keys))
+        self._admin = HttpServer(
+            settings.admin_address,
+            AdminApp(self, metrics=self.metrics, keys=lambda: self.keys),
+            workers=ADMIN_WORKERS,
+            name="admin",
+        )
+        self._fresh_at = time.monotonic()
+        self.metrics.configuration_age.set_function(
+            lambda: time.monotonic() - self._fresh_at
+        )
+        self._drain_began: Seconds | None = None
+
+    # --- For subclasses ---
+
+    def create_loop(self, signer: TicketSigner) -> Loop:
+        """Creates the core and its loop."""
+        raise NotImplementedError
+
+    def start_tasks(self) -> None:
+        """Starts the tasks of the subclass."""
+
+    def stop_tasks(self) -> None:
+        """Stops the tasks of the subclass, after the drain."""
+
+    def store(self, core: Any) -> ConfigurationStore:
+        """Returns the core's configuration."""
+        return core.configuration
+
+    # --- Running ---
+
+    def run(self) -> None:
+        """Runs until a planned stop is complete."""
+        signals = Signals(
+            on_drain=self.drain, on_second=self._log_losses, on_reload=self._reload
+        )
+        loop_thread = threading.Thread(target=self._run_loop, name="loop", daemon=True)
+        loop_thread.start()
+        self._admin.start()
+        self.start_tasks()
+        self.log.event(
+            "started",
+            incarnation=f"{self.incarnation:x}",
+            admin=self._admin.address,
+            peers=self.loop.listen_address,
+        )
+        while loop_thread.is_alive() and not self._is_drain_over():
+            loop_thread.join(_POLL)
+        self.stop_tasks()
+        self._admin.stop()
+        self.traces.stop()
+        self.log.event("stopped")
+        del signals
+
+    def _run_loop(self) -> None:
+        try:
+            self.loop.run()
+        except Exception as error:
+            # The platform replaces a process that exits; one without a loop would
+            # only look alive.
+            self.log.event("loop_failed", level="critical", error=repr(error))
+            raise
+
+    def _is_drain_over(self) -> bool:
+        limit = getattr(self.settings, "drain_seconds", 0)
+        if not limit or self._drain_began is None:
+            return False
+        return time.monotonic() - self._drain_began > limit
+
+    def drain(self) -> None:
+        """Begins a planned stop."""
+        if self._drain_began is None:
+            self._drain_began = time.monotonic()
+        self.log.event("drain_requested")
+        self.loop.post(DrainRequested())
+
+    def _log_losses(self) -> None:
+        status = self.status()
+        self.log.event(
+            "second_stop_signal",
+            level="warning",
+            detail="still draining; a kill now would lose the requests in flight",
+            status=status,
+        )
+
+    def _reload(self) -> None:
+        loaded = load_settings(self._settings_path, self.settings_type)
+        if loaded.is_error():
+            self.log.event("reload_failed", level="error", detail=str(loaded.error))
+            return
+        self.settings = loaded.ok
+        self.keys = self._keys_of(loaded.ok)
+        self.loop.set_keys(self.keys)
+        self.log.event("reloaded")
+
+    @staticmethod
+    def _keys_of(settings: EntrySettings | SidecarSettings) -> tuple[SharedKey, ...]:
+        return tuple(item.key for item in settings.shared_keys)
+
+    # --- Effects shared by both cores ---
+
+    def record(self, event: LogEvent) -> None:
+        """Logs, counts and keeps an event."""
+        level = "debug" if event.name in _FREQUENT_EVENTS else "info"
+        self.log.write(event, level=level)
+        self.metrics.count(event)
+        fields = dict(event.fields)
+        request_id = str(fields.pop("request_id", ""))
+        cause = str(fields.pop("cause", ""))
+        self.audit.append(
+            event.name,
+            at=time.time(),
+            request_id=request_id,
+            cause=cause,
+            fields=tuple(fields.items()),
+        )
+
+    def confirm_fresh(self) -> None:
+        """Notes that the configuration was confirmed to be fresh."""
+        self._fresh_at = time.monotonic()
+
+    # --- Administration ---
+
+    def ask(self, question: Callable[[Any], Any]) -> Any:
+        """Runs a function of the core on the loop and returns its result."""
+        return self.loop.ask(question).result(ANSWER_TIMEOUT)
+
+    def is_ready(self) -> bool:
+        """Returns whether the daemon can serve."""
+        return bool(self.ask(lambda core: core.is_ready))
+
+    def status(self) -> Any:
+        """Returns a snapshot that can be written as JSON."""
+        snapshot = self.ask(lambda core: core.status())
+        return {"role": self.role.value, **asdict(snapshot)}
+
+    def configuration(self) -> Mapping[str, Any]:
+        """Returns the revision and the revision of each resource."""
+        return self.ask(lambda core: _configuration_summary(self.store(core)))
+
+    def take_configuration(self, resources: Sequence[Resource]) -> None:
+        """Merges resources that an operator handed over."""
+        self.loop.post(ConfigurationReceived(tuple(resources), revision=0))
+
+    def explain(self, request_id: str) -> list[dict[str, Any]]:
+        """Returns the records of a request."""
+        return [
+            {
+                "id": str(record.record_id),
+                "predecessors": [str(item) for item in record.predecessors],
+                "event": record.event,
+                "cause": record.cause,
+                "at": record.at,
+                "fields": dict(record.fields),
+            }
+            for record in self.audit.explain(request_id)
+        ]
+
+
+def _configuration_summary(store: ConfigurationStore) -> dict[str, Any]:
+    return {
+        "revision": store.revision,
+        "resources": {
+            f"{item.kind.value}/{item.name}": item.revision
+            for kind in Kind
+            for item in store.of_kind(kind)
+        },
+    }
+
+
+def run_daemon(daemon_type: type[Daemon[Any]], settings_path: str) -> int:
+    """Reads the settings and runs a daemon.
+
+    Returns:
+        Exit code: 0 after a planned stop, 2 if the settings cannot be used.
+    """
+    loaded = load_settings(settings_path, daemon_type.settings_type)
+    if loaded.is_error():
+        print(loaded.error, file=sys.stderr)
+        return _EXIT_SETTINGS
+    daemon_type(settings_path, loaded.ok).run()
+    return 0
--- /dev/null
+++ b/fighitch/daemons/configuration_watch.py
@@ -0,0 +1,99 @@
+"""The task that follows the object API's change sequence."""
+
+import random
+import threading
+from collections.abc import Callable
+
+from fighitch.core.inputs import ConfigurationReceived
+from fighitch.core.object_api import Advanced, Changed, Expired, WatchEnded
+from fighitch.platforms.object_api import ObjectApiClient
+from fighitch.types import Revision, Seconds
+
+FIRST_BACKOFF: Seconds = 0.2
+# Below the 5 s in which a change must be in force everywhere.
+MAX_BACKOFF: Seconds = 2.0
+
+
+class ConfigurationWatch:
+    """Lists the configuration, then watches it, and starts again after a failure."""
+
+    def __init__(
+        self,
+        url: str,
+        *,
+        on_change: Callable[[ConfigurationReceived], None],
+        on_fresh: Callable[[], None],
+        on_failure: Callable[[str], None],
+        rng: random.Random,
+    ) -> None:
+        """Prepares the task; ``start`` runs it.
+
+        Args:
+            url: Base URL of the object API.
+            on_change: Takes every change, in order.
+            on_fresh: Called whenever the object API has answered.
+            on_failure: Takes the detail of a failure.
+            rng: Spreads the retries of many watchers.
+        """
+        self._client = ObjectApiClient(url)
+        self._on_change = on_change
+        self._on_fresh = on_fresh
+        self._on_failure = on_failure
+        self._rng = rng
+        self._stopping = threading.Event()
+        self._backoff = FIRST_BACKOFF
+        self._thread = threading.Thread(target=self._run, name="watch", daemon=True)
+
+    def start(self) -> None:
+        """Runs the task on a thread of its own."""
+        self._thread.start()
+
+    def stop(self) -> None:
+        """Asks the task to end."""
+        self._stopping.set()
+
+    def _run(self) -> None:
+        revision: Revision | None = None
+        while not self._stopping.is_set():
+            if revision is None:
+                revision = self._list()
+            if revision is not None:
+                revision = self._watch(revision)
+            self._stopping.wait(self._backoff * self._rng.uniform(0.5, 1.0))
+            self._backoff = min(MAX_BACKOFF, 2 * self._backoff)
+        self._client.close()
+
+    def _list(self) -> Revision | None:
+        listed = self._client.resources()
+        if listed.is_error():
+            self._on_failure(listed.error.detail)
+            return None
+        for problem in listed.ok.rejected:
+            self._on_failure(problem)
+        self._answered()
+        self._on_change(
+            ConfigurationReceived(listed.ok.resources, listed.ok.revision, base=0)
+        )
+        return listed.ok.revision
+
+    def _watch(self, revision: Revision) -> Revision | None:
+        for event in self._client.watch(revision, should_stop=self._stopping.is_set):
+            if isinstance(event, Expired):
+                return None
+            if isinstance(event, WatchEnded):
+                if event.detail:
+                    self._on_failure(event.detail)
+                return revision
+            self._answered()
+            resources = (event.resource,) if isinstance(event, Changed) else ()
+            if isinstance(event, Advanced) and event.rejected:
+                self._on_failure(event.rejected)
+            self._on_change(
+                ConfigurationReceived(resources, event.revision, base=revision)
+            )
+            revision = event.revision
+        return revision
+
+    def _answered(self) -> None:
+        self._backoff = FIRST_BACKOFF
+        self._on_fresh()
--- /dev/null
+++ b/fighitch/daemons/sidecar.py
@@ -0,0 +1,127 @@
+"""The sidecar daemon: queue, adapter slots and ledger beside one backend server."""
+
+import random
+import threading
+from functools import singledispatchmethod
+from typing import Any
+
+from fighitch.core.effects import (
+    CallBackend,
+    CancelBackend,
+    LoadAdapter,
+    LogEvent,
+    UnloadAdapter,
+)
+from fighitch.core.messages import Role
+from fighitch.core.resources import BackendServerSpec
+from fighitch.core.sidecar import SidecarConstants, SidecarCore
+from fighitch.core.tickets import TicketSigner
+from fighitch.daemons.backend_calls import BackendCalls
+from fighitch.daemons.base import Daemon, run_daemon
+from fighitch.runtime.loop import Loop
+from fighitch.runtime.transfers import Transfers
+from fighitch.settings import SidecarSettings
+from fighitch.types import Seconds
+
+# How soon a cold restart of the engine is noticed when no call fails because of it.
+STATUS_INTERVAL: Seconds = 0.25
+
+
+class SidecarDaemon(Daemon[SidecarSettings]):
+    """The process beside one backend server."""
+
+    role = Role.SIDECAR
+    settings_type = SidecarSettings
+
+    def __init__(self, settings_path: str, settings: SidecarSettings) -> None:
+        self._transfers = Transfers()
+        self._stopping = threading.Event()
+        super().__init__(settings_path, settings)
+        self._calls = BackendCalls(
+            self._transfers,
+            backend_type=settings.backend.type,
+            url=settings.backend.url,
+            post=self.loop.post,
+            traces=self.traces,
+        )
+
+    def create_loop(self, signer: TicketSigner) -> Loop:
+        """Creates the core and its loop."""
+        backend = self.settings.backend
+        core = SidecarCore(
+            instance=self.settings.instance,
+            incarnation=self.incarnation,
+            spec=BackendServerSpec(
+                type=backend.type,
+                address=self.settings.peer_address,
+                availability_zone=self.settings.availability_zone,
+                region=self.settings.region,
+                model=backend.model,
+                service=backend.service,
+                adapter_slots=backend.adapter_slots,
+                batch_size=backend.batch_size,
+                checks_fencing=backend.checks_fencing,
+            ),
+            signer=signer,
+            constants=SidecarConstants(
+                ticket_epoch_seconds=self.settings.ticket_epoch_seconds
+            ),
+            rng=random.Random(),
+        )
+        return Loop(
+            core,
+            self.identity,
+            self.keys,
+            on_effect=self._apply,
+            listen_address=self.settings.peer_address,
+        )
+
+    def start_tasks(self) -> None:
+        """Starts the transfer task and the status poll."""
+        threading.Thread(
+            target=self._transfers.run, name="transfers", daemon=True
+        ).start()
+        threading.Thread(target=self._poll_status, name="status", daemon=True).start()
+
+    def stop_tasks(self) -> None:
+        """Ends the tasks."""
+        self._stopping.set()
+        self._transfers.stop()
+
+    @singledispatchmethod
+    def _apply(self, effect: Any) -> None:
+        raise TypeError(f"{type(effect).__name__} is not an effect of a sidecar")
+
+    @_apply.register
+    def _(self, effect: LogEvent) -> None:
+        self.record(effect)
+
+    @_apply.register
+    def _(self, effect: CallBackend) -> None:
+        self._calls.call(effect)
+
+    @_apply.register
+    def _(self, effect: CancelBackend) -> None:
+        self._calls.cancel(effect.call)
+
+    @_apply.register
+    def _(self, effect: LoadAdapter) -> None:
+        self._calls.load(effect)
+
+    @_apply.register
+    def _(self, effect: UnloadAdapter) -> None:
+        self._calls.unload(effect)
+
+    def _poll_status(self) -> None:
+        answered = threading.Event()
+        answered.set()
+        while not self._stopping.wait(STATUS_INTERVAL):
+            # One call at a time: a frozen backend server must not collect calls.
+            if answered.is_set():
+                answered.clear()
+                self._calls.ask_status(answered.set)
+
+
+def run(settings_path: str) -> int:
+    """Runs a sidecar until a planned stop is complete."""
+    return run_daemon(SidecarDaemon, settings_path)
