--- /dev/null
+++ b/benchmarks/deployment.py
@@ -0,0 +1,478 @@
+"""Starts a whole deployment as separate processes on loopback, for runs and tests.
+
+Not part of the shipped program: daemons start no processes, only this harness does.
+"""
+
+import contextlib
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import time
+import urllib.error
+import urllib.request
+from collections.abc import Mapping, Sequence
+from dataclasses import dataclass, field
+from pathlib import Path
+from types import TracebackType
+from typing import Any
+
+from fighitch.types import Seconds
+
+START_TIMEOUT: Seconds = 30.0
+STOP_TIMEOUT: Seconds = 30.0
+SHARED_KEY = {"key_id": "k1", "secret": "00112233445566778899aabbccddeeff" * 2}
+_POLL: Seconds = 0.05
+_reserved: set[int] = set()
+
+
+def free_port() -> int:
+    """Returns a TCP port on 127.0.0.1 that this process has not handed out before."""
+    while True:
+        with socket.socket() as sock:
+            sock.bind(("127.0.0.1", 0))
+            port = sock.getsockname()[1]
+        if port not in _reserved:
+            _reserved.add(port)
+            return port
+
+
+def loopback(port: int) -> str:
+    """Returns the address of a port on loopback."""
+    return f"127.0.0.1:{port}"
+
+
+@dataclass
+class Process:
+    """A child process of the harness, with its settings and its log."""
+
+    name: str
+    module: Sequence[str]
+    settings: dict[str, Any]
+    folder: Path
+    popen: subprocess.Popen[bytes] | None = None
+
+    @property
+    def settings_path(self) -> Path:
+        """File that the process reads its settings from."""
+        return self.folder / f"{self.name}.json"
+
+    @property
+    def log_path(self) -> Path:
+        """File that takes what the process prints."""
+        return self.folder / f"{self.name}.log"
+
+    @property
+    def pid(self) -> int:
+        """Process id."""
+        assert self.popen is not None
+        return self.popen.pid
+
+    @property
+    def is_running(self) -> bool:
+        """Whether the process runs."""
+        return self.popen is not None and self.popen.poll() is None
+
+    def start(self) -> None:
+        """Starts the process; a later start appends to the same log."""
+        self.settings_path.write_text(json.dumps(self.settings, indent=2))
+        with self.log_path.open("ab") as log:
+            self.popen = subprocess.Popen(
+                [*self.module, "--settings", str(self.settings_path)],
+                stdout=log,
+                stderr=log,
+                start_new_session=True,
+            )
+
+    def signal(self, number: signal.Signals) -> None:
+        """Sends a signal to this process only."""
+        if self.is_running:
+            os.kill(self.pid, number)
+
+    def kill(self) -> None:
+        """Ends the process at once."""
+        self.signal(signal.SIGKILL)
+        if self.popen is not None:
+            self.popen.wait()
+
+    def stop(self, timeout: Seconds = STOP_TIMEOUT) -> int | None:
+        """Asks for a planned stop and waits; None if it did not end in time."""
+        if self.popen is None:
+            return None
+        self.signal(signal.SIGCONT)
+        self.signal(signal.SIGTERM)
+        try:
+            return self.popen.wait(timeout)
+        except subprocess.TimeoutExpired:
+            return None
+
+    def freeze(self) -> None:
+        """Pauses the process."""
+        self.signal(signal.SIGSTOP)
+
+    def thaw(self) -> None:
+        """Lets the process go on."""
+        self.signal(signal.SIGCONT)
+
+
+@dataclass(frozen=True)
+class BackendPlan:
+    """One backend server of a deployment."""
+
+    name: str
+    type: str
+    zone: str
+    model: str = ""
+    service: str = ""
+    adapter_slots: int = 4
+    batch_size: int = 8
+    checks_fencing: bool = True
+    labels: Mapping[str, str] = field(default_factory=dict)
+
+
+@dataclass(frozen=True)
+class DeploymentPlan:
+    """What to start.
+
+    Attributes:
+        zones: Zones of the entries, one entry each.
+        backends: Backend servers, each with a sidecar.
+        loads_per_second: Limit of the weight store.
+        max_in_transit: Limit of the weight store.
+        program: Command of the program; the package's own by default.
+        engine: Further settings of the engine stand-ins.
+    """
+
+    zones: Sequence[str]
+    backends: Sequence[BackendPlan]
+    loads_per_second: float = 20.0
+    max_in_transit: int = 16
+    program: Sequence[str] = (sys.executable, "-m", "fighitch")
+    engine: Mapping[str, Any] = field(default_factory=dict)
+
+
+class Deployment:
+    """The processes of a plan; a context manager that stops them all."""
+
+    def __init__(self, plan: DeploymentPlan) -> None:
+        """Chooses ports and writes settings; ``start`` starts the processes."""
+        self.plan = plan
+        self._folder = tempfile.TemporaryDirectory(prefix="fighitch-")
+        self.folder = Path(self._folder.name)
+        self.processes: dict[str, Process] = {}
+        self.ports: dict[str, int] = {}
+        self._add_platform()
+        for backend in plan.backends:
+            self._add_backend(backend)
+        for number, zone in enumerate(plan.zones, 1):
+            self._add_entry(f"entry-{number}", zone)
+        self._add_client()
+
+    def __enter__(self) -> "Deployment":
+        self.start()
+        return self
+
+    def __exit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        self.stop()
+
+    # --- Addresses ---
+
+    @property
+    def entries(self) -> list[str]:
+        """Names of the entries."""
+        return [name for name in self.processes if name.startswith("entry-")]
+
+    def caller_url(self, entry: str) -> str:
+        """Base URL of an entry for callers."""
+        return f"http://{loopback(self.ports[f'{entry}/http'])}"
+
+    def admin_url(self, name: str) -> str:
+        """Base URL of a daemon for operators."""
+        return f"http://{loopback(self.ports[f'{name}/admin'])}"
+
+    def control_url(self, name: str) -> str:
+        """URL of a stand-in's control port."""
+        return f"http://{loopback(self.ports[f'{name}/control'])}/control"
+
+    # --- Life ---
+
+    def start(self) -> None:
+        """Starts everything and waits until the ports answer."""
+        try:
+            for process in self.processes.values():
+                process.start()
+            for name in self.processes:
+                self.wait_alive(name)
+        except BaseException:
+            self.stop()
+            raise
+
+    def stop(self) -> None:
+        """Stops everything that still runs, entries first."""
+        order = sorted(self.processes.values(), key=lambda item: not _is_daemon(item))
+        for process in order:
+            process.signal(signal.SIGCONT)
+            process.signal(signal.SIGTERM)
+        for process in order:
+            if process.stop(timeout=5.0) is None:
+                process.kill()
+        self._folder.cleanup()
+
+    def wait_alive(self, name: str) -> None:
+        """Waits until a process answers on its port.
+
+        Raises:
+            TimeoutError: With the end of its log.
+        """
+        deadline = time.monotonic() + START_TIMEOUT
+        while time.monotonic() < deadline:
+            if self._answers(name):
+                return
+            if not self.processes[name].is_running:
+                break
+            time.sleep(_POLL)
+        log = self.processes[name].log_path.read_text()[-2_000:]
+        raise TimeoutError(f"{name} does not answer:\n{log}")
+
+    def wait_ready(self) -> None:
+        """Waits until every entry is ready."""
+        for entry in self.entries:
+            self.wait_for(
+                lambda entry=entry: fetch(f"{self.caller_url(entry)}/readyz")[0] == 200,
+                f"{entry} to be ready",
+            )
+
+    def wait_for(
+        self, condition: Any, what: str, *, timeout: Seconds = START_TIMEOUT
+    ) -> None:
+        """Waits until a condition holds.
+
+        Raises:
+            TimeoutError: If it does not hold in time.
+        """
+        deadline = time.monotonic() + timeout
+        while time.monotonic() < deadline:
+            if condition():
+                return
+            time.sleep(_POLL)
+        raise TimeoutError(f"waited {timeout} s for {what}")
+
+    def set_fault(self, name: str, **faults: Any) -> dict[str, Any]:
+        """Sets faults of a stand-in and returns its state."""
+        body = json.dumps(faults).encode()
+        status, data = fetch(self.control_url(name), method="POST", body=body)
+        if status != 200:
+            raise ValueError(f"{name}: control answered {status}: {data[:300]!r}")
+        return json.loads(data)
+
+    def control(self, name: str) -> dict[str, Any]:
+        """Returns faults and counters of a stand-in."""
+        return json.loads(fetch(self.control_url(name))[1])
+
+    def client(self, *arguments: str) -> subprocess.CompletedProcess[str]:
+        """Runs the operators' client."""
+        path = str(self.folder / "client.json")
+        return subprocess.run(
+            [*self.plan.program, *arguments, "--settings", path],
+            capture_output=True,
+            text=True,
+            timeout=60,
+        )
+
+    def apply(self, documents: Sequence[dict[str, Any]]) -> str:
+        """Applies resources with the operators' client.
+
+        Raises:
+            RuntimeError: If the client reports an error.
+        """
+        path = self.folder / "resources.json"
+        path.write_text(json.dumps(list(documents)))
+        done = self.client("apply", "-f", str(path))
+        if done.returncode != 0:
+            raise RuntimeError(f"apply: {done.returncode}: {done.stdout}{done.stderr}")
+        return done.stdout
+
+    def backend_documents(self) -> list[dict[str, Any]]:
+        """Returns the BackendServer resources of the plan."""
+        return [
+            document(
+                "BackendServer",
+                backend.name,
+                {
+                    "type": backend.type,
+                    "address": loopback(self.ports[f"{backend.name}/peer"]),
+                    "availabilityZone": backend.zone,
+                    "region": "region-1",
+                    "model": backend.model,
+                    "service": backend.service,
+                    "adapterSlots": backend.adapter_slots,
+                    "batchSize": backend.batch_size,
+                    "checksFencing": backend.checks_fencing,
+                },
+                labels={"type": backend.type, **backend.labels},
+            )
+            for backend in self.plan.backends
+        ]
+
+    # --- Settings ---
+
+    def _add_platform(self) -> None:
+        self._add_stand_in("object-api", "object_api", {})
+        self._add_stand_in(
+            "weight-store",
+            "weight_store",
+            {
+                "model": {
+                    "loads_per_second": self.plan.loads_per_second,
+                    "max_in_transit": self.plan.max_in_transit,
+                }
+            },
+        )
+        names = [backend.name for backend in self.plan.backends]
+        self._add_stand_in("instance-list", "instance_list", {"live": names})
+
+    def _add_backend(self, backend: BackendPlan) -> None:
+        stand_in = f"{backend.name}-backend"
+        if backend.type == "engine":
+            settings = {
+                "model": {
+                    "adapter_slots": backend.adapter_slots,
+                    "batch_size": backend.batch_size,
+                },
+                "checks_fencing": backend.checks_fencing,
+                "weight_store_url": self._url("weight-store"),
+                **self.plan.engine,
+            }
+            self._add_stand_in(stand_in, "engine", settings)
+        else:
+            self._add_stand_in(stand_in, "service", {})
+        self._add_daemon(
+            backend.name,
+            "sidecar",
+            {
+                **self._common(backend.name, backend.zone),
+                "peer_address": loopback(self._port(f"{backend.name}/peer")),
+                "backend": {
+                    "type": backend.type,
+                    "url": self._url(stand_in),
+                    "service": backend.service,
+                    "model": backend.model,
+                    "adapter_slots": backend.adapter_slots,
+                    "batch_size": backend.batch_size,
+                    "checks_fencing": backend.checks_fencing,
+                },
+            },
+        )
+
+    def _add_entry(self, name: str, zone: str) -> None:
+        peers = [
+            loopback(self.ports[f"{backend.name}/peer"])
+            for backend in self.plan.backends
+        ]
+        self._add_daemon(
+            name,
+            "entry",
+            {
+                **self._common(name, zone),
+                "http_address": loopback(self._port(f"{name}/http")),
+                "peers": peers,
+                "instance_list": self._url("instance-list"),
+                "watch": True,
+            },
+        )
+
+    def _add_client(self) -> None:
+        settings = {
+            "object_api": self._url("object-api"),
+            "entries": [loopback(self.ports[f"{name}/admin"]) for name in self.entries],
+            "sidecars": [
+                loopback(self.ports[f"{backend.name}/admin"])
+                for backend in self.plan.backends
+            ],
+            "shared_keys": [SHARED_KEY],
+        }
+        (self.folder / "client.json").write_text(json.dumps(settings))
+
+    def _common(self, name: str, zone: str) -> dict[str, Any]:
+        return {
+            "instance": name,
+            "availability_zone": zone,
+            "region": "region-1",
+            "admin_address": loopback(self._port(f"{name}/admin")),
+            "object_api": self._url("object-api"),
+            "shared_keys": [SHARED_KEY],
+        }
+
+    def _add_stand_in(self, name: str, module: str, settings: dict[str, Any]) -> None:
+        settings = {
+            "port": self._port(f"{name}/port"),
+            "control_port": self._port(f"{name}/control"),
+            **settings,
+        }
+        command = [sys.executable, "-m", f"standins.{module}"]
+        self.processes[name] = Process(name, command, settings, self.folder)
+
+    def _add_daemon(self, name: str, command: str, settings: dict[str, Any]) -> None:
+        self.processes[name] = Process(
+            name, [*self.plan.program, command], settings, self.folder
+        )
+
+    def _port(self, name: str) -> int:
+        self.ports[name] = free_port()
+        return self.ports[name]
+
+    def _url(self, name: str) -> str:
+        return f"http://{loopback(self.ports[f'{name}/port'])}"
+
+    def _answers(self, name: str) -> bool:
+        if f"{name}/admin" in self.ports:
+            return fetch(f"{self.admin_url(name)}/healthz")[0] == 200
+        return fetch(self.control_url(name))[0] == 200
+
+
+def document(
+    kind: str,
+    name: str,
+    spec: Mapping[str, Any],
+    *,
+    labels: Mapping[str, str] | None = None,
+) -> dict[str, Any]:
+    """Returns a resource as the object API holds it."""
+    return {
+        "apiVersion": "fighitch.dev/v1",
+        "kind": kind,
+        "metadata": {"name": name, "labels": dict(labels or {})},
+        "spec": dict(spec),
+    }
+
+
+def fetch(
+    url: str,
+    *,
+    method: str = "GET",
+    body: bytes | None = None,
+    headers: Mapping[str, str] | None = None,
+    timeout: Seconds = 5.0,
+) -> tuple[int, bytes]:
+    """Makes an HTTP call; status 0 if there was no answer."""
+    request = urllib.request.Request(url, body, dict(headers or {}), method=method)
+    try:
+        with urllib.request.urlopen(request, timeout=timeout) as response:
+            return response.status, response.read()
+    except urllib.error.HTTPError as error:
+        with contextlib.closing(error):
+            return error.code, error.read()
+    except OSError:
+        return 0, b""
+
+
+def _is_daemon(process: Process) -> bool:
+    return process.module[-1] in ("entry", "sidecar")
--- /dev/null
+++ b/fighitch/__main__.py
@@ -0,0 +1,8 @@
+"""Runs the command line: ``python -m fighitch``."""
+
+import sys
+
+from fighitch.cli.app import main
+
+if __name__ == "__main__":
+    sys.exit(main())
