Read the HTTP status from the header line; test runtime and backends

Cause: a trial of the whole path failed every call with curl error 23, since a handle must not be asked for its status while it performs. Sockets of stopped tasks are closed.

--- a/benchmarks/demo.py
+++ b/benchmarks/demo.py
@@ -67,7 +67,7 @@
     first, second = map(deployment.caller_url, deployment.entries[:2])
     chat = {
         "model": "advisor-1@v2",
-        "messages": [{"role": "user", "content": "May the room be opened?"}],
+        "messages": [{"role": "user", "content": "Is it safe to go on?"}],
         "max_tokens": _TOKENS,
         "stream": True,
     }
--- a/fighitch/daemons/base.py
+++ b/fighitch/daemons/base.py
@@ -8,7 +8,7 @@
 from dataclasses import asdict
 from typing import Any, Generic, TypeVar
 
-from fighitch.core.audit import AuditLog
+from fighitch.core.audit import AuditRecord
 from fighitch.core.configuration import ConfigurationStore
 from fighitch.core.effects import LogEvent
 from fighitch.core.inputs import ConfigurationReceived, DrainRequested
@@ -53,7 +53,7 @@
             settings_path: File that is read again on SIGHUP.
             settings: The settings read from it.
         """
-        self.settings = settings
+        self.settings: _Settings = settings
         self._settings_path = settings_path
         self.incarnation = secrets.randbits(_INCARNATION_BITS)
         self.identity = Peer(
@@ -74,7 +74,6 @@
             path=settings.traces.path,
         )
         self.keys: tuple[SharedKey, ...] = self._keys_of(settings)
-        self.audit = AuditLog(settings.instance, self.incarnation, capacity=20_000)
         self.loop = self.create_loop(TicketSigner(self.keys))
         self._admin = HttpServer(
             settings.admin_address,
@@ -101,8 +100,12 @@
         """Stops the tasks of the subclass, after the drain."""
 
     def store(self, core: Any) -> ConfigurationStore:
-        """Returns the core's configuration."""
-        return core.configuration
+        """Returns the core's copy of the configuration."""
+        raise NotImplementedError
+
+    def records(self, request_id: str) -> tuple[AuditRecord, ...]:
+        """Returns the audit records of a request."""
+        raise NotImplementedError
 
     # --- Running ---
 
@@ -177,20 +180,10 @@
     # --- Effects shared by both cores ---
 
     def record(self, event: LogEvent) -> None:
-        """Logs, counts and keeps an event."""
+        """Logs and counts an event."""
         level = "debug" if event.name in _FREQUENT_EVENTS else "info"
         self.log.write(event, level=level)
         self.metrics.count(event)
-        fields = dict(event.fields)
-        request_id = str(fields.pop("request_id", ""))
-        cause = str(fields.pop("cause", ""))
-        self.audit.append(
-            event.name,
-            at=time.time(),
-            request_id=request_id,
-            cause=cause,
-            fields=tuple(fields.items()),
-        )
 
     def confirm_fresh(self) -> None:
         """Notes that the configuration was confirmed to be fresh."""
@@ -208,7 +201,7 @@
 
     def status(self) -> Any:
         """Returns a snapshot that can be written as JSON."""
-        snapshot = self.ask(lambda core: core.status())
+        snapshot = self.ask(lambda core: core.status(now=time.monotonic()))
         return {"role": self.role.value, **asdict(snapshot)}
 
     def configuration(self) -> Mapping[str, Any]:
@@ -230,7 +223,7 @@
                 "at": record.at,
                 "fields": dict(record.fields),
             }
-            for record in self.audit.explain(request_id)
+            for record in self.records(request_id)
         ]
 
 
--- a/fighitch/daemons/claims.py
+++ b/fighitch/daemons/claims.py
@@ -50,6 +50,10 @@
         if not hasattr(self._local, "client"):
             self._local.client = ObjectApiClient(self._url, timeout=TIMEOUT)
         client: ObjectApiClient = self._local.client
-        if isinstance(effect, CreateClaim):
-            return client.create_claim(effect.name, effect.ticket)
-        return client.read_claim(effect.name)
+        if isinstance(effect, ReadClaim):
+            return client.read_claim(effect.name)
+        answer = client.create_claim(effect.name, effect.ticket)
+        if answer.status is ClaimStatus.EXISTS and not answer.ticket:
+            # A conflict answer does not carry the object that exists.
+            return client.read_claim(effect.name)
+        return answer
--- a/fighitch/daemons/entry.py
+++ b/fighitch/daemons/entry.py
@@ -1,6 +1,5 @@
 """The entry daemon: callers' HTTP server, router and links to sidecars."""
 
-import itertools
 import queue
 import random
 import threading
@@ -9,6 +8,8 @@
 
 from expression import Error, Ok, Result
 
+from fighitch.core.audit import AuditRecord, RequestIds
+from fighitch.core.configuration import ConfigurationStore
 from fighitch.core.effects import (
     AnswerData,
     AnswerEnded,
@@ -20,7 +21,6 @@
     TicketIssued,
 )
 from fighitch.core.entry import EntryCore
-from fighitch.core.entry_settings import EntrySettings as EntryConstants
 from fighitch.core.errors import ErrorKind, Failure
 from fighitch.core.inputs import ConfigurationReceived, InstancesListed
 from fighitch.core.messages import Role
@@ -52,9 +52,9 @@
     def __init__(self, settings_path: str, settings: EntrySettings) -> None:
         self._rng = random.Random()
         self._waiting: dict[RequestId, queue.SimpleQueue[AnswerEvent]] = {}
-        self._request_numbers = itertools.count(1)
         self._stopping = threading.Event()
         super().__init__(settings_path, settings)
+        self._request_ids = RequestIds(settings.instance, self.incarnation)
         self._claims = Claims(settings.object_api, on_answer=self.loop.post)
         self._callers = HttpServer(
             settings.http_address,
@@ -68,6 +68,14 @@
             name="callers",
         )
 
+    def store(self, core: EntryCore) -> ConfigurationStore:
+        """Returns the core's copy of the configuration."""
+        return core.store
+
+    def records(self, request_id: str) -> tuple[AuditRecord, ...]:
+        """Returns the audit records of a request."""
+        return self.ask(lambda core: core.explain(request_id))
+
     def create_loop(self, signer: TicketSigner) -> Loop:
         """Creates the core and its loop."""
         core = EntryCore(
@@ -76,7 +84,6 @@
             availability_zone=self.settings.availability_zone,
             region=self.settings.region,
             signer=signer,
-            settings=EntryConstants(),
             rng=self._rng,
             peers=self.settings.peers,
         )
@@ -114,8 +121,7 @@
 
     def open_request(self) -> tuple[RequestId, "queue.SimpleQueue[AnswerEvent]"]:
         """Returns a new request id and the queue that its answer comes through."""
-        number = next(self._request_numbers)
-        request_id = f"{self.settings.instance}.{self.incarnation:x}.{number}"
+        request_id = self._request_ids.new()
         events: queue.SimpleQueue[AnswerEvent] = queue.SimpleQueue()
         self._waiting[request_id] = events
         return request_id, events
@@ -180,12 +186,12 @@
 
 
 def _models(core: EntryCore, key_digest: str) -> Result[list[dict[str, Any]], Failure]:
-    callers = core.configuration.of_kind(Kind.CALLER)
+    callers = core.store.of_kind(Kind.CALLER)
     if not any(key_digest in caller.spec.key_digests for caller in callers):
         detail = "the bearer key is missing or unknown"
         return Error(Failure(ErrorKind.UNAUTHENTICATED, detail))
     models = []
-    for adapter in core.configuration.of_kind(Kind.ADAPTER):
+    for adapter in core.store.of_kind(Kind.ADAPTER):
         spec: AdapterSpec = adapter.spec
         for version in spec.versions:
             models.append(
--- a/fighitch/daemons/sidecar.py
+++ b/fighitch/daemons/sidecar.py
@@ -2,9 +2,12 @@
 
 import random
 import threading
+import time
 from functools import singledispatchmethod
 from typing import Any
 
+from fighitch.core.audit import AuditLog, AuditRecord
+from fighitch.core.configuration import ConfigurationStore
 from fighitch.core.effects import (
     CallBackend,
     CancelBackend,
@@ -14,7 +17,8 @@
 )
 from fighitch.core.messages import Role
 from fighitch.core.resources import BackendServerSpec
-from fighitch.core.sidecar import SidecarConstants, SidecarCore
+from fighitch.core.sidecar import SidecarCore
+from fighitch.core.sidecar_settings import SidecarSettings as SidecarConstants
 from fighitch.core.tickets import TicketSigner
 from fighitch.daemons.backend_calls import BackendCalls
 from fighitch.daemons.base import Daemon, run_daemon
@@ -25,6 +29,7 @@
 
 # How soon a cold restart of the engine is noticed when no call fails because of it.
 STATUS_INTERVAL: Seconds = 0.25
+AUDIT_RECORDS = 10_000
 
 
 class SidecarDaemon(Daemon[SidecarSettings]):
@@ -37,6 +42,9 @@
         self._transfers = Transfers()
         self._stopping = threading.Event()
         super().__init__(settings_path, settings)
+        self._audit = AuditLog(
+            settings.instance, self.incarnation, capacity=AUDIT_RECORDS
+        )
         self._calls = BackendCalls(
             self._transfers,
             backend_type=settings.backend.type,
@@ -45,6 +53,14 @@
             traces=self.traces,
         )
 
+    def store(self, core: SidecarCore) -> ConfigurationStore:
+        """Returns the core's copy of the configuration."""
+        return core.configuration
+
+    def records(self, request_id: str) -> tuple[AuditRecord, ...]:
+        """Returns the audit records of a request."""
+        return self._audit.explain(request_id)
+
     def create_loop(self, signer: TicketSigner) -> Loop:
         """Creates the core and its loop."""
         backend = self.settings.backend
@@ -63,9 +79,7 @@
                 checks_fencing=backend.checks_fencing,
             ),
             signer=signer,
-            constants=SidecarConstants(
-                ticket_epoch_seconds=self.settings.ticket_epoch_seconds
-            ),
+            settings=SidecarConstants(epoch=self.settings.ticket_epoch_seconds),
             rng=random.Random(),
         )
         return Loop(
@@ -95,6 +109,14 @@
     @_apply.register
     def _(self, effect: LogEvent) -> None:
         self.record(effect)
+        fields = dict(effect.fields)
+        self._audit.append(
+            effect.name,
+            at=time.monotonic(),
+            request_id=str(fields.pop("request_id", "")),
+            cause=str(fields.pop("cause", "")),
+            fields=tuple(fields.items()),
+        )
 
     @_apply.register
     def _(self, effect: CallBackend) -> None:
--- a/fighitch/runtime/loop.py
+++ b/fighitch/runtime/loop.py
@@ -122,10 +122,9 @@
         if self._wake_is_pending:
             return
         self._wake_is_pending = True
-        try:
+        # The inbox of a loop that has stopped is never read.
+        with contextlib.suppress(OSError):
             self._wake_send.send(b"\0")
-        except BlockingIOError:
-            return
 
     def ask(self, question: Callable[[Any], _T]) -> "Future[_T]":
         """Runs a function of the core on the loop, from any thread.
@@ -328,8 +327,9 @@
             with contextlib.suppress(ConnectionLostError):
                 connection.flush()
             connection.sock.close()
-        if self._listener:
-            self._listener.close()
+        for sock in (self._listener, self._wake_receive, self._wake_send):
+            if sock is not None:
+                sock.close()
         self._selector.close()
 
 
--- a/fighitch/runtime/transfers.py
+++ b/fighitch/runtime/transfers.py
@@ -1,5 +1,6 @@
 """The transfer task: owns a ``pycurl.CurlMulti`` for all outgoing HTTP streams."""
 
+import contextlib
 import selectors
 import socket
 import threading
@@ -88,6 +89,7 @@
         self.on_event = on_event
         self.handle = pycurl.Curl()
         self._headers: dict[str, str] = {}
+        self._status = 0
         self._has_started = False
         handle = self.handle
         handle.setopt(pycurl.URL, transfer.url)
@@ -119,6 +121,8 @@
     def _on_header(self, line: bytes) -> None:
         text = line.decode("latin-1").strip()
         if text.startswith("HTTP/"):
+            # The handle must not be asked for the status while it is performing.
+            self._status = int(text.split(" ", 2)[1])
             self._headers = {}
             return
         name, colon, value = text.partition(":")
@@ -133,8 +137,7 @@
         if self._has_started:
             return
         self._has_started = True
-        status = self.handle.getinfo(pycurl.RESPONSE_CODE)
-        self.on_event(TransferStarted(status, self._headers))
+        self.on_event(TransferStarted(self._status, self._headers))
 
 
 class Transfers:
@@ -198,13 +201,13 @@
             self._cancel(number)
         self._multi.close()
         self._selector.close()
+        self._wake_receive.close()
+        self._wake_send.close()
 
     def _command(self, command: Callable[[], None]) -> None:
         self._commands.append(command)
-        try:
+        with contextlib.suppress(OSError):
             self._wake_send.send(b"\0")
-        except (BlockingIOError, OSError):
-            return
 
     def _stop(self) -> None:
         self._is_stopping = True
--- /dev/null
+++ b/fighitch/tests/test_runtime.py
@@ -0,0 +1,226 @@
+"""Tests of the package ``fighitch.runtime``, with sockets on loopback."""
+
+import http.client
+import queue
+import socket
+import threading
+import unittest
+
+from fighitch.core.effects import Connect, Disconnect, LogEvent, Send, Stop
+from fighitch.core.inputs import (
+    ConnectionClosed,
+    ConnectionFailed,
+    ConnectionOpened,
+    MessageReceived,
+)
+from fighitch.core.messages import Cancel, Chunk, Peer, Role
+from fighitch.core.tickets import SharedKey
+from fighitch.runtime.http_server import HttpServer
+from fighitch.runtime.loop import Loop
+from fighitch.runtime.transfers import (
+    Transfer,
+    TransferEnded,
+    TransferFailed,
+    Transfers,
+    TransferStarted,
+)
+
+KEY = SharedKey("k", b"s" * 32)
+TIMEOUT = 20
+
+
+class RecordingCore:
+    """Keeps its inputs and carries out the effects that the test posts."""
+
+    def __init__(self):
+        self.inputs = queue.Queue()
+
+    def handle(self, message, *, now):
+        if isinstance(message, Connect | Disconnect | Send | Stop):
+            return [message]
+        self.inputs.put(message)
+        return []
+
+    def next_of(self, kind):
+        while True:
+            message = self.inputs.get(timeout=TIMEOUT)
+            if isinstance(message, kind):
+                return message
+
+
+class LoopTests(unittest.TestCase):
+    def start(self, role, *, key=KEY, listens=False):
+        core, effects = RecordingCore(), queue.Queue()
+        loop = Loop(
+            core,
+            Peer(role, role.value, 1),
+            [key],
+            on_effect=effects.put,
+            listen_address="127.0.0.1:0" if listens else None,
+        )
+        thread = threading.Thread(target=loop.run, daemon=True)
+        thread.start()
+        self.addCleanup(thread.join, TIMEOUT)
+        self.addCleanup(loop.post, Stop())
+        return loop, core, effects
+
+    def connect(self):
+        sidecar, sidecar_core, _ = self.start(Role.SIDECAR, listens=True)
+        entry, entry_core, _ = self.start(Role.ENTRY)
+        entry.post(Connect(sidecar.listen_address))
+        return (
+            (entry, entry_core, entry_core.next_of(ConnectionOpened)),
+            (sidecar, sidecar_core, sidecar_core.next_of(ConnectionOpened)),
+        )
+
+    def test_peers_learn_each_other_and_exchange_messages(self):
+        (entry, _, opened), (_, core, accepted) = self.connect()
+        self.assertEqual(opened.peer.role, Role.SIDECAR)
+        self.assertEqual(accepted.peer.role, Role.ENTRY)
+        messages = [Chunk("r", 1, n, b"x" * 100_000) for n in range(30)]
+        for message in messages:
+            entry.post(Send(opened.connection, message))
+        received = [core.next_of(MessageReceived).message for _ in messages]
+        self.assertEqual(received, messages)
+
+    def test_closed_connection_is_reported_on_both_sides(self):
+        (entry, entry_core, opened), (_, core, accepted) = self.connect()
+        entry.post(Disconnect(opened.connection, "test"))
+        self.assertEqual(core.next_of(ConnectionClosed).connection, accepted.connection)
+        self.assertEqual(
+            entry_core.next_of(ConnectionClosed).connection, opened.connection
+        )
+
+    def test_refused_connection_is_reported(self):
+        entry, core, _ = self.start(Role.ENTRY)
+        with socket.socket() as unused:
+            unused.bind(("127.0.0.1", 0))
+            address = f"127.0.0.1:{unused.getsockname()[1]}"
+            entry.post(Connect(address))
+            self.assertEqual(core.next_of(ConnectionFailed).address, address)
+
+    def test_peer_with_a_wrong_key_is_refused_and_counted(self):
+        """Guards against strangers that give work to a sidecar."""
+        sidecar, _, effects = self.start(Role.SIDECAR, listens=True)
+        entry, core, _ = self.start(Role.ENTRY, key=SharedKey("k", b"w" * 32))
+        entry.post(Connect(sidecar.listen_address))
+        core.next_of(ConnectionFailed)
+        entry.post(Stop())
+        with socket.create_connection(_split(sidecar.listen_address)) as sock:
+            sock.sendall(b"GET / HTTP/1.1\r\n\r\n")
+            self.assertEqual(sock.recv(10), b"")
+        event = effects.get(timeout=TIMEOUT)
+        self.assertIsInstance(event, LogEvent)
+        self.assertEqual(event.name, "peer_refused")
+
+    def test_loop_survives_garbage_after_the_handshake(self):
+        """Guards against one broken peer that takes the process down."""
+        (entry, _, opened), (sidecar, core, _) = self.connect()
+        connection = entry._connections[opened.connection]
+        connection._unsent += b"\x00\x00\x00\x04junk"
+        core.next_of(ConnectionClosed)
+        entry.post(Connect(sidecar.listen_address))
+        self.assertEqual(core.next_of(ConnectionOpened).peer.role, Role.ENTRY)
+
+    def test_question_runs_on_the_loop_and_its_error_comes_back(self):
+        entry, core, _ = self.start(Role.ENTRY)
+        self.assertIs(entry.ask(lambda it: it).result(TIMEOUT), core)
+        with self.assertRaises(AttributeError):
+            entry.ask(lambda it: it.missing).result(TIMEOUT)
+
+    def test_message_to_a_closed_connection_is_dropped(self):
+        entry, core, _ = self.start(Role.ENTRY)
+        entry.post(Send(99, Cancel("r", 1)))
+        self.assertIs(entry.ask(lambda it: it).result(TIMEOUT), core)
+
+
+class HttpTests(unittest.TestCase):
+    def setUp(self):
+        self.server = HttpServer("127.0.0.1:0", self.app, workers=4, name="test")
+        self.server.start()
+        self.addCleanup(self.server.stop)
+        self.transfers = Transfers()
+        thread = threading.Thread(target=self.transfers.run, daemon=True)
+        thread.start()
+        self.addCleanup(thread.join, TIMEOUT)
+        self.addCleanup(self.transfers.stop)
+
+    @staticmethod
+    def app(environ, start_response):
+        path = environ["PATH_INFO"]
+        if path == "/cut":
+            start_response("200 OK", [("Content-Length", "10")])
+            return [b"12345"]
+        body = environ["wsgi.input"].read(int(environ.get("CONTENT_LENGTH") or 0))
+        start_response("201 Created", [("X-Method", environ["REQUEST_METHOD"])])
+        return [path.encode(), b" ", body]
+
+    def run_transfer(self, path, **options):
+        events = queue.Queue()
+        transfer = Transfer(
+            options.pop("method", "GET"), f"http://{self.address()}{path}", **options
+        )
+        self.transfers.submit(transfer, events.put)
+        found = [events.get(timeout=TIMEOUT)]
+        while not isinstance(found[-1], TransferEnded | TransferFailed):
+            found.append(events.get(timeout=TIMEOUT))
+        return found
+
+    def address(self):
+        return self.server.address
+
+    def test_transfer_reports_status_body_and_end(self):
+        for repeatable in (True, False):
+            started, *data, ended = self.run_transfer(
+                "/p", method="POST", body=b"hello", is_repeatable=repeatable
+            )
+            self.assertIsInstance(started, TransferStarted)
+            self.assertEqual(started.status, 201)
+            self.assertEqual(started.headers["x-method"], "POST")
+            self.assertEqual(b"".join(item.data for item in data), b"/p hello")
+            self.assertIsInstance(ended, TransferEnded)
+
+    def test_answer_that_is_cut_is_a_failure_and_not_an_end(self):
+        """Guards against a fragment that is taken for a whole answer."""
+        *_, failed = self.run_transfer("/cut")
+        self.assertIsInstance(failed, TransferFailed)
+        self.assertTrue(failed.sent)
+
+    def test_call_to_a_closed_port_was_not_sent(self):
+        """Guards against "outcome unknown" where "not run" can be known."""
+        with socket.socket() as unused:
+            unused.bind(("127.0.0.1", 0))
+            self.address = lambda: f"127.0.0.1:{unused.getsockname()[1]}"
+            (failed,) = self.run_transfer("/p", method="POST", body=b"x")
+        self.assertEqual(failed.sent, False)
+
+    def test_cancelled_transfer_sends_no_more_events(self):
+        events = queue.Queue()
+        with socket.create_server(("127.0.0.1", 0)) as silent:
+            url = f"http://127.0.0.1:{silent.getsockname()[1]}/"
+            number = self.transfers.submit(Transfer("GET", url), events.put)
+            accepted, _ = silent.accept()
+            self.transfers.cancel(number)
+            self.assertTrue(accepted.recv(1_000))
+            while accepted.recv(1_000):
+                pass
+            accepted.close()
+        self.assertTrue(events.empty())
+
+    def test_idle_connections_take_no_worker(self):
+        """Guards against a server that many silent connections can block."""
+        host, port = _split(self.server.address)
+        idle = [socket.create_connection((host, port)) for _ in range(20)]
+        try:
+            connection = http.client.HTTPConnection(host, port, timeout=TIMEOUT)
+            connection.request("GET", "/x")
+            self.assertEqual(connection.getresponse().status, 201)
+            connection.close()
+        finally:
+            for sock in idle:
+                sock.close()
+
+
+def _split(address):
+    host, _, port = address.rpartition(":")
+    return host, int(port)
