--- /dev/null
+++ b/standins/object_store.py
@@ -0,0 +1,243 @@
+"""Versioned objects with conditional updates and a bounded history of changes.
+
+Follows the published conventions of object APIs: one counter gives every change its
+resource version, an update that names an older version conflicts, and a reader that
+asks for changes older than the kept history must list again.
+"""
+
+from collections import deque
+from collections.abc import Iterator, Mapping
+from dataclasses import dataclass
+from enum import Enum
+from typing import Any, TypeAlias
+
+from fighitch.core.resources import API_VERSION, Kind, parse_resource, selector_of
+from fighitch.types import Revision
+
+Document: TypeAlias = dict[str, Any]
+
+CONFIGURATION_KINDS: dict[str, str] = {
+    f"{kind.value.lower()}s".replace("ys", "ies"): kind.value for kind in Kind
+}
+OTHER_KINDS: dict[str, str] = {"claims": "Claim", "instances": "Instance"}
+KINDS: dict[str, str] = {**CONFIGURATION_KINDS, **OTHER_KINDS}
+
+
+class StoreError(Exception):
+    """A call that the store refuses.
+
+    Attributes:
+        status: HTTP status code.
+        reason: Machine-readable reason of a Status object.
+        message: What is wrong.
+    """
+
+    def __init__(self, status: int, reason: str, message: str) -> None:
+        super().__init__(message)
+        self.status = status
+        self.reason = reason
+        self.message = message
+
+
+class ChangeType(Enum):
+    """Type of a watch event."""
+
+    ADDED = "ADDED"
+    MODIFIED = "MODIFIED"
+    DELETED = "DELETED"
+
+
+@dataclass(frozen=True, slots=True)
+class Change:
+    """A change of a configuration resource."""
+
+    revision: Revision
+    type: ChangeType
+    document: Document
+
+
+class ObjectStore:
+    """Objects by plural and name; documents that it returns must not be modified."""
+
+    def __init__(self, *, history_size: int) -> None:
+        """Takes the length of the history.
+
+        Args:
+            history_size: Most changes of configuration resources that are kept.
+        """
+        self._objects: dict[str, dict[str, Document]] = {plural: {} for plural in KINDS}
+        self._history: deque[Change] = deque()
+        self._history_size = history_size
+        self._history_start: Revision = 0
+        self._revision: Revision = 0
+
+    @property
+    def revision(self) -> Revision:
+        """Resource version of the last change of any kind."""
+        return self._revision
+
+    @property
+    def counts(self) -> dict[str, int]:
+        """Number of objects by plural."""
+        return {plural: len(objects) for plural, objects in self._objects.items()}
+
+    def list_collection(self, plural: str, *, selector: str = "") -> list[Document]:
+        """Returns the objects of a collection whose labels match."""
+        wanted = selector_of(selector)
+        return [
+            document
+            for document in self._collection(plural).values()
+            if wanted.matches(document["metadata"].get("labels") or {})
+        ]
+
+    def list_configuration(self) -> list[Document]:
+        """Returns the resources of all configuration kinds."""
+        return [
+            document
+            for plural in CONFIGURATION_KINDS
+            for document in self._objects[plural].values()
+        ]
+
+    def get(self, plural: str, name: str) -> Document:
+        """Returns an object.
+
+        Raises:
+            StoreError: If it does not exist.
+        """
+        document = self._collection(plural).get(name)
+        if document is None:
+            raise StoreError(404, "NotFound", f"{plural} {name!r} not found")
+        return document
+
+    def create(self, plural: str, document: Document) -> Document:
+        """Creates an object.
+
+        Raises:
+            StoreError: If the name is taken or the document is not valid.
+        """
+        name = _check(plural, document, name=None)
+        if name in self._collection(plural):
+            raise StoreError(409, "AlreadyExists", f"{plural} {name!r} already exists")
+        return self._put(plural, name, document, ChangeType.ADDED)
+
+    def update(self, plural: str, name: str, document: Document) -> Document:
+        """Replaces an object; an update without effect keeps the resource version.
+
+        Raises:
+            StoreError: If it does not exist, the document is not valid, or its
+                resource version is set and not the current one.
+        """
+        known = self.get(plural, name)
+        _check(plural, document, name=name)
+        _check_version(plural, known, document["metadata"].get("resourceVersion"))
+        if _content(document) == _content(known):
+            return known
+        return self._put(plural, name, document, ChangeType.MODIFIED)
+
+    def delete(
+        self, plural: str, name: str, *, version: str | int | None = None
+    ) -> Document:
+        """Deletes an object.
+
+        Args:
+            plural: Collection.
+            name: Name in the collection.
+            version: Resource version that it must have; None for any.
+
+        Returns:
+            The object with the resource version of the deletion.
+
+        Raises:
+            StoreError: If it does not exist or has another resource version.
+        """
+        known = self.get(plural, name)
+        _check_version(plural, known, version)
+        del self._objects[plural][name]
+        return self._record(plural, known, ChangeType.DELETED)
+
+    def is_expired(self, since: Revision) -> bool:
+        """Returns whether changes after a revision are no longer all kept."""
+        return since < self._history_start
+
+    def changes_since(self, since: Revision) -> Iterator[Change]:
+        """Iterates over the kept changes of configuration after a revision."""
+        newest_first = []
+        for change in reversed(self._history):
+            if change.revision <= since:
+                break
+            newest_first.append(change)
+        return reversed(newest_first)
+
+    def _collection(self, plural: str) -> dict[str, Document]:
+        objects = self._objects.get(plural)
+        if objects is None:
+            allowed = ", ".join(KINDS)
+            message = f"collection {plural!r} is unknown; allowed: {allowed}"
+            raise StoreError(404, "NotFound", message)
+        return objects
+
+    def _put(
+        self, plural: str, name: str, document: Document, type_: ChangeType
+    ) -> Document:
+        stored = self._record(plural, document, type_)
+        self._objects[plural][name] = stored
+        return stored
+
+    def _record(self, plural: str, document: Document, type_: ChangeType) -> Document:
+        self._revision += 1
+        metadata = {**document["metadata"], "resourceVersion": str(self._revision)}
+        stored = {
+            **document,
+            "apiVersion": API_VERSION,
+            "kind": KINDS[plural],
+            "metadata": metadata,
+        }
+        if plural in CONFIGURATION_KINDS:
+            self._history.append(Change(self._revision, type_, stored))
+        if len(self._history) > self._history_size:
+            self._history_start = self._history.popleft().revision
+        return stored
+
+
+def _check(plural: str, document: Document, *, name: str | None) -> str:
+    kind = KINDS.get(plural)
+    metadata = document.get("metadata")
+    given = metadata.get("name") if isinstance(metadata, dict) else None
+    if not isinstance(given, str) or not given or name not in (None, given):
+        raise StoreError(
+            400, "BadRequest", f"metadata.name {given!r} must be {name or 'set'!r}"
+        )
+    if document.get("kind", kind) != kind:
+        raise StoreError(
+            400, "BadRequest", f"kind {document['kind']!r} is not {kind!r}"
+        )
+    if plural in CONFIGURATION_KINDS:
+        parsed = parse_resource({"apiVersion": API_VERSION, "kind": kind, **document})
+        if parsed.is_error():
+            raise StoreError(422, "Invalid", parsed.error.detail)
+    return given
+
+
+def _check_version(plural: str, known: Document, version: str | int | None) -> None:
+    if version is None or str(version) in ("", "0"):
+        return
+    current = known["metadata"]["resourceVersion"]
+    if str(version) != current:
+        raise StoreError(
+            409,
+            "Conflict",
+            f"{plural} {known['metadata']['name']!r}: resourceVersion {version} is not "
+            f"the current one, {current}; read the object again",
+        )
+
+
+def _content(document: Mapping[str, Any]) -> dict[str, Any]:
+    metadata = {
+        key: value
+        for key, value in document["metadata"].items()
+        if key != "resourceVersion"
+    }
+    content = {key: value for key, value in document.items() if key != "metadata"}
+    content.pop("apiVersion", None)
+    content.pop("kind", None)
+    return {"metadata": metadata, **content}
--- /dev/null
+++ b/standins/service.py
@@ -0,0 +1,138 @@
+"""Stand-in for a plain service that counts every run."""
+
+import hashlib
+import threading
+import time
+import uuid
+from collections import Counter
+from collections.abc import Callable, Iterable, Mapping
+from typing import Any
+
+from werkzeug.wrappers import Request, Response
+
+from fighitch.types import Seconds
+from standins.faults import Faults
+from standins.http_server import ConnectionCut, Handler, error_response, json_response
+from standins.process import StandIn, run
+from standins.settings import StandInSettings
+
+KEY_HEADER = "Idempotency-Key"
+
+
+class ServiceSettings(
+    StandInSettings, frozen=True, kw_only=True, forbid_unknown_fields=True
+):
+    """Settings of the service.
+
+    Attributes:
+        run_seconds: Duration of each run.
+    """
+
+    run_seconds: Seconds = 0.0
+
+
+class ServiceFaults(Faults, frozen=True, kw_only=True, forbid_unknown_fields=True):
+    """Faults of the service.
+
+    Attributes:
+        lose_next_answers: Calls that run but are not answered.
+        refuse_next: Calls that are refused with 503 before they run.
+        run_seconds: Duration of each run.
+    """
+
+    lose_next_answers: int = 0
+    refuse_next: int = 0
+    run_seconds: Seconds = 0.0
+
+
+class Service(StandIn[ServiceFaults]):
+    """Stand-in for a plain service."""
+
+    def __init__(self, settings: ServiceSettings) -> None:
+        """Binds the ports.
+
+        Args:
+            settings: Settings of the service.
+        """
+        self._lock = threading.Lock()
+        self._runs: Counter[str] = Counter()
+        self._counts: Counter[str] = Counter()
+        self._boot_id = uuid.uuid4().hex
+        super().__init__(settings, ServiceFaults(run_seconds=settings.run_seconds))
+
+    def routes(self) -> Iterable[tuple[str, str, Handler]]:
+        """Returns the routes."""
+        return (
+            ("GET", "/health", lambda request: json_response({"status": "ok"})),
+            ("GET", "/load", self._show_load),
+            ("GET", "/runs", self._show_runs),
+            ("GET", "/", self._call),
+            ("POST", "/", self._call),
+            ("GET", "/<path:path>", self._call),
+            ("POST", "/<path:path>", self._call),
+        )
+
+    def actions(self) -> Mapping[str, Callable[[], None]]:
+        """Returns ``restart``: new boot id, connections cut, counts kept."""
+        return {"restart": self._restart}
+
+    def counters(self) -> Mapping[str, Any]:
+        """Returns counts of calls."""
+        with self._lock:
+            return {**self._counts, "boot_id": self._boot_id}
+
+    def _call(self, request: Request, path: str = "") -> Response:
+        body = request.get_data()
+        if self.faults.take("refuse_next"):
+            self._count("refused")
+            return error_response(
+                503, "refused before it was run", {"Retry-After": "1"}
+            )
+        key = request.headers.get(KEY_HEADER, "")
+        with self._lock:
+            self._runs[key] += 1
+            self._counts["running"] += 1
+            number = self._runs[key]
+        time.sleep(self.faults.current.run_seconds)
+        with self._lock:
+            self._counts["running"] -= 1
+            self._counts["served"] += 1
+        self.faults.wait_while_frozen()
+        if self.faults.take("lose_next_answers"):
+            self._count("lost_answers")
+            raise ConnectionCut("the answer was lost by a fault")
+        return json_response(
+            {
+                "method": request.method,
+                "path": f"/{path}",
+                "body_sha256": hashlib.sha256(body).hexdigest(),
+                "run": number,
+            }
+        )
+
+    def _restart(self) -> None:
+        with self._lock:
+            self._boot_id = uuid.uuid4().hex
+        self._server.cut_connections()
+
+    def _count(self, name: str) -> None:
+        with self._lock:
+            self._counts[name] += 1
+
+    def _show_load(self, request: Request) -> Response:
+        with self._lock:
+            return json_response(
+                {
+                    "boot_id": self._boot_id,
+                    "running": self._counts["running"],
+                    "served": self._counts["served"],
+                }
+            )
+
+    def _show_runs(self, request: Request) -> Response:
+        with self._lock:
+            return json_response(dict(self._runs))
+
+
+if __name__ == "__main__":
+    run(ServiceSettings, Service)
--- /dev/null
+++ b/standins/weight_store.py
@@ -0,0 +1,146 @@
+"""Stand-in for the rate-limited store that engines fetch adapter weights from."""
+
+import math
+import threading
+import time
+from collections import Counter
+from collections.abc import Iterable, Mapping
+from typing import Any
+
+from werkzeug.wrappers import Request, Response
+
+from standins.driver import Driver
+from standins.faults import Faults
+from standins.http_server import (
+    Handler,
+    error_response,
+    json_response,
+)
+from standins.process import StandIn, run
+from standins.settings import StandInSettings
+from standins.weight_store_model import (
+    Admission,
+    WeightStoreModel,
+    WeightStoreParameters,
+)
+
+
+class WeightStoreSettings(
+    StandInSettings, frozen=True, kw_only=True, forbid_unknown_fields=True
+):
+    """Settings of the weight store.
+
+    Attributes:
+        model: Limits.
+    """
+
+    model: WeightStoreParameters = WeightStoreParameters()
+
+
+class WeightStoreFaults(Faults, frozen=True, kw_only=True, forbid_unknown_fields=True):
+    """Faults of the weight store.
+
+    Attributes:
+        fail_next: Loads that end with 500.
+        slow_factor: Factor on the duration of every load.
+    """
+
+    fail_next: int = 0
+    slow_factor: float = 1.0
+
+
+class WeightStore(StandIn[WeightStoreFaults]):
+    """Stand-in for the weight store."""
+
+    def __init__(self, settings: WeightStoreSettings) -> None:
+        """Binds the ports.
+
+        Args:
+            settings: Settings of the weight store.
+        """
+        self._model = WeightStoreModel(settings.model)
+        self._driver = Driver(lambda: self._model, self._end_loads)
+        self._in_transit: set[threading.Event] = set()
+        self._counts: Counter[str] = Counter()
+        self._by_source: Counter[str] = Counter()
+        super().__init__(settings, WeightStoreFaults())
+
+    def routes(self) -> Iterable[tuple[str, str, Handler]]:
+        """Returns the routes."""
+        return (
+            ("GET", "/stats", lambda request: json_response(self.counters())),
+            ("GET", "/<path:source>", self._load),
+        )
+
+    def counters(self) -> Mapping[str, Any]:
+        """Returns counts of loads and of violated limits."""
+        with self._driver.changed:
+            model = self._model
+            return {
+                "starts": model.starts,
+                "in_transit": model.in_transit,
+                "peak_in_transit": model.peak_in_transit,
+                "rate_violations": model.rate_violations,
+                "transit_violations": model.transit_violations,
+                "full_speed": self._counts[Admission.FULL_SPEED.value],
+                "reduced_speed": self._counts[Admission.REDUCED_SPEED.value],
+                "refused": self._counts[Admission.REFUSED.value],
+                "failed": self._counts["failed"],
+                "by_source": dict(self._by_source),
+            }
+
+    def faults_changed(
+        self, before: WeightStoreFaults, after: WeightStoreFaults
+    ) -> None:
+        """Applies ``slow_factor`` to the model."""
+        with self._driver.changed:
+            now = time.monotonic()
+            self._end_loads(self._model.set_slow_factor(after.slow_factor, now))
+            self._driver.changed.notify_all()
+
+    def start(self) -> None:
+        """Starts the transfers and accepts connections."""
+        self._driver.start()
+        super().start()
+
+    def stop(self) -> None:
+        """Closes the ports."""
+        self._driver.stop()
+        super().stop()
+        self._end_loads(tuple(self._in_transit))
+
+    def _load(self, request: Request, source: str) -> Response:
+        load = threading.Event()
+        with self._driver.changed:
+            now = time.monotonic()
+            self._end_loads(self._model.advance(now))
+            admission = self._model.start(load, now)
+            self._counts[admission.value] += 1
+            if admission is not Admission.REFUSED:
+                self._in_transit.add(load)
+            wait = self._model.retry_after(now)
+            self._driver.changed.notify_all()
+        if admission is Admission.REFUSED:
+            return error_response(
+                429,
+                f"load of {source!r} is above the allowed rate",
+                {"Retry-After": str(math.ceil(wait))},
+            )
+        load.wait()
+        self.faults.wait_while_frozen()
+        if self.faults.take("fail_next"):
+            with self._driver.changed:
+                self._counts["failed"] += 1
+            return error_response(500, f"load of {source!r} failed by a fault")
+        with self._driver.changed:
+            self._by_source[source] += 1
+        return Response(f"weights of {source}\n", mimetype="application/octet-stream")
+
+    def _end_loads(self, loads: Iterable[Any]) -> None:
+        for load in loads:
+            self._in_transit.discard(load)
+            load.set()
+
+
+if __name__ == "__main__":
+    run(WeightStoreSettings, WeightStore)
