--- a/fighitch/settings.py
+++ b/fighitch/settings.py
@@ -216,6 +216,8 @@
             configuration that is handed to entries.
         operator_key: Bearer key sent to the object API and the admin addresses; empty
             sends none.
+        manager: Name under which ``apply`` records what it applied, to tell the
+            changes of others from its own; empty takes the login name.
         timeout_seconds: Longest wait for one answer, in seconds.
         confirm_seconds: Longest wait for entries to confirm a change, in seconds.
     """
@@ -225,6 +227,7 @@
     sidecars: tuple[Address, ...] = ()
     shared_keys: tuple[SharedKeySettings, ...] = ()
     operator_key: str = ""
+    manager: str = ""
     timeout_seconds: Annotated[float, msgspec.Meta(gt=0)] = 5.0
     confirm_seconds: Annotated[float, msgspec.Meta(ge=0)] = 5.0
 
@@ -272,6 +275,7 @@
         "sidecars": _RESTART,
         "shared_keys": _RESTART,
         "operator_key": _RESTART,
+        "manager": _RESTART,
         "timeout_seconds": _RESTART,
         "confirm_seconds": _RESTART,
     },
