--- /dev/null
+++ b/fighitch/core/slots.py
@@ -0,0 +1,314 @@
+"""The adapter slots of one engine: what is loaded, what is in use, what to load next.
+
+A slot is loading, ready or unloading. Only ready adapter versions may serve, and only
+those without a pin may be unloaded. What to unload is decided by the expected value of
+the next use: the decayed rate of use, weighted with the value of the rank that used it.
+"""
+
+from collections.abc import Iterable, Sequence
+from dataclasses import dataclass
+from enum import Enum
+
+from fighitch.core.demand import DemandEstimator
+from fighitch.core.messages import AdapterVersion
+from fighitch.types import Seconds
+
+# Popularity shifts over minutes; a minute follows them and still outlasts a short lull.
+DEMAND_HALF_LIFE_SECONDS = 60.0
+# An unloaded adapter that is needed again costs its next users a stall. Permits come
+# about once in a second and a load takes a part of one, so that the value of a resident
+# adapter is that of the requests that arrive in this time.
+RELOAD_COST_SECONDS = 2.0
+# A candidate must be worth this much more than the adapter that it replaces, so that
+# two adapters of like demand do not replace each other in turn.
+HYSTERESIS = 1.25
+# A waiting request counts double after this time: no request waits without end for the
+# slot of an adapter in constant demand.
+AGEING_SECONDS = 2.0
+# A load that failed is not repeated on this engine for a while, longer each time.
+FAILED_SECONDS = 5.0
+MAX_FAILED_SECONDS = 120.0
+# The engine's report lags. A difference from this table counts when this many reports
+# in a row show it.
+REPORTS_TO_CORRECT = 3
+
+
+@dataclass(frozen=True, slots=True)
+class Wanted:
+    """Demand for an adapter version.
+
+    Attributes:
+        adapter_version: What is wanted.
+        rank: Most urgent rank that wants it; 0 goes first.
+        waiting: Requests that wait for it now; 0 makes the load a prefetch.
+        value: Worth of one answer of that rank.
+        oldest_wait: Longest time that one of them has waited, in seconds.
+    """
+
+    adapter_version: AdapterVersion
+    rank: int
+    waiting: int
+    value: float
+    oldest_wait: Seconds
+
+
+@dataclass(frozen=True, slots=True)
+class SlotPlan:
+    """Commands to give to the engine now."""
+
+    loads: tuple[AdapterVersion, ...] = ()
+    unloads: tuple[AdapterVersion, ...] = ()
+
+
+class _State(Enum):
+    LOADING = "loading"
+    READY = "ready"
+    UNLOADING = "unloading"
+
+
+@dataclass(slots=True)
+class _Slot:
+    state: _State
+    pins: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class _FailedLoad:
+    at: Seconds
+    retry_at: Seconds
+    count: int
+
+
+class AdapterSlots:
+    """The slot table of one engine."""
+
+    def __init__(self, capacity: int) -> None:
+        """Starts with an empty table.
+
+        Args:
+            capacity: Adapters that the engine holds at once.
+
+        Raises:
+            ValueError: If the capacity is not positive.
+        """
+        if capacity <= 0:
+            raise ValueError(f"capacity {capacity} must be positive")
+        self._capacity = capacity
+        self._boot_id = ""
+        self._slots: dict[AdapterVersion, _Slot] = {}
+        self._failed: dict[AdapterVersion, _FailedLoad] = {}
+        self._demand: DemandEstimator[AdapterVersion] = DemandEstimator(
+            DEMAND_HALF_LIFE_SECONDS
+        )
+        self._values: dict[AdapterVersion, float] = {}
+        self._differences: dict[AdapterVersion, int] = {}
+        self._now: Seconds = 0.0
+
+    @property
+    def boot_id(self) -> str:
+        """Start of the engine that the table describes; empty before a report."""
+        return self._boot_id
+
+    def is_ready(self, adapter_version: AdapterVersion) -> bool:
+        """Returns whether the engine can serve the adapter version now."""
+        slot = self._slots.get(adapter_version)
+        return slot is not None and slot.state is _State.READY
+
+    def resident(self) -> frozenset[str]:
+        """Returns the names of the adapter versions that can serve now."""
+        return frozenset(str(item) for item in self._slots if self.is_ready(item))
+
+    def pin(
+        self, adapter_version: AdapterVersion, *, value: float | None = None
+    ) -> None:
+        """Marks the start of a use and counts it as demand.
+
+        Args:
+            adapter_version: What is used; it must be ready.
+            value: Worth of the answer; None takes that of its last ``Wanted``.
+
+        Raises:
+            ValueError: If the adapter version is not ready.
+        """
+        if not self.is_ready(adapter_version):
+            raise ValueError(f"{adapter_version} is not ready; it cannot be pinned")
+        self._slots[adapter_version].pins += 1
+        if value is None:
+            value = self._values.get(adapter_version, 1.0)
+        self._demand.record(adapter_version, self._now, value)
+
+    def unpin(self, adapter_version: AdapterVersion) -> None:
+        """Marks the end of a use. Pins of an earlier start of the engine are gone."""
+        slot = self._slots.get(adapter_version)
+        if slot is not None and slot.pins > 0:
+            slot.pins -= 1
+
+    def report(self, boot_id: str, resident: Iterable[AdapterVersion]) -> bool:
+        """Takes the engine's own report, which may lag.
+
+        Args:
+            boot_id: Start of the engine.
+            resident: Adapter versions that it says it has loaded.
+
+        Returns:
+            Whether the engine was restarted. The table then holds only what the engine
+            reports and all pins are gone; the caller must not unpin for earlier uses.
+        """
+        resident = frozenset(resident)
+        if boot_id == self._boot_id:
+            self._correct(resident)
+            return False
+        is_restart = bool(self._boot_id)
+        self._boot_id = boot_id
+        self._differences.clear()
+        self._slots = {item: _Slot(_State.READY) for item in resident}
+        return is_restart
+
+    def loaded(self, adapter_version: AdapterVersion, boot_id: str) -> None:
+        """Marks a load as done, unless it is of another start of the engine."""
+        if boot_id != self._boot_id:
+            return
+        self._failed.pop(adapter_version, None)
+        slot = self._slots.setdefault(adapter_version, _Slot(_State.LOADING))
+        if slot.state is _State.LOADING:
+            slot.state = _State.READY
+
+    def unloaded(self, adapter_version: AdapterVersion) -> None:
+        """Marks an unload as done."""
+        slot = self._slots.get(adapter_version)
+        if slot is not None and slot.state is _State.UNLOADING:
+            del self._slots[adapter_version]
+
+    def failed(self, adapter_version: AdapterVersion, now: Seconds) -> None:
+        """Marks a load or unload command as failed.
+
+        Args:
+            adapter_version: What could not be loaded or unloaded.
+            now: Time in seconds.
+        """
+        self._now = now
+        slot = self._slots.get(adapter_version)
+        if slot is not None and slot.state is _State.UNLOADING:
+            slot.state = _State.READY
+            return
+        if slot is not None and slot.state is _State.LOADING:
+            del self._slots[adapter_version]
+        earlier = self._failed.get(adapter_version)
+        count = 1
+        if earlier is not None and now < earlier.retry_at + MAX_FAILED_SECONDS:
+            count = earlier.count + 1
+        pause = min(FAILED_SECONDS * 2 ** (count - 1), MAX_FAILED_SECONDS)
+        self._failed[adapter_version] = _FailedLoad(now, now + pause, count)
+        self._failed = {
+            item: failure
+            for item, failure in self._failed.items()
+            if now < failure.retry_at + MAX_FAILED_SECONDS
+        }
+
+    def failed_recently(self, adapter_version: AdapterVersion, now: Seconds) -> bool:
+        """Returns whether a load failed so recently that none is tried now."""
+        failure = self._failed.get(adapter_version)
+        return failure is not None and now < failure.retry_at
+
+    def plan(self, wanted: Sequence[Wanted], *, permits: int, now: Seconds) -> SlotPlan:
+        """Decides what to load and unload, and marks it as begun.
+
+        Requests that wait go before prefetches, and more urgent ranks go first. Loads
+        go into free slots; to make room, adapter versions without a pin are unloaded
+        if the load that replaces them is worth more. The load follows in a later plan,
+        when the unload is done.
+
+        Args:
+            wanted: Adapter versions in demand, ready ones included.
+            permits: Loads that the weight store's limits allow now.
+            now: Time in seconds.
+
+        Returns:
+            The commands to give; every load needs a permit.
+        """
+        self._now = now
+        self._remember_values(wanted)
+        candidates = [
+            item
+            for item in sorted(wanted, key=_urgency)
+            if item.adapter_version not in self._slots
+            and not self.failed_recently(item.adapter_version, now)
+        ]
+        free = max(0, self._capacity - len(self._slots))
+        loads = candidates[: min(free, permits)]
+        unloads = self._make_room(candidates[len(loads) :], wanted, permits, now)
+        for item in loads:
+            self._slots[item.adapter_version] = _Slot(_State.LOADING)
+        return SlotPlan(tuple(item.adapter_version for item in loads), unloads)
+
+    def _make_room(
+        self,
+        candidates: Sequence[Wanted],
+        wanted: Sequence[Wanted],
+        permits: int,
+        now: Seconds,
+    ) -> tuple[AdapterVersion, ...]:
+        # A slot emptied without a permit to fill it serves nobody, so the slots that
+        # are free or becoming free never outnumber the permits.
+        used = sum(slot.state is not _State.UNLOADING for slot in self._slots.values())
+        room = min(len(candidates), permits - (self._capacity - used))
+        if room <= 0:
+            return ()
+        waiting = {item.adapter_version: item for item in wanted}
+        victims = sorted(
+            (self._worth(item, waiting.get(item), now), str(item), item)
+            for item, slot in self._slots.items()
+            if slot.state is _State.READY and slot.pins == 0
+        )
+        unloads = []
+        pending = len(self._slots) - used
+        for candidate, (worth, _, victim) in zip(
+            candidates[pending : pending + room], victims, strict=False
+        ):
+            gain = self._worth(candidate.adapter_version, candidate, now)
+            if worth * HYSTERESIS < gain:
+                self._slots[victim].state = _State.UNLOADING
+                unloads.append(victim)
+        return tuple(unloads)
+
+    def _worth(
+        self, adapter_version: AdapterVersion, wanted: Wanted | None, now: Seconds
+    ) -> float:
+        expected = self._demand.rate(adapter_version, now) * RELOAD_COST_SECONDS
+        if wanted is None:
+            return expected
+        age = 1.0 + wanted.oldest_wait / AGEING_SECONDS
+        return expected + wanted.waiting * wanted.value * age
+
+    def _remember_values(self, wanted: Sequence[Wanted]) -> None:
+        for item in wanted:
+            self._values[item.adapter_version] = item.value
+        if len(self._values) > 16 * self._capacity + len(wanted):
+            kept = self._slots.keys() | {item.adapter_version for item in wanted}
+            self._values = {
+                item: value for item, value in self._values.items() if item in kept
+            }
+
+    def _correct(self, resident: frozenset[AdapterVersion]) -> None:
+        idle = {
+            item
+            for item, slot in self._slots.items()
+            if slot.state is _State.READY and slot.pins == 0
+        }
+        different = (idle - resident) | (resident - self._slots.keys())
+        self._differences = {
+            item: self._differences.get(item, 0) + 1 for item in different
+        }
+        for item, count in tuple(self._differences.items()):
+            if count < REPORTS_TO_CORRECT:
+                continue
+            del self._differences[item]
+            if item in self._slots:
+                del self._slots[item]
+            else:
+                self._slots[item] = _Slot(_State.READY)
+
+
+def _urgency(wanted: Wanted) -> tuple[bool, int, Seconds, float]:
+    is_prefetch = wanted.waiting == 0
+    return is_prefetch, wanted.rank, -wanted.oldest_wait, -wanted.value * wanted.waiting
