--- a/fighitch/core/load_budget.py
+++ b/fighitch/core/load_budget.py
@@ -34,8 +34,8 @@
 from fighitch.types import ConnectionId, InstanceName, Seconds
 
 MIN_WINDOW_SECONDS = 1.0
-# A changed configuration is in force everywhere within 5 s. Waiting twice as long before
-# a larger share is used covers members that learn of it late.
+# A changed configuration is in force everywhere within 5 s. Waiting twice as long
+# before a larger share is used covers members that learn of it late.
 SETTLE_SECONDS = 10.0
 # After ``configure``, a permit that was not returned counts as free again after this
 # time. A sidecar gives up a load after a shorter time than that.
