--- a/fighitch/tests/test_runtime.py
+++ b/fighitch/tests/test_runtime.py
@@ -108,7 +108,7 @@
         entry.post(Stop())
         with socket.create_connection(_split(sidecar.listen_address)) as sock:
             sock.sendall(b"GET / HTTP/1.1\r\n\r\n")
-            self.assertEqual(sock.recv(10), b"")
+            self.assertTrue(_is_closed_by_peer(sock))
         event = effects.get(timeout=TIMEOUT)
         self.assertIsInstance(event, LogEvent)
         self.assertEqual(event.name, "peer_refused")
@@ -200,8 +200,8 @@
             url = f"http://127.0.0.1:{silent.getsockname()[1]}/"
             number = self.transfers.submit(Transfer("GET", url), events.put)
             accepted, _ = silent.accept()
-            self.transfers.cancel(number)
             self.assertTrue(accepted.recv(1_000))
+            self.transfers.cancel(number)
             while accepted.recv(1_000):
                 pass
             accepted.close()
@@ -221,6 +221,14 @@
                 sock.close()
 
 
+def _is_closed_by_peer(sock):
+    try:
+        return sock.recv(10) == b""
+    except ConnectionResetError:
+        # The peer closed with bytes of ours unread.
+        return True
+
+
 def _split(address):
     host, _, port = address.rpartition(":")
     return host, int(port)
