Add the decision core of the entry

Cause: the entry had contracts for inputs, effects and messages, but nothing that decides between them.

--- /dev/null
+++ b/fighitch/core/entry.py
@@ -0,0 +1,590 @@
+"""Decisions of an entry: callers' requests in, effects out.
+
+The core has no clock, sockets or threads. Each input is handled with the current time
+and yields the effects that the surroundings carry out in order.
+"""
+
+import random
+from collections import Counter
+from collections.abc import Iterable
+from dataclasses import dataclass
+from functools import singledispatchmethod
+
+from expression import Error, Ok, Result
+
+from fighitch.core.answers import Answers
+from fighitch.core.anti_entropy import ConfigurationExchange
+from fighitch.core.attempts import Phase, Work, WorkTable
+from fighitch.core.audit import AuditLog, AuditRecord
+from fighitch.core.configuration import ConfigurationStore
+from fighitch.core.connections import Connections, Link
+from fighitch.core.dispatch import Dispatcher
+from fighitch.core.effects import AnswerFailed, EntryEffect, Stop
+from fighitch.core.entry_settings import EntrySettings
+from fighitch.core.errors import ErrorKind, Failure, RunState
+from fighitch.core.indexes import Indexes, Target
+from fighitch.core.inputs import (
+    CallerGone,
+    CallerRequest,
+    ClaimAnswered,
+    ConfigurationReceived,
+    ConnectionClosed,
+    ConnectionFailed,
+    ConnectionOpened,
+    DrainRequested,
+    EntryInput,
+    InstancesListed,
+    MessageReceived,
+    Tick,
+    TicketRequested,
+)
+from fighitch.core.membership import MemberEvent, Members, ZoneCut
+from fighitch.core.messages import (
+    Chunk,
+    ConfigurationDelta,
+    ConfigurationRequest,
+    End,
+    Heartbeat,
+    Refused,
+)
+from fighitch.core.orders import Orders, body_digest
+from fighitch.core.outbox import Outbox
+from fighitch.core.policies import choose_policy
+from fighitch.core.replies import Replies
+from fighitch.core.resources import Kind, Resource
+from fighitch.core.routing import Router
+from fighitch.core.tickets import TicketSigner
+from fighitch.types import Incarnation, InstanceName, RequestId, Revision, Seconds
+
+
+@dataclass(frozen=True, slots=True)
+class MemberStatus:
+    """State of one sidecar as this entry sees it."""
+
+    name: InstanceName
+    state: str
+    availability_zone: str
+    is_connected: bool
+    in_flight: int
+    running: int
+    queued: int
+    resident: int
+
+
+@dataclass(frozen=True, slots=True)
+class EntryStatus:
+    """Snapshot for operators.
+
+    Attributes:
+        instance: Name of this instance.
+        incarnation: This start of the process.
+        is_ready: Whether callers' requests are served.
+        is_draining: Whether a planned stop is under way.
+        revision: Configuration revision; every change up to it is in force.
+        configuration_age: Time since changes last arrived; None before the first.
+        in_flight: Requests in flight, by rank.
+        members: Known sidecars.
+        connections: Number of open connections.
+        cut_zones: Availability zones without contact.
+    """
+
+    instance: InstanceName
+    incarnation: Incarnation
+    is_ready: bool
+    is_draining: bool
+    revision: Revision
+    configuration_age: Seconds | None
+    in_flight: tuple[tuple[int, int], ...]
+    members: tuple[MemberStatus, ...]
+    connections: int
+    cut_zones: tuple[str, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class _Plan:
+    caller: Resource
+    target: Target
+    policy: Resource
+
+
+class EntryCore:
+    """Routes callers' requests to sidecars and verifies the answers."""
+
+    def __init__(
+        self,
+        instance: InstanceName,
+        incarnation: Incarnation,
+        *,
+        signer: TicketSigner,
+        rng: random.Random,
+        availability_zone: str = "",
+        region: str = "",
+        settings: EntrySettings | None = None,
+        peers: Iterable[str] = (),
+    ) -> None:
+        """Starts without a configuration; not ready until it has one.
+
+        Args:
+            instance: Name of this instance.
+            incarnation: This start of the process.
+            signer: Signs and verifies tickets.
+            rng: Source of random choices; seeded in tests.
+            availability_zone: Zone of this instance.
+            region: Region of this instance.
+            settings: Constants; None takes the defaults.
+            peers: Addresses of entries or sidecars to ask for the configuration.
+        """
+        self._instance = instance
+        self._incarnation = incarnation
+        self._settings = settings or EntrySettings()
+        self._audit = AuditLog(
+            instance, incarnation, capacity=self._settings.audit_records
+        )
+        self._outbox = Outbox(self._audit)
+        self._store = ConfigurationStore()
+        self._indexes = Indexes(self._store)
+        self._exchange = ConfigurationExchange(self._store)
+        self._changed_at: Seconds | None = None
+        self._members = Members(settings=self._settings, rng=rng)
+        self._connections = Connections(
+            members=self._members,
+            outbox=self._outbox,
+            settings=self._settings,
+            rng=rng,
+            peers=peers,
+            revision=lambda: self._store.revision,
+        )
+        self._router = Router(
+            availability_zone=availability_zone,
+            region=region,
+            members=self._members,
+            indexes=self._indexes,
+            settings=self._settings,
+            rng=rng,
+        )
+        self._works = WorkTable()
+        self._replies = Replies(works=self._works, outbox=self._outbox)
+        self._dispatcher = Dispatcher(
+            works=self._works,
+            members=self._members,
+            connections=self._connections,
+            router=self._router,
+            replies=self._replies,
+            outbox=self._outbox,
+            settings=self._settings,
+            body_digest=body_digest,
+        )
+        self._orders = Orders(
+            works=self._works,
+            members=self._members,
+            connections=self._connections,
+            router=self._router,
+            dispatcher=self._dispatcher,
+            replies=self._replies,
+            outbox=self._outbox,
+            settings=self._settings,
+            signer=signer,
+            rng=rng,
+        )
+        self._answers = Answers(
+            works=self._works,
+            members=self._members,
+            router=self._router,
+            dispatcher=self._dispatcher,
+            orders=self._orders,
+            replies=self._replies,
+            outbox=self._outbox,
+            settings=self._settings,
+        )
+        self._is_draining = False
+        self._is_stopped = False
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether this entry has a configuration and takes requests."""
+        return self._store.revision > 0 and not self._is_draining
+
+    @property
+    def store(self) -> ConfigurationStore:
+        """The copy of the configuration, for reading."""
+        return self._store
+
+    def handle(self, event: EntryInput, *, now: Seconds) -> list[EntryEffect]:
+        """Handles one input.
+
+        Args:
+            event: What happened.
+            now: Current monotonic time.
+
+        Returns:
+            Effects in the order in which they are to be carried out.
+        """
+        self._handle(event, now)
+        self._stop_if_drained(now)
+        return self._outbox.drain()
+
+    def explain(self, request_id: RequestId) -> tuple[AuditRecord, ...]:
+        """Returns the records of the decisions about a request, oldest first."""
+        return self._audit.explain(request_id)
+
+    def status(self, *, now: Seconds) -> EntryStatus:
+        """Returns a snapshot for operators."""
+        ranks = Counter(work.rank for work in self._works)
+        age = None if self._changed_at is None else now - self._changed_at
+        return EntryStatus(
+            instance=self._instance,
+            incarnation=self._incarnation,
+            is_ready=self.is_ready,
+            is_draining=self._is_draining,
+            revision=self._store.revision,
+            configuration_age=age,
+            in_flight=tuple(sorted(ranks.items())),
+            members=tuple(
+                MemberStatus(
+                    name=member.name,
+                    state=member.state.value,
+                    availability_zone=member.availability_zone,
+                    is_connected=self._connections.to(member.name) is not None,
+                    in_flight=member.in_flight,
+                    running=sum(member.report.running) if member.report else 0,
+                    queued=sum(member.report.queued) if member.report else 0,
+                    resident=len(member.report.resident) if member.report else 0,
+                )
+                for member in sorted(self._members, key=lambda item: item.name)
+            ),
+            connections=len(self._connections),
+            cut_zones=tuple(sorted(self._members.cut_zones)),
+        )
+
+    @singledispatchmethod
+    def _handle(self, event: object, now: Seconds) -> None:
+        raise TypeError(f"{type(event).__name__} is not an input of an entry")
+
+    @_handle.register
+    def _(self, event: CallerRequest, now: Seconds) -> None:
+        if self._works.get(event.request_id) is not None:
+            # The first request of that id gets the only answer.
+            self._log_duplicate(event.request_id, now)
+            return
+        planned = self._plan(
+            event.key_digest, model=event.model, service=event.service, work=event.work
+        ).bind(self._limit)
+        if planned.is_error():
+            self._refuse(event.request_id, planned.error, now)
+            return
+        plan = planned.ok
+        policy = plan.policy.spec
+        timeout = policy.deadline_ms / 1_000 if event.timeout is None else event.timeout
+        work = Work(event, plan.caller.name, policy, plan.target, now + timeout)
+        self._works.add(work)
+        self._dispatcher.count_request(work.rank)
+        self._outbox.log(
+            "request_accepted",
+            now=now,
+            request_id=work.request_id,
+            cause=f"work policy {plan.policy.name}",
+            caller=work.caller,
+            target=plan.target.key,
+            rank=work.rank,
+        )
+        if policy.idempotent:
+            self._dispatcher.route(work, now)
+            return
+        self._orders.begin(work, now)
+
+    @_handle.register
+    def _(self, event: TicketRequested, now: Seconds) -> None:
+        planned = self._plan(
+            event.key_digest, model=event.model, service=event.service, work=""
+        )
+        if planned.is_error():
+            self._refuse(event.request_id, planned.error, now)
+            return
+        self._orders.request_ticket(
+            event,
+            caller=planned.ok.caller.name,
+            target=planned.ok.target,
+            rank=planned.ok.policy.spec.rank,
+            now=now,
+        )
+
+    @_handle.register
+    def _(self, event: CallerGone, now: Seconds) -> None:
+        self._orders.abandon_ticket(event.request_id)
+        work = self._works.get(event.request_id)
+        if work is None:
+            return
+        if work.order is not None:
+            self._orders.abandon(work, now)
+            return
+        self._dispatcher.unbind(work, now, cancel=True)
+        self._replies.drop(work, now, cause="caller gone")
+
+    @_handle.register
+    def _(self, event: ClaimAnswered, now: Seconds) -> None:
+        self._orders.claim_answered(event, now)
+
+    @_handle.register
+    def _(self, event: ConnectionOpened, now: Seconds) -> None:
+        member = self._members.at(event.address) if event.address else None
+        previous = self._connections.to(member.name) if member else None
+        link = self._connections.opened(event, now)
+        if link is None:
+            self._after_failure(member.name if member else "", now, "unexpected peer")
+            return
+        if previous is not None:
+            self._replace(previous, now)
+        if self._store.revision == 0:
+            self._connections.send(link, ConfigurationRequest(0), now)
+        if link.member:
+            self._after_opening(link, now)
+
+    @_handle.register
+    def _(self, event: ConnectionFailed, now: Seconds) -> None:
+        self._fail_connecting(event.address, now, cause=event.detail or "not accepted")
+
+    @_handle.register
+    def _(self, event: ConnectionClosed, now: Seconds) -> None:
+        link = self._connections.get(event.connection)
+        if link is not None:
+            self._lose(link, now, cause=event.detail or "closed", silent=False)
+
+    @_handle.register
+    def _(self, event: MessageReceived, now: Seconds) -> None:
+        link = self._connections.get(event.connection)
+        if link is None:
+            self._outbox.log(
+                "message_dropped",
+                now=now,
+                cause="unknown connection",
+                message=type(event.message).__name__,
+            )
+            return
+        link.last_heard = now
+        self._receive(event.message, link, now)
+
+    @_handle.register
+    def _(self, event: InstancesListed, now: Seconds) -> None:
+        self._members.listed(live=event.live, leaving=event.leaving, now=now)
+
+    @_handle.register
+    def _(self, event: ConfigurationReceived, now: Seconds) -> None:
+        self._store.merge(event.resources, revision=event.revision, base=event.base)
+        self._changed_at = now
+        self._configuration_changed(now)
+
+    @_handle.register
+    def _(self, event: DrainRequested, now: Seconds) -> None:
+        if self._is_draining:
+            return
+        self._is_draining = True
+        self._connections.drain()
+        self._outbox.log(
+            "drain_started",
+            now=now,
+            cause="planned stop",
+            in_flight=len(self._works),
+        )
+
+    @_handle.register
+    def _(self, event: Tick, now: Seconds) -> None:
+        for link in self._connections.silent_links(now):
+            self._lose(link, now, cause="silent", silent=True)
+        for address in self._connections.overdue_addresses(now):
+            self._fail_connecting(address, now, cause="timeout", silent=True)
+        for change in self._members.advance(now):
+            self._member_changed(change, now)
+        for work in self._works.overdue(now, self._settings.answer_grace):
+            self._expire(work, now)
+        self._orders.advance(now)
+        self._connections.close_unused(now)
+        self._connections.tick(now)
+
+    @singledispatchmethod
+    def _receive(self, message: object, link: Link, now: Seconds) -> None:
+        self._outbox.log(
+            "message_dropped",
+            now=now,
+            cause="not a message for an entry",
+            message=type(message).__name__,
+            peer=link.peer.instance,
+        )
+
+    @_receive.register(Chunk)
+    @_receive.register(End)
+    @_receive.register(Refused)
+    def _(self, message: Chunk | End | Refused, link: Link, now: Seconds) -> None:
+        self._answers.receive(message, link, now)
+
+    @_receive.register
+    def _(self, message: Heartbeat, link: Link, now: Seconds) -> None:
+        member = self._members.get(link.member)
+        if member is not None and self._connections.to(link.member) is link:
+            self._members.reported(member, message)
+        for effect in self._exchange.heard(link.connection, message.revision, now=now):
+            self._connections.send(link, effect.message, now)
+
+    @_receive.register
+    def _(self, message: ConfigurationRequest, link: Link, now: Seconds) -> None:
+        for effect in self._exchange.answer(link.connection, message):
+            self._connections.send(link, effect.message, now)
+
+    @_receive.register
+    def _(self, message: ConfigurationDelta, link: Link, now: Seconds) -> None:
+        for effect in self._exchange.merge(link.connection, message):
+            self._outbox.add(effect)
+        self._changed_at = now
+        self._configuration_changed(now)
+
+    def _plan(
+        self, key_digest: str, *, model: str, service: str, work: str
+    ) -> Result[_Plan, Failure]:
+        """Finds out who asks for what and by which work policy."""
+        if self._is_draining:
+            detail = "this entry is about to stop; repeat the request at another entry"
+            return Error(_not_run(ErrorKind.DRAINING, detail))
+        if self._store.revision == 0:
+            detail = "this entry has no configuration yet; repeat at another entry"
+            return Error(_not_run(ErrorKind.NOT_READY, detail))
+        caller = self._indexes.authenticate(key_digest)
+        if caller.is_error():
+            return Error(caller.error)
+        target = self._indexes.target(model=model, service=service)
+        if target.is_error():
+            return Error(target.error)
+        return choose_policy(
+            self._indexes.policies,
+            caller=caller.ok,
+            targets=target.ok.labels,
+            work=work,
+        ).map(lambda policy: _Plan(caller.ok, target.ok, policy))
+
+    def _limit(self, plan: _Plan) -> Result[_Plan, Failure]:
+        limit = plan.caller.spec.max_in_flight
+        if not limit or self._works.in_flight(plan.caller.name) < limit:
+            return Ok(plan)
+        return Error(
+            Failure(
+                ErrorKind.OVERLOADED,
+                f"caller {plan.caller.name!r} has {limit} requests in flight, which is "
+                "its limit at one entry; wait for answers",
+                RunState.NOT_RUN,
+                self._settings.default_retry_after,
+            )
+        )
+
+    def _refuse(self, request_id: RequestId, failure: Failure, now: Seconds) -> None:
+        self._outbox.log(
+            "request_rejected",
+            now=now,
+            request_id=request_id,
+            cause=failure.detail,
+            kind=failure.kind.value,
+        )
+        self._outbox.add(AnswerFailed(request_id, failure))
+
+    def _log_duplicate(self, request_id: RequestId, now: Seconds) -> None:
+        self._outbox.log(
+            "request_dropped",
+            now=now,
+            request_id=request_id,
+            cause="a request with this id is in flight",
+        )
+
+    def _after_opening(self, link: Link, now: Seconds) -> None:
+        for work in self._works.at(link.member):
+            if work.order is not None:
+                self._orders.link_opened(work, link, now)
+            else:
+                self._dispatcher.link_opened(work, link, now)
+
+    def _fail_connecting(
+        self, address: str, now: Seconds, *, cause: str, silent: bool = False
+    ) -> None:
+        member = self._members.at(address)
+        self._connections.failed(address, now, cause=cause, silent=silent)
+        if member is not None and self._connections.to(member.name) is None:
+            self._after_failure(member.name, now, cause)
+
+    def _after_failure(self, name: InstanceName, now: Seconds, cause: str) -> None:
+        for work in self._works.at(name):
+            if work.order is not None:
+                self._orders.unreachable(work, now)
+            else:
+                self._dispatcher.unreachable(work, now, cause=cause)
+
+    def _lose(self, link: Link, now: Seconds, *, cause: str, silent: bool) -> None:
+        self._connections.lost(link, now, cause=cause, silent=silent)
+        self._exchange.closed(link.connection)
+        for work in self._works.at(link.member):
+            if work.connection == link.connection:
+                self._dispatcher.link_lost(work, now)
+                if self._members.get(work.member) is None:
+                    self._after_removal(work, now)
+
+    def _replace(self, previous: Link, now: Seconds) -> None:
+        """Moves the requests of a connection to the newer one to the same sidecar."""
+        for work in self._works.at(previous.member):
+            if work.connection == previous.connection:
+                self._dispatcher.unbind(work, now)
+                work.phase = Phase.RECONNECTING
+        self._exchange.closed(previous.connection)
+        self._connections.close(previous, now, cause="replaced")
+
+    def _expire(self, work: Work, now: Seconds) -> None:
+        if work.order is not None:
+            self._orders.expire(work, now)
+            return
+        self._dispatcher.expire(work, now)
+
+    def _member_changed(self, change: MemberEvent, now: Seconds) -> None:
+        if isinstance(change, ZoneCut):
+            self._outbox.log(
+                "zone_cut" if change.is_cut else "zone_returned",
+                now=now,
+                cause=f"{change.silent} of {change.members} members are silent",
+                availability_zone=change.availability_zone,
+            )
+            return
+        self._outbox.log(
+            "member_dead", now=now, cause="suspicion not refuted", member=change.name
+        )
+        self._after_failure(change.name, now, "the sidecar is dead")
+
+    def _configuration_changed(self, now: Seconds) -> None:
+        if not self._indexes.refresh():
+            return
+        self._members.sync(self._store.of_kind(Kind.BACKEND_SERVER))
+        self._connections.reconcile(now)
+        self._outbox.log(
+            "configuration_changed",
+            now=now,
+            cause="new resources merged",
+            revision=self._store.revision,
+        )
+        for work in list(self._works):
+            if work.member and self._members.get(work.member) is None:
+                self._after_removal(work, now)
+
+    def _after_removal(self, work: Work, now: Seconds) -> None:
+        """Handles a request whose backend server is no longer configured."""
+        if work.connection is not None:
+            return
+        cause = "the backend server was removed from the configuration"
+        if work.order is not None:
+            self._orders.unreachable(work, now)
+        else:
+            self._dispatcher.unreachable(work, now, cause=cause)
+
+    def _stop_if_drained(self, now: Seconds) -> None:
+        if not self._is_draining or self._is_stopped:
+            return
+        if len(self._works) or self._orders.pending_tickets:
+            return
+        self._is_stopped = True
+        self._outbox.log("drain_complete", now=now, cause="nothing in flight")
+        self._outbox.add(Stop())
+
+
+def _not_run(kind: ErrorKind, detail: str) -> Failure:
+    return Failure(kind, detail, RunState.NOT_RUN, retry_after=1.0)
--- /dev/null
+++ b/fighitch/core/indexes.py
@@ -0,0 +1,156 @@
+"""Lookups that are derived from the configuration and cached by its generation."""
+
+from dataclasses import dataclass, field
+
+from expression import Error, Ok, Result
+
+from fighitch.core.configuration import ConfigurationStore
+from fighitch.core.errors import ErrorKind, Failure
+from fighitch.core.messages import AdapterVersion
+from fighitch.core.resources import AdapterSpec, Kind, Resource
+from fighitch.types import AdapterName, Labels
+
+_MAX_NAMED = 8
+
+
+@dataclass(frozen=True, slots=True)
+class Target:
+    """What a request runs on.
+
+    Attributes:
+        model: Base model of the adapter; empty for a service.
+        adapter_version: Adapter version; None for a service.
+        service: Service name; empty for an adapter.
+        labels: Labels of the adapter; for a service, those of each backend server.
+    """
+
+    model: str = ""
+    adapter_version: AdapterVersion | None = None
+    service: str = ""
+    labels: tuple[Labels, ...] = field(default=())
+
+    @property
+    def key(self) -> str:
+        """Key for rendezvous hashing."""
+        if self.adapter_version is None:
+            return f"service/{self.service}"
+        return f"{self.model}/{self.adapter_version}"
+
+
+class Indexes:
+    """Lookup tables over a configuration store."""
+
+    def __init__(self, store: ConfigurationStore) -> None:
+        self._store = store
+        self._generation = -1
+        self._callers: dict[str, Resource] = {}
+        self._policies: tuple[Resource, ...] = ()
+        self._placements: tuple[Resource, ...] = ()
+        self._services: dict[str, tuple[Resource, ...]] = {}
+
+    @property
+    def generation(self) -> int:
+        """Generation of the configuration that the tables show."""
+        return self._generation
+
+    @property
+    def policies(self) -> tuple[Resource, ...]:
+        """Work policies, the most urgent rank first."""
+        return self._policies
+
+    @property
+    def placements(self) -> tuple[Resource, ...]:
+        """Placement rules by name."""
+        return self._placements
+
+    @property
+    def servers(self) -> tuple[Resource, ...]:
+        """All backend servers."""
+        return tuple(self._store.of_kind(Kind.BACKEND_SERVER))
+
+    def refresh(self) -> bool:
+        """Rebuilds the tables if the configuration changed; returns whether it did."""
+        if self._generation == self._store.generation:
+            return False
+        self._generation = self._store.generation
+        self._callers = {
+            digest: caller
+            for caller in self._store.of_kind(Kind.CALLER)
+            for digest in caller.spec.key_digests
+        }
+        self._policies = tuple(
+            sorted(
+                self._store.of_kind(Kind.WORK_POLICY),
+                key=lambda item: (item.spec.rank, item.name),
+            )
+        )
+        self._placements = tuple(
+            sorted(self._store.of_kind(Kind.PLACEMENT), key=lambda item: item.name)
+        )
+        services: dict[str, list[Resource]] = {}
+        for server in self.servers:
+            if server.spec.service:
+                services.setdefault(server.spec.service, []).append(server)
+        self._services = {name: tuple(items) for name, items in services.items()}
+        return True
+
+    def authenticate(self, key_digest: str) -> Result[Resource, Failure]:
+        """Returns the caller with that key digest."""
+        caller = self._callers.get(key_digest) if key_digest else None
+        if caller is not None:
+            return Ok(caller)
+        problem = "bearer key is unknown" if key_digest else "no bearer key"
+        return Error(
+            Failure(
+                ErrorKind.UNAUTHENTICATED,
+                f"{problem}; send 'Authorization: Bearer <key>' with a key whose "
+                "digest an operator has put into a Caller",
+            )
+        )
+
+    def target(self, *, model: str, service: str) -> Result[Target, Failure]:
+        """Resolves what a request names.
+
+        Args:
+            model: ``adapter`` or ``adapter@version``; empty for a service.
+            service: Service name; empty for an adapter.
+        """
+        if service:
+            return self._service(service)
+        name, _, version = model.partition("@")
+        adapter = self._store.get(Kind.ADAPTER, name)
+        if adapter is None:
+            return _unknown(
+                ErrorKind.UNKNOWN_ADAPTER,
+                f"adapter {name!r} is not configured; list them with 'get adapters'",
+            )
+        return _adapter_target(adapter, adapter.spec, name, version)
+
+    def _service(self, service: str) -> Result[Target, Failure]:
+        servers = self._services.get(service)
+        if servers is None:
+            known = sorted(self._services)[:_MAX_NAMED]
+            return _unknown(
+                ErrorKind.UNKNOWN_SERVICE,
+                f"service {service!r} is not configured; known: {known}",
+            )
+        labels = tuple(server.labels for server in servers)
+        return Ok(Target(service=service, labels=labels))
+
+
+def _adapter_target(
+    adapter: Resource, spec: AdapterSpec, name: AdapterName, version: str
+) -> Result[Target, Failure]:
+    version = version or spec.default_version
+    if spec.version(version) is None:
+        known = [item.name for item in spec.versions][-_MAX_NAMED:]
+        return _unknown(
+            ErrorKind.UNKNOWN_VERSION,
+            f"adapter {name!r} has no version {version!r}; newest versions: {known}",
+        )
+    adapter_version = AdapterVersion(name, version)
+    return Ok(Target(spec.model, adapter_version, labels=(adapter.labels,)))
+
+
+def _unknown(kind: ErrorKind, detail: str) -> Result[Target, Failure]:
+    return Error(Failure(kind, detail))
--- /dev/null
+++ b/fighitch/core/membership.py
@@ -0,0 +1,283 @@
+"""What an entry knows about each sidecar.
+
+Liveness is inferred from traffic. The platform's instance list lags, so it only adds
+hints: it never makes a member alive or dead.
+"""
+
+import random
+from collections.abc import Iterable, Iterator
+from dataclasses import dataclass, field
+from enum import Enum
+
+from fighitch.core.entry_settings import EntrySettings
+from fighitch.core.messages import Heartbeat, LoadReport
+from fighitch.core.resources import Resource
+from fighitch.types import Incarnation, InstanceName, Seconds
+
+
+class MemberState(Enum):
+    """What is known about a sidecar."""
+
+    UNKNOWN = "unknown"
+    ALIVE = "alive"
+    SUSPECT = "suspect"
+    DEAD = "dead"
+    LEAVING = "leaving"
+
+
+ROUTABLE_STATES = frozenset({MemberState.UNKNOWN, MemberState.ALIVE})
+
+
+@dataclass(slots=True)
+class Member:
+    """One sidecar, named like its backend server.
+
+    Attributes:
+        server: Configuration of the backend server.
+        state: What is known about it.
+        incarnation: Incarnation that was last seen; None before the first contact.
+        ticket_epoch: Epoch for new tickets; None until its first heartbeat.
+        report: Its last load report.
+        in_flight: This entry's requests at it.
+        in_flight_at_report: The same when the last report arrived.
+        suspect_since: Start of the suspicion.
+        is_silent: Whether it went silent, as opposed to closing or refusing.
+        is_listed_leaving: Hint from the instance list.
+        failures: Failed connection attempts in a row.
+        next_connect_at: Earliest time of the next connection attempt.
+        refused_until: By rank, until when it asked not to be sent such work.
+    """
+
+    server: Resource
+    state: MemberState = MemberState.UNKNOWN
+    incarnation: Incarnation | None = None
+    ticket_epoch: int | None = None
+    report: LoadReport | None = None
+    in_flight: int = 0
+    in_flight_at_report: int = 0
+    suspect_since: Seconds = 0.0
+    is_silent: bool = False
+    is_listed_leaving: bool = False
+    failures: int = 0
+    next_connect_at: Seconds = 0.0
+    refused_until: dict[int, Seconds] = field(default_factory=dict)
+
+    @property
+    def name(self) -> InstanceName:
+        """Name of the backend server and its sidecar."""
+        return self.server.name
+
+    @property
+    def address(self) -> str:
+        """``ip:port`` of the sidecar."""
+        return self.server.spec.address
+
+    @property
+    def availability_zone(self) -> str:
+        """Availability zone of the sidecar."""
+        return self.server.spec.availability_zone
+
+    @property
+    def batch_size(self) -> int:
+        """Requests that run at once."""
+        reported = self.report.batch_size if self.report else 0
+        return max(1, reported or self.server.spec.batch_size)
+
+    def load(self, rank: int) -> int:
+        """Returns the requests that work of a rank has to share with or wait for.
+
+        The last report is corrected by what this entry has sent and finished since.
+        """
+        if self.report is None:
+            return self.in_flight
+        reported = sum(self.report.running) + sum(self.report.queued[: rank + 1])
+        return max(self.in_flight, reported + self.in_flight - self.in_flight_at_report)
+
+    def utilisation(self, rank: int) -> float:
+        """Returns the load relative to the batch size."""
+        return self.load(rank) / self.batch_size
+
+    def is_resident(self, adapter_version: str) -> bool:
+        """Returns whether the last report names the adapter version as loaded."""
+        return self.report is not None and adapter_version in self.report.resident
+
+
+@dataclass(frozen=True, slots=True)
+class ZoneCut:
+    """Many members of one availability zone went silent at once, or returned."""
+
+    availability_zone: str
+    silent: int
+    members: int
+    is_cut: bool
+
+
+@dataclass(frozen=True, slots=True)
+class MemberDied:
+    """A suspicion lasted too long."""
+
+    name: InstanceName
+
+
+MemberEvent = ZoneCut | MemberDied
+
+
+class Members:
+    """The sidecars that the configuration names."""
+
+    def __init__(self, *, settings: EntrySettings, rng: random.Random) -> None:
+        self._settings = settings
+        self._rng = rng
+        self._members: dict[InstanceName, Member] = {}
+        self._by_address: dict[str, Member] = {}
+        self._suspects: set[InstanceName] = set()
+        self._cut_zones: set[str] = set()
+
+    def __iter__(self) -> Iterator[Member]:
+        return iter(self._members.values())
+
+    def __len__(self) -> int:
+        return len(self._members)
+
+    @property
+    def cut_zones(self) -> frozenset[str]:
+        """Availability zones that this entry has lost contact with."""
+        return frozenset(self._cut_zones)
+
+    def get(self, name: InstanceName) -> Member | None:
+        """Returns the member of that name."""
+        return self._members.get(name)
+
+    def at(self, address: str) -> Member | None:
+        """Returns the member with that address."""
+        return self._by_address.get(address)
+
+    def sync(self, servers: Iterable[Resource]) -> None:
+        """Takes over the configured backend servers; known members keep their state."""
+        known = self._members
+        self._members = {}
+        for server in servers:
+            member = known.get(server.name) or Member(server)
+            if member.address != server.spec.address:
+                member = Member(server)
+            member.server = server
+            self._members[server.name] = member
+        self._by_address = {member.address: member for member in self}
+        self._suspects &= self._members.keys()
+
+    def opened(self, member: Member, incarnation: Incarnation) -> bool:
+        """Notes an authenticated connection.
+
+        Returns:
+            Whether the sidecar is known to have restarted.
+        """
+        restarted = member.incarnation not in (None, incarnation)
+        if member.incarnation != incarnation:
+            member.ticket_epoch = None
+            member.report = None
+            member.in_flight_at_report = 0
+            member.refused_until.clear()
+        member.incarnation = incarnation
+        member.state = MemberState.ALIVE
+        member.failures = 0
+        member.is_silent = False
+        self._suspects.discard(member.name)
+        return restarted
+
+    def reported(self, member: Member, heartbeat: Heartbeat) -> None:
+        """Takes over the content of a sidecar's heartbeat."""
+        member.ticket_epoch = heartbeat.ticket_epoch
+        member.state = MemberState.LEAVING if heartbeat.draining else MemberState.ALIVE
+        if heartbeat.load is not None:
+            member.report = heartbeat.load
+            member.in_flight_at_report = member.in_flight
+
+    def leaving(self, member: Member) -> None:
+        """Notes that the sidecar takes no new work."""
+        member.state = MemberState.LEAVING
+
+    def released(self, member: Member) -> None:
+        """Notes that an idle connection was closed on purpose."""
+        if member.state is MemberState.ALIVE:
+            member.state = MemberState.UNKNOWN
+
+    def lost(self, member: Member, now: Seconds, *, silent: bool) -> None:
+        """Notes that a connection went silent, closed or could not be opened."""
+        if member.state not in (MemberState.SUSPECT, MemberState.DEAD):
+            member.state = MemberState.SUSPECT
+            member.suspect_since = now
+            self._suspects.add(member.name)
+        member.is_silent = silent
+        member.next_connect_at = now + self._reconnect_delay(member)
+
+    def connect_failed(self, member: Member, now: Seconds, *, silent: bool) -> None:
+        """Notes a failed connection attempt."""
+        member.failures += 1
+        self.lost(member, now, silent=silent)
+
+    def listed(
+        self,
+        *,
+        live: frozenset[InstanceName],
+        leaving: frozenset[InstanceName],
+        now: Seconds,
+    ) -> None:
+        """Takes hints from the instance list.
+
+        A live dead member is tried again soon, and a leaving one is chosen last.
+        """
+        for member in self:
+            member.is_listed_leaving = member.name in leaving
+            if member.name in live and member.state is MemberState.DEAD:
+                member.failures = 0
+                member.next_connect_at = now + self._reconnect_delay(member)
+
+    def is_gone(self, name: InstanceName, incarnation: Incarnation) -> bool:
+        """Returns whether an incarnation is known never to answer again."""
+        member = self._members.get(name)
+        if member is None:
+            return True
+        return member.incarnation not in (None, incarnation)
+
+    def advance(self, now: Seconds) -> list[MemberEvent]:
+        """Tells zone cuts from deaths and ends suspicions that lasted too long."""
+        if not self._suspects and not self._cut_zones:
+            return []
+        events: list[MemberEvent] = list(self._find_zone_cuts())
+        for name in sorted(self._suspects):
+            member = self._members[name]
+            if member.availability_zone in self._cut_zones and member.is_silent:
+                continue
+            if now - member.suspect_since >= self._settings.suspicion:
+                member.state = MemberState.DEAD
+                self._suspects.discard(name)
+                events.append(MemberDied(name))
+        return events
+
+    def _find_zone_cuts(self) -> Iterator[ZoneCut]:
+        zones = {self._members[name].availability_zone for name in self._suspects}
+        for zone in sorted(zones | self._cut_zones):
+            in_contact = [
+                member
+                for member in self
+                if member.availability_zone == zone
+                and member.state is not MemberState.UNKNOWN
+                and member.state is not MemberState.DEAD
+            ]
+            silent = sum(
+                member.state is MemberState.SUSPECT and member.is_silent
+                for member in in_contact
+            )
+            is_cut = (
+                silent >= self._settings.zone_cut_minimum
+                and silent >= self._settings.zone_cut_share * len(in_contact)
+            )
+            if is_cut == (zone in self._cut_zones):
+                continue
+            self._cut_zones.symmetric_difference_update({zone})
+            yield ZoneCut(zone, silent, len(in_contact), is_cut)
+
+    def _reconnect_delay(self, member: Member) -> Seconds:
+        """Returns a random delay, so that many entries do not connect at once."""
+        base = self._settings.reconnect_base * 2 ** min(member.failures, 16)
+        return self._rng.uniform(0, min(self._settings.reconnect_cap, base))
