--- a/fighitch/core/answers.py
+++ b/fighitch/core/entry/answers.py
@@ -2,18 +2,18 @@
 
 from functools import singledispatchmethod
 
-from fighitch.core.assembly import Assembly, ChunkState
-from fighitch.core.attempts import Phase, Work, WorkTable
-from fighitch.core.connections import Link
-from fighitch.core.dispatch import Dispatcher
-from fighitch.core.entry_settings import EntrySettings
+from fighitch.core.entry.assembly import Assembly, ChunkState
+from fighitch.core.entry.attempts import Phase, Work, WorkTable
+from fighitch.core.entry.connections import Link
+from fighitch.core.entry.dispatch import Dispatcher
+from fighitch.core.entry.membership import Members
+from fighitch.core.entry.orders import Orders
+from fighitch.core.entry.outbox import Outbox
+from fighitch.core.entry.replies import Replies
+from fighitch.core.entry.routing import Router
+from fighitch.core.entry.settings import EntrySettings
 from fighitch.core.errors import ErrorKind, Failure, RunState
-from fighitch.core.membership import Members
 from fighitch.core.messages import Chunk, End, Refused
-from fighitch.core.orders import Orders
-from fighitch.core.outbox import Outbox
-from fighitch.core.replies import Replies
-from fighitch.core.routing import Router
 from fighitch.types import Seconds
 
 _MILLISECONDS = 1_000
--- a/fighitch/core/attempts.py
+++ b/fighitch/core/entry/attempts.py
@@ -5,9 +5,9 @@
 from dataclasses import dataclass, field
 from enum import Enum
 
-from fighitch.core.assembly import Assembly
+from fighitch.core.entry.assembly import Assembly
+from fighitch.core.entry.indexes import Target
 from fighitch.core.errors import Failure, RunState
-from fighitch.core.indexes import Target
 from fighitch.core.inputs import CallerRequest
 from fighitch.core.resources import WorkPolicySpec
 from fighitch.core.tickets import Ticket
--- a/fighitch/core/connections.py
+++ b/fighitch/core/entry/connections.py
@@ -5,11 +5,11 @@
 from dataclasses import dataclass
 
 from fighitch.core.effects import Connect, Disconnect, Send
-from fighitch.core.entry_settings import EntrySettings
+from fighitch.core.entry.membership import Member, Members, MemberState
+from fighitch.core.entry.outbox import Outbox
+from fighitch.core.entry.settings import EntrySettings
 from fighitch.core.inputs import ConnectionOpened
-from fighitch.core.membership import Member, Members, MemberState
 from fighitch.core.messages import Heartbeat, Message, Peer, Role
-from fighitch.core.outbox import Outbox
 from fighitch.types import ConnectionId, InstanceName, Revision, Seconds
 
 
--- a/fighitch/core/entry.py
+++ b/fighitch/core/entry/core.py
@@ -12,17 +12,23 @@
 
 from expression import Error, Ok, Result
 
-from fighitch.core.answers import Answers
 from fighitch.core.anti_entropy import ConfigurationExchange
-from fighitch.core.attempts import Phase, Work, WorkTable
 from fighitch.core.audit import AuditLog, AuditRecord
 from fighitch.core.configuration import ConfigurationStore
-from fighitch.core.connections import Connections, Link
-from fighitch.core.dispatch import Dispatcher
 from fighitch.core.effects import AnswerFailed, EntryEffect, Stop
-from fighitch.core.entry_settings import EntrySettings
+from fighitch.core.entry.answers import Answers
+from fighitch.core.entry.attempts import Phase, Work, WorkTable
+from fighitch.core.entry.connections import Connections, Link
+from fighitch.core.entry.dispatch import Dispatcher
+from fighitch.core.entry.indexes import Indexes, Target
+from fighitch.core.entry.membership import MemberEvent, Members, ZoneCut
+from fighitch.core.entry.orders import Orders, body_digest
+from fighitch.core.entry.outbox import Outbox
+from fighitch.core.entry.policies import choose_policy
+from fighitch.core.entry.replies import Replies
+from fighitch.core.entry.routing import Router
+from fighitch.core.entry.settings import EntrySettings
 from fighitch.core.errors import ErrorKind, Failure, RunState
-from fighitch.core.indexes import Indexes, Target
 from fighitch.core.inputs import (
     CallerGone,
     CallerRequest,
@@ -38,7 +44,6 @@
     Tick,
     TicketRequested,
 )
-from fighitch.core.membership import MemberEvent, Members, ZoneCut
 from fighitch.core.messages import (
     Chunk,
     ConfigurationDelta,
@@ -47,12 +52,7 @@
     Heartbeat,
     Refused,
 )
-from fighitch.core.orders import Orders, body_digest
-from fighitch.core.outbox import Outbox
-from fighitch.core.policies import choose_policy
-from fighitch.core.replies import Replies
 from fighitch.core.resources import Kind, Resource
-from fighitch.core.routing import Router
 from fighitch.core.tickets import TicketSigner
 from fighitch.types import Incarnation, InstanceName, RequestId, Revision, Seconds
 
--- a/fighitch/core/dispatch.py
+++ b/fighitch/core/entry/dispatch.py
@@ -2,18 +2,18 @@
 
 from collections.abc import Callable
 
-from fighitch.core.assembly import Assembly
-from fighitch.core.attempts import Phase, Work, WorkTable
-from fighitch.core.connections import Connections, Link, is_contactable
-from fighitch.core.entry_settings import EntrySettings
+from fighitch.core.entry.assembly import Assembly
+from fighitch.core.entry.attempts import Phase, Work, WorkTable
+from fighitch.core.entry.connections import Connections, Link, is_contactable
+from fighitch.core.entry.membership import Members
+from fighitch.core.entry.outbox import Outbox
+from fighitch.core.entry.replies import Replies
+from fighitch.core.entry.retries import RetryBudget, may_retry
+from fighitch.core.entry.routing import Router
+from fighitch.core.entry.settings import EntrySettings
 from fighitch.core.errors import ErrorKind, Failure, RunState
 from fighitch.core.invariants import check
-from fighitch.core.membership import Members
 from fighitch.core.messages import Cancel, Resume, Submit
-from fighitch.core.outbox import Outbox
-from fighitch.core.replies import Replies
-from fighitch.core.retries import RetryBudget, may_retry
-from fighitch.core.routing import Router
 from fighitch.types import Seconds
 
 _MILLISECONDS = 1_000
--- a/fighitch/core/membership.py
+++ b/fighitch/core/entry/membership.py
@@ -9,7 +9,7 @@
 from dataclasses import dataclass, field
 from enum import Enum
 
-from fighitch.core.entry_settings import EntrySettings
+from fighitch.core.entry.settings import EntrySettings
 from fighitch.core.messages import Heartbeat, LoadReport
 from fighitch.core.resources import Resource
 from fighitch.types import Incarnation, InstanceName, Seconds
--- a/fighitch/core/orders.py
+++ b/fighitch/core/entry/orders.py
@@ -13,23 +13,23 @@
 
 from expression import Error, Ok, Result
 
-from fighitch.core.attempts import Order, Phase, Work, WorkTable
-from fighitch.core.connections import Connections, Link
-from fighitch.core.dispatch import Dispatcher
 from fighitch.core.effects import (
     AnswerFailed,
     CreateClaim,
     ReadClaim,
     TicketIssued,
 )
-from fighitch.core.entry_settings import EntrySettings
+from fighitch.core.entry.attempts import Order, Phase, Work, WorkTable
+from fighitch.core.entry.connections import Connections, Link
+from fighitch.core.entry.dispatch import Dispatcher
+from fighitch.core.entry.indexes import Target
+from fighitch.core.entry.membership import Member, Members
+from fighitch.core.entry.outbox import Outbox
+from fighitch.core.entry.replies import Replies
+from fighitch.core.entry.routing import Router
+from fighitch.core.entry.settings import EntrySettings
 from fighitch.core.errors import ErrorKind, Failure, RunState
-from fighitch.core.indexes import Target
 from fighitch.core.inputs import ClaimAnswered, ClaimStatus, TicketRequested
-from fighitch.core.membership import Member, Members
-from fighitch.core.outbox import Outbox
-from fighitch.core.replies import Replies
-from fighitch.core.routing import Router
 from fighitch.core.tickets import Ticket, TicketSigner, is_ticket
 from fighitch.types import CallerName, RequestId, Seconds
 
--- a/fighitch/core/replies.py
+++ b/fighitch/core/entry/replies.py
@@ -2,17 +2,17 @@
 
 import dataclasses
 
-from fighitch.core.attempts import Work, WorkTable
 from fighitch.core.effects import (
     AnswerData,
     AnswerEnded,
     AnswerFailed,
     AnswerStarted,
 )
+from fighitch.core.entry.attempts import Work, WorkTable
+from fighitch.core.entry.outbox import Outbox
 from fighitch.core.errors import Failure
 from fighitch.core.invariants import check
 from fighitch.core.messages import Chunk, End
-from fighitch.core.outbox import Outbox
 from fighitch.types import Seconds
 
 _STREAM_CONTENT_TYPE = "text/event-stream"
--- a/fighitch/core/routing.py
+++ b/fighitch/core/entry/routing.py
@@ -14,10 +14,10 @@
 from expression import Error, Ok, Result
 
 from fighitch.core.configuration import cached_selector
-from fighitch.core.entry_settings import EntrySettings
+from fighitch.core.entry.indexes import Indexes, Target
+from fighitch.core.entry.membership import ROUTABLE_STATES, Member, Members, MemberState
+from fighitch.core.entry.settings import EntrySettings
 from fighitch.core.errors import ErrorKind, Failure, RunState
-from fighitch.core.indexes import Indexes, Target
-from fighitch.core.membership import ROUTABLE_STATES, Member, Members, MemberState
 from fighitch.core.rendezvous import RankedPartitions
 from fighitch.core.resources import Resource
 from fighitch.types import InstanceName, Labels, Seconds
--- /dev/null
+++ b/fighitch/core/sidecar/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions of the sidecar: admission, adapter slots, loads, orders, answers."""
--- a/fighitch/tests/test_demand.py
+++ b/fighitch/tests/test_demand.py
@@ -1,8 +1,8 @@
-"""Tests of ``fighitch.core.demand``."""
+"""Tests of ``fighitch.core.sidecar.demand``."""
 
 import unittest
 
-from fighitch.core.demand import DemandEstimator
+from fighitch.core.sidecar.demand import DemandEstimator
 
 
 class DemandTests(unittest.TestCase):
--- a/fighitch/tests/test_load_budget.py
+++ b/fighitch/tests/test_load_budget.py
@@ -1,16 +1,16 @@
-"""Tests of ``fighitch.core.load_budget``."""
+"""Tests of ``fighitch.core.sidecar.load_budget``."""
 
 import unittest
 
 from hypothesis import given, seed, settings, strategies as st
 
-from fighitch.core.load_budget import (
+from fighitch.core.messages import PermitGrant, PermitRequest, PermitReturn
+from fighitch.core.sidecar.load_budget import (
     RECLAIM_SECONDS,
     SETTLE_SECONDS,
     LoadBudget,
     share_of,
 )
-from fighitch.core.messages import PermitGrant, PermitRequest, PermitReturn
 
 STEP_SECONDS = 0.05
 # Members that learn of a configuration do so within this time.
--- a/fighitch/tests/test_slots.py
+++ b/fighitch/tests/test_slots.py
@@ -1,9 +1,9 @@
-"""Tests of ``fighitch.core.slots``."""
+"""Tests of ``fighitch.core.sidecar.slots``."""
 
 import unittest
 
 from fighitch.core.messages import AdapterVersion
-from fighitch.core.slots import (
+from fighitch.core.sidecar.slots import (
     FAILED_SECONDS,
     REPORTS_TO_CORRECT,
     AdapterSlots,
