--- /dev/null
+++ b/fighitch/core/ledger.py
@@ -0,0 +1,282 @@
+"""At-most-once record of orders in one incarnation of a sidecar.
+
+A record is dropped only when its ticket epoch is so old that the ticket itself is
+refused, so that a dropped record never permits a second run. When the memory for
+records is used up, new orders are refused as not run.
+"""
+
+from dataclasses import dataclass
+from enum import Enum
+from typing import TypeAlias
+
+from fighitch.core.errors import ErrorKind, Failure, RunState
+from fighitch.core.invariants import check
+from fighitch.core.tickets import Ticket
+from fighitch.types import Incarnation, InstanceName
+
+# Together with an epoch of 10 minutes a key is valid for at least an hour.
+MAX_EPOCH_AGE = 6
+# Measured size of a record without its answer, rounded up.
+RECORD_BYTES = 1_024
+
+
+class OrderState(Enum):
+    """How far an order has come."""
+
+    ACCEPTED = "accepted"
+    DISPATCHED = "dispatched"
+    FINISHED = "finished"
+    UNKNOWN = "unknown"
+
+
+@dataclass(frozen=True, slots=True)
+class Outcome:
+    """The whole answer of an order.
+
+    Attributes:
+        status: HTTP status of the backend server.
+        body: Whole body.
+        content_type: Media type.
+        model: Adapter version that ran; empty for a service.
+    """
+
+    status: int
+    body: bytes
+    content_type: str = "application/json"
+    model: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class Accepted:
+    """The order is new; it may be dispatched once."""
+
+
+@dataclass(frozen=True, slots=True)
+class Joined:
+    """The order waits or runs; ``number`` is the request that carries it."""
+
+    number: int
+
+
+@dataclass(frozen=True, slots=True)
+class Replayed:
+    """The order has run; this is its stored outcome."""
+
+    outcome: Outcome
+
+
+Verdict: TypeAlias = Accepted | Joined | Replayed | Failure
+
+
+@dataclass(slots=True)
+class _Record:
+    number: int
+    body_digest: str
+    reserved: int
+    state: OrderState = OrderState.ACCEPTED
+    outcome: Outcome | None = None
+
+
+class OrderLedger:
+    """Records of the orders that this incarnation has accepted."""
+
+    def __init__(
+        self,
+        instance: InstanceName,
+        incarnation: Incarnation,
+        *,
+        max_bytes: int,
+        max_outcome_bytes: int,
+    ) -> None:
+        """Starts empty in epoch 0.
+
+        Args:
+            instance: Name of this sidecar.
+            incarnation: This start of it.
+            max_bytes: Memory for all records and outcomes.
+            max_outcome_bytes: Longest answer that is kept.
+        """
+        self._instance = instance
+        self._incarnation = incarnation
+        self._max_bytes = max_bytes
+        self._max_outcome_bytes = max_outcome_bytes
+        self._records: dict[int, dict[Ticket, _Record]] = {}
+        self._used_bytes = 0
+        self._epoch = 0
+
+    @property
+    def epoch(self) -> int:
+        """Epoch that new tickets must carry."""
+        return self._epoch
+
+    @property
+    def used_bytes(self) -> int:
+        """Memory in use or reserved."""
+        return self._used_bytes
+
+    def __len__(self) -> int:
+        return sum(map(len, self._records.values()))
+
+    def state(self, ticket: Ticket) -> OrderState | None:
+        """Returns how far an order has come; None without a record."""
+        record = self._find(ticket)
+        return record.state if record else None
+
+    def can_keep(self, size: int) -> bool:
+        """Returns whether an answer of that many bytes is kept."""
+        return size <= self._max_outcome_bytes
+
+    def submit(self, ticket: Ticket, *, body_digest: str, number: int) -> Verdict:
+        """Decides what to do with an attempt of an order.
+
+        Args:
+            ticket: Verified ticket.
+            body_digest: Digest of the caller's body.
+            number: Request that carries the order if it is accepted.
+
+        Returns:
+            What to do, or why it is refused.
+        """
+        record = self._find(ticket)
+        if self._is_expired(ticket):
+            return self._expired(ticket)
+        if record is None:
+            return self._accept(ticket, body_digest, number)
+        if record.body_digest != body_digest:
+            return Failure(
+                ErrorKind.KEY_REUSED,
+                "the Idempotency-Key was used with another body; request a new key",
+            )
+        return self._repeat(record)
+
+    def dispatched(self, ticket: Ticket) -> None:
+        """Records, before the call, that the order is sent to the backend server."""
+        record = self._find(ticket)
+        check(
+            record is not None and record.state is OrderState.ACCEPTED,
+            "at_most_one_dispatch_for_a_ticket",
+            nonce=ticket.nonce,
+            state=record.state if record else None,
+        )
+        assert record is not None
+        record.state = OrderState.DISPATCHED
+
+    def not_sent(self, ticket: Ticket) -> None:
+        """Records that nothing of the call left this process; it may be repeated."""
+        record = self._find(ticket)
+        if record is not None and record.state is OrderState.DISPATCHED:
+            record.state = OrderState.ACCEPTED
+
+    def not_run(self, ticket: Ticket) -> None:
+        """Drops the record of an order that was accepted but never sent."""
+        record = self._find(ticket)
+        if record is None:
+            return
+        check(
+            record.state is OrderState.ACCEPTED,
+            "only_unsent_orders_are_forgotten",
+            nonce=ticket.nonce,
+            state=record.state,
+        )
+        self._used_bytes -= record.reserved
+        del self._records[ticket.epoch][ticket]
+
+    def finish(self, ticket: Ticket, outcome: Outcome | None) -> None:
+        """Keeps the outcome; None if it is too long to be kept whole."""
+        record = self._find(ticket)
+        if record is None or record.state is not OrderState.DISPATCHED:
+            return
+        record.state = OrderState.FINISHED
+        if outcome is not None and self.can_keep(len(outcome.body)):
+            record.outcome = outcome
+        size = len(record.outcome.body) if record.outcome else 0
+        self._shrink(record, RECORD_BYTES + size)
+
+    def lose(self, ticket: Ticket) -> None:
+        """Records that nobody can tell whether a dispatched order ran."""
+        record = self._find(ticket)
+        if record is None or record.state is not OrderState.DISPATCHED:
+            return
+        record.state = OrderState.UNKNOWN
+        self._shrink(record, RECORD_BYTES)
+
+    def advance_epoch(self) -> None:
+        """Starts a new epoch and drops records whose tickets are now refused."""
+        self._epoch += 1
+        for epoch in [one for one in self._records if self._is_old(one)]:
+            kept = {
+                ticket: record
+                for ticket, record in self._records.pop(epoch).items()
+                if record.state in (OrderState.ACCEPTED, OrderState.DISPATCHED)
+                or self._release(record)
+            }
+            if kept:
+                self._records[epoch] = kept
+
+    def _accept(self, ticket: Ticket, body_digest: str, number: int) -> Verdict:
+        if ticket.epoch > self._epoch:
+            return Failure(
+                ErrorKind.BAD_REQUEST,
+                f"Idempotency-Key has epoch {ticket.epoch}, this sidecar is at "
+                f"{self._epoch}; request a new key",
+            )
+        reserved = RECORD_BYTES + self._max_outcome_bytes
+        if self._used_bytes + reserved > self._max_bytes:
+            return Failure(
+                ErrorKind.OVERLOADED,
+                f"{self._used_bytes} of {self._max_bytes} bytes for order records are "
+                "in use; request a key for another backend server",
+                RunState.NOT_RUN,
+            )
+        record = _Record(number, body_digest, reserved)
+        self._records.setdefault(ticket.epoch, {})[ticket] = record
+        self._used_bytes += reserved
+        return Accepted()
+
+    def _repeat(self, record: _Record) -> Verdict:
+        if record.state in (OrderState.ACCEPTED, OrderState.DISPATCHED):
+            return Joined(record.number)
+        if record.outcome is not None:
+            return Replayed(record.outcome)
+        if record.state is OrderState.FINISHED:
+            return Failure(
+                ErrorKind.OUTCOME_UNKNOWN,
+                f"the order ran, but its answer was longer than the "
+                f"{self._max_outcome_bytes} bytes that are kept",
+                RunState.RAN,
+            )
+        return Failure(
+            ErrorKind.OUTCOME_UNKNOWN,
+            "the backend server was lost after the order was sent; check its effect",
+        )
+
+    def _expired(self, ticket: Ticket) -> Failure:
+        return Failure(
+            ErrorKind.KEY_EXPIRED,
+            f"Idempotency-Key of {ticket.instance!r}, incarnation "
+            f"{ticket.incarnation}, epoch {ticket.epoch} is not valid at "
+            f"{self._instance!r}, incarnation {self._incarnation}, epoch "
+            f"{self._epoch}; check whether the order ran and request a new key",
+            RunState.UNKNOWN,
+        )
+
+    def _is_expired(self, ticket: Ticket) -> bool:
+        bound_here = (ticket.instance, ticket.incarnation) == (
+            self._instance,
+            self._incarnation,
+        )
+        return not bound_here or self._is_old(ticket.epoch)
+
+    def _is_old(self, epoch: int) -> bool:
+        return epoch < self._epoch - MAX_EPOCH_AGE
+
+    def _find(self, ticket: Ticket) -> _Record | None:
+        return self._records.get(ticket.epoch, {}).get(ticket)
+
+    def _shrink(self, record: _Record, size: int) -> None:
+        self._used_bytes -= record.reserved - size
+        record.reserved = size
+
+    def _release(self, record: _Record) -> bool:
+        self._used_bytes -= record.reserved
+        return False
--- /dev/null
+++ b/fighitch/core/streams.py
@@ -0,0 +1,294 @@
+"""Answer streams to entries, with the chunks kept that a new connection may ask for.
+
+There is no acknowledgement message: the newest chunks of a live answer and those of
+recently ended answers are kept within a memory bound, and ``Resume`` states what the
+entry already has.
+"""
+
+from collections import OrderedDict, deque
+from collections.abc import Iterator
+from dataclasses import dataclass
+from typing import TypeAlias
+
+import xxhash
+
+from fighitch.core.errors import Failure, RunState
+from fighitch.core.invariants import check
+from fighitch.core.messages import Chunk, End, Message, Peer, Refused
+from fighitch.types import ConnectionId, Incarnation, InstanceName, RequestId, Seconds
+
+# Well below the largest message, so that heartbeats are not held up behind a chunk.
+MAX_CHUNK_BYTES = 256 * 1024
+
+
+@dataclass(frozen=True, slots=True)
+class StreamKey:
+    """Identifies an attempt; request ids are unique within one start of an entry."""
+
+    entry: InstanceName
+    incarnation: Incarnation
+    request_id: RequestId
+    attempt: int
+
+
+def stream_key(peer: Peer, request_id: RequestId, attempt: int) -> StreamKey:
+    """Returns the key of an attempt that a peer has sent."""
+    return StreamKey(peer.instance, peer.incarnation, request_id, attempt)
+
+
+@dataclass(frozen=True, slots=True)
+class AnswerInfo:
+    """What ``End`` says of the answer as a whole."""
+
+    status: int
+    model: str = ""
+    content_type: str = "application/json"
+    queued: Seconds = 0.0
+    stalled: Seconds = 0.0
+    replayed: bool = False
+
+
+_Last: TypeAlias = End | Refused
+
+
+class AnswerStream:
+    """Answer to one attempt: numbered chunks and a last message."""
+
+    def __init__(self, key: StreamKey, connection: ConnectionId) -> None:
+        self._key = key
+        self._connection: ConnectionId | None = connection
+        self._lost_at: Seconds | None = None
+        self._ended_at: Seconds | None = None
+        self._kept: deque[Chunk] = deque()
+        self._kept_bytes = 0
+        self._next_sequence = 0
+        self._byte_length = 0
+        self._digest = xxhash.xxh3_64()
+        self._last: _Last | None = None
+
+    @property
+    def key(self) -> StreamKey:
+        """Attempt that is answered."""
+        return self._key
+
+    @property
+    def connection(self) -> ConnectionId | None:
+        """Connection of the entry; None while it is lost."""
+        return self._connection
+
+    @property
+    def lost_at(self) -> Seconds | None:
+        """Time at which the connection was lost."""
+        return self._lost_at
+
+    @property
+    def ended_at(self) -> Seconds | None:
+        """Time of the last message; None while the answer is live."""
+        return self._ended_at
+
+    @property
+    def has_chunks(self) -> bool:
+        """Whether the entry may have got a part of the answer."""
+        return self._next_sequence > 0
+
+    @property
+    def kept_bytes(self) -> int:
+        """Memory of the chunks that are kept."""
+        return self._kept_bytes
+
+    def attach(self, connection: ConnectionId) -> None:
+        """Continues on a connection."""
+        self._connection = connection
+        self._lost_at = None
+
+    def detach(self, now: Seconds) -> None:
+        """The connection is lost; messages are kept for a ``Resume``."""
+        self._connection = None
+        self._lost_at = now
+
+    def chunks(self, data: bytes) -> list[Message]:
+        """Returns data as the next chunks."""
+        check(self._last is None, "no_chunk_after_the_end", key=self._key)
+        pieces = [
+            data[start : start + MAX_CHUNK_BYTES]
+            for start in range(0, len(data), MAX_CHUNK_BYTES)
+        ]
+        return [self._chunk(piece) for piece in pieces]
+
+    def end(self, info: AnswerInfo, now: Seconds) -> End:
+        """Returns the explicit end."""
+        end = End(
+            request_id=self._key.request_id,
+            attempt=self._key.attempt,
+            status=info.status,
+            chunk_count=self._next_sequence,
+            byte_length=self._byte_length,
+            digest=self._digest.intdigest(),
+            model=info.model,
+            run_state=RunState.RAN,
+            content_type=info.content_type,
+            queued=round(info.queued * 1000),
+            stalled=round(info.stalled * 1000),
+            replayed=info.replayed,
+        )
+        self._finish(end, now)
+        return end
+
+    def refuse(self, failure: Failure, now: Seconds) -> Refused:
+        """Returns the refusal that ends the attempt."""
+        refused = refusal(self._key.request_id, self._key.attempt, failure)
+        self._finish(refused, now)
+        return refused
+
+    def after(self, next_sequence: int) -> list[Message] | None:
+        """Returns every message from a sequence number on.
+
+        Args:
+            next_sequence: First chunk that the entry lacks.
+
+        Returns:
+            The messages; None if some of the chunks are no longer kept.
+        """
+        if not self._first_kept <= next_sequence <= self._next_sequence:
+            return None
+        missing: list[Message] = [
+            chunk for chunk in self._kept if chunk.sequence >= next_sequence
+        ]
+        check(
+            len(missing) == self._next_sequence - next_sequence,
+            "resumed_sequence_without_gaps",
+            key=self._key,
+            next_sequence=next_sequence,
+        )
+        return [*missing, self._last] if self._last else missing
+
+    def drop_oldest(self) -> int:
+        """Forgets the oldest chunk; returns the bytes freed."""
+        chunk = self._kept.popleft()
+        self._kept_bytes -= len(chunk.data)
+        return len(chunk.data)
+
+    @property
+    def _first_kept(self) -> int:
+        return self._kept[0].sequence if self._kept else self._next_sequence
+
+    def _chunk(self, data: bytes) -> Chunk:
+        newest = self._kept[-1].sequence if self._kept else self._next_sequence - 1
+        check(
+            newest == self._next_sequence - 1,
+            "sequence_without_gaps",
+            key=self._key,
+            newest=newest,
+            sequence=self._next_sequence,
+        )
+        chunk = Chunk(
+            self._key.request_id, self._key.attempt, self._next_sequence, data
+        )
+        self._next_sequence += 1
+        self._byte_length += len(data)
+        self._digest.update(data)
+        self._kept.append(chunk)
+        self._kept_bytes += len(data)
+        return chunk
+
+    def _finish(self, last: _Last, now: Seconds) -> None:
+        check(self._last is None, "one_end_for_an_attempt", key=self._key)
+        self._last = last
+        self._ended_at = now
+
+
+class StreamTable:
+    """Live and recently ended streams within a memory bound."""
+
+    def __init__(self, *, max_kept_bytes: int, max_stream_bytes: int) -> None:
+        """Starts empty.
+
+        Args:
+            max_kept_bytes: Memory for the chunks of all streams.
+            max_stream_bytes: Memory for the chunks of one live stream.
+        """
+        self._max_kept_bytes = max_kept_bytes
+        self._max_stream_bytes = max_stream_bytes
+        self._live: dict[StreamKey, AnswerStream] = {}
+        self._ended: OrderedDict[StreamKey, AnswerStream] = OrderedDict()
+        self._kept_bytes = 0
+
+    @property
+    def kept_bytes(self) -> int:
+        """Memory of the chunks of all streams."""
+        return self._kept_bytes
+
+    def __len__(self) -> int:
+        return len(self._live)
+
+    def live(self) -> Iterator[AnswerStream]:
+        """Iterates over the streams that have not ended."""
+        return iter(tuple(self._live.values()))
+
+    def unfetched(self) -> bool:
+        """Whether an ended answer waits for its entry to connect again."""
+        return any(stream.connection is None for stream in self._ended.values())
+
+    def get(self, key: StreamKey) -> AnswerStream | None:
+        """Returns the stream of an attempt, live or recently ended."""
+        return self._live.get(key) or self._ended.get(key)
+
+    def open(self, key: StreamKey, connection: ConnectionId) -> AnswerStream:
+        """Starts a stream."""
+        stream = AnswerStream(key, connection)
+        self._live[key] = stream
+        return stream
+
+    def chunks(self, stream: AnswerStream, data: bytes) -> list[Message]:
+        """Adds data to a live stream and keeps within the memory bounds."""
+        before = stream.kept_bytes
+        messages = stream.chunks(data)
+        self._kept_bytes += stream.kept_bytes - before
+        while stream.kept_bytes > self._max_stream_bytes:
+            self._kept_bytes -= stream.drop_oldest()
+        while self._kept_bytes > self._max_kept_bytes:
+            self._drop_from_oldest()
+        return messages
+
+    def ended(self, stream: AnswerStream) -> None:
+        """Moves a stream to the recently ended ones."""
+        if self._live.pop(stream.key, None) is not None:
+            self._ended[stream.key] = stream
+
+    def remove(self, stream: AnswerStream) -> None:
+        """Forgets a stream."""
+        found = self._live.pop(stream.key, None) or self._ended.pop(stream.key, None)
+        if found is not None:
+            self._kept_bytes -= found.kept_bytes
+
+    def lose_connection(self, connection: ConnectionId, now: Seconds) -> None:
+        """Detaches every stream from a connection."""
+        for stream in (*self._live.values(), *self._ended.values()):
+            if stream.connection == connection:
+                stream.detach(now)
+
+    def forget_ended(self, before: Seconds) -> None:
+        """Forgets streams that ended before a time."""
+        while self._ended:
+            stream = next(iter(self._ended.values()))
+            if stream.ended_at is not None and stream.ended_at >= before:
+                return
+            self.remove(stream)
+
+    def _drop_from_oldest(self) -> None:
+        for stream in (*self._ended.values(), *self._live.values()):
+            if stream.kept_bytes:
+                self._kept_bytes -= stream.drop_oldest()
+                return
+
+
+def refusal(request_id: RequestId, attempt: int, failure: Failure) -> Refused:
+    """Returns a failure as a message."""
+    return Refused(
+        request_id=request_id,
+        attempt=attempt,
+        kind=failure.kind,
+        run_state=failure.run_state,
+        detail=failure.detail,
+        retry_after=round((failure.retry_after or 0.0) * 1000),
+    )
