--- a/fighitch/core/admission.py
+++ b/fighitch/core/admission.py
@@ -10,7 +10,7 @@
 from collections.abc import Iterator, Mapping
 from dataclasses import dataclass
 
-from fighitch.core._placeholder_slots import DemandEstimator, Wanted
+from fighitch.core._placeholder_slots import DemandEstimator
 from fighitch.core.errors import ErrorKind, Failure
 from fighitch.core.invariants import check
 from fighitch.core.messages import AdapterVersion
@@ -101,13 +101,14 @@
         """Returns how many running requests the rank is owed when work waits."""
         return math.ceil(self._policy(rank).floor * self._batch_size - _ROUNDING)
 
-    def wanted(self, now: Seconds) -> Iterator[Wanted]:
-        """Iterates over the versions that work waits for, once for each rank."""
+    def waited_for(
+        self, now: Seconds
+    ) -> Iterator[tuple[int, AdapterVersion, int, Seconds]]:
+        """Iterates over (rank, version, number waiting, longest wait)."""
         for rank, queue in self._queues.items():
-            value = self._policy(rank).value
             for version, count, oldest in queue.versions():
                 if version is not None:
-                    yield Wanted(version, rank, count, value * count, now - oldest)
+                    yield rank, version, count, now - oldest
 
     def waiting_for(self, version: AdapterVersion) -> tuple[Work, ...]:
         """Returns the work that waits for a version, most urgent first."""
@@ -296,8 +297,8 @@
     def _deadline_failure(self, work: Work, now: Seconds, excess: Seconds) -> Failure:
         return Failure(
             ErrorKind.DEADLINE_EXCEEDED,
-            f"{work.deadline - now:.3f} s remain, {excess:.3f} s less than the queue of "
-            f"rank {work.rank} needs; allow more time or repeat later",
+            f"{work.deadline - now:.3f} s remain, {excess:.3f} s less than the queue "
+            f"of rank {work.rank} needs; allow more time or repeat later",
             retry_after=min(max(excess, _MIN_RETRY_AFTER), _MAX_RETRY_AFTER),
         )
 
--- /dev/null
+++ b/fighitch/core/answers.py
@@ -0,0 +1,106 @@
+"""Sends answers to entries and answers ``Resume``."""
+
+from fighitch.core.errors import ErrorKind, Failure, RunState
+from fighitch.core.ledger import Outcome
+from fighitch.core.outbox import Outbox
+from fighitch.core.streams import (
+    AnswerInfo,
+    AnswerStream,
+    StreamKey,
+    StreamTable,
+    refusal,
+)
+from fighitch.types import ConnectionId, Seconds
+
+
+class Answers:
+    """Answer streams together with the messages that they cause."""
+
+    def __init__(self, streams: StreamTable, outbox: Outbox) -> None:
+        self._streams = streams
+        self._outbox = outbox
+
+    @property
+    def streams(self) -> StreamTable:
+        """Live and recently ended streams."""
+        return self._streams
+
+    def data(self, stream: AnswerStream, data: bytes) -> None:
+        """Sends a part of an answer."""
+        for message in self._streams.chunks(stream, data):
+            self._outbox.send(stream.connection, message)
+
+    def end(self, stream: AnswerStream, info: AnswerInfo, *, now: Seconds) -> None:
+        """Sends the explicit end of an answer."""
+        self._outbox.send(stream.connection, stream.end(info, now))
+        self._streams.ended(stream)
+
+    def replay(self, stream: AnswerStream, outcome: Outcome, *, now: Seconds) -> None:
+        """Sends the stored outcome of an order."""
+        self.data(stream, outcome.body)
+        info = AnswerInfo(
+            status=outcome.status,
+            model=outcome.model,
+            content_type=outcome.content_type,
+            replayed=True,
+        )
+        self.end(stream, info, now=now)
+
+    def refuse(self, stream: AnswerStream, failure: Failure, *, now: Seconds) -> None:
+        """Sends a refusal, which ends the attempt."""
+        self._outbox.send(stream.connection, stream.refuse(failure, now))
+        self._streams.ended(stream)
+        self._outbox.log(
+            "refused",
+            request_id=stream.key.request_id,
+            cause=failure.detail,
+            attempt=stream.key.attempt,
+            kind=failure.kind.value,
+            run_state=failure.run_state.value,
+        )
+
+    def resume(
+        self, key: StreamKey, connection: ConnectionId, next_sequence: int
+    ) -> AnswerStream | None:
+        """Continues an answer on a new connection of the same entry.
+
+        Args:
+            key: Attempt.
+            connection: New connection.
+            next_sequence: First chunk that the entry lacks.
+
+        Returns:
+            The stream if it cannot be continued and must be given up, else None.
+        """
+        stream = self._streams.get(key)
+        missing = stream.after(next_sequence) if stream else None
+        if stream is None or missing is None:
+            self._refuse_resume(key, connection, next_sequence)
+            return stream
+        self._streams.attach(stream, connection)
+        for message in missing:
+            self._outbox.send(connection, message)
+        self._outbox.log(
+            "resumed",
+            request_id=key.request_id,
+            cause="new connection of the entry",
+            attempt=key.attempt,
+            next_sequence=next_sequence,
+        )
+        return None
+
+    def _refuse_resume(
+        self, key: StreamKey, connection: ConnectionId, next_sequence: int
+    ) -> None:
+        failure = Failure(
+            ErrorKind.INCOMPLETE_ANSWER,
+            f"the answer is not kept from chunk {next_sequence} on; repeat the request",
+            RunState.UNKNOWN,
+        )
+        self._outbox.send(connection, refusal(key.request_id, key.attempt, failure))
+        self._outbox.log(
+            "resume_refused",
+            request_id=key.request_id,
+            cause=failure.detail,
+            attempt=key.attempt,
+        )
--- a/fighitch/core/calls.py
+++ b/fighitch/core/calls.py
@@ -3,9 +3,10 @@
 from dataclasses import dataclass, field
 
 from fighitch.core.effects import CallBackend
-from fighitch.core.ledger import Outcome
+from fighitch.core.errors import RunState
+from fighitch.core.invariants import check
 from fighitch.core.messages import Submit
-from fighitch.core.streams import AnswerStream
+from fighitch.core.streams import AnswerStream, StreamKey
 from fighitch.core.tickets import Ticket
 from fighitch.core.waiting import Work
 from fighitch.types import Seconds
@@ -24,8 +25,8 @@
         call: Number of the running call; None while it waits.
         pin: Pin on the adapter version of the running call.
         started: Time at which the running call was made.
-        ready_at: Time at which its adapter version was first ready.
         queued: Time spent waiting with a ready adapter version.
+        stalled: Time spent waiting for an adapter load.
         waits_since: Start of the current wait.
         verified: Whether the running call answers from the right version.
         status: HTTP status of the answer.
@@ -33,7 +34,9 @@
         model: Version that the backend server named.
         generated: Text that earlier calls and the running one have produced.
         generated_tokens: Number of tokens in it.
-        held: Answer data that is not sent before the end.
+        held: Answer data that is kept until the end.
+        is_held_whole: Whether ``held`` has all data of the answer.
+        sent_calls: Calls of which a byte may have reached the backend server.
         failures: Engine failures that it was continued after.
         unsent_retries: Calls repeated because nothing of them was sent.
         wrong_versions: Calls that answered from another version.
@@ -50,7 +53,6 @@
     started: Seconds = 0.0
     queued: Seconds = 0.0
     stalled: Seconds = 0.0
-    ready_at: Seconds | None = None
     verified: bool = False
     status: int = 0
     content_type: str = "application/json"
@@ -58,6 +60,8 @@
     generated: list[str] = field(default_factory=list)
     generated_tokens: int = 0
     held: bytearray = field(default_factory=bytearray)
+    is_held_whole: bool = True
+    sent_calls: int = 0
     failures: int = 0
     unsent_retries: int = 0
     wrong_versions: int = 0
@@ -68,28 +72,34 @@
         return self.ticket is not None
 
     @property
-    def has_audience(self) -> bool:
-        """Whether any attempt waits for its answer."""
-        return self.stream is not None or bool(self.joined)
+    def streams(self) -> tuple[AnswerStream, ...]:
+        """Streams of all attempts that wait for the answer."""
+        first = () if self.stream is None else (self.stream,)
+        return (*first, *self.joined)
 
     @property
-    def outcome(self) -> Outcome:
-        """The whole answer of an order."""
-        return Outcome(self.status, bytes(self.held), self.content_type, self.model)
-
-    def begin_wait(self, now: Seconds, *, is_ready: bool) -> None:
-        """Starts to measure a wait in the queue."""
-        self.waits_since = now
-        self.ready_at = now if is_ready else None
-
-    def begin_call(self, number: int, now: Seconds) -> CallBackend:
-        """Starts a call and returns it."""
-        ready_at = (
-            now if self.ready_at is None else max(self.ready_at, self.waits_since)
-        )
+    def run_state(self) -> RunState:
+        """What may be said of a request that ends without an answer."""
+        return RunState.UNKNOWN if self.sent_calls else RunState.NOT_RUN
+
+    def begin_call(
+        self, number: int, now: Seconds, *, ready_since: Seconds
+    ) -> CallBackend:
+        """Starts a call.
+
+        Args:
+            number: Number of the call.
+            now: Current time.
+            ready_since: Time since which its adapter version is ready.
+
+        Returns:
+            The call.
+        """
+        ready_at = min(max(ready_since, self.waits_since), now)
         self.stalled += ready_at - self.waits_since
         self.queued += now - ready_at
         self.call = number
+        self.sent_calls += 1
         self.started = now
         self.verified = False
         submit = self.submit
@@ -109,16 +119,26 @@
             traceparent=submit.traceparent,
         )
 
-    def prepare_continuation(self) -> None:
+    def hold(self, data: bytes, *, limit: int) -> bool:
+        """Keeps answer data for the end; returns whether all of it fits the limit."""
+        if self.is_held_whole and len(self.held) + len(data) <= limit:
+            self.held += data
+            return True
+        self.is_held_whole = False
+        self.held.clear()
+        return False
+
+    def begin_wait(self, now: Seconds) -> None:
         """Makes the next call continue the answer.
 
         A stream continues after the text that was sent. An answer that is not streamed
         is one document, which two calls cannot share, so it starts again.
         """
-        self.call = None
+        self.waits_since = now
         if self.submit.streamed:
             return
         self.held.clear()
+        self.is_held_whole = True
         self.generated.clear()
         self.generated_tokens = 0
 
@@ -129,20 +149,44 @@
     def __init__(self) -> None:
         self._requests: dict[int, Request] = {}
         self._by_call: dict[int, Request] = {}
+        self._by_stream: dict[StreamKey, Request] = {}
         self._last_number = 0
         self._last_call = 0
 
     def __len__(self) -> int:
         return len(self._requests)
 
+    @property
+    def running_calls(self) -> int:
+        """Number of calls at the backend server."""
+        return len(self._by_call)
+
     def next_number(self) -> int:
         """Returns a number for a new request."""
         self._last_number += 1
         return self._last_number
 
     def add(self, request: Request) -> None:
-        """Adds a request."""
+        """Adds a request with the stream that it answers."""
         self._requests[request.work.number] = request
+        if request.stream is not None:
+            self._by_stream[request.stream.key] = request
+
+    def join(self, request: Request, stream: AnswerStream) -> None:
+        """Adds a repeated attempt, which gets the whole outcome at the end."""
+        request.joined.append(stream)
+        self._by_stream[stream.key] = request
+
+    def leave(self, stream: AnswerStream) -> Request | None:
+        """Takes an attempt from its request, which goes on; returns the request."""
+        request = self._by_stream.pop(stream.key, None)
+        if request is None:
+            return None
+        if request.stream is stream:
+            request.stream = None
+        else:
+            request.joined.remove(stream)
+        return request
 
     def get(self, number: int) -> Request | None:
         """Returns the request of that number."""
@@ -156,11 +200,14 @@
         """Returns the requests that have a call, oldest call first."""
         return tuple(self._by_call.values())
 
-    def begin_call(self, request: Request, now: Seconds) -> CallBackend:
+    def begin_call(
+        self, request: Request, now: Seconds, *, ready_since: Seconds
+    ) -> CallBackend:
         """Starts the next call of a request."""
+        check(request.call is None, "one_call_for_a_request", call=request.call)
         self._last_call += 1
         self._by_call[self._last_call] = request
-        return request.begin_call(self._last_call, now)
+        return request.begin_call(self._last_call, now, ready_since=ready_since)
 
     def end_call(self, request: Request) -> None:
         """Ends the running call; its late events find no request."""
@@ -171,4 +218,6 @@
     def remove(self, request: Request) -> None:
         """Removes a request that has ended."""
         self.end_call(request)
+        for stream in request.streams:
+            self._by_stream.pop(stream.key, None)
         del self._requests[request.work.number]
--- a/fighitch/core/engine_state.py
+++ b/fighitch/core/engine_state.py
@@ -39,7 +39,9 @@
         self._boot_id: str | None = None
         self._fencing_token: int | None = None
         self._is_superseded = False
-        self._loading: set[AdapterVersion] = set()
+        # Commands without a result yet; the same load can be commanded again after the
+        # slot table was emptied.
+        self._loading: Counter[AdapterVersion] = Counter()
         self._unloading: set[AdapterVersion] = set()
         # Pins by token; a token is lost when the slot table is emptied under it.
         self._pins: dict[int, AdapterVersion] = {}
@@ -68,7 +70,7 @@
 
     def is_ready(self, version: AdapterVersion) -> bool:
         """Returns whether work may be dispatched on a version."""
-        return self._slots.is_ready(version)
+        return version not in self._unloading and self._slots.is_ready(version)
 
     def failed_recently(self, version: AdapterVersion, now: Seconds) -> bool:
         """Returns whether a load of the version failed a short time ago."""
@@ -108,8 +110,9 @@
         self._boot_id = report.boot_id
         if self._slots.report(report.boot_id, report.resident):
             self._table_pins.clear()
+        if is_restart:
             self._unloading.clear()
-        if not is_restart:
+        else:
             self._pin_again()
         was_superseded = self._is_superseded
         self._is_superseded |= report.fencing_token > self._fencing_token
@@ -119,7 +122,6 @@
         """Empties the slot table until the engine reports what it has loaded."""
         self._slots.report("", frozenset())
         self._table_pins.clear()
-        self._unloading.clear()
 
     def loaded(self, version: AdapterVersion, boot_id: str, now: Seconds) -> None:
         """A load command succeeded."""
@@ -128,17 +130,12 @@
 
     def unloaded(self, version: AdapterVersion) -> None:
         """An unload command succeeded."""
-        check(
-            not self._pinned[version],
-            "pinned_adapter_never_unloaded",
-            version=str(version),
-        )
         self._unloading.discard(version)
         self._slots.unloaded(version)
 
     def command_failed(self, version: AdapterVersion, now: Seconds) -> bool:
         """A command failed; returns whether it was a load."""
-        if version not in self._loading:
+        if not self._loading[version]:
             self._unloading.discard(version)
             return False
         self._end_load(version, now)
@@ -173,18 +170,16 @@
             self._unloading.add(version)
             commands.append(UnloadAdapter(version, self._fencing_token))
         for version in plan.loads:
-            check(
-                self._budget.start(now),
-                "load_has_a_permit",
-                version=str(version),
-            )
-            self._loading.add(version)
+            has_permit = self._budget.start(now)
+            check(has_permit, "load_has_a_permit", version=str(version))
+            self._loading[version] += 1
             commands.append(LoadAdapter(version, source(version), self._fencing_token))
         return commands
 
     def _end_load(self, version: AdapterVersion, now: Seconds) -> None:
-        if version in self._loading:
-            self._loading.remove(version)
+        if self._loading[version]:
+            self._loading[version] -= 1
+            self._loading += Counter()
             self._budget.finish(now)
 
     def _pin_again(self) -> None:
--- /dev/null
+++ b/fighitch/core/execution.py
@@ -0,0 +1,461 @@
+"""Runs admitted requests on the backend server.
+
+A request is queued, called, perhaps interrupted and continued, and ended; each call has
+a number, and events of a call that is over are ignored.
+"""
+
+import random
+from dataclasses import replace
+from functools import singledispatchmethod
+from typing import Any
+
+from fighitch.core.admission import AdmissionQueue
+from fighitch.core.answers import Answers
+from fighitch.core.calls import Request, RequestTable
+from fighitch.core.effects import CancelBackend
+from fighitch.core.engine_state import EngineState
+from fighitch.core.errors import ErrorKind, Failure, RunState
+from fighitch.core.inputs import (
+    BackendData,
+    BackendEnded,
+    BackendFailed,
+    BackendStarted,
+)
+from fighitch.core.invariants import check
+from fighitch.core.ledger import OrderLedger, Outcome
+from fighitch.core.messages import AdapterVersion
+from fighitch.core.outbox import Outbox
+from fighitch.core.sidecar_settings import SidecarSettings
+from fighitch.core.streams import AnswerInfo, AnswerStream
+from fighitch.core.waiting import Work
+from fighitch.types import Seconds
+
+_NOT_FOUND = 404
+_FIRST_ERROR_STATUS = 400
+
+
+class Execution:
+    """Requests between their admission and their end."""
+
+    def __init__(
+        self,
+        *,
+        queue: AdmissionQueue,
+        engine: EngineState,
+        ledger: OrderLedger,
+        answers: Answers,
+        outbox: Outbox,
+        settings: SidecarSettings,
+        rng: random.Random,
+    ) -> None:
+        self._queue = queue
+        self._engine = engine
+        self._ledger = ledger
+        self._answers = answers
+        self._outbox = outbox
+        self._settings = settings
+        self._rng = rng
+        self._requests = RequestTable()
+        self._ready_since: dict[AdapterVersion, Seconds] = {}
+        self._late_events = 0
+
+    @property
+    def requests(self) -> RequestTable:
+        """Requests in flight."""
+        return self._requests
+
+    @property
+    def late_events(self) -> int:
+        """Events of calls that were already over."""
+        return self._late_events
+
+    # --- Requests ---
+
+    def admit(self, request: Request, *, now: Seconds) -> None:
+        """Queues a new request or refuses it as not run."""
+        self._requests.add(request)
+        version = request.work.adapter_version
+        refusal = self._load_failed(version, now) or self._queue.admit(
+            request.work, now=now
+        )
+        if refusal is not None:
+            self._end_unanswered(request, refusal, now)
+            return
+        self._log(
+            "queued",
+            request,
+            cause="admitted",
+            rank=request.work.rank,
+            caller=request.work.caller,
+        )
+
+    def join(self, number: int, stream: AnswerStream) -> None:
+        """Lets a repeated attempt of an order wait for the running one."""
+        request = self._requests.get(number)
+        check(request is not None, "unfinished_order_has_a_request", number=number)
+        assert request is not None
+        self._requests.join(request, stream)
+        self._log("joined", request, cause="same key", attempt=stream.key.attempt)
+
+    def withdraw(self, stream: AnswerStream, *, cause: str) -> None:
+        """Ends an attempt that nobody waits for.
+
+        Orders run on, since the caller may repeat them with the same key.
+        """
+        request = self._requests.leave(stream)
+        self._answers.streams.remove(stream)
+        if request is None or request.is_order:
+            return
+        self._log("cancelled", request, cause=cause)
+        if request.call is not None:
+            self._stop_call(request)
+        else:
+            self._queue.remove(request.work.number)
+        self._requests.remove(request)
+
+    def pump(self, *, now: Seconds) -> None:
+        """Drops expired work, makes room for urgent work and makes calls."""
+        for expired in self._queue.expire(now):
+            self._expire(self._request(expired), now)
+        while True:
+            work = self._queue.pop(now=now)
+            if work is not None:
+                self._call(self._request(work), now)
+                continue
+            victim = self._queue.victim()
+            if victim is None:
+                return
+            self._preempt(self._request(victim), now)
+
+    # --- Engine ---
+
+    def readiness_changed(self, *versions: AdapterVersion, now: Seconds) -> None:
+        """Brings the queue up to date with the slot table.
+
+        Args:
+            *versions: Versions that may have become ready.
+            now: Current time.
+        """
+        known = self._queue.ready_versions
+        for version in sorted(known.union(versions), key=str):
+            is_ready = self._engine.is_ready(version)
+            if is_ready and version not in known:
+                self._ready_since[version] = now
+            elif not is_ready:
+                self._ready_since.pop(version, None)
+            self._queue.set_ready(version, is_ready)
+
+    def engine_restarted(self, *, now: Seconds) -> None:
+        """Handles the loss of every running call."""
+        for request in self._requests.running():
+            self._stop_call(request)
+            self._interrupted(request, "the engine restarted", now)
+
+    def load_failed(
+        self, version: AdapterVersion, detail: str, *, now: Seconds
+    ) -> None:
+        """Refuses the work that waits for a version whose load failed."""
+        failure = Failure(
+            ErrorKind.ADAPTER_LOAD_FAILED,
+            f"adapter version {str(version)!r} could not be loaded: {detail}",
+        )
+        for work in self._queue.waiting_for(version):
+            self._queue.remove(work.number)
+            self._end_unanswered(self._request(work), failure, now)
+
+    # --- Events of calls ---
+
+    @singledispatchmethod
+    def event(self, event: Any, request: Request, now: Seconds) -> None:
+        """Handles an event of the running call of a request."""
+        raise TypeError(f"{type(event).__name__} is not an event of a call")
+
+    @event.register
+    def _started(self, event: BackendStarted, request: Request, now: Seconds) -> None:
+        wanted = request.submit.adapter_version
+        if wanted is not None and not _is_from(wanted, event):
+            self._wrong_version(request, event, now)
+            return
+        request.verified = True
+        request.status = event.status
+        request.content_type = event.content_type
+        request.model = event.model
+
+    @event.register
+    def _data(self, event: BackendData, request: Request, now: Seconds) -> None:
+        if not request.verified:
+            self._stop_call(request)
+            self._interrupted(request, "data came before the status", now)
+            return
+        if request.submit.streamed:
+            request.generated.append(event.text)
+            request.generated_tokens += event.tokens
+            if request.is_order:
+                request.hold(event.data, limit=self._settings.max_outcome_bytes)
+            if request.stream is not None:
+                self._answers.data(request.stream, event.data)
+            return
+        if not request.hold(event.data, limit=self._settings.max_held_bytes):
+            self._stop_call(request)
+            self._too_long(request, now)
+
+    @event.register
+    def _ended(self, event: BackendEnded, request: Request, now: Seconds) -> None:
+        if not request.verified:
+            self._stop_call(request)
+            self._interrupted(request, "the answer ended before its status", now)
+            return
+        self._release_call(request, service_time=now - request.started)
+        outcome = self._outcome(request)
+        if request.ticket is not None:
+            self._ledger.finish(request.ticket, outcome)
+        self._requests.remove(request)
+        self._log("answered", request, cause="the answer is whole")
+        self._answer(request, outcome, now)
+
+    @event.register
+    def _failed(self, event: BackendFailed, request: Request, now: Seconds) -> None:
+        self._release_call(request)
+        if event.sent:
+            self._interrupted(request, event.detail, now)
+            return
+        request.sent_calls -= 1
+        if request.ticket is not None:
+            self._ledger.not_sent(request.ticket)
+        if request.unsent_retries < self._settings.max_unsent_retries:
+            request.unsent_retries += 1
+            self._requeue(request, f"nothing was sent: {event.detail}", now)
+            return
+        failure = Failure(
+            ErrorKind.BACKEND_FAILED,
+            f"the backend server could not be reached: {event.detail}",
+            RunState.NOT_RUN,
+        )
+        self._end_unanswered(request, failure, now)
+
+    def handle(
+        self,
+        event: BackendStarted | BackendData | BackendEnded | BackendFailed,
+        *,
+        now: Seconds,
+    ) -> None:
+        """Handles an event of a call; ignores it if the call is over."""
+        request = self._requests.of_call(event.call)
+        if request is not None:
+            self.event(event, request, now)
+            return
+        self._late_events += 1
+        self._outbox.log(
+            "late_event_ignored",
+            request_id=event.request_id,
+            cause="the call is over",
+            call=event.call,
+            type=type(event).__name__,
+        )
+
+    # --- Calls ---
+
+    def _call(self, request: Request, now: Seconds) -> None:
+        work = request.work
+        # A process that was paused since the queue was last looked at must not run
+        # work that expired meanwhile.
+        if work.deadline <= now:
+            self._queue.finished(work)
+            self._expire(request, now)
+            return
+        version = work.adapter_version
+        ready_since = float("-inf")
+        if version is not None:
+            check(
+                self._engine.is_ready(version),
+                "dispatch_only_on_ready_version",
+                version=str(version),
+                request_id=request.submit.request_id,
+            )
+            request.pin = self._engine.pin(version)
+            ready_since = self._ready_since.get(version, now)
+        if request.ticket is not None:
+            self._ledger.dispatched(request.ticket)
+        call = self._requests.begin_call(request, now, ready_since=ready_since)
+        self._outbox.add(call)
+        self._log("dispatched", request, cause="next in its rank", call=call.call)
+
+    def _preempt(self, request: Request, now: Seconds) -> None:
+        self._stop_call(request)
+        self._requeue(request, "more urgent work or a floor needs the room", now)
+
+    def _stop_call(self, request: Request) -> None:
+        """Cancels the running call at the backend server."""
+        if request.call is not None:
+            self._outbox.add(CancelBackend(request.call))
+        self._release_call(request)
+
+    def _release_call(
+        self, request: Request, *, service_time: Seconds | None = None
+    ) -> None:
+        self._requests.end_call(request)
+        self._queue.finished(request.work, service_time=service_time)
+        if request.pin is not None:
+            self._engine.unpin(request.pin)
+            request.pin = None
+
+    def _requeue(self, request: Request, cause: str, now: Seconds) -> None:
+        request.begin_wait(now)
+        self._queue.requeue(request.work)
+        self._log(
+            "requeued", request, cause=cause, generated_tokens=request.generated_tokens
+        )
+
+    def _interrupted(self, request: Request, detail: str, now: Seconds) -> None:
+        """Handles a call that was sent and ended without a whole answer."""
+        if request.is_order:
+            self._lose(request, detail, now)
+            return
+        if request.failures < self._settings.max_failures:
+            request.failures += 1
+            self._requeue(request, f"the call broke off: {detail}", now)
+            return
+        failure = Failure(
+            ErrorKind.BACKEND_FAILED,
+            f"the call broke off {request.failures + 1} times, last: {detail}",
+            RunState.UNKNOWN,
+        )
+        self._end_unanswered(request, failure, now)
+
+    def _wrong_version(
+        self, request: Request, event: BackendStarted, now: Seconds
+    ) -> None:
+        detail = (
+            f"the engine answered from {event.model!r} with status {event.status}, "
+            f"asked for {str(request.submit.adapter_version)!r}"
+        )
+        self._stop_call(request)
+        self._engine.invalidate()
+        self.readiness_changed(now=now)
+        self._log("slot_table_invalidated", request, cause=detail)
+        if request.is_order:
+            self._lose(request, detail, now)
+            return
+        if request.wrong_versions < self._settings.max_wrong_versions:
+            request.wrong_versions += 1
+            self._requeue(request, detail, now)
+            return
+        failure = Failure(ErrorKind.WRONG_ADAPTER, detail, RunState.UNKNOWN)
+        self._end_unanswered(request, failure, now)
+
+    # --- Ends ---
+
+    def _answer(self, request: Request, outcome: Outcome | None, now: Seconds) -> None:
+        if request.stream is not None:
+            if not request.submit.streamed:
+                self._answers.data(request.stream, bytes(request.held))
+            info = AnswerInfo(
+                status=request.status,
+                model=request.model,
+                content_type=request.content_type,
+                queued=request.queued,
+                stalled=request.stalled,
+            )
+            self._answers.end(request.stream, info, now=now)
+        for stream in request.joined:
+            if outcome is not None:
+                self._answers.replay(stream, outcome, now=now)
+                continue
+            failure = Failure(
+                ErrorKind.OUTCOME_UNKNOWN,
+                "the order ran, but its answer was too long to be kept",
+                RunState.RAN,
+            )
+            self._answers.refuse(stream, failure, now=now)
+
+    def _outcome(self, request: Request) -> Outcome | None:
+        if not request.is_order or not request.is_held_whole:
+            return None
+        if not self._ledger.can_keep(len(request.held)):
+            return None
+        return Outcome(
+            request.status, bytes(request.held), request.content_type, request.model
+        )
+
+    def _too_long(self, request: Request, now: Seconds) -> None:
+        detail = f"the answer exceeds {self._settings.max_held_bytes} bytes; stream it"
+        if request.is_order:
+            self._lose(request, detail, now)
+            return
+        failure = Failure(ErrorKind.INCOMPLETE_ANSWER, detail, RunState.UNKNOWN)
+        self._end_unanswered(request, failure, now)
+
+    def _lose(self, request: Request, detail: str, now: Seconds) -> None:
+        if request.ticket is not None:
+            self._ledger.lose(request.ticket)
+        failure = Failure(
+            ErrorKind.OUTCOME_UNKNOWN,
+            f"the order was sent, then {detail}; check its effect",
+            RunState.UNKNOWN,
+        )
+        self._refuse_all(request, failure, now)
+
+    def _expire(self, request: Request, now: Seconds) -> None:
+        failure = Failure(
+            ErrorKind.DEADLINE_EXCEEDED,
+            f"the deadline passed {now - request.work.deadline:.3f} s ago in the queue",
+        )
+        self._end_unanswered(request, failure, now)
+
+    def _end_unanswered(self, request: Request, failure: Failure, now: Seconds) -> None:
+        """Ends a request that has no call; it was not run if nothing was ever sent."""
+        check(request.call is None, "ended_request_has_no_call", call=request.call)
+        if request.ticket is not None:
+            self._ledger.not_run(request.ticket)
+        stated = replace(failure, stated_run_state=request.run_state)
+        if stated.retry_after:
+            jitter = 1 + self._settings.retry_jitter * self._rng.random()
+            stated = replace(stated, retry_after=stated.retry_after * jitter)
+        self._refuse_all(request, stated, now)
+
+    def _refuse_all(self, request: Request, failure: Failure, now: Seconds) -> None:
+        self._requests.remove(request)
+        for stream in request.streams:
+            self._answers.refuse(stream, failure, now=now)
+        if not request.streams:
+            self._log("dropped", request, cause=failure.detail)
+
+    # --- Parts ---
+
+    def _load_failed(
+        self, version: AdapterVersion | None, now: Seconds
+    ) -> Failure | None:
+        if (
+            version is None
+            or self._engine.is_ready(version)
+            or not self._engine.failed_recently(version, now)
+        ):
+            return None
+        return Failure(
+            ErrorKind.ADAPTER_LOAD_FAILED,
+            f"a load of adapter version {str(version)!r} failed a short time ago",
+        )
+
+    def _request(self, work: Work) -> Request:
+        request = self._requests.get(work.number)
+        check(request is not None, "queued_work_has_a_request", number=work.number)
+        assert request is not None
+        return request
+
+    def _log(
+        self, event: str, request: Request, *, cause: str, **fields: str | int | float
+    ) -> None:
+        submit = request.submit
+        self._outbox.log(event, request_id=submit.request_id, cause=cause, **fields)
+
+
+def _is_from(wanted: AdapterVersion, event: BackendStarted) -> bool:
+    """Returns whether an answer can be from the wanted version.
+
+    An error that names no version ran on none, except "not found", which engines give
+    when the version is not loaded.
+    """
+    if event.model == str(wanted):
+        return True
+    is_error = event.status >= _FIRST_ERROR_STATUS and event.status != _NOT_FOUND
+    return is_error and not event.model
--- a/fighitch/core/inputs.py
+++ b/fighitch/core/inputs.py
@@ -298,6 +298,7 @@
     | Tick
     | DrainRequested
     | ConfigurationReceived
+    | InstancesListed
     | BackendStarted
     | BackendData
     | BackendEnded
--- a/fighitch/core/ledger.py
+++ b/fighitch/core/ledger.py
@@ -126,6 +126,10 @@
         """Returns whether an answer of that many bytes is kept."""
         return size <= self._max_outcome_bytes
 
+    def is_valid(self, ticket: Ticket) -> bool:
+        """Returns whether the ticket is bound to this incarnation and not too old."""
+        return not self._is_expired(ticket)
+
     def submit(self, ticket: Ticket, *, body_digest: str, number: int) -> Verdict:
         """Decides what to do with an attempt of an order.
 
--- /dev/null
+++ b/fighitch/core/links.py
@@ -0,0 +1,77 @@
+"""Connections to peers: who is there, when a heartbeat is due, which is silent."""
+
+from collections.abc import Iterator
+from dataclasses import dataclass
+
+from fighitch.core.messages import Peer
+from fighitch.types import ConnectionId, Seconds
+
+
+@dataclass(slots=True)
+class Link:
+    """An authenticated connection.
+
+    Attributes:
+        peer: Process at the other end.
+        heard_at: Time of the last message from it.
+        beat_at: Time of our last heartbeat.
+        beats: Number of our heartbeats.
+    """
+
+    peer: Peer
+    heard_at: Seconds
+    beat_at: Seconds = float("-inf")
+    beats: int = 0
+
+
+class Links:
+    """All connections of a process."""
+
+    def __init__(self, *, interval: Seconds, silence: Seconds) -> None:
+        """Starts without connections.
+
+        Args:
+            interval: Time between two heartbeats.
+            silence: Time without any message after which a connection is given up.
+        """
+        self._interval = interval
+        self._silence = silence
+        self._links: dict[ConnectionId, Link] = {}
+
+    def __len__(self) -> int:
+        return len(self._links)
+
+    def open(self, connection: ConnectionId, peer: Peer, now: Seconds) -> None:
+        """Adds a connection."""
+        self._links[connection] = Link(peer, heard_at=now)
+
+    def close(self, connection: ConnectionId) -> bool:
+        """Removes a connection; returns whether it was there."""
+        return self._links.pop(connection, None) is not None
+
+    def peer(self, connection: ConnectionId) -> Peer | None:
+        """Returns the process at the other end; None if the connection is gone."""
+        link = self._links.get(connection)
+        return link.peer if link else None
+
+    def heard(self, connection: ConnectionId, now: Seconds) -> None:
+        """Notes a message from a peer."""
+        link = self._links.get(connection)
+        if link is not None:
+            link.heard_at = now
+
+    def due(self, now: Seconds) -> Iterator[tuple[ConnectionId, int]]:
+        """Iterates over connections whose heartbeat is due, with its number."""
+        for connection, link in self._links.items():
+            if now - link.beat_at >= self._interval:
+                link.beat_at = now
+                link.beats += 1
+                yield connection, link.beats
+
+    def silent(self, now: Seconds) -> list[ConnectionId]:
+        """Returns the connections on which nothing was heard for too long."""
+        return [
+            connection
+            for connection, link in self._links.items()
+            if now - link.heard_at >= self._silence
+        ]
--- /dev/null
+++ b/fighitch/core/sidecar.py
@@ -0,0 +1,618 @@
+"""Decisions of the process beside a backend server."""
+
+import random
+from functools import singledispatchmethod
+from typing import Any
+
+from fighitch.core._placeholder_slots import AdapterSlots, LoadBudget
+from fighitch.core.admission import AdmissionQueue, RankPolicy
+from fighitch.core.answers import Answers
+from fighitch.core.anti_entropy import ConfigurationExchange
+from fighitch.core.calls import Request
+from fighitch.core.configuration import ConfigurationStore
+from fighitch.core.effects import Disconnect, SidecarEffect, Stop
+from fighitch.core.engine_state import EngineState
+from fighitch.core.errors import ErrorKind, Failure
+from fighitch.core.execution import Execution
+from fighitch.core.inputs import (
+    AdapterLoaded,
+    AdapterLoadFailed,
+    AdapterUnloaded,
+    BackendData,
+    BackendEnded,
+    BackendFailed,
+    BackendStarted,
+    BackendUnreachable,
+    ConfigurationReceived,
+    ConnectionClosed,
+    ConnectionFailed,
+    ConnectionOpened,
+    DrainRequested,
+    EngineReported,
+    InstancesListed,
+    MessageReceived,
+    SidecarInput,
+    Tick,
+)
+from fighitch.core.ledger import Joined, OrderLedger, Replayed
+from fighitch.core.links import Links
+from fighitch.core.messages import (
+    AdapterVersion,
+    Cancel,
+    ConfigurationDelta,
+    ConfigurationRequest,
+    Heartbeat,
+    LoadReport,
+    Peer,
+    PermitGrant,
+    PermitRequest,
+    PermitReturn,
+    Resume,
+    Role,
+    Submit,
+)
+from fighitch.core.outbox import Outbox
+from fighitch.core.resources import (
+    AdapterSpec,
+    BackendServerSpec,
+    Kind,
+    WeightStoreSpec,
+    WorkPolicySpec,
+)
+from fighitch.core.sidecar_settings import SidecarSettings
+from fighitch.core.streams import AnswerStream, StreamTable, stream_key
+from fighitch.core.submissions import SubmissionChecks
+from fighitch.core.tickets import Ticket, TicketSigner
+from fighitch.core.waiting import Work
+from fighitch.core.wanted import WantedVersions
+from fighitch.types import ConnectionId, Incarnation, InstanceName, Seconds
+
+DRAIN_LABEL = "fighitch.dev/drain"
+# Versions in recent demand that are considered for loading, as a multiple of the slots.
+_RECENT_PER_SLOT = 4
+
+
+class SidecarCore:
+    """Queue, adapter slots, order ledger and answers of one backend server."""
+
+    def __init__(
+        self,
+        instance: InstanceName,
+        incarnation: Incarnation,
+        spec: BackendServerSpec,
+        signer: TicketSigner,
+        settings: SidecarSettings,
+        rng: random.Random,
+    ) -> None:
+        """Starts without connections and configuration.
+
+        Args:
+            instance: Name of this sidecar, which is that of its resource.
+            incarnation: This start of it.
+            spec: Backend server until the configuration names one.
+            signer: Verifies tickets.
+            settings: Constants.
+            rng: Source of random choices.
+        """
+        self._instance = instance
+        self._incarnation = incarnation
+        self._spec = spec
+        self._settings = settings
+        self._outbox = Outbox()
+        self._store = ConfigurationStore()
+        self._exchange = ConfigurationExchange(self._store)
+        self._links = Links(
+            interval=settings.heartbeat_interval, silence=settings.silence
+        )
+        streams = StreamTable(
+            max_kept_bytes=settings.max_kept_bytes,
+            max_stream_bytes=settings.max_stream_bytes,
+        )
+        self._answers = Answers(streams, self._outbox)
+        self._queue = AdmissionQueue(batch_size=spec.batch_size)
+        self._budget = LoadBudget(instance, (instance,), 0.0, 0)
+        self._engine = EngineState(AdapterSlots(spec.adapter_slots), self._budget)
+        self._wanted = WantedVersions(
+            self._queue, max_recent=_RECENT_PER_SLOT * spec.adapter_slots
+        )
+        self._ledger = OrderLedger(
+            instance,
+            incarnation,
+            max_bytes=settings.max_ledger_bytes,
+            max_outcome_bytes=settings.max_outcome_bytes,
+        )
+        self._execution = Execution(
+            queue=self._queue,
+            engine=self._engine,
+            ledger=self._ledger,
+            answers=self._answers,
+            outbox=self._outbox,
+            settings=settings,
+            rng=rng,
+        )
+        self._checks = SubmissionChecks(self._store, signer)
+        self._policies: dict[int, RankPolicy] = {}
+        self._generation = self._store.generation
+        self._epoch_began: Seconds | None = None
+        self._drain_cause = ""
+        self._has_drain_label = False
+        self._is_stopped = False
+        self._is_plan_due = False
+        self._is_reachable = True
+
+    # --- State ---
+
+    @property
+    def instance(self) -> InstanceName:
+        """Name of this sidecar."""
+        return self._instance
+
+    @property
+    def configuration(self) -> ConfigurationStore:
+        """This process's copy of the configuration."""
+        return self._store
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether it can serve: it has a configuration and knows its engine."""
+        has_engine = self._spec.type == "service" or self._engine.boot_id is not None
+        return bool(self._policies) and has_engine and self._is_reachable
+
+    @property
+    def is_draining(self) -> bool:
+        """Whether new work is refused."""
+        return bool(self._drain_cause) or self._has_drain_label
+
+    @property
+    def in_flight(self) -> int:
+        """Number of requests that wait or run."""
+        return len(self._execution.requests)
+
+    @property
+    def late_events(self) -> int:
+        """Number of events that came after their call was over."""
+        return self._execution.late_events
+
+    @property
+    def ticket_epoch(self) -> int:
+        """Epoch that new tickets must carry."""
+        return self._ledger.epoch
+
+    @property
+    def pins(self) -> int:
+        """Number of calls that keep an adapter version loaded."""
+        return self._engine.pins
+
+    def load_report(self) -> LoadReport:
+        """Returns the load as heartbeats state it."""
+        return LoadReport(
+            running=self._queue.running_by_rank(),
+            queued=self._queue.queued_by_rank(),
+            batch_size=self._queue.batch_size,
+            resident=self._engine.resident(),
+        )
+
+    def handle(self, event: SidecarInput, *, now: Seconds) -> list[SidecarEffect]:
+        """Handles an input.
+
+        Args:
+            event: What happened.
+            now: Current time.
+
+        Returns:
+            What must be done, in this order.
+        """
+        if self._epoch_began is None:
+            self._epoch_began = now
+        self._on(event, now)
+        self._apply_configuration(now)
+        self._execution.pump(now=now)
+        self._plan_loads(now)
+        self._stop_if_drained()
+        return self._outbox.take()
+
+    @singledispatchmethod
+    def _on(self, event: Any, now: Seconds) -> None:
+        raise TypeError(f"{type(event).__name__} is not an input of a sidecar")
+
+    # --- Connections and time ---
+
+    @_on.register
+    def _opened(self, event: ConnectionOpened, now: Seconds) -> None:
+        self._links.open(event.connection, event.peer, now)
+        self._send_heartbeats(now)
+
+    @_on.register
+    def _connection_failed(self, event: ConnectionFailed, now: Seconds) -> None:
+        self._outbox.log("connection_failed", cause=event.detail, address=event.address)
+
+    @_on.register
+    def _closed(self, event: ConnectionClosed, now: Seconds) -> None:
+        self._lose_connection(event.connection, event.detail, now)
+
+    @_on.register
+    def _tick(self, event: Tick, now: Seconds) -> None:
+        for connection in self._links.silent(now):
+            self._outbox.add(Disconnect(connection, "silent"))
+            self._lose_connection(connection, "silent", now)
+        self._send_heartbeats(now)
+        grace_began = now - self._settings.resume_grace
+        for stream in self._answers.streams.lost_before(grace_began):
+            self._execution.withdraw(stream, cause="the entry did not come back")
+        self._answers.streams.forget_ended(now - self._settings.ended_kept)
+        self._advance_epoch(now)
+        self._is_plan_due = True
+
+    @_on.register
+    def _drain(self, event: DrainRequested, now: Seconds) -> None:
+        self._start_drain("a planned stop was requested")
+
+    @_on.register
+    def _instances(self, event: InstancesListed, now: Seconds) -> None:
+        if self._instance in event.leaving:
+            self._start_drain("the instance is leaving")
+
+    @_on.register
+    def _configured(self, event: ConfigurationReceived, now: Seconds) -> None:
+        self._store.merge(event.resources, revision=event.revision, base=event.base)
+
+    # --- Backend server ---
+
+    @_on.register(BackendStarted)
+    @_on.register(BackendData)
+    @_on.register(BackendEnded)
+    @_on.register(BackendFailed)
+    def _call_event(
+        self,
+        event: BackendStarted | BackendData | BackendEnded | BackendFailed,
+        now: Seconds,
+    ) -> None:
+        self._execution.handle(event, now=now)
+        self._is_plan_due |= not isinstance(event, BackendData)
+
+    @_on.register
+    def _loaded(self, event: AdapterLoaded, now: Seconds) -> None:
+        version = event.adapter_version
+        self._engine.loaded(version, event.boot_id, now)
+        self._execution.readiness_changed(version, now=now)
+        self._is_plan_due = True
+
+    @_on.register
+    def _unloaded(self, event: AdapterUnloaded, now: Seconds) -> None:
+        self._engine.unloaded(event.adapter_version)
+        self._execution.readiness_changed(event.adapter_version, now=now)
+        self._is_plan_due = True
+
+    @_on.register
+    def _command_failed(self, event: AdapterLoadFailed, now: Seconds) -> None:
+        version = event.adapter_version
+        was_load = self._engine.command_failed(version, now)
+        self._outbox.log(
+            "load_failed" if was_load else "unload_failed",
+            cause=event.detail,
+            adapter_version=str(version),
+        )
+        self._execution.readiness_changed(version, now=now)
+        if was_load and not self._engine.is_ready(version):
+            self._execution.load_failed(version, event.detail, now=now)
+        self._is_plan_due = True
+
+    @_on.register
+    def _reported(self, event: EngineReported, now: Seconds) -> None:
+        self._is_reachable = True
+        change = self._engine.report(event)
+        self._execution.readiness_changed(*event.resident, now=now)
+        if change.is_restart:
+            self._outbox.log(
+                "engine_restarted", cause="new boot id", boot_id=event.boot_id
+            )
+            self._execution.engine_restarted(now=now)
+        if change.is_superseded:
+            self._start_drain("a newer incarnation commands the engine")
+        self._is_plan_due = True
+
+    @_on.register
+    def _unreachable(self, event: BackendUnreachable, now: Seconds) -> None:
+        if self._is_reachable:
+            self._outbox.log("backend_unreachable", cause=event.detail)
+        self._is_reachable = False
+
+    # --- Messages ---
+
+    @_on.register
+    def _received(self, event: MessageReceived, now: Seconds) -> None:
+        peer = self._links.peer(event.connection)
+        if peer is None:
+            self._outbox.log("late_message_ignored", cause="the connection is gone")
+            return
+        self._links.heard(event.connection, now)
+        self._on_message(event.message, event.connection, peer, now)
+
+    @singledispatchmethod
+    def _on_message(
+        self, message: Any, connection: ConnectionId, peer: Peer, now: Seconds
+    ) -> None:
+        self._outbox.log(
+            "message_ignored",
+            cause=f"{type(message).__name__} is not for a sidecar",
+            peer=peer.instance,
+        )
+
+    @_on_message.register
+    def _heartbeat(
+        self, message: Heartbeat, connection: ConnectionId, peer: Peer, now: Seconds
+    ) -> None:
+        self._outbox.add(*self._exchange.heard(connection, message.revision, now=now))
+
+    @_on_message.register
+    def _configuration_request(
+        self,
+        message: ConfigurationRequest,
+        connection: ConnectionId,
+        peer: Peer,
+        now: Seconds,
+    ) -> None:
+        self._outbox.add(*self._exchange.answer(connection, message))
+
+    @_on_message.register
+    def _configuration_delta(
+        self,
+        message: ConfigurationDelta,
+        connection: ConnectionId,
+        peer: Peer,
+        now: Seconds,
+    ) -> None:
+        self._outbox.add(*self._exchange.merge(connection, message))
+
+    @_on_message.register(PermitRequest)
+    @_on_message.register(PermitGrant)
+    @_on_message.register(PermitReturn)
+    def _permits(
+        self,
+        message: PermitRequest | PermitGrant | PermitReturn,
+        connection: ConnectionId,
+        peer: Peer,
+        now: Seconds,
+    ) -> None:
+        self._outbox.add(*self._budget.handle(connection, message, now))
+        self._is_plan_due = True
+
+    @_on_message.register
+    def _resume(
+        self, message: Resume, connection: ConnectionId, peer: Peer, now: Seconds
+    ) -> None:
+        key = stream_key(peer, message.request_id, message.attempt)
+        given_up = self._answers.resume(key, connection, message.next_sequence)
+        if given_up is not None:
+            self._execution.withdraw(given_up, cause="the answer cannot be resumed")
+
+    @_on_message.register
+    def _cancel(
+        self, message: Cancel, connection: ConnectionId, peer: Peer, now: Seconds
+    ) -> None:
+        key = stream_key(peer, message.request_id, message.attempt)
+        stream = self._answers.streams.get(key)
+        if stream is not None:
+            self._execution.withdraw(stream, cause="withdrawn by the entry")
+        self._is_plan_due = True
+
+    @_on_message.register
+    def _submit(
+        self, message: Submit, connection: ConnectionId, peer: Peer, now: Seconds
+    ) -> None:
+        key = stream_key(peer, message.request_id, message.attempt)
+        if peer.role is not Role.ENTRY or self._answers.streams.get(key) is not None:
+            self._outbox.log(
+                "submit_ignored",
+                request_id=message.request_id,
+                cause="the attempt is known or its peer is not an entry",
+                attempt=message.attempt,
+            )
+            return
+        stream = self._answers.streams.open(key, connection)
+        ticket = self._checks.ticket(message)
+        if ticket.is_error():
+            self._answers.refuse(stream, ticket.error, now=now)
+            return
+        if ticket.ok is None:
+            self._submit_new(message, stream, None, now)
+            return
+        self._submit_order(message, stream, ticket.ok, now)
+
+    def _submit_order(
+        self, message: Submit, stream: AnswerStream, ticket: Ticket, now: Seconds
+    ) -> None:
+        refusal = self._refusal(message) if self._ledger.state(ticket) is None else None
+        if refusal is not None and self._ledger.is_valid(ticket):
+            self._answers.refuse(stream, refusal, now=now)
+            return
+        number = self._execution.requests.next_number()
+        verdict = self._ledger.submit(
+            ticket, body_digest=message.body_digest, number=number
+        )
+        match verdict:
+            case Failure():
+                self._answers.refuse(stream, verdict, now=now)
+            case Replayed():
+                self._outbox.log(
+                    "replayed", request_id=message.request_id, cause="same key"
+                )
+                self._answers.replay(stream, verdict.outcome, now=now)
+            case Joined():
+                self._execution.join(verdict.number, stream)
+            case _:
+                self._admit(message, stream, ticket, number, now)
+
+    def _submit_new(
+        self,
+        message: Submit,
+        stream: AnswerStream,
+        ticket: Ticket | None,
+        now: Seconds,
+    ) -> None:
+        refusal = self._refusal(message)
+        if refusal is not None:
+            self._answers.refuse(stream, refusal, now=now)
+            return
+        number = self._execution.requests.next_number()
+        self._admit(message, stream, ticket, number, now)
+
+    def _refusal(self, message: Submit) -> Failure | None:
+        if self.is_draining:
+            return Failure(
+                ErrorKind.DRAINING,
+                f"backend server {self._instance!r} takes no new work",
+            )
+        return self._checks.refusal(message, self._spec, self._policies)
+
+    def _admit(
+        self,
+        message: Submit,
+        stream: AnswerStream,
+        ticket: Ticket | None,
+        number: int,
+        now: Seconds,
+    ) -> None:
+        policy = self._policies[message.rank]
+        version = message.adapter_version
+        work = Work(
+            number=number,
+            caller=message.caller,
+            rank=message.rank,
+            adapter_version=version,
+            deadline=now + message.remaining / 1000,
+            enqueued=now,
+            preemptible=policy.preemptible and ticket is None and version is not None,
+        )
+        if version is not None:
+            self._wanted.record(version, rank=message.rank, value=policy.value, now=now)
+            self._is_plan_due |= not self._engine.is_ready(version)
+        request = Request(work, message, stream, waits_since=now, ticket=ticket)
+        self._execution.admit(request, now=now)
+
+    # --- Parts ---
+
+    def _lose_connection(
+        self, connection: ConnectionId, detail: str, now: Seconds
+    ) -> None:
+        if not self._links.close(connection):
+            return
+        self._exchange.closed(connection)
+        self._answers.streams.lose_connection(connection, now)
+        self._outbox.log("connection_lost", cause=detail, connection=connection)
+
+    def _send_heartbeats(self, now: Seconds) -> None:
+        due = tuple(self._links.due(now))
+        load = self.load_report() if due else None
+        for connection, sequence in due:
+            heartbeat = Heartbeat(
+                sequence=sequence,
+                revision=self._store.revision,
+                draining=self.is_draining,
+                ticket_epoch=self._ledger.epoch,
+                load=load,
+            )
+            self._outbox.send(connection, heartbeat)
+
+    def _advance_epoch(self, now: Seconds) -> None:
+        if self._epoch_began is None:
+            return
+        if now - self._epoch_began >= self._settings.epoch:
+            self._epoch_began = now
+            self._ledger.advance_epoch()
+            self._outbox.log("epoch_advanced", epoch=self._ledger.epoch)
+
+    def _apply_configuration(self, now: Seconds) -> None:
+        """Takes over what changed in the configuration."""
+        if self._generation == self._store.generation:
+            return
+        self._generation = self._store.generation
+        own = self._store.get(Kind.BACKEND_SERVER, self._instance)
+        if own is not None:
+            self._spec = own.spec
+        had_label = self._has_drain_label
+        self._has_drain_label = own is not None and (
+            own.labels.get(DRAIN_LABEL) == "true"
+        )
+        if self._has_drain_label != had_label:
+            self._outbox.log(
+                "drain_label_changed", cause=f"{DRAIN_LABEL}={self._has_drain_label}"
+            )
+        self._policies = rank_policies(self._store)
+        self._queue.configure(batch_size=self._spec.batch_size, policies=self._policies)
+        self._configure_budget(now)
+
+    def _configure_budget(self, now: Seconds) -> None:
+        limits: list[WeightStoreSpec] = [
+            item.spec for item in self._store.of_kind(Kind.WEIGHT_STORE)
+        ]
+        members = sorted(
+            item.name
+            for item in self._store.of_kind(Kind.BACKEND_SERVER)
+            if item.spec.type == "engine"
+        )
+        self._budget.configure(
+            members,
+            min((limit.loads_per_second for limit in limits), default=0.0),
+            min((limit.max_in_transit for limit in limits), default=0),
+            now,
+        )
+        self._is_plan_due = True
+
+    def _plan_loads(self, now: Seconds) -> None:
+        if not self._is_plan_due:
+            return
+        self._is_plan_due = False
+        if self._engine.boot_id is None or self._budget.available(now) <= 0:
+            return
+        commands = self._engine.plan(
+            self._wanted.list(now), source=self._source, now=now
+        )
+        if not commands:
+            return
+        self._outbox.add(*commands)
+        for command in commands:
+            self._outbox.log(
+                "load_planned" if hasattr(command, "source") else "unload_planned",
+                cause="demand and waiting work",
+                adapter_version=str(command.adapter_version),
+            )
+        self._execution.readiness_changed(now=now)
+
+    def _source(self, version: AdapterVersion) -> str:
+        adapter = self._store.get(Kind.ADAPTER, version.adapter)
+        spec: AdapterSpec | None = adapter.spec if adapter else None
+        found = spec.version(version.version) if spec else None
+        return found.source if found else ""
+
+    def _start_drain(self, cause: str) -> None:
+        if not self._drain_cause:
+            self._drain_cause = cause
+            self._outbox.log("draining", cause=cause, in_flight=self.in_flight)
+
+    def _stop_if_drained(self) -> None:
+        """Stops when nothing is in flight and every entry has got its answers."""
+        if not self.is_draining or self._is_stopped:
+            return
+        if self.in_flight or self._answers.streams.has_lost:
+            return
+        self._is_stopped = True
+        self._outbox.log("drained", cause="nothing is in flight")
+        self._outbox.add(Stop())
+
+
+def rank_policies(store: ConfigurationStore) -> dict[int, RankPolicy]:
+    """Returns what each rank is owed; policies of one rank are added up."""
+    by_rank: dict[int, list[WorkPolicySpec]] = {}
+    for item in store.of_kind(Kind.WORK_POLICY):
+        by_rank.setdefault(item.spec.rank, []).append(item.spec)
+    return {
+        rank: RankPolicy(
+            floor=min(1.0, sum(spec.floor for spec in specs)),
+            queue_limit=sum(spec.queue_limit for spec in specs),
+            value=max(spec.value for spec in specs),
+            preemptible=all(spec.preemptible for spec in specs),
+            idempotent=any(spec.idempotent for spec in specs),
+        )
+        for rank, specs in by_rank.items()
+    }
--- /dev/null
+++ b/fighitch/core/sidecar_settings.py
@@ -0,0 +1,44 @@
+"""Constants of a sidecar."""
+
+from dataclasses import dataclass
+
+from fighitch.types import Seconds
+
+
+@dataclass(frozen=True, slots=True)
+class SidecarSettings:
+    """Constants of a sidecar; the defaults are those of the design page.
+
+    Attributes:
+        heartbeat_interval: Time between heartbeats on a connection.
+        silence: Time without a message after which a connection is closed.
+        resume_grace: Time that an entry has to continue its answers on a new
+            connection.
+        ended_kept: Time that ended answers are kept for a ``Resume``.
+        epoch: Length of a ticket epoch.
+        max_kept_bytes: Memory for chunks of all answers.
+        max_stream_bytes: Memory for chunks of one answer.
+        max_held_bytes: Longest answer that is not streamed.
+        max_ledger_bytes: Memory for the records of orders.
+        max_outcome_bytes: Longest answer of an order that is kept for a repeat.
+        max_failures: Engine failures after which a request is continued.
+        max_unsent_retries: Calls repeated because nothing of them was sent.
+        max_wrong_versions: Answers from a wrong version after which it is repeated.
+        retry_jitter: Largest share by which a stated Retry-After is raised, so that
+            callers refused together do not come back together.
+    """
+
+    heartbeat_interval: Seconds = 0.5
+    silence: Seconds = 1.5
+    resume_grace: Seconds = 2.0
+    ended_kept: Seconds = 5.0
+    epoch: Seconds = 600.0
+    max_kept_bytes: int = 8 * 1024 * 1024
+    max_stream_bytes: int = 256 * 1024
+    max_held_bytes: int = 4 * 1024 * 1024
+    max_ledger_bytes: int = 24 * 1024 * 1024
+    max_outcome_bytes: int = 64 * 1024
+    max_failures: int = 2
+    max_unsent_retries: int = 1
+    max_wrong_versions: int = 1
+    retry_jitter: float = 0.2
--- a/fighitch/core/streams.py
+++ b/fighitch/core/streams.py
@@ -6,7 +6,6 @@
 """
 
 from collections import OrderedDict, deque
-from collections.abc import Iterator
 from dataclasses import dataclass
 from typing import TypeAlias
 
@@ -211,6 +210,7 @@
         self._max_stream_bytes = max_stream_bytes
         self._live: dict[StreamKey, AnswerStream] = {}
         self._ended: OrderedDict[StreamKey, AnswerStream] = OrderedDict()
+        self._lost: dict[StreamKey, AnswerStream] = {}
         self._kept_bytes = 0
 
     @property
@@ -221,13 +221,20 @@
     def __len__(self) -> int:
         return len(self._live)
 
-    def live(self) -> Iterator[AnswerStream]:
-        """Iterates over the streams that have not ended."""
-        return iter(tuple(self._live.values()))
-
-    def unfetched(self) -> bool:
-        """Whether an ended answer waits for its entry to connect again."""
-        return any(stream.connection is None for stream in self._ended.values())
+    @property
+    def has_lost(self) -> bool:
+        """Whether an answer waits for its entry to connect again."""
+        return bool(self._lost)
+
+    def lost_before(self, time: Seconds) -> list[AnswerStream]:
+        """Returns the live streams that lost their connection before a time."""
+        return [
+            stream
+            for stream in self._lost.values()
+            if stream.ended_at is None
+            and stream.lost_at is not None
+            and stream.lost_at <= time
+        ]
 
     def get(self, key: StreamKey) -> AnswerStream | None:
         """Returns the stream of an attempt, live or recently ended."""
@@ -258,6 +265,7 @@
     def remove(self, stream: AnswerStream) -> None:
         """Forgets a stream."""
         found = self._live.pop(stream.key, None) or self._ended.pop(stream.key, None)
+        self._lost.pop(stream.key, None)
         if found is not None:
             self._kept_bytes -= found.kept_bytes
 
@@ -266,6 +274,12 @@
         for stream in (*self._live.values(), *self._ended.values()):
             if stream.connection == connection:
                 stream.detach(now)
+                self._lost[stream.key] = stream
+
+    def attach(self, stream: AnswerStream, connection: ConnectionId) -> None:
+        """Continues a stream on a connection."""
+        stream.attach(connection)
+        self._lost.pop(stream.key, None)
 
     def forget_ended(self, before: Seconds) -> None:
         """Forgets streams that ended before a time."""
--- /dev/null
+++ b/fighitch/tests/sidecar_helpers.py
@@ -0,0 +1,208 @@
+"""A sidecar core with a simulated engine, shared by the tests."""
+
+import random
+from dataclasses import replace
+
+from fighitch.core import effects, inputs, messages
+from fighitch.core.resources import (
+    AdapterSpec,
+    AdapterVersionSpec,
+    BackendServerSpec,
+    Kind,
+    Resource,
+    WeightStoreSpec,
+    WorkPolicySpec,
+)
+from fighitch.core.sidecar import SidecarCore
+from fighitch.core.sidecar_settings import SidecarSettings
+from fighitch.core.tickets import SharedKey, Ticket, TicketSigner
+
+URGENT, INTERACTIVE, BATCH = range(3)
+INCARNATION = 7
+VERSION = messages.AdapterVersion("a", "1")
+OTHER = messages.AdapterVersion("b", "1")
+ENGINE = BackendServerSpec(
+    type="engine", address="", model="m", adapter_slots=2, batch_size=2
+)
+SERVICE = BackendServerSpec(type="service", address="", service="s", batch_size=2)
+SIGNER = TicketSigner([SharedKey("k", b"secret")])
+
+
+def policies():
+    specs = (
+        WorkPolicySpec(rank=URGENT, idempotent=False),
+        WorkPolicySpec(rank=INTERACTIVE),
+        WorkPolicySpec(rank=BATCH, preemptible=True),
+    )
+    return [
+        Resource(kind=Kind.WORK_POLICY, name=f"p{spec.rank}", revision=1, spec=spec)
+        for spec in specs
+    ]
+
+
+def adapters():
+    versions = (AdapterVersionSpec(name="1", source="w/1"),)
+    spec = AdapterSpec(model="m", versions=versions, default_version="1")
+    return [
+        Resource(kind=Kind.ADAPTER, name=name, revision=1, spec=spec) for name in "abcd"
+    ]
+
+
+def backend_server(revision, *, spec=ENGINE, labels=None):
+    return Resource(
+        kind=Kind.BACKEND_SERVER,
+        name="s1",
+        revision=revision,
+        labels=labels or {},
+        spec=spec,
+    )
+
+
+def mint(nonce="n", **changes):
+    fields = {
+        "caller": "c",
+        "instance": "s1",
+        "incarnation": INCARNATION,
+        "epoch": 0,
+        "nonce": nonce,
+        **changes,
+    }
+    return SIGNER.sign(Ticket(**fields))
+
+
+class Sidecar:
+    """Drives a core; ``effects`` holds everything that it asked for."""
+
+    def __init__(self, *, spec=ENGINE, resident=(VERSION,), **settings):
+        self.core = SidecarCore(
+            "s1",
+            INCARNATION,
+            spec,
+            SIGNER,
+            SidecarSettings(**settings),
+            random.Random(1),
+        )
+        self.now = 100.0
+        self.effects = []
+        limits = WeightStoreSpec(loads_per_second=10, max_in_transit=4)
+        store = Resource(kind=Kind.WEIGHT_STORE, name="w", revision=1, spec=limits)
+        self.give(
+            inputs.ConfigurationReceived(
+                (*policies(), *adapters(), backend_server(1, spec=spec), store), 1
+            )
+        )
+        if spec.type == "engine":
+            self.report(resident=resident)
+        self.connect(1)
+
+    def give(self, event, *, after=0.0):
+        self.now += after
+        found = self.core.handle(event, now=self.now)
+        self.effects += found
+        return found
+
+    def connect(self, connection, *, entry="e1", incarnation=1):
+        peer = messages.Peer(messages.Role.ENTRY, entry, incarnation)
+        return self.give(inputs.ConnectionOpened(connection, peer))
+
+    def receive(self, message, *, connection=1, after=0.0):
+        return self.give(inputs.MessageReceived(connection, message), after=after)
+
+    def report(self, boot_id="boot1", *, resident=(VERSION,), token=4):
+        return self.give(inputs.EngineReported(boot_id, frozenset(resident), token))
+
+    def submit(self, request_id="r1", *, connection=1, **changes):
+        message = messages.Submit(
+            request_id=request_id,
+            attempt=1,
+            caller="c",
+            rank=INTERACTIVE,
+            adapter_version=VERSION,
+            path="/v1/completions",
+            body=b"{}",
+            remaining=30_000,
+            streamed=True,
+        )
+        return self.receive(replace(message, **changes), connection=connection)
+
+    def order(self, request_id="o1", *, ticket=None, **changes):
+        fields = {
+            "rank": URGENT,
+            "idempotent": False,
+            "adapter_version": None,
+            "ticket": mint() if ticket is None else ticket,
+            "body_digest": "d",
+            "streamed": False,
+            **changes,
+        }
+        return self.submit(request_id, **fields)
+
+    def calls(self):
+        return [one for one in self.effects if isinstance(one, effects.CallBackend)]
+
+    def last_call(self):
+        return self.calls()[-1]
+
+    def cancelled(self):
+        return [
+            one.call for one in self.effects if isinstance(one, effects.CancelBackend)
+        ]
+
+    def sent(self, kind, *, connection=None):
+        return [
+            one.message
+            for one in self.effects
+            if isinstance(one, effects.Send)
+            and isinstance(one.message, kind)
+            and connection in (None, one.connection)
+        ]
+
+    def logged(self, name):
+        return [
+            one
+            for one in self.effects
+            if isinstance(one, effects.LogEvent) and one.name == name
+        ]
+
+    def of_type(self, kind):
+        return [one for one in self.effects if isinstance(one, kind)]
+
+    def start(self, call=None, *, model=None, status=200):
+        call = call or self.last_call()
+        version = call.adapter_version
+        model = (str(version) if version else "") if model is None else model
+        return self.give(
+            inputs.BackendStarted(
+                call.request_id, call.attempt, call.call, status, model
+            )
+        )
+
+    def data(self, text, call=None):
+        call = call or self.last_call()
+        return self.give(
+            inputs.BackendData(
+                call.request_id, call.attempt, call.call, text.encode(), text, 1
+            )
+        )
+
+    def end(self, call=None, *, after=0.0):
+        call = call or self.last_call()
+        event = inputs.BackendEnded(call.request_id, call.attempt, call.call)
+        return self.give(event, after=after)
+
+    def fail(self, call=None, *, sent):
+        call = call or self.last_call()
+        return self.give(
+            inputs.BackendFailed(
+                call.request_id, call.attempt, call.call, sent, "broken"
+            )
+        )
+
+    def tick(self, *, after=0.0):
+        return self.give(inputs.Tick(), after=after)
+
+    def keep_alive(self, seconds, *, connection=1):
+        """Lets time pass with heartbeats from the entry."""
+        for _ in range(round(seconds / 0.5)):
+            self.receive(messages.Heartbeat(1), connection=connection, after=0.5)
+            self.tick()
