--- a/fighitch/tests/sidecar_helpers.py
+++ b/fighitch/tests/sidecar_helpers.py
@@ -3,6 +3,8 @@
 import random
 from dataclasses import replace
 
+import msgspec
+
 from fighitch.core import effects, inputs, messages
 from fighitch.core.resources import (
     AdapterSpec,
@@ -28,16 +30,19 @@
 SIGNER = TicketSigner([SharedKey("k", b"secret")])
 
 
+def policy(spec, revision=1):
+    return Resource(
+        kind=Kind.WORK_POLICY, name=f"p{spec.rank}", revision=revision, spec=spec
+    )
+
+
 def policies():
     specs = (
         WorkPolicySpec(rank=URGENT, idempotent=False),
         WorkPolicySpec(rank=INTERACTIVE),
         WorkPolicySpec(rank=BATCH, preemptible=True),
     )
-    return [
-        Resource(kind=Kind.WORK_POLICY, name=f"p{spec.rank}", revision=1, spec=spec)
-        for spec in specs
-    ]
+    return [policy(spec) for spec in specs]
 
 
 def adapters():
@@ -73,7 +78,8 @@
 class Sidecar:
     """Drives a core; ``effects`` holds everything that it asked for."""
 
-    def __init__(self, *, spec=ENGINE, resident=(VERSION,), **settings):
+    def __init__(self, *, spec=ENGINE, resident=(VERSION,), batch_size=2, **settings):
+        spec = msgspec.structs.replace(spec, batch_size=batch_size)
         self.core = SidecarCore(
             "s1",
             INCARNATION,
--- a/fighitch/tests/test_sidecar.py
+++ b/fighitch/tests/test_sidecar.py
@@ -4,12 +4,27 @@
 
 import xxhash
 
-from fighitch.core import messages
+from fighitch.core import effects, inputs, messages
+from fighitch.core.errors import ErrorKind, RunState
+from fighitch.core.resources import WorkPolicySpec
 from fighitch.tests.sidecar_helpers import (
+    BATCH,
+    INTERACTIVE,
+    OTHER,
+    SERVICE,
+    URGENT,
+    VERSION,
     Sidecar,
+    backend_server,
+    mint,
+    policy,
 )
 
 
+def states(sidecar):
+    return [(one.kind, one.run_state) for one in sidecar.sent(messages.Refused)]
+
+
 class AnswerTests(unittest.TestCase):
     def test_stream_is_numbered_and_its_end_describes_it(self):
         """Guards against an answer whose loss of a part goes unnoticed."""
@@ -25,5 +40,424 @@
         self.assertEqual((end.chunk_count, end.byte_length), (2, 6))
         self.assertEqual(end.digest, xxhash.xxh3_64_intdigest(b"onetwo"))
         self.assertEqual(end.model, "a@1")
+        self.assertEqual((sidecar.core.pins, sidecar.core.in_flight), (0, 0))
+
+    def test_repeated_submit_of_an_attempt_runs_once(self):
+        """Guards against a message that the network delivered twice."""
+        sidecar = Sidecar()
+        sidecar.submit()
+        sidecar.submit()
+        self.assertEqual(len(sidecar.calls()), 1)
+
+    def test_same_request_id_of_another_entry_is_another_request(self):
+        """Guards against a caller who gets another caller's answer."""
+        sidecar = Sidecar()
+        sidecar.connect(2, entry="e2")
+        sidecar.submit(connection=1)
+        sidecar.submit(connection=2)
+        for call in sidecar.calls():
+            sidecar.start(call)
+            sidecar.data(f"for call {call.call}", call)
+            sidecar.end(call)
+        for connection in (1, 2):
+            (chunk,) = sidecar.sent(messages.Chunk, connection=connection)
+            self.assertEqual(chunk.data, b"for call %d" % connection)
+
+
+class VersionTests(unittest.TestCase):
+    def test_work_waits_until_its_version_is_loaded(self):
+        """Guards against a dispatch on a version that the engine lacks."""
+        sidecar = Sidecar()
+        sidecar.submit(adapter_version=OTHER)
+        self.assertEqual(sidecar.calls(), [])
+        (load,) = sidecar.of_type(effects.LoadAdapter)
+        self.assertEqual((load.adapter_version, load.source), (OTHER, "w/1"))
+        sidecar.give(inputs.AdapterLoaded(OTHER, "boot1"), after=0.25)
+        self.assertEqual(sidecar.last_call().adapter_version, OTHER)
+        sidecar.start()
+        sidecar.end(after=1.0)
+        self.assertEqual(sidecar.sent(messages.End)[0].stalled, 250)
+
+    def test_load_of_an_earlier_engine_start_does_not_count(self):
+        """Guards against a late load result after a cold restart."""
+        sidecar = Sidecar()
+        sidecar.submit(adapter_version=OTHER)
+        sidecar.report("boot2", resident=())
+        sidecar.give(inputs.AdapterLoaded(OTHER, "boot1"))
+        self.assertEqual(sidecar.calls(), [])
+
+    def test_answer_from_a_wrong_version_is_not_passed_on(self):
+        """Guards against an engine that runs another adapter than asked for."""
+        sidecar = Sidecar()
+        sidecar.submit()
+        first = sidecar.last_call()
+        sidecar.start(model="b@1")
+        sidecar.data("wrong", first)
+        self.assertEqual(sidecar.sent(messages.Chunk), [])
+        self.assertEqual(sidecar.cancelled(), [first.call])
+        self.assertEqual(len(sidecar.calls()), 1, "the slot table is empty")
+        sidecar.report()
+        self.assertEqual(len(sidecar.calls()), 2)
+        sidecar.start(model="b@1")
+        self.assertEqual(states(sidecar), [(ErrorKind.WRONG_ADAPTER, RunState.UNKNOWN)])
+        self.assertEqual(sidecar.core.pins, 0)
+
+    def test_running_call_stays_pinned_when_the_slot_table_is_rebuilt(self):
+        """Guards against the eviction of a version in use after a mismatch."""
+        sidecar = Sidecar(resident=(VERSION, OTHER))
+        sidecar.submit("r1")
+        sidecar.start()
+        sidecar.submit("r2", adapter_version=OTHER)
+        sidecar.start(model="a@1")
+        sidecar.report(resident=(VERSION, OTHER))
+        wanted = [messages.AdapterVersion(name, "1") for name in "cd"]
+        for number, version in enumerate(wanted):
+            sidecar.submit(f"w{number}", adapter_version=version)
+        sidecar.tick()
+        unloads = sidecar.of_type(effects.UnloadAdapter)
+        self.assertNotIn(VERSION, [one.adapter_version for one in unloads])
+
+    def test_failed_load_refuses_its_work_as_not_run(self):
+        """Guards against work that waits forever for a load that failed."""
+        sidecar = Sidecar()
+        sidecar.submit(adapter_version=OTHER)
+        sidecar.give(inputs.AdapterLoadFailed(OTHER, "no such file"))
+        sidecar.submit("r2", adapter_version=OTHER)
+        expected = (ErrorKind.ADAPTER_LOAD_FAILED, RunState.NOT_RUN)
+        self.assertEqual(states(sidecar), [expected] * 2)
+
+    def test_fencing_token_is_one_above_the_reported_and_never_lowered(self):
+        """Guards against commands that the engine takes for those of an old process."""
+        sidecar = Sidecar()
+        sidecar.report("boot2", resident=(), token=0)
+        sidecar.submit(adapter_version=OTHER)
+        loads = sidecar.of_type(effects.LoadAdapter)
+        self.assertEqual({load.fencing_token for load in loads}, {5})
+
+    def test_higher_token_in_a_report_ends_all_commands(self):
+        """Guards against two incarnations that both command an engine."""
+        sidecar = Sidecar()
+        sidecar.report(token=9)
+        self.assertTrue(sidecar.core.is_draining)
+        sidecar.submit(adapter_version=OTHER)
+        self.assertEqual(sidecar.of_type(effects.LoadAdapter), [])
+
+
+class PreemptionTests(unittest.TestCase):
+    def test_preempted_stream_continues_without_a_gap(self):
+        """Guards against lost or repeated text after a preemption."""
+        sidecar = Sidecar(batch_size=1)
+        sidecar.submit("b1", rank=BATCH)
+        first = sidecar.last_call()
+        sidecar.start()
+        sidecar.data("one ")
+        sidecar.submit("i1")
+        self.assertEqual(sidecar.cancelled(), [first.call])
+        urgent = sidecar.last_call()
+        sidecar.data("late", first)
+        self.assertEqual(sidecar.core.late_events, 1)
+        sidecar.start(urgent)
+        sidecar.end(urgent)
+        second = sidecar.last_call()
+        self.assertEqual((second.generated, second.generated_tokens), ("one ", 1))
+        self.assertNotEqual(second.call, first.call)
+        sidecar.start()
+        sidecar.data("two")
+        sidecar.end()
+        chunks = sidecar.sent(messages.Chunk)
+        self.assertEqual(
+            [(one.sequence, one.data) for one in chunks], [(0, b"one "), (1, b"two")]
+        )
+        self.assertEqual(sidecar.core.pins, 0)
+
+    def test_answer_that_is_not_streamed_starts_again(self):
+        """Guards against a document put together from two halves."""
+        sidecar = Sidecar(batch_size=1)
+        sidecar.submit("b1", rank=BATCH, streamed=False)
+        sidecar.start()
+        sidecar.data('{"half')
+        sidecar.submit("i1")
+        sidecar.start()
+        sidecar.end()
+        self.assertEqual(sidecar.last_call().generated, "")
+        sidecar.start()
+        sidecar.data('{"whole": 1}')
+        sidecar.end()
+        (chunk,) = sidecar.sent(messages.Chunk)
+        self.assertEqual(chunk.data, b'{"whole": 1}')
+
+
+class EngineFailureTests(unittest.TestCase):
+    def test_unsent_call_is_repeated_once_then_refused_as_not_run(self):
+        """Guards against a refusal of work that a second try would have served."""
+        sidecar = Sidecar()
+        sidecar.submit()
+        sidecar.fail(sent=False)
+        self.assertEqual(len(sidecar.calls()), 2)
+        sidecar.fail(sent=False)
+        self.assertEqual(
+            states(sidecar), [(ErrorKind.BACKEND_FAILED, RunState.NOT_RUN)]
+        )
+
+    def test_broken_stream_is_continued_twice(self):
+        """Guards against an endless repetition on a broken engine."""
+        sidecar = Sidecar()
+        sidecar.submit()
+        for _ in range(3):
+            sidecar.start()
+            sidecar.data("x")
+            sidecar.fail(sent=True)
+        self.assertEqual([call.generated for call in sidecar.calls()], ["", "x", "xx"])
+        self.assertEqual(
+            states(sidecar), [(ErrorKind.BACKEND_FAILED, RunState.UNKNOWN)]
+        )
+        self.assertEqual(sidecar.core.pins, 0)
+
+    def test_unsent_call_after_a_sent_one_is_not_called_not_run(self):
+        """Guards against "not run" for work of which a part ran."""
+        sidecar = Sidecar()
+        sidecar.submit()
+        sidecar.fail(sent=True)
+        sidecar.fail(sent=False)
+        sidecar.fail(sent=False)
+        self.assertEqual(
+            states(sidecar), [(ErrorKind.BACKEND_FAILED, RunState.UNKNOWN)]
+        )
+
+    def test_restart_continues_idempotent_work_after_a_load(self):
+        """Guards against calls that hang on an engine that restarted cold."""
+        sidecar = Sidecar()
+        sidecar.submit()
+        sidecar.start()
+        sidecar.data("x")
+        sidecar.report("boot2", resident=())
         self.assertEqual(sidecar.core.pins, 0)
-        self.assertEqual(sidecar.core.in_flight, 0)
+        self.assertEqual(len(sidecar.calls()), 1)
+        sidecar.give(inputs.AdapterLoaded(VERSION, "boot2"))
+        self.assertEqual(sidecar.last_call().generated, "x")
+
+    def test_data_before_the_status_is_never_passed_on(self):
+        """Guards against a part of an answer whose version was not checked."""
+        sidecar = Sidecar()
+        sidecar.submit()
+        sidecar.data("unchecked")
+        self.assertEqual(sidecar.sent(messages.Chunk), [])
+        self.assertEqual(len(sidecar.cancelled()), 1)
+
+
+class OrderTests(unittest.TestCase):
+    def setUp(self):
+        self.sidecar = Sidecar(spec=SERVICE)
+
+    def finish(self):
+        self.sidecar.start()
+        self.sidecar.data("done")
+        self.sidecar.end()
+
+    def test_repeat_after_the_end_gets_the_stored_answer(self):
+        """Guards against a second run of an order."""
+        self.sidecar.order("o1")
+        self.finish()
+        self.sidecar.order("o2")
+        self.assertEqual(len(self.sidecar.calls()), 1)
+        first, second = self.sidecar.sent(messages.End)
+        self.assertEqual((first.replayed, second.replayed), (False, True))
+        self.assertEqual(first.digest, second.digest)
+
+    def test_attempts_of_several_entries_wait_for_the_running_order(self):
+        """Guards against a second run while the first one lasts."""
+        self.sidecar.connect(2, entry="e2")
+        self.sidecar.order("o1")
+        self.sidecar.order("o2")
+        self.sidecar.order("o3", connection=2)
+        self.finish()
+        self.assertEqual(len(self.sidecar.calls()), 1)
+        ends = self.sidecar.sent(messages.End)
+        self.assertEqual([end.request_id for end in ends], ["o1", "o2", "o3"])
+        self.assertEqual(len({end.digest for end in ends}), 1)
+
+    def test_queued_order_runs_once_though_its_entry_died(self):
+        """Guards against a lost or doubled order when an entry fails."""
+        for number in range(2):
+            self.sidecar.submit(f"r{number}", adapter_version=None, rank=URGENT + 1)
+        running = self.sidecar.calls()
+        self.sidecar.order("o1")
+        self.sidecar.give(inputs.ConnectionClosed(1))
+        self.sidecar.tick(after=2.0)
+        self.assertEqual(self.sidecar.cancelled(), [one.call for one in running])
+        self.assertEqual(self.sidecar.last_call().request_id, "o1")
+        self.finish()
+        self.sidecar.connect(2, entry="e2")
+        self.sidecar.order("o2", connection=2)
+        self.assertEqual(len(self.sidecar.calls()), 3)
+        self.assertTrue(self.sidecar.sent(messages.End, connection=2)[0].replayed)
+
+    def test_order_whose_call_broke_off_is_unknown_for_good(self):
+        """Guards against a repeat of an order that may have run."""
+        self.sidecar.order("o1")
+        self.sidecar.fail(sent=True)
+        self.sidecar.order("o2")
+        expected = (ErrorKind.OUTCOME_UNKNOWN, RunState.UNKNOWN)
+        self.assertEqual(states(self.sidecar), [expected] * 2)
+        self.assertEqual(len(self.sidecar.calls()), 1)
+
+    def test_order_refused_as_not_run_may_be_repeated(self):
+        """Guards against a key that is used up by an order that never ran."""
+        self.sidecar.order("o1", remaining=0)
+        self.assertEqual(
+            states(self.sidecar), [(ErrorKind.DEADLINE_EXCEEDED, RunState.NOT_RUN)]
+        )
+        self.sidecar.order("o2")
+        self.finish()
+        self.assertEqual(len(self.sidecar.sent(messages.End)), 1)
+
+    def test_tickets_that_are_not_valid_here_are_refused(self):
+        """Guards against an order that another incarnation may have run."""
+        cases = (
+            (mint(incarnation=1), ErrorKind.KEY_EXPIRED, RunState.UNKNOWN),
+            (mint(instance="s2"), ErrorKind.KEY_EXPIRED, RunState.UNKNOWN),
+            (mint(caller="x"), ErrorKind.FORBIDDEN, RunState.NOT_RUN),
+            (mint() + "x", ErrorKind.BAD_REQUEST, RunState.NOT_RUN),
+            ("", ErrorKind.KEY_REQUIRED, RunState.NOT_RUN),
+        )
+        for number, (ticket, _, _) in enumerate(cases):
+            self.sidecar.order(f"o{number}", ticket=ticket)
+        self.assertEqual(states(self.sidecar), [case[1:] for case in cases])
+        self.assertEqual(self.sidecar.calls(), [])
+
+
+class ConnectionTests(unittest.TestCase):
+    def test_resume_continues_without_gaps_on_a_new_connection(self):
+        """Guards against chunks lost on a connection that went silent."""
+        sidecar = Sidecar()
+        sidecar.submit()
+        sidecar.start()
+        sidecar.data("one")
+        sidecar.give(inputs.ConnectionClosed(1))
+        sidecar.data("two")
+        sidecar.connect(2)
+        sidecar.receive(messages.Resume("r1", 1, 1), connection=2)
+        sidecar.data("three")
+        sidecar.end()
+        chunks = sidecar.sent(messages.Chunk, connection=2)
+        self.assertEqual([one.data for one in chunks], [b"two", b"three"])
+        (end,) = sidecar.sent(messages.End, connection=2)
+        self.assertEqual(end.chunk_count, 3)
+
+    def test_ended_answer_can_be_resumed_for_a_while(self):
+        """Guards against an End that was lost with its connection."""
+        sidecar = Sidecar()
+        sidecar.submit()
+        sidecar.start()
+        sidecar.data("one")
+        sidecar.end()
+        sidecar.connect(2)
+        sidecar.receive(messages.Resume("r1", 1, 0), connection=2)
+        self.assertEqual(len(sidecar.sent(messages.Chunk, connection=2)), 1)
+        self.assertEqual(len(sidecar.sent(messages.End, connection=2)), 1)
+        sidecar.keep_alive(6.0, connection=2)
+        sidecar.receive(messages.Resume("r1", 1, 0), connection=2)
+        self.assertEqual(
+            states(sidecar), [(ErrorKind.INCOMPLETE_ANSWER, RunState.UNKNOWN)]
+        )
+
+    def test_resume_of_another_entry_start_gets_nothing(self):
+        """Guards against an answer for a request id that a restart used again."""
+        sidecar = Sidecar()
+        sidecar.submit()
+        sidecar.start()
+        sidecar.data("secret")
+        sidecar.connect(2, incarnation=2)
+        sidecar.receive(messages.Resume("r1", 1, 0), connection=2)
+        self.assertEqual(sidecar.sent(messages.Chunk, connection=2), [])
+
+    def test_silent_connection_is_closed_and_its_work_cancelled_after_grace(self):
+        """Guards against room that is lost to an entry that is gone."""
+        sidecar = Sidecar()
+        sidecar.submit()
+        sidecar.tick(after=1.5)
+        self.assertEqual(sidecar.of_type(effects.Disconnect)[0].connection, 1)
+        sidecar.tick(after=1.9)
+        self.assertEqual(sidecar.cancelled(), [])
+        sidecar.tick(after=0.1)
+        self.assertEqual(sidecar.cancelled(), [1])
+        self.assertEqual((sidecar.core.pins, sidecar.core.in_flight), (0, 0))
+
+    def test_heartbeats_carry_load_epoch_and_revision(self):
+        """Guards against entries that route by an old state."""
+        sidecar = Sidecar(epoch=2.0)
+        sidecar.submit()
+        sidecar.keep_alive(2.0)
+        beats = sidecar.sent(messages.Heartbeat)
+        self.assertEqual([one.sequence for one in beats], [1, 2, 3, 4, 5])
+        self.assertEqual((beats[-1].revision, beats[-1].draining), (1, False))
+        self.assertEqual(beats[-1].load.running, (0, 1, 0))
+        sidecar.keep_alive(0.5)
+        self.assertEqual(sidecar.sent(messages.Heartbeat)[-1].ticket_epoch, 1)
+
+
+class DeadlineTests(unittest.TestCase):
+    def test_expired_work_is_dropped_as_not_run(self):
+        """Guards against a paused process that dispatches expired work."""
+        sidecar = Sidecar(batch_size=1)
+        sidecar.submit("r1")
+        sidecar.submit("r2", remaining=500)
+        sidecar.start()
+        sidecar.end(after=1.0)
+        self.assertEqual(len(sidecar.calls()), 1)
+        self.assertEqual(
+            states(sidecar), [(ErrorKind.DEADLINE_EXCEEDED, RunState.NOT_RUN)]
+        )
+
+
+class DrainTests(unittest.TestCase):
+    def test_drain_finishes_what_runs_and_refuses_the_rest(self):
+        """Guards against a planned stop that cuts off a request."""
+        triggers = (
+            inputs.DrainRequested(),
+            inputs.InstancesListed(frozenset(), frozenset({"s1"})),
+            inputs.ConfigurationReceived(
+                (backend_server(2, labels={"fighitch.dev/drain": "true"}),), 2, 1
+            ),
+        )
+        for trigger in triggers:
+            with self.subTest(trigger=type(trigger).__name__):
+                sidecar = Sidecar()
+                sidecar.submit("r1")
+                sidecar.give(trigger)
+                sidecar.submit("r2")
+                expected = (ErrorKind.DRAINING, RunState.NOT_RUN)
+                self.assertEqual(states(sidecar), [expected])
+                self.assertEqual(sidecar.of_type(effects.Stop), [])
+                sidecar.start()
+                sidecar.end()
+                sidecar.tick()
+                self.assertEqual(len(sidecar.of_type(effects.Stop)), 1)
+
+    def test_stored_outcome_is_given_while_draining(self):
+        """Guards against "not run" for an order that has run."""
+        sidecar = Sidecar(spec=SERVICE)
+        sidecar.submit("r1", adapter_version=None)
+        sidecar.order("o1")
+        sidecar.start()
+        sidecar.end()
+        sidecar.give(inputs.DrainRequested())
+        sidecar.order("o2")
+        self.assertTrue(sidecar.sent(messages.End)[-1].replayed)
+        self.assertEqual(sidecar.sent(messages.Refused), [])
+
+
+class ConfigurationTests(unittest.TestCase):
+    def test_new_policy_is_in_force_at_once(self):
+        """Guards against decisions by an outdated policy."""
+        sidecar = Sidecar()
+        spec = WorkPolicySpec(rank=INTERACTIVE, idempotent=False)
+        sidecar.give(inputs.ConfigurationReceived((policy(spec, 2),), 2, 1))
+        sidecar.submit()
+        self.assertEqual(states(sidecar), [(ErrorKind.KEY_REQUIRED, RunState.NOT_RUN)])
+
+    def test_sidecar_that_lags_does_not_answer_not_found(self):
+        """Guards against a final refusal of a version that was created just now."""
+        sidecar = Sidecar()
+        sidecar.submit(adapter_version=messages.AdapterVersion("new", "1"))
+        self.assertEqual(states(sidecar), [(ErrorKind.NOT_READY, RunState.NOT_RUN)])
