--- a/fighitch/core/admission.py
+++ b/fighitch/core/admission.py
@@ -3,11 +3,15 @@
 A rank with waiting work that runs less than its floor goes first; then the most urgent
 rank. Room that a floor reserves for another rank is lent to preemptible work only, so
 that it can be taken back at once.
+
+Floors are rounded up to whole slots. On a small batch the rounding can leave no slot
+without a floor, and the order above would starve ranks with a small floor or none. Then
+ranks take turns in proportion to their floors, and the rest goes to the most urgent.
 """
 
 import heapq
 import math
-from collections.abc import Iterator, Mapping
+from collections.abc import Iterator, Mapping, Sequence
 from dataclasses import dataclass
 
 from fighitch.core._placeholder_slots import DemandEstimator
@@ -48,6 +52,36 @@
     idempotent: bool = True
 
 
+@dataclass(frozen=True, slots=True)
+class Preemption:
+    """Running work that gives way, and the rank that takes its room."""
+
+    victim: Work
+    rank: int
+
+
+class _Turns:
+    """Smooth weighted round robin between ranks."""
+
+    def __init__(self) -> None:
+        self._credits: dict[int, float] = {}
+
+    def next(self, shares: Mapping[int, float]) -> int | None:
+        """Returns the rank whose turn it is; the most urgent of equals."""
+        return max(
+            shares,
+            key=lambda rank: (self._credits.get(rank, 0.0) + shares[rank], -rank),
+            default=None,
+        )
+
+    def take(self, rank: int, shares: Mapping[int, float]) -> None:
+        """Counts a turn; ranks that do not wait lose their credit."""
+        self._credits = {
+            one: self._credits.get(one, 0.0) + share for one, share in shares.items()
+        }
+        self._credits[rank] -= sum(shares.values())
+
+
 @dataclass(frozen=True, slots=True)
 class _Waiting:
     order: int
@@ -75,6 +109,7 @@
         self._service_times: dict[int, Seconds] = {}
         self._drain = DemandEstimator(_DRAIN_HALF_LIFE)
         self._next_order = 0
+        self._turns = _Turns()
         self.configure(batch_size=batch_size, policies=policies or {})
 
     # --- State ---
@@ -178,21 +213,26 @@
                 expired.append(work)
         return expired
 
-    def pop(self, *, now: Seconds) -> Work | None:
+    def pop(self, *, now: Seconds, rank: int | None = None) -> Work | None:
         """Moves the next work from waiting to running.
 
+        Args:
+            now: Current time.
+            rank: Rank to take it from, after ``preemption``; None to choose it.
+
         Returns:
             The work, or None if there is no room or nothing that may use it.
         """
-        rank = self._next_rank() if self._free() > 0 else None
-        if rank is None:
+        if self._free() <= 0:
             return None
-        work = self._queues[rank].pop()
-        if work is None:
+        chosen = self._next_rank() if rank is None else rank
+        work = self._queues[chosen].pop() if chosen is not None else None
+        if work is None or chosen is None:
             return None
+        self._turns.take(chosen, self._shares(self._ready_ranks(chosen)))
         del self._waiting[work.number]
-        self._running.setdefault(rank, {})[work.number] = work
-        self._drain.record(rank, now)
+        self._running.setdefault(chosen, {})[work.number] = work
+        self._drain.record(chosen, now)
         return work
 
     def finished(self, work: Work, *, service_time: Seconds | None = None) -> None:
@@ -211,38 +251,56 @@
             service_time - known
         )
 
-    def victim(self) -> Work | None:
+    def preemption(self) -> Preemption | None:
         """Returns the running work that should give way, if any.
 
         The youngest preemptible stream of the least urgent rank that runs more than
         its floor gives way, if the batch is full and work waits that is more urgent or
         below its own floor.
         """
-        if self._free() > 0:
-            return None
-        rank = self._next_rank()
+        rank = self._next_rank() if self._free() <= 0 else None
         if rank is None:
             return None
-        owed = self._below_floor(rank)
+        is_owed = self._below_floor(rank)
         for candidate in sorted(self._running, reverse=True):
-            if candidate == rank or (candidate < rank and not owed):
-                continue
-            if not self._above_floor(candidate):
+            is_lower = candidate > rank or (is_owed and candidate < rank)
+            if not is_lower or not self._above_floor(candidate):
                 continue
             streams = [w for w in self._running[candidate].values() if w.preemptible]
             if streams:
-                return max(streams, key=lambda work: (work.enqueued, work.number))
+                youngest = max(streams, key=lambda work: (work.enqueued, work.number))
+                return Preemption(youngest, rank)
         return None
 
     # --- Choice of rank ---
 
     def _next_rank(self) -> int | None:
-        ready = sorted(rank for rank, queue in self._queues.items() if queue.has_ready)
+        ready = self._ready_ranks()
+        if self._is_short():
+            eligible = [rank for rank in ready if self._has_room_for(rank)]
+            return self._turns.next(self._shares(eligible))
         for rank in ready:
             if self._below_floor(rank):
                 return rank
         return next((rank for rank in ready if self._may_use_free_room(rank)), None)
 
+    def _ready_ranks(self, *others: int) -> list[int]:
+        ready = {rank for rank, queue in self._queues.items() if queue.has_ready}
+        return sorted(ready.union(others))
+
+    def _is_short(self) -> bool:
+        """Returns whether rounding leaves no slot without a floor."""
+        slots = sum(map(self.floor_slots, self._policies))
+        exact = sum(policy.floor for policy in self._policies.values())
+        return slots >= self._batch_size and exact < 1 - _ROUNDING
+
+    def _shares(self, ranks: Sequence[int]) -> dict[int, float]:
+        """Returns the share of turns of each rank; the first is the most urgent."""
+        shares = {rank: self._policy(rank).floor for rank in ranks}
+        if ranks:
+            shares[ranks[0]] += max(0.0, 1 - sum(shares.values()))
+        return shares
+
     def _may_use_free_room(self, rank: int) -> bool:
         if self._policy(rank).preemptible:
             return True
--- a/fighitch/core/execution.py
+++ b/fighitch/core/execution.py
@@ -118,14 +118,10 @@
         for expired in self._queue.expire(now):
             self._expire(self._request(expired), now)
         while True:
-            work = self._queue.pop(now=now)
-            if work is not None:
-                self._call(self._request(work), now)
-                continue
-            victim = self._queue.victim()
-            if victim is None:
+            work = self._queue.pop(now=now) or self._pop_after_preemption(now)
+            if work is None:
                 return
-            self._preempt(self._request(victim), now)
+            self._call(self._request(work), now)
 
     # --- Engine ---
 
@@ -280,9 +276,15 @@
         self._outbox.add(call)
         self._log("dispatched", request, cause="next in its rank", call=call.call)
 
-    def _preempt(self, request: Request, now: Seconds) -> None:
+    def _pop_after_preemption(self, now: Seconds) -> Work | None:
+        preemption = self._queue.preemption()
+        if preemption is None:
+            return None
+        request = self._request(preemption.victim)
         self._stop_call(request)
-        self._requeue(request, "more urgent work or a floor needs the room", now)
+        cause = f"rank {preemption.rank} is more urgent or below its floor"
+        self._requeue(request, cause, now)
+        return self._queue.pop(now=now, rank=preemption.rank)
 
     def _stop_call(self, request: Request) -> None:
         """Cancels the running call at the backend server."""
--- a/fighitch/core/ledger.py
+++ b/fighitch/core/ledger.py
@@ -16,7 +16,7 @@
 
 # Together with an epoch of 10 minutes a key is valid for at least an hour.
 MAX_EPOCH_AGE = 6
-# Measured size of a record without its answer, rounded up.
+# A record without its answer measures about 700 bytes; rounded up for longer names.
 RECORD_BYTES = 1_024
 
 
--- a/fighitch/core/links.py
+++ b/fighitch/core/links.py
@@ -37,6 +37,7 @@
         self._interval = interval
         self._silence = silence
         self._links: dict[ConnectionId, Link] = {}
+        self._checked_at: Seconds = float("-inf")
 
     def __len__(self) -> int:
         return len(self._links)
@@ -69,7 +70,15 @@
                 yield connection, link.beats
 
     def silent(self, now: Seconds) -> list[ConnectionId]:
-        """Returns the connections on which nothing was heard for too long."""
+        """Returns the connections on which nothing was heard for too long.
+
+        After a pause of this process the messages of the pause are still unread, so
+        that every peer seems silent. Each then gets one more interval.
+        """
+        if now - self._checked_at > self._interval:
+            for link in self._links.values():
+                link.heard_at = max(link.heard_at, now - self._silence + self._interval)
+        self._checked_at = now
         return [
             connection
             for connection, link in self._links.items()
--- a/fighitch/core/sidecar.py
+++ b/fighitch/core/sidecar.py
@@ -206,7 +206,9 @@
             self._epoch_began = now
         self._on(event, now)
         self._apply_configuration(now)
-        self._execution.pump(now=now)
+        # Data is by far the most frequent input and never makes room or adds work.
+        if not isinstance(event, BackendData):
+            self._execution.pump(now=now)
         self._plan_loads(now)
         self._stop_if_drained()
         return self._outbox.take()
--- a/fighitch/tests/sidecar_helpers.py
+++ b/fighitch/tests/sidecar_helpers.py
@@ -4,6 +4,7 @@
 from dataclasses import replace
 
 import msgspec
+from hypothesis import settings
 
 from fighitch.core import effects, inputs, messages
 from fighitch.core.resources import (
@@ -19,6 +20,14 @@
 from fighitch.core.sidecar_settings import SidecarSettings
 from fighitch.core.tickets import SharedKey, Ticket, TicketSigner
 
+# Deterministic runs of state machines.
+STATEFUL = settings(
+    max_examples=100,
+    stateful_step_count=60,
+    deadline=None,
+    derandomize=True,
+    database=None,
+)
 URGENT, INTERACTIVE, BATCH = range(3)
 INCARNATION = 7
 VERSION = messages.AdapterVersion("a", "1")
@@ -78,14 +87,14 @@
 class Sidecar:
     """Drives a core; ``effects`` holds everything that it asked for."""
 
-    def __init__(self, *, spec=ENGINE, resident=(VERSION,), batch_size=2, **settings):
+    def __init__(self, *, spec=ENGINE, resident=(VERSION,), batch_size=2, **constants):
         spec = msgspec.structs.replace(spec, batch_size=batch_size)
         self.core = SidecarCore(
             "s1",
             INCARNATION,
             spec,
             SIGNER,
-            SidecarSettings(**settings),
+            SidecarSettings(**constants),
             random.Random(1),
         )
         self.now = 100.0
--- /dev/null
+++ b/fighitch/tests/test_admission.py
@@ -0,0 +1,281 @@
+"""Tests of ``fighitch.core.admission`` and ``fighitch.core.waiting``."""
+
+import sys
+import unittest
+
+from hypothesis import seed, strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
+
+from fighitch.core.admission import AdmissionQueue, RankPolicy
+from fighitch.core.errors import ErrorKind
+from fighitch.core.invariants import InvariantViolation
+from fighitch.core.waiting import Work
+from fighitch.tests.sidecar_helpers import (
+    BATCH,
+    INTERACTIVE,
+    OTHER,
+    STATEFUL,
+    URGENT,
+    VERSION,
+)
+
+FLOORS = {
+    URGENT: RankPolicy(floor=0.25),
+    INTERACTIVE: RankPolicy(floor=0.25),
+    BATCH: RankPolicy(floor=0.125, preemptible=True),
+}
+
+
+class QueueHelper:
+    def __init__(self, *, batch_size=8, policies=FLOORS):
+        self.queue = AdmissionQueue(batch_size=batch_size, policies=policies)
+        self.number = 0
+
+    def add(self, rank, *, caller="c", version=None, deadline=1e9, now=0.0):
+        self.number += 1
+        work = Work(
+            self.number, caller, rank, version, deadline, now, preemptible=rank == BATCH
+        )
+        return self.queue.admit(work, now=now)
+
+    def add_many(self, count, rank, **kwargs):
+        for _ in range(count):
+            self.add(rank, **kwargs)
+
+    def pop_all(self, now=0.0):
+        return list(iter(lambda: self.queue.pop(now=now), None))
+
+
+class OrderTests(unittest.TestCase):
+    def test_callers_of_a_rank_take_turns(self):
+        """Guards against a caller whose flood delays all others."""
+        helper = QueueHelper(batch_size=4, policies={})
+        helper.add_many(5, URGENT, caller="flood")
+        helper.add(URGENT, caller="other")
+        callers = [work.caller for work in helper.pop_all()]
+        self.assertEqual(callers, ["flood", "other", "flood", "flood"])
+
+    def test_work_without_its_adapter_does_not_block_ready_work(self):
+        """Guards against head-of-line blocking, also within one caller."""
+        helper = QueueHelper()
+        helper.add(URGENT, version=VERSION)
+        helper.add(URGENT, version=OTHER)
+        helper.queue.set_ready(OTHER, True)
+        self.assertEqual([work.number for work in helper.pop_all()], [2])
+        helper.queue.set_ready(VERSION, True)
+        self.assertEqual([work.number for work in helper.pop_all()], [1])
+
+    def test_requeued_work_goes_before_its_rank(self):
+        """Guards against a preempted stream that waits behind newer work."""
+        helper = QueueHelper(batch_size=1, policies={})
+        helper.add_many(3, BATCH)
+        work = helper.queue.pop(now=0)
+        helper.queue.finished(work)
+        helper.queue.requeue(work)
+        self.assertEqual(helper.queue.pop(now=0), work)
+
+
+class FloorTests(unittest.TestCase):
+    def test_flood_leaves_the_floors_of_other_ranks_free(self):
+        """Guards against an urgent flood that takes the whole batch."""
+        helper = QueueHelper()
+        helper.add_many(20, URGENT)
+        helper.pop_all()
+        self.assertEqual(helper.queue.running_by_rank(), (5, 0, 0))
+        helper.add_many(20, BATCH)
+        helper.add_many(20, INTERACTIVE)
+        helper.pop_all()
+        self.assertEqual(helper.queue.running_by_rank(), (5, 2, 1))
+
+    def test_preemptible_work_may_borrow_reserved_room(self):
+        """Guards against room that stays empty although work waits."""
+        helper = QueueHelper()
+        helper.add_many(20, BATCH)
+        helper.pop_all()
+        self.assertEqual(helper.queue.running_by_rank(), (0, 0, 8))
+        helper.add(URGENT)
+        preemption = helper.queue.preemption()
+        self.assertEqual((preemption.victim.number, preemption.rank), (8, URGENT))
+
+    def test_rank_at_its_floor_is_not_preempted(self):
+        """Guards against a flood that starves batch work."""
+        helper = QueueHelper()
+        helper.add_many(20, BATCH)
+        helper.pop_all()
+        helper.add_many(20, URGENT)
+        helper.add_many(20, INTERACTIVE)
+        while preemption := helper.queue.preemption():
+            helper.queue.finished(preemption.victim)
+            helper.queue.pop(now=0, rank=preemption.rank)
+        self.assertEqual(helper.queue.running_by_rank(), (5, 2, 1))
+
+    def test_floors_share_a_batch_of_one_over_time(self):
+        """Guards against starvation where every floor rounds up to the whole batch."""
+        helper = QueueHelper(batch_size=1)
+        for rank in FLOORS:
+            helper.add_many(100, rank)
+        served = [0, 0, 0]
+        for _ in range(80):
+            work = helper.queue.pop(now=0)
+            served[work.rank] += 1
+            helper.queue.finished(work)
+        self.assertEqual(served, [50, 20, 10])
+
+
+class RefusalTests(unittest.TestCase):
+    def test_full_queue_states_the_measured_drain_time(self):
+        """Guards against callers that come back before there is room."""
+        helper = QueueHelper(policies={URGENT: RankPolicy(queue_limit=20)})
+        for second in range(60):
+            helper.add_many(4, URGENT, now=second / 2)
+            for work in helper.pop_all(now=second / 2):
+                helper.queue.finished(work)
+        helper.add_many(8, URGENT, now=30)
+        helper.pop_all(now=30)
+        helper.add_many(20, URGENT, now=30)
+        refusal = helper.add(URGENT, now=30)
+        self.assertEqual(refusal.kind, ErrorKind.OVERLOADED)
+        self.assertAlmostEqual(refusal.retry_after, 10 / 8, delta=0.5)
+
+    def test_work_that_cannot_meet_its_deadline_is_refused_at_once(self):
+        """Guards against work that waits only to expire."""
+        helper = QueueHelper(batch_size=1, policies={})
+        helper.add(URGENT)
+        helper.queue.finished(helper.queue.pop(now=0), service_time=2.0)
+        helper.add_many(3, URGENT)
+        helper.pop_all()
+        refusal = helper.add(URGENT, deadline=7.9)
+        self.assertEqual(refusal.kind, ErrorKind.DEADLINE_EXCEEDED)
+        self.assertAlmostEqual(refusal.retry_after, 0.1)
+        self.assertIsNone(helper.add(URGENT, deadline=8.1))
+
+    def test_idle_server_takes_work_whatever_was_measured(self):
+        """Guards against an estimate that refuses everything and is never renewed."""
+        helper = QueueHelper()
+        helper.add(URGENT)
+        helper.queue.finished(helper.queue.pop(now=0), service_time=60.0)
+        self.assertIsNone(helper.add(URGENT, deadline=1.0))
+
+
+class CostTests(unittest.TestCase):
+    def steps(self, waiting):
+        """Returns the Python calls of one pop with so much work waiting."""
+        helper = QueueHelper(policies={URGENT: RankPolicy(queue_limit=waiting)})
+        for number in range(waiting):
+            helper.add(URGENT, caller=f"c{number % 100}", version=VERSION)
+        helper.queue.set_ready(VERSION, True)
+        count = 0
+
+        def trace(frame, event, argument):
+            nonlocal count
+            count += 1
+
+        sys.setprofile(trace)
+        helper.queue.pop(now=0)
+        sys.setprofile(None)
+        return count
+
+    def test_a_decision_costs_the_same_with_much_work_waiting(self):
+        """Guards against decisions that grow with the queue."""
+        self.assertLessEqual(self.steps(20_000), self.steps(200) + 20)
+
+
+@seed(20261204)
+class QueueMachine(RuleBasedStateMachine):
+    """Random arrivals, ends, preemptions, cancellations and readiness changes."""
+
+    def __init__(self):
+        super().__init__()
+        self.helper = QueueHelper()
+        self.queue = self.helper.queue
+        self.running = []
+        self.waiting = set()
+
+    @rule(
+        rank=st.sampled_from(list(FLOORS)),
+        caller=st.sampled_from("xyz"),
+        version=st.sampled_from([None, VERSION, OTHER]),
+        deadline=st.integers(1, 50),
+    )
+    def arrive(self, rank, caller, version, deadline):
+        if self.helper.add(rank, caller=caller, version=version, deadline=deadline):
+            raise AssertionError("no service time is known, so nothing is too late")
+        self.waiting.add(self.helper.number)
+
+    @rule(version=st.sampled_from([VERSION, OTHER]), is_ready=st.booleans())
+    def set_ready(self, version, is_ready):
+        self.queue.set_ready(version, is_ready)
+
+    @rule()
+    def pop(self):
+        owed = {
+            rank
+            for rank in FLOORS
+            if self.queue.running_by_rank()[rank] < self.queue.floor_slots(rank)
+            and self.queue._queues[rank].has_ready
+        }
+        work = self.queue.pop(now=0)
+        if work is not None:
+            assert not owed or work.rank == min(owed), "an owed rank goes first"
+            assert work.adapter_version in {None, *self.queue.ready_versions}
+            self.start(work)
+        elif owed:
+            assert len(self.running) == 8, "an owed rank waits only for room"
+
+    @rule()
+    def preempt(self):
+        preemption = self.queue.preemption()
+        if preemption is None:
+            return
+        before = self.queue.running_by_rank()[preemption.victim.rank]
+        assert before > self.queue.floor_slots(preemption.victim.rank)
+        self.running.remove(preemption.victim)
+        self.queue.finished(preemption.victim)
+        self.queue.requeue(preemption.victim)
+        self.waiting.add(preemption.victim.number)
+        work = self.queue.pop(now=0, rank=preemption.rank)
+        assert work is not None and work != preemption.victim
+        self.start(work)
+
+    def start(self, work):
+        self.waiting.remove(work.number)
+        self.running.append(work)
+
+    @precondition(lambda self: self.running)
+    @rule(data=st.data())
+    def finish(self, data):
+        work = data.draw(st.sampled_from(self.running))
+        self.running.remove(work)
+        self.queue.finished(work)
+
+    @rule(number=st.integers(1, 30))
+    def cancel(self, number):
+        assert (self.queue.remove(number) is not None) == (number in self.waiting)
+        self.waiting.discard(number)
+
+    @rule(now=st.integers(1, 50))
+    def expire(self, now):
+        for work in self.queue.expire(now):
+            assert work.deadline <= now
+            self.waiting.remove(work.number)
+
+    @invariant()
+    def nothing_is_lost_or_doubled(self):
+        assert sum(self.queue.queued_by_rank()) == len(self.waiting)
+        assert sum(self.queue.running_by_rank()) == len(self.running) <= 8
+
+
+QueueStatefulTests = QueueMachine.TestCase
+QueueStatefulTests.settings = STATEFUL
+
+
+class InvariantTests(unittest.TestCase):
+    def test_work_queued_twice_or_not_running_is_noticed(self):
+        """Guards against a check that cannot fail."""
+        queue = AdmissionQueue(batch_size=1)
+        work = Work(1, "c", 0, None, 1.0, 0.0)
+        queue.requeue(work)
+        with self.assertRaisesRegex(InvariantViolation, "work_is_queued_once"):
+            queue.requeue(work)
+        with self.assertRaisesRegex(InvariantViolation, "finished_work_was_running"):
+            queue.finished(work)
--- a/fighitch/tests/test_sidecar.py
+++ b/fighitch/tests/test_sidecar.py
@@ -375,7 +375,9 @@
         """Guards against room that is lost to an entry that is gone."""
         sidecar = Sidecar()
         sidecar.submit()
-        sidecar.tick(after=1.5)
+        for _ in range(3):
+            self.assertEqual(sidecar.of_type(effects.Disconnect), [])
+            sidecar.tick(after=0.5)
         self.assertEqual(sidecar.of_type(effects.Disconnect)[0].connection, 1)
         sidecar.tick(after=1.9)
         self.assertEqual(sidecar.cancelled(), [])
@@ -383,6 +385,15 @@
         self.assertEqual(sidecar.cancelled(), [1])
         self.assertEqual((sidecar.core.pins, sidecar.core.in_flight), (0, 0))
 
+    def test_pause_of_the_sidecar_does_not_make_its_peers_silent(self):
+        """Guards against closing every connection after a pause of this process."""
+        sidecar = Sidecar()
+        sidecar.tick()
+        sidecar.tick(after=10.0)
+        self.assertEqual(sidecar.of_type(effects.Disconnect), [])
+        sidecar.tick(after=0.5)
+        self.assertEqual(len(sidecar.of_type(effects.Disconnect)), 1)
+
     def test_heartbeats_carry_load_epoch_and_revision(self):
         """Guards against entries that route by an old state."""
         sidecar = Sidecar(epoch=2.0)
