--- a/fighitch/core/admission.py
+++ b/fighitch/core/sidecar/admission.py
@@ -14,11 +14,11 @@
 from collections.abc import Iterator, Mapping, Sequence
 from dataclasses import dataclass
 
-from fighitch.core._placeholder_slots import DemandEstimator
 from fighitch.core.errors import ErrorKind, Failure
 from fighitch.core.invariants import check
 from fighitch.core.messages import AdapterVersion
-from fighitch.core.waiting import RankQueue, Work
+from fighitch.core.sidecar.demand import DemandEstimator
+from fighitch.core.sidecar.waiting import RankQueue, Work
 from fighitch.types import Seconds
 
 # Weight of the newest sample: about the last ten requests decide the estimate.
@@ -107,7 +107,7 @@
         self._running: dict[int, dict[int, Work]] = {}
         self._deadlines: list[tuple[Seconds, int]] = []
         self._service_times: dict[int, Seconds] = {}
-        self._drain = DemandEstimator(_DRAIN_HALF_LIFE)
+        self._drain: DemandEstimator[int] = DemandEstimator(_DRAIN_HALF_LIFE)
         self._next_order = 0
         self._turns = _Turns()
         self.configure(batch_size=batch_size, policies=policies or {})
--- a/fighitch/core/answers.py
+++ b/fighitch/core/sidecar/answers.py
@@ -1,9 +1,9 @@
 """Sends answers to entries and answers ``Resume``."""
 
 from fighitch.core.errors import ErrorKind, Failure, RunState
-from fighitch.core.ledger import Outcome
-from fighitch.core.outbox import Outbox
-from fighitch.core.streams import (
+from fighitch.core.sidecar.ledger import Outcome
+from fighitch.core.sidecar.outbox import Outbox
+from fighitch.core.sidecar.streams import (
     AnswerInfo,
     AnswerStream,
     StreamKey,
--- a/fighitch/core/calls.py
+++ b/fighitch/core/sidecar/calls.py
@@ -6,9 +6,9 @@
 from fighitch.core.errors import RunState
 from fighitch.core.invariants import check
 from fighitch.core.messages import Submit
-from fighitch.core.streams import AnswerStream, StreamKey
+from fighitch.core.sidecar.streams import AnswerStream, StreamKey
+from fighitch.core.sidecar.waiting import Work
 from fighitch.core.tickets import Ticket
-from fighitch.core.waiting import Work
 from fighitch.types import Seconds
 
 
--- a/fighitch/core/sidecar.py
+++ b/fighitch/core/sidecar/core.py
@@ -1,19 +1,14 @@
 """Decisions of the process beside a backend server."""
 
 import random
+from dataclasses import dataclass
 from functools import singledispatchmethod
 from typing import Any
 
-from fighitch.core._placeholder_slots import AdapterSlots, LoadBudget
-from fighitch.core.admission import AdmissionQueue, RankPolicy
-from fighitch.core.answers import Answers
 from fighitch.core.anti_entropy import ConfigurationExchange
-from fighitch.core.calls import Request
 from fighitch.core.configuration import ConfigurationStore
 from fighitch.core.effects import Disconnect, SidecarEffect, Stop
-from fighitch.core.engine_state import EngineState
 from fighitch.core.errors import ErrorKind, Failure
-from fighitch.core.execution import Execution
 from fighitch.core.inputs import (
     AdapterLoaded,
     AdapterLoadFailed,
@@ -34,8 +29,6 @@
     SidecarInput,
     Tick,
 )
-from fighitch.core.ledger import Joined, OrderLedger, Replayed
-from fighitch.core.links import Links
 from fighitch.core.messages import (
     AdapterVersion,
     Cancel,
@@ -51,7 +44,6 @@
     Role,
     Submit,
 )
-from fighitch.core.outbox import Outbox
 from fighitch.core.resources import (
     AdapterSpec,
     BackendServerSpec,
@@ -59,19 +51,66 @@
     WeightStoreSpec,
     WorkPolicySpec,
 )
-from fighitch.core.sidecar_settings import SidecarSettings
-from fighitch.core.streams import AnswerStream, StreamTable, stream_key
-from fighitch.core.submissions import SubmissionChecks
+from fighitch.core.sidecar.admission import AdmissionQueue, RankPolicy
+from fighitch.core.sidecar.answers import Answers
+from fighitch.core.sidecar.calls import Request
+from fighitch.core.sidecar.engine_state import EngineState
+from fighitch.core.sidecar.execution import Execution
+from fighitch.core.sidecar.ledger import Joined, OrderLedger, Replayed
+from fighitch.core.sidecar.links import Links
+from fighitch.core.sidecar.load_budget import LoadBudget
+from fighitch.core.sidecar.outbox import Outbox
+from fighitch.core.sidecar.settings import SidecarSettings
+from fighitch.core.sidecar.slots import AdapterSlots
+from fighitch.core.sidecar.streams import AnswerStream, StreamTable, stream_key
+from fighitch.core.sidecar.submissions import SubmissionChecks
+from fighitch.core.sidecar.waiting import Work
+from fighitch.core.sidecar.wanted import WantedVersions
 from fighitch.core.tickets import Ticket, TicketSigner
-from fighitch.core.waiting import Work
-from fighitch.core.wanted import WantedVersions
-from fighitch.types import ConnectionId, Incarnation, InstanceName, Seconds
+from fighitch.types import ConnectionId, Incarnation, InstanceName, Revision, Seconds
 
 DRAIN_LABEL = "fighitch.dev/drain"
 # Versions in recent demand that are considered for loading, as a multiple of the slots.
 _RECENT_PER_SLOT = 4
 
 
+@dataclass(frozen=True, slots=True)
+class SidecarStatus:
+    """Snapshot of a sidecar for operators.
+
+    Attributes:
+        instance: Name of the instance.
+        incarnation: This start of the process.
+        is_ready: Whether it can serve.
+        is_draining: Whether new work is refused.
+        is_reachable: Whether the backend server answers.
+        revision: Revision of the configuration in force.
+        running: Requests at the backend server, by rank.
+        queued: Requests waiting, by rank.
+        in_flight: Requests without a whole answer.
+        resident: Adapter versions that are loaded.
+        pins: Calls that keep an adapter version loaded.
+        ticket_epoch: Epoch that new tickets must carry.
+        load_permits: Adapter loads that may start now.
+        late_events: Events that came after their call was over.
+    """
+
+    instance: InstanceName
+    incarnation: Incarnation
+    is_ready: bool
+    is_draining: bool
+    is_reachable: bool
+    revision: Revision
+    running: tuple[int, ...]
+    queued: tuple[int, ...]
+    in_flight: int
+    resident: tuple[str, ...]
+    pins: int
+    ticket_epoch: int
+    load_permits: int
+    late_events: int
+
+
 class SidecarCore:
     """Queue, adapter slots, order ledger and answers of one backend server."""
 
@@ -110,7 +149,7 @@
         )
         self._answers = Answers(streams, self._outbox)
         self._queue = AdmissionQueue(batch_size=spec.batch_size)
-        self._budget = LoadBudget(instance, (instance,), 0.0, 0)
+        self._budget = LoadBudget(instance, (), 0.0, 0)
         self._engine = EngineState(AdapterSlots(spec.adapter_slots), self._budget)
         self._wanted = WantedVersions(
             self._queue, max_recent=_RECENT_PER_SLOT * spec.adapter_slots
@@ -192,6 +231,26 @@
             resident=self._engine.resident(),
         )
 
+    def status(self, *, now: Seconds) -> SidecarStatus:
+        """Returns a snapshot for operators."""
+        report = self.load_report()
+        return SidecarStatus(
+            instance=self._instance,
+            incarnation=self._incarnation,
+            is_ready=self.is_ready,
+            is_draining=self.is_draining,
+            is_reachable=self._is_reachable,
+            revision=self._store.revision,
+            running=report.running,
+            queued=report.queued,
+            in_flight=self.in_flight,
+            resident=tuple(sorted(report.resident)),
+            pins=self.pins,
+            ticket_epoch=self.ticket_epoch,
+            load_permits=self._budget.available(now),
+            late_events=self.late_events,
+        )
+
     def handle(self, event: SidecarInput, *, now: Seconds) -> list[SidecarEffect]:
         """Handles an input.
 
--- a/fighitch/core/engine_state.py
+++ b/fighitch/core/sidecar/engine_state.py
@@ -14,11 +14,12 @@
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 
-from fighitch.core._placeholder_slots import AdapterSlots, LoadBudget, Wanted
 from fighitch.core.effects import LoadAdapter, UnloadAdapter
 from fighitch.core.inputs import EngineReported
 from fighitch.core.invariants import check
 from fighitch.core.messages import AdapterVersion
+from fighitch.core.sidecar.load_budget import LoadBudget
+from fighitch.core.sidecar.slots import AdapterSlots, Wanted
 from fighitch.types import Seconds
 
 
--- a/fighitch/core/execution.py
+++ b/fighitch/core/sidecar/execution.py
@@ -9,11 +9,7 @@
 from functools import singledispatchmethod
 from typing import Any
 
-from fighitch.core.admission import AdmissionQueue
-from fighitch.core.answers import Answers
-from fighitch.core.calls import Request, RequestTable
 from fighitch.core.effects import CancelBackend
-from fighitch.core.engine_state import EngineState
 from fighitch.core.errors import ErrorKind, Failure, RunState
 from fighitch.core.inputs import (
     BackendData,
@@ -22,12 +18,16 @@
     BackendStarted,
 )
 from fighitch.core.invariants import check
-from fighitch.core.ledger import OrderLedger, Outcome
 from fighitch.core.messages import AdapterVersion
-from fighitch.core.outbox import Outbox
-from fighitch.core.sidecar_settings import SidecarSettings
-from fighitch.core.streams import AnswerInfo, AnswerStream
-from fighitch.core.waiting import Work
+from fighitch.core.sidecar.admission import AdmissionQueue
+from fighitch.core.sidecar.answers import Answers
+from fighitch.core.sidecar.calls import Request, RequestTable
+from fighitch.core.sidecar.engine_state import EngineState
+from fighitch.core.sidecar.ledger import OrderLedger, Outcome
+from fighitch.core.sidecar.outbox import Outbox
+from fighitch.core.sidecar.settings import SidecarSettings
+from fighitch.core.sidecar.streams import AnswerInfo, AnswerStream
+from fighitch.core.sidecar.waiting import Work
 from fighitch.types import Seconds
 
 _NOT_FOUND = 404
--- a/fighitch/core/submissions.py
+++ b/fighitch/core/sidecar/submissions.py
@@ -4,11 +4,11 @@
 
 from expression import Error, Ok, Result
 
-from fighitch.core.admission import RankPolicy
 from fighitch.core.configuration import ConfigurationStore
 from fighitch.core.errors import ErrorKind, Failure
 from fighitch.core.messages import AdapterVersion, Submit
 from fighitch.core.resources import AdapterSpec, BackendServerSpec, Kind
+from fighitch.core.sidecar.admission import RankPolicy
 from fighitch.core.tickets import Ticket, TicketSigner
 
 
--- a/fighitch/core/wanted.py
+++ b/fighitch/core/sidecar/wanted.py
@@ -2,9 +2,10 @@
 
 from collections import OrderedDict
 
-from fighitch.core._placeholder_slots import DemandEstimator, Wanted
-from fighitch.core.admission import AdmissionQueue
 from fighitch.core.messages import AdapterVersion
+from fighitch.core.sidecar.admission import AdmissionQueue
+from fighitch.core.sidecar.demand import DemandEstimator
+from fighitch.core.sidecar.slots import Wanted
 from fighitch.types import Seconds
 
 # Popularity shifts without warning; a minute of history follows it soon enough.
@@ -23,7 +24,9 @@
         """
         self._queue = queue
         self._max_recent = max_recent
-        self._demand = DemandEstimator(_DEMAND_HALF_LIFE)
+        self._demand: DemandEstimator[AdapterVersion] = DemandEstimator(
+            _DEMAND_HALF_LIFE
+        )
         self._recent: OrderedDict[AdapterVersion, int] = OrderedDict()
 
     def record(
--- a/fighitch/daemons/sidecar.py
+++ b/fighitch/daemons/sidecar.py
@@ -17,8 +17,7 @@
 )
 from fighitch.core.messages import Role
 from fighitch.core.resources import BackendServerSpec
-from fighitch.core.sidecar import SidecarCore
-from fighitch.core.sidecar_settings import SidecarSettings as SidecarConstants
+from fighitch.core.sidecar import SidecarCore, SidecarSettings as SidecarConstants
 from fighitch.core.tickets import TicketSigner
 from fighitch.daemons.backend_calls import BackendCalls
 from fighitch.daemons.base import Daemon, run_daemon
--- a/fighitch/tests/sidecar_helpers.py
+++ b/fighitch/tests/sidecar_helpers.py
@@ -17,7 +17,7 @@
     WorkPolicySpec,
 )
 from fighitch.core.sidecar import SidecarCore
-from fighitch.core.sidecar_settings import SidecarSettings
+from fighitch.core.sidecar.settings import SidecarSettings
 from fighitch.core.tickets import SharedKey, Ticket, TicketSigner
 
 # Deterministic runs of state machines.
--- a/fighitch/tests/test_admission.py
+++ b/fighitch/tests/test_admission.py
@@ -1,4 +1,4 @@
-"""Tests of ``fighitch.core.admission`` and ``fighitch.core.waiting``."""
+"""Tests of ``admission`` and ``waiting`` in ``fighitch.core.sidecar``."""
 
 import sys
 import unittest
@@ -6,10 +6,10 @@
 from hypothesis import seed, strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
 
-from fighitch.core.admission import AdmissionQueue, RankPolicy
 from fighitch.core.errors import ErrorKind
 from fighitch.core.invariants import InvariantViolation
-from fighitch.core.waiting import Work
+from fighitch.core.sidecar.admission import AdmissionQueue, RankPolicy
+from fighitch.core.sidecar.waiting import Work
 from fighitch.tests.sidecar_helpers import (
     BATCH,
     INTERACTIVE,
--- a/fighitch/tests/test_ledger.py
+++ b/fighitch/tests/test_ledger.py
@@ -1,4 +1,4 @@
-"""Tests of ``fighitch.core.ledger``."""
+"""Tests of ``fighitch.core.sidecar.ledger``."""
 
 import unittest
 
@@ -7,7 +7,7 @@
 
 from fighitch.core.errors import ErrorKind, Failure, RunState
 from fighitch.core.invariants import InvariantViolation
-from fighitch.core.ledger import (
+from fighitch.core.sidecar.ledger import (
     MAX_EPOCH_AGE,
     RECORD_BYTES,
     Accepted,
--- a/fighitch/tests/test_runtime.py
+++ b/fighitch/tests/test_runtime.py
@@ -117,7 +117,8 @@
         """Guards against one broken peer that takes the process down."""
         (entry, _, opened), (sidecar, core, _) = self.connect()
         connection = entry._connections[opened.connection]
-        connection._unsent += b"\x00\x00\x00\x04junk"
+        junk = b"\x00\x00\x00\x04junk"
+        entry.ask(lambda _: connection._unsent.extend(junk)).result(TIMEOUT)
         core.next_of(ConnectionClosed)
         entry.post(Connect(sidecar.listen_address))
         self.assertEqual(core.next_of(ConnectionOpened).peer.role, Role.ENTRY)
