Do not block a handler while it looks for a gone caller

Cause: a socket with a timeout waits inside recv even with MSG_DONTWAIT, so a handler whose first event took longer than 0.5 s blocked for 30 s. Ruled out: the core and the sidecar, whose logs show all 64 answers as whole. Change: the socket is read only when poll says that it is readable.

--- a/fighitch/daemons/callers_app.py
+++ b/fighitch/daemons/callers_app.py
@@ -3,6 +3,7 @@
 import hashlib
 import math
 import queue
+import select
 import socket
 import time
 from collections.abc import Callable, Iterator
@@ -326,11 +327,14 @@
     def _is_caller_gone(self) -> bool:
         if self._socket is None:
             return False
-        try:
-            flags = socket.MSG_PEEK | socket.MSG_DONTWAIT
-            return self._socket.recv(1, flags) == b""
-        except BlockingIOError:
+        # A socket with a timeout waits in ``recv`` even with MSG_DONTWAIT, so it is
+        # only read when it is known to be readable.
+        poller = select.poll()
+        poller.register(self._socket, select.POLLIN)
+        if not poller.poll(0):
             return False
+        try:
+            return self._socket.recv(1, socket.MSG_PEEK) == b""
         except OSError:
             return True
 
