--- a/fighitch/runtime/http_server.py
+++ b/fighitch/runtime/http_server.py
@@ -32,6 +32,9 @@
 
     protocol_version = "HTTP/1.1"
     timeout = SOCKET_TIMEOUT
+    # werkzeug writes each chunk of a stream in four parts and then flushes. Without a
+    # buffer every part would be a system call and a packet of its own.
+    wbufsize = 64 * 1024
 
     def log(self, type: str, message: str, *args: Any) -> None:  # noqa: A002
         """Drops werkzeug's own log lines; the application logs its events."""
