--- /dev/null
+++ b/fighitch/cli/apply.py
@@ -0,0 +1,124 @@
+"""``fighitch apply``."""
+
+from cleo.helpers import option
+
+from fighitch.cli.base import ClientCommand
+from fighitch.cli.exit_codes import CommandError, ExitCode, code_of, worst
+from fighitch.cli.handover import check_can_hand_over, hand_over
+from fighitch.cli.manifests import read_documents
+from fighitch.core.apply import ApplyConflict, Unchanged, plan_apply
+from fighitch.core.errors import ErrorKind
+from fighitch.core.object_api import Document, Write, WriteOutcome, WriteStatus
+
+FILE_OPTION = option(
+    "file",
+    "f",
+    "File with one object, a List or an array, in JSON with comments; - reads standard "
+    "input. May be repeated.",
+    flag=False,
+    multiple=True,
+)
+
+
+class ApplyCommand(ClientCommand):
+    """Creates or replaces objects."""
+
+    name = "apply"
+    description = "Create or replace the objects of files."
+    options = [
+        FILE_OPTION,
+        option("force", None, "Overwrite changes of others."),
+    ]
+    help = """\
+Creates the objects of the files, or replaces them if they differ. Every object is
+checked before the first one is written. If somebody else has changed an object since it
+was last applied, or if metadata.resourceVersion in the file is not the current one, the
+object is left alone and reported as a conflict.
+
+The command then hands the objects to the entries and prints 'accepted' when at least
+one confirms that it holds them.
+
+Examples:
+  fighitch apply -f adapters.json
+  fighitch apply -f policies.json -f placements.json
+  cat adapters.json | fighitch apply -f -
+  fighitch apply -f adapters.json --force
+"""
+
+    def handle(self) -> int:
+        """Runs the command."""
+        if not self.option("file"):
+            raise CommandError(ExitCode.INVALID, "give at least one file with -f")
+        is_json = self.is_json
+        documents = read_documents(self.option("file"))
+        check_can_hand_over(self)
+        outcomes = [(document, self._apply(document)) for document in documents]
+        for document, outcome in outcomes:
+            self._report(document, outcome, quiet=is_json)
+        if is_json:
+            self.print_json([_summary(*pair) for pair in outcomes])
+        committed = [
+            outcome.document
+            for _, outcome in outcomes
+            if outcome.is_committed and outcome.document
+        ]
+        codes = [code_of(outcome) for _, outcome in outcomes]
+        return worst([*codes, hand_over(self, committed)])
+
+    def _apply(self, document: Document) -> WriteOutcome:
+        found = self.api.get(document["kind"], document["metadata"]["name"])
+        if found.is_error() and found.error.kind is not ErrorKind.UNKNOWN_ROUTE:
+            return WriteOutcome(WriteStatus.UNAVAILABLE, detail=found.error.detail)
+        plan = plan_apply(
+            document,
+            found.ok if found.is_ok() else None,
+            manager=self.manager,
+            force=self.option("force"),
+        )
+        match plan:
+            case Unchanged(current):
+                return WriteOutcome(WriteStatus.UNCHANGED, current)
+            case ApplyConflict(detail):
+                detail = f"{detail}; --force overwrites"
+                return WriteOutcome(WriteStatus.CONFLICT, detail=detail)
+            case Write(status=WriteStatus.CREATED, document=wanted) if wanted:
+                return self.api.create(wanted)
+            case Write(document=wanted) if wanted:
+                return self.api.replace(wanted)
+        raise TypeError(f"unknown plan {plan!r}")
+
+    def _report(
+        self, document: Document, outcome: WriteOutcome, *, quiet: bool
+    ) -> None:
+        report_outcome(
+            self, document["kind"], document["metadata"]["name"], outcome, quiet=quiet
+        )
+
+
+def report_outcome(
+    command: ClientCommand, kind: str, name: str, outcome: WriteOutcome, *, quiet: bool
+) -> None:
+    """Prints what became of a write; problems go to standard error.
+
+    Args:
+        command: Command whose output is used.
+        kind: Kind of the object.
+        name: Name of the object.
+        outcome: Outcome of the write.
+        quiet: Whether to leave out what went well.
+    """
+    text = f"{kind} {name!r}: {outcome.status.value}"
+    if not outcome.is_committed:
+        command.print_error(f"{text}: {outcome.detail}")
+    elif not quiet:
+        command.print(text)
+
+
+def _summary(document: Document, outcome: WriteOutcome) -> Document:
+    return {
+        "kind": document["kind"],
+        "name": document["metadata"]["name"],
+        "outcome": outcome.status.value,
+        "detail": outcome.detail,
+        "document": outcome.document,
+    }
--- /dev/null
+++ b/fighitch/cli/delete.py
@@ -0,0 +1,68 @@
+"""``fighitch delete``."""
+
+from cleo.helpers import argument
+
+from fighitch.cli.apply import FILE_OPTION, report_outcome
+from fighitch.cli.base import SELECTOR_OPTION, ClientCommand
+from fighitch.cli.exit_codes import CommandError, ExitCode, code_of, worst
+from fighitch.cli.manifests import read_documents
+from fighitch.core.object_api import revision_of
+
+
+class DeleteCommand(ClientCommand):
+    """Deletes objects."""
+
+    name = "delete"
+    description = "Delete objects."
+    arguments = [
+        argument("kind", "Kind of the objects, unless -f is given.", optional=True),
+        argument("name", "Name of one object.", optional=True),
+    ]
+    options = [SELECTOR_OPTION, FILE_OPTION]
+    help = """\
+Deletes one object, those that a selector chooses, or those that files name. With a
+selector, an object that has changed since it was chosen is left alone and reported as a
+conflict. Entries learn of deletions from the object API.
+
+Examples:
+  fighitch delete adapter summaries
+  fighitch delete adapters -l retired
+  fighitch delete -f adapters.json
+"""
+
+    def handle(self) -> int:
+        """Runs the command."""
+        is_json = self.is_json
+        targets = self._from_files() if self.option("file") else self._chosen()
+        outcomes = []
+        for kind, name, revision in targets:
+            outcome = self.api.delete(kind, name, revision=revision)
+            report_outcome(self, kind, name, outcome, quiet=is_json)
+            outcomes.append((kind, name, outcome))
+        if is_json:
+            self.print_json(
+                [
+                    {"kind": kind, "name": name, "outcome": outcome.status.value}
+                    for kind, name, outcome in outcomes
+                ]
+            )
+        return worst(code_of(outcome) for _, _, outcome in outcomes)
+
+    def _from_files(self) -> list[tuple[str, str, int]]:
+        if self.argument("kind") or self.option("selector"):
+            raise CommandError(
+                ExitCode.INVALID, "give either files with -f, or a kind, not both"
+            )
+        return [
+            (document["kind"], document["metadata"]["name"], revision_of(document))
+            for document in read_documents(self.option("file"))
+        ]
+
+    def _chosen(self) -> list[tuple[str, str, int]]:
+        if not self.argument("kind"):
+            raise CommandError(ExitCode.INVALID, "give a kind, or files with -f")
+        kind, name = self.kind, self.argument("name")
+        return [
+            (kind, document["metadata"]["name"], 0 if name else revision_of(document))
+            for document in self.chosen(kind, name)
+        ]
--- /dev/null
+++ b/fighitch/cli/label.py
@@ -0,0 +1,138 @@
+"""``fighitch label`` and ``fighitch drain``."""
+
+from collections.abc import Iterable, Mapping, Sequence
+
+from cleo.helpers import argument, option
+
+from fighitch.cli.apply import report_outcome
+from fighitch.cli.base import KIND_ARGUMENT, SELECTOR_OPTION, ClientCommand
+from fighitch.cli.exit_codes import CommandError, ExitCode, code_of, worst
+from fighitch.cli.handover import check_can_hand_over, hand_over
+from fighitch.core.object_api import Document, WriteOutcome
+from fighitch.core.operators import DRAIN_LABEL
+from fighitch.core.resources import Kind
+
+
+class LabelCommand(ClientCommand):
+    """Sets and removes labels."""
+
+    name = "label"
+    description = "Set and remove labels of objects."
+    arguments = [
+        KIND_ARGUMENT,
+        argument(
+            "arguments", "Name unless -l is given; key=value; key-.", multiple=True
+        ),
+    ]
+    options = [SELECTOR_OPTION]
+    help = """\
+Sets labels with key=value and removes them with key-. If somebody else changes the same
+label at the same time, that is a conflict; other changes are kept.
+
+Examples:
+  fighitch label adapter summaries tier=gold
+  fighitch label backendservers -l zone=a spot- tier=silver
+"""
+
+    def handle(self) -> int:
+        """Runs the command."""
+        arguments = list(self.argument("arguments"))
+        name = None if self.selector is not None else arguments.pop(0)
+        return change_labels(self, self.kind, name, parse_changes(arguments))
+
+
+class DrainCommand(ClientCommand):
+    """Drains backend servers."""
+
+    name = "drain"
+    description = "Let backend servers finish their work and take no new work."
+    arguments = [
+        argument("kind", "Must be backendserver."),
+        argument("name", "Name of one backend server.", optional=True),
+    ]
+    options = [
+        SELECTOR_OPTION,
+        option("undo", None, "End the drain."),
+    ]
+    help = f"""\
+Sets the label {DRAIN_LABEL}=true, or removes it with --undo. Entries send no new work
+to a backend server with this label; work in flight is finished.
+
+Examples:
+  fighitch drain backendserver engine-7
+  fighitch drain backendservers -l zone=a
+  fighitch drain backendserver engine-7 --undo
+"""
+
+    def handle(self) -> int:
+        """Runs the command."""
+        if self.kind != Kind.BACKEND_SERVER.value:
+            raise CommandError(
+                ExitCode.INVALID,
+                f"kind {self.argument('kind')!r} cannot be drained; allowed: "
+                "backendserver",
+            )
+        value = None if self.option("undo") else "true"
+        return change_labels(
+            self, self.kind, self.argument("name"), {DRAIN_LABEL: value}
+        )
+
+
+def parse_changes(arguments: Sequence[str]) -> dict[str, str | None]:
+    """Reads ``key=value`` and ``key-``.
+
+    Raises:
+        CommandError: If an argument has another form, or there is none.
+    """
+    if not arguments:
+        raise CommandError(ExitCode.INVALID, "give at least one key=value or key-")
+    changes: dict[str, str | None] = {}
+    for text in arguments:
+        key, equals, value = text.partition("=")
+        if not equals and key.endswith("-"):
+            key = key[:-1]
+        elif not equals:
+            key = ""
+        if not key or key in changes:
+            raise CommandError(
+                ExitCode.INVALID,
+                f"label change {text!r} is not key=value or key-, or repeats a key",
+            )
+        changes[key] = value if equals else None
+    return changes
+
+
+def change_labels(
+    command: ClientCommand,
+    kind: str,
+    name: str | None,
+    changes: Mapping[str, str | None],
+) -> ExitCode:
+    """Changes labels of the chosen objects and hands the objects to the entries."""
+    is_json = command.is_json
+    check_can_hand_over(command)
+    documents = command.chosen(kind, name)
+    outcomes = [_change(command, kind, document, changes) for document in documents]
+    for document, outcome in zip(documents, outcomes, strict=True):
+        report_outcome(
+            command, kind, document["metadata"]["name"], outcome, quiet=is_json
+        )
+    committed = list(_committed(outcomes))
+    if is_json:
+        command.print_json({"items": committed})
+    return worst([*map(code_of, outcomes), hand_over(command, committed)])
+
+
+def _change(
+    command: ClientCommand,
+    kind: str,
+    document: Document,
+    changes: Mapping[str, str | None],
+) -> WriteOutcome:
+    return command.api.change_labels(kind, document["metadata"]["name"], changes)
+
+
+def _committed(outcomes: Iterable[WriteOutcome]) -> Iterable[Document]:
+    for outcome in outcomes:
+        if outcome.is_committed and outcome.document is not None:
+            yield outcome.document
--- /dev/null
+++ b/fighitch/cli/status.py
@@ -0,0 +1,107 @@
+"""``fighitch status``."""
+
+from typing import Any
+
+from expression import Result
+
+from fighitch.cli.base import ClientCommand, at_once, table
+from fighitch.cli.exit_codes import CommandError, ExitCode
+from fighitch.core.errors import Failure
+from fighitch.core.object_api import Document, HttpCall, read_document
+from fighitch.core.operators import STATUS_PATH
+
+
+class StatusCommand(ClientCommand):
+    """Shows entries and backend servers."""
+
+    name = "status"
+    description = "Show entries and backend servers with state and load."
+    help = """\
+Asks every entry for its view: the revision and age of its configuration, and the state
+and load of each backend server. Entries that do not answer are named on standard error.
+
+Examples:
+  fighitch status
+  fighitch status -o json
+"""
+
+    def handle(self) -> int:
+        """Runs the command."""
+        is_json = self.is_json
+        answers = at_once(self._ask, self.settings.entries)
+        reached = {address: item.ok for address, item in answers if item.is_ok()}
+        for _, answer in answers:
+            if answer.is_error():
+                self.print_error(answer.error.detail)
+        if not reached:
+            raise CommandError(
+                ExitCode.UNAVAILABLE,
+                f"none of {len(answers)} entries answers; check 'entries' in the "
+                "settings",
+            )
+        if is_json:
+            self.print_json(reached)
+            return ExitCode.OK
+        self.print(
+            table(
+                ["ENTRY", "INSTANCE", "STATE", "REVISION", "AGE"],
+                (_entry_row(address, item) for address, item in reached.items()),
+            )
+        )
+        self.print("")
+        self.print(
+            table(
+                [
+                    "BACKEND SERVER",
+                    "STATE",
+                    "RUNNING",
+                    "QUEUED",
+                    "BATCH",
+                    "REVISION",
+                    "AGE",
+                    "SEEN BY",
+                ],
+                (
+                    _server_row(server, entry)
+                    for entry in reached.values()
+                    for server in entry.get("backend_servers") or ()
+                ),
+            )
+        )
+        return ExitCode.OK
+
+    def _ask(self, address: str) -> Result[Document, Failure]:
+        client = self.admin(address)
+        try:
+            result = client.call(HttpCall("GET", STATUS_PATH))
+            return read_document(result, server=f"entry {address}")
+        finally:
+            client.close()
+
+
+def _entry_row(address: str, entry: Document) -> list[Any]:
+    return [
+        address,
+        entry.get("instance"),
+        entry.get("state"),
+        entry.get("revision"),
+        _age(entry.get("age_seconds")),
+    ]
+
+
+def _server_row(server: Document, entry: Document) -> list[Any]:
+    queued = server.get("queued")
+    return [
+        server.get("name"),
+        server.get("state"),
+        server.get("running"),
+        sum(queued.values()) if isinstance(queued, dict) else queued,
+        server.get("batch_size"),
+        server.get("revision"),
+        _age(server.get("age_seconds")),
+        entry.get("instance"),
+    ]
+
+
+def _age(seconds: Any) -> str | None:
+    return f"{seconds:.1f} s" if isinstance(seconds, int | float) else None
--- a/fighitch/core/object_api.py
+++ b/fighitch/core/object_api.py
@@ -184,25 +184,28 @@
         return 0
 
 
-def read_document(result: CallResult) -> Result[Document, Failure]:
+def read_document(
+    result: CallResult, *, server: str = "the object API"
+) -> Result[Document, Failure]:
     """Interprets the answer to a call that reads.
 
     Args:
         result: Result of a list or get call.
+        server: Who was called, for error messages.
 
     Returns:
         The object or list, or a failure: ``UNKNOWN_ROUTE`` if there is no such object,
         ``PLATFORM_UNAVAILABLE`` if a repeat may succeed.
     """
     if isinstance(result, NoAnswer):
-        return _unavailable(f"no answer from the object API: {result.detail}")
+        return _unavailable(f"{server} does not answer: {result.detail}")
     if result.status == 404:
-        return Error(Failure(ErrorKind.UNKNOWN_ROUTE, _message(result)))
+        return Error(Failure(ErrorKind.UNKNOWN_ROUTE, _message(result, server)))
     if result.status != 200:
-        return _unavailable(_message(result), retry_after=result.retry_after)
+        return _unavailable(_message(result, server), retry_after=result.retry_after)
     document = _decoded(result.body)
     if document is None:
-        return _unavailable("the object API's answer is not a JSON object")
+        return _unavailable(f"{server} answered 200 without a JSON object")
     return Ok(document)
 
 
@@ -593,10 +596,10 @@
         return None
 
 
-def _message(answer: HttpAnswer) -> str:
+def _message(answer: HttpAnswer, server: str = "the object API") -> str:
     status = _decoded(answer.body) or {}
     detail = status.get("message") or status.get("reason") or "no explanation"
-    return f"the object API answered {answer.status}: {detail}"
+    return f"{server} answered {answer.status}: {detail}"
 
 
 def _unavailable(
--- /dev/null
+++ b/fighitch/core/operators.py
@@ -0,0 +1,169 @@
+"""What the operators' client exchanges with the admin addresses."""
+
+import hashlib
+import hmac
+from collections.abc import Iterable, Iterator, Mapping, Sequence
+from dataclasses import dataclass
+from typing import Any
+from urllib.parse import quote
+
+import msgspec
+
+from fighitch.core.object_api import Document, HttpCall, revision_of
+from fighitch.core.resources import Kind
+from fighitch.core.tickets import SharedKey
+
+SIGNATURE_HEADER = "X-Fighitch-Signature"
+CONFIGURATION_PATH = "/configuration"
+STATUS_PATH = "/status"
+DRAIN_LABEL = "fighitch.dev/drain"
+
+
+# --- Handing over configuration ---
+
+
+def sign_body(body: bytes, key: SharedKey) -> str:
+    """Returns the value of the signature header: ``<key id>:<hex HMAC-SHA256>``."""
+    return f"{key.key_id}:{_mac(body, key)}"
+
+
+def is_signed(body: bytes, signature: str, keys: Iterable[SharedKey]) -> bool:
+    """Returns whether one of the keys has signed a body."""
+    key_id, _, mac = signature.partition(":")
+    return any(
+        key.key_id == key_id
+        and hmac.compare_digest(_mac(body, key).encode(), mac.encode())
+        for key in keys
+    )
+
+
+def handover_call(documents: Sequence[Document], key: SharedKey) -> HttpCall:
+    """Returns the call that hands committed objects to an entry."""
+    body = msgspec.json.encode({"resources": documents})
+    headers = ((SIGNATURE_HEADER, sign_body(body, key)),)
+    return HttpCall("POST", CONFIGURATION_PATH, body, headers)
+
+
+def is_configuration(document: Document) -> bool:
+    """Returns whether an object is of a configuration kind."""
+    return any(document.get("kind") == kind.value for kind in Kind)
+
+
+def missing_from(held: Document, documents: Iterable[Document]) -> tuple[str, ...]:
+    """Returns the objects that an entry does not hold in their committed version.
+
+    Args:
+        held: Answer of an entry to ``GET /configuration``.
+        documents: Committed objects.
+    """
+    revisions = held.get("resources")
+    if not isinstance(revisions, Mapping):
+        revisions = {}
+    missing = []
+    for document in documents:
+        key = f"{document['kind']}/{document['metadata']['name']}"
+        revision = revisions.get(key)
+        if not isinstance(revision, int) or revision < revision_of(document):
+            missing.append(key)
+    return tuple(missing)
+
+
+def _mac(body: bytes, key: SharedKey) -> str:
+    return hmac.new(key.secret, body, hashlib.sha256).hexdigest()
+
+
+# --- Explaining a request ---
+
+
+@dataclass(frozen=True, slots=True)
+class AuditRecord:
+    """One record of what happened to a request.
+
+    Attributes:
+        id: Unique identifier.
+        predecessors: Records that led to this one immediately.
+        event: Name of the event.
+        at: Time on the clock of the recording process, in seconds; times of different
+            processes cannot be compared.
+        fields: Details.
+    """
+
+    id: str
+    predecessors: tuple[str, ...]
+    event: str
+    at: float = 0.0
+    fields: tuple[tuple[str, str], ...] = ()
+
+
+def explain_call(request_id: str) -> HttpCall:
+    """Returns the call that asks a process for its records of a request."""
+    return HttpCall("GET", f"/explain/{quote(request_id, safe='')}")
+
+
+def read_records(answer: Document) -> tuple[AuditRecord, ...]:
+    """Reads the answer to ``explain_call``; what is not a record is left out."""
+    records = answer.get("records")
+    if not isinstance(records, list):
+        return ()
+    return tuple(
+        AuditRecord(
+            id=_identifier(item["id"]),
+            predecessors=tuple(map(_identifier, item.get("predecessors") or ())),
+            event=str(item.get("event", "")),
+            at=_seconds(item.get("at")),
+            fields=tuple(_fields(item.get("fields"))),
+        )
+        for item in records
+        if isinstance(item, dict) and "id" in item
+    )
+
+
+def ordered_by_links(records: Iterable[AuditRecord]) -> tuple[AuditRecord, ...]:
+    """Returns records so that each one follows its predecessors.
+
+    Records that are not linked keep their given order. Duplicates are dropped. Links
+    to records that are not given are ignored, and a cycle, which only a faulty process
+    makes, does not lose records.
+    """
+    waiting = {record.id: record for record in records}
+    ordered: dict[str, AuditRecord] = {}
+    for first in tuple(waiting):
+        stack = [first]
+        while stack:
+            record = waiting.get(stack[-1])
+            if record is None:
+                stack.pop()
+                continue
+            before = [
+                item
+                for item in record.predecessors
+                if item in waiting and item not in stack
+            ]
+            if before:
+                stack.append(before[0])
+                continue
+            ordered[record.id] = waiting.pop(stack.pop())
+    return tuple(ordered.values())
+
+
+def missing_predecessors(records: Sequence[AuditRecord]) -> tuple[str, ...]:
+    """Returns the linked records that are not given, in order of their first link."""
+    known = {record.id for record in records}
+    linked = (item for record in records for item in record.predecessors)
+    return tuple(dict.fromkeys(item for item in linked if item not in known))
+
+
+def _identifier(value: Any) -> str:
+    if isinstance(value, list):
+        return "/".join(map(str, value))
+    return str(value)
+
+
+def _seconds(value: Any) -> float:
+    return float(value) if isinstance(value, int | float) else 0.0
+
+
+def _fields(value: Any) -> Iterator[tuple[str, str]]:
+    pairs = value.items() if isinstance(value, dict) else value or ()
+    for key, item in pairs:
+        yield str(key), str(item)
