--- /dev/null
+++ b/fighitch/tests/test_apply.py
@@ -0,0 +1,83 @@
+"""Tests of ``fighitch.core.apply``."""
+
+import unittest
+
+from fighitch.core.apply import (
+    LAST_APPLIED,
+    ApplyConflict,
+    Unchanged,
+    last_applied,
+    plan_apply,
+)
+from fighitch.core.object_api import Write, WriteStatus, labels_of, with_labels
+from fighitch.tests.fake_http import placement
+
+
+def stored(document, revision=5):
+    """Returns a planned document as the object API holds it afterwards."""
+    metadata = {**document["metadata"], "resourceVersion": str(revision)}
+    return {**document, "metadata": metadata}
+
+
+def applied(revision=5, *, manager="ann", **content):
+    plan = plan_apply(placement("a", **content), None, manager=manager)
+    return stored(plan.document, revision)
+
+
+class PlanTests(unittest.TestCase):
+    def plan(self, wanted, found, *, force=False):
+        return plan_apply(wanted, found, manager="ann", force=force)
+
+    def test_new_object_is_created_with_the_annotation(self):
+        plan = self.plan(placement("a"), None)
+        self.assertIs(plan.status, WriteStatus.CREATED)
+        self.assertEqual(last_applied(plan.document).manager, "ann")
+
+    def test_same_file_again_changes_nothing(self):
+        """Guards against a new revision for each run of a pipeline."""
+        self.assertIsInstance(self.plan(placement("a"), applied()), Unchanged)
+
+    def test_own_change_replaces_the_version_that_was_read(self):
+        plan = self.plan(placement("a", replicas=3), applied(7))
+        self.assertIsInstance(plan, Write)
+        self.assertEqual((plan.status, plan.base), (WriteStatus.REPLACED, 7))
+        self.assertEqual(plan.document["spec"]["maxReplicas"], 3)
+
+    def test_changes_of_others_are_conflicts_unless_forced(self):
+        """Guards against overwriting another operator's change silently."""
+        edited = {**applied(), "spec": {"maxReplicas": 9}}
+        unmanaged = applied()
+        del unmanaged["metadata"]["annotations"][LAST_APPLIED]
+        relabelled = with_labels(applied(labels={"tier": "gold"}), {"tier": "iron"})
+        wanted = placement("a", replicas=3, labels={"tier": "tin"})
+        for found, word in (
+            (edited, "spec.maxReplicas"),
+            (unmanaged, "not created by apply"),
+            (relabelled, "label tier"),
+            (applied(manager="bob", replicas=4), "'bob'"),
+        ):
+            with self.subTest(word):
+                plan = self.plan(wanted, found)
+                self.assertIsInstance(plan, ApplyConflict)
+                self.assertIn(word, plan.detail)
+                forced = self.plan(wanted, found, force=True)
+                self.assertIs(forced.status, WriteStatus.REPLACED)
+
+    def test_same_content_from_somebody_else_is_no_conflict(self):
+        plan = self.plan(placement("a"), applied(manager="bob"))
+        self.assertEqual(last_applied(plan.document).manager, "ann")
+
+    def test_stated_version_must_match(self):
+        wanted = placement("a", replicas=3, resourceVersion="4")
+        self.assertIsInstance(self.plan(wanted, applied(5)), ApplyConflict)
+        self.assertIsInstance(self.plan(wanted, None), ApplyConflict)
+        edited = {**applied(4), "spec": {"maxReplicas": 9}}
+        self.assertIsInstance(self.plan(wanted, edited), Write)
+
+    def test_labels_that_others_added_are_kept_and_dropped_ones_removed(self):
+        """Guards against an apply that ends a drain."""
+        found = applied(labels={"tier": "gold", "old": "1"})
+        found = with_labels(found, {"fighitch.dev/drain": "true"})
+        plan = self.plan(placement("a", labels={"tier": "gold"}), found)
+        expected = {"tier": "gold", "fighitch.dev/drain": "true"}
+        self.assertEqual(labels_of(plan.document), expected)
--- /dev/null
+++ b/fighitch/tests/test_operators.py
@@ -0,0 +1,67 @@
+"""Tests of ``fighitch.core.operators``."""
+
+import unittest
+
+from fighitch.core.operators import (
+    is_signed,
+    missing_from,
+    missing_predecessors,
+    ordered_by_links,
+    read_records,
+    sign_body,
+)
+from fighitch.core.tickets import SharedKey
+from fighitch.tests.fake_http import placement
+
+OLD, NEW = SharedKey("old", b"o" * 16), SharedKey("new", b"n" * 16)
+
+
+class SignatureTests(unittest.TestCase):
+    def test_only_valid_keys_and_unchanged_bodies(self):
+        """Guards against configuration from somebody without a shared key."""
+        signature = sign_body(b"body", OLD)
+        self.assertTrue(is_signed(b"body", signature, [NEW, OLD]))
+        self.assertFalse(is_signed(b"Body", signature, [NEW, OLD]))
+        self.assertFalse(is_signed(b"body", signature, [NEW]))
+        self.assertFalse(is_signed(b"body", signature.replace("old", "new"), [NEW]))
+        self.assertFalse(is_signed(b"body", "\u00e9:\u00e9", [NEW, OLD]))
+
+
+class ConfirmationTests(unittest.TestCase):
+    def test_older_version_does_not_confirm(self):
+        """Guards against 'accepted' for a change that no entry has."""
+        document = placement("a", resourceVersion="5")
+        for held, missing in (
+            ({"resources": {"Placement/a": 5}}, ()),
+            ({"resources": {"Placement/a": 6}}, ()),
+            ({"resources": {"Placement/a": 4}}, ("Placement/a",)),
+            ({}, ("Placement/a",)),
+        ):
+            with self.subTest(held):
+                self.assertEqual(missing_from(held, [document]), missing)
+
+
+class ExplainTests(unittest.TestCase):
+    def records(self, **links):
+        items = [
+            {"id": name, "predecessors": list(before), "event": name}
+            for name, before in links.items()
+        ]
+        return read_records({"records": [*items, "not a record"]})
+
+    def order(self, **links):
+        return "".join(item.id for item in ordered_by_links(self.records(**links)))
+
+    def test_each_record_follows_its_predecessors(self):
+        self.assertEqual(self.order(d="bc", c="a", b="a", a=""), "abcd")
+        self.assertEqual(self.order(b="", a=""), "ba")
+
+    def test_cycle_and_missing_link_lose_no_record(self):
+        """Guards against an explanation that hangs or hides records."""
+        self.assertEqual(sorted(self.order(a="b", b="a", c="x")), ["a", "b", "c"])
+        records = self.records(a="xy", b="x")
+        self.assertEqual(missing_predecessors(records), ("x", "y"))
+
+    def test_identifier_in_parts(self):
+        (record,) = read_records({"records": [{"id": ["e1", 7, 3]}]})
+        self.assertEqual(record.id, "e1/7/3")
