--- a/fighitch/cli/apply.py
+++ b/fighitch/cli/apply.py
@@ -1,15 +1,26 @@
 """``fighitch apply``."""
 
+from collections import Counter
+from functools import partial
+from typing import TypeAlias
+
 from cleo.helpers import option
+from expression import Error, Ok, Result
 
-from fighitch.cli.base import ClientCommand
+from fighitch.cli.base import ClientCommand, patiently
 from fighitch.cli.exit_codes import CommandError, ExitCode, code_of, worst
 from fighitch.cli.handover import check_can_hand_over, hand_over
 from fighitch.cli.manifests import read_documents
 from fighitch.core.apply import ApplyConflict, Unchanged, plan_apply
-from fighitch.core.errors import ErrorKind
+from fighitch.core.errors import ErrorKind, Failure
 from fighitch.core.object_api import Document, Write, WriteOutcome, WriteStatus
 
+# Objects of one kind that are read one by one; for more, one list takes fewer calls.
+MAX_SINGLE_READS = 10
+
+# Objects by kind and name.
+_Listed: TypeAlias = dict[str, dict[str, Document]]
+
 FILE_OPTION = option(
     "file",
     "f",
@@ -52,7 +63,11 @@
         is_json = self.is_json
         documents = read_documents(self.option("file"))
         check_can_hand_over(self)
-        outcomes = [(document, self._apply(document)) for document in documents]
+        listed = self._listed(documents)
+        outcomes = [
+            (document, patiently(partial(self._apply, document, listed)))
+            for document in documents
+        ]
         for document, outcome in outcomes:
             self._report(document, outcome, quiet=is_json)
         if is_json:
@@ -65,10 +80,33 @@
         codes = [code_of(outcome) for _, outcome in outcomes]
         return worst([*codes, hand_over(self, committed)])
 
-    def _apply(self, document: Document) -> WriteOutcome:
-        found = self.api.get(document["kind"], document["metadata"]["name"])
+    def _listed(self, documents: list[Document]) -> _Listed:
+        """Lists the kinds of which the files have many objects."""
+        counts = Counter(document["kind"] for document in documents)
+        return {
+            kind: {item["metadata"]["name"]: item for item in self.listed(kind)}
+            for kind, count in counts.items()
+            if count > MAX_SINGLE_READS
+        }
+
+    def _found(
+        self, kind: str, name: str, listed: _Listed
+    ) -> Result[Document, Failure]:
+        if kind not in listed:
+            return self.api.get(kind, name)
+        found = listed[kind].get(name)
+        if found is None:
+            return Error(Failure(ErrorKind.UNKNOWN_ROUTE, f"{name!r} is not listed"))
+        return Ok(found)
+
+    def _apply(self, document: Document, listed: _Listed) -> WriteOutcome:
+        found = self._found(document["kind"], document["metadata"]["name"], listed)
         if found.is_error() and found.error.kind is not ErrorKind.UNKNOWN_ROUTE:
-            return WriteOutcome(WriteStatus.UNAVAILABLE, detail=found.error.detail)
+            return WriteOutcome(
+                WriteStatus.UNAVAILABLE,
+                detail=found.error.detail,
+                retry_after=found.error.retry_after,
+            )
         plan = plan_apply(
             document,
             found.ok if found.is_ok() else None,
--- a/fighitch/cli/base.py
+++ b/fighitch/cli/base.py
@@ -2,6 +2,7 @@
 
 import getpass
 import os
+import time
 from collections.abc import Callable, Iterable, Sequence
 from concurrent.futures import ThreadPoolExecutor
 from functools import cached_property
@@ -16,8 +17,14 @@
 
 from fighitch.cli.exit_codes import CommandError, ExitCode
 from fighitch.core.errors import ErrorKind, Failure
-from fighitch.core.labels import Selector, parse_selector
-from fighitch.core.object_api import PLURALS, Document, labels_of
+from fighitch.core.labels import EVERYTHING, Selector, parse_selector
+from fighitch.core.object_api import (
+    PLURALS,
+    Document,
+    WriteOutcome,
+    WriteStatus,
+    labels_of,
+)
 from fighitch.platforms.http_client import HttpClient
 from fighitch.platforms.object_api import ObjectApiClient
 from fighitch.settings import ClientSettings, load_settings
@@ -27,6 +34,9 @@
 DEFAULT_SETTINGS = "fighitch.json"
 # Threads that ask entries and sidecars at the same time.
 MAX_WORKERS = 32
+# Bounds the wait for an object API that is over its call rate.
+MAX_WAITS = 5
+MAX_WAIT_SECONDS = 10.0
 
 _T = TypeVar("_T")
 
@@ -171,7 +181,7 @@
             )
         if name is not None:
             return [checked(self.api.get(kind, name), f"{kind} {name!r}")]
-        documents = self.listed(kind)
+        documents = self.listed(kind, selector or EVERYTHING)
         if not documents:
             raise CommandError(
                 ExitCode.NOT_FOUND,
@@ -179,9 +189,8 @@
             )
         return documents
 
-    def listed(self, kind: str) -> list[Document]:
+    def listed(self, kind: str, selector: Selector = EVERYTHING) -> list[Document]:
         """Returns the objects of a kind that the selector chooses, by name."""
-        selector = self.selector
         answer = checked(self.api.list(kind), PLURALS[kind])
         documents = [
             # Items of a list may lack the kind, which the list states once.
@@ -192,7 +201,7 @@
             (
                 document
                 for document in documents
-                if selector is None or selector.matches(labels_of(document))
+                if selector.matches(labels_of(document))
             ),
             key=lambda document: str(document["metadata"]["name"]),
         )
@@ -224,6 +233,16 @@
     raise CommandError(code, f"{subject}: {failure.detail}")
 
 
+def patiently(write: Callable[[], WriteOutcome]) -> WriteOutcome:
+    """Makes a write, and waits and repeats it while the object API asks for that."""
+    for _ in range(MAX_WAITS):
+        outcome = write()
+        if outcome.status is not WriteStatus.UNAVAILABLE or outcome.retry_after is None:
+            return outcome
+        time.sleep(min(outcome.retry_after, MAX_WAIT_SECONDS))
+    return write()
+
+
 def at_once(
     function: Callable[[str], _T], addresses: Sequence[str]
 ) -> list[tuple[str, _T]]:
--- a/fighitch/cli/delete.py
+++ b/fighitch/cli/delete.py
@@ -1,9 +1,11 @@
 """``fighitch delete``."""
 
+from functools import partial
+
 from cleo.helpers import argument
 
 from fighitch.cli.apply import FILE_OPTION, report_outcome
-from fighitch.cli.base import SELECTOR_OPTION, ClientCommand
+from fighitch.cli.base import SELECTOR_OPTION, ClientCommand, patiently
 from fighitch.cli.exit_codes import CommandError, ExitCode, code_of, worst
 from fighitch.cli.manifests import read_documents
 from fighitch.core.object_api import revision_of
@@ -36,7 +38,7 @@
         targets = self._from_files() if self.option("file") else self._chosen()
         outcomes = []
         for kind, name, revision in targets:
-            outcome = self.api.delete(kind, name, revision=revision)
+            outcome = patiently(partial(self.api.delete, kind, name, revision=revision))
             report_outcome(self, kind, name, outcome, quiet=is_json)
             outcomes.append((kind, name, outcome))
         if is_json:
--- a/fighitch/cli/get.py
+++ b/fighitch/cli/get.py
@@ -16,7 +16,7 @@
 )
 from fighitch.cli.exit_codes import ExitCode
 from fighitch.core.apply import LAST_APPLIED, last_applied
-from fighitch.core.labels import Selector
+from fighitch.core.labels import EVERYTHING, Selector
 from fighitch.core.object_api import Document, labels_of, revision_of
 from fighitch.core.resources import Kind, PlacementSpec, Resource, selector_of
 
@@ -58,7 +58,7 @@
         if name:
             documents = self.chosen(kind, name)
         else:
-            documents = self.listed(kind)
+            documents = self.listed(kind, self.selector or EVERYTHING)
         if is_json:
             self.print_json(documents[0] if name else {"items": documents})
             return ExitCode.OK
--- a/fighitch/cli/label.py
+++ b/fighitch/cli/label.py
@@ -5,7 +5,7 @@
 from cleo.helpers import argument, option
 
 from fighitch.cli.apply import report_outcome
-from fighitch.cli.base import KIND_ARGUMENT, SELECTOR_OPTION, ClientCommand
+from fighitch.cli.base import KIND_ARGUMENT, SELECTOR_OPTION, ClientCommand, patiently
 from fighitch.cli.exit_codes import CommandError, ExitCode, code_of, worst
 from fighitch.cli.handover import check_can_hand_over, hand_over
 from fighitch.core.object_api import Document, WriteOutcome
@@ -129,7 +129,8 @@
     document: Document,
     changes: Mapping[str, str | None],
 ) -> WriteOutcome:
-    return command.api.change_labels(kind, document["metadata"]["name"], changes)
+    name = document["metadata"]["name"]
+    return patiently(lambda: command.api.change_labels(kind, name, changes))
 
 
 def _committed(outcomes: Iterable[WriteOutcome]) -> Iterable[Document]:
--- a/fighitch/tests/fake_http.py
+++ b/fighitch/tests/fake_http.py
@@ -95,7 +95,10 @@
     def answer(self, request):
         fault = self.faults.popleft() if self.faults else None
         if isinstance(fault, int):
-            return refusal(fault, "TooManyRequests" if fault == 429 else "Internal")
+            answer = refusal(fault, "Refused")
+            if fault == 429:
+                answer.headers["Retry-After"] = "0"
+            return answer
         if fault == LOSE_BEFORE:
             break_connection(request)
         is_write = request.method != "GET"
--- a/fighitch/tests/test_cli.py
+++ b/fighitch/tests/test_cli.py
@@ -140,6 +140,18 @@
         self.api.faults.append(503)
         self.apply(ExitCode.UNAVAILABLE, placement("a"), err="unavailable")
 
+    def test_object_api_over_its_call_rate(self):
+        """Guards against a bulk change that stops at the first 429."""
+        self.api.faults.extend([429, None, 429])
+        self.apply(ExitCode.OK, placement("a"), out="created")
+
+    def test_many_objects_are_read_with_one_list(self):
+        """Guards against spending two calls of the object API on each object."""
+        documents = [placement(f"p{number}") for number in range(20)]
+        self.apply(ExitCode.OK, *documents)
+        self.apply(ExitCode.OK, *documents, out="'p19': unchanged")
+        self.assertEqual(len(self.api.requests), 1 + 20 + 1)
+
     def test_one_confirmation_is_enough_and_none_has_its_own_code(self):
         """Guards against 'accepted' for a change that no entry holds."""
         deaf = self.server(FakeEntry(confirms=False))
