--- a/fighitch/cli/apply.py
+++ b/fighitch/cli/apply.py
@@ -13,7 +13,8 @@
 from fighitch.cli.manifests import read_documents
 from fighitch.core.apply import ApplyConflict, Unchanged, plan_apply
 from fighitch.core.errors import ErrorKind, Failure
-from fighitch.core.object_api import Document, Write, WriteOutcome, WriteStatus
+from fighitch.core.object_api import Document
+from fighitch.core.object_writes import Write, WriteOutcome, WriteStatus
 
 # Objects of one kind that are read one by one; for more, one list takes fewer calls.
 MAX_SINGLE_READS = 10
--- a/fighitch/cli/base.py
+++ b/fighitch/cli/base.py
@@ -18,13 +18,8 @@
 from fighitch.cli.exit_codes import CommandError, ExitCode
 from fighitch.core.errors import ErrorKind, Failure
 from fighitch.core.labels import EVERYTHING, Selector, parse_selector
-from fighitch.core.object_api import (
-    PLURALS,
-    Document,
-    WriteOutcome,
-    WriteStatus,
-    labels_of,
-)
+from fighitch.core.object_api import PLURALS, Document, labels_of
+from fighitch.core.object_writes import WriteOutcome, WriteStatus
 from fighitch.platforms.http_client import HttpClient
 from fighitch.platforms.object_api import ObjectApiClient
 from fighitch.settings import ClientSettings, load_settings
--- a/fighitch/cli/exit_codes.py
+++ b/fighitch/cli/exit_codes.py
@@ -3,7 +3,7 @@
 from collections.abc import Iterable, Mapping
 from enum import IntEnum
 
-from fighitch.core.object_api import WriteOutcome, WriteStatus
+from fighitch.core.object_writes import WriteOutcome, WriteStatus
 
 
 class ExitCode(IntEnum):
--- a/fighitch/cli/handover.py
+++ b/fighitch/cli/handover.py
@@ -6,7 +6,8 @@
 
 from fighitch.cli.base import ClientCommand, at_once
 from fighitch.cli.exit_codes import CommandError, ExitCode
-from fighitch.core.object_api import Document, HttpCall, NoAnswer, read_document
+from fighitch.core.http_calls import HttpCall, NoAnswer
+from fighitch.core.object_api import Document, read_document
 from fighitch.core.operators import (
     CONFIGURATION_PATH,
     handover_call,
--- a/fighitch/cli/label.py
+++ b/fighitch/cli/label.py
@@ -8,7 +8,8 @@
 from fighitch.cli.base import KIND_ARGUMENT, SELECTOR_OPTION, ClientCommand, patiently
 from fighitch.cli.exit_codes import CommandError, ExitCode, code_of, worst
 from fighitch.cli.handover import check_can_hand_over, hand_over
-from fighitch.core.object_api import Document, WriteOutcome
+from fighitch.core.object_api import Document
+from fighitch.core.object_writes import WriteOutcome
 from fighitch.core.operators import DRAIN_LABEL
 from fighitch.core.resources import Kind
 
--- a/fighitch/cli/status.py
+++ b/fighitch/cli/status.py
@@ -7,7 +7,8 @@
 from fighitch.cli.base import ClientCommand, at_once, table
 from fighitch.cli.exit_codes import CommandError, ExitCode
 from fighitch.core.errors import Failure
-from fighitch.core.object_api import Document, HttpCall, read_document
+from fighitch.core.http_calls import HttpCall
+from fighitch.core.object_api import Document, read_document
 from fighitch.core.operators import STATUS_PATH
 
 
--- a/fighitch/cli/watch.py
+++ b/fighitch/cli/watch.py
@@ -16,8 +16,8 @@
 )
 from fighitch.cli.exit_codes import CommandError, ExitCode
 from fighitch.core.labels import EVERYTHING, Selector
-from fighitch.core.object_api import Advanced, Changed, Expired, WatchEnded
 from fighitch.core.resources import Kind, Resource, resource_document
+from fighitch.core.watch_events import Advanced, Changed, Expired, WatchEnded
 
 RECONNECT_SECONDS = 1.0
 # Longer than for daemons, because a late line does no harm here.
--- a/fighitch/core/apply.py
+++ b/fighitch/core/apply.py
@@ -11,15 +11,8 @@
 
 import msgspec
 
-from fighitch.core.object_api import (
-    Document,
-    Write,
-    create,
-    labels_of,
-    replace,
-    revision_of,
-    same_content,
-)
+from fighitch.core.object_api import Document, labels_of, revision_of
+from fighitch.core.object_writes import Write, create, replace, same_content
 
 LAST_APPLIED = "fighitch.dev/last-applied"
 
--- /dev/null
+++ b/fighitch/core/object_writes.py
@@ -0,0 +1,224 @@
+"""Conditional writes to the object API and what became of them."""
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+from enum import Enum
+
+from fighitch.core.http_calls import CallResult, HttpCall, NoAnswer
+from fighitch.core.object_api import (
+    Document,
+    answer_message,
+    create_call,
+    decoded_object,
+    delete_call,
+    labels_of,
+    replace_call,
+    revision_of,
+)
+from fighitch.types import Revision, Seconds
+
+
+class WriteStatus(Enum):
+    """What became of a write.
+
+    ``UNAVAILABLE`` and ``REJECTED`` say that it did not take effect; ``UNKNOWN`` that
+    it may have taken effect or may still do so.
+    """
+
+    CREATED = "created"
+    REPLACED = "replaced"
+    DELETED = "deleted"
+    UNCHANGED = "unchanged"
+    CONFLICT = "conflict"
+    NOT_FOUND = "not found"
+    REJECTED = "rejected"
+    UNAVAILABLE = "unavailable"
+    UNKNOWN = "unknown"
+
+
+@dataclass(frozen=True, slots=True)
+class WriteOutcome:
+    """What became of a write.
+
+    Attributes:
+        status: Outcome.
+        document: Object as the object API holds it, if the write took effect.
+        detail: Explanation if it did not.
+        retry_after: Seconds after which a repeat can succeed, if they were stated.
+    """
+
+    status: WriteStatus
+    document: Document | None = None
+    detail: str = ""
+    retry_after: Seconds | None = None
+
+    @property
+    def is_committed(self) -> bool:
+        """Whether the object API holds what was wanted."""
+        return self.status in _COMMITTED
+
+
+_COMMITTED = frozenset(
+    {
+        WriteStatus.CREATED,
+        WriteStatus.REPLACED,
+        WriteStatus.DELETED,
+        WriteStatus.UNCHANGED,
+    }
+)
+
+
+@dataclass(frozen=True, slots=True)
+class Write:
+    """A conditional write.
+
+    Attributes:
+        status: Outcome if it takes effect: created, replaced or deleted.
+        call: The call that makes it.
+        kind: Kind of the object.
+        name: Name of the object.
+        document: Wanted content; None for a deletion.
+        base: Resource version that it is based on; 0 for none.
+    """
+
+    status: WriteStatus
+    call: HttpCall
+    kind: str
+    name: str
+    document: Document | None = None
+    base: Revision = 0
+
+
+def create(document: Document) -> Write:
+    """Returns the creation of an object."""
+    kind, name = document["kind"], document["metadata"]["name"]
+    return Write(WriteStatus.CREATED, create_call(document), kind, name, document)
+
+
+def replace(document: Document) -> Write:
+    """Returns the replacement of the version that the document names."""
+    kind, name = document["kind"], document["metadata"]["name"]
+    call, base = replace_call(document), revision_of(document)
+    return Write(WriteStatus.REPLACED, call, kind, name, document, base)
+
+
+def delete(kind: str, name: str, *, revision: Revision = 0) -> Write:
+    """Returns the deletion of an object, or of one version of it."""
+    call = delete_call(kind, name, revision=revision)
+    return Write(WriteStatus.DELETED, call, kind, name, base=revision)
+
+
+def read_write(write: Write, result: CallResult) -> WriteOutcome | None:
+    """Interprets the answer to a write.
+
+    Args:
+        write: The write.
+        result: Result of its call.
+
+    Returns:
+        The outcome, or None if only reading back can tell: no answer came after the
+        call was sent, or a server error that may have come after the write.
+    """
+    if isinstance(result, NoAnswer):
+        if result.sent:
+            return None
+        return WriteOutcome(WriteStatus.UNAVAILABLE, detail=result.detail)
+    status = result.status
+    if 200 <= status < 300:
+        return _committed(write, decoded_object(result.body))
+    if status >= 500:
+        return None
+    if status == 404:
+        return WriteOutcome(WriteStatus.NOT_FOUND, detail=answer_message(result))
+    if status == 409:
+        return WriteOutcome(WriteStatus.CONFLICT, detail=answer_message(result))
+    if status == 429:
+        return WriteOutcome(
+            WriteStatus.UNAVAILABLE,
+            detail=answer_message(result),
+            retry_after=result.retry_after,
+        )
+    return WriteOutcome(WriteStatus.REJECTED, detail=answer_message(result))
+
+
+def read_back(write: Write, found: Document | None) -> WriteOutcome | None:
+    """Decides what became of a write whose answer was lost.
+
+    Args:
+        write: The write.
+        found: Object that the object API holds now; None if there is none.
+
+    Returns:
+        The outcome, or None if the write has not taken effect. It may still arrive
+        late, so the caller repeats it (it is conditional, so both cannot apply) or
+        reports it as unknown.
+    """
+    if write.document is None:
+        return _read_back_deletion(write, found)
+    if found is None:
+        if write.status is WriteStatus.CREATED:
+            return None
+        return WriteOutcome(WriteStatus.CONFLICT, detail="the object was deleted")
+    if same_content(write.document, found):
+        return WriteOutcome(write.status, found)
+    if write.base and revision_of(found) == write.base:
+        return None
+    detail = (
+        f"the answer was lost, and the object API holds other content at resource "
+        f"version {revision_of(found)}"
+    )
+    return WriteOutcome(WriteStatus.CONFLICT, detail=detail)
+
+
+def same_content(one: Document, other: Document) -> bool:
+    """Returns whether two documents have the same specification and labels."""
+    return one.get("spec") == other.get("spec") and labels_of(one) == labels_of(other)
+
+
+def _read_back_deletion(write: Write, found: Document | None) -> WriteOutcome | None:
+    if found is None:
+        return WriteOutcome(WriteStatus.DELETED)
+    if not write.base or revision_of(found) == write.base:
+        return None
+    detail = f"the object has changed to resource version {revision_of(found)}"
+    return WriteOutcome(WriteStatus.CONFLICT, detail=detail)
+
+
+def _committed(write: Write, answer: Document | None) -> WriteOutcome | None:
+    if write.document is None:
+        return WriteOutcome(WriteStatus.DELETED)
+    if answer is None or not revision_of(answer):
+        return None
+    return WriteOutcome(write.status, answer)
+
+
+# --- Labels ---
+
+
+def with_labels(document: Document, changes: Mapping[str, str | None]) -> Document:
+    """Returns a document with changed labels.
+
+    Args:
+        document: Object as it was read.
+        changes: Labels to set; None removes one.
+    """
+    labels = {**labels_of(document), **changes}
+    kept = {key: value for key, value in labels.items() if value is not None}
+    return {**document, "metadata": {**document["metadata"], "labels": kept}}
+
+
+def has_label_conflict(
+    before: Document, after: Document, changes: Mapping[str, str | None]
+) -> bool:
+    """Returns whether somebody else changed a label that we want to change too.
+
+    Args:
+        before: Object that our change was based on.
+        after: Object that the object API holds now.
+        changes: Our change.
+    """
+    one, other = labels_of(before), labels_of(after)
+    return any(
+        one.get(key) != other.get(key) and other.get(key) != value
+        for key, value in changes.items()
+    )
--- a/fighitch/core/operators.py
+++ b/fighitch/core/operators.py
@@ -9,7 +9,8 @@
 
 import msgspec
 
-from fighitch.core.object_api import Document, HttpCall, revision_of
+from fighitch.core.http_calls import HttpCall
+from fighitch.core.object_api import Document, revision_of
 from fighitch.core.resources import Kind
 from fighitch.core.tickets import SharedKey
 
--- /dev/null
+++ b/fighitch/core/watch_events.py
@@ -0,0 +1,91 @@
+"""The events of a watch stream of the object API."""
+
+from dataclasses import dataclass
+from typing import TypeAlias
+
+from fighitch.core.http_calls import HttpAnswer
+from fighitch.core.object_api import (
+    CONFIGURATION_KINDS,
+    Document,
+    answer_message,
+    decoded_object,
+    revision_of,
+)
+from fighitch.core.resources import Kind, Resource, parse_resource
+from fighitch.types import Revision, Seconds
+
+
+@dataclass(frozen=True, slots=True)
+class Changed:
+    """A resource was created, replaced or, without a specification, deleted."""
+
+    resource: Resource
+    revision: Revision
+
+
+@dataclass(frozen=True, slots=True)
+class Advanced:
+    """No change for us up to this revision.
+
+    Attributes:
+        revision: Revision that was reached.
+        rejected: Why an object was left out; empty for a bookmark.
+    """
+
+    revision: Revision
+    rejected: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class Expired:
+    """The wanted revision is too old; list again."""
+
+
+@dataclass(frozen=True, slots=True)
+class WatchEnded:
+    """The stream ended; watch again from the last revision.
+
+    Attributes:
+        detail: What happened; empty if the server ended it in time.
+        retry_after: Seconds to wait first, if the server stated them.
+    """
+
+    detail: str = ""
+    retry_after: Seconds | None = None
+
+
+WatchEvent: TypeAlias = Changed | Advanced | Expired | WatchEnded
+
+
+def read_watch_line(line: bytes) -> WatchEvent:
+    """Reads one line of a watch stream."""
+    event = decoded_object(line)
+    if event is None or not isinstance(event.get("object"), dict):
+        return WatchEnded(f"watch line is not an event: {line[:80]!r}")
+    document, revision = event["object"], revision_of(event["object"])
+    match event.get("type"):
+        case "ERROR":
+            return _watch_error(document)
+        case "DELETED" if document.get("kind") in CONFIGURATION_KINDS:
+            name = document["metadata"]["name"]
+            kind = Kind(document["kind"])
+            return Changed(Resource(kind=kind, name=name, revision=revision), revision)
+        case "ADDED" | "MODIFIED" if document.get("kind") in CONFIGURATION_KINDS:
+            parsed = parse_resource(document)
+            if parsed.is_error():
+                return Advanced(revision, rejected=parsed.error.detail)
+            return Changed(parsed.ok, revision)
+    return Advanced(revision)
+
+
+def read_watch_refusal(answer: HttpAnswer) -> WatchEvent:
+    """Interprets an answer to a watch call that is not a stream."""
+    if answer.status == 410:
+        return Expired()
+    return WatchEnded(answer_message(answer), answer.retry_after)
+
+
+def _watch_error(status: Document) -> WatchEvent:
+    if status.get("code") == 410 or status.get("reason") in ("Expired", "Gone"):
+        return Expired()
+    return WatchEnded(str(status.get("message") or status))
--- a/fighitch/platforms/http_client.py
+++ b/fighitch/platforms/http_client.py
@@ -7,7 +7,7 @@
 
 import pycurl
 
-from fighitch.core.object_api import CallResult, HttpAnswer, HttpCall, NoAnswer
+from fighitch.core.http_calls import CallResult, HttpAnswer, HttpCall, NoAnswer
 from fighitch.types import Seconds
 
 # Waiting in short steps lets a stream notice that its reader wants to stop.
--- a/fighitch/platforms/object_api.py
+++ b/fighitch/platforms/object_api.py
@@ -5,19 +5,18 @@
 
 from expression import Error, Ok, Result
 
-from fighitch.core import object_api as core
-from fighitch.core.errors import ErrorKind, Failure
-from fighitch.core.object_api import (
-    ClaimAnswer,
-    Document,
-    HttpAnswer,
-    NoAnswer,
-    ResourceList,
-    WatchEvent,
-    Write,
-    WriteOutcome,
-    WriteStatus,
+from fighitch.core import (
+    claims,
+    object_api as calls,
+    object_writes as writes,
+    watch_events,
 )
+from fighitch.core.claims import ClaimAnswer
+from fighitch.core.errors import ErrorKind, Failure
+from fighitch.core.http_calls import HttpAnswer, NoAnswer
+from fighitch.core.object_api import Document, ResourceList
+from fighitch.core.object_writes import Write, WriteOutcome, WriteStatus
+from fighitch.core.watch_events import WatchEvent
 from fighitch.platforms.http_client import HttpClient
 from fighitch.types import Revision, Seconds
 
@@ -56,16 +55,16 @@
 
     def list(self, kind: str) -> Result[Document, Failure]:
         """Returns the list of all objects of a kind."""
-        return core.read_document(self._http.call(core.list_call(kind)))
+        return calls.read_document(self._http.call(calls.list_call(kind)))
 
     def get(self, kind: str, name: str) -> Result[Document, Failure]:
         """Returns an object; kind ``UNKNOWN_ROUTE`` says that there is none."""
-        return core.read_document(self._http.call(core.get_call(kind, name)))
+        return calls.read_document(self._http.call(calls.get_call(kind, name)))
 
     def resources(self) -> Result[ResourceList, Failure]:
         """Returns the configuration of all kinds at one revision."""
-        answer = self._http.call(core.resources_call())
-        return core.read_document(answer).map(core.read_resources)
+        answer = self._http.call(calls.resources_call())
+        return calls.read_document(answer).map(calls.read_resources)
 
     def watch(
         self,
@@ -89,20 +88,20 @@
             Events; the last is ``Expired`` (list again) or ``WatchEnded`` (watch again
             from the last revision).
         """
-        call = core.watch_call(since, timeout=timeout)
+        call = calls.watch_call(since, timeout=timeout)
         lines = self._http.stream_lines(call, silence=silence, should_stop=should_stop)
         with closing(lines):
             for item in lines:
                 event = _watch_event(item)
                 yield event
-                if isinstance(event, core.Expired | core.WatchEnded):
+                if isinstance(event, watch_events.Expired | watch_events.WatchEnded):
                     return
 
     # --- Writing ---
 
     def create(self, document: Document) -> WriteOutcome:
         """Creates an object unless one of that name exists."""
-        return self._write(core.create(document))
+        return self._write(writes.create(document))
 
     def replace(self, document: Document) -> WriteOutcome:
         """Replaces the version that ``metadata.resourceVersion`` names.
@@ -110,11 +109,11 @@
         Raises:
             ValueError: If the document names no version.
         """
-        return self._write(core.replace(document))
+        return self._write(writes.replace(document))
 
     def delete(self, kind: str, name: str, *, revision: Revision = 0) -> WriteOutcome:
         """Deletes an object, or only the given version of it."""
-        return self._write(core.delete(kind, name, revision=revision))
+        return self._write(writes.delete(kind, name, revision=revision))
 
     def change_labels(
         self, kind: str, name: str, changes: Mapping[str, str | None]
@@ -137,10 +136,12 @@
             if found.is_error():
                 return _not_written(found.error)
             current = found.ok
-            if before is not None and core.has_label_conflict(before, current, changes):
+            if before is not None and writes.has_label_conflict(
+                before, current, changes
+            ):
                 return outcome
-            wanted = core.with_labels(current, changes)
-            if core.same_content(wanted, current):
+            wanted = writes.with_labels(current, changes)
+            if writes.same_content(wanted, current):
                 return WriteOutcome(WriteStatus.UNCHANGED, current)
             outcome = self.replace(wanted)
             if outcome.status is not WriteStatus.CONFLICT:
@@ -152,26 +153,26 @@
 
     def create_claim(self, name: str, ticket: str) -> ClaimAnswer:
         """Binds a caller-chosen key to a ticket, with one call."""
-        result = self._http.call(core.create_claim_call(name, ticket))
-        return core.read_created_claim(result, ticket)
+        result = self._http.call(claims.create_claim_call(name, ticket))
+        return claims.read_created_claim(result, ticket)
 
     def read_claim(self, name: str) -> ClaimAnswer:
         """Reads a claim, with one call."""
-        result = self._http.call(core.get_call(core.CLAIM_KIND, name))
-        return core.read_found_claim(result)
+        result = self._http.call(calls.get_call(calls.CLAIM_KIND, name))
+        return claims.read_found_claim(result)
 
     def _write(self, write: Write) -> WriteOutcome:
         detail = ""
         for attempt in range(MAX_ATTEMPTS):
             result = self._http.call(write.call)
-            outcome = core.read_write(write, result)
+            outcome = writes.read_write(write, result)
             if outcome is not None and (attempt == 0 or not _may_be_own(outcome)):
                 return outcome if attempt == 0 else _after_lost_answer(outcome)
             detail = result.detail if isinstance(result, NoAnswer) else "server error"
             found = self._read_back(write)
             if found.is_error():
                 break
-            outcome = core.read_back(write, found.ok)
+            outcome = writes.read_back(write, found.ok)
             if outcome is not None:
                 return outcome
         detail = f"the answer was lost: {detail}"
@@ -187,12 +188,12 @@
 
 def _watch_event(item: bytes | HttpAnswer | NoAnswer) -> WatchEvent:
     if isinstance(item, bytes):
-        return core.read_watch_line(item)
+        return watch_events.read_watch_line(item)
     if isinstance(item, NoAnswer):
-        return core.WatchEnded(item.detail)
+        return watch_events.WatchEnded(item.detail)
     if item.status == 200:
-        return core.WatchEnded()
-    return core.read_watch_refusal(item)
+        return watch_events.WatchEnded()
+    return watch_events.read_watch_refusal(item)
 
 
 def _may_be_own(outcome: WriteOutcome) -> bool:
--- a/fighitch/settings.py
+++ b/fighitch/settings.py
@@ -1,55 +1,36 @@
 """Typed settings of the daemons and the client, read from JSON with comments."""
 
-import ipaddress
-import re
-from collections.abc import Callable, Iterator, Mapping
+from collections.abc import Iterator, Mapping
 from dataclasses import dataclass
 from enum import Enum
 from pathlib import Path
-from typing import Annotated, Any, Literal, TypeAlias, TypeVar, get_type_hints
-from urllib.parse import urlsplit
+from typing import Annotated, Any, Literal, TypeVar
 
 import msgspec
 from expression import Error, Ok, Result
-from msgspec import inspect as types
 
 from fighitch.core.commented_json import KeyPath, line_of, parse_commented_json
 from fighitch.core.tickets import SharedKey
+from fighitch.settings_faults import (
+    REDACTED,
+    Problem,
+    conversion_problem,
+    dotted,
+    format_problems,
+)
+from fighitch.settings_formats import (
+    Address,
+    KeyId,
+    Name,
+    PositiveInt,
+    Secret,
+    Url,
+    split_address as split_address,
+)
 
-MIN_SECRET_BYTES = 16
 # A message between our own processes has at most 4 MiB; the rest is for its envelope.
 MAX_BODY_BYTES = 4 * 1024 * 1024 - 64 * 1024
 MAX_HTTP_WORKERS = 4_096
-MAX_PORT = 65_535
-REDACTED = "(not shown)"
-
-_ADDRESS = "ip:port, such as '10.0.0.7:8080' or '[fd00::7]:8080'"
-_URL = "an http or https URL, such as 'http://10.0.0.7:8080', or '' for none"
-_NAME = "letters, digits, '-', '_' and '.', starting with a letter or digit"
-_KEY_ID = "letters, digits, '-' and '_'"
-_SECRET = f"at least {MIN_SECRET_BYTES} bytes in hexadecimal digits"
-
-
-class _Format(Enum):
-    """Formats of strings that a type alone does not describe."""
-
-    ADDRESS = _ADDRESS
-    URL = _URL
-    NAME = _NAME
-    KEY_ID = _KEY_ID
-    SECRET = _SECRET
-
-
-def _format(kind: _Format) -> msgspec.Meta:
-    return msgspec.Meta(extra={"format": kind})
-
-
-Address: TypeAlias = Annotated[str, _format(_Format.ADDRESS)]
-Url: TypeAlias = Annotated[str, _format(_Format.URL)]
-Name: TypeAlias = Annotated[str, _format(_Format.NAME)]
-KeyId: TypeAlias = Annotated[str, _format(_Format.KEY_ID)]
-Secret: TypeAlias = Annotated[str, _format(_Format.SECRET)]
-PositiveInt: TypeAlias = Annotated[int, msgspec.Meta(ge=1)]
 
 
 class ReloadRule(Enum):
@@ -287,8 +268,6 @@
     "client": ClientSettings,
 }
 
-_SECRET_KEYS = frozenset({"shared_keys", "operator_key"})
-
 
 @dataclass(frozen=True, slots=True)
 class SettingsFailure:
@@ -314,13 +293,6 @@
         return f"{place}:{key} {self.problem}; allowed: {self.allowed}"
 
 
-@dataclass(frozen=True, slots=True)
-class _Problem:
-    path: KeyPath
-    problem: str
-    allowed: str
-
-
 _T = TypeVar("_T", bound=_Settings)
 
 
@@ -367,11 +339,11 @@
         settings = msgspec.convert(parsed.ok, type)
         problem = next(_problems(settings, ()), None)
     except msgspec.ValidationError as error:
-        problem = _conversion_problem(error, parsed.ok, type)
+        problem = conversion_problem(error, parsed.ok, type)
     if problem is None:
         return Ok(settings)
     line = line_of(text, problem.path)
-    key = _dotted(problem.path)
+    key = dotted(problem.path)
     return Error(SettingsFailure(file, line, key, problem.problem, problem.allowed))
 
 
@@ -390,212 +362,46 @@
     )
 
 
-def split_address(address: str) -> tuple[str, int]:
-    """Returns host and port of an ``ip:port`` address.
+# --- Keys that depend on each other ---
 
-    Raises:
-        ValueError: If the address has another form.
-    """
-    host, colon, port = address.rpartition(":")
-    ip = ipaddress.ip_address(host.removeprefix("[").removesuffix("]"))
-    is_bracketed = host.startswith("[") and host.endswith("]")
-    if not colon or is_bracketed != (ip.version == 6):
-        raise ValueError(f"address {address!r} is not {_ADDRESS}")
-    if not (port.isascii() and port.isdigit()) or int(port) > MAX_PORT:
-        raise ValueError(f"port {port!r} is not a number from 0 to {MAX_PORT}")
-    return str(ip), int(port)
-
-
-def allowed_values(type: type, key: str) -> str:
-    """Describes the values that a key of a settings class may have."""
-    return _describe(types.type_info(get_type_hints(type, include_extras=True)[key]))
-
-
-def _describe(info: types.Type) -> str:
-    match info:
-        case types.Metadata(extra={"format": kind}):
-            return str(kind.value)
-        case types.Metadata():
-            return _describe(info.type)
-        case types.BoolType():
-            return "true or false"
-        case types.LiteralType():
-            return ", ".join(f"'{value}'" for value in info.values)
-        case types.VarTupleType():
-            least = f" with at least {info.min_length} item" if info.min_length else ""
-            return f"a list{least}, each item: {_describe(info.item_type)}"
-        case types.StructType():
-            names = ", ".join(f"'{field.name}'" for field in info.fields)
-            return f"an object with the keys {names}"
-        case types.IntType() | types.FloatType():
-            return _describe_number(info)
-    return "a string"
-
-
-def _describe_number(info: types.IntType | types.FloatType) -> str:
-    noun = "an integer" if isinstance(info, types.IntType) else "a number"
-    bounds = (("above", info.gt), ("at least", info.ge), ("at most", info.le))
-    limits = [
-        f"{word} {value:g}" if value < 1_000 else f"{word} {value}"
-        for word, value in bounds
-        if value is not None
-    ]
-    return " ".join([noun, " and ".join(limits)]).strip()
-
-
-# --- Checks that go beyond types ---
-
-
-def _problems(settings: Any, path: KeyPath) -> Iterator[_Problem]:
+
+def _problems(settings: _Settings, path: KeyPath) -> Iterator[Problem]:
     """Yields every fault of a settings object whose types are right."""
-    hints = get_type_hints(settings.__class__, include_extras=True)
-    for name, hint in hints.items():
-        value = getattr(settings, name)
-        yield from _value_problems(value, types.type_info(hint), (*path, name))
+    yield from format_problems(settings, path)
     yield from _combination_problems(settings, path)
+    for field in msgspec.structs.fields(settings.__class__):
+        value = getattr(settings, field.name)
+        if isinstance(value, _Settings):
+            yield from _combination_problems(value, (*path, field.name))
 
 
-def _value_problems(value: Any, info: types.Type, path: KeyPath) -> Iterator[_Problem]:
-    if isinstance(value, _Settings):
-        yield from _problems(value, path)
-    elif isinstance(value, tuple):
-        tuple_info = info.type if isinstance(info, types.Metadata) else info
-        item_info = getattr(tuple_info, "item_type", types.AnyType())
-        for index, item in enumerate(value):
-            yield from _value_problems(item, item_info, (*path, index))
-    elif isinstance(info, types.Metadata) and info.extra:
-        kind = info.extra["format"]
-        if not _FORMAT_CHECKS[kind](value):
-            shown = _shown(path, value)
-            yield _Problem(path, f"{shown} has the wrong form", kind.value)
-
-
-def _combination_problems(settings: Any, path: KeyPath) -> Iterator[_Problem]:
+def _combination_problems(settings: Any, path: KeyPath) -> Iterator[Problem]:
     """Yields faults in keys that depend on each other."""
     match settings:
         case TraceSettings(exporter="file", path=""):
             problem = "'' with exporter 'file'"
-            yield _Problem((*path, "path"), problem, "path of a file")
+            yield Problem((*path, "path"), problem, "path of a file")
         case BackendSettings(url=""):
-            yield _Problem((*path, "url"), "''", "an http or https URL")
+            yield Problem((*path, "url"), "''", "an http or https URL")
         case BackendSettings(type="engine", model=""):
             problem = "'' with type 'engine'"
-            yield _Problem((*path, "model"), problem, "name of the base model")
+            yield Problem((*path, "model"), problem, "name of the base model")
         case BackendSettings(type="service", service=""):
             problem = "'' with type 'service'"
-            yield _Problem((*path, "service"), problem, "name of the plain service")
+            yield Problem((*path, "service"), problem, "name of the plain service")
         case EntrySettings(watch=True, object_api=""):
             problem = "true without object_api"
-            yield _Problem((*path, "watch"), problem, "false, or set object_api")
+            yield Problem((*path, "watch"), problem, "false, or set object_api")
     yield from _duplicate_key_ids(settings, path)
 
 
-def _duplicate_key_ids(settings: Any, path: KeyPath) -> Iterator[_Problem]:
+def _duplicate_key_ids(settings: Any, path: KeyPath) -> Iterator[Problem]:
     seen: set[str] = set()
     for index, key in enumerate(getattr(settings, "shared_keys", ())):
         if key.key_id in seen:
-            yield _Problem(
+            yield Problem(
                 (*path, "shared_keys", index, "key_id"),
                 f"{key.key_id!r} is used twice",
                 "a key_id of its own for each key",
             )
         seen.add(key.key_id)
-
-
-def _is_address(text: str) -> bool:
-    try:
-        split_address(text)
-    except ValueError:
-        return False
-    return True
-
-
-def _is_url(text: str) -> bool:
-    if not text:
-        return True
-    try:
-        parts = urlsplit(text)
-        return parts.scheme in ("http", "https") and bool(parts.hostname)
-    except ValueError:
-        return False
-
-
-def _is_secret(text: str) -> bool:
-    is_hex = re.fullmatch(r"(?:[0-9A-Fa-f]{2})+", text) is not None
-    return is_hex and len(text) >= 2 * MIN_SECRET_BYTES
-
-
-_FORMAT_CHECKS: Mapping[_Format, Callable[[str], object]] = {
-    _Format.ADDRESS: _is_address,
-    _Format.URL: _is_url,
-    _Format.NAME: re.compile(r"[A-Za-z0-9][-A-Za-z0-9_.]*").fullmatch,
-    # Signatures and issued keys separate the key id with ':' and '.'.
-    _Format.KEY_ID: re.compile(r"[-A-Za-z0-9_]+").fullmatch,
-    _Format.SECRET: _is_secret,
-}
-
-
-# --- Faults reported by msgspec ---
-
-_AT = re.compile(
-    r"^(?P<text>.*?)(?: - at `(?:key in )?\$(?P<path>[^`]*)`)?$", re.DOTALL
-)
-_STEP = re.compile(r"\.(\w+)|\[(\d+)\]")
-_FIELD_FAULT = re.compile(r"^Object (contains unknown|missing required) field `(.*)`$")
-
-
-def _conversion_problem(
-    error: msgspec.ValidationError, document: Any, type: type
-) -> _Problem:
-    found = _AT.match(str(error))
-    text = found["text"] if found else str(error)
-    path = _steps(found["path"] or "") if found else ()
-    info = _info_at(types.type_info(type), path)
-    fault = _FIELD_FAULT.match(text)
-    if fault is None:
-        shown = _shown(path, _value_at(document, path))
-        return _Problem(path, f"{shown} is not allowed", _describe(info))
-    name = fault.group(2)
-    if fault.group(1) == "contains unknown":
-        return _Problem((*path, name), "unknown key", _describe(info))
-    field = _info_at(info, (name,))
-    return _Problem((*path, name), "missing", _describe(field))
-
-
-def _steps(text: str) -> KeyPath:
-    return tuple(key or int(index) for key, index in _STEP.findall(text))
-
-
-def _info_at(info: types.Type, path: KeyPath) -> types.Type:
-    if isinstance(info, types.Metadata) and path:
-        return _info_at(info.type, path)
-    if isinstance(info, types.StructType) and path:
-        fields = {field.name: field.type for field in info.fields}
-        return _info_at(fields.get(str(path[0]), types.AnyType()), path[1:])
-    if isinstance(info, types.VarTupleType) and path:
-        return _info_at(info.item_type, path[1:])
-    return info
-
-
-def _value_at(document: Any, path: KeyPath) -> Any:
-    for step in path:
-        document = document[step]
-    return document
-
-
-def _shown(path: KeyPath, value: Any) -> str:
-    if not _SECRET_KEYS.isdisjoint(path) and path[-1] != "key_id":
-        return REDACTED
-    match value:
-        case dict():
-            return "an object"
-        case list():
-            return "a list"
-        case bool() | None:
-            return str(value).lower().replace("none", "null")
-    return repr(value)
-
-
-def _dotted(path: KeyPath) -> str:
-    parts = (f"[{step}]" if isinstance(step, int) else f".{step}" for step in path)
-    return "".join(parts).removeprefix(".")
--- a/fighitch/settings_reference.py
+++ b/fighitch/settings_reference.py
@@ -17,8 +17,8 @@
     SharedKeySettings,
     SidecarSettings,
     TraceSettings,
-    allowed_values,
 )
+from fighitch.settings_faults import allowed_values
 
 _ATTRIBUTE = re.compile(r"^    (\w+): (.*(?:\n {8}.*)*)", re.MULTILINE)
 _SECTIONS: tuple[tuple[type, str], ...] = (
--- a/fighitch/tests/fake_http.py
+++ b/fighitch/tests/fake_http.py
@@ -9,6 +9,7 @@
 from werkzeug.serving import make_server
 from werkzeug.wrappers import Request, Response
 
+from fighitch.core.http_calls import HttpAnswer, NoAnswer
 from fighitch.core.object_api import GROUP_PATH, PLURALS
 
 KINDS = {plural: kind for kind, plural in PLURALS.items()}
@@ -192,3 +193,16 @@
         "metadata": {"name": name, "labels": labels or {}, **metadata},
         "spec": {"targetSelector": "tier=gold", "maxReplicas": replicas},
     }
+
+
+def at(revision, **changed):
+    """Returns the same object as the object API holds it at a revision."""
+    return placement("a", resourceVersion=str(revision), **changed)
+
+
+def answer(status, value=None, **headers):
+    """Returns an HTTP answer as a value."""
+    return HttpAnswer(status, json.dumps(value or {}).encode(), headers)
+
+
+LOST, NOT_SENT = NoAnswer(sent=True), NoAnswer(sent=False, detail="refused")
--- a/fighitch/tests/test_apply.py
+++ b/fighitch/tests/test_apply.py
@@ -9,7 +9,8 @@
     last_applied,
     plan_apply,
 )
-from fighitch.core.object_api import Write, WriteStatus, labels_of, with_labels
+from fighitch.core.object_api import labels_of
+from fighitch.core.object_writes import Write, WriteStatus, with_labels
 from fighitch.tests.fake_http import placement
 
 
--- a/fighitch/tests/test_platforms_object_api.py
+++ b/fighitch/tests/test_platforms_object_api.py
@@ -7,13 +7,8 @@
 from werkzeug.wrappers import Response
 
 from fighitch.core.inputs import ClaimStatus
-from fighitch.core.object_api import (
-    Advanced,
-    Changed,
-    Expired,
-    WatchEnded,
-    WriteStatus,
-)
+from fighitch.core.object_writes import WriteStatus
+from fighitch.core.watch_events import Advanced, Changed, Expired, WatchEnded
 from fighitch.platforms.object_api import ObjectApiClient
 from fighitch.tests.fake_http import (
     LOSE_AFTER,
