--- a/fighitch/settings.py
+++ b/fighitch/settings.py
@@ -23,6 +23,7 @@
     KeyId,
     Name,
     PositiveInt,
+    RequiredUrl,
     Secret,
     Url,
     split_address as split_address,
@@ -102,7 +103,7 @@
     """
 
     type: Literal["engine", "service"]
-    url: Url
+    url: RequiredUrl
     service: str = ""
     model: str = ""
     adapter_slots: PositiveInt = 8
@@ -381,8 +382,6 @@
         case TraceSettings(exporter="file", path=""):
             problem = "'' with exporter 'file'"
             yield Problem((*path, "path"), problem, "path of a file")
-        case BackendSettings(url=""):
-            yield Problem((*path, "url"), "''", "an http or https URL")
         case BackendSettings(type="engine", model=""):
             problem = "'' with type 'engine'"
             yield Problem((*path, "model"), problem, "name of the base model")
--- a/fighitch/settings_formats.py
+++ b/fighitch/settings_formats.py
@@ -12,7 +12,8 @@
 MIN_SECRET_BYTES = 16
 MAX_PORT = 65_535
 _ADDRESS = "ip:port, such as '10.0.0.7:8080' or '[fd00::7]:8080'"
-_URL = "an http or https URL, such as 'http://10.0.0.7:8080', or '' for none"
+_URL = "an http or https URL, such as 'http://10.0.0.7:8080'"
+_OPTIONAL_URL = f"{_URL}, or '' for none"
 _NAME = "letters, digits, '-', '_' and '.', starting with a letter or digit"
 _KEY_ID = "letters, digits, '-' and '_'"
 _SECRET = f"at least {MIN_SECRET_BYTES} bytes in hexadecimal digits"
@@ -23,6 +24,7 @@
 
     ADDRESS = _ADDRESS
     URL = _URL
+    OPTIONAL_URL = _OPTIONAL_URL
     NAME = _NAME
     KEY_ID = _KEY_ID
     SECRET = _SECRET
@@ -33,7 +35,8 @@
 
 
 Address: TypeAlias = Annotated[str, _format(Format.ADDRESS)]
-Url: TypeAlias = Annotated[str, _format(Format.URL)]
+Url: TypeAlias = Annotated[str, _format(Format.OPTIONAL_URL)]
+RequiredUrl: TypeAlias = Annotated[str, _format(Format.URL)]
 Name: TypeAlias = Annotated[str, _format(Format.NAME)]
 KeyId: TypeAlias = Annotated[str, _format(Format.KEY_ID)]
 Secret: TypeAlias = Annotated[str, _format(Format.SECRET)]
@@ -70,8 +73,6 @@
 
 
 def _is_url(text: str) -> bool:
-    if not text:
-        return True
     try:
         parts = urlsplit(text)
         return parts.scheme in ("http", "https") and bool(parts.hostname)
@@ -87,6 +88,7 @@
 _CHECKS: Mapping[Format, Callable[[str], object]] = {
     Format.ADDRESS: _is_address,
     Format.URL: _is_url,
+    Format.OPTIONAL_URL: lambda text: not text or _is_url(text),
     Format.NAME: re.compile(r"[A-Za-z0-9][-A-Za-z0-9_.]*").fullmatch,
     # Signatures and issued keys separate the key id with ':' and '.'.
     Format.KEY_ID: re.compile(r"[-A-Za-z0-9_]+").fullmatch,
