--- a/fighitch/cli/apply.py
+++ b/fighitch/cli/apply.py
@@ -7,10 +7,11 @@
 from cleo.helpers import option
 from expression import Error, Ok, Result
 
-from fighitch.cli.base import ClientCommand, patiently
-from fighitch.cli.exit_codes import CommandError, ExitCode, code_of, worst
-from fighitch.cli.handover import check_can_hand_over, hand_over
+from fighitch.cli.base import ClientCommand
+from fighitch.cli.exit_codes import CommandError, ExitCode
+from fighitch.cli.handover import check_can_hand_over
 from fighitch.cli.manifests import read_documents
+from fighitch.cli.writing import Target, write_all
 from fighitch.core.apply import ApplyConflict, Unchanged, plan_apply
 from fighitch.core.errors import ErrorKind, Failure
 from fighitch.core.object_api import Document
@@ -61,25 +62,20 @@
         """Runs the command."""
         if not self.option("file"):
             raise CommandError(ExitCode.INVALID, "give at least one file with -f")
-        is_json = self.is_json
         documents = read_documents(self.option("file"))
         check_can_hand_over(self)
         listed = self._listed(documents)
-        outcomes = [
-            (document, patiently(partial(self._apply, document, listed)))
-            for document in documents
-        ]
-        for document, outcome in outcomes:
-            self._report(document, outcome, quiet=is_json)
-        if is_json:
-            self.print_json([_summary(*pair) for pair in outcomes])
-        committed = [
-            outcome.document
-            for _, outcome in outcomes
-            if outcome.is_committed and outcome.document
-        ]
-        codes = [code_of(outcome) for _, outcome in outcomes]
-        return worst([*codes, hand_over(self, committed)])
+        return write_all(
+            self,
+            (
+                Target(
+                    document["kind"],
+                    document["metadata"]["name"],
+                    partial(self._apply, document, listed),
+                )
+                for document in documents
+            ),
+        )
 
     def _listed(self, documents: list[Document]) -> _Listed:
         """Lists the kinds of which the files have many objects."""
@@ -125,39 +121,3 @@
             case Write(document=wanted) if wanted:
                 return self.api.replace(wanted)
         raise TypeError(f"unknown plan {plan!r}")
-
-    def _report(
-        self, document: Document, outcome: WriteOutcome, *, quiet: bool
-    ) -> None:
-        report_outcome(
-            self, document["kind"], document["metadata"]["name"], outcome, quiet=quiet
-        )
-
-
-def report_outcome(
-    command: ClientCommand, kind: str, name: str, outcome: WriteOutcome, *, quiet: bool
-) -> None:
-    """Prints what became of a write; problems go to standard error.
-
-    Args:
-        command: Command whose output is used.
-        kind: Kind of the object.
-        name: Name of the object.
-        outcome: Outcome of the write.
-        quiet: Whether to leave out what went well.
-    """
-    text = f"{kind} {name!r}: {outcome.status.value}"
-    if not outcome.is_committed:
-        command.print_error(f"{text}: {outcome.detail}")
-    elif not quiet:
-        command.print(text)
-
-
-def _summary(document: Document, outcome: WriteOutcome) -> Document:
-    return {
-        "kind": document["kind"],
-        "name": document["metadata"]["name"],
-        "outcome": outcome.status.value,
-        "detail": outcome.detail,
-        "document": outcome.document,
-    }
--- a/fighitch/cli/base.py
+++ b/fighitch/cli/base.py
@@ -2,7 +2,6 @@
 
 import getpass
 import os
-import time
 from collections.abc import Callable, Iterable, Sequence
 from concurrent.futures import ThreadPoolExecutor
 from functools import cached_property
@@ -19,7 +18,6 @@
 from fighitch.core.errors import ErrorKind, Failure
 from fighitch.core.labels import EVERYTHING, Selector, parse_selector
 from fighitch.core.object_api import PLURALS, Document, labels_of
-from fighitch.core.object_writes import WriteOutcome, WriteStatus
 from fighitch.platforms.http_client import HttpClient
 from fighitch.platforms.object_api import ObjectApiClient
 from fighitch.settings import ClientSettings, load_settings
@@ -29,9 +27,6 @@
 DEFAULT_SETTINGS = "fighitch.json"
 # Threads that ask entries and sidecars at the same time.
 MAX_WORKERS = 32
-# Bounds the wait for an object API that is over its call rate.
-MAX_WAITS = 5
-MAX_WAIT_SECONDS = 10.0
 
 _T = TypeVar("_T")
 
@@ -228,16 +223,6 @@
     raise CommandError(code, f"{subject}: {failure.detail}")
 
 
-def patiently(write: Callable[[], WriteOutcome]) -> WriteOutcome:
-    """Makes a write, and waits and repeats it while the object API asks for that."""
-    for _ in range(MAX_WAITS):
-        outcome = write()
-        if outcome.status is not WriteStatus.UNAVAILABLE or outcome.retry_after is None:
-            return outcome
-        time.sleep(min(outcome.retry_after, MAX_WAIT_SECONDS))
-    return write()
-
-
 def at_once(
     function: Callable[[str], _T], addresses: Sequence[str]
 ) -> list[tuple[str, _T]]:
--- a/fighitch/cli/delete.py
+++ b/fighitch/cli/delete.py
@@ -4,10 +4,11 @@
 
 from cleo.helpers import argument
 
-from fighitch.cli.apply import FILE_OPTION, report_outcome
-from fighitch.cli.base import SELECTOR_OPTION, ClientCommand, patiently
-from fighitch.cli.exit_codes import CommandError, ExitCode, code_of, worst
+from fighitch.cli.apply import FILE_OPTION
+from fighitch.cli.base import SELECTOR_OPTION, ClientCommand
+from fighitch.cli.exit_codes import CommandError, ExitCode
 from fighitch.cli.manifests import read_documents
+from fighitch.cli.writing import Target, write_all
 from fighitch.core.object_api import revision_of
 
 
@@ -34,21 +35,18 @@
 
     def handle(self) -> int:
         """Runs the command."""
-        is_json = self.is_json
         targets = self._from_files() if self.option("file") else self._chosen()
-        outcomes = []
-        for kind, name, revision in targets:
-            outcome = patiently(partial(self.api.delete, kind, name, revision=revision))
-            report_outcome(self, kind, name, outcome, quiet=is_json)
-            outcomes.append((kind, name, outcome))
-        if is_json:
-            self.print_json(
-                [
-                    {"kind": kind, "name": name, "outcome": outcome.status.value}
-                    for kind, name, outcome in outcomes
-                ]
-            )
-        return worst(code_of(outcome) for _, _, outcome in outcomes)
+        return write_all(
+            self,
+            (
+                Target(
+                    kind,
+                    name,
+                    partial(self.api.delete, kind, name, revision=revision),
+                )
+                for kind, name, revision in targets
+            ),
+        )
 
     def _from_files(self) -> list[tuple[str, str, int]]:
         if self.argument("kind") or self.option("selector"):
--- a/fighitch/cli/label.py
+++ b/fighitch/cli/label.py
@@ -1,15 +1,14 @@
 """``fighitch label`` and ``fighitch drain``."""
 
-from collections.abc import Iterable, Mapping, Sequence
+from collections.abc import Mapping, Sequence
+from functools import partial
 
 from cleo.helpers import argument, option
 
-from fighitch.cli.apply import report_outcome
-from fighitch.cli.base import KIND_ARGUMENT, SELECTOR_OPTION, ClientCommand, patiently
-from fighitch.cli.exit_codes import CommandError, ExitCode, code_of, worst
-from fighitch.cli.handover import check_can_hand_over, hand_over
-from fighitch.core.object_api import Document
-from fighitch.core.object_writes import WriteOutcome
+from fighitch.cli.base import KIND_ARGUMENT, SELECTOR_OPTION, ClientCommand
+from fighitch.cli.exit_codes import CommandError, ExitCode
+from fighitch.cli.handover import check_can_hand_over
+from fighitch.cli.writing import Target, write_all
 from fighitch.core.operators import DRAIN_LABEL
 from fighitch.core.resources import Kind
 
@@ -110,31 +109,12 @@
     changes: Mapping[str, str | None],
 ) -> ExitCode:
     """Changes labels of the chosen objects and hands the objects to the entries."""
-    is_json = command.is_json
     check_can_hand_over(command)
-    documents = command.chosen(kind, name)
-    outcomes = [_change(command, kind, document, changes) for document in documents]
-    for document, outcome in zip(documents, outcomes, strict=True):
-        report_outcome(
-            command, kind, document["metadata"]["name"], outcome, quiet=is_json
-        )
-    committed = list(_committed(outcomes))
-    if is_json:
-        command.print_json({"items": committed})
-    return worst([*map(code_of, outcomes), hand_over(command, committed)])
-
-
-def _change(
-    command: ClientCommand,
-    kind: str,
-    document: Document,
-    changes: Mapping[str, str | None],
-) -> WriteOutcome:
-    name = document["metadata"]["name"]
-    return patiently(lambda: command.api.change_labels(kind, name, changes))
-
-
-def _committed(outcomes: Iterable[WriteOutcome]) -> Iterable[Document]:
-    for outcome in outcomes:
-        if outcome.is_committed and outcome.document is not None:
-            yield outcome.document
+    names = [item["metadata"]["name"] for item in command.chosen(kind, name)]
+    return write_all(
+        command,
+        (
+            Target(kind, item, partial(command.api.change_labels, kind, item, changes))
+            for item in names
+        ),
+    )
--- a/fighitch/tests/test_cli.py
+++ b/fighitch/tests/test_cli.py
@@ -137,8 +137,11 @@
         self.apply(ExitCode.UNKNOWN_OUTCOME, placement("b"), err="unknown")
 
     def test_object_api_down(self):
+        """Guards against a timeout for each of many objects."""
         self.api.faults.append(503)
-        self.apply(ExitCode.UNAVAILABLE, placement("a"), err="unavailable")
+        documents = [placement("a"), placement("b")]
+        self.apply(ExitCode.UNAVAILABLE, *documents, err=["503", "'b': unavailable"])
+        self.assertEqual(len(self.api.requests), 1)
 
     def test_object_api_over_its_call_rate(self):
         """Guards against a bulk change that stops at the first 429."""
