--- a/standins/http_server.py
+++ b/standins/http_server.py
@@ -106,6 +106,7 @@
                     callback = self._callbacks.get(descriptor)
                 if callback is not None:
                     callback()
+        self._epoll.close()
 
 
 class HttpServer(BaseWSGIServer):
--- a/standins/object_api.py
+++ b/standins/object_api.py
@@ -270,7 +270,7 @@
 
 
 def _value(request: Request) -> Document:
-    size = request.content_length or 0
+    size = request.content_length or len(request.get_data())
     if size > MAX_VALUE_BYTES:
         raise StoreError(
             413,
--- /dev/null
+++ b/standins/tests/test_engine.py
@@ -0,0 +1,178 @@
+"""Tests of ``standins.engine``."""
+
+import http.client
+import json
+import unittest
+
+from standins.engine import Engine, EngineSettings
+from standins.engine_model import EngineParameters, generated_text
+from standins.faults import FaultError
+from standins.tests.helpers import call, opened, read_events, started, wait_until
+from standins.weight_store import WeightStore, WeightStoreSettings
+
+FAST = EngineParameters(
+    adapter_slots=2,
+    step_seconds=0.001,
+    sequence_seconds=0,
+    adapter_seconds=0,
+    prefill_seconds=0,
+    block_tokens=2,
+)
+
+
+class EngineTestCase(unittest.TestCase):
+    checks_fencing = True
+
+    def setUp(self):
+        self.engine = started(
+            self,
+            Engine(
+                EngineSettings(
+                    model=FAST, load_seconds=0, checks_fencing=self.checks_fencing
+                )
+            ),
+        )
+
+    def call(self, method, path, body=None, **headers):
+        named = {key.replace("_", "-"): value for key, value in headers.items()}
+        return call(self.engine.port, method, path, body, named)
+
+    def load(self, adapter="a@1", token="1"):
+        body = {"lora_name": adapter, "lora_path": "a/1"}
+        return self.call("POST", "/v1/load_lora_adapter", body, X_Fencing_Token=token)
+
+
+class CompletionTests(EngineTestCase):
+    def test_whole_and_streamed_answers_agree(self):
+        """Guards against a stand-in that two readers understand differently."""
+        self.load()
+        body = {"model": "a@1", "prompt": "one two", "max_tokens": 3}
+        _, whole = self.call("POST", "/v1/completions", body, X_Request_Id="r1")
+        expected = generated_text("a@1", "one two", 0, 3)
+        self.assertEqual(whole["choices"][0]["text"], expected)
+        self.assertEqual(
+            whole["usage"],
+            {"prompt_tokens": 2, "completion_tokens": 3, "total_tokens": 5},
+        )
+        path = "/v1/completions"
+        body["stream"] = True
+        with opened(self.engine.port, "POST", path, body) as response:
+            *events, done = read_events(response)
+        events = [json.loads(event) for event in events]
+        self.assertEqual(done, "[DONE]")
+        self.assertEqual({event["model"] for event in events}, {"a@1"})
+        text = "".join(event["choices"][0]["text"] for event in events)
+        self.assertEqual(text, expected)
+        self.assertEqual(events[-1]["usage"], whole["usage"])
+        runs = self.call("GET", "/runs")[1]["r1"]
+        self.assertEqual(runs, {"runs": 1, "continuations": 0, "models": ["a@1"]})
+
+    def test_continuation_completes_both_kinds_of_call(self):
+        self.load()
+        chat = {"messages": [{"role": "user", "content": "hi"}]}
+        for path, prompt, original in (
+            ("/v1/completions", {"prompt": "hi"}, "hi"),
+            ("/v1/chat/completions", chat, "user: hi"),
+        ):
+            text = generated_text("a@1", original, 0, 2)
+            if "prompt" in prompt:
+                prompt = {"prompt": prompt["prompt"] + text}
+            continued = {"continue_from": {"text": text, "tokens": 2}}
+            body = {"model": "a@1", "max_tokens": 5, **prompt, **continued}
+            choice = self.call("POST", path, body)[1]["choices"][0]
+            rest = choice.get("text") or choice["message"]["content"]
+            self.assertEqual(rest, generated_text("a@1", original, 2, 5))
+
+    def test_model_that_is_not_loaded_is_refused_without_a_run(self):
+        body = {"model": "b@1", "prompt": "x"}
+        status, _ = self.call("POST", "/v1/completions", body, X_Request_Id="r2")
+        self.assertEqual(status, 404)
+        self.assertEqual(self.call("GET", "/runs")[1], {})
+
+    def test_closed_connection_cancels(self):
+        """Guards against work that goes on for a caller who has left."""
+        self.load()
+        body = {"model": "a@1", "prompt": "x", "max_tokens": 10**9, "stream": True}
+        with opened(self.engine.port, "POST", "/v1/completions", body) as response:
+            next(read_events(response))
+        wait_until(lambda: self.call("GET", "/load")[1]["running"] == 0)
+        self.assertEqual(self.engine.counters()["cancelled"], 1)
+
+
+class FaultTests(EngineTestCase):
+    def test_cut_answer_is_not_a_complete_one(self):
+        """Guards against a fragment that looks like the whole answer."""
+        self.load()
+        self.engine.control({"cut_next_answers": 1, "cut_after_tokens": 2})
+        body = {"model": "a@1", "prompt": "x", "max_tokens": 5, "stream": True}
+        with (
+            self.assertRaises(http.client.IncompleteRead),
+            opened(self.engine.port, "POST", "/v1/completions", body) as response,
+        ):
+            response.read()
+
+    def test_cold_restart_forgets_adapters_and_keeps_counts_of_runs(self):
+        self.load()
+        body = {"model": "a@1", "prompt": "x", "max_tokens": 1}
+        self.call("POST", "/v1/completions", body, X_Request_Id="r3")
+        before = self.call("GET", "/load")[1]
+        call(self.engine.control_port, "POST", "/control", {"restart": True})
+        after = self.call("GET", "/load")[1]
+        self.assertNotEqual(before["boot_id"], after["boot_id"])
+        self.assertEqual((before["resident"], after["resident"]), (["a@1"], []))
+        self.assertEqual(self.call("GET", "/runs")[1]["r3"]["runs"], 1)
+
+    def test_failed_load_frees_its_slot(self):
+        self.engine.control({"fail_next_loads": 1})
+        self.assertEqual(self.load()[0], 500)
+        self.assertEqual([self.load("a@1")[0], self.load("b@1")[0]], [200, 200])
+        self.assertEqual(self.load("c@1")[0], 409)
+
+    def test_unknown_fault_is_refused_and_changes_nothing(self):
+        with self.assertRaisesRegex(FaultError, "slow_factor.*restart"):
+            self.engine.control({"slow_factor": 2, "slowfactor": 2})
+        self.assertEqual(self.engine.faults.current.slow_factor, 1.0)
+
+
+class FencingTests(EngineTestCase):
+    def test_old_token_is_refused(self):
+        self.assertEqual(self.load("a@1", token="5")[0], 200)
+        self.assertEqual(self.load("b@1", token="4")[0], 409)
+        self.assertEqual(self.call("GET", "/load")[1]["fencing_token"], 5)
+
+
+class NoFencingTests(EngineTestCase):
+    checks_fencing = False
+
+    def test_old_token_is_ignored(self):
+        self.load("a@1", token="5")
+        self.assertEqual(self.load("b@1", token="4")[0], 200)
+        self.assertEqual(self.call("GET", "/load")[1]["resident"], ["a@1", "b@1"])
+
+
+class CacheEventTests(EngineTestCase):
+    def test_dropped_events_leave_a_gap_in_the_sequence(self):
+        """Guards against gaps that a reader cannot notice."""
+        self.load()
+        with opened(self.engine.port, "GET", "/events") as response:
+            response.readline()
+            for prompt, share in (("a b", 0.0), ("c d", 1.0), ("e f", 0.0)):
+                self.engine.control({"cache_event_drop_share": share})
+                body = {"model": "a@1", "prompt": prompt, "max_tokens": 1}
+                self.call("POST", "/v1/completions", body)
+            events = read_events(response)
+            sequences = [json.loads(next(events))["sequence"] for _ in range(2)]
+        self.assertEqual(sequences, [0, 2])
+
+
+class WeightStoreFetchTests(unittest.TestCase):
+    def test_failed_fetch_fails_the_load(self):
+        store = started(self, WeightStore(WeightStoreSettings()))
+        url = f"http://127.0.0.1:{store.port}"
+        engine = started(self, Engine(EngineSettings(weight_store_url=url)))
+        store.control({"fail_next": 1})
+        body = {"lora_name": "a@1", "lora_path": "a/1"}
+        path = "/v1/load_lora_adapter"
+        statuses = [call(engine.port, "POST", path, body)[0] for _ in range(2)]
+        self.assertEqual(statuses, [500, 200])
+        self.assertEqual(store.counters()["by_source"], {"a/1": 1})
