--- a/standins/engine.py
+++ b/standins/engine.py
@@ -8,7 +8,7 @@
 from collections import Counter
 from collections.abc import Callable, Hashable, Iterable, Iterator, Mapping
 from contextlib import contextmanager
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from functools import partial, singledispatchmethod
 from typing import Any, TypeAlias, cast
 
@@ -20,14 +20,12 @@
 )
 from werkzeug.wrappers import Request, Response
 
-from fighitch.types import Seconds
 from standins.cache_events import CacheEvent, CacheEvents
 from standins.driver import Driver
 from standins.engine_model import (
     CacheChanged,
     EngineEvent,
     EngineModel,
-    EngineParameters,
     Generation,
     Started,
     Token,
@@ -39,7 +37,7 @@
     parse_completion,
     whole_answer,
 )
-from standins.faults import Faults
+from standins.engine_settings import EngineFaults, EngineSettings
 from standins.fetch import fetch
 from standins.http_server import (
     ConnectionCut,
@@ -50,7 +48,7 @@
 )
 from standins.process import StandIn, run
 from standins.rates import Lagging
-from standins.settings import StandInSettings
+from standins.run_records import CallKey, RunRecords
 
 FENCING_HEADER = "X-Fencing-Token"
 REQUEST_ID_HEADER = "X-Request-Id"
@@ -58,83 +56,28 @@
 
 # A comment line on an idle stream keeps readers from taking it for a dead one.
 _KEEP_ALIVE_SECONDS = 1.0
+_COUNTERS = (
+    "served",
+    "tokens",
+    "cancelled",
+    "loads",
+    "failed_loads",
+    "unloads",
+    "unloads_in_use",
+    "fenced_commands",
+    "unfenced_stale_commands",
+)
 _KEEP_ALIVE = b": keep-alive\n\n"
 
 
-class EngineSettings(
-    StandInSettings, frozen=True, kw_only=True, forbid_unknown_fields=True
-):
-    """Settings of the engine.
-
-    Attributes:
-        model: Sizes and costs.
-        checks_fencing: Whether commands with an old fencing token are refused.
-        weight_store_url: Where adapters are fetched from; empty to only wait.
-        load_seconds: Duration of a load without a weight store.
-        load_report_lag_seconds: Lag of ``GET /load``.
-        cache_event_delay_seconds: Delay of ``GET /events``.
-        cache_event_drop_share: Share of cache events that are never published.
-        seed: Seed of the random choice of events to drop.
-    """
-
-    model: EngineParameters = EngineParameters()
-    checks_fencing: bool = True
-    weight_store_url: str = ""
-    load_seconds: Seconds = 0.25
-    load_report_lag_seconds: Seconds = 0.0
-    cache_event_delay_seconds: Seconds = 0.0
-    cache_event_drop_share: float = 0.0
-    seed: int = 1
-
-
-class EngineFaults(Faults, frozen=True, kw_only=True, forbid_unknown_fields=True):
-    """Faults of the engine.
-
-    Attributes:
-        fail_next_loads: Adapter loads that fail after the fetch.
-        slow_factor: Factor on the cost of each step.
-        cut_next_answers: Answers whose connection is cut.
-        cut_after_tokens: Tokens that such an answer generates before.
-        load_report_lag_seconds: Lag of ``GET /load``.
-        cache_event_delay_seconds: Delay of ``GET /events``.
-        cache_event_drop_share: Share of cache events that are never published.
-    """
-
-    fail_next_loads: int = 0
-    slow_factor: float = 1.0
-    cut_next_answers: int = 0
-    cut_after_tokens: int = 1
-    load_report_lag_seconds: Seconds = 0.0
-    cache_event_delay_seconds: Seconds = 0.0
-    cache_event_drop_share: float = 0.0
-
-
 @dataclass(frozen=True, slots=True)
 class _Cut:
     """Ends an answer without its rest."""
 
 
-@dataclass(frozen=True, slots=True)
-class _Key:
-    """Identifies one call; continuations of a request are counted apart."""
-
-    number: int
-    request_id: str
-    is_continuation: bool
-
-
 _Answer: TypeAlias = queue.SimpleQueue[Token | _Cut]
 
 
-@dataclass(slots=True)
-class _Run:
-    """How often a request ran; continuations of the same request count apart."""
-
-    runs: int = 0
-    continuations: int = 0
-    models: set[str] = field(default_factory=set)
-
-
 class Engine(StandIn[EngineFaults]):
     """Stand-in for an engine."""
 
@@ -151,8 +94,9 @@
         self._fencing_token = 0
         self._answers: dict[Hashable, _Answer] = {}
         self._calls = 0
-        self._runs: dict[str, _Run] = {}
-        self._counts: Counter[str] = Counter()
+        self._silent: set[Hashable] = set()
+        self._runs = RunRecords()
+        self._counts = Counter(dict.fromkeys(_COUNTERS, 0))
         self._cache_events = CacheEvents(random.Random(settings.seed))
         self._report = Lagging(self._load_report(), time.monotonic())
         self._stopping = False
@@ -179,10 +123,11 @@
         )
 
     def actions(self) -> Mapping[str, Callable[[], None]]:
-        """Returns ``restart`` and ``cut_connections``."""
+        """Returns ``restart``, ``cut_connections`` and ``silence_answers``."""
         return {
             "restart": self.restart,
             "cut_connections": self._server.cut_connections,
+            "silence_answers": self.silence_answers,
         }
 
     def counters(self) -> Mapping[str, Any]:
@@ -221,6 +166,11 @@
         self._driver.stop()
         super().stop()
 
+    def silence_answers(self) -> None:
+        """Sends nothing more on the answers in progress and leaves them open."""
+        with self._driver.changed:
+            self._silent.update(self._answers)
+
     def restart(self) -> None:
         """Restarts cold: new boot id, no adapters, no fencing token, all work lost."""
         with self._driver.changed:
@@ -257,7 +207,9 @@
             whole_answer(completion, model=model, text=text, tokens=len(received))
         )
 
-    def _submit(self, completion: Completion, request_id: str) -> tuple[_Key, _Answer]:
+    def _submit(
+        self, completion: Completion, request_id: str
+    ) -> tuple[CallKey, _Answer]:
         answer: _Answer = queue.SimpleQueue()
         with self._driver.changed:
             if not self._model.is_served(completion.model):
@@ -266,7 +218,7 @@
                     f"{sorted(self._model.resident)}"
                 )
             self._calls += 1
-            key = _Key(self._calls, request_id, completion.first_token > 0)
+            key = CallKey(self._calls, request_id, completion.first_token > 0)
             if completion.first_token >= completion.max_tokens:
                 return key, answer
             work = Generation(
@@ -318,6 +270,7 @@
             answer = self._answers.pop(key, None)
             if answer is None:
                 return
+            self._silent.discard(key)
             answer.put(_Cut())
             if self._model.cancel(key):
                 self._counts["cancelled"] += 1
@@ -340,18 +293,14 @@
 
     @_handle.register
     def _(self, event: Started) -> None:
-        key = cast(_Key, event.key)
-        record = self._runs.setdefault(key.request_id, _Run())
-        if key.is_continuation:
-            record.continuations += 1
-        else:
-            record.runs += 1
-        record.models.add(event.model)
+        self._runs.started(cast(CallKey, event.key), event.model)
 
     @_handle.register
     def _(self, event: Token) -> None:
         self._counts["tokens"] += 1
-        self._runs[cast(_Key, event.key).request_id].models.add(event.model)
+        self._runs.used(cast(CallKey, event.key), event.model)
+        if event.key in self._silent:
+            return
         answer = self._answers.get(event.key)
         if answer is not None:
             answer.put(event)
@@ -469,16 +418,7 @@
 
     def _show_runs(self, request: Request) -> Response:
         with self._driver.changed:
-            return json_response(
-                {
-                    request_id: {
-                        "runs": record.runs,
-                        "continuations": record.continuations,
-                        "models": sorted(record.models),
-                    }
-                    for request_id, record in self._runs.items()
-                }
-            )
+            return json_response(self._runs.document())
 
     def _stream_cache_events(self, request: Request) -> Response:
         gone = threading.Event()
--- a/standins/http_server.py
+++ b/standins/http_server.py
@@ -1,5 +1,6 @@
 """HTTP/1.1 server on a bounded thread pool, shared by all stand-ins."""
 
+import os
 import select
 import socket
 import threading
@@ -16,7 +17,7 @@
 from werkzeug.wrappers import Request, Response
 
 HOST = "127.0.0.1"
-_POLL_SECONDS = 0.05
+_ACCEPT_POLL_SECONDS = 0.05
 
 Handler = Callable[..., Response]
 
@@ -74,8 +75,12 @@
         self._epoll = select.epoll()
         self._callbacks: dict[int, Callable[[], None]] = {}
         self._lock = threading.Lock()
-        self._stopping = threading.Event()
-        threading.Thread(target=self._run, name="disconnects", daemon=True).start()
+        self._wake_up = os.eventfd(0)
+        self._epoll.register(self._wake_up, select.EPOLLIN)
+        self._thread = threading.Thread(
+            target=self._run, name="disconnects", daemon=True
+        )
+        self._thread.start()
 
     @contextmanager
     def watch(
@@ -96,17 +101,25 @@
                 self._epoll.unregister(descriptor)
 
     def close(self) -> None:
-        """Ends the watcher's thread."""
-        self._stopping.set()
+        """Ends the watcher; every connection still watched counts as closed."""
+        os.eventfd_write(self._wake_up, 1)
+        self._thread.join()
+        with self._lock:
+            left = tuple(self._callbacks.values())
+        for callback in left:
+            callback()
+        self._epoll.close()
+        os.close(self._wake_up)
 
     def _run(self) -> None:
-        while not self._stopping.is_set():
-            for descriptor, _ in self._epoll.poll(_POLL_SECONDS):
+        while True:
+            for descriptor, _ in self._epoll.poll():
+                if descriptor == self._wake_up:
+                    return
                 with self._lock:
                     callback = self._callbacks.get(descriptor)
                 if callback is not None:
                     callback()
-        self._epoll.close()
 
 
 class HttpServer(BaseWSGIServer):
@@ -128,7 +141,7 @@
         self._connections: set[socket.socket] = set()
         self._connections_lock = threading.Lock()
         self._acceptor = threading.Thread(
-            target=self.serve_forever, args=(_POLL_SECONDS,), daemon=True
+            target=self.serve_forever, args=(_ACCEPT_POLL_SECONDS,), daemon=True
         )
         self.is_refusing: Callable[[], bool] = lambda: False
         self.disconnects = DisconnectWatcher()
--- a/standins/object_api.py
+++ b/standins/object_api.py
@@ -4,7 +4,7 @@
 import threading
 import time
 from collections import Counter
-from collections.abc import Iterable, Iterator, Mapping
+from collections.abc import Callable, Iterable, Iterator, Mapping
 from functools import partial
 from typing import Any
 
@@ -82,7 +82,9 @@
             "reads": SlidingWindow(settings.reads_per_second),
             "writes": SlidingWindow(settings.writes_per_second),
         }
-        self._counts: Counter[str] = Counter()
+        self._counts = Counter(reads=0, writes=0, refused_reads=0, refused_writes=0)
+        # Watches of an older generation are silent.
+        self._watch_generation = 0
         self._stopping = False
         super().__init__(settings, ObjectApiFaults())
 
@@ -98,6 +100,13 @@
             ("DELETE", one, partial(self._write, self._delete)),
         )
 
+    def actions(self) -> Mapping[str, Callable[[], None]]:
+        """Returns ``cut_connections`` and ``silence_watches``."""
+        return {
+            "cut_connections": self._server.cut_connections,
+            "silence_watches": self._silence_watches,
+        }
+
     def counters(self) -> Mapping[str, Any]:
         """Returns counts of calls, watches and objects."""
         with self._changed:
@@ -119,6 +128,11 @@
             self._changed.notify_all()
         super().stop()
 
+    def _silence_watches(self) -> None:
+        with self._changed:
+            self._watch_generation += 1
+            self._changed.notify_all()
+
     # --- Calls ---
 
     def _read(self, call: Handler, request: Request, **arguments: str) -> Response:
@@ -217,6 +231,7 @@
         wants_bookmarks: bool,
     ) -> Iterator[bytes]:
         gone = threading.Event()
+        generation = self._watch_generation
         with self._server.disconnects.watch(connection_of(request), gone.set):
             # Sends the headers, so that the client sees that the watch is in place.
             yield b""
@@ -228,6 +243,9 @@
                 self.faults.wait_while_frozen()
                 if self._stopping:
                     return
+                if generation != self._watch_generation:
+                    gone.wait()
+                    return
                 if lines:
                     yield lines
                 if since < 0:
--- a/standins/service.py
+++ b/standins/service.py
@@ -56,7 +56,7 @@
         """
         self._lock = threading.Lock()
         self._runs: Counter[str] = Counter()
-        self._counts: Counter[str] = Counter()
+        self._counts = Counter(running=0, served=0, refused=0, lost_answers=0)
         self._boot_id = uuid.uuid4().hex
         super().__init__(settings, ServiceFaults(run_seconds=settings.run_seconds))
 
--- a/standins/tests/test_engine.py
+++ b/standins/tests/test_engine.py
@@ -122,6 +122,21 @@
         self.assertEqual((before["resident"], after["resident"]), (["a@1"], []))
         self.assertEqual(self.call("GET", "/runs")[1]["r3"]["runs"], 1)
 
+    def test_silent_answer_stays_open_and_brings_nothing(self):
+        """Guards against a silence that shows as a closed connection."""
+        self.load()
+        body = {"model": "a@1", "prompt": "x", "max_tokens": 10**9, "stream": True}
+        with opened(self.engine.port, "POST", "/v1/completions", body) as response:
+            next(read_events(response))
+            self.engine.control({"silence_answers": True})
+            before = self.engine.counters()["tokens"]
+            wait_until(lambda: self.engine.counters()["tokens"] > before + 20)
+            self.assertEqual(self.engine.counters()["cancelled"], 0)
+            self.engine.control({"cut_connections": True})
+            with self.assertRaises(http.client.IncompleteRead) as caught:
+                response.read()
+        self.assertLess(caught.exception.partial.count(b"data: "), before)
+
     def test_failed_load_frees_its_slot(self):
         self.engine.control({"fail_next_loads": 1})
         self.assertEqual(self.load()[0], 500)
--- a/standins/tests/test_object_api.py
+++ b/standins/tests/test_object_api.py
@@ -70,3 +70,17 @@
             api.control({"down": True})
             with self.assertRaises((http.client.HTTPException, ConnectionError)):
                 response.read()
+
+    def test_silent_watch_brings_nothing_while_a_new_one_works(self):
+        """Guards against a reader that trusts a connection because it is open."""
+        api = self.api()
+        path = f"{ROOT}/resources?watch=true&allowWatchBookmarks=true"
+        with opened(api.port, "GET", path) as silent:
+            api.control({"silence_watches": True})
+            call(api.port, "POST", f"{ROOT}/weightstores", weight_store("w"))
+            with opened(api.port, "GET", path) as working:
+                self.assertEqual(json.loads(working.readline())["type"], "ADDED")
+            api.control({"cut_connections": True})
+            with self.assertRaises(http.client.IncompleteRead) as caught:
+                silent.read()
+            self.assertNotIn(b"ADDED", caught.exception.partial)
