--- a/standins/cache_events.py
+++ b/standins/cache_events.py
@@ -53,4 +53,9 @@
 
     def first_from(self, sequence: int) -> CacheEvent | None:
         """Returns the first kept event from a sequence number on."""
-        return next((item for item in self._kept if item.sequence >= sequence), None)
+        first = None
+        for item in reversed(self._kept):
+            if item.sequence < sequence:
+                break
+            first = item
+        return first
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -54,8 +54,6 @@
 REQUEST_ID_HEADER = "X-Request-Id"
 EVENT_STREAM = "text/event-stream"
 
-# A comment line on an idle stream keeps readers from taking it for a dead one.
-_KEEP_ALIVE_SECONDS = 1.0
 _COUNTERS = (
     "served",
     "tokens",
@@ -67,6 +65,8 @@
     "fenced_commands",
     "unfenced_stale_commands",
 )
+# A comment line on an idle stream keeps readers from taking it for a dead one.
+_KEEP_ALIVE_SECONDS = 1.0
 _KEEP_ALIVE = b": keep-alive\n\n"
 
 
--- a/standins/engine_model.py
+++ b/standins/engine_model.py
@@ -16,6 +16,7 @@
 
 from fighitch.types import Seconds
 from standins.prefix_cache import CacheChange, PrefixCache, prefix_blocks
+from standins.settings import Amount, Count, PositiveFloat, PositiveInt
 
 _SYLLABLES = ("ba", "de", "fi", "go", "ku", "la", "me", "ni", "po", "ru", "sa", "te")
 
@@ -41,17 +42,17 @@
         block_tokens: Tokens in one block of the prefix cache.
     """
 
-    batch_size: int = 16
-    adapter_slots: int = 8
-    step_seconds: Seconds = 0.008
-    sequence_seconds: Seconds = 0.000_25
-    adapter_seconds: Seconds = 0.001
-    prefill_seconds: Seconds = 0.000_05
+    batch_size: PositiveInt = 16
+    adapter_slots: Count = 8
+    step_seconds: PositiveFloat = 0.008
+    sequence_seconds: Amount = 0.000_25
+    adapter_seconds: Amount = 0.001
+    prefill_seconds: Amount = 0.000_05
     preempts_running: bool = True
     protects_in_use: bool = True
     base_model: str = "base"
-    cache_blocks: int = 4_096
-    block_tokens: int = 16
+    cache_blocks: Count = 4_096
+    block_tokens: PositiveInt = 16
 
 
 @dataclass(frozen=True, slots=True)
--- a/standins/engine_settings.py
+++ b/standins/engine_settings.py
@@ -1,9 +1,15 @@
 """Settings and faults of the engine."""
 
-from fighitch.types import Seconds
 from standins.engine_model import EngineParameters
 from standins.faults import Faults
-from standins.settings import StandInSettings
+from standins.settings import (
+    Amount,
+    Count,
+    PositiveFloat,
+    PositiveInt,
+    Share,
+    StandInSettings,
+)
 
 
 class EngineSettings(
@@ -25,10 +31,10 @@
     model: EngineParameters = EngineParameters()
     checks_fencing: bool = True
     weight_store_url: str = ""
-    load_seconds: Seconds = 0.25
-    load_report_lag_seconds: Seconds = 0.0
-    cache_event_delay_seconds: Seconds = 0.0
-    cache_event_drop_share: float = 0.0
+    load_seconds: Amount = 0.25
+    load_report_lag_seconds: Amount = 0.0
+    cache_event_delay_seconds: Amount = 0.0
+    cache_event_drop_share: Share = 0.0
     seed: int = 1
 
 
@@ -45,10 +51,10 @@
         cache_event_drop_share: Share of cache events that are never published.
     """
 
-    fail_next_loads: int = 0
-    slow_factor: float = 1.0
-    cut_next_answers: int = 0
-    cut_after_tokens: int = 1
-    load_report_lag_seconds: Seconds = 0.0
-    cache_event_delay_seconds: Seconds = 0.0
-    cache_event_drop_share: float = 0.0
+    fail_next_loads: Count = 0
+    slow_factor: PositiveFloat = 1.0
+    cut_next_answers: Count = 0
+    cut_after_tokens: PositiveInt = 1
+    load_report_lag_seconds: Amount = 0.0
+    cache_event_delay_seconds: Amount = 0.0
+    cache_event_drop_share: Share = 0.0
--- a/standins/faults.py
+++ b/standins/faults.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from standins.http_server import ConnectionCut
+from standins.settings import Amount
 
 
 class Faults(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
@@ -21,7 +22,7 @@
 
     freeze: bool = False
     down: bool = False
-    delay_seconds: float = 0.0
+    delay_seconds: Amount = 0.0
 
 
 F = TypeVar("F", bound=Faults)
--- a/standins/instance_list.py
+++ b/standins/instance_list.py
@@ -8,12 +8,12 @@
 from werkzeug.exceptions import BadRequest
 from werkzeug.wrappers import Request, Response
 
-from fighitch.types import InstanceName, Seconds
+from fighitch.types import InstanceName
 from standins.faults import Faults
 from standins.http_server import Handler, json_response, read_json_object
 from standins.process import StandIn, run
 from standins.rates import Lagging
-from standins.settings import StandInSettings
+from standins.settings import Amount, StandInSettings
 
 LIVE, LEAVING, GONE = "live", "leaving", "gone"
 
@@ -29,7 +29,7 @@
     """
 
     live: tuple[InstanceName, ...] = ()
-    lag_seconds: Seconds = 0.0
+    lag_seconds: Amount = 0.0
 
 
 class InstanceListFaults(Faults, frozen=True, kw_only=True, forbid_unknown_fields=True):
@@ -39,7 +39,7 @@
         lag_seconds: Age of what the list shows, at most 60.
     """
 
-    lag_seconds: Seconds = 0.0
+    lag_seconds: Amount = 0.0
 
 
 class InstanceList(StandIn[InstanceListFaults]):
--- a/standins/object_api.py
+++ b/standins/object_api.py
@@ -25,7 +25,7 @@
 from standins.object_store import KINDS, Document, ObjectStore, StoreError
 from standins.process import StandIn, run
 from standins.rates import SlidingWindow
-from standins.settings import StandInSettings
+from standins.settings import Amount, Count, PositiveFloat, PositiveInt, StandInSettings
 
 ROOT = f"/apis/{API_VERSION}"
 MAX_VALUE_BYTES = 1024 * 1024
@@ -47,11 +47,11 @@
         bookmark_seconds: Idle time of a watch before a bookmark is sent.
     """
 
-    reads_per_second: float = 2_000.0
-    writes_per_second: float = 400.0
-    latency_seconds: Seconds = 0.002
-    history_size: int = 10_000
-    bookmark_seconds: Seconds = 1.0
+    reads_per_second: PositiveFloat = 2_000.0
+    writes_per_second: PositiveFloat = 400.0
+    latency_seconds: Amount = 0.002
+    history_size: PositiveInt = 10_000
+    bookmark_seconds: PositiveFloat = 1.0
 
 
 class ObjectApiFaults(Faults, frozen=True, kw_only=True, forbid_unknown_fields=True):
@@ -62,8 +62,8 @@
         slow_factor: Factor on the latency.
     """
 
-    lose_next_write_answers: int = 0
-    slow_factor: float = 1.0
+    lose_next_write_answers: Count = 0
+    slow_factor: PositiveFloat = 1.0
 
 
 class ObjectApi(StandIn[ObjectApiFaults]):
--- a/standins/service.py
+++ b/standins/service.py
@@ -10,11 +10,10 @@
 
 from werkzeug.wrappers import Request, Response
 
-from fighitch.types import Seconds
 from standins.faults import Faults
 from standins.http_server import ConnectionCut, Handler, error_response, json_response
 from standins.process import StandIn, run
-from standins.settings import StandInSettings
+from standins.settings import Amount, Count, StandInSettings
 
 KEY_HEADER = "Idempotency-Key"
 
@@ -28,7 +27,7 @@
         run_seconds: Duration of each run.
     """
 
-    run_seconds: Seconds = 0.0
+    run_seconds: Amount = 0.0
 
 
 class ServiceFaults(Faults, frozen=True, kw_only=True, forbid_unknown_fields=True):
@@ -40,9 +39,9 @@
         run_seconds: Duration of each run.
     """
 
-    lose_next_answers: int = 0
-    refuse_next: int = 0
-    run_seconds: Seconds = 0.0
+    lose_next_answers: Count = 0
+    refuse_next: Count = 0
+    run_seconds: Amount = 0.0
 
 
 class Service(StandIn[ServiceFaults]):
--- a/standins/settings.py
+++ b/standins/settings.py
@@ -1,11 +1,18 @@
 """Settings files of the stand-ins: JSON with comments."""
 
 from pathlib import Path
-from typing import TypeVar
+from typing import Annotated, TypeAlias, TypeVar
 
 import json5
 import msgspec
 
+PositiveInt: TypeAlias = Annotated[int, msgspec.Meta(ge=1)]
+PositiveFloat: TypeAlias = Annotated[float, msgspec.Meta(gt=0)]
+# A number that may be zero, such as a duration or a count.
+Amount: TypeAlias = Annotated[float, msgspec.Meta(ge=0)]
+Count: TypeAlias = Annotated[int, msgspec.Meta(ge=0)]
+Share: TypeAlias = Annotated[float, msgspec.Meta(ge=0, le=1)]
+
 
 class StandInSettings(
     msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True
@@ -20,7 +27,7 @@
 
     port: int = 0
     control_port: int = 0
-    threads: int = 128
+    threads: PositiveInt = 128
 
 
 S = TypeVar("S", bound=StandInSettings)
--- a/standins/tests/test_engine.py
+++ b/standins/tests/test_engine.py
@@ -143,9 +143,11 @@
         self.assertEqual([self.load("a@1")[0], self.load("b@1")[0]], [200, 200])
         self.assertEqual(self.load("c@1")[0], 409)
 
-    def test_unknown_fault_is_refused_and_changes_nothing(self):
+    def test_invalid_fault_is_refused_and_changes_nothing(self):
         with self.assertRaisesRegex(FaultError, "slow_factor.*restart"):
             self.engine.control({"slow_factor": 2, "slowfactor": 2})
+        with self.assertRaisesRegex(FaultError, "slow_factor"):
+            self.engine.control({"slow_factor": 0})
         self.assertEqual(self.engine.faults.current.slow_factor, 1.0)
 
 
--- a/standins/weight_store.py
+++ b/standins/weight_store.py
@@ -17,7 +17,7 @@
     json_response,
 )
 from standins.process import StandIn, run
-from standins.settings import StandInSettings
+from standins.settings import Count, PositiveFloat, StandInSettings
 from standins.weight_store_model import (
     Admission,
     WeightStoreModel,
@@ -45,8 +45,8 @@
         slow_factor: Factor on the duration of every load.
     """
 
-    fail_next: int = 0
-    slow_factor: float = 1.0
+    fail_next: Count = 0
+    slow_factor: PositiveFloat = 1.0
 
 
 class WeightStore(StandIn[WeightStoreFaults]):
--- a/standins/weight_store_model.py
+++ b/standins/weight_store_model.py
@@ -13,6 +13,7 @@
 
 from fighitch.types import Seconds
 from standins.rates import SlidingWindow
+from standins.settings import PositiveFloat, PositiveInt
 
 
 class WeightStoreParameters(
@@ -30,11 +31,11 @@
             only counted as a violation.
     """
 
-    loads_per_second: float = 7.0
-    full_speed_loads_per_second: float = 2.0
-    reduced_speed: float = 0.5
-    max_in_transit: int = 16
-    load_seconds: Seconds = 0.25
+    loads_per_second: PositiveFloat = 7.0
+    full_speed_loads_per_second: PositiveFloat = 2.0
+    reduced_speed: PositiveFloat = 0.5
+    max_in_transit: PositiveInt = 16
+    load_seconds: PositiveFloat = 0.25
     refuses_above_rate: bool = True
 
 
