--- a/benchmarks/demo.py
+++ b/benchmarks/demo.py
@@ -119,13 +119,13 @@
     first, second = map(deployment.caller_url, deployment.entries[:2])
     order = {"order": 1, "amount": 3}
     for what, key in (
-        ("issued key", caller.issue_key(first, service="orders")),
-        ("key chosen by the caller", "order-2026-1"),
+        ("an issued key", caller.issue_key(first, service="orders")),
+        ("a key chosen by the caller", "order-2026-1"),
     ):
         headers = {"Idempotency-Key": key}
         path = "/services/orders/orders"
         one = caller.call(first, path, order, headers=headers)
-        report.show(f"order with an {what}", "urgent", one, one.status == 200)
+        report.show(f"order with {what}", "urgent", one, one.status == 200)
         two = caller.call(second, path, order, headers=headers)
         report.show(
             "the same order through the other entry",
--- a/fighitch/daemons/claims.py
+++ b/fighitch/daemons/claims.py
@@ -4,9 +4,9 @@
 from collections.abc import Callable
 from concurrent.futures import ThreadPoolExecutor
 
+from fighitch.core.claims import ClaimAnswer
 from fighitch.core.effects import CreateClaim, ReadClaim
 from fighitch.core.inputs import ClaimAnswered, ClaimStatus
-from fighitch.core.object_api import ClaimAnswer
 from fighitch.platforms.object_api import ObjectApiClient
 from fighitch.types import Seconds
 
--- a/fighitch/daemons/configuration_watch.py
+++ b/fighitch/daemons/configuration_watch.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable
 
 from fighitch.core.inputs import ConfigurationReceived
-from fighitch.core.object_api import Advanced, Changed, Expired, WatchEnded
+from fighitch.core.watch_events import Advanced, Changed, Expired, WatchEnded
 from fighitch.platforms.object_api import ObjectApiClient
 from fighitch.types import Revision, Seconds
 
--- a/fighitch/platforms/instance_list.py
+++ b/fighitch/platforms/instance_list.py
@@ -2,7 +2,7 @@
 
 import msgspec
 
-from fighitch.core.object_api import HttpAnswer, HttpCall
+from fighitch.core.http_calls import HttpAnswer, HttpCall
 from fighitch.platforms.http_client import HttpClient
 
 _STATUS_OK = 200
