--- a/fighitch/core/entry/core.py
+++ b/fighitch/core/entry/core.py
@@ -68,6 +68,7 @@
     in_flight: int
     running: int
     queued: int
+    batch_size: int
     resident: int
 
 
@@ -83,7 +84,7 @@
         revision: Configuration revision; every change up to it is in force.
         configuration_age: Time since changes last arrived; None before the first.
         in_flight: Requests in flight, by rank.
-        members: Known sidecars.
+        backend_servers: Known sidecars and their backend servers.
         connections: Number of open connections.
         cut_zones: Availability zones without contact.
     """
@@ -95,7 +96,7 @@
     revision: Revision
     configuration_age: Seconds | None
     in_flight: tuple[tuple[int, int], ...]
-    members: tuple[MemberStatus, ...]
+    backend_servers: tuple[MemberStatus, ...]
     connections: int
     cut_zones: tuple[str, ...]
 
@@ -239,7 +240,7 @@
             revision=self._store.revision,
             configuration_age=age,
             in_flight=tuple(sorted(ranks.items())),
-            members=tuple(
+            backend_servers=tuple(
                 MemberStatus(
                     name=member.name,
                     state=member.state.value,
@@ -248,6 +249,7 @@
                     in_flight=member.in_flight,
                     running=sum(member.report.running) if member.report else 0,
                     queued=sum(member.report.queued) if member.report else 0,
+                    batch_size=member.report.batch_size if member.report else 0,
                     resident=len(member.report.resident) if member.report else 0,
                 )
                 for member in sorted(self._members, key=lambda item: item.name)
--- a/fighitch/core/tickets.py
+++ b/fighitch/core/tickets.py
@@ -62,6 +62,14 @@
         Args:
             keys: The first signs; the others are accepted during a rotation.
 
+        Raises:
+            ValueError: If there is no key.
+        """
+        self.replace_keys(keys)
+
+    def replace_keys(self, keys: Sequence[SharedKey]) -> None:
+        """Takes other keys, during a rotation.
+
         Raises:
             ValueError: If there is no key.
         """
--- a/fighitch/daemons/admin_app.py
+++ b/fighitch/daemons/admin_app.py
@@ -1,7 +1,5 @@
 """The operators' HTTP interface of a daemon."""
 
-import hashlib
-import hmac
 from collections.abc import Callable, Mapping, Sequence
 from typing import Any, Protocol
 
@@ -11,6 +9,7 @@
 from werkzeug.wrappers import Request, Response
 
 from fighitch.core.errors import ErrorKind, Failure
+from fighitch.core.operators import is_signed
 from fighitch.core.resources import Resource, parse_resource
 from fighitch.core.tickets import SharedKey
 from fighitch.daemons.errors import error_response, json_response
@@ -106,7 +105,8 @@
         return json_response(self._daemon.configuration())
 
     def _explain(self, _request: Request, request_id: str) -> Response:
-        return json_response({"records": self._daemon.explain(request_id)})
+        records = self._daemon.explain(request_id)
+        return json_response({"records": records}, 200 if records else 404)
 
     def _drain(self, request: Request) -> Response:
         if not self._is_signed(request):
@@ -131,14 +131,8 @@
         return json_response(self._daemon.configuration())
 
     def _is_signed(self, request: Request) -> bool:
-        header = request.headers.get(SIGNATURE_HEADER, "")
-        key_id, _, signature = header.partition(":")
-        secrets = {key.key_id: key.secret for key in self._keys()}
-        secret = secrets.get(key_id)
-        if secret is None:
-            return False
-        expected = hmac.new(secret, request.get_data(), hashlib.sha256).hexdigest()
-        return hmac.compare_digest(expected, signature)
+        signature = request.headers.get(SIGNATURE_HEADER, "")
+        return is_signed(request.get_data(), signature, self._keys())
 
 
 class _Handover(msgspec.Struct, frozen=True):
--- a/fighitch/daemons/base.py
+++ b/fighitch/daemons/base.py
@@ -22,7 +22,12 @@
 from fighitch.runtime.http_server import HttpServer
 from fighitch.runtime.lifecycle import Signals
 from fighitch.runtime.loop import Loop
-from fighitch.settings import EntrySettings, SidecarSettings, load_settings
+from fighitch.settings import (
+    EntrySettings,
+    SidecarSettings,
+    keys_to_restart,
+    load_settings,
+)
 from fighitch.types import Seconds
 
 ADMIN_WORKERS = 8
@@ -74,7 +79,8 @@
             path=settings.traces.path,
         )
         self.keys: tuple[SharedKey, ...] = self._keys_of(settings)
-        self.loop = self.create_loop(TicketSigner(self.keys))
+        self._signer = TicketSigner(self.keys)
+        self.loop = self.create_loop(self._signer)
         self._admin = HttpServer(
             settings.admin_address,
             AdminApp(self, metrics=self.metrics, keys=lambda: self.keys),
@@ -168,10 +174,12 @@
         if loaded.is_error():
             self.log.event("reload_failed", level="error", detail=str(loaded.error))
             return
+        waiting = keys_to_restart(self.settings, loaded.ok)
         self.settings = loaded.ok
         self.keys = self._keys_of(loaded.ok)
         self.loop.set_keys(self.keys)
-        self.log.event("reloaded")
+        self._signer.replace_keys(self.keys)
+        self.log.event("reloaded", needs_restart=",".join(waiting))
 
     @staticmethod
     def _keys_of(settings: EntrySettings | SidecarSettings) -> tuple[SharedKey, ...]:
@@ -202,7 +210,12 @@
     def status(self) -> Any:
         """Returns a snapshot that can be written as JSON."""
         snapshot = self.ask(lambda core: core.status(now=time.monotonic()))
-        return {"role": self.role.value, **asdict(snapshot)}
+        return {
+            "role": self.role.value,
+            "state": _state(snapshot),
+            "age_seconds": time.monotonic() - self._fresh_at,
+            **asdict(snapshot),
+        }
 
     def configuration(self) -> Mapping[str, Any]:
         """Returns the revision and the revision of each resource."""
@@ -227,6 +240,12 @@
         ]
 
 
+def _state(snapshot: Any) -> str:
+    if snapshot.is_draining:
+        return "draining"
+    return "ready" if snapshot.is_ready else "not ready"
+
+
 def _configuration_summary(store: ConfigurationStore) -> dict[str, Any]:
     return {
         "revision": store.revision,
