--- a/standins/tests/test_engine.py
+++ b/standins/tests/test_engine.py
@@ -92,11 +92,18 @@
     def test_closed_connection_cancels(self):
         """Guards against work that goes on for a caller who has left."""
         self.load()
-        body = {"model": "a@1", "prompt": "x", "max_tokens": 10**9, "stream": True}
-        with opened(self.engine.port, "POST", "/v1/completions", body) as response:
+        body = {"model": "a@1", "prompt": "x", "max_tokens": 10**9}
+        with opened(
+            self.engine.port, "POST", "/v1/completions", {**body, "stream": True}
+        ) as response:
             next(read_events(response))
-        wait_until(lambda: self.call("GET", "/load")[1]["running"] == 0)
-        self.assertEqual(self.engine.counters()["cancelled"], 1)
+        wait_until(lambda: self.engine.counters()["cancelled"] == 1)
+        connection = http.client.HTTPConnection("127.0.0.1", self.engine.port)
+        connection.request("POST", "/v1/completions", json.dumps(body))
+        wait_until(lambda: self.call("GET", "/load")[1]["running"] == 1)
+        connection.close()
+        wait_until(lambda: self.engine.counters()["cancelled"] == 2)
+        self.assertEqual(self.call("GET", "/load")[1]["running"], 0)
 
 
 class FaultTests(EngineTestCase):
@@ -120,6 +127,7 @@
         after = self.call("GET", "/load")[1]
         self.assertNotEqual(before["boot_id"], after["boot_id"])
         self.assertEqual((before["resident"], after["resident"]), (["a@1"], []))
+        self.assertEqual((before["fencing_token"], after["fencing_token"]), (1, 0))
         self.assertEqual(self.call("GET", "/runs")[1]["r3"]["runs"], 1)
 
     def test_silent_answer_stays_open_and_brings_nothing(self):
--- a/standins/tests/test_engine_model.py
+++ b/standins/tests/test_engine_model.py
@@ -81,6 +81,21 @@
             + [("batch", 1), ("batch", 2), ("batch", 3)],
         )
 
+    def test_displaced_work_pays_its_prefill_again(self):
+        """Guards against preemption that looks free of cost."""
+        model = engine(
+            "a@1",
+            batch_size=1,
+            step_seconds=1.0,
+            sequence_seconds=0,
+            adapter_seconds=0,
+            prefill_seconds=0.1,
+        )
+        model.submit(work("batch", priority=2, end=2), 0.0)
+        model.submit(work("urgent", priority=0, end=1), 0.0)
+        # One prompt token each, then the prompt token and the generated one again.
+        self.assertAlmostEqual(run_all(model)[-1].time, 1.1 + 1.1 + 1.2)
+
     def test_cancelled_work_yields_nothing_more(self):
         model = engine("a@1", batch_size=1)
         model.submit(work("running"), 0.0)
--- a/standins/tests/test_object_api.py
+++ b/standins/tests/test_object_api.py
@@ -49,6 +49,7 @@
         """Guards against a fault that the client could treat as not written."""
         api = self.api()
         api.control({"lose_next_write_answers": 1})
+        self.assertEqual(call(api.port, "DELETE", f"{ROOT}/claims/k")[0], 404)
         with self.assertRaises(http.client.RemoteDisconnected):
             call(api.port, "POST", f"{ROOT}/claims", claim("k"))
         status, body = call(api.port, "POST", f"{ROOT}/claims", claim("k"))
