--- a/Makefile
+++ b/Makefile
@@ -34,7 +34,8 @@
 
 dist: $(STAMP)  ## Build dist/fighitch, the program as one file.
 	mkdir -p dist
-	$(BIN)/shiv --quiet --compressed --reproducible -e fighitch.cli.app:main -o dist/fighitch .
+	$(BIN)/shiv --quiet --compressed --reproducible -e fighitch.cli.app:main \
+		-o dist/fighitch . --constraint requirements.txt
 
 bench: $(STAMP)  ## Measure the decisions against baselines, print the table.
 	$(BIN)/python -m benchmarks.bench
--- /dev/null
+++ b/benchmarks/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests that start processes, and tests of the measurements."""
