--- /dev/null
+++ b/fighitch/tests/test_streams.py
@@ -0,0 +1,59 @@
+"""Tests of ``fighitch.core.streams``."""
+
+import unittest
+
+from fighitch.core.errors import ErrorKind, Failure
+from fighitch.core.invariants import InvariantViolation
+from fighitch.core.streams import MAX_CHUNK_BYTES, AnswerInfo, StreamKey, StreamTable
+
+
+def key(request_id="r"):
+    return StreamKey("e1", 1, request_id, 1)
+
+
+class KeptChunksTests(unittest.TestCase):
+    def test_memory_is_bounded_and_a_gap_is_never_resumed(self):
+        """Guards against unbounded buffers and against a stream with a hole."""
+        table = StreamTable(max_kept_bytes=25, max_stream_bytes=20)
+        ended, live = table.open(key("a"), 1), table.open(key("b"), 1)
+        table.chunks(ended, b"x" * 20)
+        ended.end(AnswerInfo(200), 0.0)
+        table.ended(ended)
+        for _ in range(3):
+            table.chunks(live, b"y" * 10)
+        self.assertEqual(table.kept_bytes, 20)
+        self.assertIsNone(ended.after(0), "its only chunk made room")
+        self.assertIsNone(live.after(0))
+        self.assertEqual([one.sequence for one in live.after(1)], [1, 2])
+        self.assertIsNone(live.after(4), "a sequence that was never sent")
+
+    def test_large_data_is_split(self):
+        """Guards against a message above the size limit."""
+        table = StreamTable(max_kept_bytes=2**30, max_stream_bytes=2**30)
+        stream = table.open(key(), 1)
+        pieces = table.chunks(stream, b"x" * (2 * MAX_CHUNK_BYTES + 1))
+        self.assertEqual([one.sequence for one in pieces], [0, 1, 2])
+        self.assertEqual(stream.end(AnswerInfo(200), 0.0).chunk_count, 3)
+
+
+class InvariantTests(unittest.TestCase):
+    def setUp(self):
+        table = StreamTable(max_kept_bytes=100, max_stream_bytes=100)
+        self.stream = table.open(key(), 1)
+        self.stream.chunks(b"one")
+
+    def test_broken_numbering_is_noticed(self):
+        """Guards against a check that cannot fail."""
+        self.stream._next_sequence += 1
+        with self.assertRaisesRegex(InvariantViolation, "resumed_sequence_without"):
+            self.stream.after(0)
+        with self.assertRaisesRegex(InvariantViolation, "=sequence_without_gaps"):
+            self.stream.chunks(b"two")
+
+    def test_anything_after_the_end_is_noticed(self):
+        """Guards against a check that cannot fail."""
+        self.stream.end(AnswerInfo(200), 0.0)
+        with self.assertRaisesRegex(InvariantViolation, "no_chunk_after_the_end"):
+            self.stream.chunks(b"two")
+        with self.assertRaisesRegex(InvariantViolation, "one_end_for_an_attempt"):
+            self.stream.refuse(Failure(ErrorKind.INTERNAL, ""), 0.0)
