--- a/fighitch/tests/test_assembly.py
+++ b/fighitch/tests/test_assembly.py
@@ -1,9 +1,9 @@
-"""Tests of ``fighitch.core.assembly``."""
+"""Tests of ``fighitch.core.entry.assembly``."""
 
 import dataclasses
 import unittest
 
-from fighitch.core.assembly import Assembly, ChunkState
+from fighitch.core.entry.assembly import Assembly, ChunkState
 from fighitch.core.messages import Chunk, Submit
 from fighitch.tests.entry_helpers import answer_of
 
--- a/fighitch/tests/test_membership.py
+++ b/fighitch/tests/test_membership.py
@@ -1,10 +1,10 @@
-"""Tests of ``fighitch.core.membership``."""
+"""Tests of ``fighitch.core.entry.membership``."""
 
 import random
 import unittest
 
-from fighitch.core.entry_settings import EntrySettings
-from fighitch.core.membership import MemberDied, Members, MemberState, ZoneCut
+from fighitch.core.entry.membership import MemberDied, Members, MemberState, ZoneCut
+from fighitch.core.entry.settings import EntrySettings
 from fighitch.core.messages import Heartbeat, LoadReport
 from fighitch.tests.entry_helpers import ZONES, server
 
--- a/fighitch/tests/test_policies.py
+++ b/fighitch/tests/test_policies.py
@@ -1,9 +1,9 @@
-"""Tests of ``fighitch.core.policies``."""
+"""Tests of ``fighitch.core.entry.policies``."""
 
 import unittest
 
+from fighitch.core.entry.policies import choose_policy
 from fighitch.core.errors import ErrorKind
-from fighitch.core.policies import choose_policy
 from fighitch.core.resources import CallerSpec, Kind, WorkPolicySpec
 from fighitch.tests.entry_helpers import resource
 
--- a/fighitch/tests/test_retries.py
+++ b/fighitch/tests/test_retries.py
@@ -1,9 +1,9 @@
-"""Tests of ``fighitch.core.retries``."""
+"""Tests of ``fighitch.core.entry.retries``."""
 
 import unittest
 
+from fighitch.core.entry.retries import RetryBudget, may_retry
 from fighitch.core.errors import ErrorKind, Failure, RunState
-from fighitch.core.retries import RetryBudget, may_retry
 
 LOST = Failure(ErrorKind.BACKEND_FAILED, "")
 REFUSED = Failure(ErrorKind.OVERLOADED, "")
--- a/fighitch/tests/test_streams.py
+++ b/fighitch/tests/test_streams.py
@@ -1,10 +1,15 @@
-"""Tests of ``fighitch.core.streams``."""
+"""Tests of ``fighitch.core.sidecar.streams``."""
 
 import unittest
 
 from fighitch.core.errors import ErrorKind, Failure
 from fighitch.core.invariants import InvariantViolation
-from fighitch.core.streams import MAX_CHUNK_BYTES, AnswerInfo, StreamKey, StreamTable
+from fighitch.core.sidecar.streams import (
+    MAX_CHUNK_BYTES,
+    AnswerInfo,
+    StreamKey,
+    StreamTable,
+)
 
 
 def key(request_id="r"):
