--- a/fighitch/tests/test_load_budget.py
+++ b/fighitch/tests/test_load_budget.py
@@ -134,8 +134,11 @@
         st.lists(st.integers(0, IN_FORCE_STEPS), min_size=5, max_size=5),
         st.sets(st.integers(0, 4), min_size=1),
         st.integers(2, 12),
+        st.booleans(),
     )
-    def test_limits_hold_while_members_learn_of_a_change(self, delays, kept, limit):
+    def test_limits_hold_while_members_learn_of_a_change(
+        self, delays, kept, limit, loads_end
+    ):
         """Guards against old and new shares that add up to more than the limit."""
         fleet = Fleet(5, limit, limit)
         members = [fleet.names[index] for index in kept]
@@ -144,8 +147,9 @@
             for index, budget in enumerate(fleet.budgets):
                 if delays[index] == step:
                     budget.configure(members, limit, limit, fleet.now)
-                while fleet.start(index):
-                    pass
+                for _ in range(2 * limit):
+                    if fleet.start(index) and loads_end:
+                        fleet.finish(index)
             self.assertLessEqual(sum(fleet.running), limit)
             self.assertLessEqual(fleet.started_in_window(), limit)
 
@@ -194,6 +198,16 @@
         self.assertGreaterEqual(min(started), 0.5 * 7 / 9 * 30)
         self.assertGreaterEqual(sum(started), 0.85 * 7 * 30)
 
+    def test_used_permit_goes_back_after_the_window(self):
+        """Guards against two starts with one permit within a second."""
+        borrower = LoadBudget("b", ["a"], 1, 1)
+        borrower.handle(1, PermitGrant(("a/1",)), 0.0)
+        self.assertTrue(borrower.start(0.0))
+        borrower.finish(0.2)
+        self.assertEqual(borrower.request_if_short([], 0.9, wanted=0), [])
+        sends = borrower.request_if_short([], 1.0, wanted=0)
+        self.assertEqual([send.message for send in sends], [PermitReturn(("a/1",))])
+
     def test_refused_late_grant_goes_back(self):
         """Guards against permits that are lost because two grants swapped places."""
         borrower = LoadBudget("b", ["a", "b"], 1, 1)
