Use slots, load budget and borrowing in the sidecar

A wanted version carries the worth of one answer, so that the slot table weighs its own decayed rate of use with it. A failed unload leaves the slot ready; before, it stayed in unloading for ever. sidecar's answers and outbox modules are renamed, because the entry has the same names.

--- a/fighitch/core/admission.py
+++ b/fighitch/core/admission.py
@@ -14,7 +14,7 @@
 from collections.abc import Iterator, Mapping, Sequence
 from dataclasses import dataclass
 
-from fighitch.core._placeholder_slots import DemandEstimator
+from fighitch.core.demand import DemandEstimator
 from fighitch.core.errors import ErrorKind, Failure
 from fighitch.core.invariants import check
 from fighitch.core.messages import AdapterVersion
@@ -107,7 +107,7 @@
         self._running: dict[int, dict[int, Work]] = {}
         self._deadlines: list[tuple[Seconds, int]] = []
         self._service_times: dict[int, Seconds] = {}
-        self._drain = DemandEstimator(_DRAIN_HALF_LIFE)
+        self._drain: DemandEstimator[int] = DemandEstimator(_DRAIN_HALF_LIFE)
         self._next_order = 0
         self._turns = _Turns()
         self.configure(batch_size=batch_size, policies=policies or {})
@@ -136,6 +136,10 @@
         """Returns how many running requests the rank is owed when work waits."""
         return math.ceil(self._policy(rank).floor * self._batch_size - _ROUNDING)
 
+    def value(self, rank: int) -> float:
+        """Returns the worth of one answer of a rank in time."""
+        return self._policy(rank).value
+
     def waited_for(
         self, now: Seconds
     ) -> Iterator[tuple[int, AdapterVersion, int, Seconds]]:
--- a/fighitch/core/engine_state.py
+++ b/fighitch/core/engine_state.py
@@ -14,11 +14,12 @@
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 
-from fighitch.core._placeholder_slots import AdapterSlots, LoadBudget, Wanted
 from fighitch.core.effects import LoadAdapter, UnloadAdapter
 from fighitch.core.inputs import EngineReported
 from fighitch.core.invariants import check
+from fighitch.core.load_budget import LoadBudget
 from fighitch.core.messages import AdapterVersion
+from fighitch.core.slots import AdapterSlots, Wanted
 from fighitch.types import Seconds
 
 
@@ -76,9 +77,14 @@
         """Returns whether a load of the version failed a short time ago."""
         return self._slots.failed_recently(version, now)
 
-    def pin(self, version: AdapterVersion) -> int:
-        """Keeps a version loaded; returns the token to give to ``unpin``."""
-        self._slots.pin(version)
+    def pin(self, version: AdapterVersion, *, value: float) -> int:
+        """Keeps a version loaded; returns the token to give to ``unpin``.
+
+        Args:
+            version: Version to keep.
+            value: Worth of the answer that needs it.
+        """
+        self._slots.pin(version, value=value)
         self._last_pin += 1
         self._pins[self._last_pin] = version
         self._table_pins.add(self._last_pin)
@@ -136,7 +142,9 @@
     def command_failed(self, version: AdapterVersion, now: Seconds) -> bool:
         """A command failed; returns whether it was a load."""
         if not self._loading[version]:
-            self._unloading.discard(version)
+            if version in self._unloading:
+                self._unloading.discard(version)
+                self._slots.failed(version, now)
             return False
         self._end_load(version, now)
         self._slots.failed(version, now)
--- a/fighitch/core/execution.py
+++ b/fighitch/core/execution.py
@@ -10,7 +10,6 @@
 from typing import Any
 
 from fighitch.core.admission import AdmissionQueue
-from fighitch.core.answers import Answers
 from fighitch.core.calls import Request, RequestTable
 from fighitch.core.effects import CancelBackend
 from fighitch.core.engine_state import EngineState
@@ -24,7 +23,8 @@
 from fighitch.core.invariants import check
 from fighitch.core.ledger import OrderLedger, Outcome
 from fighitch.core.messages import AdapterVersion
-from fighitch.core.outbox import Outbox
+from fighitch.core.sidecar_answers import Answers
+from fighitch.core.sidecar_outbox import Outbox
 from fighitch.core.sidecar_settings import SidecarSettings
 from fighitch.core.streams import AnswerInfo, AnswerStream
 from fighitch.core.waiting import Work
@@ -268,7 +268,7 @@
                 version=str(version),
                 request_id=request.submit.request_id,
             )
-            request.pin = self._engine.pin(version)
+            request.pin = self._engine.pin(version, value=self._queue.value(work.rank))
             ready_since = self._ready_since.get(version, now)
         if request.ticket is not None:
             self._ledger.dispatched(request.ticket)
--- a/fighitch/core/links.py
+++ b/fighitch/core/links.py
@@ -3,8 +3,8 @@
 from collections.abc import Iterator
 from dataclasses import dataclass
 
-from fighitch.core.messages import Peer
-from fighitch.types import ConnectionId, Seconds
+from fighitch.core.messages import Peer, Role
+from fighitch.types import ConnectionId, InstanceName, Seconds
 
 
 @dataclass(slots=True)
@@ -55,6 +55,14 @@
         link = self._links.get(connection)
         return link.peer if link else None
 
+    def sidecars(self) -> dict[InstanceName, ConnectionId]:
+        """Returns one connection for each sidecar at the other end."""
+        return {
+            link.peer.instance: connection
+            for connection, link in reversed(self._links.items())
+            if link.peer.role is Role.SIDECAR
+        }
+
     def heard(self, connection: ConnectionId, now: Seconds) -> None:
         """Notes a message from a peer."""
         link = self._links.get(connection)
--- a/fighitch/core/load_budget.py
+++ b/fighitch/core/load_budget.py
@@ -132,7 +132,7 @@
         """
         self._instance = instance
         members = frozenset(members)
-        self._is_configured = bool(members)
+        self._is_configured = bool(members) and loads_per_second > 0
         self._share = share_of(instance, members, loads_per_second, max_in_transit)
         self._next_share = self._share
         self._settled_at: Seconds = 0.0
@@ -224,7 +224,7 @@
             for key, reclaim_at in self._lent.items()
         }
         if not self._is_configured:
-            self._is_configured = bool(members)
+            self._is_configured = bool(members) and loads_per_second > 0
             self._share = self._next_share = target
             return
         if target == self._next_share:
--- a/fighitch/core/sidecar.py
+++ b/fighitch/core/sidecar.py
@@ -1,16 +1,16 @@
 """Decisions of the process beside a backend server."""
 
 import random
+from collections.abc import Collection
 from functools import singledispatchmethod
 from typing import Any
 
-from fighitch.core._placeholder_slots import AdapterSlots, LoadBudget
 from fighitch.core.admission import AdmissionQueue, RankPolicy
-from fighitch.core.answers import Answers
 from fighitch.core.anti_entropy import ConfigurationExchange
+from fighitch.core.borrowing import lenders
 from fighitch.core.calls import Request
 from fighitch.core.configuration import ConfigurationStore
-from fighitch.core.effects import Disconnect, SidecarEffect, Stop
+from fighitch.core.effects import Connect, Disconnect, SidecarEffect, Stop
 from fighitch.core.engine_state import EngineState
 from fighitch.core.errors import ErrorKind, Failure
 from fighitch.core.execution import Execution
@@ -36,6 +36,7 @@
 )
 from fighitch.core.ledger import Joined, OrderLedger, Replayed
 from fighitch.core.links import Links
+from fighitch.core.load_budget import LoadBudget
 from fighitch.core.messages import (
     AdapterVersion,
     Cancel,
@@ -51,7 +52,6 @@
     Role,
     Submit,
 )
-from fighitch.core.outbox import Outbox
 from fighitch.core.resources import (
     AdapterSpec,
     BackendServerSpec,
@@ -59,7 +59,10 @@
     WeightStoreSpec,
     WorkPolicySpec,
 )
+from fighitch.core.sidecar_answers import Answers
+from fighitch.core.sidecar_outbox import Outbox
 from fighitch.core.sidecar_settings import SidecarSettings
+from fighitch.core.slots import AdapterSlots
 from fighitch.core.streams import AnswerStream, StreamTable, stream_key
 from fighitch.core.submissions import SubmissionChecks
 from fighitch.core.tickets import Ticket, TicketSigner
@@ -70,6 +73,8 @@
 DRAIN_LABEL = "fighitch.dev/drain"
 # Versions in recent demand that are considered for loading, as a multiple of the slots.
 _RECENT_PER_SLOT = 4
+# Lenders that cannot be reached are dialled again after this time.
+_DIAL_INTERVAL: Seconds = 1.0
 
 
 class SidecarCore:
@@ -110,7 +115,7 @@
         )
         self._answers = Answers(streams, self._outbox)
         self._queue = AdmissionQueue(batch_size=spec.batch_size)
-        self._budget = LoadBudget(instance, (instance,), 0.0, 0)
+        self._budget = LoadBudget(instance, (), 0.0, 0)
         self._engine = EngineState(AdapterSlots(spec.adapter_slots), self._budget)
         self._wanted = WantedVersions(
             self._queue, max_recent=_RECENT_PER_SLOT * spec.adapter_slots
@@ -139,6 +144,8 @@
         self._is_stopped = False
         self._is_plan_due = False
         self._is_reachable = True
+        self._lenders: dict[InstanceName, str] = {}
+        self._dialled_at: Seconds = float("-inf")
 
     # --- State ---
 
@@ -487,7 +494,7 @@
             preemptible=policy.preemptible and ticket is None and version is not None,
         )
         if version is not None:
-            self._wanted.record(version, rank=message.rank, value=policy.value, now=now)
+            self._wanted.record(version, rank=message.rank, value=policy.value)
             self._is_plan_due |= not self._engine.is_ready(version)
         request = Request(work, message, stream, waits_since=now, ticket=ticket)
         self._execution.admit(request, now=now)
@@ -500,6 +507,7 @@
         if not self._links.close(connection):
             return
         self._exchange.closed(connection)
+        self._budget.connection_closed(connection)
         self._answers.streams.lose_connection(connection, now)
         self._outbox.log("connection_lost", cause=detail, connection=connection)
 
@@ -545,27 +553,55 @@
         self._configure_budget(now)
 
     def _configure_budget(self, now: Seconds) -> None:
+        # A part of the configuration names only a part of the members.
+        if not self._store.revision:
+            return
         limits: list[WeightStoreSpec] = [
             item.spec for item in self._store.of_kind(Kind.WEIGHT_STORE)
         ]
-        members = sorted(
-            item.name
+        addresses = {
+            item.name: item.spec.address
             for item in self._store.of_kind(Kind.BACKEND_SERVER)
             if item.spec.type == "engine"
+        }
+        rate = min((limit.loads_per_second for limit in limits), default=0.0)
+        in_transit = min((limit.max_in_transit for limit in limits), default=0)
+        self._budget.configure(addresses, rate, in_transit, now)
+        chosen = lenders(self._instance, addresses, rate, in_transit)
+        self._lenders = {name: addresses[name] for name in chosen}
+        self._is_plan_due = True
+
+    def _borrow(self, now: Seconds) -> None:
+        """Asks other sidecars for permits if work waits for loads."""
+        waited_for = {version for _, version, _, _ in self._queue.waited_for(now)}
+        wanted = sum(
+            not self._engine.is_ready(version)
+            and not self._engine.failed_recently(version, now)
+            for version in waited_for
         )
-        self._budget.configure(
-            members,
-            min((limit.loads_per_second for limit in limits), default=0.0),
-            min((limit.max_in_transit for limit in limits), default=0),
-            now,
+        peers = self._links.sidecars()
+        if wanted > self._budget.available(now):
+            self._dial_lenders(peers, now)
+        self._outbox.add(
+            *self._budget.request_if_short([*peers.values()], now, wanted=wanted)
         )
-        self._is_plan_due = True
+
+    def _dial_lenders(self, connected: Collection[InstanceName], now: Seconds) -> None:
+        if now - self._dialled_at < _DIAL_INTERVAL:
+            return
+        self._dialled_at = now
+        for name, address in self._lenders.items():
+            if name not in connected:
+                self._outbox.add(Connect(address))
 
     def _plan_loads(self, now: Seconds) -> None:
         if not self._is_plan_due:
             return
         self._is_plan_due = False
-        if self._engine.boot_id is None or self._budget.available(now) <= 0:
+        if self._engine.boot_id is None:
+            return
+        self._borrow(now)
+        if self._budget.available(now) <= 0:
             return
         commands = self._engine.plan(
             self._wanted.list(now), source=self._source, now=now
--- a/fighitch/core/answers.py
+++ b/fighitch/core/sidecar_answers.py
@@ -2,7 +2,7 @@
 
 from fighitch.core.errors import ErrorKind, Failure, RunState
 from fighitch.core.ledger import Outcome
-from fighitch.core.outbox import Outbox
+from fighitch.core.sidecar_outbox import Outbox
 from fighitch.core.streams import (
     AnswerInfo,
     AnswerStream,
--- a/fighitch/core/wanted.py
+++ b/fighitch/core/wanted.py
@@ -2,14 +2,11 @@
 
 from collections import OrderedDict
 
-from fighitch.core._placeholder_slots import DemandEstimator, Wanted
 from fighitch.core.admission import AdmissionQueue
 from fighitch.core.messages import AdapterVersion
+from fighitch.core.slots import Wanted
 from fighitch.types import Seconds
 
-# Popularity shifts without warning; a minute of history follows it soon enough.
-_DEMAND_HALF_LIFE: Seconds = 60.0
-
 
 class WantedVersions:
     """Demand for adapter versions at one engine."""
@@ -23,15 +20,11 @@
         """
         self._queue = queue
         self._max_recent = max_recent
-        self._demand = DemandEstimator(_DEMAND_HALF_LIFE)
-        self._recent: OrderedDict[AdapterVersion, int] = OrderedDict()
-
-    def record(
-        self, version: AdapterVersion, *, rank: int, value: float, now: Seconds
-    ) -> None:
-        """Counts a request for a version, weighted with the value of its rank."""
-        self._demand.record(version, now, value)
-        self._recent[version] = rank
+        self._recent: OrderedDict[AdapterVersion, tuple[int, float]] = OrderedDict()
+
+    def record(self, version: AdapterVersion, *, rank: int, value: float) -> None:
+        """Notes a request for a version with the rank and the worth of its answer."""
+        self._recent[version] = (rank, value)
         self._recent.move_to_end(version)
         if len(self._recent) > self._max_recent:
             self._recent.popitem(last=False)
@@ -41,16 +34,17 @@
         found: dict[AdapterVersion, Wanted] = {}
         for rank, version, waiting, oldest_wait in self._queue.waited_for(now):
             known = found.get(version)
+            value = self._queue.value(rank)
             found[version] = Wanted(
                 adapter_version=version,
                 rank=min(rank, known.rank) if known else rank,
                 waiting=waiting + (known.waiting if known else 0),
-                value=self._demand.rate(version, now),
+                value=max(value, known.value if known else 0.0),
                 oldest_wait=max(oldest_wait, known.oldest_wait if known else 0.0),
             )
         idle = [
-            Wanted(version, rank, 0, self._demand.rate(version, now), 0.0)
-            for version, rank in self._recent.items()
+            Wanted(version, rank, 0, value, 0.0)
+            for version, (rank, value) in self._recent.items()
             if version not in found
         ]
         return [*found.values(), *idle]
