--- a/fighitch/core/sidecar/admission.py
+++ b/fighitch/core/sidecar/admission.py
@@ -136,6 +136,10 @@
         """Returns how many running requests the rank is owed when work waits."""
         return math.ceil(self._policy(rank).floor * self._batch_size - _ROUNDING)
 
+    def value(self, rank: int) -> float:
+        """Returns the worth of one answer of a rank in time."""
+        return self._policy(rank).value
+
     def waited_for(
         self, now: Seconds
     ) -> Iterator[tuple[int, AdapterVersion, int, Seconds]]:
--- a/fighitch/core/sidecar/core.py
+++ b/fighitch/core/sidecar/core.py
@@ -1,13 +1,14 @@
 """Decisions of the process beside a backend server."""
 
 import random
+from collections.abc import Collection
 from dataclasses import dataclass
 from functools import singledispatchmethod
 from typing import Any
 
 from fighitch.core.anti_entropy import ConfigurationExchange
 from fighitch.core.configuration import ConfigurationStore
-from fighitch.core.effects import Disconnect, SidecarEffect, Stop
+from fighitch.core.effects import Connect, Disconnect, SidecarEffect, Stop
 from fighitch.core.errors import ErrorKind, Failure
 from fighitch.core.inputs import (
     AdapterLoaded,
@@ -53,6 +54,7 @@
 )
 from fighitch.core.sidecar.admission import AdmissionQueue, RankPolicy
 from fighitch.core.sidecar.answers import Answers
+from fighitch.core.sidecar.borrowing import lenders
 from fighitch.core.sidecar.calls import Request
 from fighitch.core.sidecar.engine_state import EngineState
 from fighitch.core.sidecar.execution import Execution
@@ -72,6 +74,8 @@
 DRAIN_LABEL = "fighitch.dev/drain"
 # Versions in recent demand that are considered for loading, as a multiple of the slots.
 _RECENT_PER_SLOT = 4
+# Lenders that cannot be reached are dialled again after this time.
+_DIAL_INTERVAL: Seconds = 1.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -178,6 +182,8 @@
         self._is_stopped = False
         self._is_plan_due = False
         self._is_reachable = True
+        self._lenders: dict[InstanceName, str] = {}
+        self._dialled_at: Seconds = float("-inf")
 
     # --- State ---
 
@@ -546,7 +552,7 @@
             preemptible=policy.preemptible and ticket is None and version is not None,
         )
         if version is not None:
-            self._wanted.record(version, rank=message.rank, value=policy.value, now=now)
+            self._wanted.record(version, rank=message.rank, value=policy.value)
             self._is_plan_due |= not self._engine.is_ready(version)
         request = Request(work, message, stream, waits_since=now, ticket=ticket)
         self._execution.admit(request, now=now)
@@ -559,6 +565,7 @@
         if not self._links.close(connection):
             return
         self._exchange.closed(connection)
+        self._budget.connection_closed(connection)
         self._answers.streams.lose_connection(connection, now)
         self._outbox.log("connection_lost", cause=detail, connection=connection)
 
@@ -604,27 +611,55 @@
         self._configure_budget(now)
 
     def _configure_budget(self, now: Seconds) -> None:
+        # A part of the configuration names only a part of the members.
+        if not self._store.revision:
+            return
         limits: list[WeightStoreSpec] = [
             item.spec for item in self._store.of_kind(Kind.WEIGHT_STORE)
         ]
-        members = sorted(
-            item.name
+        addresses = {
+            item.name: item.spec.address
             for item in self._store.of_kind(Kind.BACKEND_SERVER)
             if item.spec.type == "engine"
+        }
+        rate = min((limit.loads_per_second for limit in limits), default=0.0)
+        in_transit = min((limit.max_in_transit for limit in limits), default=0)
+        self._budget.configure(addresses, rate, in_transit, now)
+        chosen = lenders(self._instance, addresses, rate, in_transit)
+        self._lenders = {name: addresses[name] for name in chosen}
+        self._is_plan_due = True
+
+    def _borrow(self, now: Seconds) -> None:
+        """Asks other sidecars for permits if work waits for loads."""
+        waited_for = {version for _, version, _, _ in self._queue.waited_for(now)}
+        wanted = sum(
+            not self._engine.is_ready(version)
+            and not self._engine.failed_recently(version, now)
+            for version in waited_for
         )
-        self._budget.configure(
-            members,
-            min((limit.loads_per_second for limit in limits), default=0.0),
-            min((limit.max_in_transit for limit in limits), default=0),
-            now,
+        peers = self._links.sidecars()
+        if wanted > self._budget.available(now):
+            self._dial_lenders(peers, now)
+        self._outbox.add(
+            *self._budget.request_if_short([*peers.values()], now, wanted=wanted)
         )
-        self._is_plan_due = True
+
+    def _dial_lenders(self, connected: Collection[InstanceName], now: Seconds) -> None:
+        if now - self._dialled_at < _DIAL_INTERVAL:
+            return
+        self._dialled_at = now
+        for name, address in self._lenders.items():
+            if name not in connected:
+                self._outbox.add(Connect(address))
 
     def _plan_loads(self, now: Seconds) -> None:
         if not self._is_plan_due:
             return
         self._is_plan_due = False
-        if self._engine.boot_id is None or self._budget.available(now) <= 0:
+        if self._engine.boot_id is None:
+            return
+        self._borrow(now)
+        if self._budget.available(now) <= 0:
             return
         commands = self._engine.plan(
             self._wanted.list(now), source=self._source, now=now
--- a/fighitch/core/sidecar/execution.py
+++ b/fighitch/core/sidecar/execution.py
@@ -268,7 +268,7 @@
                 version=str(version),
                 request_id=request.submit.request_id,
             )
-            request.pin = self._engine.pin(version)
+            request.pin = self._engine.pin(version, value=self._queue.value(work.rank))
             ready_since = self._ready_since.get(version, now)
         if request.ticket is not None:
             self._ledger.dispatched(request.ticket)
