--- a/fighitch/core/entry.py
+++ b/fighitch/core/entry/core.py
@@ -12,17 +12,23 @@
 
 from expression import Error, Ok, Result
 
-from fighitch.core.answers import Answers
 from fighitch.core.anti_entropy import ConfigurationExchange
-from fighitch.core.attempts import Phase, Work, WorkTable
 from fighitch.core.audit import AuditLog, AuditRecord
 from fighitch.core.configuration import ConfigurationStore
-from fighitch.core.connections import Connections, Link
-from fighitch.core.dispatch import Dispatcher
 from fighitch.core.effects import AnswerFailed, EntryEffect, Stop
-from fighitch.core.entry_settings import EntrySettings
+from fighitch.core.entry.answers import Answers
+from fighitch.core.entry.attempts import Phase, Work, WorkTable
+from fighitch.core.entry.connections import Connections, Link
+from fighitch.core.entry.dispatch import Dispatcher
+from fighitch.core.entry.indexes import Indexes, Target
+from fighitch.core.entry.membership import MemberEvent, Members, ZoneCut
+from fighitch.core.entry.orders import Orders, body_digest
+from fighitch.core.entry.outbox import Outbox
+from fighitch.core.entry.policies import choose_policy
+from fighitch.core.entry.replies import Replies
+from fighitch.core.entry.routing import Router
+from fighitch.core.entry.settings import EntrySettings
 from fighitch.core.errors import ErrorKind, Failure, RunState
-from fighitch.core.indexes import Indexes, Target
 from fighitch.core.inputs import (
     CallerGone,
     CallerRequest,
@@ -38,7 +44,6 @@
     Tick,
     TicketRequested,
 )
-from fighitch.core.membership import MemberEvent, Members, ZoneCut
 from fighitch.core.messages import (
     Chunk,
     ConfigurationDelta,
@@ -47,12 +52,7 @@
     Heartbeat,
     Refused,
 )
-from fighitch.core.orders import Orders, body_digest
-from fighitch.core.outbox import Outbox
-from fighitch.core.policies import choose_policy
-from fighitch.core.replies import Replies
 from fighitch.core.resources import Kind, Resource
-from fighitch.core.routing import Router
 from fighitch.core.tickets import TicketSigner
 from fighitch.types import Incarnation, InstanceName, RequestId, Revision, Seconds
 
@@ -68,6 +68,7 @@
     in_flight: int
     running: int
     queued: int
+    batch_size: int
     resident: int
 
 
@@ -83,7 +84,7 @@
         revision: Configuration revision; every change up to it is in force.
         configuration_age: Time since changes last arrived; None before the first.
         in_flight: Requests in flight, by rank.
-        members: Known sidecars.
+        backend_servers: Known sidecars and their backend servers.
         connections: Number of open connections.
         cut_zones: Availability zones without contact.
     """
@@ -95,7 +96,7 @@
     revision: Revision
     configuration_age: Seconds | None
     in_flight: tuple[tuple[int, int], ...]
-    members: tuple[MemberStatus, ...]
+    backend_servers: tuple[MemberStatus, ...]
     connections: int
     cut_zones: tuple[str, ...]
 
@@ -239,7 +240,7 @@
             revision=self._store.revision,
             configuration_age=age,
             in_flight=tuple(sorted(ranks.items())),
-            members=tuple(
+            backend_servers=tuple(
                 MemberStatus(
                     name=member.name,
                     state=member.state.value,
@@ -248,6 +249,7 @@
                     in_flight=member.in_flight,
                     running=sum(member.report.running) if member.report else 0,
                     queued=sum(member.report.queued) if member.report else 0,
+                    batch_size=member.report.batch_size if member.report else 0,
                     resident=len(member.report.resident) if member.report else 0,
                 )
                 for member in sorted(self._members, key=lambda item: item.name)
--- /dev/null
+++ b/fighitch/tests/test_object_api.py
@@ -0,0 +1,41 @@
+"""Tests of ``fighitch.core.object_api``."""
+
+import unittest
+
+from fighitch.core.errors import ErrorKind
+from fighitch.core.http_calls import HttpAnswer
+from fighitch.core.object_api import (
+    create_call,
+    get_call,
+    read_document,
+    replace_call,
+    watch_call,
+)
+from fighitch.tests.fake_http import LOST, answer, at
+
+
+class CallTests(unittest.TestCase):
+    def test_name_cannot_change_the_path(self):
+        """Guards against a name that addresses another object."""
+        path = get_call("Claim", "../a?b").path
+        self.assertEqual(path, "/apis/fighitch.dev/v1/claims/..%2Fa%3Fb")
+
+    def test_create_states_no_version_and_replace_states_its_own(self):
+        self.assertNotIn(b"resourceVersion", create_call(at(4)).body)
+        self.assertIn(b'"resourceVersion":"4"', replace_call(at(4)).body)
+
+    def test_watch_asks_for_bookmarks(self):
+        path = watch_call(7, timeout=30).path
+        self.assertIn("resourceVersion=7&allowWatchBookmarks=true", path)
+
+
+class ReadTests(unittest.TestCase):
+    def test_failures(self):
+        for result, kind in (
+            (answer(404), ErrorKind.UNKNOWN_ROUTE),
+            (answer(500), ErrorKind.PLATFORM_UNAVAILABLE),
+            (HttpAnswer(200, b"[]"), ErrorKind.PLATFORM_UNAVAILABLE),
+            (LOST, ErrorKind.PLATFORM_UNAVAILABLE),
+        ):
+            with self.subTest(result):
+                self.assertIs(read_document(result).error.kind, kind)
