Test routing, orders and answers of the entry; settle requests in the property test

Cause: few examples of the property test ended in an answer, so duplicates and resumes were hardly exercised.

Change: a settling step delivers what is on the way; 45 further tests.

--- /dev/null
+++ b/fighitch/tests/test_answers.py
@@ -0,0 +1,150 @@
+"""Tests of ``fighitch.core.entry.answers``."""
+
+import dataclasses
+import unittest
+
+from fighitch.core.effects import AnswerData, AnswerEnded, AnswerFailed, AnswerStarted
+from fighitch.core.errors import ErrorKind, RunState
+from fighitch.core.inputs import ConnectionClosed
+from fighitch.core.messages import Cancel, Refused, Resume, Submit
+from fighitch.tests.entry_helpers import Driver, answer_of
+
+
+class AnswerDriver(Driver):
+    """Holds one request of an adapter that a sidecar has got."""
+
+    def __init__(self, **fields):
+        super().__init__()
+        self.ask(**fields)
+        [(self.name, self.submit)] = self.sent(Submit)
+
+    def give(self, *messages, name=None):
+        for message in messages:
+            self.receive(name or self.name, message)
+
+
+class WholeAnswerTests(unittest.TestCase):
+    def test_nothing_is_passed_on_before_the_end_is_verified(self):
+        """Guards against a fragment of an answer."""
+        driver = AnswerDriver()
+        *chunks, end = answer_of(driver.submit, b"a", b"b")
+        driver.give(*chunks)
+        self.assertEqual(driver.of(AnswerData) + driver.of(AnswerStarted), [])
+        driver.give(end)
+        self.assertEqual((driver.answer.body, driver.answer.model), (b"ab", "ad@2"))
+
+    def test_corrupted_answer_is_retried_elsewhere(self):
+        driver = AnswerDriver()
+        chunk, end = answer_of(driver.submit, b"a")
+        driver.give(chunk, dataclasses.replace(end, digest=1))
+        self.assertEqual(driver.of(AnswerEnded), [])
+        (first, _), (second, submit) = driver.sent(Submit)
+        self.assertNotEqual(first, second)
+        self.assertEqual(submit.attempt, 2)
+        self.assertEqual(len(driver.sent(Cancel)), 1)
+
+    def test_answer_of_another_adapter_version_is_not_passed_on(self):
+        """Guards against an engine that ran another version."""
+        driver = AnswerDriver()
+        driver.give(*answer_of(driver.submit, b"a", model="ad@1"))
+        self.assertEqual(driver.of(AnswerEnded), [])
+        self.assertEqual(len(driver.sent(Submit)), 2)
+
+
+class CrossedAnswerTests(unittest.TestCase):
+    def test_late_duplicate_and_foreign_answers_are_dropped_and_counted(self):
+        """Guards against another caller's answer or a second answer."""
+        driver = AnswerDriver()
+        answer = answer_of(driver.submit, b"a")
+        other = next(name for name in ("e0", "e1", "e2") if name != driver.name)
+        driver.give(*answer, name=other)
+        driver.give(*answer_of(driver.submit, b"a", attempt=2))
+        self.assertEqual(driver.of(AnswerEnded), [])
+        driver.give(*answer)
+        driver.give(*answer)
+        self.assertEqual(len(driver.of(AnswerEnded)), 1)
+        causes = [fields["cause"] for fields in driver.logged("answer_dropped")]
+        self.assertEqual(
+            causes,
+            ["another connection"] * 2
+            + ["another attempt"] * 2
+            + ["unknown or answered request"] * 2,
+        )
+
+
+class StreamTests(unittest.TestCase):
+    def test_gap_is_asked_for_once_and_filled_in_order(self):
+        """Guards against a stream with a hole."""
+        driver = AnswerDriver(streamed=True)
+        a, b, c, end = answer_of(driver.submit, b"a", b"b", b"c")
+        driver.give(a, c, end)
+        self.assertEqual([m for _, m in driver.sent(Resume)], [Resume("r1", 1, 1)])
+        driver.give(b, c, b, end)
+        data = [effect.data for effect in driver.of(AnswerData)]
+        self.assertEqual(data, [b"a", b"b", b"c"])
+        self.assertEqual(len(driver.of(AnswerStarted)), 1)
+        self.assertEqual(driver.answer.body, b"")
+
+    def test_started_stream_with_a_wrong_digest_is_cut(self):
+        driver = AnswerDriver(streamed=True)
+        chunk, end = answer_of(driver.submit, b"a")
+        driver.give(chunk, dataclasses.replace(end, digest=1))
+        self.assertEqual(driver.of(AnswerEnded), [])
+        self.assertIs(driver.failure.kind, ErrorKind.INCOMPLETE_ANSWER)
+        self.assertIs(driver.failure.run_state, RunState.RAN)
+
+
+class RefusalTests(unittest.TestCase):
+    def refuse(self, driver, kind, run_state=RunState.NOT_RUN, retry_after=0):
+        name, submit = driver.sent(Submit)[-1]
+        driver.receive(
+            name, Refused("r1", submit.attempt, kind, run_state, "", retry_after)
+        )
+
+    def test_overload_is_retried_elsewhere_and_remembered(self):
+        driver = AnswerDriver()
+        self.refuse(driver, ErrorKind.OVERLOADED, retry_after=2_000)
+        driver.ask("r2")
+        names = [name for name, _ in driver.sent(Submit)]
+        self.assertEqual(len(names), 3)
+        self.assertNotIn(driver.name, names[1:])
+
+    def test_draining_sidecar_gets_no_further_work(self):
+        driver = AnswerDriver()
+        self.refuse(driver, ErrorKind.DRAINING)
+        driver.ask("r2")
+        self.assertNotIn(driver.name, [name for name, _ in driver.sent(Submit)[1:]])
+
+    def test_final_refusal_is_passed_on_as_not_run(self):
+        driver = AnswerDriver()
+        self.refuse(driver, ErrorKind.DEADLINE_EXCEEDED)
+        self.assertIs(driver.failure.run_state, RunState.NOT_RUN)
+        self.assertEqual(len(driver.sent(Submit)), 1)
+
+    def test_earlier_attempt_of_unknown_outcome_is_not_forgotten(self):
+        """Guards against "not run" when an earlier attempt may have run."""
+        driver = AnswerDriver()
+        self.refuse(driver, ErrorKind.BACKEND_FAILED, RunState.UNKNOWN)
+        self.refuse(driver, ErrorKind.DEADLINE_EXCEEDED)
+        self.assertIs(driver.failure.run_state, RunState.UNKNOWN)
+
+    def test_refused_resume_does_not_prove_that_nothing_ran(self):
+        """Guards against a request on the old connection that is read later."""
+        driver = AnswerDriver()
+        driver.do(ConnectionClosed(driver.connection(driver.name)))
+        driver.open(f"{driver.name}:1")
+        self.refuse(driver, ErrorKind.DEADLINE_EXCEEDED)
+        self.assertIs(driver.failure.run_state, RunState.UNKNOWN)
+
+    def test_retries_stay_within_the_budget(self):
+        """Guards against a retry storm."""
+        driver = AnswerDriver()
+        for number in range(2, 12):
+            driver.ask(f"r{number}")
+        for name, submit in driver.sent(Submit):
+            kind = ErrorKind.BACKEND_FAILED
+            refused = Refused(submit.request_id, 1, kind, RunState.UNKNOWN, "")
+            driver.receive(name, refused)
+        retried = [submit for _, submit in driver.sent(Submit) if submit.attempt > 1]
+        self.assertEqual(len(retried), 2)
+        self.assertEqual(len(driver.of(AnswerFailed)), 9)
--- a/fighitch/tests/test_entry_properties.py
+++ b/fighitch/tests/test_entry_properties.py
@@ -38,12 +38,13 @@
 from fighitch.tests.entry_helpers import Driver, answer_of, configuration, ticket
 
 TIMEOUT = 4.0
-ACTIONS = (
-    "whole", "stream", "issued", "chosen", "whole", "chosen",
-    "answer", "answer", "answer", "receive", "receive", "receive", "receive",
-    "lose", "duplicate", "break", "silence", "connect", "connect", "fail_connect",
-    "restart", "tick", "tick", "late", "gone", "claim", "claim", "claim",
+# Most steps make progress; between them anything may go wrong.
+PROGRESS = ("whole", "stream", "issued", "chosen", "connect", "settle")
+FAULTS = (
+    "answer", "receive", "lose", "duplicate", "break", "silence", "fail_connect",
+    "restart", "tick", "late", "gone", "claim",
 )  # fmt: skip
+ACTIONS = PROGRESS * 4 + FAULTS
 
 
 class FaultyNetwork(Driver):
@@ -53,6 +54,7 @@
         super().__init__(resources=configuration(engines=2, services=2), connect=False)
         self.ids = count(1)
         self.connections = {}
+        self.owners = {}
         self.silent = set()
         self.incarnations = Counter()
         self.to_sidecars = []
@@ -67,6 +69,8 @@
         self.outcomes = {}
         self.refused_unrun = Counter()
         self.tick(0.2)
+        while self.dialled:
+            self._connect(0)
 
     def do(self, event):
         new = super().do(event)
@@ -107,17 +111,23 @@
     def _chosen(self, number):
         self.order(self._new("order"), f"key-{number % 3}", timeout=TIMEOUT)
 
-    def _connect(self, number, *, heartbeat=True):
+    def _connect(self, number):
         if not self.dialled:
             return
         address = self.dialled.pop(number % len(self.dialled))
         name = address.removesuffix(":1")
         connection = next(self.ids)
         owner = (name, self.incarnations[name])
-        self.connections[connection] = owner
+        self.connections[connection] = self.owners[connection] = owner
         self.do(ConnectionOpened(connection, Peer(Role.SIDECAR, *owner), address))
         self._beat(connection)
 
+    def _settle(self, number):
+        """Lets everything that is on the way arrive, up to a random point."""
+        for step in range(number % 40):
+            for action in ("connect", "claim", "answer", "receive"):
+                self.act(action, number // 40 * (step + 1))
+
     def _beat(self, connection):
         if connection in self.connections and connection not in self.silent:
             beat = Heartbeat(0, ticket_epoch=3, load=LoadReport((0,), (), 4))
@@ -197,9 +207,9 @@
 
     def _run(self, owner, submit, number):
         key = (owner, submit.ticket or (submit.request_id, submit.attempt))
-        if key not in self.outcomes and number % 3 == 0:
+        if key not in self.outcomes and number % 5 == 3:
             self.refused_unrun[submit.request_id, submit.attempt] += 1
-            kind = (ErrorKind.OVERLOADED, ErrorKind.DRAINING)[number % 2]
+            kind = (ErrorKind.OVERLOADED, ErrorKind.DRAINING)[number % 20 == 3]
             return [self._refusal(submit, kind, RunState.NOT_RUN, number % 7)]
         if key not in self.outcomes:
             self.ran[submit.ticket or submit.request_id] += 1
@@ -279,17 +289,15 @@
         """Guards against missing, second, mixed, partial and falsely unrun answers,
         and against an order that reaches two incarnations."""
         network = FaultyNetwork()
-        owners = {}
         for action, number in actions:
             network.act(action, number)
-            owners.update(network.connections)
         for _ in range(60):
             network.tick(0.1)
         while network.to_sidecars:
             network.act("answer", 1)
         self.check_answers(network)
         self.check_run_states(network)
-        self.check_orders(network, owners)
+        self.check_orders(network)
 
     def check_answers(self, network):
         answered = network.answered
@@ -317,12 +325,12 @@
                     refused = network.refused_unrun[submit.request_id, submit.attempt]
                     self.assertTrue(refused, submit)
 
-    def check_orders(self, network, owners):
+    def check_orders(self, network):
         reached = defaultdict(set)
         for connection, submit in network.sent_submits:
             if network.asked[submit.request_id] == "order":
                 self.assertTrue(submit.ticket)
-                reached[submit.ticket].add(owners[connection])
+                reached[submit.ticket].add(network.owners[connection])
         for incarnations in reached.values():
             self.assertEqual(len(incarnations), 1)
         for key, runs in network.ran.items():
--- /dev/null
+++ b/fighitch/tests/test_orders.py
@@ -0,0 +1,214 @@
+"""Tests of ``fighitch.core.entry.orders``."""
+
+import unittest
+
+from fighitch.core.effects import (
+    AnswerEnded,
+    AnswerFailed,
+    CreateClaim,
+    ReadClaim,
+    TicketIssued,
+)
+from fighitch.core.entry.orders import claim_name
+from fighitch.core.errors import ErrorKind, RunState
+from fighitch.core.inputs import (
+    CallerGone,
+    ClaimAnswered,
+    ClaimStatus,
+    ConnectionClosed,
+    TicketRequested,
+)
+from fighitch.core.messages import Cancel, Refused, Resume, Submit
+from fighitch.tests.entry_helpers import (
+    INCARNATION,
+    KEY_DIGEST,
+    SIGNER,
+    Driver,
+    answer_of,
+    ticket,
+)
+
+
+class OrderDriver(Driver):
+    def answer_claim(self, status, text="", request_id="r1"):
+        name = claim_name("caller", "mine")
+        return self.do(ClaimAnswered(request_id, name, status, text))
+
+    def lose(self, name="s0"):
+        self.do(ConnectionClosed(self.connection(name)))
+
+
+class IssuedKeyTests(unittest.TestCase):
+    def test_issued_ticket_names_a_live_sidecar_in_the_own_zone(self):
+        driver = OrderDriver()
+        driver.do(TicketRequested("t1", KEY_DIGEST, service="desk"))
+        issued = SIGNER.verify(driver.of(TicketIssued)[0].ticket).ok
+        self.assertEqual((issued.caller, issued.instance), ("caller", "s0"))
+        self.assertEqual((issued.incarnation, issued.epoch), (INCARNATION, 3))
+
+    def test_ticket_waits_for_a_heartbeat_but_not_for_ever(self):
+        """Guards against a ticket with a guessed epoch."""
+        driver = OrderDriver(connect=False)
+        driver.do(TicketRequested("t1", KEY_DIGEST, service="desk"))
+        driver.open("s0:1", heartbeat=False)
+        driver.tick()
+        self.assertEqual(driver.of(TicketIssued), [])
+        driver.tick(2.0)
+        self.assertIs(driver.failure.kind, ErrorKind.NO_BACKEND_SERVER)
+        self.assertIs(driver.failure.run_state, RunState.NOT_RUN)
+
+    def test_order_goes_to_the_sidecar_of_its_ticket(self):
+        driver = OrderDriver()
+        driver.order(key=ticket("s1"))
+        [(name, submit)] = driver.sent(Submit)
+        self.assertEqual((name, submit.idempotent), ("s1", False))
+        for message in answer_of(submit, b"done"):
+            driver.receive("s1", message)
+        self.assertEqual(driver.answer.body, b"done")
+
+    def test_bad_keys_are_refused_before_dispatch(self):
+        for key, kind in (
+            ("", ErrorKind.KEY_REQUIRED),
+            (ticket(caller="other"), ErrorKind.FORBIDDEN),
+            (ticket()[:-1] + "!", ErrorKind.BAD_REQUEST),
+            (ticket("e0"), ErrorKind.KEY_REUSED),
+        ):
+            driver = OrderDriver()
+            driver.order(key=key)
+            self.assertIs(driver.failure.kind, kind)
+            self.assertEqual(driver.sent(Submit), [])
+
+    def test_lost_incarnation_answers_unknown(self):
+        """Guards against a second run after a sidecar lost its ledger."""
+        driver = OrderDriver()
+        for key in (ticket(incarnation=99), ticket("removed")):
+            driver.order(key=key)
+            self.assertIs(driver.failure.kind, ErrorKind.KEY_EXPIRED)
+            self.assertIs(driver.failure.run_state, RunState.UNKNOWN)
+        self.assertEqual(driver.sent(Submit), [])
+
+
+class RepetitionTests(unittest.TestCase):
+    def test_lost_connection_repeats_at_the_same_incarnation_only(self):
+        driver = OrderDriver()
+        driver.order(key=ticket())
+        driver.lose()
+        driver.open("s0:1")
+        names, submits = zip(*driver.sent(Submit), strict=True)
+        self.assertEqual(names, ("s0", "s0"))
+        self.assertEqual([s.attempt for s in submits], [1, 2])
+        self.assertEqual(submits[0].ticket, submits[1].ticket)
+        self.assertEqual(submits[0].body_digest, submits[1].body_digest)
+
+    def test_refusal_of_the_repetition_does_not_prove_that_it_did_not_run(self):
+        """Guards against a first message that the sidecar reads after the second."""
+        driver = OrderDriver()
+        driver.order(key=ticket())
+        driver.lose()
+        driver.open("s0:1")
+        refused = Refused("r1", 2, ErrorKind.OVERLOADED, RunState.NOT_RUN, "full")
+        driver.receive("s0", refused)
+        self.assertIs(driver.failure.run_state, RunState.UNKNOWN)
+
+    def test_restarted_sidecar_does_not_get_the_order(self):
+        driver = OrderDriver()
+        driver.order(key=ticket())
+        driver.lose()
+        driver.open("s0:1", incarnation=INCARNATION + 1)
+        self.assertEqual(len(driver.sent(Submit)), 1)
+        self.assertIs(driver.failure.kind, ErrorKind.OUTCOME_UNKNOWN)
+
+    def test_unreachable_sidecar_is_tried_until_the_deadline(self):
+        driver = OrderDriver()
+        driver.order(key=ticket(), timeout=3.0)
+        driver.lose()
+        driver.tick(2.9)
+        self.assertEqual(driver.of(AnswerFailed), [])
+        driver.tick(0.3)
+        self.assertIs(driver.failure.kind, ErrorKind.OUTCOME_UNKNOWN)
+        self.assertIs(driver.failure.run_state, RunState.UNKNOWN)
+
+    def test_started_stream_is_resumed(self):
+        driver = OrderDriver()
+        driver.order(key=ticket(), streamed=True)
+        [(_, submit)] = driver.sent(Submit)
+        first, second, end = answer_of(submit, b"a", b"b")
+        driver.receive("s0", first)
+        driver.lose()
+        driver.open("s0:1")
+        self.assertEqual(driver.sent(Resume), [("s0", Resume("r1", 1, 1))])
+        driver.receive("s0", second)
+        driver.receive("s0", end)
+        self.assertEqual(len(driver.of(AnswerEnded)), 1)
+
+    def test_sent_order_survives_its_caller(self):
+        """Guards against cancelling an action half-way."""
+        driver = OrderDriver()
+        driver.order(key=ticket())
+        driver.do(CallerGone("r1"))
+        self.assertEqual(driver.sent(Cancel), [])
+        for message in answer_of(driver.sent(Submit)[0][1], b"done"):
+            driver.receive("s0", message)
+        self.assertEqual(driver.of(AnswerEnded), [])
+        self.assertEqual(driver.core.status(now=driver.now).in_flight, ())
+
+
+class ChosenKeyTests(unittest.TestCase):
+    def setUp(self):
+        self.driver = OrderDriver()
+        self.driver.order(key="mine")
+        [self.claim] = self.driver.of(CreateClaim)
+
+    def test_nothing_is_sent_before_the_claim_is_created(self):
+        """Guards against two entries that run one key twice."""
+        self.assertEqual(self.driver.sent(Submit), [])
+        self.driver.answer_claim(ClaimStatus.CREATED)
+        [(_, submit)] = self.driver.sent(Submit)
+        self.assertEqual(submit.ticket, self.claim.ticket)
+
+    def test_existing_claim_sends_the_order_to_its_ticket(self):
+        self.driver.answer_claim(ClaimStatus.EXISTS, ticket("s1"))
+        [(name, submit)] = self.driver.sent(Submit)
+        self.assertEqual((name, submit.ticket), ("s1", ticket("s1")))
+
+    def test_unreadable_stored_ticket_answers_unknown(self):
+        """Guards against "not run" for an order that ran before a key rotation."""
+        self.driver.answer_claim(ClaimStatus.EXISTS, "fk1.gone.payload.mac")
+        self.assertIs(self.driver.failure.run_state, RunState.UNKNOWN)
+
+    def test_lost_answer_is_read_back(self):
+        self.driver.answer_claim(ClaimStatus.ANSWER_LOST)
+        self.assertEqual(len(self.driver.of(ReadClaim)), 1)
+        self.driver.answer_claim(ClaimStatus.NOT_FOUND)
+        first, second = self.driver.of(CreateClaim)
+        self.assertEqual(first, second)
+        self.driver.answer_claim(ClaimStatus.EXISTS, first.ticket)
+        self.assertEqual(len(self.driver.sent(Submit)), 1)
+
+    def test_late_claim_answer_does_not_dispatch_again(self):
+        for _ in range(2):
+            self.driver.answer_claim(ClaimStatus.CREATED)
+        self.assertEqual(len(self.driver.sent(Submit)), 1)
+
+    def test_unavailable_object_api_refuses_as_not_run(self):
+        self.driver.answer_claim(ClaimStatus.UNAVAILABLE)
+        self.check_unavailable()
+
+    def test_lost_answers_are_limited(self):
+        for _ in range(4):
+            self.driver.answer_claim(ClaimStatus.ANSWER_LOST)
+        self.check_unavailable()
+
+    def check_unavailable(self):
+        failure = self.driver.failure
+        self.assertIs(failure.kind, ErrorKind.PLATFORM_UNAVAILABLE)
+        self.assertIs(failure.run_state, RunState.NOT_RUN)
+        self.assertIn("/v1/idempotency-keys", failure.detail)
+        self.assertGreater(failure.retry_after, 0)
+        self.assertEqual(self.driver.sent(Submit), [])
+
+
+class ClaimNameTests(unittest.TestCase):
+    def test_callers_do_not_share_names(self):
+        """Guards against one caller that reads the outcome of another."""
+        self.assertNotEqual(claim_name("ab", "c"), claim_name("a", "bc"))
--- /dev/null
+++ b/fighitch/tests/test_routing.py
@@ -0,0 +1,199 @@
+"""Tests of ``fighitch.core.entry.routing``."""
+
+import random
+import unittest
+from collections import Counter
+
+from fighitch.core.configuration import ConfigurationStore
+from fighitch.core.entry.indexes import Indexes, Target
+from fighitch.core.entry.membership import Members, MemberState
+from fighitch.core.entry.routing import Router
+from fighitch.core.entry.settings import EntrySettings
+from fighitch.core.errors import ErrorKind, RunState
+from fighitch.core.messages import AdapterVersion, Heartbeat, LoadReport
+from fighitch.core.resources import Kind, PlacementSpec
+from fighitch.tests.entry_helpers import ZONES, resource, server
+
+FLEET = tuple(server(f"e{n}", zone=ZONES[n % 3], disk="fast") for n in range(9))
+
+
+class Fixture:
+    def __init__(self, *extra, fleet=FLEET, zone="a"):
+        self.store = ConfigurationStore()
+        self.store.merge((*fleet, *extra), revision=10)
+        rng = random.Random(1)
+        settings = EntrySettings()
+        self.indexes = Indexes(self.store)
+        self.indexes.refresh()
+        self.members = Members(settings=settings, rng=rng)
+        self.members.sync(fleet)
+        self.router = Router(
+            availability_zone=zone,
+            region="r",
+            members=self.members,
+            indexes=self.indexes,
+            settings=settings,
+            rng=rng,
+        )
+
+    def report(self, name, running, *resident):
+        member = self.members.get(name)
+        self.members.opened(member, 1)
+        load = LoadReport((running,), (), 4, frozenset(resident))
+        self.members.reported(member, Heartbeat(0, load=load))
+
+    def report_all(self, running):
+        for member in list(self.members):
+            self.report(member.name, running)
+
+    def choose(self, number=0, *, now=0.0, rank=1, **options):
+        chosen = self.router.choose(target(number), rank=rank, now=now, **options)
+        return chosen.ok.name if chosen.is_ok() else chosen.error
+
+    def order(self, number=0, **options):
+        """Returns the servers in the order in which they would be asked."""
+        found = []
+        while isinstance(name := self.choose(number, excluded=found, **options), str):
+            found.append(name)
+        return found
+
+
+def target(number=0, **labels):
+    version = AdapterVersion(f"ad-{number}", "1")
+    return Target("m", version, labels=(labels,))
+
+
+def placement(name="p", **fields):
+    return resource(Kind.PLACEMENT, name, PlacementSpec(**fields))
+
+
+class PlacementTests(unittest.TestCase):
+    def test_only_servers_that_every_rule_selects_are_candidates(self):
+        """Guards against an adapter on a server that an operator ruled out."""
+        fast = server("slow", zone="a")
+        rule = placement(backend_server_selector="disk=fast", max_replicas=20)
+        fixture = Fixture(rule, fleet=(*FLEET, fast))
+        for number in range(20):
+            self.assertEqual(set(fixture.order(number)), {s.name for s in FLEET})
+
+    def test_no_candidate_is_reported_as_not_run(self):
+        fixture = Fixture(placement(backend_server_selector="disk=none"))
+        failure = fixture.choose()
+        self.assertIs(failure.kind, ErrorKind.NO_BACKEND_SERVER)
+        self.assertIs(failure.run_state, RunState.NOT_RUN)
+
+    def test_another_region_is_used_only_when_the_own_one_is_lost(self):
+        far = server("far", region="other")
+        fixture = Fixture(fleet=(*FLEET, far))
+        self.assertTrue(all(fixture.choose(n) != "far" for n in range(50)))
+        for member in fixture.members:
+            if member.name != "far":
+                member.state = MemberState.DEAD
+        self.assertEqual(fixture.choose(), "far")
+
+
+class SpreadTests(unittest.TestCase):
+    def test_entries_in_all_zones_agree_on_a_single_replica(self):
+        """Guards against loading each adapter once per zone."""
+        fixtures = [Fixture(zone=zone) for zone in ZONES]
+        for number in range(50):
+            self.assertEqual(len({f.choose(number) for f in fixtures}), 1)
+
+    def test_own_zone_is_first_among_the_replicas(self):
+        rule = placement(min_replicas=9, max_replicas=9)
+        for zone in ZONES:
+            fixture = Fixture(rule, zone=zone)
+            chosen = fixture.members.get(fixture.choose())
+            self.assertEqual(chosen.availability_zone, zone)
+
+    def test_adapters_are_spread_over_the_fleet(self):
+        fixture = Fixture()
+        counts = Counter(fixture.choose(number) for number in range(3_000))
+        self.assertEqual(len(counts), 9)
+        self.assertLess(max(counts.values()) / (3_000 / 9), 1.25)
+
+    def test_dead_and_leaving_servers_get_no_work(self):
+        fixture = Fixture()
+        first, second, *_ = fixture.order()
+        fixture.members.get(first).state = MemberState.LEAVING
+        self.assertEqual(fixture.choose(), second)
+        fixture.members.get(second).state = MemberState.DEAD
+        self.assertNotIn(fixture.choose(), (first, second))
+
+
+class LoadTests(unittest.TestCase):
+    def test_loaded_candidate_is_passed_over(self):
+        """Guards against a queue at one server while its replica is free."""
+        fixture = Fixture(placement(min_replicas=3, max_replicas=3))
+        fixture.report_all(2)
+        first = fixture.choose()
+        fixture.report(first, 4)
+        self.assertNotEqual(fixture.choose(), first)
+
+    def test_resident_version_is_preferred_within_the_bound(self):
+        """Guards against a stall for a load that another replica does not need."""
+        fixture = Fixture(placement(min_replicas=3, max_replicas=3))
+        fixture.report_all(2)
+        other = next(name for name in fixture.order() if name != fixture.choose())
+        fixture.report(other, 2, "ad-0@1")
+        self.assertEqual(fixture.choose(), other)
+        fixture.report(other, 4, "ad-0@1")
+        self.assertNotEqual(fixture.choose(), other)
+
+    def test_replicas_follow_demand(self):
+        """Guards against a popular adapter that overloads its only server."""
+        fixture = Fixture()
+        fixture.report_all(0)
+        fixture.report(fixture.choose(), 8)
+        self.assertEqual(fixture.router.replicas(target()), 1)
+        fixture.choose(now=1.0)
+        self.assertEqual(fixture.router.replicas(target()), 2)
+        fixture.report_all(1)
+        fixture.choose(now=60.0)
+        self.assertEqual(fixture.router.replicas(target()), 2)
+        fixture.choose(now=61.0)
+        self.assertEqual(fixture.router.replicas(target()), 1)
+
+    def test_busy_fleet_adds_no_replica(self):
+        """Guards against loads that make a flood worse."""
+        fixture = Fixture()
+        fixture.report_all(20)
+        for step in range(10):
+            fixture.choose(now=float(step))
+        self.assertEqual(fixture.router.replicas(target()), 1)
+
+
+class RefusalTests(unittest.TestCase):
+    def test_refusing_sidecar_is_not_asked_for_that_rank_until_then(self):
+        """Guards against asking again and again during a flood."""
+        fixture = Fixture()
+        first = fixture.choose()
+        member = fixture.members.get(first)
+        fixture.router.refused(member, rank=1, now=0.0, retry_after=2.0)
+        self.assertNotEqual(fixture.choose(now=1.9), first)
+        self.assertEqual(fixture.choose(now=1.9, rank=0), first)
+        self.assertEqual(fixture.choose(now=2.0), first)
+
+    def test_early_refusal_when_all_candidates_refuse(self):
+        """Guards against spreading one adapter's loads over the whole fleet."""
+        fixture = Fixture()
+        for wait in (4.0, 3.0, 2.0, 1.5):
+            member = fixture.members.get(fixture.choose())
+            fixture.router.refused(member, rank=1, now=0.0, retry_after=wait)
+        failure = fixture.choose(now=1.0)
+        self.assertIs(failure.kind, ErrorKind.OVERLOADED)
+        self.assertEqual((failure.retry_after, failure.status), (0.5, 429))
+
+
+class ServiceTests(unittest.TestCase):
+    def test_least_loaded_server_in_the_own_zone(self):
+        fleet = [server(f"s{n}", zone=ZONES[n % 2], kind="service") for n in range(4)]
+        fixture = Fixture(fleet=fleet)
+        for name, running in (("s0", 2), ("s1", 1), ("s2", 1), ("s3", 1)):
+            fixture.report(name, running)
+        desk = Target(service="desk", labels=({},))
+        self.assertEqual(fixture.router.choose(desk, rank=0, now=0.0).ok.name, "s2")
+        fixture.report("s0", 4)
+        fixture.report("s2", 4)
+        chosen = fixture.router.choose(desk, rank=0, now=0.0).ok.name
+        self.assertIn(chosen, ("s1", "s3"))
