Test connections, intake, drain and configuration exchange of the entry

Cause: only routing, orders and answers were tested beyond the property test.

Change: 27 tests through EntryCore.

--- /dev/null
+++ b/fighitch/tests/test_connections.py
@@ -0,0 +1,138 @@
+"""Tests of ``fighitch.core.entry.connections``, through the core."""
+
+import unittest
+
+from fighitch.core.effects import AnswerEnded, Connect, Disconnect
+from fighitch.core.entry.settings import EntrySettings
+from fighitch.core.inputs import (
+    ConfigurationReceived,
+    ConnectionClosed,
+    ConnectionFailed,
+    ConnectionOpened,
+    MessageReceived,
+)
+from fighitch.core.messages import Heartbeat, Peer, Resume, Role, Submit
+from fighitch.tests.entry_helpers import (
+    INCARNATION,
+    Driver,
+    answer_of,
+    configuration,
+)
+
+
+class LivenessTests(unittest.TestCase):
+    def test_heartbeat_is_sent_on_an_idle_connection(self):
+        driver = Driver()
+        before = len(driver.sent(Heartbeat))
+        driver.tick(0.49)
+        self.assertEqual(len(driver.sent(Heartbeat)), before)
+        driver.tick(0.02)
+        self.assertEqual(len(driver.sent(Heartbeat)), before + 5)
+
+    def test_new_revision_is_announced_at_once(self):
+        """Guards against a change that takes longer than 5 s to reach sidecars."""
+        driver = Driver()
+        driver.do(ConfigurationReceived((), 11, 10))
+        driver.tick(0.05)
+        revisions = [beat.revision for _, beat in driver.sent(Heartbeat)[-5:]]
+        self.assertEqual(revisions, [11] * 5)
+
+    def test_silent_connection_is_replaced_and_the_answer_resumed(self):
+        """Guards against a connection that went silent for good."""
+        driver = Driver()
+        driver.ask(streamed=True)
+        [(name, submit)] = driver.sent(Submit)
+        first, *rest = answer_of(submit, b"a", b"b")
+        driver.receive(name, first)
+        silent = driver.connection(name)
+        driver.effects.clear()
+        for _ in range(2):
+            driver.tick(0.76)
+        self.assertIn(Disconnect(silent, "silent"), driver.effects)
+        driver.tick(0.2)
+        self.assertIn(Connect(f"{name}:1"), driver.effects)
+        driver.open(f"{name}:1")
+        self.assertEqual(driver.sent(Resume), [(name, Resume("r1", 1, 1))])
+        for message in rest:
+            driver.receive(name, message)
+        self.assertEqual(driver.answer.status, 200)
+
+    def test_message_on_a_replaced_connection_is_dropped(self):
+        driver = Driver()
+        driver.ask()
+        [(name, submit)] = driver.sent(Submit)
+        old = driver.connection(name)
+        driver.open(f"{name}:1")
+        self.assertIn(Disconnect(old, "replaced"), driver.effects)
+        self.assertEqual(len(driver.sent(Resume)), 1)
+        for message in answer_of(submit, b"a"):
+            driver.do(MessageReceived(old, message))
+        self.assertEqual(driver.of(AnswerEnded), [])
+        self.assertEqual(len(driver.logged("message_dropped")), 2)
+
+
+class ReconnectTests(unittest.TestCase):
+    def test_lost_connection_is_opened_again_after_a_random_delay(self):
+        driver = Driver()
+        driver.effects.clear()
+        driver.do(ConnectionClosed(driver.connection("e0")))
+        for _ in range(3):
+            driver.tick()
+        self.assertEqual(driver.of(Connect), [Connect("e0:1")])
+
+    def test_failed_attempts_back_off(self):
+        """Guards against attempts at a dead sidecar in every tick."""
+        driver = Driver()
+        driver.do(ConnectionClosed(driver.connection("e0")))
+        driver.effects.clear()
+        attempts = 0
+        for _ in range(120):
+            driver.keep_alive(0.5)
+            for _ in range(driver.of(Connect).count(Connect("e0:1")) - attempts):
+                attempts += 1
+                driver.do(ConnectionFailed("e0:1", "refused"))
+        self.assertLess(attempts, 50)
+        self.assertGreater(attempts, 12)
+
+    def test_process_at_a_reused_address_is_refused(self):
+        """Guards against sending work to another sidecar than the configured one."""
+        driver = Driver(connect=False)
+        driver.open("e0:1", name="e9", heartbeat=False)
+        self.assertEqual(driver.of(Disconnect)[-1].reason, "unexpected peer")
+
+
+class LimitTests(unittest.TestCase):
+    def test_least_recently_used_idle_connection_is_closed(self):
+        driver = Driver(connect=False, settings=EntrySettings(max_connections=3))
+        for name in ("e0", "e1", "e2", "s0"):
+            driver.now += 0.1
+            driver.open(f"{name}:1")
+        [closed] = driver.of(Disconnect)
+        self.assertEqual(driver.addresses[closed.connection], "e0")
+
+    def test_connections_are_opened_on_demand_beyond_the_limit(self):
+        driver = Driver(connect=False, settings=EntrySettings(max_connections=3))
+        driver.tick(0.2)
+        self.assertEqual(driver.of(Connect), [])
+        driver.ask()
+        self.assertEqual(len(driver.of(Connect)), 1)
+        driver.open(driver.of(Connect)[0].address)
+        self.assertEqual(len(driver.sent(Submit)), 1)
+
+
+class BootstrapTests(unittest.TestCase):
+    def test_connection_from_before_the_configuration_is_used(self):
+        """Guards against a second connection to each bootstrap peer."""
+        driver = Driver(resources=(), connect=False, peers=("e0:1",))
+        driver.tick()
+        self.assertEqual(driver.of(Connect), [Connect("e0:1")])
+        peer = Peer(Role.SIDECAR, "e0", INCARNATION)
+        driver.addresses[1] = "e0"
+        driver.do(ConnectionOpened(1, peer, "e0:1"))
+        driver.do(ConfigurationReceived(configuration(), 10))
+        driver.tick(0.2)
+        self.assertEqual(driver.of(Connect).count(Connect("e0:1")), 1)
+        states = {
+            m.name: m.is_connected for m in driver.core.status(now=0).backend_servers
+        }
+        self.assertTrue(states["e0"])
--- /dev/null
+++ b/fighitch/tests/test_entry.py
@@ -0,0 +1,217 @@
+"""Tests of ``fighitch.core.entry.core`` and ``fighitch.core.entry.dispatch``."""
+
+import unittest
+
+from fighitch.core.configuration import encode_resources
+from fighitch.core.effects import AnswerEnded, AnswerFailed, Stop
+from fighitch.core.errors import ErrorKind, RunState
+from fighitch.core.inputs import (
+    CallerGone,
+    ConfigurationReceived,
+    ConnectionClosed,
+    ConnectionFailed,
+    ConnectionOpened,
+    DrainRequested,
+)
+from fighitch.core.messages import (
+    Cancel,
+    ConfigurationDelta,
+    ConfigurationRequest,
+    Peer,
+    Resume,
+    Role,
+    Submit,
+)
+from fighitch.core.resources import Kind, Resource
+from fighitch.tests.entry_helpers import (
+    INCARNATION,
+    Driver,
+    answer_of,
+    configuration,
+    ticket,
+)
+
+
+class IntakeTests(unittest.TestCase):
+    def test_unusable_requests_are_refused_before_dispatch(self):
+        for fields, kind in (
+            ({"key_digest": ""}, ErrorKind.UNAUTHENTICATED),
+            ({"key_digest": "0"}, ErrorKind.UNAUTHENTICATED),
+            ({"model": "none"}, ErrorKind.UNKNOWN_ADAPTER),
+            ({"model": "ad@9"}, ErrorKind.UNKNOWN_VERSION),
+            ({"model": "", "service": "none"}, ErrorKind.UNKNOWN_SERVICE),
+            ({"work": "order"}, ErrorKind.FORBIDDEN),
+        ):
+            driver = Driver()
+            driver.ask(**fields)
+            self.assertIs(driver.failure.kind, kind)
+            self.assertIs(driver.failure.run_state, RunState.NOT_RUN)
+            self.assertEqual(driver.sent(Submit), [])
+
+    def test_version_is_resolved_once(self):
+        """Guards against a retry on another version after a change of the default."""
+        driver = Driver()
+        driver.ask("r1", model="ad@1")
+        driver.ask("r2")
+        versions = [str(submit.adapter_version) for _, submit in driver.sent(Submit)]
+        self.assertEqual(versions, ["ad@1", "ad@2"])
+
+    def test_requests_of_one_caller_are_limited(self):
+        driver = Driver(resources=configuration(max_in_flight=2))
+        for number in range(3):
+            driver.ask(f"r{number}")
+        self.assertEqual(driver.of(AnswerFailed)[0].request_id, "r2")
+        self.assertIs(driver.failure.kind, ErrorKind.OVERLOADED)
+        driver.do(CallerGone("r0"))
+        driver.ask("r3")
+        self.assertEqual(len(driver.sent(Submit)), 3)
+
+    def test_not_ready_without_configuration(self):
+        driver = Driver(resources=(), connect=False)
+        self.assertFalse(driver.core.is_ready)
+        driver.ask()
+        self.assertIs(driver.failure.kind, ErrorKind.NOT_READY)
+
+
+class FailureTests(unittest.TestCase):
+    def start(self, **fields):
+        driver = Driver()
+        driver.ask(**fields)
+        [(name, submit)] = driver.sent(Submit)
+        return driver, name, submit
+
+    def test_unreachable_server_is_replaced_by_another_one(self):
+        driver = Driver(connect=False)
+        driver.ask()
+        first = driver.logged("request_routed")[0]["member"]
+        driver.do(ConnectionFailed(f"{first}:1", "refused"))
+        second = driver.logged("request_routed")[1]["member"]
+        driver.open(f"{second}:1")
+        self.assertNotEqual(first, second)
+        self.assertEqual([name for name, _ in driver.sent(Submit)], [second])
+
+    def test_restarted_server_loses_the_request_to_another_one(self):
+        driver, name, _ = self.start()
+        driver.do(ConnectionClosed(driver.connection(name)))
+        driver.open(f"{name}:1", incarnation=INCARNATION + 1)
+        self.assertEqual(driver.sent(Resume), [])
+        self.assertNotEqual(driver.sent(Submit)[-1][0], name)
+
+    def test_started_stream_is_not_started_again_elsewhere(self):
+        """Guards against a text that begins twice."""
+        driver, name, submit = self.start(streamed=True)
+        driver.receive(name, answer_of(submit, b"a", b"b")[0])
+        driver.do(ConnectionClosed(driver.connection(name)))
+        driver.open(f"{name}:1", incarnation=INCARNATION + 1)
+        self.assertEqual(len(driver.sent(Submit)), 1)
+        self.assertIs(driver.failure.kind, ErrorKind.BACKEND_FAILED)
+        self.assertIs(driver.failure.run_state, RunState.UNKNOWN)
+
+    def test_deadline_cancels_idempotent_work(self):
+        driver, name, _ = self.start(timeout=1.0)
+        driver.keep_alive(1.0)
+        self.assertEqual(driver.of(AnswerFailed), [])
+        driver.tick(0.11)
+        self.assertIs(driver.failure.kind, ErrorKind.DEADLINE_EXCEEDED)
+        self.assertIs(driver.failure.run_state, RunState.UNKNOWN)
+        self.assertEqual(driver.sent(Cancel), [(name, Cancel("r1", 1))])
+
+    def test_remaining_time_is_carried_along(self):
+        """Guards against a retry with a fresh deadline."""
+        driver, name, _ = self.start(timeout=2.0)
+        driver.keep_alive(0.5)
+        driver.do(ConnectionClosed(driver.connection(name)))
+        driver.do(ConnectionFailed(f"{name}:1", "refused"))
+        remaining = [submit.remaining for _, submit in driver.sent(Submit)]
+        self.assertEqual(remaining, [2_000, 1_500])
+
+    def test_gone_caller_cancels_idempotent_work(self):
+        driver, name, _ = self.start()
+        driver.do(CallerGone("r1"))
+        self.assertEqual(driver.sent(Cancel), [(name, Cancel("r1", 1))])
+        self.assertEqual(driver.of(AnswerFailed), [])
+
+    def test_removed_server_finishes_what_it_has(self):
+        """Guards against cutting off requests when an operator deletes a server."""
+        driver, name, submit = self.start()
+        gone = Resource(kind=Kind.BACKEND_SERVER, name=name, revision=11)
+        driver.do(ConfigurationReceived((gone,), 11, 10))
+        driver.tick()
+        for message in answer_of(submit, b"a"):
+            driver.receive(name, message)
+        self.assertEqual(driver.answer.body, b"a")
+        driver.ask("r2")
+        self.assertNotEqual(driver.sent(Submit)[-1][0], name)
+
+    def test_zone_cut_is_logged_and_orders_wait_for_its_return(self):
+        driver = Driver(resources=configuration(engines=9))
+        driver.order(key=ticket("s0"))
+        for _ in range(8):
+            for name in ("e1", "e2", "e4", "e5", "e7", "e8", "s1"):
+                driver.heartbeat(name)
+            driver.tick(0.5)
+        [cut] = driver.logged("zone_cut")
+        self.assertEqual(cut["availability_zone"], "a")
+        self.assertEqual(driver.logged("member_dead"), [])
+        driver.open("s0:1")
+        self.assertEqual([name for name, _ in driver.sent(Submit)], ["s0", "s0"])
+
+
+class ConfigurationTests(unittest.TestCase):
+    def test_newer_revision_of_a_peer_is_asked_for_and_merged(self):
+        driver = Driver()
+        driver.heartbeat("e0", revision=12)
+        self.assertEqual(
+            driver.sent(ConfigurationRequest), [("e0", ConfigurationRequest(10))]
+        )
+        gone = Resource(kind=Kind.ADAPTER, name="ad", revision=12)
+        delta = ConfigurationDelta(10, 12, encode_resources([gone]))
+        driver.receive("e0", delta)
+        driver.ask()
+        self.assertIs(driver.failure.kind, ErrorKind.UNKNOWN_ADAPTER)
+
+    def test_peer_gets_what_it_lacks(self):
+        driver = Driver()
+        driver.receive("e0", ConfigurationRequest(0))
+        [(name, delta)] = driver.sent(ConfigurationDelta)
+        self.assertEqual((name, delta.base, delta.revision), ("e0", 0, 10))
+
+    def test_bootstrap_asks_each_peer_at_once(self):
+        driver = Driver(resources=(), connect=False, peers=("x:1",))
+        driver.addresses[1] = "x"
+        driver.do(ConnectionOpened(1, Peer(Role.ENTRY, "x", 5), "x:1"))
+        self.assertEqual(
+            driver.sent(ConfigurationRequest), [("x", ConfigurationRequest(0))]
+        )
+
+
+class DrainTests(unittest.TestCase):
+    def test_drain_finishes_what_is_in_flight(self):
+        """Guards against a planned stop that cuts off requests."""
+        driver = Driver()
+        driver.ask("r1")
+        driver.do(DrainRequested())
+        driver.ask("r2")
+        self.assertIs(driver.failure.kind, ErrorKind.DRAINING)
+        self.assertIs(driver.failure.run_state, RunState.NOT_RUN)
+        self.assertEqual(driver.of(Stop), [])
+        [(name, submit)] = driver.sent(Submit)
+        for message in answer_of(submit, b"a"):
+            driver.receive(name, message)
+        self.assertEqual(len(driver.of(AnswerEnded)), 1)
+        driver.tick()
+        self.assertEqual(len(driver.of(Stop)), 1)
+
+
+class OperatorTests(unittest.TestCase):
+    def test_status_and_explanation(self):
+        driver = Driver()
+        driver.ask()
+        status = driver.core.status(now=driver.now)
+        self.assertTrue(status.is_ready)
+        self.assertEqual((status.in_flight, status.connections), (((1, 1),), 5))
+        self.assertEqual(sum(member.in_flight for member in status.backend_servers), 1)
+        events = [record.event for record in driver.core.explain("r1")]
+        self.assertEqual(
+            events, ["request_accepted", "request_routed", "request_submitted"]
+        )
