Say "not run" of an order only where it holds for its key

Cause: a repeat through another entry while the object API was down, or at a draining entry, was answered "not run" although the first request with the key may have run. Ruled out: the sidecar, whose ledger knows the key. Change: an entry that has not asked the ledger says "unknown" and X-Attempt-Sent: false; a key whose claim is new keeps "not run". Two tests that asserted the old state assert the stricter one now. A stopping entry serves on for drain_notice_seconds, answers requests that come after its core has stopped, and ends streams whose caller is gone.

--- a/fighitch/core/effects.py
+++ b/fighitch/core/effects.py
@@ -105,10 +105,18 @@
 
 @dataclass(frozen=True, slots=True)
 class AnswerFailed:
-    """The request ends with an error; after ``AnswerStarted`` the stream is cut."""
+    """The request ends with an error; after ``AnswerStarted`` the stream is cut.
+
+    Attributes:
+        request_id: Request that failed.
+        failure: Why, and whether the work ran.
+        was_sent: Whether this request was sent to a sidecar. If not, and no earlier
+            request used its idempotency key, the work was not run.
+    """
 
     request_id: RequestId
     failure: Failure
+    was_sent: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/fighitch/core/entry/attempts.py
+++ b/fighitch/core/entry/attempts.py
@@ -41,6 +41,8 @@
         text: Ticket as text; empty until one is minted.
         ticket: Content of the ticket; None until its text is verified.
         lost_answers: Answers of the object API that were lost.
+        is_outcome_known: Whether it is known what earlier uses of the key led to:
+            there were none, or the ledger has answered.
     """
 
     key: str
@@ -48,6 +50,7 @@
     text: str = ""
     ticket: Ticket | None = None
     lost_answers: int = 0
+    is_outcome_known: bool = False
 
 
 @dataclass(slots=True)
@@ -120,8 +123,17 @@
         return str(version) if version is not None else ""
 
     def run_state(self, stated: RunState) -> RunState:
-        """Returns the run state of the request, given that of its last attempt."""
-        if stated is RunState.NOT_RUN and self.may_have_run:
+        """Returns the run state of the request, given that of its last attempt.
+
+        An earlier request with the same key, perhaps through another entry, may have
+        run an order, which only the ledger of its sidecar can tell.
+        """
+        may_have_run = self.may_have_run or (
+            self.order is not None
+            and bool(self.order.key)
+            and not self.order.is_outcome_known
+        )
+        if stated is RunState.NOT_RUN and may_have_run:
             return RunState.UNKNOWN
         return stated
 
--- a/fighitch/core/entry/core.py
+++ b/fighitch/core/entry/core.py
@@ -7,7 +7,7 @@
 import random
 from collections import Counter
 from collections.abc import Iterable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from functools import singledispatchmethod
 
 from expression import Error, Ok, Result
@@ -272,7 +272,11 @@
             event.key_digest, model=event.model, service=event.service, work=event.work
         ).bind(self._limit)
         if planned.is_error():
-            self._refuse(event.request_id, planned.error, now)
+            failure = planned.error
+            if event.idempotency_key:
+                # An earlier request with this key may have run.
+                failure = replace(failure, stated_run_state=RunState.UNKNOWN)
+            self._refuse(event.request_id, failure, now)
             return
         plan = planned.ok
         policy = plan.policy.spec
--- a/fighitch/core/entry/orders.py
+++ b/fighitch/core/entry/orders.py
@@ -34,6 +34,10 @@
 from fighitch.types import CallerName, RequestId, Seconds
 
 _NONCE_BITS = 96
+# A sidecar refuses these before it looks for the ticket in its ledger.
+_REFUSED_BEFORE_LEDGER = frozenset(
+    {ErrorKind.BAD_REQUEST, ErrorKind.FORBIDDEN, ErrorKind.KEY_REQUIRED}
+)
 _ISSUED_KEY_HINT = (
     "repeat with the same key, or request an issued key at /v1/idempotency-keys, "
     "which works without the object API"
@@ -172,6 +176,8 @@
 
     def attempt_failed(self, work: Work, failure: Failure, now: Seconds) -> None:
         """Passes on why the sidecar did not answer the order."""
+        if work.order is not None and failure.kind not in _REFUSED_BEFORE_LEDGER:
+            work.order.is_outcome_known = True
         work.end_attempt(failure)
         self._dispatcher.unbind(work, now)
         self._replies.fail(work, failure, now)
@@ -382,6 +388,9 @@
         self, work: Work, order: Order, answer: ClaimAnswered, now: Seconds
     ) -> None:
         if answer.status is ClaimStatus.CREATED:
+            # The key was not used before. After a lost answer the claim may be that of
+            # an earlier request, since the same ticket was written twice.
+            order.is_outcome_known = order.lost_answers == 0
             self._take_ticket(work, order.text, now)
         elif answer.status is ClaimStatus.EXISTS:
             self._take_ticket(work, answer.ticket, now)
--- a/fighitch/core/entry/replies.py
+++ b/fighitch/core/entry/replies.py
@@ -90,7 +90,9 @@
             run_state=failure.run_state.value,
         )
         if not work.is_abandoned:
-            self._outbox.add(AnswerFailed(work.request_id, failure))
+            self._outbox.add(
+                AnswerFailed(work.request_id, failure, was_sent=work.attempt > 0)
+            )
         self._works.remove(work)
 
     def drop(self, work: Work, now: Seconds, *, cause: str) -> None:
--- a/fighitch/daemons/base.py
+++ b/fighitch/daemons/base.py
@@ -155,9 +155,14 @@
 
     def drain(self) -> None:
         """Begins a planned stop."""
-        if self._drain_began is None:
-            self._drain_began = time.monotonic()
+        if self._drain_began is not None:
+            return
+        self._drain_began = time.monotonic()
         self.log.event("drain_requested")
+        self.begin_drain()
+
+    def begin_drain(self) -> None:
+        """Lets the core refuse new work and finish what it has."""
         self.loop.post(DrainRequested())
 
     def _log_losses(self) -> None:
@@ -204,8 +209,8 @@
         return self.loop.ask(question).result(ANSWER_TIMEOUT)
 
     def is_ready(self) -> bool:
-        """Returns whether the daemon can serve."""
-        return bool(self.ask(lambda core: core.is_ready))
+        """Returns whether the daemon can serve and is not asked to stop."""
+        return self._drain_began is None and bool(self.ask(lambda core: core.is_ready))
 
     def status(self) -> Any:
         """Returns a snapshot that can be written as JSON."""
--- a/fighitch/daemons/callers_app.py
+++ b/fighitch/daemons/callers_app.py
@@ -27,7 +27,7 @@
     AnswerStarted,
     TicketIssued,
 )
-from fighitch.core.errors import ErrorKind, Failure
+from fighitch.core.errors import ErrorKind, Failure, RunState
 from fighitch.core.inputs import CallerGone, CallerRequest, TicketRequested
 from fighitch.daemons.errors import (
     REQUEST_ID_HEADER,
@@ -82,6 +82,9 @@
     def is_ready(self) -> bool:
         """Returns whether the balancer may send requests."""
 
+    def is_stopped(self) -> bool:
+        """Returns whether the core has stopped and answers no more."""
+
 
 class StreamCutError(ConnectionError):
     """Ends a streamed answer without the final chunk, so that the caller notices."""
@@ -266,12 +269,13 @@
             return self._streamed(event)
         if isinstance(event, AnswerEnded):
             return self._whole(event)
-        if isinstance(event, AnswerFailed):
-            failure = event.failure
-        else:
+        if event is None:
+            event = AnswerFailed(self._request_id, _stopped())
+        if not isinstance(event, AnswerFailed):
             failure = Failure(ErrorKind.INTERNAL, f"unexpected {event}")
-        self._close(failure=failure)
-        return error_response(failure, self._request_id)
+            event = AnswerFailed(self._request_id, failure, was_sent=True)
+        self._close(failure=event.failure)
+        return error_response(event.failure, self._request_id, was_sent=event.was_sent)
 
     def _whole(self, event: AnswerEnded) -> Response:
         self._metrics.first_byte(time.monotonic() - self._started_at)
@@ -300,6 +304,8 @@
         try:
             while True:
                 event = self._next_event()
+                if event is None:
+                    raise StreamCutError("the caller is gone or the entry stopped")
                 if isinstance(event, AnswerData):
                     yield event.data
                 elif isinstance(event, AnswerEnded):
@@ -319,6 +325,8 @@
             try:
                 return self._events.get(timeout=_CALLER_POLL)
             except queue.Empty:
+                if self._link.is_stopped():
+                    return self._events.get() if not self._events.empty() else None
                 if self._is_caller_gone():
                     break
         self._close()
@@ -361,6 +369,16 @@
         self._span.end()
 
 
+def _stopped() -> Failure:
+    """Returns the answer to a request that came too late for a core that stopped.
+
+    The core stops only after it has answered every request that it has seen, so this
+    one was not sent; an earlier one with the same key may have been.
+    """
+    detail = "this entry has stopped; repeat the request at another entry"
+    return Failure(ErrorKind.DRAINING, detail, RunState.UNKNOWN, retry_after=1.0)
+
+
 def _answer_headers(request_id: RequestId, event: AnswerEnded) -> dict[str, str]:
     headers = {
         REQUEST_ID_HEADER: request_id,
--- a/fighitch/daemons/entry.py
+++ b/fighitch/daemons/entry.py
@@ -38,9 +38,6 @@
 from fighitch.types import RequestId, Seconds
 
 INSTANCE_LIST_INTERVAL: Seconds = 1.0
-# Time in which the balancer notices that a draining entry is not ready, before the
-# port is closed.
-BALANCER_NOTICE: Seconds = 1.0
 
 
 class EntryDaemon(Daemon[EntrySettings]):
@@ -108,9 +105,13 @@
                 target=self._poll_instances, name="instances", daemon=True
             ).start()
 
+    def begin_drain(self) -> None:
+        """Serves on until the balancer has noticed, then drains."""
+        self._stopping.wait(self.settings.drain_notice_seconds)
+        super().begin_drain()
+
     def stop_tasks(self) -> None:
         """Ends the tasks; the callers' server first sends what it still holds."""
-        self._stopping.wait(BALANCER_NOTICE)
         self._stopping.set()
         if self._watch is not None:
             self._watch.stop()
@@ -138,6 +139,10 @@
         """Returns the models that a caller may ask for."""
         return self.ask(lambda core: _models(core, key_digest))
 
+    def is_stopped(self) -> bool:
+        """Returns whether the core has stopped and answers no more."""
+        return self.loop.is_stopped
+
     # --- Effects ---
 
     @singledispatchmethod
--- a/fighitch/daemons/errors.py
+++ b/fighitch/daemons/errors.py
@@ -11,6 +11,7 @@
 REQUEST_ID_HEADER = "X-Request-Id"
 RUN_STATE_HEADER = "X-Run-State"
 ERROR_KIND_HEADER = "X-Error-Kind"
+ATTEMPT_SENT_HEADER = "X-Attempt-Sent"
 
 
 def error_body(failure: Failure, request_id: str) -> bytes:
@@ -29,11 +30,20 @@
     )
 
 
-def error_response(failure: Failure, request_id: str = "") -> Response:
-    """Returns the HTTP answer to a failure."""
+def error_response(
+    failure: Failure, request_id: str = "", *, was_sent: bool = False
+) -> Response:
+    """Returns the HTTP answer to a failure.
+
+    Args:
+        failure: Why the request ended.
+        request_id: Request that it concerns; empty if none.
+        was_sent: Whether this request was sent to a sidecar.
+    """
     headers = {
         RUN_STATE_HEADER: failure.run_state.value,
         ERROR_KIND_HEADER: failure.kind.value,
+        ATTEMPT_SENT_HEADER: "true" if was_sent else "false",
     }
     if request_id:
         headers[REQUEST_ID_HEADER] = request_id
--- a/fighitch/settings.py
+++ b/fighitch/settings.py
@@ -130,6 +130,8 @@
             answer is complete.
         drain_seconds: Longest drain at a planned stop, in seconds, after which the
             process exits with requests in flight; 0 waits for the last request.
+        drain_notice_seconds: Time in seconds from a stop signal, during which the
+            balancer sees that the entry is not ready and requests are still served.
         watch: Whether this entry watches the object API and so feeds its peers.
         log: Log output.
         traces: Trace output.
@@ -147,6 +149,7 @@
     max_body_bytes: Annotated[int, msgspec.Meta(ge=1, le=MAX_BODY_BYTES)] = 1_048_576
     http_workers: Annotated[int, msgspec.Meta(ge=1, le=MAX_HTTP_WORKERS)] = 128
     drain_seconds: Annotated[float, msgspec.Meta(ge=0)] = 0.0
+    drain_notice_seconds: Annotated[float, msgspec.Meta(ge=0)] = 2.0
     watch: bool = False
     log: LogSettings = LogSettings()
     traces: TraceSettings = TraceSettings()
@@ -233,6 +236,7 @@
         "max_body_bytes": _RELOAD,
         "http_workers": _RESTART,
         "drain_seconds": _RELOAD,
+        "drain_notice_seconds": _RELOAD,
         "watch": _RESTART,
         "log": _RELOAD,
         "traces": _RESTART,
--- a/fighitch/tests/test_callers_app.py
+++ b/fighitch/tests/test_callers_app.py
@@ -36,6 +36,7 @@
         self.posted = queue.Queue()
         self.events = queue.SimpleQueue()
         self.closed = queue.Queue()
+        self.has_stopped = False
 
     def open_request(self):
         return "entry-1.ab.1", self.events
@@ -52,6 +53,9 @@
     def is_ready(self):
         return False
 
+    def is_stopped(self):
+        return self.has_stopped
+
 
 class AppTestCase(unittest.TestCase):
     def setUp(self):
@@ -107,6 +111,14 @@
             ).start()
             self.assertEqual(connection.getresponse().read(), b"late")
 
+    def test_request_after_the_core_has_stopped_is_answered(self):
+        """Guards against a planned stop that hangs on a late request."""
+        self.link.has_stopped = True
+        with mock.patch.object(callers_app, "_CALLER_POLL", 0.01):
+            response = self.complete([])
+        self.assertEqual(response.headers["X-Error-Kind"], "draining")
+        self.assertEqual(response.headers["X-Attempt-Sent"], "false")
+
     def test_caller_that_goes_away_is_reported(self):
         """Guards against work that goes on for nobody."""
         with mock.patch.object(callers_app, "_CALLER_POLL", 0.01):
@@ -117,6 +129,21 @@
             connection.close()
             self.assertIsInstance(self.link.posted.get(timeout=TIMEOUT), CallerGone)
 
+    def test_stream_whose_caller_is_gone_ends(self):
+        """Guards against a handler that waits for ever for a caller that is gone."""
+        self.link.events.put(AnswerStarted("entry-1.ab.1", 200, "text/event-stream"))
+        self.link.events.put(AnswerData("entry-1.ab.1", b"data: 1\n\n"))
+        with mock.patch.object(callers_app, "_CALLER_POLL", 0.01):
+            connection = self.connect()
+            body = msgspec.json.encode({"model": "a", "stream": True})
+            connection.request("POST", "/v1/completions", body)
+            response = connection.getresponse()
+            response.read(5)
+            response.close()
+            connection.close()
+            kinds = [type(self.link.posted.get(timeout=TIMEOUT)) for _ in range(2)]
+        self.assertEqual(kinds, [CallerRequest, CallerGone])
+
     def test_stream_is_passed_on_and_ended(self):
         answer = [
             AnswerStarted("entry-1.ab.1", 200, "text/event-stream", "a@v1"),
--- a/fighitch/tests/test_orders.py
+++ b/fighitch/tests/test_orders.py
@@ -190,10 +190,24 @@
             self.driver.answer_claim(ClaimStatus.CREATED)
         self.assertEqual(len(self.driver.sent(Submit)), 1)
 
-    def test_unavailable_object_api_refuses_as_not_run(self):
+    def test_unavailable_object_api_refuses_without_sending(self):
+        """Guards against "not run" for a key that ran through another entry."""
         self.driver.answer_claim(ClaimStatus.UNAVAILABLE)
         self.check_unavailable()
 
+    def test_new_key_that_is_never_sent_was_not_run(self):
+        self.driver.answer_claim(ClaimStatus.CREATED)
+        name, submit = self.driver.sent(Submit)[0]
+        refused = Refused(
+            submit.request_id,
+            submit.attempt,
+            ErrorKind.OVERLOADED,
+            RunState.NOT_RUN,
+            "full",
+        )
+        self.driver.receive(name, refused)
+        self.assertIs(self.driver.failure.run_state, RunState.NOT_RUN)
+
     def test_lost_answers_are_limited(self):
         for _ in range(4):
             self.driver.answer_claim(ClaimStatus.ANSWER_LOST)
@@ -202,7 +216,7 @@
     def check_unavailable(self):
         failure = self.driver.failure
         self.assertIs(failure.kind, ErrorKind.PLATFORM_UNAVAILABLE)
-        self.assertIs(failure.run_state, RunState.NOT_RUN)
+        self.assertIs(failure.run_state, RunState.UNKNOWN)
         self.assertIn("/v1/idempotency-keys", failure.detail)
         self.assertGreater(failure.retry_after, 0)
         self.assertEqual(self.driver.sent(Submit), [])
