Add fighitch prune for claims of caller-chosen keys

Cause: every order with a caller-chosen key leaves a claim, and nothing deleted them. Ruled out: deletion by the daemons, which would need a clock they agree on.

--- a/fighitch/cli/app.py
+++ b/fighitch/cli/app.py
@@ -22,6 +22,7 @@
 from fighitch.cli.explain import ExplainCommand
 from fighitch.cli.get import DescribeCommand, GetCommand
 from fighitch.cli.label import DrainCommand, LabelCommand
+from fighitch.cli.prune import PruneCommand
 from fighitch.cli.status import StatusCommand
 from fighitch.cli.watch import WatchCommand
 
@@ -35,6 +36,7 @@
     DeleteCommand,
     WatchCommand,
     DrainCommand,
+    PruneCommand,
     StatusCommand,
     ExplainCommand,
     CheckCommand,
--- a/fighitch/core/claims.py
+++ b/fighitch/core/claims.py
@@ -1,12 +1,41 @@
 """Claims, which bind caller-chosen keys to tickets, in the object API."""
 
+from collections.abc import Iterator
 from dataclasses import dataclass
+from datetime import datetime, timedelta
+from email.utils import parsedate_to_datetime
 
-from fighitch.core.errors import ErrorKind
+from expression import Error, Ok, Result
+
+from fighitch.core.errors import ErrorKind, Failure
 from fighitch.core.http_calls import CallResult, HttpCall, NoAnswer
 from fighitch.core.inputs import ClaimStatus
-from fighitch.core.object_api import CLAIM_KIND, create_call, read_document
+from fighitch.core.object_api import (
+    CLAIM_KIND,
+    Document,
+    create_call,
+    read_document,
+    revision_of,
+)
 from fighitch.core.resources import API_VERSION
+from fighitch.types import Revision
+
+# A ticket is refused after 7 epochs of 10 minutes at the latest. A claim must outlive
+# its ticket, or a repeat would bind the key to a new ticket and run the order again.
+MIN_PRUNE_AGE = timedelta(hours=2)
+
+
+@dataclass(frozen=True, slots=True)
+class ClaimList:
+    """All claims and the object API's own time.
+
+    Attributes:
+        documents: The claims.
+        now: Time of the object API; the age of a claim is taken by this clock alone.
+    """
+
+    documents: tuple[Document, ...]
+    now: datetime
 
 
 @dataclass(frozen=True, slots=True)
@@ -55,3 +84,33 @@
     if not isinstance(ticket, str) or not ticket:
         return ClaimAnswer(ClaimStatus.UNAVAILABLE)
     return ClaimAnswer(ClaimStatus.EXISTS, ticket)
+
+
+def read_claim_list(result: CallResult) -> Result[ClaimList, Failure]:
+    """Interprets the answer to the listing of claims."""
+    listed = read_document(result)
+    if listed.is_error() or isinstance(result, NoAnswer):
+        return Error(listed.error)
+    try:
+        now = parsedate_to_datetime(result.headers.get("date", ""))
+    except ValueError:
+        detail = "the object API's answer has no readable Date header"
+        return Error(Failure(ErrorKind.PLATFORM_UNAVAILABLE, detail))
+    return Ok(ClaimList(tuple(listed.ok.get("items") or ()), now))
+
+
+def claims_older_than(
+    claims: ClaimList, age: timedelta
+) -> Iterator[tuple[str, Revision]]:
+    """Yields name and version of each claim that is older than an age.
+
+    A claim without a readable time of creation is kept.
+    """
+    for document in claims.documents:
+        metadata = document.get("metadata") or {}
+        try:
+            created = datetime.fromisoformat(str(metadata.get("creationTimestamp")))
+        except ValueError:
+            continue
+        if created.tzinfo is not None and claims.now - created > age:
+            yield metadata["name"], revision_of(document)
--- a/fighitch/platforms/object_api.py
+++ b/fighitch/platforms/object_api.py
@@ -11,7 +11,7 @@
     object_writes as writes,
     watch_events,
 )
-from fighitch.core.claims import ClaimAnswer
+from fighitch.core.claims import ClaimAnswer, ClaimList
 from fighitch.core.errors import ErrorKind, Failure
 from fighitch.core.http_calls import HttpAnswer, NoAnswer
 from fighitch.core.object_api import Document, ResourceList
@@ -161,6 +161,11 @@
         result = self._http.call(calls.get_call(calls.CLAIM_KIND, name))
         return claims.read_found_claim(result)
 
+    def list_claims(self) -> Result[ClaimList, Failure]:
+        """Returns all claims and the object API's time."""
+        listed = self._http.call(calls.list_call(calls.CLAIM_KIND))
+        return claims.read_claim_list(listed)
+
     def _write(self, write: Write) -> WriteOutcome:
         detail = ""
         for attempt in range(MAX_ATTEMPTS):
--- a/fighitch/tests/test_claims.py
+++ b/fighitch/tests/test_claims.py
@@ -1,8 +1,17 @@
 """Tests of ``fighitch.core.claims``."""
 
 import unittest
+from datetime import timedelta
 
-from fighitch.core.claims import read_created_claim, read_found_claim
+import msgspec
+
+from fighitch.core.claims import (
+    claims_older_than,
+    read_claim_list,
+    read_created_claim,
+    read_found_claim,
+)
+from fighitch.core.http_calls import HttpAnswer, NoAnswer
 from fighitch.core.inputs import ClaimStatus
 from fighitch.tests.fake_http import LOST, NOT_SENT, answer
 
@@ -29,3 +38,32 @@
         ):
             with self.subTest(result):
                 self.assertIs(read_found_claim(result).status, status)
+
+
+class PruneTests(unittest.TestCase):
+    NOW = {"date": "Fri, 04 Dec 2026 12:00:00 GMT"}
+
+    def listed(self, *created, headers=NOW):
+        items = [
+            {
+                "metadata": {
+                    "name": f"c{number}",
+                    "resourceVersion": str(number),
+                    "creationTimestamp": time,
+                }
+            }
+            for number, time in enumerate(created, 1)
+        ]
+        body = msgspec.json.encode({"items": items})
+        return read_claim_list(HttpAnswer(200, body, headers))
+
+    def test_only_claims_older_than_the_age_by_the_servers_clock(self):
+        """Guards against an order that runs again because its claim went too early."""
+        claims = self.listed("2026-12-03T11:59:59Z", "2026-12-03T12:00:01Z", None).ok
+        found = list(claims_older_than(claims, timedelta(hours=24)))
+        self.assertEqual(found, [("c1", 1)])
+
+    def test_answer_without_a_time_prunes_nothing(self):
+        self.assertTrue(self.listed("2026-12-03T11:59:59Z", headers={}).is_error())
+        lost = read_claim_list(NoAnswer(sent=True))
+        self.assertTrue(lost.is_error())
--- a/fighitch/tests/test_cli.py
+++ b/fighitch/tests/test_cli.py
@@ -174,6 +174,19 @@
         self.assertEqual(json.loads(output)[0]["outcome"], "created")
 
 
+class PruneTests(CommandTestCase):
+    def test_old_claims_are_deleted_and_new_ones_kept(self):
+        """Guards against claims that pile up, and against the loss of a new one."""
+        for name, year in (("old", "2020"), ("new", "2999")):
+            metadata = {"name": name, "creationTimestamp": f"{year}-01-01T00:00:00Z"}
+            self.api.put({"kind": "Claim", "metadata": metadata, "spec": {}})
+        self.assert_exit(ExitCode.OK, "prune", out="'old': deleted")
+        self.assertEqual([name for _, name in self.api.objects], ["new"])
+
+    def test_age_below_the_life_of_a_ticket_is_refused(self):
+        self.assert_exit(ExitCode.INVALID, "prune", "--older-than", "1", err="2")
+
+
 class ReadTests(CommandTestCase):
     def setUp(self):
         super().setUp()
--- a/standins/object_store.py
+++ b/standins/object_store.py
@@ -6,8 +6,9 @@
 """
 
 from collections import deque
-from collections.abc import Iterator, Mapping
+from collections.abc import Callable, Iterator, Mapping
 from dataclasses import dataclass
+from datetime import UTC, datetime
 from enum import Enum
 from typing import Any, TypeAlias
 
@@ -56,15 +57,21 @@
     document: Document
 
 
+def _utc_now() -> str:
+    return datetime.now(UTC).strftime("%Y-%m-%dT%H:%M:%SZ")
+
+
 class ObjectStore:
     """Objects by plural and name; documents that it returns must not be modified."""
 
-    def __init__(self, *, history_size: int) -> None:
+    def __init__(self, *, history_size: int, now: Callable[[], str] = _utc_now) -> None:
         """Takes the length of the history.
 
         Args:
             history_size: Most changes of configuration resources that are kept.
+            now: Returns the time of creation of new objects.
         """
+        self._now = now
         self._objects: dict[str, dict[str, Document]] = {plural: {} for plural in KINDS}
         self._history: deque[Change] = deque()
         self._history_size = history_size
@@ -185,7 +192,13 @@
 
     def _record(self, plural: str, document: Document, type_: ChangeType) -> Document:
         self._revision += 1
-        metadata = {**document["metadata"], "resourceVersion": str(self._revision)}
+        known = self._objects[plural].get(document["metadata"]["name"])
+        created = known["metadata"] if known else {"creationTimestamp": self._now()}
+        metadata = {
+            **document["metadata"],
+            "creationTimestamp": created["creationTimestamp"],
+            "resourceVersion": str(self._revision),
+        }
         stored = {
             **document,
             "apiVersion": API_VERSION,
@@ -235,7 +248,7 @@
     metadata = {
         key: value
         for key, value in document["metadata"].items()
-        if key != "resourceVersion"
+        if key not in ("resourceVersion", "creationTimestamp")
     }
     content = {key: value for key, value in document.items() if key != "metadata"}
     content.pop("apiVersion", None)
