--- a/fighitch/core/entry/core.py
+++ b/fighitch/core/entry/core.py
@@ -265,9 +265,7 @@
             # The first request of that id gets the only answer.
             self._log_duplicate(event.request_id, now)
             return
-        planned = self._plan(
-            event.key_digest, model=event.model, service=event.service, work=event.work
-        ).bind(self._limit)
+        planned = self._plan(event).bind(self._limit)
         if planned.is_error():
             failure = planned.error
             if event.idempotency_key:
@@ -297,9 +295,7 @@
 
     @_handle.register
     def _(self, event: TicketRequested, now: Seconds) -> None:
-        planned = self._plan(
-            event.key_digest, model=event.model, service=event.service, work=""
-        )
+        planned = self._plan(event)
         if planned.is_error():
             self._refuse(event.request_id, planned.error, now)
             return
@@ -439,9 +435,7 @@
         self._changed_at = now
         self._configuration_changed(now)
 
-    def _plan(
-        self, key_digest: str, *, model: str, service: str, work: str
-    ) -> Result[Plan, Failure]:
+    def _plan(self, event: CallerRequest | TicketRequested) -> Result[Plan, Failure]:
         """Returns the plan of a request unless this entry takes none."""
         if self._is_draining:
             detail = "this entry is about to stop; repeat the request at another entry"
@@ -449,7 +443,16 @@
         if self._store.revision == 0:
             detail = "this entry has no configuration yet; repeat at another entry"
             return Error(_not_run(ErrorKind.NOT_READY, detail))
-        return self._intake.plan(key_digest, model=model, service=service, work=work)
+        target = {"model": event.model, "service": event.service}
+        if isinstance(event, TicketRequested):
+            return self._intake.plan(event.key_digest, **target)
+        return self._intake.plan(
+            event.key_digest,
+            **target,
+            work=event.work,
+            method=event.method,
+            path=event.path,
+        )
 
     def _limit(self, plan: Plan) -> Result[Plan, Failure]:
         limit = plan.caller.spec.max_in_flight
--- a/fighitch/core/entry/policies.py
+++ b/fighitch/core/entry/policies.py
@@ -6,34 +6,49 @@
 
 from fighitch.core.configuration import cached_selector
 from fighitch.core.errors import ErrorKind, Failure
-from fighitch.core.resources import Resource
+from fighitch.core.resources import Resource, WorkPolicySpec
 from fighitch.types import Labels
 
 
+def allowed_policies(
+    policies: Iterable[Resource], *, caller: Resource, targets: Sequence[Labels]
+) -> tuple[Resource, ...]:
+    """Returns the work policies that a caller may use for a target.
+
+    Args:
+        policies: All work policies, the most urgent rank first.
+        caller: Authenticated caller.
+        targets: Labels of the adapter, or of each backend server of the service; one
+            match is enough.
+    """
+    return tuple(item for item in policies if _matches(item, caller, targets))
+
+
 def choose_policy(
-    policies: Iterable[Resource],
+    allowed: Sequence[Resource],
     *,
     caller: Resource,
-    targets: Sequence[Labels],
-    work: str,
+    work: str = "",
+    method: str = "",
+    path: str = "",
 ) -> Result[Resource, Failure]:
-    """Chooses the work policy.
+    """Chooses the work policy of a request.
 
     Args:
-        policies: All work policies, the most urgent rank first.
+        allowed: Policies that the caller may use for the target.
         caller: Authenticated caller.
-        targets: Labels of the adapter, or of each backend server of the service; one
-            match is enough.
         work: Name that the caller asked for; empty to take the first match.
+        method: HTTP method of the call; empty matches every policy.
+        path: Path of the call at the backend server.
 
     Returns:
         The policy, or a failure that names those which the caller may use.
     """
-    allowed = [item for item in policies if _matches(item, caller, targets)]
-    for policy in allowed:
+    covering = [item for item in allowed if _covers(item.spec, method, path)]
+    for policy in covering:
         if not work or policy.name == work:
             return Ok(policy)
-    names = [policy.name for policy in allowed]
+    names = [policy.name for policy in covering]
     problem = (
         f"work policy {work!r} does not cover this request"
         if work
@@ -42,7 +57,7 @@
     return Error(
         Failure(
             ErrorKind.FORBIDDEN,
-            f"{problem}; caller {caller.name!r} may use {names} for this target; "
+            f"{problem}; caller {caller.name!r} may use {names} for this call; "
             "ask an operator for a WorkPolicy whose selectors match",
         )
     )
@@ -53,3 +68,11 @@
         return False
     selector = cached_selector(policy.spec.target_selector)
     return any(selector.matches(labels) for labels in targets)
+
+
+def _covers(spec: WorkPolicySpec, method: str, path: str) -> bool:
+    if not method:
+        return True
+    if spec.methods and method.upper() not in spec.methods:
+        return False
+    return not spec.path_prefixes or path.startswith(spec.path_prefixes)
--- a/fighitch/core/resources.py
+++ b/fighitch/core/resources.py
@@ -117,6 +117,9 @@
         rank: 0 is the most urgent; lower goes first.
         caller_selector: Callers that may use it.
         target_selector: Labels of adapters or service backend servers that it covers.
+        methods: HTTP methods that it covers; empty for all. A plain service may have
+            calls that can be repeated beside calls that must not be.
+        path_prefixes: Beginnings of the paths that it covers; empty for all.
         idempotent: Whether such work may run more than once.
         target_ms: Agreed time to the first token, or to the answer of a service.
         deadline_ms: Default time until the whole answer is worthless.
@@ -129,6 +132,8 @@
     rank: int
     caller_selector: str = ""
     target_selector: str = ""
+    methods: tuple[str, ...] = ()
+    path_prefixes: tuple[str, ...] = ()
     idempotent: bool = True
     target_ms: Milliseconds = 1_000
     deadline_ms: Milliseconds = 30_000
--- a/fighitch/tests/test_policies.py
+++ b/fighitch/tests/test_policies.py
@@ -2,7 +2,7 @@
 
 import unittest
 
-from fighitch.core.entry.policies import choose_policy
+from fighitch.core.entry.policies import allowed_policies, choose_policy
 from fighitch.core.errors import ErrorKind
 from fighitch.core.resources import CallerSpec, Kind, WorkPolicySpec
 from fighitch.tests.entry_helpers import resource
@@ -21,7 +21,8 @@
 
 
 def choose(work="", **labels):
-    return choose_policy(POLICIES, caller=CALLER, targets=[labels], work=work)
+    allowed = allowed_policies(POLICIES, caller=CALLER, targets=[labels])
+    return choose_policy(allowed, caller=CALLER, work=work)
 
 
 class ChoiceTests(unittest.TestCase):
@@ -38,3 +39,38 @@
             failure = choose(work, kind="desk").error
             self.assertIs(failure.kind, ErrorKind.FORBIDDEN)
             self.assertIn("['desk', 'rest']", failure.detail)
+
+
+class CallTests(unittest.TestCase):
+    POLICIES = [
+        resource(Kind.WORK_POLICY, name, WorkPolicySpec(rank=rank, **conditions))
+        for rank, (name, conditions) in enumerate(
+            (
+                ("order", {"methods": ("POST",), "idempotent": False}),
+                ("stock", {"path_prefixes": ("/stock", "/delivery")}),
+                ("other", {"methods": ("GET",)}),
+            )
+        )
+    ]
+
+    def choose(self, method, path, work=""):
+        return choose_policy(
+            self.POLICIES, caller=CALLER, work=work, method=method, path=path
+        )
+
+    def test_method_and_path_tell_orders_from_lookups(self):
+        """Guards against lookups that need a key, and orders that are repeated."""
+        for method, path, expected in (
+            ("POST", "/stock/1", "order"),
+            ("post", "/place", "order"),
+            ("GET", "/delivery/2", "stock"),
+            ("GET", "/place", "other"),
+        ):
+            self.assertEqual(self.choose(method, path).ok.name, expected)
+
+    def test_call_that_no_policy_covers_is_refused(self):
+        failure = self.choose("DELETE", "/place").error
+        self.assertIs(failure.kind, ErrorKind.FORBIDDEN)
+
+    def test_order_cannot_be_declared_a_lookup_by_name(self):
+        self.assertTrue(self.choose("POST", "/place", "other").is_error())
