--- a/fighitch/core/admission.py
+++ b/fighitch/core/admission.py
@@ -134,7 +134,7 @@
 
     def floor_slots(self, rank: int) -> int:
         """Returns how many running requests the rank is owed when work waits."""
-        return math.ceil(self._policy(rank).floor * self._batch_size - _ROUNDING)
+        return self._floor_slots.get(rank, 0)
 
     def waited_for(
         self, now: Seconds
@@ -159,6 +159,14 @@
         """Takes new limits; work that waits or runs is kept."""
         self._batch_size = batch_size
         self._policies = dict(policies)
+        self._floor_slots = {
+            rank: math.ceil(policy.floor * batch_size - _ROUNDING)
+            for rank, policy in self._policies.items()
+        }
+        # Rounding leaves no slot without a floor.
+        self._is_short = sum(self._floor_slots.values()) >= batch_size and (
+            sum(policy.floor for policy in self._policies.values()) < 1 - _ROUNDING
+        )
         for rank in self._policies:
             self._queue(rank)
 
@@ -276,7 +284,7 @@
 
     def _next_rank(self) -> int | None:
         ready = self._ready_ranks()
-        if self._is_short():
+        if self._is_short:
             eligible = [rank for rank in ready if self._has_room_for(rank)]
             return self._turns.next(self._shares(eligible))
         for rank in ready:
@@ -288,12 +296,6 @@
         ready = {rank for rank, queue in self._queues.items() if queue.has_ready}
         return sorted(ready.union(others))
 
-    def _is_short(self) -> bool:
-        """Returns whether rounding leaves no slot without a floor."""
-        slots = sum(map(self.floor_slots, self._policies))
-        exact = sum(policy.floor for policy in self._policies.values())
-        return slots >= self._batch_size and exact < 1 - _ROUNDING
-
     def _shares(self, ranks: Sequence[int]) -> dict[int, float]:
         """Returns the share of turns of each rank; the first is the most urgent."""
         shares = {rank: self._policy(rank).floor for rank in ranks}
--- a/fighitch/tests/test_admission.py
+++ b/fighitch/tests/test_admission.py
@@ -109,6 +109,19 @@
             helper.queue.pop(now=0, rank=preemption.rank)
         self.assertEqual(helper.queue.running_by_rank(), (5, 2, 1))
 
+    def test_floor_given_to_running_work_protects_it_at_once(self):
+        """Guards against the preemption of the last stream that a new floor covers."""
+        helper = QueueHelper(batch_size=2, policies={})
+        helper.add(BATCH)
+        helper.add(INTERACTIVE)
+        helper.pop_all()
+        helper.add(URGENT)
+        self.assertIsNotNone(helper.queue.preemption())
+        helper.queue.configure(
+            batch_size=2, policies={URGENT: RankPolicy(0.5), BATCH: RankPolicy(0.5)}
+        )
+        self.assertIsNone(helper.queue.preemption())
+
     def test_floors_share_a_batch_of_one_over_time(self):
         """Guards against starvation where every floor rounds up to the whole batch."""
         helper = QueueHelper(batch_size=1)
--- a/fighitch/tests/test_sidecar.py
+++ b/fighitch/tests/test_sidecar.py
@@ -63,6 +63,18 @@
             (chunk,) = sidecar.sent(messages.Chunk, connection=connection)
             self.assertEqual(chunk.data, b"for call %d" % connection)
 
+    def test_document_beyond_the_bound_is_refused_not_cut(self):
+        """Guards against a fragment of an answer and against unbounded memory."""
+        sidecar = Sidecar(max_held_bytes=4)
+        sidecar.submit(streamed=False)
+        sidecar.start()
+        sidecar.data("1234")
+        sidecar.data("5")
+        self.assertEqual(sidecar.sent(messages.Chunk), [])
+        expected = (ErrorKind.INCOMPLETE_ANSWER, RunState.UNKNOWN)
+        self.assertEqual(states(sidecar), [expected])
+        self.assertEqual((sidecar.cancelled(), sidecar.core.pins), ([1], 0))
+
 
 class VersionTests(unittest.TestCase):
     def test_work_waits_until_its_version_is_loaded(self):
