--- a/fighitch/core/sidecar/calls.py
+++ b/fighitch/core/sidecar/calls.py
@@ -117,6 +117,7 @@
             ticket=submit.ticket,
             streamed=submit.streamed,
             traceparent=submit.traceparent,
+            deadline=self.work.deadline,
         )
 
     def hold(self, data: bytes, *, limit: int) -> bool:
@@ -132,15 +133,14 @@
         """Makes the next call continue the answer.
 
         A stream continues after the text that was sent. An answer that is not streamed
-        is one document, which two calls cannot share, so it starts again.
+        is one document, which the last call gives whole, with the text of the earlier
+        ones in front; bytes of an earlier call are dropped. A backend server whose
+        answers cannot be continued reports no text and starts again.
         """
         self.waits_since = now
-        if self.submit.streamed:
-            return
-        self.held.clear()
-        self.is_held_whole = True
-        self.generated.clear()
-        self.generated_tokens = 0
+        if not self.submit.streamed:
+            self.held.clear()
+            self.is_held_whole = True
 
 
 class RequestTable:
--- a/fighitch/core/sidecar/execution.py
+++ b/fighitch/core/sidecar/execution.py
@@ -183,9 +183,9 @@
             self._stop_call(request)
             self._interrupted(request, "data came before the status", now)
             return
+        request.generated.append(event.text)
+        request.generated_tokens += event.tokens
         if request.submit.streamed:
-            request.generated.append(event.text)
-            request.generated_tokens += event.tokens
             if request.is_order:
                 request.hold(event.data, limit=self._settings.max_outcome_bytes)
             if request.stream is not None:
--- a/fighitch/daemons/backend_calls.py
+++ b/fighitch/daemons/backend_calls.py
@@ -1,5 +1,6 @@
 """Runs a sidecar's calls and commands to its backend server on the transfer task."""
 
+import time
 from collections.abc import Callable
 from dataclasses import replace
 from types import ModuleType
@@ -58,7 +59,12 @@
         self._numbers: dict[int, int] = {}
 
     def call(self, call: CallBackend) -> None:
-        """Starts a call."""
+        """Starts a call, unless its deadline has passed."""
+        if time.monotonic() >= call.deadline:
+            ids = (call.request_id, call.attempt, call.call)
+            detail = "the deadline passed before the call"
+            self._post(BackendFailed(*ids, sent=False, detail=detail))
+            return
         span = self._traces.start(
             "backend.call",
             call.traceparent,
