--- /dev/null
+++ b/benchmarks/fault_plan.py
@@ -0,0 +1,172 @@
+"""The matrix of steps and faults, and which of its cells cannot happen."""
+
+from dataclasses import dataclass
+from enum import Enum
+
+
+class Kind(Enum):
+    """What a case is about."""
+
+    STREAMED = "streamed"
+    WHOLE = "whole"
+    LOOKUP = "lookup"
+    ISSUED = "issued"
+    CHOSEN = "chosen"
+    CONFIGURATION = "config"
+
+    @property
+    def is_order(self) -> bool:
+        """Whether it must run at most once."""
+        return self in (Kind.ISSUED, Kind.CHOSEN)
+
+    @property
+    def has_adapter(self) -> bool:
+        """Whether it runs on an adapter."""
+        return self in (Kind.STREAMED, Kind.WHOLE)
+
+
+class Step(Enum):
+    """The moment at which a fault strikes."""
+
+    BEFORE_CONNECT = "before-connect"
+    CLAIMING = "claiming"
+    QUEUED = "queued"
+    WAITING_LOAD = "waiting-load"
+    RUNNING = "running"
+    HALF_WAY = "half-way"
+    ANSWERING = "answering"
+    ANSWERED = "answered"
+    BEFORE_WRITE = "before-write"
+    AFTER_WRITE = "after-write"
+    AFTER_ANSWER = "after-answer"
+    SPREADING = "spreading"
+    NEW_INSTANCE = "new-instance"
+
+
+REQUEST_STEPS = (
+    Step.BEFORE_CONNECT,
+    Step.CLAIMING,
+    Step.QUEUED,
+    Step.WAITING_LOAD,
+    Step.RUNNING,
+    Step.HALF_WAY,
+    Step.ANSWERING,
+    Step.ANSWERED,
+)
+CONFIGURATION_STEPS = (
+    Step.BEFORE_WRITE,
+    Step.AFTER_WRITE,
+    Step.AFTER_ANSWER,
+    Step.SPREADING,
+    Step.NEW_INSTANCE,
+)
+
+
+class Fault(Enum):
+    """What goes wrong; the value is the column and the name on the command line."""
+
+    KILL_ENTRY = "kill-entry"
+    KILL_SIDECAR = "kill-sidecar"
+    KILL_BACKEND = "kill-backend"
+    FREEZE_ENTRY = "freeze-entry"
+    FREEZE_SIDECAR_SHORT = "freeze-sidecar-1s"
+    FREEZE_SIDECAR = "freeze-sidecar"
+    FREEZE_BACKEND = "freeze-backend"
+    CUT_PEER = "cut-peer"
+    SILENT_PEER = "silent-peer"
+    SILENT_TO_SIDECAR = "silent-to-sidecar"
+    SILENT_TO_ENTRY = "silent-to-entry"
+    PARTITION_PEER = "partition-peer"
+    SLOW_PEER = "slow-peer"
+    CUT_BACKEND = "cut-backend"
+    SILENT_BACKEND = "silent-backend"
+    SLOW_BACKEND = "slow-backend"
+    LOST_ANSWER = "lost-answer"
+    DUPLICATES = "duplicates"
+    LATE = "late-messages"
+    API_DOWN = "api-down"
+    API_SLOW = "api-slow"
+    API_CUT = "api-cut"
+    API_LOST_ANSWER = "api-lost-answer"
+    STORE_FAILS = "store-fails"
+    ENGINE_RESTART = "engine-restart"
+    OPERATOR_RACE = "operator-race"
+    CLOCK_STEP = "clock-step"
+    STOP_ENTRY = "stop-entry"
+    STOP_SIDECAR = "stop-sidecar"
+
+
+BACKEND_FAULTS = frozenset(
+    {
+        Fault.KILL_BACKEND,
+        Fault.FREEZE_BACKEND,
+        Fault.CUT_BACKEND,
+        Fault.SILENT_BACKEND,
+        Fault.SLOW_BACKEND,
+        Fault.LOST_ANSWER,
+        Fault.STORE_FAILS,
+        Fault.ENGINE_RESTART,
+    }
+)
+LEGEND = {
+    "a": "no adapter is involved",
+    "b": "the answer is passed on in one piece",
+    "c": "no claim is made",
+    "d": "a configuration change does not pass through a backend server",
+    "f": "the answer has left the backend server, so it cannot be lost there",
+}
+
+
+@dataclass(frozen=True, order=True)
+class Cell:
+    """One case of the matrix."""
+
+    kind: str
+    step: str
+    fault: str
+
+    @property
+    def name(self) -> str:
+        """Name on the command line."""
+        return f"{self.kind}/{self.step}/{self.fault}"
+
+
+def rows() -> list[tuple[Kind, Step]]:
+    """Returns the rows of the matrix."""
+    requests = [
+        (kind, step)
+        for kind in Kind
+        if kind is not Kind.CONFIGURATION
+        for step in REQUEST_STEPS
+        if step is not Step.CLAIMING or kind is Kind.CHOSEN
+    ]
+    return [*requests, *((Kind.CONFIGURATION, step) for step in CONFIGURATION_STEPS)]
+
+
+def cells() -> list[Cell]:
+    """Returns every cell, including those that cannot happen."""
+    return [
+        Cell(kind.value, step.value, fault.value)
+        for kind, step in rows()
+        for fault in Fault
+    ]
+
+
+def why_not(cell: Cell) -> str:
+    """Returns the letter of the legend if a cell cannot happen, else nothing."""
+    kind, step, fault = Kind(cell.kind), Step(cell.step), Fault(cell.fault)
+    if kind is Kind.CONFIGURATION:
+        return "d" if fault in BACKEND_FAULTS else ""
+    if step is Step.HALF_WAY and not kind.has_adapter:
+        return "b"
+    needs_adapter = step is Step.WAITING_LOAD or fault in (
+        Fault.STORE_FAILS,
+        Fault.ENGINE_RESTART,
+    )
+    if needs_adapter and not kind.has_adapter:
+        return "a"
+    if fault is Fault.API_LOST_ANSWER and kind is not Kind.CHOSEN:
+        return "c"
+    if fault is Fault.LOST_ANSWER and step in (Step.ANSWERING, Step.ANSWERED):
+        return "f"
+    return ""
--- /dev/null
+++ b/benchmarks/memory_faults.py
@@ -0,0 +1,197 @@
+"""Faults of the in-memory network: how each strikes and how it ends."""
+
+from typing import TYPE_CHECKING, Any
+
+from benchmarks.fault_plan import Fault
+from benchmarks.memory_network import ENTRIES, Connection, Network
+from fighitch.core import inputs, messages
+from fighitch.types import InstanceName, Seconds
+
+if TYPE_CHECKING:
+    from benchmarks.memory_cells import Case
+
+# Time from the fault to its end, and to the start of a replacement.
+HOLD: Seconds = 4.0
+SHORT: Seconds = 1.0
+RESTART: Seconds = 1.5
+_SLOW_PEER: Seconds = 0.3
+_LATE: Seconds = 0.8
+_CLOCK_STEP: Seconds = 30.0
+_SLOW_BACKEND = 5.0
+
+
+class MemoryFault:
+    """The fault of one case."""
+
+    def __init__(self, case: "Case") -> None:
+        """Prepares the fault; ``strike`` lets it happen."""
+        self._case = case
+        self._network: Network = case.network
+        self._entry: InstanceName = ENTRIES[0]
+        self._sidecar = case.member
+        # Pairs that stay unreachable.
+        self.holds: set[tuple[InstanceName, InstanceName]] = set()
+
+    @property
+    def _backend(self) -> Any:
+        return self._network.backends[self._sidecar]
+
+    @property
+    def _links(self) -> list[Connection]:
+        return self._network.open_between(self._entry, self._sidecar)
+
+    def strike(self) -> None:
+        """Lets the fault happen."""
+        name = self._case.fault.name.lower()
+        getattr(self, f"_{name}")()
+
+    def clear(self) -> None:
+        """Ends a fault that lasts."""
+        network = self._network
+        for process in network.processes.values():
+            if process.is_frozen:
+                process.thaw()
+        for backend in network.backends.values():
+            backend.is_frozen = False
+            backend.is_link_silent = False
+            backend.slow = 1.0
+            backend.fail_loads = False
+            backend.lose_answers = 0
+            backend.is_up = True
+        for connection in network.connections.values():
+            connection.delay = 0.001
+        network.peer_delay = 0.001
+        network.unreachable.clear()
+        network.api_unreachable.clear()
+        network.api.is_up = True
+        network.api.is_slow = False
+        network.api.lose_answers = 0
+        network.on_send = self._case.observe_message
+
+    def _restart(self, name: InstanceName) -> None:
+        self._network.kill(name)
+        self._network.at(RESTART, lambda: self._network.start(name))
+
+    def _kill_entry(self) -> None:
+        self._restart(self._entry)
+
+    def _kill_sidecar(self) -> None:
+        self._restart(self._sidecar)
+
+    def _kill_backend(self) -> None:
+        self._backend.kill()
+
+    def _freeze_entry(self) -> None:
+        self._network.freeze(self._entry)
+
+    def _freeze_sidecar_short(self) -> None:
+        process = self._network.processes[self._sidecar]
+        process.is_frozen = True
+        self._network.at(SHORT, process.thaw)
+
+    def _freeze_sidecar(self) -> None:
+        self._network.freeze(self._sidecar)
+
+    def _freeze_backend(self) -> None:
+        self._backend.is_frozen = True
+
+    def _cut_peer(self) -> None:
+        for link in self._links:
+            self._network.cut(link)
+
+    def _silent_peer(self) -> None:
+        for link in self._links:
+            link.silent = {True, False}
+
+    def _silent_to_sidecar(self) -> None:
+        for link in self._links:
+            link.silent = {True}
+
+    def _silent_to_entry(self) -> None:
+        for link in self._links:
+            link.silent = {False}
+
+    def _partition_peer(self) -> None:
+        self.holds = {(self._entry, self._sidecar)}
+        self._network.unreachable |= self.holds
+        self._silent_peer()
+
+    def _slow_peer(self) -> None:
+        self._network.peer_delay = _SLOW_PEER
+        for connection in self._network.connections.values():
+            connection.delay = _SLOW_PEER
+
+    def _cut_backend(self) -> None:
+        self._backend.cut_connections()
+
+    def _silent_backend(self) -> None:
+        self._backend.is_link_silent = True
+
+    def _slow_backend(self) -> None:
+        self._backend.slow = _SLOW_BACKEND
+
+    def _lost_answer(self) -> None:
+        self._backend.lose_answers = 1
+
+    def _duplicates(self) -> None:
+        def twice(connection: Any, is_to_sidecar: bool, message: Any) -> list[Seconds]:
+            self._case.observe_message(connection, is_to_sidecar, message)
+            return [0.0, self._network.rng.uniform(0.0005, _LATE)]
+
+        self._network.on_send = twice
+
+    def _late(self) -> None:
+        def late(connection: Any, is_to_sidecar: bool, message: Any) -> list[Seconds]:
+            self._case.observe_message(connection, is_to_sidecar, message)
+            if isinstance(message, messages.Heartbeat):
+                return [0.0]
+            return [self._network.rng.uniform(0.0, _LATE)]
+
+        self._network.on_send = late
+
+    def _api_down(self) -> None:
+        self._network.api.is_up = False
+
+    def _api_slow(self) -> None:
+        self._network.api.is_slow = True
+
+    def _api_cut(self) -> None:
+        self._network.api_unreachable.add(self._entry)
+
+    def _api_lost_answer(self) -> None:
+        self._network.api.lose_answers = 2
+
+    def _store_fails(self) -> None:
+        for backend in self._network.backends.values():
+            backend.fail_loads = True
+
+    def _engine_restart(self) -> None:
+        self._backend.restart()
+
+    def _operator_race(self) -> None:
+        """Two operators move the default version to and fro while work runs."""
+        network = self._network
+        for number in range(6):
+            network.at(0.1 * number, lambda number=number: _flip(network, number))
+
+    def _clock_step(self) -> None:
+        for name in (self._entry, self._sidecar):
+            self._network.processes[name].clock_offset = _CLOCK_STEP
+
+    def _stop_entry(self) -> None:
+        self._network.processes[self._entry].deliver(inputs.DrainRequested())
+
+    def _stop_sidecar(self) -> None:
+        self._network.processes[self._sidecar].deliver(inputs.DrainRequested())
+
+
+def _flip(network: Network, number: int) -> None:
+    from benchmarks.memory_backends import with_default
+    from fighitch.core.resources import Kind as ResourceKind
+
+    adapter = network.api.store.get(ResourceKind.ADAPTER, "advisor-1")
+    assert adapter is not None
+    network.api.write(with_default(adapter, ("v2", "v1")[number % 2]))
+
+
+assert all(hasattr(MemoryFault, f"_{fault.name.lower()}") for fault in Fault)
