--- a/benchmarks/fault_plan.py
+++ b/benchmarks/fault_plan.py
@@ -84,6 +84,7 @@
     LOST_ANSWER = "lost-answer"
     DUPLICATES = "duplicates"
     LATE = "late-messages"
+    REORDERED = "reordered"
     API_DOWN = "api-down"
     API_SLOW = "api-slow"
     API_CUT = "api-cut"
--- a/benchmarks/memory_network.py
+++ b/benchmarks/memory_network.py
@@ -207,6 +207,7 @@
         self.on_send: Callable[[Connection, bool, Any], list[Seconds]] | None = None
         self.on_effect: Callable[[Process, Any], None] | None = None
         self.peer_delay: Seconds = LATENCY
+        self.dial_delay: Seconds = 0.0
         self._queue: list[tuple[Seconds, int, Callable[[], None]]] = []
         self._order = itertools.count()
         self._numbers = itertools.count(1)
@@ -449,7 +450,7 @@
             sidecar.deliver(inputs.ConnectionOpened(number, entry_peer))
             process.deliver(inputs.ConnectionOpened(number, sidecar_peer, target))
 
-        self.at(2 * self.peer_delay, opened)
+        self.at(2 * self.peer_delay + self.dial_delay, opened)
 
     def _disconnect(self, number: int, process: Process) -> None:
         connection = self.connections.get(number)
