--- a/fighitch/core/anti_entropy.py
+++ b/fighitch/core/anti_entropy.py
@@ -39,10 +39,22 @@
         self._parts: dict[ConnectionId, list[Resource]] = {}
 
     def heard(
-        self, connection: ConnectionId, revision: Revision, *, now: Seconds
+        self,
+        connection: ConnectionId,
+        revision: Revision,
+        *,
+        now: Seconds,
+        ahead: int = 0,
     ) -> list[Send]:
-        """Handles the revision in a peer's heartbeat."""
-        if revision <= self._store.revision:
+        """Handles the position in a peer's heartbeat.
+
+        Args:
+            connection: Connection to the peer.
+            revision: Revision of the peer.
+            now: Current time.
+            ahead: Digest of what the peer holds beyond its revision.
+        """
+        if not self._may_lack(revision, ahead):
             return []
         if self._asked_at is not None and now - self._asked_at < _REQUEST_TIMEOUT:
             return []
@@ -54,7 +66,8 @@
         self, connection: ConnectionId, request: ConfigurationRequest
     ) -> list[Send]:
         """Returns the changes that a peer lacks."""
-        if request.since >= self._store.revision:
+        is_current = request.since >= self._store.revision
+        if not self._store.revision or (is_current and not self._store.ahead):
             return []
         base, changes = self._store.changes_since(request.since)
         parts = list(_split(changes))
@@ -98,6 +111,11 @@
             )
         ]
 
+    def _may_lack(self, revision: Revision, ahead: int) -> bool:
+        if revision != self._store.revision:
+            return revision > self._store.revision
+        return ahead not in (0, self._store.ahead)
+
     def closed(self, connection: ConnectionId) -> None:
         """Forgets what belongs to a connection."""
         self._parts.pop(connection, None)
--- a/fighitch/core/configuration.py
+++ b/fighitch/core/configuration.py
@@ -10,6 +10,7 @@
 from functools import lru_cache
 
 import msgspec
+import xxhash
 
 from fighitch.core.labels import Selector
 from fighitch.core.resources import SPEC_TYPES, Kind, Resource, selector_of
@@ -36,12 +37,28 @@
         self._revision: Revision = 0
         self._tombstones_complete_since: Revision = 0
         self._generation = 0
+        self._ahead: dict[_ResourceKey, Revision] = {}
+        self._ahead_digest = 0
 
     @property
     def revision(self) -> Revision:
         """Every change up to this revision is known."""
         return self._revision
 
+    @property
+    def ahead(self) -> int:
+        """Digest of the changes held beyond ``revision``; 0 if there are none.
+
+        Peers at the same revision compare it, since the revision alone does not tell
+        that one of them lacks a change that an operator handed over.
+        """
+        return self._ahead_digest
+
+    @property
+    def position(self) -> tuple[Revision, int]:
+        """Revision and digest of what is held beyond it."""
+        return self._revision, self._ahead_digest
+
     @property
     def generation(self) -> int:
         """Number of merges that changed something."""
@@ -80,6 +97,7 @@
         if revision > self._revision and base <= self._revision:
             self._revision = revision
         self._trim_tombstones()
+        self._note_ahead(changed)
         if changed:
             self._generation += 1
         return bool(changed)
@@ -119,6 +137,20 @@
         self._by_kind[item.kind][item.name] = item
         return True
 
+    def _note_ahead(self, changed: Iterable[Resource]) -> None:
+        for item in changed:
+            self._ahead[item.kind, item.name] = item.revision
+        self._ahead = {
+            key: revision
+            for key, revision in self._ahead.items()
+            if revision > self._revision
+        }
+        digest = 0
+        for (kind, name), revision in self._ahead.items():
+            text = f"{kind.value}/{name}/{revision}"
+            digest ^= xxhash.xxh3_64_intdigest(text.encode())
+        self._ahead_digest = digest
+
     def _delete_unlisted(
         self, listed: tuple[Resource, ...], revision: Revision
     ) -> list[Resource]:
--- a/fighitch/core/entry/connections.py
+++ b/fighitch/core/entry/connections.py
@@ -26,7 +26,7 @@
         last_sent: Time of the last message to the peer.
         last_heartbeat: Time of the last heartbeat to the peer.
         last_used: Time of the last request on it.
-        sent_revision: Configuration revision in the last heartbeat to the peer.
+        sent_position: Position of the configuration in the last heartbeat to the peer.
         sequence: Sequence number of the next heartbeat.
         in_flight: Requests that wait for an answer on it.
     """
@@ -39,7 +39,7 @@
     last_sent: Seconds
     last_heartbeat: Seconds
     last_used: Seconds
-    sent_revision: Revision = -1
+    sent_position: tuple[Revision, int] = (-1, 0)
     sequence: int = 0
     in_flight: int = 0
 
@@ -63,7 +63,7 @@
         settings: EntrySettings,
         rng: random.Random,
         peers: Iterable[str],
-        revision: Callable[[], Revision],
+        position: Callable[[], tuple[Revision, int]],
     ) -> None:
         """Starts without a connection.
 
@@ -73,14 +73,14 @@
             settings: Constants.
             rng: Spreads reconnection attempts.
             peers: Addresses to ask for the configuration; kept connected.
-            revision: Returns the own configuration revision.
+            position: Returns the own position in the configuration.
         """
         self._members = members
         self._outbox = outbox
         self._settings = settings
         self._rng = rng
         self._peers = {address: _PeerAddress() for address in peers}
-        self._revision = revision
+        self._position = position
         self._is_draining = False
         self._links: dict[ConnectionId, Link] = {}
         self._by_member: dict[InstanceName, Link] = {}
@@ -311,16 +311,17 @@
         return (
             now - link.last_sent >= self._settings.heartbeat_interval
             or now - link.last_heartbeat >= self._settings.heartbeat_refresh
-            or link.sent_revision != self._revision()
+            or link.sent_position != self._position()
         )
 
     def _send_heartbeat(self, link: Link, now: Seconds) -> None:
-        revision = self._revision()
-        self.send(
-            link, Heartbeat(link.sequence, revision, draining=self._is_draining), now
+        revision, ahead = self._position()
+        heartbeat = Heartbeat(
+            link.sequence, revision, draining=self._is_draining, ahead=ahead
         )
+        self.send(link, heartbeat, now)
         link.sequence += 1
-        link.sent_revision = revision
+        link.sent_position = (revision, ahead)
         link.last_heartbeat = now
 
     def _peer_delay(self, peer: _PeerAddress) -> Seconds:
--- a/fighitch/core/entry/core.py
+++ b/fighitch/core/entry/core.py
@@ -152,7 +152,7 @@
             settings=self._settings,
             rng=rng,
             peers=peers,
-            revision=lambda: self._store.revision,
+            position=lambda: self._store.position,
         )
         self._router = Router(
             availability_zone=availability_zone,
@@ -421,7 +421,9 @@
         member = self._members.get(link.member)
         if member is not None and self._connections.to(link.member) is link:
             self._members.reported(member, message)
-        for effect in self._exchange.heard(link.connection, message.revision, now=now):
+        for effect in self._exchange.heard(
+            link.connection, message.revision, now=now, ahead=message.ahead
+        ):
             self._connections.send(link, effect.message, now)
 
     @_receive.register
--- a/fighitch/core/entry/membership.py
+++ b/fighitch/core/entry/membership.py
@@ -16,10 +16,15 @@
 
 
 class MemberState(Enum):
-    """What is known about a sidecar."""
+    """What is known about a sidecar.
+
+    The backend server of an impaired one does not answer; without this state its empty
+    queue would attract work.
+    """
 
     UNKNOWN = "unknown"
     ALIVE = "alive"
+    IMPAIRED = "impaired"
     SUSPECT = "suspect"
     DEAD = "dead"
     LEAVING = "leaving"
@@ -187,7 +192,7 @@
     def reported(self, member: Member, heartbeat: Heartbeat) -> None:
         """Takes over the content of a sidecar's heartbeat."""
         member.ticket_epoch = heartbeat.ticket_epoch
-        member.state = MemberState.LEAVING if heartbeat.draining else MemberState.ALIVE
+        member.state = _state_in(heartbeat)
         if heartbeat.load is not None:
             member.report = heartbeat.load
             member.in_flight_at_report = member.in_flight
@@ -281,3 +286,9 @@
         """Returns a random delay, so that many entries do not connect at once."""
         base = self._settings.reconnect_base * 2 ** min(member.failures, 16)
         return self._rng.uniform(0, min(self._settings.reconnect_cap, base))
+
+
+def _state_in(heartbeat: Heartbeat) -> MemberState:
+    if heartbeat.draining:
+        return MemberState.LEAVING
+    return MemberState.IMPAIRED if heartbeat.unreachable else MemberState.ALIVE
--- a/fighitch/core/entry/orders.py
+++ b/fighitch/core/entry/orders.py
@@ -35,8 +35,8 @@
 
 _NONCE_BITS = 96
 _ISSUED_KEY_HINT = (
-    "repeat with the same key, or request an issued key at /v1/idempotency-keys, "
-    "which works without the object API"
+    "repeat with the same key; for an order that was not sent before, request an "
+    "issued key at /v1/idempotency-keys, which works without the object API"
 )
 
 
--- a/fighitch/core/entry/routing.py
+++ b/fighitch/core/entry/routing.py
@@ -32,7 +32,7 @@
 # Any server of a service can take any of its requests, so a random sample is enough to
 # find a lightly loaded one in a large fleet.
 _MAX_SERVICE_CANDIDATES = 64
-_SUSPECT_STATES = frozenset({MemberState.SUSPECT})
+_SUSPECT_STATES = frozenset({MemberState.SUSPECT, MemberState.IMPAIRED})
 
 
 @dataclass(frozen=True, slots=True)
@@ -281,8 +281,8 @@
         """Returns the usable members that may serve the target, in rendezvous order.
 
         For an adapter they are limited to the most replicas allowed, so that refusals
-        do not spread its loads over the whole fleet. A suspect member may still answer;
-        a dead or leaving one may not.
+        do not spread its loads over the whole fleet. A suspect or impaired member may
+        still answer; a dead or leaving one may not.
         """
         size = None if target.adapter_version is None else rules.max_replicas
         for states in (ROUTABLE_STATES, _SUSPECT_STATES):
--- a/fighitch/core/messages.py
+++ b/fighitch/core/messages.py
@@ -184,9 +184,11 @@
     Attributes:
         sequence: Counts the heartbeats of this connection.
         revision: Configuration revision of the sender.
+        ahead: Digest of the resources that it holds ahead of that revision; 0 if none.
         draining: Whether the sender takes no new work.
         ticket_epoch: Epoch that new tickets for this sidecar must carry.
         load: Load of a sidecar; None from an entry.
+        unreachable: Whether the sender's backend server does not answer.
     """
 
     sequence: int
@@ -194,6 +196,8 @@
     draining: bool = False
     ticket_epoch: int = 0
     load: LoadReport | None = None
+    ahead: int = 0
+    unreachable: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/fighitch/core/sidecar/core.py
+++ b/fighitch/core/sidecar/core.py
@@ -174,6 +174,8 @@
         self._generation = self._store.generation
         self._epoch_began: Seconds | None = None
         self._drain_cause = ""
+        self._drain_began: Seconds | None = None
+        self._handled_at: Seconds | None = None
         self._has_drain_label = False
         self._is_stopped = False
         self._is_plan_due = False
@@ -263,13 +265,15 @@
         """
         if self._epoch_began is None:
             self._epoch_began = now
+        self._notice_pause(now)
         self._on(event, now)
         self._apply_configuration(now)
+        self._note_drain(now)
         # Data is by far the most frequent input and never makes room or adds work.
         if not isinstance(event, BackendData):
             self._execution.pump(now=now)
         self._plan_loads(now)
-        self._stop_if_drained()
+        self._stop_if_drained(now)
         return self._outbox.take()
 
     @singledispatchmethod
@@ -403,7 +407,11 @@
     def _heartbeat(
         self, message: Heartbeat, connection: ConnectionId, peer: Peer, now: Seconds
     ) -> None:
-        self._outbox.add(*self._exchange.heard(connection, message.revision, now=now))
+        self._outbox.add(
+            *self._exchange.heard(
+                connection, message.revision, now=now, ahead=message.ahead
+            )
+        )
 
     @_on_message.register
     def _configuration_request(
@@ -483,7 +491,9 @@
     def _submit_order(
         self, message: Submit, stream: AnswerStream, ticket: Ticket, now: Seconds
     ) -> None:
-        refusal = self._refusal(message) if self._ledger.state(ticket) is None else None
+        refusal = None
+        if self._ledger.state(ticket) is None:
+            refusal = self._refusal(message, is_closed=self._is_drain_noticed(now))
         if refusal is not None and self._ledger.is_valid(ticket):
             self._answers.refuse(stream, refusal, now=now)
             return
@@ -511,15 +521,20 @@
         ticket: Ticket | None,
         now: Seconds,
     ) -> None:
-        refusal = self._refusal(message)
+        refusal = self._refusal(message, is_closed=self.is_draining)
         if refusal is not None:
             self._answers.refuse(stream, refusal, now=now)
             return
         number = self._execution.requests.next_number()
         self._admit(message, stream, ticket, number, now)
 
-    def _refusal(self, message: Submit) -> Failure | None:
-        if self.is_draining:
+    def _refusal(self, message: Submit, *, is_closed: bool) -> Failure | None:
+        """Returns why new work is not taken.
+
+        Early in a drain only orders are taken: no other sidecar may run them, and an
+        entry may have sent them before it learned of the drain.
+        """
+        if is_closed:
             return Failure(
                 ErrorKind.DRAINING,
                 f"backend server {self._instance!r} takes no new work",
@@ -572,6 +587,8 @@
                 draining=self.is_draining,
                 ticket_epoch=self._ledger.epoch,
                 load=load,
+                ahead=self._store.ahead,
+                unreachable=not self._is_reachable,
             )
             self._outbox.send(connection, heartbeat)
 
@@ -651,9 +668,26 @@
             self._drain_cause = cause
             self._outbox.log("draining", cause=cause, in_flight=self.in_flight)
 
-    def _stop_if_drained(self) -> None:
+    def _note_drain(self, now: Seconds) -> None:
+        if not self.is_draining:
+            self._drain_began = None
+        elif self._drain_began is None:
+            self._drain_began = now
+
+    def _is_drain_noticed(self, now: Seconds) -> bool:
+        """Returns whether the entries have had time to learn of the drain."""
+        if self._drain_began is None:
+            return False
+        return now - self._drain_began >= self._settings.drain_notice
+
+    def _notice_pause(self, now: Seconds) -> None:
+        last, self._handled_at = self._handled_at, now
+        if last is not None and now - last >= self._settings.pause:
+            self._execution.paused(now=now)
+
+    def _stop_if_drained(self, now: Seconds) -> None:
         """Stops when nothing is in flight and every entry has got its answers."""
-        if not self.is_draining or self._is_stopped:
+        if not self._is_drain_noticed(now) or self._is_stopped:
             return
         if self.in_flight or self._answers.streams.has_lost:
             return
--- a/fighitch/core/sidecar/execution.py
+++ b/fighitch/core/sidecar/execution.py
@@ -58,6 +58,7 @@
         self._requests = RequestTable()
         self._ready_since: dict[AdapterVersion, Seconds] = {}
         self._late_events = 0
+        self._paused_at: Seconds = float("-inf")
 
     @property
     def requests(self) -> RequestTable:
@@ -123,6 +124,14 @@
                 return
             self._call(self._request(work), now)
 
+    def paused(self, *, now: Seconds) -> None:
+        """Notes that this process was paused until now.
+
+        The duration of a call that spans the pause says nothing about the backend
+        server. As a service time it would make the queue refuse work for many calls.
+        """
+        self._paused_at = now
+
     # --- Engine ---
 
     def readiness_changed(self, *versions: AdapterVersion, now: Seconds) -> None:
@@ -201,7 +210,9 @@
             self._stop_call(request)
             self._interrupted(request, "the answer ended before its status", now)
             return
-        self._release_call(request, service_time=now - request.started)
+        spans_pause = request.started < self._paused_at
+        service_time = None if spans_pause else now - request.started
+        self._release_call(request, service_time=service_time)
         outcome = self._outcome(request)
         if request.ticket is not None:
             self._ledger.finish(request.ticket, outcome)
--- a/fighitch/core/sidecar/settings.py
+++ b/fighitch/core/sidecar/settings.py
@@ -24,6 +24,9 @@
         max_failures: Engine failures after which a request is continued.
         max_unsent_retries: Calls repeated because nothing of them was sent.
         max_wrong_versions: Answers from a wrong version after which it is repeated.
+        drain_notice: Time from the start of a drain in which the entries learn of it;
+            until then orders with tickets of this incarnation are taken.
+        pause: Time without any input after which this process was paused.
         retry_jitter: Largest share by which a stated Retry-After is raised, so that
             callers refused together do not come back together.
     """
@@ -41,4 +44,6 @@
     max_failures: int = 2
     max_unsent_retries: int = 1
     max_wrong_versions: int = 1
+    drain_notice: Seconds = 2.0
+    pause: Seconds = 1.0
     retry_jitter: float = 0.2
--- a/fighitch/wire/codec.py
+++ b/fighitch/wire/codec.py
@@ -228,6 +228,8 @@
     body.revision = message.revision
     body.draining = message.draining
     body.ticketEpoch = message.ticket_epoch
+    body.ahead = message.ahead
+    body.unreachable = message.unreachable
     if message.load is None:
         return
     report = body.load.init("report")
@@ -348,6 +350,8 @@
         draining=body.draining,
         ticket_epoch=body.ticketEpoch,
         load=load,
+        ahead=body.ahead,
+        unreachable=body.unreachable,
     )
 
 
--- a/fighitch/wire/fighitch.capnp
+++ b/fighitch/wire/fighitch.capnp
@@ -84,6 +84,8 @@
   draining @2 :Bool;
   ticketEpoch @3 :UInt64;
   load :union { none @4 :Void; report @5 :LoadReport; }
+  ahead @6 :UInt64;
+  unreachable @7 :Bool;
 }
 
 struct ConfigurationRequest { since @0 :UInt64; }
