--- a/benchmarks/deployment.py
+++ b/benchmarks/deployment.py
@@ -20,6 +20,7 @@
 from types import TracebackType
 from typing import Any
 
+from benchmarks.links import Relay
 from fighitch.types import Seconds
 
 START_TIMEOUT: Seconds = 30.0
@@ -144,6 +145,8 @@
         max_in_transit: Limit of the weight store.
         program: Command of the program; the package's own by default.
         engine: Further settings of the engine stand-ins.
+        relays: Whether relays are put between entries and sidecars, sidecars and their
+            backend servers, and entries and the object API.
     """
 
     zones: Sequence[str]
@@ -152,6 +155,7 @@
     max_in_transit: int = 16
     program: Sequence[str] = (sys.executable, "-m", "fighitch")
     engine: Mapping[str, Any] = field(default_factory=dict)
+    relays: bool = False
 
 
 class Deployment:
@@ -164,6 +168,8 @@
         self.folder = Path(self._folder.name)
         self.processes: dict[str, Process] = {}
         self.ports: dict[str, int] = {}
+        # By link: "peer/<sidecar>", "backend/<sidecar>" and "object-api/<entry>".
+        self.relays: dict[str, Relay] = {}
         self._add_platform()
         for backend in plan.backends:
             self._add_backend(backend)
@@ -207,6 +213,8 @@
     def start(self) -> None:
         """Starts everything and waits until the ports answer."""
         try:
+            for relay in self.relays.values():
+                relay.start()
             for process in self.processes.values():
                 process.start()
             for name in self.processes:
@@ -224,6 +232,8 @@
         for process in order:
             if process.stop(timeout=5.0) is None:
                 process.kill()
+        for relay in self.relays.values():
+            relay.stop()
         self._folder.cleanup()
 
     def wait_alive(self, name: str) -> None:
@@ -308,7 +318,7 @@
                 backend.name,
                 {
                     "type": backend.type,
-                    "address": loopback(self.ports[f"{backend.name}/peer"]),
+                    "address": loopback(self._peer_port(backend.name)),
                     "availabilityZone": backend.zone,
                     "region": "region-1",
                     "model": backend.model,
@@ -362,7 +372,7 @@
                 "peer_address": loopback(self._port(f"{backend.name}/peer")),
                 "backend": {
                     "type": backend.type,
-                    "url": self._url(stand_in),
+                    "url": self._url(stand_in, link=f"backend/{backend.name}"),
                     "service": backend.service,
                     "model": backend.model,
                     "adapter_slots": backend.adapter_slots,
@@ -374,8 +384,7 @@
 
     def _add_entry(self, name: str, zone: str) -> None:
         peers = [
-            loopback(self.ports[f"{backend.name}/peer"])
-            for backend in self.plan.backends
+            loopback(self._peer_port(backend.name)) for backend in self.plan.backends
         ]
         self._add_daemon(
             name,
@@ -386,6 +395,7 @@
                 "peers": peers,
                 "instance_list": self._url("instance-list"),
                 "watch": True,
+                "object_api": self._url("object-api", link=f"object-api/{name}"),
             },
         )
 
@@ -429,8 +439,20 @@
         self.ports[name] = free_port()
         return self.ports[name]
 
-    def _url(self, name: str) -> str:
-        return f"http://{loopback(self.ports[f'{name}/port'])}"
+    def _url(self, name: str, *, link: str = "") -> str:
+        port = self.ports[f"{name}/port"]
+        return f"http://{loopback(self._linked(link, port) if link else port)}"
+
+    def _peer_port(self, backend: str) -> int:
+        return self._linked(f"peer/{backend}", self.ports[f"{backend}/peer"])
+
+    def _linked(self, link: str, port: int) -> int:
+        """Returns the port of the relay in front of a port, or the port itself."""
+        if not self.plan.relays:
+            return port
+        if link not in self.relays:
+            self.relays[link] = Relay(port)
+        return self.relays[link].port
 
     def _answers(self, name: str) -> bool:
         if f"{name}/admin" in self.ports:
--- a/benchmarks/faults.py
+++ b/benchmarks/faults.py
@@ -1,50 +1,198 @@
-"""Runs the matrix of steps and faults and prints it."""
+"""Runs the matrix of steps and faults and prints it.
+
+Every cell runs on the in-memory network; many also run with real processes and relays.
+Each runs once with the given seed and is never repeated to get a pass.
+"""
 
 import argparse
+import os
 import sys
 import time
 from collections import Counter
-from concurrent.futures import ProcessPoolExecutor
+from collections.abc import Iterable, Iterator, Sequence
+from concurrent.futures import Future, ProcessPoolExecutor, as_completed
+from itertools import groupby
 
 from benchmarks.fault_plan import LEGEND, Cell, Fault, cells, rows, why_not
 from benchmarks.memory_cells import StepNotReachedError, run_cell
+from benchmarks.process_cells import process_cells, run_batch
+from fighitch.types import Seconds
+
+DEFAULT_SEED = 1
+# A deployment has 17 processes, so that three stay below 60.
+DEFAULT_JOBS = 3
+MAX_JOBS = 3
+# No cell is begun later than this; the run ends within 10 minutes.
+LAST_BEGIN: Seconds = 510.0
+_CHUNK = 20
+_MEMORY_JOBS = 3
+
+_Outcome = tuple[Cell, str, list[str]]
+
+
+def run_memory(chunk: Sequence[Cell], seed: int, until: float) -> list[_Outcome]:
+    """Runs cells on the in-memory network.
+
+    Args:
+        chunk: What to run.
+        seed: Seed of every random choice.
+        until: Value of ``time.time`` after which no further cell is begun.
+    """
+    done: list[_Outcome] = []
+    for cell in chunk:
+        if time.time() > until:
+            break
+        try:
+            done.append((cell, "memory", run_cell(cell, seed)))
+        except StepNotReachedError:
+            continue
+        except Exception as error:
+            done.append((cell, "memory", [f"raised {error!r}"]))
+    return done
+
 
-def one(args):
-    cell, seed = args
+def run_processes(chunk: Sequence[Cell], seed: int, until: float) -> list[_Outcome]:
+    """Runs cells one after the other with the processes of one deployment."""
+    if time.time() > until:
+        return []
     try:
-        return cell, run_cell(cell, seed), ""
-    except StepNotReachedError as error:
-        return cell, [], f"UNREACHED {error}"
+        done = run_batch(chunk, seed, until)
     except Exception as error:
-        return cell, [], f"ERROR {error!r}"[:400]
+        return [(chunk[0], "processes", [f"raised {error!r}"])]
+    return [(cell, "processes", problems) for cell, problems in done]
+
 
 def main() -> int:
-    parser = argparse.ArgumentParser()
-    parser.add_argument("--case", default="")
-    parser.add_argument("--seed", type=int, default=1)
-    parser.add_argument("--jobs", type=int, default=5)
-    options = parser.parse_args()
-    started = time.monotonic()
-    count = Counter()
-    todo = []
-    for cell in cells():
-        if options.case and options.case not in cell.name:
-            continue
-        if why_not(cell):
-            count["na"] += 1
-            continue
-        todo.append((cell, options.seed))
-    with ProcessPoolExecutor(options.jobs) as pool:
-        for cell, problems, error in pool.map(one, todo, chunksize=4):
-            if error:
-                count[error[:5]] += 1
-                print(cell.name, error)
-                continue
-            count["failed" if problems else "passed"] += 1
-            for p in problems: print("FAIL", cell.name, p[:350])
-    print(count, time.monotonic() - started)
-    return 0
+    """Runs the matrix.
+
+    Returns:
+        0 if every cell that ran passed.
+    """
+    options = _options()
+    until = time.time() + LAST_BEGIN
+    wanted = [cell for cell in cells() if _is_wanted(cell, options.case)]
+    possible = [cell for cell in wanted if not why_not(cell)]
+    real = [cell for cell in process_cells() if _is_wanted(cell, options.case)]
+    outcomes: list[_Outcome] = []
+    with (
+        ProcessPoolExecutor(_MEMORY_JOBS) as memory,
+        ProcessPoolExecutor(min(options.jobs, MAX_JOBS)) as processes,
+    ):
+        futures: list[Future[list[_Outcome]]] = []
+        if options.world != "processes":
+            futures += [
+                memory.submit(run_memory, chunk, options.seed, until)
+                for chunk in _chunks(possible)
+            ]
+        if options.world != "memory":
+            futures += [
+                processes.submit(run_processes, list(chunk), options.seed, until)
+                for _, chunk in groupby(real, key=lambda cell: cell.fault)
+            ]
+        for future in as_completed(futures):
+            outcomes += future.result()
+    return _report(wanted, outcomes, options.seed)
+
+
+def _options() -> argparse.Namespace:
+    parser = argparse.ArgumentParser(prog="python -m benchmarks.faults")
+    parser.add_argument(
+        "--case",
+        default="",
+        help="run only cells whose name kind/step/fault contains this",
+    )
+    parser.add_argument("--seed", type=int, default=DEFAULT_SEED)
+    parser.add_argument(
+        "--jobs",
+        type=int,
+        default=DEFAULT_JOBS,
+        help=f"deployments at once, at most {MAX_JOBS}",
+    )
+    parser.add_argument(
+        "--world",
+        choices=("both", "memory", "processes"),
+        default="both",
+        help="where cells run",
+    )
+    return parser.parse_args()
+
+
+def _is_wanted(cell: Cell, case: str) -> bool:
+    return case in cell.name
+
+
+def _chunks(items: Sequence[Cell]) -> Iterator[Sequence[Cell]]:
+    for start in range(0, len(items), _CHUNK):
+        yield items[start : start + _CHUNK]
+
+
+def _report(wanted: Sequence[Cell], outcomes: Iterable[_Outcome], seed: int) -> int:
+    by_cell: dict[Cell, dict[str, list[str]]] = {}
+    for cell, world, problems in outcomes:
+        by_cell.setdefault(cell, {})[world] = problems
+    _print_matrix(wanted, by_cell)
+    counts: Counter[str] = Counter()
+    for cell, worlds in sorted(by_cell.items()):
+        for world, problems in sorted(worlds.items()):
+            counts[f"{world} {'failed' if problems else 'passed'}"] += 1
+            for problem in problems:
+                command = (
+                    f"python -m benchmarks.faults --case {cell.name} --seed {seed} "
+                    f"--world {world}"
+                )
+                print(f"FAIL {cell.name} ({world}): {problem}\n     {command}")
+    expected = [cell for cell in wanted if not why_not(cell)]
+    counts["cells not run"] = sum(cell not in by_cell for cell in expected)
+    counts["cells not applicable"] = len(wanted) - len(expected)
+    print(", ".join(f"{name}: {count}" for name, count in sorted(counts.items())))
+    failed = counts["memory failed"] + counts["processes failed"]
+    passed = counts["memory passed"] + counts["processes passed"]
+    print(f"{passed} passed, {failed} failed")
+    return 1 if failed else 0
+
+
+def _print_matrix(
+    wanted: Sequence[Cell], by_cell: dict[Cell, dict[str, list[str]]]
+) -> None:
+    faults = [fault for fault in Fault if any(c.fault == fault.value for c in wanted)]
+    print("Columns:")
+    for number, fault in enumerate(faults, 1):
+        print(f"  {number:>2} {fault.value}")
+    print(
+        "Cells: P passed with processes and in memory, p passed in memory,\n"
+        "       FAIL failed, . not run, and not applicable:"
+    )
+    for letter, reason in LEGEND.items():
+        print(f"       {letter} {reason}")
+    heads = "".join(f"{number:>5}" for number in range(1, len(faults) + 1))
+    print(f"{'':<24}{heads}")
+    names = set(wanted)
+    for kind, step in rows():
+        marks = [
+            _mark(Cell(kind.value, step.value, fault.value), names, by_cell)
+            for fault in faults
+        ]
+        if any(marks):
+            row = f"{kind.value} {step.value}"
+            print(f"{row:<24}" + "".join(f"{mark:>5}" for mark in marks))
+
+
+def _mark(
+    cell: Cell, wanted: set[Cell], by_cell: dict[Cell, dict[str, list[str]]]
+) -> str:
+    if cell not in wanted:
+        return ""
+    if reason := why_not(cell):
+        return reason
+    worlds = by_cell.get(cell)
+    if worlds is None:
+        return "."
+    if any(worlds.values()):
+        return "FAIL"
+    return "P" if "processes" in worlds else "p"
 
 
 if __name__ == "__main__":
+    # libcurl and the standard library would send calls to loopback through a proxy.
+    os.environ.setdefault("no_proxy", "127.0.0.1")
     sys.exit(main())
--- a/benchmarks/links.py
+++ b/benchmarks/links.py
@@ -102,7 +102,8 @@
     def stop(self) -> None:
         """Closes every connection and ends the thread."""
         self._is_stopped.set()
-        self._thread.join()
+        if self._thread.is_alive():
+            self._thread.join()
 
     def set_mode(self, mode: Mode) -> None:
         """Changes the mode and returns when it is in force."""
--- a/benchmarks/memory_backends.py
+++ b/benchmarks/memory_backends.py
@@ -45,6 +45,7 @@
 SERVICE_TIMEOUT: Seconds = 60.0
 API_LATENCY: Seconds = 0.005
 API_SLOW: Seconds = 3.0
+_BASE = "base-1"
 
 
 class Clock(Protocol):
@@ -100,6 +101,10 @@
         models: Versions that ran, by request id.
         began: Time and request id of every call that began.
         unloads_in_use: Unloads of a version that a call was running on.
+        open: Calls under way.
+        loads_slow: Factor on the duration of loads.
+        substitutes: Whether it runs the base model in place of a version that is not
+            loaded, instead of refusing the call.
     """
 
     name: str
@@ -120,6 +125,7 @@
     unloads_in_use: int = 0
     open: dict[tuple[int, int], Run] = field(default_factory=dict)
     loads_slow: float = 1.0
+    substitutes: bool = False
 
     # --- From the sidecar ---
 
@@ -130,7 +136,9 @@
             ids = (call.request_id, call.attempt, call.call)
             self._later(
                 CALL_LATENCY,
-                lambda: client.deliver(BackendFailed(*ids, False, "connection refused")),
+                lambda: client.deliver(
+                    BackendFailed(*ids, False, "connection refused")
+                ),
             )
             return
         self.open[id(client), call.call] = run
@@ -241,12 +249,12 @@
         if not self.is_engine:
             self._later(SERVICE_RUN * self.slow, lambda: self._end_service(run))
             return
-        if str(call.adapter_version) not in self.resident:
+        if str(call.adapter_version) not in self.resident and not self.substitutes:
             self.runs[key] -= call.generated_tokens == 0
             self._answer(run, 404, "", b'{"error":"not loaded"}', "")
             self._close(run)
             return
-        self.models.setdefault(call.request_id, set()).add(str(call.adapter_version))
+        self.models.setdefault(call.request_id, set()).add(self._model_of(call))
         self._later(TOKEN * self.slow, lambda: self._step(run))
 
     def _end_service(self, run: Run) -> None:
@@ -268,7 +276,7 @@
         if self._is_stuck:
             self._later(TOKEN, lambda: self._step(run))
             return
-        call, model = run.call, str(run.call.adapter_version)
+        call, model = run.call, self._model_of(run.call)
         prompt, count = prompt_of(call.body)
         if self.lose_answers and run.index >= count // 2:
             self.lose_answers -= 1
@@ -287,7 +295,13 @@
             self._answer(run, 200, model, text.encode(), text)
         self._close(run)
 
-    def _answer(self, run: Run, status: int, model: str, data: bytes, text: str) -> None:
+    def _model_of(self, call: CallBackend) -> str:
+        version = str(call.adapter_version)
+        return version if version in self.resident or not self.substitutes else _BASE
+
+    def _answer(
+        self, run: Run, status: int, model: str, data: bytes, text: str
+    ) -> None:
         call = run.call
         ids = (call.request_id, call.attempt, call.call)
         if status:
@@ -394,4 +408,3 @@
     """Returns an adapter with another default version."""
     spec = msgspec.structs.replace(adapter.spec, default_version=version)
     return msgspec.structs.replace(adapter, spec=spec)
-
--- a/benchmarks/memory_cells.py
+++ b/benchmarks/memory_cells.py
@@ -234,8 +234,9 @@
         for number, key in enumerate(keys):
             _order(case, f"blocker-{number}", ENTRIES[number % 2], key)
     else:
-        for entry in ENTRIES:
-            _adapter(case, f"stream-{entry}", entry, tokens=60)
+        for number, entry in enumerate(ENTRIES):
+            for model in (f"advisor-{3 + number}@v1", f"advisor-{5 + number}@v2"):
+                _adapter(case, f"{model}-{entry}", entry, model=model, tokens=60)
             _lookup(case, f"lookup-{entry}", entry)
     network.run(0.02)
 
@@ -345,5 +346,8 @@
     for entry in ENTRIES:
         if case.network.processes[entry].is_alive:
             case.later.append(_adapter(case, f"after-{entry}", entry))
-            key = case.network.issue_key(entry)
-            case.later.append(_order(case, f"after-order-{entry}", entry, key))
+            case.later.append(_lookup(case, f"after-lookup-{entry}", entry))
+            for number in range(2):
+                key = case.network.issue_key(entry)
+                name = f"after-order-{number}-{entry}"
+                case.later.append(_order(case, name, entry, key))
--- a/benchmarks/memory_changes.py
+++ b/benchmarks/memory_changes.py
@@ -26,6 +26,8 @@
     Fault.FREEZE_SIDECAR_SHORT,
     Fault.STOP_SIDECAR,
 )
+# Older and newer changes must cross for these to matter.
+_CROSSING = (Fault.DUPLICATES, Fault.LATE, Fault.REORDERED)
 _API_FAULTS = (Fault.API_DOWN, Fault.API_SLOW, Fault.API_LOST_ANSWER)
 
 
@@ -103,7 +105,8 @@
         if step is Step.SPREADING:
             network.run(IN_FORCE, until=lambda: _is_partly_spread(change))
         striker.strike()
-        network.run(0.0)
+        if fault in _CROSSING:
+            striker.race()
         network.api_unreachable -= set(ENTRIES) - (
             {ENTRIES[0]} if fault is Fault.API_CUT else set()
         )
@@ -152,9 +155,7 @@
     _hand_over(change, _commit(change.network), ENTRIES)
 
 
-def _hand_over(
-    change: Change, committed: Resource, entries: tuple[str, ...]
-) -> None:
+def _hand_over(change: Change, committed: Resource, entries: tuple[str, ...]) -> None:
     network = change.network
     for name in entries:
         event = inputs.ConfigurationReceived((committed,), 0)
--- a/benchmarks/memory_faults.py
+++ b/benchmarks/memory_faults.py
@@ -1,6 +1,7 @@
 """Faults of the in-memory network: how each strikes and how it ends."""
 
 from collections.abc import Callable
+from functools import partial
 from typing import Any
 
 from benchmarks.fault_plan import Fault
@@ -86,7 +87,7 @@
 
     def _restart(self, name: InstanceName) -> None:
         self._network.kill(name)
-        self._network.at(RESTART, lambda: self._network.start(name))
+        self._network.at(RESTART, partial(_start, self._network, name))
 
     def _kill_entry(self) -> None:
         self._restart(self._entry)
@@ -204,11 +205,15 @@
     def _engine_restart(self) -> None:
         self._backend.restart()
 
+    def race(self) -> None:
+        """Lets two operators change the same object while the fault lasts."""
+        self._operator_race()
+
     def _operator_race(self) -> None:
         """Two operators move the default version to and fro while work runs."""
         network = self._network
         for number in range(6):
-            network.at(0.1 * number, lambda number=number: _flip(network, number))
+            network.at(0.1 * number, partial(_flip, network, number))
 
     def _clock_step(self) -> None:
         for name in (self._entry, self._sidecar):
@@ -221,6 +226,10 @@
         self._network.processes[self._sidecar].deliver(inputs.DrainRequested())
 
 
+def _start(network: Network, name: InstanceName) -> None:
+    network.start(name)
+
+
 def _flip(network: Network, number: int) -> None:
     adapter = network.api.store.get(Kind.ADAPTER, "advisor-1")
     assert adapter is not None
--- a/benchmarks/memory_network.py
+++ b/benchmarks/memory_network.py
@@ -30,8 +30,18 @@
 CALLER_DIGEST = hashlib.sha256(sample.CALLER_KEY.encode()).hexdigest()
 ENTRIES = ("entry-1", "entry-2")
 BACKENDS = (
-    BackendPlan("engine-1", "engine", "a", model="base-1", batch_size=2),
-    BackendPlan("engine-2", "engine", "b", model="base-1", batch_size=2),
+    # As many slots as running requests, so that a load has to wait for a pin.
+    *(
+        BackendPlan(
+            f"engine-{number}",
+            "engine",
+            zone,
+            model="base-1",
+            batch_size=2,
+            adapter_slots=2,
+        )
+        for number, zone in enumerate("ab", 1)
+    ),
     BackendPlan(
         "orders-1",
         "service",
@@ -292,9 +302,7 @@
             )
         resource = self.api.store.get(_BACKEND_KIND, name)
         assert resource is not None
-        return SidecarCore(
-            name, incarnation, resource.spec, SIGNER, self.settings, rng
-        )
+        return SidecarCore(name, incarnation, resource.spec, SIGNER, self.settings, rng)
 
     def _tick(self, process: Process) -> None:
         if process.is_alive:
@@ -542,9 +550,7 @@
             "anywhere",
             {"targetSelector": "work", "backendServerSelector": "type"},
         ),
-        document(
-            "WeightStore", "store", {"loadsPerSecond": 20.0, "maxInTransit": 16}
-        ),
+        document("WeightStore", "store", {"loadsPerSecond": 20.0, "maxInTransit": 16}),
         *(_server_document(plan) for plan in BACKENDS),
     ]
     return [parse_resource(item).ok for item in documents]
--- /dev/null
+++ b/benchmarks/process_cells.py
@@ -0,0 +1,472 @@
+"""Runs cells of the fault matrix on real processes and relays."""
+
+import base64
+import json
+import time
+from collections.abc import Sequence
+from concurrent.futures import Future, ThreadPoolExecutor
+from dataclasses import dataclass, field
+from typing import Any
+
+from benchmarks import sample
+from benchmarks.callers import Caller, Reply
+from benchmarks.deployment import BackendPlan, Deployment, DeploymentPlan, fetch
+from benchmarks.fault_plan import Cell, Fault, Kind, Step, why_not
+from benchmarks.process_faults import HOLD, PROCESS_FAULTS, ProcessFault
+from fighitch.core.entry.orders import claim_name
+from fighitch.types import InstanceName, Seconds
+from standins.engine_model import generated_text
+
+ROWS = (
+    (Kind.STREAMED, Step.QUEUED),
+    (Kind.STREAMED, Step.WAITING_LOAD),
+    (Kind.STREAMED, Step.HALF_WAY),
+    (Kind.WHOLE, Step.RUNNING),
+    (Kind.LOOKUP, Step.RUNNING),
+    (Kind.ISSUED, Step.QUEUED),
+    (Kind.ISSUED, Step.RUNNING),
+    (Kind.ISSUED, Step.ANSWERED),
+    (Kind.CHOSEN, Step.RUNNING),
+)
+TOKENS = 80
+_STEP: Seconds = 0.025
+_SERVICE_RUN: Seconds = 0.8
+_PROBE_AFTER: Seconds = 2.8
+_CALLER_TIMEOUT: Seconds = 30.0
+_STEP_TIMEOUT: Seconds = 5.0
+_REST_TIMEOUT: Seconds = 15.0
+_POLL: Seconds = 0.02
+_PLANNED_STOPS = (Fault.STOP_ENTRY, Fault.STOP_SIDECAR)
+_NAMED = "advisor-1@v1"
+
+
+def process_cells() -> list[Cell]:
+    """Returns the cells that are also run with real processes."""
+    found = [
+        Cell(kind.value, step.value, fault.value)
+        for fault in Fault
+        if fault in PROCESS_FAULTS
+        for kind, step in ROWS
+    ]
+    return [cell for cell in found if not why_not(cell)]
+
+
+def fault_plan() -> DeploymentPlan:
+    """Returns two entries, two engines, two order services and two lookup services."""
+    backends = [
+        BackendPlan(f"engine-{number}", "engine", zone, model="base-1", batch_size=2)
+        for number, zone in enumerate("ab", 1)
+    ]
+    for service, work in (("orders", "order"), ("stock", "lookup")):
+        backends += [
+            BackendPlan(
+                f"{service}-{number}",
+                "service",
+                zone,
+                service=service,
+                batch_size=1,
+                labels={"work": work},
+            )
+            for number, zone in enumerate("ab", 1)
+        ]
+    return DeploymentPlan(zones=("a", "b"), backends=backends, relays=True)
+
+
+@dataclass(eq=False)
+class Asked:
+    """A request under way and the answer that is right."""
+
+    reply: Future[Reply]
+    text: str = ""
+    model: str = ""
+    key: str = ""
+
+
+@dataclass(eq=False)
+class ProcessCase:
+    """A cell that is being run on a deployment."""
+
+    deployment: Deployment
+    cell: Cell
+    number: int
+    pool: ThreadPoolExecutor
+    failures: list[str] = field(default_factory=list)
+    caller: Caller = field(
+        default_factory=lambda: Caller(sample.CALLER_KEY, timeout=_CALLER_TIMEOUT)
+    )
+
+    @property
+    def urls(self) -> list[str]:
+        """Base URLs of the entries."""
+        return [self.deployment.caller_url(name) for name in self.deployment.entries]
+
+    def runs(self, backend: InstanceName) -> dict[str, Any]:
+        """Returns the run counters of a backend server."""
+        port = self.deployment.ports[f"{backend}-backend/port"]
+        data = fetch(f"http://127.0.0.1:{port}/runs")[1]
+        return json.loads(data) if data else {}
+
+    def order_runs(self, key: str) -> int:
+        """Returns how often an order has run, over all backend servers."""
+        return sum(self.runs(name).get(key, 0) for name in ("orders-1", "orders-2"))
+
+    def status(self, name: str) -> dict[str, Any]:
+        """Returns the status of a daemon; empty if it does not answer."""
+        code, data = fetch(f"{self.deployment.admin_url(name)}/status", timeout=2.0)
+        return json.loads(data) if code == 200 else {}
+
+    def adapter(
+        self,
+        entry: int,
+        name: str,
+        *,
+        streamed: bool,
+        tokens: int = TOKENS,
+        model: str = _NAMED,
+    ) -> Asked:
+        """Sends an adapter request."""
+        prompt = f"prompt {self.number} {name}"
+        body = {
+            "model": model,
+            "prompt": prompt,
+            "max_tokens": tokens,
+            "stream": streamed,
+        }
+        reply = self.pool.submit(
+            self.caller.call, self.urls[entry], "/v1/completions", body
+        )
+        return Asked(reply, generated_text(model, prompt, 0, tokens), model)
+
+    def order(self, entry: int, key: str, content: str) -> Asked:
+        """Sends an order."""
+        reply = self.pool.submit(
+            self.caller.call,
+            self.urls[entry],
+            "/services/orders/orders",
+            {"order": content},
+            headers={"Idempotency-Key": key},
+        )
+        return Asked(reply, key=key)
+
+    def lookup(self, entry: int) -> Asked:
+        """Sends a lookup."""
+        path = f"/services/stock/items/{self.number}"
+        return Asked(
+            self.pool.submit(self.caller.call, self.urls[entry], path, method="GET")
+        )
+
+    def issue_key(self, entry: int) -> str:
+        """Returns an issued key."""
+        return self.caller.issue_key(self.urls[entry], service="orders")
+
+
+def run_batch(
+    cells: Sequence[Cell], seed: int, until: float
+) -> list[tuple[Cell, list[str]]]:
+    """Runs cells one after the other on one deployment.
+
+    Args:
+        cells: What to run.
+        seed: Numbers the requests, so that a run can be told from another.
+        until: Value of ``time.time`` after which no further cell is begun.
+
+    Returns:
+        What was wrong in each cell that was run.
+    """
+    plan = fault_plan()
+    done: list[tuple[Cell, list[str]]] = []
+    with Deployment(plan) as deployment, ThreadPoolExecutor(32) as pool:
+        deployment.apply(
+            [*sample.common_documents(plan), *deployment.backend_documents()]
+        )
+        deployment.wait_ready()
+        for number, cell in enumerate(cells, seed * 1_000):
+            if time.time() > until:
+                break
+            case = ProcessCase(deployment, cell, number, pool)
+            try:
+                _play(case)
+            except TimeoutError as error:
+                case.failures.append(f"harness: {error}")
+            done.append((cell, case.failures))
+    return done
+
+
+def _play(case: ProcessCase) -> None:
+    deployment = case.deployment
+    kind, step, fault = (
+        Kind(case.cell.kind),
+        Step(case.cell.step),
+        Fault(case.cell.fault),
+    )
+    ProcessFault(deployment, fault, "engine-1").clear()
+    _settle(case)
+    lookups_before = _lookups(case)
+    _slow_down(case, kind, step)
+    key = {
+        Kind.ISSUED: lambda: case.issue_key(1),
+        Kind.CHOSEN: lambda: f"chosen-{case.number}",
+    }.get(kind, str)()
+    before = _begun(case)
+    blockers = _block(case, kind) if step is Step.QUEUED else []
+    target = _send(case, kind, step, key)
+    victim = _reach(case, kind, step, target, key, before)
+    bystander = case.adapter(1, "bystander", streamed=True)
+    if fault in _PLANNED_STOPS:
+        time.sleep(0.1)
+    striker = ProcessFault(deployment, fault, victim)
+    in_flight = [target, bystander, *blockers]
+    struck_at = time.monotonic()
+    striker.strike()
+    time.sleep(max(0.0, _PROBE_AFTER - (time.monotonic() - struck_at)))
+    probe = case.order(1, case.issue_key(1), "probe")
+    probe_reply = probe.reply.result()
+    if fault is Fault.STOP_SIDECAR:
+        _check_leaving(case, victim, struck_at)
+    time.sleep(max(0.0, HOLD - (time.monotonic() - struck_at)))
+    if fault not in _PLANNED_STOPS:
+        striker.clear()
+    for one in in_flight:
+        reply = one.reply.result()
+        _check_reply(case, one, reply)
+        is_cut = reply.status != 200 or not reply.is_whole
+        if fault in _PLANNED_STOPS and is_cut:
+            case.failures.append(
+                f"7: cut off: {reply.status} {reply.error_kind} {reply.body[-200:]!r}"
+            )
+    if probe_reply.status != 200:
+        case.failures.append(
+            f"urgent: {probe_reply.status} {probe_reply.error_kind} "
+            f"{probe_reply.body[:200]!r}"
+        )
+    if fault in _PLANNED_STOPS:
+        _check_exit(
+            case, deployment.entries[0] if fault is Fault.STOP_ENTRY else victim
+        )
+        striker.clear()
+    _settle(case)
+    _check_not_run(case, kind, target, key, lookups_before)
+    if kind.is_order:
+        repeat = case.order(1, key, "target")
+        _check_repeat(case, kind, key, target.reply.result(), repeat.reply.result())
+    _check_rest(case)
+
+
+def _slow_down(case: ProcessCase, kind: Kind, step: Step) -> None:
+    """Makes work last long enough for the fault to strike at its step."""
+    if step is Step.WAITING_LOAD:
+        case.deployment.set_fault("weight-store", slow_factor=4.0)
+    seconds = 0.4 if step is Step.QUEUED else _SERVICE_RUN
+    for name in ("orders-1", "orders-2", "stock-1", "stock-2"):
+        if kind.is_order and step is not Step.ANSWERED or kind is Kind.LOOKUP:
+            case.deployment.set_fault(f"{name}-backend", run_seconds=seconds)
+    for name in ("engine-1", "engine-2"):
+        case.deployment.set_fault(f"{name}-backend", slow_factor=2.0)
+
+
+def _block(case: ProcessCase, kind: Kind) -> list[Asked]:
+    if kind.is_order:
+        keys = [case.issue_key(n % 2) for n in range(5)]
+        asked = [case.order(n % 2, key, f"blocker {n}") for n, key in enumerate(keys)]
+    else:
+        asked = [
+            case.adapter(n % 2, f"blocker {n}", streamed=True, tokens=100)
+            for n in range(5)
+        ]
+    time.sleep(0.25)
+    return asked
+
+
+def _send(case: ProcessCase, kind: Kind, step: Step, key: str) -> Asked:
+    if kind.is_order:
+        return case.order(0, key, "target")
+    if kind is Kind.LOOKUP:
+        return case.lookup(0)
+    # Every case of this step needs a version that no engine has loaded yet.
+    waits = step is Step.WAITING_LOAD
+    number = 2 + case.number % 5
+    version = f"v{1 + case.number // 5 % 2}"
+    return case.adapter(
+        0,
+        "target",
+        streamed=kind is Kind.STREAMED,
+        model=f"advisor-{number}@{version}" if waits else _NAMED,
+    )
+
+
+def _reach(
+    case: ProcessCase,
+    kind: Kind,
+    step: Step,
+    target: Asked,
+    key: str,
+    before: dict[str, set[str]],
+) -> InstanceName:
+    """Waits for the step and returns the sidecar that has the request."""
+    if step is Step.ANSWERED:
+        target.reply.result()
+        return _holder(key) or "orders-1"
+    names = ("engine-1", "engine-2")
+    if kind.is_order:
+        names = ("orders-1", "orders-2")
+    elif kind is Kind.LOOKUP:
+        names = ("stock-1", "stock-2")
+    deadline = time.monotonic() + _STEP_TIMEOUT
+    while time.monotonic() < deadline:
+        for name in names:
+            status = case.status(name)
+            waiting, running = (
+                sum(status.get("queued", ())),
+                sum(status.get("running", ())),
+            )
+            is_holder = _holder(key) in ("", name)
+            if step in (Step.QUEUED, Step.WAITING_LOAD):
+                if waiting and is_holder:
+                    return name
+            elif running and is_holder:
+                if step is Step.HALF_WAY:
+                    time.sleep(TOKENS * _STEP / 2)
+                return name
+        time.sleep(_POLL)
+    raise TimeoutError(f"{case.cell.name} did not reach its step")
+
+
+def _holder(key: str) -> InstanceName:
+    """Returns the sidecar that an issued key names; empty for any other key."""
+    parts = key.split(".")
+    if len(parts) != 4:
+        return ""
+    payload = parts[2] + "=" * (-len(parts[2]) % 4)
+    return str(json.loads(base64.urlsafe_b64decode(payload))[1])
+
+
+def _begun(case: ProcessCase) -> dict[str, set[str]]:
+    return {name: set(case.runs(name)) for name in ("engine-1", "engine-2")}
+
+
+def _lookups(case: ProcessCase) -> int:
+    return sum(case.runs(name).get("", 0) for name in ("stock-1", "stock-2"))
+
+
+# --- Checks ---
+
+
+def _check_reply(case: ProcessCase, asked: Asked, reply: Reply) -> None:
+    """Invariants 1 and 3 for one answer, and 1 at the engines that ran it."""
+    request_id = reply.headers.get("x-request-id", "")
+    if asked.model and request_id:
+        for name in ("engine-1", "engine-2"):
+            ran = set(case.runs(name).get(request_id, {}).get("models", ()))
+            if ran - {asked.model}:
+                case.failures.append(f"1: ran on {ran} instead of {asked.model}")
+    if reply.status != 200 or not reply.is_whole:
+        return
+    if asked.model and reply.text() != asked.text:
+        case.failures.append(f"3: wrong text of {asked.model}: {reply.text()[:80]!r}")
+    if asked.model and reply.headers.get("x-model") != asked.model:
+        case.failures.append(f"1: x-model {reply.headers.get('x-model')}")
+
+
+def _check_not_run(
+    case: ProcessCase, kind: Kind, target: Asked, key: str, lookups: int
+) -> None:
+    """Invariant 4."""
+    reply = target.reply.result()
+    if reply.run_state != "not_run":
+        return
+    request_id = reply.headers.get("x-request-id", "")
+    if kind.is_order:
+        ran = case.order_runs(_ticket(case, kind, key))
+    elif kind is Kind.LOOKUP:
+        ran = _lookups(case) - lookups
+    else:
+        ran = sum(request_id in case.runs(name) for name in ("engine-1", "engine-2"))
+    if ran:
+        case.failures.append(f"4: told not run, ran {ran} times: {reply.body[:200]!r}")
+
+
+def _ticket(case: ProcessCase, kind: Kind, key: str) -> str:
+    if kind is not Kind.CHOSEN:
+        return key
+    port = case.deployment.ports["object-api/port"]
+    name = claim_name("team-1", key)
+    path = f"/apis/fighitch.dev/v1/claims/{name}"
+    data = json.loads(fetch(f"http://127.0.0.1:{port}{path}")[1] or b"{}")
+    return str(data.get("spec", {}).get("ticket", ""))
+
+
+def _check_repeat(
+    case: ProcessCase, kind: Kind, key: str, first: Reply, second: Reply
+) -> None:
+    """Invariant 5, after a repeat through the other entry."""
+    ticket = _ticket(case, kind, key)
+    runs = case.order_runs(ticket) if ticket else 0
+    if runs > 1:
+        case.failures.append(f"5: ran {runs} times")
+    for reply in (first, second):
+        if reply.status == 200 and runs != 1:
+            case.failures.append(f"5: answered, but ran {runs} times")
+    if first.status == 200 and second.status == 200 and first.body != second.body:
+        case.failures.append("3: the repeat got another answer")
+
+
+def _check_leaving(case: ProcessCase, victim: InstanceName, struck_at: float) -> None:
+    """Invariant 6: adapter requests sent 3 s after the stop run elsewhere."""
+    time.sleep(max(0.0, 3.0 - (time.monotonic() - struck_at)))
+    for entry in (0, 1):
+        asked = case.adapter(entry, f"late {entry}", streamed=False, tokens=4)
+        reply = asked.reply.result()
+        if reply.headers.get("x-backend-server") == victim:
+            case.failures.append(f"6: {victim} ran new work 3 s after its stop began")
+        _check_reply(case, asked, reply)
+
+
+def _check_exit(case: ProcessCase, name: str) -> None:
+    process = case.deployment.processes[name]
+    deadline = time.monotonic() + _REST_TIMEOUT
+    while process.is_running and time.monotonic() < deadline:
+        time.sleep(_POLL)
+    code = process.popen.returncode if process.popen else None
+    if code != 0:
+        case.failures.append(f"7: {name} ended with {code}")
+
+
+def _check_rest(case: ProcessCase) -> None:
+    """Pins and requests in flight return to zero."""
+    deadline = time.monotonic() + _REST_TIMEOUT
+    left: dict[str, Any] = {}
+    while time.monotonic() < deadline:
+        left = {
+            plan.name: (status.get("pins"), status.get("in_flight"))
+            for plan in case.deployment.plan.backends
+            if (status := case.status(plan.name)).get("pins", 1)
+            or status.get("in_flight", 1)
+        }
+        if not left:
+            break
+        time.sleep(0.2)
+    if left:
+        case.failures.append(f"2: pins and requests left: {left}")
+    for name in ("engine-1", "engine-2"):
+        counters = case.deployment.control(f"{name}-backend")["counters"]
+        if counters["unloads_in_use"]:
+            case.failures.append(f"2: {name} unloaded a version in use")
+
+
+def _settle(case: ProcessCase) -> None:
+    """Waits until every entry is ready and connected to every sidecar."""
+    deployment = case.deployment
+
+    def is_settled() -> bool:
+        statuses = [case.status(name) for name in deployment.entries]
+        return all(
+            status.get("is_ready")
+            and len(status["members"]) == len(deployment.plan.backends)
+            and all(
+                member["is_connected"] and member["state"] == "alive"
+                for member in status["members"]
+            )
+            for status in statuses
+        )
+
+    deployment.wait_for(is_settled, "the deployment to settle")
--- /dev/null
+++ b/benchmarks/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the benchmarks' own checks and of quick fault cells."""
