--- a/fighitch/core/entry/orders.py
+++ b/fighitch/core/entry/orders.py
@@ -39,8 +39,8 @@
     {ErrorKind.BAD_REQUEST, ErrorKind.FORBIDDEN, ErrorKind.KEY_REQUIRED}
 )
 _ISSUED_KEY_HINT = (
-    "repeat with the same key, or request an issued key at /v1/idempotency-keys, "
-    "which works without the object API"
+    "repeat with the same key; for an order that was not sent before, request an "
+    "issued key at /v1/idempotency-keys, which works without the object API"
 )
 
 
--- a/fighitch/tests/test_membership.py
+++ b/fighitch/tests/test_membership.py
@@ -6,6 +6,7 @@
 from fighitch.core.entry.membership import MemberDied, Members, MemberState, ZoneCut
 from fighitch.core.entry.settings import EntrySettings
 from fighitch.core.messages import Heartbeat, LoadReport
+from fighitch.core.resources import BackendServerSpec, Kind, Resource
 from fighitch.tests.entry_helpers import ZONES, server
 
 
@@ -99,3 +100,22 @@
         self.assertEqual((member.load(0), member.load(1)), (3, 6))
         member.in_flight = 5
         self.assertEqual(member.load(0), 6)
+
+
+class HeartbeatTests(unittest.TestCase):
+    def test_state_follows_what_the_sidecar_says(self):
+        """Guards against work for a sidecar whose backend server does not answer."""
+        members = Members(settings=EntrySettings(), rng=random.Random(1))
+        spec = BackendServerSpec(type="service", address="ip:1", service="s")
+        members.sync(
+            [Resource(kind=Kind.BACKEND_SERVER, name="s1", revision=1, spec=spec)]
+        )
+        member = members.get("s1")
+        for heartbeat, state in (
+            (Heartbeat(1), MemberState.ALIVE),
+            (Heartbeat(2, unreachable=True), MemberState.IMPAIRED),
+            (Heartbeat(3, unreachable=True, draining=True), MemberState.LEAVING),
+            (Heartbeat(4), MemberState.ALIVE),
+        ):
+            members.reported(member, heartbeat)
+            self.assertIs(member.state, state)
