--- a/benchmarks/callers.py
+++ b/benchmarks/callers.py
@@ -24,6 +24,7 @@
         is_whole: Whether the answer ended as HTTP says it must.
         first_byte: Time to the first byte of the body.
         duration: Time to the end of the answer.
+        is_connected: Whether a connection was made, so that something may have run.
     """
 
     status: int
@@ -32,6 +33,7 @@
     is_whole: bool = False
     first_byte: Seconds = 0.0
     duration: Seconds = 0.0
+    is_connected: bool = True
 
     @property
     def run_state(self) -> str:
@@ -109,6 +111,11 @@
             "Content-Type": "application/json",
             **(headers or {}),
         }
+        try:
+            connection.connect()
+        except OSError:
+            duration = time.monotonic() - started_at
+            return Reply(0, duration=duration, is_connected=False)
         try:
             connection.request(
                 method, path, None if body is None else sent, all_headers
--- /dev/null
+++ b/benchmarks/soak_faults.py
@@ -0,0 +1,357 @@
+"""Random faults, planned stops and configuration changes for soak runs."""
+
+import json
+import random
+import signal
+import threading
+import time
+from collections.abc import Callable, Iterator
+from concurrent.futures import ThreadPoolExecutor
+from contextlib import contextmanager
+from dataclasses import replace
+from typing import Any
+
+from benchmarks import sample
+from benchmarks.deployment import Deployment, fetch
+from benchmarks.soak_records import AppliedChange, Fault, Records
+from fighitch.types import Seconds
+
+# A round of overlapping faults is followed by a calm one with planned stops only, so
+# that what a planned stop does can be told from what a fault does.
+STORM_SECONDS: Seconds = 14.0
+SETTLE_SECONDS: Seconds = 6.0
+STOP_LIMIT: Seconds = 40.0
+# Invariant 6: a backend server that is leaving gets no new work after this time.
+LEAVING_BOUND: Seconds = 5.0
+LEAVING_WATCH: Seconds = 2.0
+_FOREVER: Seconds = float("inf")
+
+
+class ProcessStates:
+    """Which daemons are meant to run, and since when they run undisturbed."""
+
+    def __init__(self, names: list[str]) -> None:
+        """Takes the names of the daemons."""
+        self._lock = threading.Lock()
+        self._calm_since: dict[str, Seconds] = dict.fromkeys(names, time.monotonic())
+
+    def disturb(self, name: str) -> None:
+        """Notes that a daemon is about to be paused or ended on purpose."""
+        with self._lock:
+            self._calm_since[name] = _FOREVER
+
+    def restore(self, name: str) -> None:
+        """Notes that a daemon runs again."""
+        with self._lock:
+            self._calm_since[name] = time.monotonic()
+
+    def calm_since(self, name: str) -> Seconds:
+        """Returns since when a daemon runs; infinity if it is disturbed now."""
+        with self._lock:
+            return self._calm_since[name]
+
+
+class Faults:
+    """Causes faults, drawn from one seed, until it is told to stop."""
+
+    def __init__(
+        self,
+        deployment: Deployment,
+        records: Records,
+        states: ProcessStates,
+        *,
+        seed: int,
+    ) -> None:
+        """Prepares the faults; ``run`` causes them."""
+        self._deployment = deployment
+        self._records = records
+        self._states = states
+        self._seed = seed
+        self._rng = random.Random(f"faults-{seed}")
+        self.stopping = threading.Event()
+        self._client_lock = threading.Lock()
+        plan = deployment.plan.backends
+        self._sidecars = [backend.name for backend in plan]
+        self._engines = [item.name for item in plan if item.type == "engine"]
+        self._order_services = [
+            item.name for item in plan if item.service == "orders"
+        ]
+        self._defaults = {f"advisor-{n}": "v1" for n in range(1, 7)}
+        self._defaults.update({f"writer-{n}": "v2" for n in range(1, 5)})
+        self._labels = 0
+
+    def run(self) -> None:
+        """Alternates rounds of faults and rounds of planned stops."""
+        while not self.stopping.is_set():
+            self._storm()
+            self.stopping.wait(SETTLE_SECONDS)
+            self._planned_round()
+
+    # --- Rounds ---
+
+    def _storm(self) -> None:
+        until = time.monotonic() + STORM_SECONDS
+        groups: tuple[list[Callable[[random.Random], None]], ...] = (
+            [self._kill_daemon, self._kill_daemon, self._freeze_daemon],
+            [
+                self._restart_engine,
+                self._fail_loads,
+                self._slow_store,
+                self._freeze_backend,
+                self._cut_engine_answers,
+                self._lose_service_answers,
+                self._refuse_service_calls,
+                self._slow_service,
+            ],
+            [
+                self._object_api_down,
+                self._slow_object_api,
+                self._lose_write_answers,
+                self._lagging_list,
+            ],
+            [self._change_default, self._change_default, self._change_labels],
+        )
+        with ThreadPoolExecutor(len(groups)) as pool:
+            seeds = [self._rng.getrandbits(64) for _ in groups]
+            done = [
+                pool.submit(self._cause, group, random.Random(seed), until)
+                for group, seed in zip(groups, seeds, strict=True)
+            ]
+        for future in done:
+            future.result()
+
+    def _cause(
+        self,
+        group: list[Callable[[random.Random], None]],
+        rng: random.Random,
+        until: Seconds,
+    ) -> None:
+        while time.monotonic() < until and not self.stopping.is_set():
+            rng.choice(group)(rng)
+            self.stopping.wait(rng.uniform(0.3, 2.0))
+
+    def _planned_round(self) -> None:
+        if self.stopping.is_set():
+            return
+        rng = self._rng
+        rng.choice((self._stop_entry, self._stop_sidecar, self._drain_backend))(rng)
+        if not self.stopping.is_set():
+            rng.choice((self._stop_entry, self._stop_sidecar))(rng)
+
+    @contextmanager
+    def _recorded(
+        self, kind: str, target: str, *, is_planned: bool = False
+    ) -> Iterator[None]:
+        started = time.monotonic()
+        try:
+            yield
+        finally:
+            ended = time.monotonic()
+            self._records.fault(Fault(kind, target, started, ended, is_planned))
+
+    # --- Daemons ---
+
+    def _daemon(self, rng: random.Random) -> str:
+        return rng.choice([*self._deployment.entries, *self._sidecars])
+
+    def _kill_daemon(self, rng: random.Random) -> None:
+        name = self._daemon(rng)
+        process = self._deployment.processes[name]
+        with self._recorded("kill and restart", name):
+            self._states.disturb(name)
+            process.kill()
+            time.sleep(rng.uniform(0.0, 2.0))
+            process.start()
+            self._deployment.wait_alive(name)
+            self._states.restore(name)
+
+    def _freeze_daemon(self, rng: random.Random) -> None:
+        name = self._daemon(rng)
+        process = self._deployment.processes[name]
+        with self._recorded("freeze and thaw", name):
+            self._states.disturb(name)
+            process.freeze()
+            time.sleep(rng.uniform(0.2, 4.0))
+            process.thaw()
+            self._states.restore(name)
+
+    def _stop_entry(self, rng: random.Random) -> None:
+        self._stop(rng.choice(self._deployment.entries))
+
+    def _stop_sidecar(self, rng: random.Random) -> None:
+        self._stop(rng.choice(self._sidecars))
+
+    def _stop(self, name: str) -> None:
+        process = self._deployment.processes[name]
+        with self._recorded("planned stop", name, is_planned=True):
+            self._states.disturb(name)
+            code = process.stop(STOP_LIMIT)
+            if code != 0:
+                self._records.violation("planned stop", process=name, exit_code=code)
+                process.kill()
+            process.start()
+            self._deployment.wait_alive(name)
+            self._states.restore(name)
+        self.stopping.wait(1.0)
+
+    # --- Backend servers ---
+
+    def _set(
+        self, kind: str, name: str, faults: dict[str, Any], hold: Seconds
+    ) -> None:
+        """Sets faults of a stand-in and takes back the lasting ones after a while."""
+        calm = {
+            key: _CALM[key] for key, value in faults.items() if key in _CALM and value
+        }
+        with self._recorded(kind, name):
+            self._deployment.set_fault(name, **faults)
+            time.sleep(hold)
+            if calm:
+                self._deployment.set_fault(name, **calm)
+
+    def _backend(self, rng: random.Random, names: list[str]) -> str:
+        return f"{rng.choice(names)}-backend"
+
+    def _restart_engine(self, rng: random.Random) -> None:
+        name = self._backend(rng, self._engines)
+        self._set("engine cold restart", name, {"restart": True}, 0.5)
+
+    def _fail_loads(self, rng: random.Random) -> None:
+        faults = {"fail_next_loads": rng.randint(1, 4)}
+        self._set("failing loads", self._backend(rng, self._engines), faults, 2.0)
+
+    def _slow_store(self, rng: random.Random) -> None:
+        faults = {"slow_factor": rng.choice((4.0, 10.0)), "fail_next": rng.randint(0, 3)}
+        self._set("weight store slow", "weight-store", faults, rng.uniform(1.0, 4.0))
+
+    def _freeze_backend(self, rng: random.Random) -> None:
+        name = self._backend(rng, self._sidecars)
+        hold = rng.uniform(0.3, 3.0)
+        self._set("backend server frozen", name, {"freeze": True}, hold)
+
+    def _cut_engine_answers(self, rng: random.Random) -> None:
+        faults = {"cut_next_answers": rng.randint(1, 5), "cut_after_tokens": 2}
+        self._set("engine cuts answers", self._backend(rng, self._engines), faults, 1.0)
+
+    def _lose_service_answers(self, rng: random.Random) -> None:
+        name = self._backend(rng, [*self._order_services, "stock-1"])
+        faults = {"lose_next_answers": rng.randint(1, 4)}
+        self._set("service loses answers after the run", name, faults, 1.0)
+
+    def _refuse_service_calls(self, rng: random.Random) -> None:
+        name = self._backend(rng, self._order_services)
+        faults = {"refuse_next": rng.randint(1, 4)}
+        self._set("service refuses", name, faults, 1.0)
+
+    def _slow_service(self, rng: random.Random) -> None:
+        name = self._backend(rng, self._order_services)
+        faults = {"run_seconds": rng.uniform(0.1, 1.0)}
+        self._set("service slow", name, faults, rng.uniform(1.0, 3.0))
+
+    # --- Platform ---
+
+    def _object_api_down(self, rng: random.Random) -> None:
+        fault = rng.choice(("down", "freeze"))
+        hold = rng.uniform(0.5, 5.0)
+        self._set(f"object API {fault}", "object-api", {fault: True}, hold)
+
+    def _slow_object_api(self, rng: random.Random) -> None:
+        faults = {"delay_seconds": rng.uniform(0.1, 1.0)}
+        self._set("object API slow", "object-api", faults, rng.uniform(1.0, 4.0))
+
+    def _lose_write_answers(self, rng: random.Random) -> None:
+        faults = {"lose_next_write_answers": rng.randint(1, 6)}
+        self._set("object API loses answers", "object-api", faults, 1.0)
+
+    def _lagging_list(self, rng: random.Random) -> None:
+        faults = {"lag_seconds": rng.uniform(1.0, 10.0)}
+        self._set("instance list lags", "instance-list", faults, 2.0)
+
+    # --- Configuration ---
+
+    def _change_default(self, rng: random.Random) -> None:
+        name = rng.choice(list(self._defaults))
+        version = "v1" if self._defaults[name] == "v2" else "v2"
+        self._defaults[name] = version
+        work = "question" if name.startswith("advisor") else "draft"
+        document = sample.adapter(name, work, default=version)
+        with self._recorded("new default version", name, is_planned=True):
+            self._apply(document, version)
+
+    def _change_labels(self, rng: random.Random) -> None:
+        plan = rng.choice(self._deployment.backend_documents())
+        self._labels += 1
+        plan["metadata"]["labels"]["soak"] = f"n{self._labels}"
+        name = plan["metadata"]["name"]
+        with self._recorded("label change", name, is_planned=True):
+            self._apply(plan, "")
+
+    def _apply(self, document: dict[str, Any], value: str) -> AppliedChange:
+        key = f"{document['kind']}/{document['metadata']['name']}"
+        path = self._deployment.folder / f"change-{document['metadata']['name']}.json"
+        path.write_text(json.dumps([document]))
+        change = AppliedChange(key, time.monotonic(), None, value=value)
+        self._records.change(change)
+        # --force, since after a lost answer the last application may be another one.
+        done = self._deployment.client(
+            "apply", "-f", str(path), "--force", "--output", "json"
+        )
+        accepted = time.monotonic()
+        if done.returncode != 0:
+            self._records.note(f"apply ended with code {done.returncode}")
+            return change
+        written = json.loads(done.stdout)[0]["document"]
+        revision = int(written["metadata"]["resourceVersion"])
+        settled = replace(change, accepted=accepted, revision=revision)
+        self._records.settle_change(change, settled)
+        return settled
+
+    def _drain_backend(self, rng: random.Random) -> None:
+        name = rng.choice(self._engines)
+        with self._recorded("drain of a backend server", name, is_planned=True):
+            done = self._deployment.client("drain", "backendserver", name)
+            if done.returncode == 0:
+                time.sleep(LEAVING_BOUND)
+                before = self._runs_of(name)
+                time.sleep(LEAVING_WATCH)
+                after = self._runs_of(name)
+                if after > before:
+                    self._records.violation(
+                        "leaving backend server got new work",
+                        backend_server=name,
+                        runs=after - before,
+                    )
+            else:
+                self._records.note(f"drain ended with code {done.returncode}")
+            for _ in range(5):
+                undone = self._deployment.client(
+                    "drain", "backendserver", name, "--undo"
+                )
+                if undone.returncode == 0:
+                    break
+            else:
+                self._records.violation("drain not undone", output=undone.stderr)
+        self.stopping.wait(1.0)
+
+    def _runs_of(self, name: str) -> int:
+        port = self._deployment.ports[f"{name}-backend/port"]
+        records = json.loads(fetch(f"http://127.0.0.1:{port}/runs", timeout=20.0)[1])
+        return sum(record["runs"] for record in records.values())
+
+    def heal(self) -> None:
+        """Takes back every fault after the load has ended."""
+        for name, process in self._deployment.processes.items():
+            process.signal(signal.SIGCONT)
+            if f"{name}/control" in self._deployment.ports:
+                self._deployment.set_fault(name, freeze=False, down=False)
+
+
+# Values that take a lasting fault back.
+_CALM = {
+    "freeze": False,
+    "down": False,
+    "delay_seconds": 0.0,
+    "slow_factor": 1.0,
+    "run_seconds": 0.0,
+    "lag_seconds": 0.0,
+}
