Answer requests that arrive after an entry's drain

Cause: the loop ended with the drain, while the callers' port stays open for another second, so that requests of this second were never handled. Ruled out: the object API's lost answers, as orders with issued keys hung too. The loop now runs until the ports are closed. A sidecar stays for a second after its drain, so that what an entry has sent meanwhile is refused as not run; a process whose loop failed exits at once with code 70 instead of waiting for its handlers.

--- a/benchmarks/soak.py
+++ b/benchmarks/soak.py
@@ -6,10 +6,13 @@
 """
 
 import argparse
+import shutil
 import sys
 import threading
 import time
 from collections.abc import Callable
+from functools import partial
+from pathlib import Path
 from typing import Any
 
 from benchmarks import sample
@@ -81,7 +84,11 @@
         ]
         deployment.apply(documents)
         deployment.wait_ready()
-        figures = _run(deployment, records, arguments)
+        try:
+            figures = _run(deployment, records, arguments)
+        finally:
+            if arguments.logs:
+                shutil.copytree(deployment.folder, arguments.logs, dirs_exist_ok=True)
     _report(records, arguments.seed, figures)
     if records.violations:
         print(f"seed {arguments.seed}; repeat with: {command}")
@@ -98,6 +105,7 @@
     parser.add_argument(
         "--pause", type=float, default=DEFAULT_PAUSE, help="mean pause of a worker, s"
     )
+    parser.add_argument("--logs", type=Path, help="folder to copy the logs to")
     arguments = parser.parse_args()
     if not 0 < arguments.duration <= MAX_DURATION:
         parser.error(f"--duration must be above 0 and at most {MAX_DURATION:.0f}")
@@ -120,12 +128,10 @@
         pause=arguments.pause,
     )
     errors: list[BaseException] = []
-    helpers = [
-        _thread(target, errors) for target in (faults.run, monitor.run)
-    ]
+    helpers = [_thread(target, errors) for target in (faults.run, monitor.run)]
     balancer = _thread(load.balancer.run, errors)
     workers = [
-        _thread(lambda number=number: load.run_worker(number), errors)
+        _thread(partial(load.run_worker, number), errors)
         for number in range(arguments.workers)
     ]
     end_by = started + arguments.duration + WORKER_END
--- a/benchmarks/soak_checks.py
+++ b/benchmarks/soak_checks.py
@@ -18,6 +18,8 @@
 # The idle daemon has about 50 MB. A leak of a few kB per request passes this bound
 # within one run.
 MAX_RESIDENT_MB = 200
+# A daemon that is neither paused nor restarted answers its admin port within this time.
+MAX_SILENCE: Seconds = 10.0
 _FATAL = re.compile(r"InvariantViolation|invariant=|loop_failed|Traceback")
 _KB_PER_MB = 1_024
 
@@ -37,6 +39,7 @@
         self._held: dict[tuple[str, int], dict[str, int]] = {}
         self._reported: set[tuple[str, ...]] = set()
         self._crashed: set[int] = set()
+        self._heard: dict[str, Seconds] = {}
 
     def run(self) -> None:
         """Watches."""
@@ -66,6 +69,11 @@
             self._reported.add((name, "memory"))
             self._records.violation("memory", process=name, resident_mb=memory)
 
+    def _check_silence(self, name: str, silent: Seconds) -> None:
+        if silent > MAX_SILENCE and (name, "silence") not in self._reported:
+            self._reported.add((name, "silence"))
+            self._records.violation("no answer", process=name, silent=round(silent, 1))
+
     def _check_configuration(self, name: str) -> None:
         asked_at = time.monotonic()
         process = self._deployment.processes[name]
@@ -75,8 +83,12 @@
         url = f"{self._deployment.admin_url(name)}/configuration"
         status, data = fetch(url, timeout=1.0)
         since = self._states.calm_since(name)
-        if status != 200 or since > asked_at or process.pid != pid:
+        if since > asked_at or process.pid != pid:
+            return
+        if status != 200:
+            self._check_silence(name, asked_at - max(since, self._heard.get(name, 0)))
             return
+        self._heard[name] = asked_at
         held = json.loads(data)["resources"]
         before = self._held.get((name, pid), {})
         for key, revision in before.items():
--- a/benchmarks/soak_faults.py
+++ b/benchmarks/soak_faults.py
@@ -73,9 +73,7 @@
         plan = deployment.plan.backends
         self._sidecars = [backend.name for backend in plan]
         self._engines = [item.name for item in plan if item.type == "engine"]
-        self._order_services = [
-            item.name for item in plan if item.service == "orders"
-        ]
+        self._order_services = [item.name for item in plan if item.service == "orders"]
         self._defaults = {f"advisor-{n}": "v1" for n in range(1, 7)}
         self._defaults.update({f"writer-{n}": "v2" for n in range(1, 5)})
         self._labels = 0
@@ -196,9 +194,7 @@
 
     # --- Backend servers ---
 
-    def _set(
-        self, kind: str, name: str, faults: dict[str, Any], hold: Seconds
-    ) -> None:
+    def _set(self, kind: str, name: str, faults: dict[str, Any], hold: Seconds) -> None:
         """Sets faults of a stand-in and takes back the lasting ones after a while."""
         calm = {
             key: _CALM[key] for key, value in faults.items() if key in _CALM and value
@@ -221,7 +217,10 @@
         self._set("failing loads", self._backend(rng, self._engines), faults, 2.0)
 
     def _slow_store(self, rng: random.Random) -> None:
-        faults = {"slow_factor": rng.choice((4.0, 10.0)), "fail_next": rng.randint(0, 3)}
+        faults = {
+            "slow_factor": rng.choice((4.0, 10.0)),
+            "fail_next": rng.randint(0, 3),
+        }
         self._set("weight store slow", "weight-store", faults, rng.uniform(1.0, 4.0))
 
     def _freeze_backend(self, rng: random.Random) -> None:
--- a/benchmarks/soak_load.py
+++ b/benchmarks/soak_load.py
@@ -268,7 +268,9 @@
         avoided = ""
         for attempt in range(MAX_REPEATS):
             avoided, reply = self._call(call, avoid=avoided)
-            history.run_states.append(reply.run_state)
+            # A service's own error says nothing about whether it did the work.
+            is_own_error = reply.run_state == "ran" and reply.status != 200
+            history.run_states.append("failed" if is_own_error else reply.run_state)
             if attempt == 0:
                 self._timed("urgent", started, reply)
             if reply.status == http.HTTPStatus.OK:
--- a/fighitch/daemons/base.py
+++ b/fighitch/daemons/base.py
@@ -1,5 +1,6 @@
 """What entry and sidecar have in common: settings, logs, metrics, loop, admin port."""
 
+import os
 import secrets
 import sys
 import threading
@@ -30,6 +31,7 @@
 _INCARNATION_BITS = 63
 _POLL: Seconds = 0.1
 _EXIT_SETTINGS = 2
+EXIT_LOOP_FAILED = 70
 # Events that happen for every request or more often; logged at debug only.
 _FREQUENT_EVENTS = frozenset({"chunk_dropped", "heartbeat_sent"})
 
@@ -97,7 +99,7 @@
         """Starts the tasks of the subclass."""
 
     def stop_tasks(self) -> None:
-        """Stops the tasks of the subclass, after the drain."""
+        """Stops the tasks of the subclass, after the drain; the loop still runs."""
 
     def store(self, core: Any) -> ConfigurationStore:
         """Returns the core's copy of the configuration."""
@@ -126,8 +128,16 @@
         )
         while loop_thread.is_alive() and not self._is_drain_over():
             loop_thread.join(_POLL)
+        if not loop_thread.is_alive():
+            # Handlers wait for answers that nobody can give any more; a normal exit
+            # would wait for them.
+            sys.stdout.flush()
+            sys.stderr.flush()
+            os._exit(EXIT_LOOP_FAILED)
         self.stop_tasks()
         self._admin.stop()
+        self.loop.stop()
+        loop_thread.join(ANSWER_TIMEOUT)
         self.traces.stop()
         self.log.event("stopped")
         del signals
@@ -142,6 +152,8 @@
             raise
 
     def _is_drain_over(self) -> bool:
+        if self.loop.is_stopped:
+            return True
         limit = getattr(self.settings, "drain_seconds", 0)
         if not limit or self._drain_began is None:
             return False
@@ -242,7 +254,8 @@
     """Reads the settings and runs a daemon.
 
     Returns:
-        Exit code: 0 after a planned stop, 2 if the settings cannot be used.
+        Exit code: 0 after a planned stop, 2 if the settings cannot be used. A process
+        whose loop failed exits with 70.
     """
     loaded = load_settings(settings_path, daemon_type.settings_type)
     if loaded.is_error():
--- a/fighitch/daemons/sidecar.py
+++ b/fighitch/daemons/sidecar.py
@@ -29,6 +29,9 @@
 # How soon a cold restart of the engine is noticed when no call fails because of it.
 STATUS_INTERVAL: Seconds = 0.25
 AUDIT_RECORDS = 10_000
+# Time in which entries notice that a drained sidecar is leaving. What they sent before
+# is refused as "not run"; on a closed connection its outcome would be unknown.
+ENTRY_NOTICE: Seconds = 1.0
 
 
 class SidecarDaemon(Daemon[SidecarSettings]):
@@ -97,7 +100,8 @@
         threading.Thread(target=self._poll_status, name="status", daemon=True).start()
 
     def stop_tasks(self) -> None:
-        """Ends the tasks."""
+        """Ends the tasks once no entry sends work any more."""
+        self._stopping.wait(ENTRY_NOTICE)
         self._stopping.set()
         self._transfers.stop()
 
--- a/fighitch/runtime/loop.py
+++ b/fighitch/runtime/loop.py
@@ -98,6 +98,7 @@
         self._wake_send.setblocking(False)
         self._wake_is_pending = False
         self._stopped = threading.Event()
+        self._is_closing = False
         self._listener = _listen(listen_address) if listen_address else None
         self._selector.register(self._wake_receive, selectors.EVENT_READ, "wake")
         if self._listener:
@@ -113,7 +114,7 @@
 
     @property
     def is_stopped(self) -> bool:
-        """Whether the core has asked to stop."""
+        """Whether the core has asked to stop, since its drain is complete."""
         return self._stopped.is_set()
 
     def post(self, message: Any) -> None:
@@ -143,10 +144,20 @@
         """Uses other shared keys for handshakes from now on."""
         self._keys = tuple(keys)
 
+    def stop(self) -> None:
+        """Ends ``run``, from any thread."""
+        self._is_closing = True
+        with contextlib.suppress(OSError):
+            self._wake_send.send(b"\0")
+
     def run(self) -> None:
-        """Runs until the core asks to stop."""
+        """Runs until ``stop``.
+
+        It goes on after the core has asked to stop, since requests may still arrive
+        until the ports are closed, and the core refuses them as "not run".
+        """
         next_tick = self._clock()
-        while not self._stopped.is_set():
+        while not self._is_closing:
             timeout = max(0.0, next_tick - self._clock())
             for key, events in self._selector.select(0 if self._inbox else timeout):
                 self._handle_ready(key.data, events)
--- a/fighitch/tests/test_runtime.py
+++ b/fighitch/tests/test_runtime.py
@@ -61,7 +61,7 @@
         thread = threading.Thread(target=loop.run, daemon=True)
         thread.start()
         self.addCleanup(thread.join, TIMEOUT)
-        self.addCleanup(loop.post, Stop())
+        self.addCleanup(loop.stop)
         return loop, core, effects
 
     def connect(self):
@@ -99,13 +99,21 @@
             entry.post(Connect(address))
             self.assertEqual(core.next_of(ConnectionFailed).address, address)
 
+    def test_core_is_asked_after_its_drain_until_the_loop_is_stopped(self):
+        """Guards against requests that hang since they came after the drain."""
+        loop, core, _ = self.start(Role.ENTRY)
+        loop.post(Stop())
+        self.assertIs(loop.ask(lambda core: core).result(TIMEOUT), core)
+        self.assertTrue(loop.is_stopped)
+        self.assertIs(loop.ask(lambda core: core).result(TIMEOUT), core)
+
     def test_peer_with_a_wrong_key_is_refused_and_counted(self):
         """Guards against strangers that give work to a sidecar."""
         sidecar, _, effects = self.start(Role.SIDECAR, listens=True)
         entry, core, _ = self.start(Role.ENTRY, key=SharedKey("k", b"w" * 32))
         entry.post(Connect(sidecar.listen_address))
         core.next_of(ConnectionFailed)
-        entry.post(Stop())
+        entry.stop()
         with socket.create_connection(_split(sidecar.listen_address)) as sock:
             sock.sendall(b"GET / HTTP/1.1\r\n\r\n")
             self.assertTrue(_is_closed_by_peer(sock))
