--- a/benchmarks/soak_faults.py
+++ b/benchmarks/soak_faults.py
@@ -306,32 +306,43 @@
         return settled
 
     def _drain_backend(self, rng: random.Random) -> None:
+        """Drains a backend server by its label; its sidecar ends, a new one follows."""
         name = rng.choice(self._engines)
+        process = self._deployment.processes[name]
         with self._recorded("drain of a backend server", name, is_planned=True):
+            self._states.disturb(name)
             done = self._deployment.client("drain", "backendserver", name)
             if done.returncode == 0:
-                time.sleep(LEAVING_BOUND)
-                before = self._runs_of(name)
-                time.sleep(LEAVING_WATCH)
-                after = self._runs_of(name)
-                if after > before:
-                    self._records.violation(
-                        "leaving backend server got new work",
-                        backend_server=name,
-                        runs=after - before,
-                    )
+                self._check_leaving(name)
             else:
                 self._records.note(f"drain ended with code {done.returncode}")
-            for _ in range(5):
-                undone = self._deployment.client(
-                    "drain", "backendserver", name, "--undo"
-                )
-                if undone.returncode == 0:
-                    break
-            else:
-                self._records.violation("drain not undone", output=undone.stderr)
+            self._undo_drain(name)
+            if not process.is_running:
+                code = process.popen.returncode if process.popen else None
+                if code != 0:
+                    self._records.violation("drain", process=name, exit_code=code)
+                process.start()
+                self._deployment.wait_alive(name)
+            self._states.restore(name)
         self.stopping.wait(1.0)
 
+    def _check_leaving(self, name: str) -> None:
+        time.sleep(LEAVING_BOUND)
+        before = self._runs_of(name)
+        time.sleep(LEAVING_WATCH)
+        runs = self._runs_of(name) - before
+        if runs:
+            self._records.violation(
+                "leaving backend server got new work", backend_server=name, runs=runs
+            )
+
+    def _undo_drain(self, name: str) -> None:
+        for _ in range(5):
+            undone = self._deployment.client("drain", "backendserver", name, "--undo")
+            if undone.returncode == 0:
+                return
+        self._records.violation("drain not undone", output=undone.stderr)
+
     def _runs_of(self, name: str) -> int:
         port = self._deployment.ports[f"{name}-backend/port"]
         records = json.loads(fetch(f"http://127.0.0.1:{port}/runs", timeout=20.0)[1])
--- a/benchmarks/soak_load.py
+++ b/benchmarks/soak_load.py
@@ -329,7 +329,7 @@
         if not reply.status and reply.is_connected:
             what = "connection lost"
         elif reply.status and not reply.is_whole:
-            what = "cut after an error event"
+            what = "ended by an error event"
             if b"event: error" not in reply.body:
                 what = "cut"
         elif reply.run_state == "unknown" and reply.error_kind != "key_expired":
--- /dev/null
+++ b/fighitch/tests/test_fleet.py
@@ -0,0 +1,735 @@
+"""Random histories of a small fleet of real cores on a network in memory.
+
+Entries and sidecars are joined by connections that deliver in order, but lose their
+tail, go silent, delay, deliver twice and overtake one another. Callers, engines,
+services and the object API are simulated on the same explicit clock.
+"""
+
+import hashlib
+import heapq
+import itertools
+import random
+import unittest
+from collections import Counter, defaultdict
+from dataclasses import dataclass, field
+from typing import Any
+
+from hypothesis import settings, strategies
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    initialize,
+    invariant,
+    precondition,
+    rule,
+    run_state_machine_as_test,
+)
+
+from fighitch.core import effects, inputs, messages
+from fighitch.core.entry import EntryCore
+from fighitch.core.entry.orders import claim_name
+from fighitch.core.errors import RunState
+from fighitch.core.resources import (
+    AdapterSpec,
+    AdapterVersionSpec,
+    BackendServerSpec,
+    CallerSpec,
+    Kind,
+    PlacementSpec,
+    Resource,
+    WeightStoreSpec,
+    WorkPolicySpec,
+)
+from fighitch.core.sidecar import SidecarCore, SidecarSettings
+from fighitch.core.tickets import SharedKey, TicketSigner
+
+SETTINGS = settings(
+    max_examples=24,
+    stateful_step_count=30,
+    deadline=None,
+    derandomize=True,
+    database=None,
+)
+ENTRIES = ("entry-1", "entry-2")
+ENGINES = ("engine-1", "engine-2")
+SERVICES = ("orders-1", "orders-2")
+SIDECARS = ENGINES + SERVICES
+INSTANCES = ENTRIES + SIDECARS
+ADAPTERS = ("a", "b", "c")
+DIGEST = hashlib.sha256(b"key").hexdigest()
+SIGNER = TicketSigner([SharedKey("k", b"secret")])
+TICK = 0.05
+LATENCY = 0.001
+STATUS_INTERVAL = 0.25
+TOKEN = 0.02
+RUN = 0.05
+DIAL_TIMEOUT = 2.0
+CONFIGURATION_BOUND = 5.0
+# Longer than any deadline, suspicion and reconnection delay.
+CALM = 60.0
+
+
+@dataclass(eq=False)
+class Process:
+    """One start of an entry or sidecar."""
+
+    name: str
+    core: Any
+    incarnation: int
+    started: float
+    is_alive: bool = True
+    is_frozen: bool = False
+    calm_since: float = 0.0
+    held: list[Any] = field(default_factory=list)
+
+
+@dataclass(eq=False)
+class Connection:
+    """Both ends of a connection; what is sent on a silent one is lost."""
+
+    number: int
+    ends: tuple[Process, Process]
+    delay: float
+    is_silent: bool = False
+    closed: set[Process] = field(default_factory=set)
+    due: dict[Process, float] = field(default_factory=lambda: defaultdict(float))
+
+    def other(self, process):
+        return self.ends[1] if process is self.ends[0] else self.ends[0]
+
+
+@dataclass(eq=False)
+class Backend:
+    """An engine or service, which outlives its sidecar."""
+
+    boot: int = 1
+    resident: set[messages.AdapterVersion] = field(default_factory=set)
+    fencing_token: int = 0
+    failing_loads: int = 0
+    lost_answers: int = 0
+    running: dict[tuple[Process, int], tuple[str, int, int]] = field(
+        default_factory=dict
+    )
+
+
+@dataclass(eq=False)
+class Request:
+    """A caller's request and what it saw."""
+
+    event: inputs.CallerRequest
+    process: Process
+    sent_at: float
+    is_gone: bool = False
+    parts: list[bytes] = field(default_factory=list)
+    ended: effects.AnswerEnded | None = None
+    failed: effects.AnswerFailed | None = None
+
+    @property
+    def is_open(self):
+        return self.ended is None and self.failed is None
+
+
+def resource(kind, name, spec, revision=1, **labels):
+    return Resource(kind=kind, name=name, labels=labels, spec=spec, revision=revision)
+
+
+def adapter(name, default, revision=1):
+    versions = tuple(AdapterVersionSpec(name=v, source=f"{name}/{v}") for v in "12")
+    spec = AdapterSpec(model="m", versions=versions, default_version=default)
+    return resource(Kind.ADAPTER, name, spec, revision, work="question")
+
+
+def server(name):
+    kind = (
+        {"type": "engine", "model": "m", "adapter_slots": 2}
+        if name in ENGINES
+        else {"type": "service", "service": "orders"}
+    )
+    spec = BackendServerSpec(
+        address=f"ip:{name}", availability_zone=name[-1], batch_size=2, **kind
+    )
+    work = "question" if name in ENGINES else "order"
+    return resource(Kind.BACKEND_SERVER, name, spec, work=work)
+
+
+def configuration():
+    policies = (
+        WorkPolicySpec(
+            rank=0, target_selector="work=order", idempotent=False, deadline_ms=5_000
+        ),
+        WorkPolicySpec(rank=1, target_selector="work=question", deadline_ms=10_000),
+    )
+    return [
+        *(adapter(name, "1") for name in ADAPTERS),
+        *map(server, SIDECARS),
+        *(resource(Kind.WORK_POLICY, f"p{item.rank}", item) for item in policies),
+        resource(Kind.CALLER, "team", CallerSpec(key_digests=(DIGEST,))),
+        resource(Kind.PLACEMENT, "any", PlacementSpec()),
+        resource(
+            Kind.WEIGHT_STORE,
+            "store",
+            WeightStoreSpec(loads_per_second=20, max_in_transit=8),
+        ),
+    ]
+
+
+def tokens(model, body, first, end):
+    return [f"{model}/{body}/{index} " for index in range(first, end)]
+
+
+class Fleet(RuleBasedStateMachine):
+    """Faults and requests in any order; the invariants are checked after each."""
+
+    @initialize(seed=strategies.integers(0, 2**16))
+    def start_fleet(self, seed):
+        self.now = 100.0
+        self.rng = random.Random(seed)
+        self.queue, self.order = [], itertools.count()
+        self.numbers = itertools.count(1)
+        self.revision = 1
+        self.resources = {(item.kind, item.name): item for item in configuration()}
+        self.changes = defaultdict(list)
+        self.held = {}
+        self.backends = {name: Backend() for name in SIDECARS}
+        self.connections, self.requests, self.tickets = {}, {}, {}
+        self.claims, self.api = {}, "up"
+        self.api_lost_answers = 0
+        self.cut_pairs = set()
+        self.order_runs, self.engine_runs = Counter(), Counter()
+        self.engine_models = defaultdict(set)
+        self.orders, self.keys = defaultdict(list), []
+        self.processes = {}
+        for name in SIDECARS + ENTRIES:
+            self.start(name)
+        self.run(3.0)
+
+    # --- Clock and processes ---
+
+    def at(self, delay, action, *arguments):
+        entry = (self.now + delay, next(self.order), action, arguments)
+        heapq.heappush(self.queue, entry)
+
+    def run(self, seconds):
+        end = self.now + seconds
+        while self.queue and self.queue[0][0] <= end:
+            self.now, _, action, arguments = heapq.heappop(self.queue)
+            action(*arguments)
+        self.now = end
+
+    def start(self, name):
+        incarnation = self.rng.getrandbits(60)
+        rng = random.Random(incarnation)
+        if name in ENTRIES:
+            core = EntryCore(
+                name,
+                incarnation,
+                signer=SIGNER,
+                rng=rng,
+                availability_zone=name[-1],
+                peers=[f"ip:{sidecar}" for sidecar in SIDECARS],
+            )
+        else:
+            core = SidecarCore(
+                name, incarnation, server(name).spec, SIGNER, SidecarSettings(), rng
+            )
+        process = Process(name, core, incarnation, self.now, calm_since=self.now)
+        self.processes[name] = process
+        self.tick(process)
+        if name in ENTRIES:
+            self.watch(process, 0)
+        else:
+            self.report_status(process)
+
+    def tick(self, process):
+        if process.is_alive:
+            self.give(process, inputs.Tick())
+            self.at(TICK, self.tick, process)
+
+    def watch(self, process, known):
+        """Follows the object API, with a delay."""
+        if not process.is_alive:
+            return
+        if self.api == "up" and known < self.revision and not process.is_frozen:
+            changed = tuple(
+                item for item in self.resources.values() if item.revision > known
+            )
+            event = inputs.ConfigurationReceived(changed, self.revision, known)
+            self.at(self.rng.uniform(0.0, 0.5), self.give, process, event)
+            known = self.revision
+        self.at(0.2, self.watch, process, known)
+
+    def report_status(self, process):
+        if not process.is_alive:
+            return
+        backend = self.backends[process.name]
+        report = inputs.EngineReported(
+            f"boot-{backend.boot}", frozenset(backend.resident), backend.fencing_token
+        )
+        self.at(self.rng.uniform(0.0, 0.3), self.give, process, report)
+        self.at(STATUS_INTERVAL, self.report_status, process)
+
+    def give(self, process, event):
+        if not process.is_alive:
+            return
+        if process.is_frozen:
+            if not isinstance(event, inputs.Tick):
+                process.held.append(event)
+            return
+        for effect in process.core.handle(event, now=self.now):
+            self.carry_out(process, effect)
+
+    # --- Effects ---
+
+    def carry_out(self, process, effect):
+        match effect:
+            case effects.Send():
+                self.send(process, effect)
+            case effects.Connect():
+                self.connect(process, effect.address)
+            case effects.Disconnect():
+                connection = self.connections.get(effect.connection)
+                if connection is not None:
+                    self.close(connection, process)
+            case effects.CallBackend():
+                self.call(process, effect)
+            case effects.CancelBackend():
+                self.backends[process.name].running.pop((process, effect.call), None)
+            case effects.LoadAdapter():
+                backend = self.backends[process.name]
+                backend.fencing_token = max(backend.fencing_token, effect.fencing_token)
+                delay = self.rng.uniform(0.1, 0.5)
+                self.at(delay, self.end_load, process, effect, backend.boot)
+            case effects.UnloadAdapter():
+                self.backends[process.name].resident.discard(effect.adapter_version)
+                done = inputs.AdapterUnloaded(effect.adapter_version)
+                self.at(LATENCY, self.give, process, done)
+            case effects.CreateClaim() | effects.ReadClaim():
+                self.at(self.rng.uniform(0.001, 0.1), self.claim, process, effect)
+            case effects.TicketIssued():
+                self.tickets[effect.request_id] = effect.ticket
+            case effects.LogEvent() | effects.Stop():
+                pass
+            case _:
+                self.answer(effect)
+
+    def answer(self, effect):
+        request = self.requests.get(effect.request_id)
+        if request is None:
+            return
+        assert request.is_open, f"answer after the end: {effect}"
+        if isinstance(effect, effects.AnswerData):
+            request.parts.append(effect.data)
+        elif isinstance(effect, effects.AnswerEnded):
+            request.ended = effect
+            self.check_answer(request)
+        elif isinstance(effect, effects.AnswerFailed):
+            request.failed = effect
+
+    def check_answer(self, request):
+        event, ended = request.event, request.ended
+        body = b"".join(request.parts) + ended.body
+        if event.service:
+            key = self.ticket_of(event.idempotency_key)
+            assert body == f"ran {event.body.decode()} {key}".encode(), body
+            return
+        name, _, version = event.model.partition("@")
+        since = min(request.sent_at, request.process.calm_since)
+        versions = {version} if version else self.defaults(name, since=since)
+        assert ended.model in {f"{name}@{one}" for one in versions}, ended.model
+        count = int(event.body.decode().rpartition(" ")[2])
+        wanted = "".join(tokens(ended.model, event.body.decode(), 0, count))
+        assert body == wanted.encode(), (body, wanted)
+
+    def claim(self, process, effect):
+        statuses = inputs.ClaimStatus
+        ticket = self.claims.get(effect.name, "")
+        if self.api == "down":
+            status, ticket = statuses.UNAVAILABLE, ""
+        elif isinstance(effect, effects.ReadClaim):
+            status = statuses.EXISTS if ticket else statuses.NOT_FOUND
+        elif ticket:
+            status, ticket = statuses.EXISTS, ""
+        else:
+            status, ticket = statuses.CREATED, effect.ticket
+            self.claims[effect.name] = ticket
+        if status is statuses.EXISTS:
+            ticket = self.claims[effect.name]
+        if self.api_lost_answers and status is not statuses.UNAVAILABLE:
+            self.api_lost_answers -= 1
+            status, ticket = statuses.ANSWER_LOST, ""
+        done = inputs.ClaimAnswered(effect.request_id, effect.name, status, ticket)
+        self.at(self.rng.uniform(0.001, 0.1), self.give, process, done)
+
+    # --- Backend servers ---
+
+    def call(self, process, call):
+        backend = self.backends[process.name]
+        ids = (call.request_id, call.attempt, call.call)
+        version = call.adapter_version
+        if version is not None and version not in backend.resident:
+            self.at(LATENCY, self.give, process, inputs.BackendStarted(*ids, 404))
+            self.at(2 * LATENCY, self.give, process, inputs.BackendEnded(*ids))
+            return
+        backend.running[process, call.call] = ids
+        if version is None:
+            self.order_runs[call.ticket] += 1
+            self.at(self.rng.uniform(RUN, 3 * RUN), self.end_order, process, call)
+            return
+        self.engine_runs[call.request_id] += 1
+        self.engine_models[call.request_id].add(version)
+        started = inputs.BackendStarted(*ids, 200, str(version), "text/plain")
+        self.at(TOKEN, self.give_if_running, process, call, backend.boot, started)
+        self.at(TOKEN, self.yield_token, process, call, call.generated_tokens)
+
+    def give_if_running(self, process, call, boot, event):
+        backend = self.backends[process.name]
+        if (process, call.call) in backend.running and backend.boot == boot:
+            self.give(process, event)
+
+    def yield_token(self, process, call, index):
+        backend = self.backends[process.name]
+        ids = (call.request_id, call.attempt, call.call)
+        if (process, call.call) not in backend.running:
+            return
+        if backend.lost_answers:
+            backend.lost_answers -= 1
+            backend.running.pop((process, call.call), None)
+            self.give(process, inputs.BackendFailed(*ids, sent=True, detail="cut"))
+            return
+        body = call.body.decode()
+        if index >= int(body.rpartition(" ")[2]):
+            backend.running.pop((process, call.call), None)
+            self.give(process, inputs.BackendEnded(*ids))
+            return
+        (text,) = tokens(call.adapter_version, body, index, index + 1)
+        self.give(process, inputs.BackendData(*ids, text.encode(), text, 1))
+        self.at(TOKEN, self.yield_token, process, call, index + 1)
+
+    def end_order(self, process, call):
+        backend = self.backends[process.name]
+        backend.running.pop((process, call.call), None)
+        ids = (call.request_id, call.attempt, call.call)
+        if backend.lost_answers:
+            backend.lost_answers -= 1
+            self.give(process, inputs.BackendFailed(*ids, sent=True, detail="lost"))
+            return
+        text = f"ran {call.body.decode()} {call.ticket}"
+        self.give(process, inputs.BackendStarted(*ids, 200))
+        self.give(process, inputs.BackendData(*ids, text.encode()))
+        self.give(process, inputs.BackendEnded(*ids))
+
+    def end_load(self, process, load, boot):
+        backend, version = self.backends[process.name], load.adapter_version
+        if backend.boot != boot or backend.failing_loads:
+            backend.failing_loads = max(0, backend.failing_loads - 1)
+            self.give(process, inputs.AdapterLoadFailed(version, "failed"))
+            return
+        backend.resident.add(version)
+        self.give(process, inputs.AdapterLoaded(version, f"boot-{boot}"))
+
+    # --- Network ---
+
+    def connect(self, process, address):
+        target = self.processes[address.partition(":")[2]]
+        is_lost = target.is_frozen or (process.name, target.name) in self.cut_pairs
+        if is_lost or not target.is_alive:
+            failed = inputs.ConnectionFailed(address, "timeout" if is_lost else "no")
+            delay = DIAL_TIMEOUT if is_lost else LATENCY
+            self.at(delay, self.give, process, failed)
+            return
+        self.at(2 * LATENCY, self.open, process, target, address)
+
+    def open(self, process, target, address):
+        if not process.is_alive or not target.is_alive:
+            return
+        number = next(self.numbers)
+        delay = self.rng.choice((LATENCY, LATENCY, 0.05, 0.3))
+        self.connections[number] = Connection(number, (process, target), delay)
+        self.give(target, inputs.ConnectionOpened(number, peer(process)))
+        self.give(process, inputs.ConnectionOpened(number, peer(target), address))
+
+    def send(self, process, effect):
+        connection = self.connections.get(effect.connection)
+        if connection is None or process in connection.closed or connection.is_silent:
+            return
+        receiver = connection.other(process)
+        if (process.name, receiver.name) in self.cut_pairs or (
+            receiver.name,
+            process.name,
+        ) in self.cut_pairs:
+            connection.is_silent = True
+            return
+        event = inputs.MessageReceived(connection.number, effect.message)
+        due = self.now + connection.delay * self.rng.uniform(0.5, 1.5)
+        due = connection.due[receiver] = max(due, connection.due[receiver])
+        is_double = self.rng.random() < 0.02
+        for _ in range(2 if is_double else 1):
+            self.at(due - self.now, self.arrive, connection, receiver, event)
+
+    def arrive(self, connection, receiver, event):
+        if receiver not in connection.closed:
+            self.give(receiver, event)
+
+    def close(self, connection, process, *, is_reset=False):
+        """Closes one end; the other learns it after what was sent before."""
+        if process in connection.closed:
+            return
+        connection.closed.add(process)
+        receiver = connection.other(process)
+        if connection.is_silent or receiver in connection.closed:
+            return
+        due = self.now + connection.delay
+        if not is_reset:
+            due = max(due, connection.due[receiver])
+        self.at(due - self.now, self.closed, connection, receiver)
+
+    def closed(self, connection, receiver):
+        if receiver in connection.closed:
+            return
+        connection.closed.add(receiver)
+        self.give(receiver, inputs.ConnectionClosed(connection.number, "closed"))
+
+    def kill(self, process, *, is_silent=False):
+        process.is_alive = False
+        for connection in self.connections.values():
+            if process in connection.ends and process not in connection.closed:
+                connection.is_silent |= is_silent
+                self.close(connection, process, is_reset=True)
+
+    # --- Rules ---
+
+    def defaults(self, name, *, since=None):
+        """Returns the default versions that may be in force since a time."""
+        since = self.now if since is None else since
+        changes = self.changes[name]
+        allowed = {"1"}
+        for accepted, version in changes:
+            if accepted + CONFIGURATION_BOUND < since:
+                allowed.clear()
+            allowed.add(version)
+        return allowed
+
+    def ticket_of(self, key):
+        return self.claims.get(claim_name("team", key), key)
+
+    def ask(self, entry, **fields):
+        process = self.processes[entry]
+        number = next(self.numbers)
+        name = f"r{number}"
+        body = f"{name} {self.rng.randint(1, 8)}".encode()
+        event = inputs.CallerRequest(
+            name, DIGEST, **{"model": "", "service": "", "body": body, **fields}
+        )
+        if not process.is_alive:
+            return None
+        request = Request(event, process, self.now)
+        self.requests[name] = request
+        self.give(process, event)
+        return request
+
+    @rule(
+        entry=strategies.sampled_from(ENTRIES),
+        name=strategies.sampled_from(ADAPTERS),
+        version=strategies.sampled_from(("", "@1", "@2")),
+        streamed=strategies.booleans(),
+    )
+    def request_generation(self, entry, name, version, streamed):
+        path = "/v1/completions"
+        self.ask(entry, model=f"{name}{version}", path=path, streamed=streamed)
+
+    @rule(entry=strategies.sampled_from(ENTRIES), is_issued=strategies.booleans())
+    def order_once(self, entry, is_issued):
+        key = f"key-{next(self.numbers)}"
+        process = self.processes[entry]
+        if is_issued and process.is_alive:
+            event = inputs.TicketRequested(key, DIGEST, service="orders")
+            self.give(process, event)
+            self.run(0.5)
+            key = self.tickets.get(key, key)
+        self.keys.append((key, f"order-{len(self.keys)}".encode()))
+        self.repeat_order(entry, len(self.keys) - 1)
+
+    @precondition(lambda self: self.keys)
+    @rule(entry=strategies.sampled_from(ENTRIES), index=strategies.integers(0, 99))
+    def repeat_order(self, entry, index):
+        key, body = self.keys[index % len(self.keys)]
+        fields = {"service": "orders", "path": "/orders", "body": body}
+        request = self.ask(entry, idempotency_key=key, **fields)
+        if request is not None:
+            self.orders[key].append(request)
+
+    @precondition(lambda self: self.requests)
+    @rule(index=strategies.integers(0, 999))
+    def caller_leaves(self, index):
+        request = list(self.requests.values())[index % len(self.requests)]
+        if request.is_open and not request.is_gone:
+            request.is_gone = True
+            self.give(request.process, inputs.CallerGone(request.event.request_id))
+
+    @rule(name=strategies.sampled_from(INSTANCES), is_silent=strategies.booleans())
+    def kill_and_restart(self, name, is_silent):
+        process = self.processes[name]
+        if process.is_alive:
+            self.kill(process, is_silent=is_silent)
+            self.at(self.rng.uniform(0.1, 4.0), self.restart, process)
+
+    def restart(self, process):
+        if self.processes[process.name] is process:
+            self.start(process.name)
+
+    @rule(name=strategies.sampled_from(INSTANCES))
+    def freeze_for_a_while(self, name):
+        process = self.processes[name]
+        if process.is_alive and not process.is_frozen:
+            process.is_frozen = True
+            self.at(self.rng.uniform(0.2, 6.0), self.thaw, process)
+
+    def thaw(self, process):
+        if not process.is_frozen:
+            return
+        process.is_frozen = False
+        process.calm_since = self.now
+        held, process.held = process.held, []
+        self.give(process, inputs.Tick())
+        for event in held:
+            self.give(process, event)
+
+    @rule(index=strategies.integers(0, 999), is_silent=strategies.booleans())
+    def break_connection(self, index, is_silent):
+        live = [item for item in self.connections.values() if not item.closed]
+        if not live:
+            return
+        connection = live[index % len(live)]
+        if is_silent:
+            connection.is_silent = True
+            return
+        for process in connection.ends:
+            self.close(connection, process, is_reset=True)
+
+    @rule(
+        entry=strategies.sampled_from(ENTRIES),
+        sidecar=strategies.sampled_from(SIDECARS),
+    )
+    def cut_pair_for_a_while(self, entry, sidecar):
+        self.cut_pairs.add((entry, sidecar))
+        self.at(self.rng.uniform(0.5, 6.0), self.cut_pairs.discard, (entry, sidecar))
+
+    @rule(name=strategies.sampled_from(ENGINES))
+    def restart_engine_cold(self, name):
+        backend = self.backends[name]
+        backend.boot += 1
+        backend.resident.clear()
+        backend.fencing_token = 0
+        running, backend.running = backend.running, {}
+        for (process, _), ids in running.items():
+            failed = inputs.BackendFailed(*ids, sent=True, detail="cold restart")
+            self.give(process, failed)
+
+    @rule(name=strategies.sampled_from(SIDECARS), count=strategies.integers(1, 2))
+    def lose_backend_answers(self, name, count):
+        self.backends[name].lost_answers = count
+
+    @rule(name=strategies.sampled_from(ENGINES))
+    def fail_loads(self, name):
+        self.backends[name].failing_loads = 1
+
+    @rule(state=strategies.sampled_from(("up", "down", "losing")))
+    def change_object_api(self, state):
+        self.api = "down" if state == "down" else "up"
+        self.api_lost_answers = 2 if state == "losing" else 0
+
+    @precondition(lambda self: self.api == "up")
+    @rule(
+        name=strategies.sampled_from(ADAPTERS), entry=strategies.sampled_from(ENTRIES)
+    )
+    def change_default(self, name, entry):
+        """Commits a change and hands it to one entry, as the operators' client."""
+        before = self.resources[Kind.ADAPTER, name].spec.default_version
+        self.revision += 1
+        changed = adapter(name, "2" if before == "1" else "1", self.revision)
+        self.resources[Kind.ADAPTER, name] = changed
+        process = self.processes[entry]
+        if process.is_alive and not process.is_frozen:
+            self.give(process, inputs.ConfigurationReceived((changed,), 0))
+            self.changes[name].append((self.now, changed.spec.default_version))
+        else:
+            never = float("inf")
+            self.changes[name].append((never, changed.spec.default_version))
+
+    @rule(seconds=strategies.sampled_from((0.01, 0.1, 0.5, 2.0)))
+    def wait(self, seconds):
+        self.run(seconds)
+
+    # --- Invariants ---
+
+    @invariant()
+    def orders_run_at_most_once(self):
+        if not hasattr(self, "order_runs"):
+            return
+        assert all(count <= 1 for count in self.order_runs.values()), self.order_runs
+
+    @invariant()
+    def configuration_never_reverts(self):
+        if not hasattr(self, "held"):
+            return
+        for process in self.processes.values():
+            store = store_of(process)
+            for name in ADAPTERS:
+                key = (process.incarnation, name)
+                found = store.get(Kind.ADAPTER, name)
+                revision = found.revision if found else 0
+                assert revision >= self.held.get(key, 0), (process.name, name)
+                self.held[key] = revision
+
+    @invariant()
+    def not_run_is_true(self):
+        if not hasattr(self, "requests"):
+            return
+        for key, requests in self.orders.items():
+            failures = [one.failed.failure.run_state for one in requests if one.failed]
+            if len(failures) == len(requests) and set(failures) == {RunState.NOT_RUN}:
+                assert not self.order_runs[self.ticket_of(key)], key
+        for name, request in self.requests.items():
+            if request.failed is None or request.event.service:
+                continue
+            if request.failed.failure.run_state is RunState.NOT_RUN:
+                assert not self.engine_runs[name], (name, request.failed)
+
+    def teardown(self):
+        """Ends every fault; each open request must be answered, changes in force."""
+        if not hasattr(self, "requests"):
+            return
+        self.api, self.api_lost_answers = "up", 0
+        self.cut_pairs.clear()
+        for process in list(self.processes.values()):
+            self.thaw(process)
+        self.run(CALM)
+        self.orders_run_at_most_once()
+        self.not_run_is_true()
+        for name, request in self.requests.items():
+            is_waiting = request.is_open and not request.is_gone
+            assert not (is_waiting and request.process.is_alive), f"{name} hangs"
+        for process in self.processes.values():
+            for name in ADAPTERS:
+                held = store_of(process).get(Kind.ADAPTER, name)
+                assert held == self.resources[Kind.ADAPTER, name], process.name
+        for name in ENTRIES:
+            status = self.processes[name].core.status(now=self.now)
+            assert not status.in_flight, f"{name} keeps {status.in_flight}"
+        for name in SIDECARS:
+            assert self.processes[name].core.in_flight == 0, f"{name} keeps work"
+
+
+def peer(process):
+    role = messages.Role.ENTRY if process.name in ENTRIES else messages.Role.SIDECAR
+    return messages.Peer(role, process.name, process.incarnation)
+
+
+def store_of(process):
+    core = process.core
+    return core.store if process.name in ENTRIES else core.configuration
+
+
+class FleetTests(unittest.TestCase):
+    def test_no_history_of_faults_breaks_an_invariant(self):
+        """Guards against wrong, lost and double runs when faults strike together."""
+        run_state_machine_as_test(Fleet, settings=SETTINGS)
