Bound slow HTTP requests, keep idle connections from shutting callers out

Cause: a request that arrives byte by byte held a thread without end; a full table of idle connections refused every new caller for 10 s; a JSON document nested more deeply than the interpreter's limit raised RecursionError, which no caller of msgspec caught (500 without a run state for callers; the end of the transfer thread or loop for bytes of a backend server or peer). Now a request has 30 s to arrive, the oldest idle connection makes room, and refusals before the application are logged and counted as http_refused. A stopping server handles what has arrived before it closes its port. Ruled out: idle keep-alive connections, since werkzeug closes every connection after its answer.

--- a/benchmarks/soak.py
+++ b/benchmarks/soak.py
@@ -6,6 +6,7 @@
 """
 
 import argparse
+import os
 import shutil
 import sys
 import threading
@@ -75,6 +76,7 @@
     arguments = _arguments()
     command = f"python -m benchmarks.soak {' '.join(sys.argv[1:])}"
     records = Records()
+    os.environ["PYTHONFAULTHANDLER"] = "1"
     with Deployment(plan()) as deployment:
         if len(deployment.processes) + 1 > MAX_PROCESSES:
             raise RuntimeError(f"more than {MAX_PROCESSES} processes")
--- a/benchmarks/soak_checks.py
+++ b/benchmarks/soak_checks.py
@@ -207,7 +207,18 @@
         is_explained = records.faults_during(started - SETTLE_SECONDS, ended)
         is_lost = "connection lost" in what or what.split()[1] == "cut"
         if is_lost and not records.faults_during(started - 1, ended, target=entry):
-            records.violation("cut off by a live entry", entry=entry, what=what)
+            records.violation(
+                "cut off by a live entry",
+                entry=entry,
+                what=what,
+                started=round(started - records.started_at, 2),
+                seconds=round(ended - started, 2),
+                stops=[
+                    (fault.target, round(fault.started - records.started_at, 2))
+                    for fault in records.faults
+                    if fault.kind == "planned stop" and fault.ended > started - 5
+                ][:1],
+            )
         elif not is_explained:
             records.violation(
                 "unclear answer without a fault",
--- a/benchmarks/soak_faults.py
+++ b/benchmarks/soak_faults.py
@@ -186,6 +186,9 @@
             code = process.stop(STOP_LIMIT)
             if code != 0:
                 self._records.violation("planned stop", process=name, exit_code=code)
+                # With PYTHONFAULTHANDLER the log then shows what each thread waits for.
+                process.signal(signal.SIGABRT)
+                time.sleep(1.0)
                 process.kill()
             process.start()
             self._deployment.wait_alive(name)
--- a/fighitch/core/anti_entropy.py
+++ b/fighitch/core/anti_entropy.py
@@ -8,8 +8,6 @@
 
 from collections.abc import Iterable, Iterator
 
-import msgspec
-
 from fighitch.core.configuration import (
     ConfigurationStore,
     decode_resources,
@@ -21,6 +19,7 @@
     ConfigurationRequest,
 )
 from fighitch.core.resources import Resource
+from fighitch.core.unreadable import UNREADABLE_ERRORS
 from fighitch.types import ConnectionId, Revision, Seconds
 
 # Leaves room in a 4 MiB message for resources far larger than usual ones (1 KB).
@@ -77,7 +76,7 @@
         """Merges changes of a peer."""
         try:
             resources = decode_resources(delta.resources)
-        except msgspec.MsgspecError as error:
+        except UNREADABLE_ERRORS as error:
             return [
                 LogEvent(
                     "configuration_unreadable",
--- a/fighitch/core/apply.py
+++ b/fighitch/core/apply.py
@@ -13,6 +13,7 @@
 
 from fighitch.core.object_api import Document, labels_of, revision_of
 from fighitch.core.object_writes import Write, create, replace, same_content
+from fighitch.core.unreadable import UNREADABLE_ERRORS
 
 LAST_APPLIED = "fighitch.dev/last-applied"
 
@@ -82,7 +83,7 @@
     annotations = document.get("metadata", {}).get("annotations") or {}
     try:
         return msgspec.json.decode(annotations[LAST_APPLIED], type=Applied)
-    except (KeyError, TypeError, msgspec.MsgspecError):
+    except (KeyError, TypeError, *UNREADABLE_ERRORS):
         return None
 
 
--- a/fighitch/core/object_api.py
+++ b/fighitch/core/object_api.py
@@ -15,6 +15,7 @@
 from fighitch.core.errors import ErrorKind, Failure
 from fighitch.core.http_calls import CallResult, HttpAnswer, HttpCall, NoAnswer
 from fighitch.core.resources import API_VERSION, Kind, Resource, parse_resource
+from fighitch.core.unreadable import UNREADABLE_ERRORS
 from fighitch.types import Revision, Seconds
 
 GROUP_PATH = f"/apis/{API_VERSION}"
@@ -198,7 +199,7 @@
     """Returns the JSON object in a body; None if there is none."""
     try:
         return msgspec.json.decode(body, type=dict[str, Any])
-    except msgspec.MsgspecError:
+    except UNREADABLE_ERRORS:
         return None
 
 
--- a/fighitch/core/tickets.py
+++ b/fighitch/core/tickets.py
@@ -15,6 +15,7 @@
 from expression import Error, Ok, Result
 
 from fighitch.core.errors import ErrorKind, Failure
+from fighitch.core.unreadable import UNREADABLE_ERRORS
 from fighitch.types import CallerName, Incarnation, InstanceName
 
 PREFIX = "fk1"
@@ -97,7 +98,7 @@
             return _bad("has a wrong signature")
         try:
             return Ok(msgspec.json.decode(_decode(parts[2]), type=Ticket))
-        except (msgspec.MsgspecError, ValueError):
+        except (*UNREADABLE_ERRORS, ValueError):
             return _bad("has unreadable content")
 
 
--- a/fighitch/daemons/admin_app.py
+++ b/fighitch/daemons/admin_app.py
@@ -13,6 +13,7 @@
 from fighitch.core.errors import ErrorKind, Failure
 from fighitch.core.resources import Resource, parse_resource
 from fighitch.core.tickets import SharedKey
+from fighitch.core.unreadable import UNREADABLE_ERRORS
 from fighitch.daemons.errors import error_response, json_response
 from fighitch.observability.metrics import CONTENT_TYPE, Metrics
 
@@ -119,7 +120,7 @@
             return _unsigned()
         try:
             handover = msgspec.json.decode(request.get_data(), type=_Handover)
-        except msgspec.MsgspecError as error:
+        except UNREADABLE_ERRORS as error:
             return error_response(Failure(ErrorKind.BAD_REQUEST, str(error)))
         resources = []
         for document in handover.resources:
--- a/fighitch/daemons/backend_calls.py
+++ b/fighitch/daemons/backend_calls.py
@@ -5,8 +5,6 @@
 from types import ModuleType
 from typing import Any
 
-import msgspec
-
 from fighitch.backends import engine, service
 from fighitch.core.effects import (
     CallBackend,
@@ -14,6 +12,7 @@
     UnloadAdapter,
 )
 from fighitch.core.inputs import BackendFailed, BackendUnreachable
+from fighitch.core.unreadable import UNREADABLE_ERRORS
 from fighitch.observability.traces import OpenSpan, Traces
 from fighitch.runtime.transfers import (
     Transfer,
@@ -68,7 +67,7 @@
             transfer, reader = self._protocol.call_transfer(
                 replace(call, traceparent=span.traceparent), self._url
             )
-        except (msgspec.MsgspecError, TypeError) as error:
+        except (*UNREADABLE_ERRORS, TypeError) as error:
             ids = (call.request_id, call.attempt, call.call)
             self._post(BackendFailed(*ids, sent=False, detail=str(error)))
             return
@@ -106,7 +105,7 @@
         def on_answer(status: int, data: bytes) -> None:
             try:
                 self._post(engine.parse_status(data))
-            except msgspec.MsgspecError as error:
+            except UNREADABLE_ERRORS as error:
                 detail = f"status {status}, unreadable: {error}"
                 self._post(BackendUnreachable(detail))
             on_done()
--- a/fighitch/daemons/base.py
+++ b/fighitch/daemons/base.py
@@ -82,6 +82,7 @@
             AdminApp(self, metrics=self.metrics, keys=lambda: self.keys),
             workers=ADMIN_WORKERS,
             name="admin",
+            on_refused=self.refused_http,
         )
         self._fresh_at = time.monotonic()
         self.metrics.configuration_age.set_function(
@@ -197,6 +198,10 @@
         self.log.write(event, level=level)
         self.metrics.count(event)
 
+    def refused_http(self, detail: str) -> None:
+        """Logs and counts an HTTP request or connection that was refused."""
+        self.record(LogEvent("http_refused", (("detail", detail),)))
+
     def confirm_fresh(self) -> None:
         """Notes that the configuration was confirmed to be fresh."""
         self._fresh_at = time.monotonic()
--- a/fighitch/daemons/callers_app.py
+++ b/fighitch/daemons/callers_app.py
@@ -29,7 +29,9 @@
 )
 from fighitch.core.errors import ErrorKind, Failure
 from fighitch.core.inputs import CallerGone, CallerRequest, TicketRequested
+from fighitch.core.unreadable import UNREADABLE_ERRORS
 from fighitch.daemons.errors import (
+    ERROR_KIND_HEADER,
     REQUEST_ID_HEADER,
     RUN_STATE_HEADER,
     error_body,
@@ -113,7 +115,12 @@
 
     def __call__(self, environ: dict[str, Any], start_response: Any) -> Any:
         """Answers one HTTP request."""
-        return self._answer(Request(environ))(environ, start_response)
+        response = self._answer(Request(environ))
+        kind = response.headers.get(ERROR_KIND_HEADER)
+        if kind and REQUEST_ID_HEADER not in response.headers:
+            # Requests that were handed to the core are counted when they end.
+            self._metrics.refused(kind, response.headers[RUN_STATE_HEADER])
+        return response(environ, start_response)
 
     def _answer(self, request: Request) -> Response:
         request.max_content_length = self._max_body_bytes()
@@ -387,7 +394,7 @@
 def _json_object(request: Request) -> Result[dict[str, Any], Failure]:
     try:
         return Ok(msgspec.json.decode(request.get_data(), type=dict[str, Any]))
-    except msgspec.MsgspecError as error:
+    except UNREADABLE_ERRORS as error:
         detail = f"the body is not a JSON object: {error}"
         return Error(Failure(ErrorKind.BAD_REQUEST, detail))
 
--- a/fighitch/daemons/entry.py
+++ b/fighitch/daemons/entry.py
@@ -66,6 +66,7 @@
             ),
             workers=settings.http_workers,
             name="callers",
+            on_refused=self.refused_http,
         )
 
     def store(self, core: EntryCore) -> ConfigurationStore:
--- a/fighitch/observability/metrics.py
+++ b/fighitch/observability/metrics.py
@@ -91,6 +91,10 @@
         self._requests.labels(kind, run_state).inc()
         self._duration.observe(seconds)
 
+    def refused(self, kind: str, run_state: str) -> None:
+        """Counts a request that was refused before it was handled."""
+        self._requests.labels(kind, run_state).inc()
+
     def first_byte(self, seconds: float) -> None:
         """Records the time to the first byte."""
         self._first_byte.observe(seconds)
--- a/fighitch/platforms/instance_list.py
+++ b/fighitch/platforms/instance_list.py
@@ -3,6 +3,7 @@
 import msgspec
 
 from fighitch.core.http_calls import HttpAnswer, HttpCall
+from fighitch.core.unreadable import UNREADABLE_ERRORS
 from fighitch.platforms.http_client import HttpClient
 
 _STATUS_OK = 200
@@ -27,5 +28,5 @@
         return None
     try:
         return msgspec.json.decode(answer.body, type=Instances)
-    except msgspec.MsgspecError:
+    except UNREADABLE_ERRORS:
         return None
--- a/fighitch/runtime/http_server.py
+++ b/fighitch/runtime/http_server.py
@@ -5,6 +5,7 @@
 connections cost a file descriptor and no thread.
 """
 
+import io
 import selectors
 import socket
 import threading
@@ -21,12 +22,48 @@
 # for the caller to read an answer.
 IDLE_TIMEOUT: Seconds = 10.0
 SOCKET_TIMEOUT: Seconds = 30.0
+# Longest time for a whole request to arrive. Without it a caller that sends a byte now
+# and then would hold a thread for as long as it likes.
+REQUEST_TIMEOUT: Seconds = 30.0
 MAX_IDLE_CONNECTIONS = 4_096
 _POLL: Seconds = 0.5
 
 WsgiApp = Callable[[dict[str, Any], Callable[..., Any]], Iterable[bytes]]
 
 
+class _RequestReader(io.RawIOBase):
+    """Reads a socket until a deadline."""
+
+    def __init__(self, sock: socket.socket, deadline: Seconds) -> None:
+        self._sock = sock
+        self._deadline = deadline
+
+    def readable(self) -> bool:
+        """Returns that it can be read."""
+        return True
+
+    def readinto(self, buffer: Any) -> int:
+        """Reads what has arrived.
+
+        Raises:
+            TimeoutError: If the deadline has passed or nothing arrives for too long.
+        """
+        remaining = self._deadline - time.monotonic()
+        if remaining <= 0:
+            raise TimeoutError("the request did not arrive in time")
+        self._sock.settimeout(min(remaining, SOCKET_TIMEOUT))
+        try:
+            return self._sock.recv_into(buffer)
+        finally:
+            self._sock.settimeout(SOCKET_TIMEOUT)
+
+
+class _Server(BaseWSGIServer):
+    """Server whose handlers report what they refuse."""
+
+    on_refused: Callable[[str], None]
+
+
 class _Handler(WSGIRequestHandler):
     """Silent request handler with a timeout for slow callers."""
 
@@ -36,6 +73,29 @@
     # buffer every part would be a system call and a packet of its own.
     wbufsize = 64 * 1024
 
+    server: _Server
+
+    def setup(self) -> None:
+        """Opens the streams; the request must arrive before a deadline."""
+        super().setup()
+        deadline = time.monotonic() + REQUEST_TIMEOUT
+        self.rfile.close()
+        self.rfile = io.BufferedReader(_RequestReader(self.connection, deadline))
+
+    def send_error(
+        self, code: int, message: str | None = None, explain: str | None = None
+    ) -> None:
+        """Answers and counts a request that is not HTTP or is too large."""
+        self.server.on_refused(f"{int(code)} {message or ''}".strip())
+        super().send_error(code, message, explain)
+
+    def connection_dropped(
+        self, error: BaseException, environ: dict[str, Any] | None = None
+    ) -> None:
+        """Counts a request that did not arrive in time."""
+        if isinstance(error, TimeoutError):
+            self.server.on_refused("timeout")
+
     def log(self, type: str, message: str, *args: Any) -> None:  # noqa: A002
         """Drops werkzeug's own log lines; the application logs its events."""
 
@@ -43,7 +103,15 @@
 class HttpServer:
     """Serves a WSGI application."""
 
-    def __init__(self, address: str, app: WsgiApp, *, workers: int, name: str) -> None:
+    def __init__(
+        self,
+        address: str,
+        app: WsgiApp,
+        *,
+        workers: int,
+        name: str,
+        on_refused: Callable[[str], None] = lambda detail: None,
+    ) -> None:
         """Binds the address; ``start`` begins to serve.
 
         Args:
@@ -51,9 +119,12 @@
             app: WSGI application; its calls run on the pool.
             workers: Most requests that are handled at once.
             name: Prefix of thread names.
+            on_refused: Told about each connection or request that is refused before
+                the application sees it; called from several threads.
         """
         host, _, port = address.rpartition(":")
-        self._server = BaseWSGIServer(host, int(port), app, handler=_Handler)
+        self._server = _Server(host, int(port), app, handler=_Handler)
+        self._server.on_refused = on_refused
         # The application may be called by several threads at once.
         self._server.multithread = True
         self._executor = ThreadPoolExecutor(workers, thread_name_prefix=name)
@@ -91,18 +162,28 @@
                 else:
                     self._start_handler(key.fd)
             self._close_idle()
+        self._take_last()
         for sock, _, _ in self._idle.values():
             sock.close()
         self._selector.close()
 
+    def _take_last(self) -> None:
+        """Handles what has arrived already, which a closed port would reset."""
+        while ready := self._selector.select(0):
+            for key, _ in ready:
+                if key.fileobj is self._server.socket:
+                    self._accept()
+                else:
+                    self._start_handler(key.fd)
+
     def _accept(self) -> None:
         try:
             sock, address = self._server.socket.accept()
         except OSError:
             return
         if len(self._idle) >= MAX_IDLE_CONNECTIONS:
-            sock.close()
-            return
+            # The oldest goes, so that idle connections cannot keep callers out.
+            self._drop_idle(next(iter(self._idle)), "too many idle connections")
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self._idle[sock.fileno()] = (sock, address, time.monotonic())
         self._selector.register(sock, selectors.EVENT_READ)
@@ -116,9 +197,13 @@
         oldest = time.monotonic() - IDLE_TIMEOUT
         expired = [fd for fd, (_, _, since) in self._idle.items() if since < oldest]
         for descriptor in expired:
-            sock, _, _ = self._idle.pop(descriptor)
-            self._selector.unregister(sock)
-            sock.close()
+            self._drop_idle(descriptor, "idle connection")
+
+    def _drop_idle(self, descriptor: int, reason: str) -> None:
+        sock, _, _ = self._idle.pop(descriptor)
+        self._selector.unregister(sock)
+        sock.close()
+        self._server.on_refused(reason)
 
     def _handle(self, sock: Any, address: Any) -> None:
         try:
