--- a/fighitch/runtime/http_server.py
+++ b/fighitch/runtime/http_server.py
@@ -26,6 +26,9 @@
 # and then would hold a thread for as long as it likes.
 REQUEST_TIMEOUT: Seconds = 30.0
 MAX_IDLE_CONNECTIONS = 4_096
+# Longest wait, once the port is closed, for the requests of connections made before.
+LAST_REQUEST_WAIT: Seconds = 0.5
+_LAST_POLL: Seconds = 0.05
 _POLL: Seconds = 0.5
 
 WsgiApp = Callable[[dict[str, Any], Callable[..., Any]], Iterable[bytes]]
@@ -151,7 +154,6 @@
         """Accepts nothing more and waits for the requests in flight."""
         self._is_stopping = True
         self._thread.join()
-        self._server.server_close()
         self._executor.shutdown(wait=True)
 
     def _run(self) -> None:
@@ -168,25 +170,32 @@
         self._selector.close()
 
     def _take_last(self) -> None:
-        """Handles what has arrived already, which a closed port would reset."""
-        while ready := self._selector.select(0):
-            for key, _ in ready:
-                if key.fileobj is self._server.socket:
-                    self._accept()
-                else:
-                    self._start_handler(key.fd)
+        """Closes the port, then handles connections that were made before.
 
-    def _accept(self) -> None:
+        To close one of them unread would reset it, and its caller could not know
+        whether the request was handled.
+        """
+        while self._accept():
+            pass
+        self._selector.unregister(self._server.socket)
+        self._server.server_close()
+        deadline = time.monotonic() + LAST_REQUEST_WAIT
+        while self._idle and time.monotonic() < deadline:
+            for key, _ in self._selector.select(_LAST_POLL):
+                self._start_handler(key.fd)
+
+    def _accept(self) -> bool:
         try:
             sock, address = self._server.socket.accept()
         except OSError:
-            return
+            return False
         if len(self._idle) >= MAX_IDLE_CONNECTIONS:
             # The oldest goes, so that idle connections cannot keep callers out.
             self._drop_idle(next(iter(self._idle)), "too many idle connections")
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self._idle[sock.fileno()] = (sock, address, time.monotonic())
         self._selector.register(sock, selectors.EVENT_READ)
+        return True
 
     def _start_handler(self, descriptor: int) -> None:
         sock, address, _ = self._idle.pop(descriptor)
