Refuse chunked bodies above the limit instead of running a part of them

Found by the test of bad input: werkzeug ends a chunked body at max_content_length without an error, so a body of 80,000 bytes at a limit of 10,000 reached the backend server as its first 10,000 bytes with status 200. The application now reads one byte more than the limit. Also found there: a signature with non-ASCII characters was answered with 500 instead of 401, and requests that came too slowly were not counted. Ruled out: bodies without their last chunk, with a cut chunk or shorter than announced; each was refused with 400 before and after.

--- a/fighitch/daemons/admin_app.py
+++ b/fighitch/daemons/admin_app.py
@@ -139,7 +139,8 @@
         if secret is None:
             return False
         expected = hmac.new(secret, request.get_data(), hashlib.sha256).hexdigest()
-        return hmac.compare_digest(expected, signature)
+        # As text, only ASCII can be compared.
+        return hmac.compare_digest(expected.encode(), signature.encode())
 
 
 class _Handover(msgspec.Struct, frozen=True):
--- a/fighitch/daemons/callers_app.py
+++ b/fighitch/daemons/callers_app.py
@@ -123,12 +123,16 @@
         return response(environ, start_response)
 
     def _answer(self, request: Request) -> Response:
-        request.max_content_length = self._max_body_bytes()
+        limit = self._max_body_bytes()
+        # werkzeug ends a chunked body at the limit without an error. The byte beyond
+        # the limit tells a body that is too large from a whole one.
+        request.max_content_length = limit + 1
         try:
+            if len(request.get_data()) > limit:
+                raise RequestEntityTooLarge
             endpoint, arguments = _ROUTES.bind_to_environ(request.environ).match()
             return getattr(self, f"_{endpoint}")(request, **arguments)
         except RequestEntityTooLarge:
-            limit = self._max_body_bytes()
             detail = f"the body is larger than the allowed {limit} bytes"
             return error_response(Failure(ErrorKind.BODY_TOO_LARGE, detail))
         except MethodNotAllowed as error:
--- a/fighitch/runtime/http_server.py
+++ b/fighitch/runtime/http_server.py
@@ -85,19 +85,16 @@
         self.rfile.close()
         self.rfile = io.BufferedReader(_RequestReader(self.connection, deadline))
 
-    def send_error(
-        self, code: int, message: str | None = None, explain: str | None = None
-    ) -> None:
-        """Answers and counts a request that is not HTTP or is too large."""
-        self.server.on_refused(f"{int(code)} {message or ''}".strip())
-        super().send_error(code, message, explain)
+    def log_error(self, format: str, *args: Any) -> None:  # noqa: A002
+        """Counts a request that is not HTTP, too large or too slow."""
+        self.server.on_refused(format % args)
 
     def connection_dropped(
         self, error: BaseException, environ: dict[str, Any] | None = None
     ) -> None:
         """Counts a request that did not arrive in time."""
         if isinstance(error, TimeoutError):
-            self.server.on_refused("timeout")
+            self.server.on_refused(f"Request timed out: {error!r}")
 
     def log(self, type: str, message: str, *args: Any) -> None:  # noqa: A002
         """Drops werkzeug's own log lines; the application logs its events."""
