--- a/fighitch/daemons/callers_app.py
+++ b/fighitch/daemons/callers_app.py
@@ -29,7 +29,9 @@
 )
 from fighitch.core.errors import ErrorKind, Failure, RunState
 from fighitch.core.inputs import CallerGone, CallerRequest, TicketRequested
+from fighitch.core.unreadable import UNREADABLE_ERRORS
 from fighitch.daemons.errors import (
+    ERROR_KIND_HEADER,
     REQUEST_ID_HEADER,
     RUN_STATE_HEADER,
     error_body,
@@ -116,15 +118,24 @@
 
     def __call__(self, environ: dict[str, Any], start_response: Any) -> Any:
         """Answers one HTTP request."""
-        return self._answer(Request(environ))(environ, start_response)
+        response = self._answer(Request(environ))
+        kind = response.headers.get(ERROR_KIND_HEADER)
+        if kind and REQUEST_ID_HEADER not in response.headers:
+            # Requests that were handed to the core are counted when they end.
+            self._metrics.refused(kind, response.headers[RUN_STATE_HEADER])
+        return response(environ, start_response)
 
     def _answer(self, request: Request) -> Response:
-        request.max_content_length = self._max_body_bytes()
+        limit = self._max_body_bytes()
+        # werkzeug ends a chunked body at the limit without an error. The byte beyond
+        # the limit tells a body that is too large from a whole one.
+        request.max_content_length = limit + 1
         try:
+            if len(request.get_data()) > limit:
+                raise RequestEntityTooLarge
             endpoint, arguments = _ROUTES.bind_to_environ(request.environ).match()
             return getattr(self, f"_{endpoint}")(request, **arguments)
         except RequestEntityTooLarge:
-            limit = self._max_body_bytes()
             detail = f"the body is larger than the allowed {limit} bytes"
             return error_response(Failure(ErrorKind.BODY_TOO_LARGE, detail))
         except MethodNotAllowed as error:
@@ -405,7 +416,7 @@
 def _json_object(request: Request) -> Result[dict[str, Any], Failure]:
     try:
         return Ok(msgspec.json.decode(request.get_data(), type=dict[str, Any]))
-    except msgspec.MsgspecError as error:
+    except UNREADABLE_ERRORS as error:
         detail = f"the body is not a JSON object: {error}"
         return Error(Failure(ErrorKind.BAD_REQUEST, detail))
 
