Test that an entry's first connections are spread

Cause: removing the random delay of the first connections failed no test (trial with single changes to the code).

Change: one test.

--- a/fighitch/tests/test_connections.py
+++ b/fighitch/tests/test_connections.py
@@ -94,6 +94,14 @@
         self.assertLess(attempts, 50)
         self.assertGreater(attempts, 12)
 
+    def test_first_connections_are_spread(self):
+        """Guards against a restarted entry that opens all connections at once."""
+        driver = Driver(resources=configuration(engines=60), connect=False)
+        counts = [len([e for e in driver.tick() if isinstance(e, Connect)])]
+        counts += [len([e for e in driver.tick() if isinstance(e, Connect)])]
+        self.assertEqual(sum(counts), 62)
+        self.assertLess(max(counts), 50)
+
     def test_process_at_a_reused_address_is_refused(self):
         """Guards against sending work to another sidecar than the configured one."""
         driver = Driver(connect=False)
