Carry the status in chunks, so that errors of streamed requests stay whole

Cause: a streamed request that the engine refused with 400 was announced as a stream with status 200 and then cut, since the status came with the end only.

--- a/benchmarks/tests/test_whole_path.py
+++ b/benchmarks/tests/test_whole_path.py
@@ -59,6 +59,12 @@
         ]
         self.assertEqual(unloads, [0, 0])
 
+    def test_request_that_the_engine_refuses_keeps_its_status(self):
+        """Guards against an engine's error that looks like a broken stream."""
+        body = {"model": "advisor-1", "prompt": "p", "max_tokens": -1, "stream": True}
+        reply = self.caller.call(self.urls[0], "/v1/completions", body)
+        self.assertEqual((reply.status, reply.is_whole), (400, True))
+
     def test_order_runs_once_through_both_entries_at_the_same_time(self):
         """Guards against a repeat that runs while the first one does."""
         self.deployment.set_fault("orders-1-backend", run_seconds=0.3)
--- a/fighitch/core/entry/answers.py
+++ b/fighitch/core/entry/answers.py
@@ -17,6 +17,7 @@
 from fighitch.types import Seconds
 
 _MILLISECONDS = 1_000
+_OK = 200
 _FIRST_ERROR_STATUS = 400
 
 
@@ -78,7 +79,7 @@
                 now,
                 f"chunk {message.sequence} arrived instead of chunk {expected}",
             )
-        elif work.request.streamed:
+        elif work.request.streamed and message.status == _OK:
             self._replies.data(work, message)
 
     @_receive.register
--- a/fighitch/core/entry/assembly.py
+++ b/fighitch/core/entry/assembly.py
@@ -6,6 +6,8 @@
 
 from fighitch.core.messages import Chunk, End
 
+_OK = 200
+
 
 class ChunkState(Enum):
     """What a chunk is to the answer so far."""
@@ -22,7 +24,8 @@
         """Starts empty.
 
         Args:
-            keeps_data: Whether the whole body is wanted at the end.
+            keeps_data: Whether the whole body is wanted at the end; an error's body
+                always is.
         """
         self._keeps_data = keeps_data
         self._parts: list[bytes] = []
@@ -44,7 +47,7 @@
         self._count += 1
         self._length += len(chunk.data)
         self._hash.update(chunk.data)
-        if self._keeps_data:
+        if self._keeps_data or chunk.status != _OK:
             self._parts.append(chunk.data)
         return ChunkState.NEXT
 
--- a/fighitch/core/messages.py
+++ b/fighitch/core/messages.py
@@ -98,12 +98,22 @@
 
 @dataclass(frozen=True, slots=True)
 class Chunk:
-    """A part of an answer; ``sequence`` starts at 0 and has no gaps."""
+    """A part of an answer.
+
+    Attributes:
+        request_id: Request that is answered.
+        attempt: Attempt that is answered.
+        sequence: Position in the answer; starts at 0 and has no gaps.
+        data: Bytes for the caller.
+        status: HTTP status of the answer; the first chunk of a stream starts it, unless
+            this is an error.
+    """
 
     request_id: RequestId
     attempt: int
     sequence: int
     data: bytes
+    status: int = 200
 
 
 @dataclass(frozen=True, slots=True)
--- a/fighitch/core/sidecar/answers.py
+++ b/fighitch/core/sidecar/answers.py
@@ -37,6 +37,7 @@
 
     def replay(self, stream: AnswerStream, outcome: Outcome, *, now: Seconds) -> None:
         """Sends the stored outcome of an order."""
+        stream.status = outcome.status
         self.data(stream, outcome.body)
         info = AnswerInfo(
             status=outcome.status,
--- a/fighitch/core/sidecar/execution.py
+++ b/fighitch/core/sidecar/execution.py
@@ -185,6 +185,8 @@
         request.status = event.status
         request.content_type = event.content_type
         request.model = event.model
+        if request.stream is not None:
+            request.stream.status = event.status
 
     @event.register
     def _data(self, event: BackendData, request: Request, now: Seconds) -> None:
--- a/fighitch/core/sidecar/streams.py
+++ b/fighitch/core/sidecar/streams.py
@@ -51,9 +51,14 @@
 
 
 class AnswerStream:
-    """Answer to one attempt: numbered chunks and a last message."""
+    """Answer to one attempt: numbered chunks and a last message.
+
+    Attributes:
+        status: HTTP status of the answer, carried by its chunks.
+    """
 
     def __init__(self, key: StreamKey, connection: ConnectionId) -> None:
+        self.status = 200
         self._key = key
         self._connection: ConnectionId | None = connection
         self._lost_at: Seconds | None = None
@@ -181,7 +186,11 @@
             sequence=self._next_sequence,
         )
         chunk = Chunk(
-            self._key.request_id, self._key.attempt, self._next_sequence, data
+            self._key.request_id,
+            self._key.attempt,
+            self._next_sequence,
+            data,
+            self.status,
         )
         self._next_sequence += 1
         self._byte_length += len(data)
--- a/fighitch/tests/entry_helpers.py
+++ b/fighitch/tests/entry_helpers.py
@@ -171,7 +171,7 @@
     version = submit.adapter_version
     model = model if model is not None else str(version) if version else ""
     chunks = [
-        Chunk(submit.request_id, attempt, number, part)
+        Chunk(submit.request_id, attempt, number, part, status)
         for number, part in enumerate(parts)
     ]
     data = b"".join(parts)
--- a/fighitch/tests/test_answers.py
+++ b/fighitch/tests/test_answers.py
@@ -85,6 +85,13 @@
         self.assertEqual(len(driver.of(AnswerStarted)), 1)
         self.assertEqual(driver.answer.body, b"")
 
+    def test_error_of_the_engine_is_passed_on_whole_and_not_as_a_stream(self):
+        """Guards against an error answer that looks like a stream with status 200."""
+        driver = AnswerDriver(streamed=True)
+        driver.give(*answer_of(driver.submit, b"no", b"pe", model="", status=400))
+        self.assertEqual(driver.of(AnswerStarted), [])
+        self.assertEqual((driver.answer.status, driver.answer.body), (400, b"nope"))
+
     def test_started_stream_with_a_wrong_digest_is_cut(self):
         driver = AnswerDriver(streamed=True)
         chunk, end = answer_of(driver.submit, b"a")
--- a/fighitch/tests/test_wire.py
+++ b/fighitch/tests/test_wire.py
@@ -32,7 +32,7 @@
     Submit("r", 1, "c", 2, AdapterVersion("a", "v"), "/p", b"body", 500, streamed=True),
     Submit("r", 1, "c", 0, None, "/p", b"", 5, idempotent=False, ticket="t"),
     Cancel("r", 2),
-    Chunk("r", 1, 7, b"\x00data"),
+    Chunk("r", 1, 7, b"\x00data", 404),
     End("r", 1, 200, 8, 99, 2**64 - 1, "a@v", RunState.RAN, "text/plain", 1, 2, True),
     Refused("r", 1, ErrorKind.OVERLOADED, RunState.NOT_RUN, "full", 250),
     Resume("r", 1, 3),
--- a/fighitch/wire/codec.py
+++ b/fighitch/wire/codec.py
@@ -183,6 +183,7 @@
     body.attempt = message.attempt
     body.sequence = message.sequence
     body.data = message.data
+    body.status = message.status
 
 
 @_fill.register
@@ -361,7 +362,11 @@
     "submit": _submit,
     "cancel": lambda body: Cancel(body.requestId, body.attempt),
     "chunk": lambda body: Chunk(
-        body.requestId, body.attempt, body.sequence, bytes(body.data)
+        body.requestId,
+        body.attempt,
+        body.sequence,
+        bytes(body.data),
+        body.status,
     ),
     "end": _end,
     "refused": _refused,
--- a/fighitch/wire/fighitch.capnp
+++ b/fighitch/wire/fighitch.capnp
@@ -43,6 +43,7 @@
   attempt @1 :UInt32;
   sequence @2 :UInt32;
   data @3 :Data;
+  status @4 :UInt16;
 }
 
 struct End {
