Keep an outage of the backend server out of the service times

After a backend server had been frozen or silent for 4 s, its sidecar took the duration of the interrupted call for the service time and refused waiting orders as "less time than the queue needs" although the queue was short. Calls that began before the last failed status call no longer count. A lower weight of one sample was ruled out: the first sample has no other to be weighed against.

--- a/fighitch/core/sidecar/core.py
+++ b/fighitch/core/sidecar/core.py
@@ -381,6 +381,7 @@
         if self._is_reachable:
             self._outbox.log("backend_unreachable", cause=event.detail)
         self._is_reachable = False
+        self._execution.service_interrupted(now=now)
 
     # --- Messages ---
 
@@ -683,7 +684,7 @@
     def _notice_pause(self, now: Seconds) -> None:
         last, self._handled_at = self._handled_at, now
         if last is not None and now - last >= self._settings.pause:
-            self._execution.paused(now=now)
+            self._execution.service_interrupted(now=now)
 
     def _stop_if_drained(self, now: Seconds) -> None:
         """Stops when nothing is in flight and every entry has got its answers."""
--- a/fighitch/core/sidecar/execution.py
+++ b/fighitch/core/sidecar/execution.py
@@ -58,7 +58,7 @@
         self._requests = RequestTable()
         self._ready_since: dict[AdapterVersion, Seconds] = {}
         self._late_events = 0
-        self._paused_at: Seconds = float("-inf")
+        self._interrupted_at: Seconds = float("-inf")
 
     @property
     def requests(self) -> RequestTable:
@@ -124,13 +124,13 @@
                 return
             self._call(self._request(work), now)
 
-    def paused(self, *, now: Seconds) -> None:
-        """Notes that this process was paused until now.
+    def service_interrupted(self, *, now: Seconds) -> None:
+        """Notes that this process was paused or the backend server did not answer.
 
-        The duration of a call that spans the pause says nothing about the backend
-        server. As a service time it would make the queue refuse work for many calls.
+        The duration of a call that spans the interruption says nothing about later
+        calls. As a service time it would make the queue refuse work that has time.
         """
-        self._paused_at = now
+        self._interrupted_at = now
 
     # --- Engine ---
 
@@ -210,8 +210,8 @@
             self._stop_call(request)
             self._interrupted(request, "the answer ended before its status", now)
             return
-        spans_pause = request.started < self._paused_at
-        service_time = None if spans_pause else now - request.started
+        is_typical = request.started >= self._interrupted_at
+        service_time = now - request.started if is_typical else None
         self._release_call(request, service_time=service_time)
         outcome = self._outcome(request)
         if request.ticket is not None:
--- a/fighitch/tests/test_sidecar.py
+++ b/fighitch/tests/test_sidecar.py
@@ -436,6 +436,19 @@
 
 
 class UnreachableBackendTests(unittest.TestCase):
+    def test_outage_does_not_count_as_service_time(self):
+        """Guards against a queue that refuses work after an outage has ended."""
+        sidecar = Sidecar(spec=SERVICE, batch_size=1)
+        sidecar.order("o1", ticket=mint("1"))
+        sidecar.start()
+        sidecar.keep_alive(2.0)
+        sidecar.give(inputs.BackendUnreachable("timeout"))
+        sidecar.keep_alive(2.0)
+        sidecar.end()
+        sidecar.order("o2", ticket=mint("2"), remaining=5_000)
+        sidecar.order("o3", ticket=mint("3"), remaining=5_000)
+        self.assertEqual(sidecar.sent(messages.Refused), [])
+
     def test_heartbeats_state_that_the_backend_server_does_not_answer(self):
         """Guards against an empty queue that attracts work nobody can run."""
         sidecar = Sidecar()
