--- a/benchmarks/faults.py
+++ b/benchmarks/faults.py
@@ -87,7 +87,10 @@
         if options.world != "memory":
             futures += [
                 processes.submit(run_processes, list(chunk), options.seed, until)
-                for _, chunk in groupby(real, key=lambda cell: cell.fault)
+                for _, chunk in groupby(
+                    sorted(real, key=lambda cell: cell.fault),
+                    key=lambda cell: cell.fault,
+                )
             ]
         for future in as_completed(futures):
             outcomes += future.result()
--- a/benchmarks/process_cells.py
+++ b/benchmarks/process_cells.py
@@ -12,6 +12,7 @@
 from benchmarks.callers import Caller, Reply
 from benchmarks.deployment import BackendPlan, Deployment, DeploymentPlan, fetch
 from benchmarks.fault_plan import Cell, Fault, Kind, Step, why_not
+from benchmarks.process_changes import change_cells, run_change
 from benchmarks.process_faults import HOLD, PROCESS_FAULTS, ProcessFault
 from fighitch.core.entry.orders import claim_name
 from fighitch.types import InstanceName, Seconds
@@ -48,7 +49,7 @@
         if fault in PROCESS_FAULTS
         for kind, step in ROWS
     ]
-    return [cell for cell in found if not why_not(cell)]
+    return [cell for cell in (*found, *change_cells()) if not why_not(cell)]
 
 
 def fault_plan() -> DeploymentPlan:
@@ -201,6 +202,9 @@
     )
     ProcessFault(deployment, fault, "engine-1").clear()
     _settle(case)
+    if kind is Kind.CONFIGURATION:
+        case.failures += run_change(deployment, case.cell, case.number)
+        return
     lookups_before = _lookups(case)
     _slow_down(case, kind, step)
     key = {
