--- a/fighitch/tests/test_runtime.py
+++ b/fighitch/tests/test_runtime.py
@@ -1,10 +1,12 @@
 """Tests of the package ``fighitch.runtime``, with sockets on loopback."""
 
+import contextlib
 import http.client
 import queue
 import socket
 import threading
 import unittest
+from unittest import mock
 
 from fighitch.core.effects import Connect, Disconnect, LogEvent, Send, Stop
 from fighitch.core.inputs import (
@@ -15,6 +17,7 @@
 )
 from fighitch.core.messages import Cancel, Chunk, Peer, Role
 from fighitch.core.tickets import SharedKey
+from fighitch.runtime import http_server
 from fighitch.runtime.http_server import HttpServer
 from fighitch.runtime.loop import Loop
 from fighitch.runtime.transfers import (
@@ -164,6 +167,23 @@
         start_response("201 Created", [("X-Method", environ["REQUEST_METHOD"])])
         return [path.encode(), b" ", body]
 
+    def test_stopping_server_answers_connections_made_before(self):
+        """Guards against a planned stop that resets a request on its way."""
+        server = HttpServer("127.0.0.1:0", self.app, workers=1, name="stopping")
+        server.start()
+        address = _split(server.address)
+        with mock.patch.object(http_server, "LAST_REQUEST_WAIT", TIMEOUT):
+            with socket.create_connection(address, timeout=TIMEOUT) as sock:
+                stopping = threading.Thread(target=server.stop)
+                stopping.start()
+                with contextlib.suppress(ConnectionError):
+                    while True:
+                        socket.create_connection(address, timeout=TIMEOUT).close()
+                sock.sendall(b"GET /late HTTP/1.1\r\nHost: x\r\n\r\n")
+                self.assertIn(b" 201 ", sock.recv(65_536))
+            stopping.join(TIMEOUT)
+        self.assertFalse(stopping.is_alive())
+
     def run_transfer(self, path, **options):
         events = queue.Queue()
         transfer = Transfer(
