--- a/fighitch/tests/test_fleet.py
+++ b/fighitch/tests/test_fleet.py
@@ -108,6 +108,7 @@
     fencing_token: int = 0
     failing_loads: int = 0
     lost_answers: int = 0
+    stalled_until: float = 0.0
     running: dict[tuple[Process, int], tuple[str, int, int]] = field(
         default_factory=dict
     )
@@ -156,9 +157,9 @@
 def configuration():
     policies = (
         WorkPolicySpec(
-            rank=0, target_selector="work=order", idempotent=False, deadline_ms=5_000
+            rank=0, target_selector="work=order", idempotent=False, deadline_ms=3_000
         ),
-        WorkPolicySpec(rank=1, target_selector="work=question", deadline_ms=10_000),
+        WorkPolicySpec(rank=1, target_selector="work=question", deadline_ms=2_000),
     )
     return [
         *(adapter(name, "1") for name in ADAPTERS),
@@ -392,6 +393,10 @@
         ids = (call.request_id, call.attempt, call.call)
         if (process, call.call) not in backend.running:
             return
+        if backend.stalled_until > self.now:
+            delay = backend.stalled_until - self.now
+            self.at(delay, self.yield_token, process, call, index)
+            return
         if backend.lost_answers:
             backend.lost_answers -= 1
             backend.running.pop((process, call.call), None)
@@ -408,6 +413,10 @@
 
     def end_order(self, process, call):
         backend = self.backends[process.name]
+        if backend.stalled_until > self.now:
+            delay = backend.stalled_until - self.now
+            self.at(delay, self.end_order, process, call)
+            return
         backend.running.pop((process, call.call), None)
         ids = (call.request_id, call.attempt, call.call)
         if backend.lost_answers:
@@ -639,6 +648,11 @@
         for name in names:
             self.backends[name].lost_answers = 1
 
+    @rule(name=strategies.sampled_from(SIDECARS))
+    def stall_backend_for_a_while(self, name):
+        backend = self.backends[name]
+        backend.stalled_until = self.now + self.rng.uniform(0.5, 4.0)
+
     @rule(name=strategies.sampled_from(ENGINES))
     def fail_loads(self, name):
         self.backends[name].failing_loads = 1
@@ -659,8 +673,12 @@
         changed = adapter(name, "2" if before == "1" else "1", self.revision)
         self.resources[Kind.ADAPTER, name] = changed
         process = self.processes[entry]
+        handover = inputs.ConfigurationReceived((changed,), 0)
+        # A slow client hands the same object over again when newer ones are in force.
+        other = self.processes[self.rng.choice(ENTRIES)]
+        self.at(self.rng.uniform(0.0, 8.0), self.give, other, handover)
         if process.is_alive and not process.is_frozen:
-            self.give(process, inputs.ConfigurationReceived((changed,), 0))
+            self.give(process, handover)
             self.changes[name].append((self.now, changed.spec.default_version))
         else:
             never = float("inf")
