--- /dev/null
+++ b/benchmarks/fighitch_arm.py
@@ -0,0 +1,493 @@
+"""The real decision code, driven with simulated connections and backend servers."""
+
+import random
+from collections.abc import Callable
+from functools import singledispatchmethod
+from typing import Any
+
+from benchmarks.callers import Callers, Stalls
+from benchmarks.simulation import SERVICE_SECONDS, Clock, Engine
+from benchmarks.workload import (
+    ENGINE_PATH,
+    REGION,
+    SERVICE,
+    SERVICE_PATH,
+    Arrival,
+    Deployment,
+    configuration,
+    servers,
+)
+from fighitch.core import effects, inputs
+from fighitch.core.entry import EntryCore
+from fighitch.core.errors import RunState
+from fighitch.core.messages import (
+    AdapterVersion,
+    End,
+    Message,
+    Peer,
+    Refused,
+    Role,
+    Submit,
+)
+from fighitch.core.resources import Resource
+from fighitch.core.sidecar import SidecarCore
+from fighitch.core.sidecar_settings import SidecarSettings
+from fighitch.core.tickets import SharedKey, TicketSigner
+from fighitch.types import ConnectionId, Seconds
+
+TICK_SECONDS = 0.05
+SAME_ZONE_LATENCY = 0.0002
+PLATFORM_LATENCY = 0.005
+REPORT_INTERVAL_SECONDS = 0.5
+REPORT_LAG_SECONDS = 0.2
+# The balancer notices a dead entry after this time; callers then use another one.
+BALANCER_SECONDS = 0.5
+SIGNER = TicketSigner([SharedKey("k", b"benchmark")])
+
+
+class Node:
+    """A core with its connections."""
+
+    def __init__(
+        self, name: str, zone: str, address: str, core: Any, role: Role
+    ) -> None:
+        self.name = name
+        self.zone = zone
+        self.address = address
+        self.core = core
+        self.peer = Peer(role, name, 1, zone)
+        self.links: dict[ConnectionId, tuple[Node, ConnectionId]] = {}
+        self.is_dead = False
+
+
+class Network:
+    """Connections between nodes; messages arrive in order after the latency."""
+
+    def __init__(
+        self,
+        clock: Clock,
+        deployment: Deployment,
+        perform: Callable[[Node, list[Any]], None],
+    ) -> None:
+        self._clock = clock
+        self._deployment = deployment
+        self._perform = perform
+        self._by_address: dict[str, Node] = {}
+        self._last_connection = 0
+
+    def add(self, node: Node) -> None:
+        """Makes a node reachable at its address."""
+        self._by_address[node.address] = node
+
+    def handle(self, node: Node, event: Any) -> None:
+        """Gives an input to a node's core and carries out what it returns."""
+        if not node.is_dead:
+            self._perform(node, node.core.handle(event, now=self._clock.now))
+
+    def connect(self, node: Node, address: str) -> None:
+        """Opens a connection; nobody answers for a dead node."""
+        other = self._by_address.get(address)
+        if other is not None:
+            delay = 2 * self._latency(node, other)
+            self._clock.after(delay, self._opened, node, other, address)
+
+    def send(self, node: Node, connection: ConnectionId, message: Message) -> None:
+        """Sends a message."""
+        if connection in node.links:
+            other, there = node.links[connection]
+            delay = self._latency(node, other)
+            self._clock.after(delay, self._arrive, other, there, message)
+
+    def disconnect(self, node: Node, connection: ConnectionId) -> None:
+        """Closes a connection."""
+        if connection in node.links:
+            other, there = node.links.pop(connection)
+            self._clock.after(self._latency(node, other), self._closed, other, there)
+
+    def _opened(self, node: Node, other: Node, address: str) -> None:
+        if node.is_dead or other.is_dead:
+            return
+        self._last_connection += 2
+        here, there = self._last_connection, self._last_connection + 1
+        node.links[here] = (other, there)
+        other.links[there] = (node, here)
+        self.handle(other, inputs.ConnectionOpened(there, node.peer))
+        self.handle(node, inputs.ConnectionOpened(here, other.peer, address))
+
+    def _arrive(self, node: Node, connection: ConnectionId, message: Message) -> None:
+        if connection in node.links:
+            self.handle(node, inputs.MessageReceived(connection, message))
+
+    def _closed(self, node: Node, connection: ConnectionId) -> None:
+        if node.links.pop(connection, None) is not None:
+            self.handle(node, inputs.ConnectionClosed(connection))
+
+    def _latency(self, node: Node, other: Node) -> Seconds:
+        if node.zone == other.zone:
+            return SAME_ZONE_LATENCY
+        return self._deployment.zone_latency
+
+
+class _SidecarListener:
+    """Turns what an engine tells into inputs of its sidecar."""
+
+    def __init__(self, arm: "FighitchArm", node: Node) -> None:
+        self._arm = arm
+        self._node = node
+        self.calls: dict[int, effects.CallBackend] = {}
+
+    def _give(self, event: Any) -> None:
+        self._arm.network.handle(self._node, event)
+
+    def started(self, call: int) -> None:
+        made = self.calls[call]
+        model = str(made.adapter_version or "")
+        self._give(
+            inputs.BackendStarted(made.request_id, made.attempt, call, 200, model)
+        )
+
+    def data(self, call: int, tokens: int) -> None:
+        made = self.calls.get(call)
+        if made is not None:
+            text = "x" * tokens
+            self._give(
+                inputs.BackendData(
+                    made.request_id, made.attempt, call, text.encode(), text, tokens
+                )
+            )
+
+    def ended(self, call: int) -> None:
+        made = self.calls.pop(call, None)
+        if made is not None:
+            self._give(inputs.BackendEnded(made.request_id, made.attempt, call))
+
+    def lost(self, call: int) -> None:
+        made = self.calls.pop(call, None)
+        if made is not None:
+            self._give(
+                inputs.BackendFailed(
+                    made.request_id, made.attempt, call, sent=True, detail="restart"
+                )
+            )
+
+    def loaded(self, adapter: str, boot_id: str) -> None:
+        self._give(inputs.AdapterLoaded(_version(adapter), boot_id))
+
+    def unloaded(self, adapter: str) -> None:
+        self._give(inputs.AdapterUnloaded(_version(adapter)))
+
+
+class FighitchArm:
+    """Entries and sidecars of a deployment."""
+
+    def __init__(
+        self,
+        clock: Clock,
+        deployment: Deployment,
+        engines: list[Engine],
+        callers: Callers,
+        stalls: Stalls,
+        seed: int,
+    ) -> None:
+        self._clock = clock
+        self._callers = callers
+        self._stalls = stalls
+        self._engines = engines
+        self._is_platform_down = False
+        self._next_entry = 0
+        self._claims: dict[str, str] = {}
+        self._sent: dict[str, tuple[Node, Arrival, Seconds]] = {}
+        self._tickets: dict[str, str] = {}
+        self.network = Network(clock, deployment, self._perform)
+        resources = configuration(deployment)
+        self._entries = [
+            self._add_entry(index, zone, seed)
+            for index, zone in enumerate(deployment.zones)
+        ]
+        self._sidecars = [
+            self._add_sidecar(server, seed) for server in servers(deployment)
+        ]
+        self._engine_of = {
+            node.name: index
+            for index, node in enumerate(self._sidecars[: len(engines)])
+        }
+        self._listeners = [
+            _SidecarListener(self, node) for node in self._sidecars[: len(engines)]
+        ]
+        for engine, listener in zip(engines, self._listeners, strict=True):
+            engine.listener = listener
+        for number, node in enumerate((*self._sidecars, *self._entries)):
+            clock.at(0.0, self._configure, node, resources)
+            clock.at(number * TICK_SECONDS / 15, self._tick, node)
+        for index in range(len(engines)):
+            clock.at(0.0, self._report, index)
+
+    # --- Arm ---
+
+    def submit(self, arrival: Arrival, attempt: int, deadline: Seconds) -> None:
+        """Sends a request to the next entry, after asking for a key if needed."""
+        live = [entry for entry in self._entries if not entry.is_dead]
+        self._next_entry += 1
+        entry = live[self._next_entry % len(live)]
+        request_id = f"{arrival.number}.{attempt}"
+        self._sent[request_id] = (entry, arrival, deadline)
+        if arrival.rank == 0 and not arrival.has_chosen_key:
+            model, service = _target(arrival)
+            event = inputs.TicketRequested(
+                f"{request_id}.key", arrival.caller, model, service
+            )
+            self._sent[event.request_id] = self._sent[request_id]
+            self.network.handle(entry, event)
+            return
+        key = f"{arrival.number}" if arrival.has_chosen_key else ""
+        self._send(request_id, key)
+
+    def lose_zone(self, zone: str) -> None:
+        """Silences every node of a zone; its callers go to other entries."""
+        for node in (*self._entries, *self._sidecars):
+            node.is_dead = node.is_dead or node.zone == zone
+        for index, node in enumerate(self._sidecars[: len(self._engines)]):
+            self._engines[index].is_dead = node.is_dead
+        for request_id, (entry, _, _) in tuple(self._sent.items()):
+            if entry.is_dead:
+                self._clock.after(BALANCER_SECONDS, self._move, request_id)
+
+    def engine_restarted(self, index: int, lost: list[int]) -> None:
+        """Tells the sidecar that its calls broke."""
+        for call in lost:
+            self._listeners[index].lost(call)
+
+    def platform_down(self, is_down: bool) -> None:
+        """The object API answers no more, or again."""
+        self._is_platform_down = is_down
+
+    # --- Callers ---
+
+    def _send(self, request_id: str, key: str) -> None:
+        entry, arrival, deadline = self._sent[request_id]
+        model, service = _target(arrival)
+        event = inputs.CallerRequest(
+            request_id=request_id,
+            key_digest=arrival.caller,
+            model=model,
+            service=service,
+            path=ENGINE_PATH if model else SERVICE_PATH,
+            body=b"{}",
+            streamed=bool(model),
+            timeout=deadline - self._clock.now,
+            idempotency_key=key,
+        )
+        self.network.handle(entry, event)
+
+    def _move(self, request_id: str) -> None:
+        """Repeats a request whose entry died through another entry."""
+        if request_id not in self._sent:
+            return
+        entry, arrival, deadline = self._sent.pop(request_id)
+        if not entry.is_dead or request_id.endswith(".key"):
+            return
+        if deadline <= self._clock.now:
+            self._failed(arrival, "entry_lost")
+            return
+        live = [item for item in self._entries if not item.is_dead]
+        moved = f"{request_id}.moved"
+        self._sent[moved] = (live[arrival.number % len(live)], arrival, deadline)
+        key = self._tickets.get(request_id, "")
+        if arrival.rank == 0 and not key and not arrival.has_chosen_key:
+            self._sent.pop(moved)
+            self._failed(arrival, "entry_lost")
+            return
+        self._send(moved, key or (f"{arrival.number}" if arrival.rank == 0 else ""))
+
+    def _failed(self, arrival: Arrival, kind: str) -> None:
+        self._callers.failed(arrival.number, kind, retry_after=None, not_run=True)
+
+    # --- Effects ---
+
+    def _perform(self, node: Node, found: list[Any]) -> None:
+        for effect in found:
+            self._do(effect, node)
+
+    @singledispatchmethod
+    def _do(self, effect: Any, node: Node) -> None:
+        raise TypeError(f"{type(effect).__name__} is not an effect")
+
+    @_do.register(effects.LogEvent)
+    @_do.register(effects.AnswerData)
+    @_do.register(effects.Stop)
+    def _ignore(self, effect: Any, node: Node) -> None:
+        pass
+
+    @_do.register
+    def _send_message(self, effect: effects.Send, node: Node) -> None:
+        message = effect.message
+        # Waiting begins where a request is sent to; the latency is below 1 ms.
+        if isinstance(message, Submit) and message.adapter_version is not None:
+            target = node.links.get(effect.connection)
+            index = self._engine_of.get(target[0].name) if target else None
+            if index is not None:
+                number = int(message.request_id.partition(".")[0])
+                self._stalls.end(message.request_id)
+                self._stalls.wait(
+                    message.request_id, number, index, self._engines[index]
+                )
+        elif isinstance(message, (Refused, End)):
+            self._stalls.end(message.request_id)
+        self.network.send(node, effect.connection, message)
+
+    @_do.register
+    def _connect(self, effect: effects.Connect, node: Node) -> None:
+        self.network.connect(node, effect.address)
+
+    @_do.register
+    def _disconnect(self, effect: effects.Disconnect, node: Node) -> None:
+        self.network.disconnect(node, effect.connection)
+
+    @_do.register
+    def _call(self, effect: effects.CallBackend, node: Node) -> None:
+        self._stalls.end(effect.request_id)
+        index = self._engine_of.get(node.name)
+        if index is None or effect.adapter_version is None:
+            self._clock.after(SERVICE_SECONDS, self._serve, node, effect)
+            return
+        self._listeners[index].calls[effect.call] = effect
+        number = int(effect.request_id.partition(".")[0])
+        tokens = self._callers.outcomes[number].arrival.tokens
+        self._engines[index].call(
+            effect.call,
+            effect.adapter_version.adapter,
+            effect.rank,
+            tokens - effect.generated_tokens,
+        )
+
+    def _serve(self, node: Node, call: effects.CallBackend) -> None:
+        key = (call.request_id, call.attempt, call.call)
+        self.network.handle(node, inputs.BackendStarted(*key, 200))
+        self.network.handle(node, inputs.BackendData(*key, b"done", "", 1))
+        self.network.handle(node, inputs.BackendEnded(*key))
+
+    @_do.register
+    def _cancel(self, effect: effects.CancelBackend, node: Node) -> None:
+        index = self._engine_of.get(node.name)
+        if index is not None:
+            self._listeners[index].calls.pop(effect.call, None)
+            self._engines[index].cancel(effect.call)
+
+    @_do.register
+    def _load(self, effect: effects.LoadAdapter, node: Node) -> None:
+        engine = self._engines[self._engine_of[node.name]]
+        engine.load(effect.adapter_version.adapter)
+
+    @_do.register
+    def _unload(self, effect: effects.UnloadAdapter, node: Node) -> None:
+        engine = self._engines[self._engine_of[node.name]]
+        engine.unload(effect.adapter_version.adapter)
+
+    @_do.register
+    def _answer_started(self, effect: effects.AnswerStarted, node: Node) -> None:
+        self._callers.first_token(int(effect.request_id.partition(".")[0]))
+
+    @_do.register
+    def _answer_ended(self, effect: effects.AnswerEnded, node: Node) -> None:
+        if self._sent.pop(effect.request_id, None) is None:
+            return
+        number = int(effect.request_id.partition(".")[0])
+        self._callers.first_token(number)
+        self._callers.answered(number)
+
+    @_do.register
+    def _answer_failed(self, effect: effects.AnswerFailed, node: Node) -> None:
+        sent = self._sent.pop(effect.request_id, None)
+        self._stalls.end(effect.request_id)
+        if sent is None:
+            return
+        self._sent.pop(effect.request_id.removesuffix(".key"), None)
+        failure = effect.failure
+        self._callers.failed(
+            sent[1].number,
+            failure.kind.value,
+            retry_after=failure.retry_after,
+            not_run=failure.run_state is RunState.NOT_RUN,
+        )
+
+    @_do.register
+    def _ticket(self, effect: effects.TicketIssued, node: Node) -> None:
+        self._sent.pop(effect.request_id, None)
+        request_id = effect.request_id.removesuffix(".key")
+        if request_id in self._sent:
+            self._tickets[request_id] = effect.ticket
+            self._send(request_id, effect.ticket)
+
+    @_do.register(effects.CreateClaim)
+    @_do.register(effects.ReadClaim)
+    def _claim(self, effect: Any, node: Node) -> None:
+        status = inputs.ClaimStatus.UNAVAILABLE
+        ticket = self._claims.get(effect.name, "")
+        if not self._is_platform_down:
+            status = inputs.ClaimStatus.EXISTS
+            if not ticket and isinstance(effect, effects.CreateClaim):
+                status = inputs.ClaimStatus.CREATED
+                ticket = self._claims[effect.name] = effect.ticket
+        answer = inputs.ClaimAnswered(effect.request_id, effect.name, status, ticket)
+        self._clock.after(PLATFORM_LATENCY, self.network.handle, node, answer)
+
+    # --- Processes ---
+
+    def _add_entry(self, index: int, zone: str, seed: int) -> Node:
+        name = f"entry-{index}"
+        core = EntryCore(
+            name,
+            1,
+            signer=SIGNER,
+            rng=random.Random(f"{seed}/{name}"),
+            availability_zone=zone,
+            region=REGION,
+        )
+        node = Node(name, zone, f"10.2.0.{index}:7000", core, Role.ENTRY)
+        self.network.add(node)
+        return node
+
+    def _add_sidecar(self, server: Resource, seed: int) -> Node:
+        core = SidecarCore(
+            server.name,
+            1,
+            server.spec,
+            SIGNER,
+            SidecarSettings(),
+            random.Random(f"{seed}/{server.name}"),
+        )
+        spec = server.spec
+        node = Node(
+            server.name, spec.availability_zone, spec.address, core, Role.SIDECAR
+        )
+        self.network.add(node)
+        return node
+
+    def _configure(self, node: Node, resources: tuple[Resource, ...]) -> None:
+        self.network.handle(node, inputs.ConfigurationReceived(resources, revision=1))
+
+    def _tick(self, node: Node) -> None:
+        if node.is_dead:
+            return
+        self.network.handle(node, inputs.Tick())
+        self._clock.after(TICK_SECONDS, self._tick, node)
+
+    def _report(self, index: int) -> None:
+        engine = self._engines[index]
+        if engine.is_dead:
+            return
+        report = inputs.EngineReported(
+            engine.boot_id, frozenset(map(_version, engine.resident))
+        )
+        lag = REPORT_LAG_SECONDS if self._clock.now else 0.0
+        node = self._sidecars[index]
+        self._clock.after(lag, self.network.handle, node, report)
+        self._clock.after(REPORT_INTERVAL_SECONDS, self._report, index)
+
+
+def _target(arrival: Arrival) -> tuple[str, str]:
+    return (arrival.adapter, "") if arrival.adapter else ("", SERVICE)
+
+
+def _version(adapter: str) -> AdapterVersion:
+    return AdapterVersion(adapter, "1")
--- /dev/null
+++ b/benchmarks/measure.py
@@ -0,0 +1,250 @@
+"""One run: a scenario, an arm, a deployment and a seed, and the figures of it."""
+
+import random
+import time
+from collections import Counter
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass, field
+
+from hdrh.histogram import HdrHistogram
+
+from benchmarks.baselines import BaselineArm, least_loaded, round_robin
+from benchmarks.callers import Callers, Outcome, Stalls
+from benchmarks.fighitch_arm import FighitchArm
+from benchmarks.simulation import Arm, Clock, Engine, WeightStore
+from benchmarks.workload import (
+    COST,
+    DEPLOYMENTS,
+    PROFILES,
+    RANKS,
+    SCENARIOS,
+    Arrival,
+    Deployment,
+    Phases,
+    Scenario,
+    arrivals,
+    capacity,
+)
+from fighitch.types import Seconds
+
+FIGHITCH = "fighitch"
+BASELINES = ("round-robin-fifo-lru", "least-loaded-affinity-fifo")
+ARMS = (FIGHITCH, *BASELINES)
+# Histograms hold 1 ms to 120 s with three significant digits.
+_LOWEST_MS, _HIGHEST_MS, _DIGITS = 1, 120_000, 3
+_PERCENTILES = (50, 95, 99)
+# Floods fill queues within this time; shares are measured after it.
+_FLOOD_SETTLE_SECONDS = 3.0
+
+
+@dataclass(frozen=True, slots=True)
+class Case:
+    """What is run."""
+
+    deployment: str
+    scenario: str
+    arm: str
+    seed: int
+    phases: Phases
+
+
+@dataclass(slots=True)
+class RankFigures:
+    """Figures of one rank; shares are from 0 to 1 and times in seconds."""
+
+    requests: int = 0
+    in_target: float = 1.0
+    in_time: float = 1.0
+    time_to_first_token: dict[str, Seconds] = field(default_factory=dict)
+    stalled: Seconds = 0.0
+    flood_share: float = 0.0
+    refusals: dict[str, int] = field(default_factory=dict)
+
+
+@dataclass(slots=True)
+class Figures:
+    """Figures of one run.
+
+    Attributes:
+        ranks: Figures by rank.
+        stalls_per_1000: Requests that waited for a load, in 1,000.
+        stall_seconds_per_1000: Seconds that 1,000 requests waited for loads.
+        batch_efficiency: Tokens of answers in time for a second of engine time,
+            relative to a full batch on one adapter.
+        mean_batch: Mean number of sequences in a step.
+        loads_per_1000: Adapter loads for 1,000 requests.
+        store_violations: Loads started above the rate or transit limit.
+        urgent_goodput_share: Urgent answers in time during an urgent flood, relative
+            to what the fleet can carry beside the floors.
+        run_seconds: Time that the run took on this machine.
+    """
+
+    ranks: dict[int, RankFigures]
+    stalls_per_1000: float = 0.0
+    stall_seconds_per_1000: Seconds = 0.0
+    batch_efficiency: float = 0.0
+    mean_batch: float = 0.0
+    loads_per_1000: float = 0.0
+    store_violations: int = 0
+    urgent_goodput_share: float | None = None
+    run_seconds: Seconds = 0.0
+
+
+@dataclass(slots=True)
+class Run:
+    """Everything that belongs to one run."""
+
+    clock: Clock
+    deployment: Deployment
+    scenario: Scenario
+    phases: Phases
+    store: WeightStore
+    engines: list[Engine]
+    callers: Callers
+    arm: Arm
+
+
+def run_case(case: Case) -> tuple[Case, Figures]:
+    """Runs a case to its end and returns its figures."""
+    began = time.perf_counter()
+    run = prepare(case)
+    _schedule_event(run)
+    run.callers.start(run.arm)
+    longest = max(profile.deadline for profile in PROFILES.values())
+    run.clock.run(case.phases.end + longest, stop=lambda: run.callers.are_done)
+    figures = _figures(run)
+    figures.run_seconds = time.perf_counter() - began
+    return case, figures
+
+
+def prepare(case: Case) -> Run:
+    """Builds fakes, callers and the arm of a case."""
+    deployment = DEPLOYMENTS[case.deployment]
+    scenario = SCENARIOS[case.scenario]
+    clock = Clock()
+    store = WeightStore(clock, deployment)
+    engines = [Engine(clock, store, deployment) for _ in range(deployment.engines)]
+    for engine in engines:
+        engine.window = _flood_window(scenario, case.phases)
+    sent = arrivals(deployment, scenario, case.phases, case.seed)
+    callers = Callers(clock, sent, random.Random(f"callers/{case.seed}"))
+    stalls = Stalls(clock, callers.outcomes)
+    for index, engine in enumerate(engines):
+        stalls.watch(index, engine)
+    choose = {BASELINES[0]: round_robin, BASELINES[1]: least_loaded}
+    arm: Arm
+    if case.arm == FIGHITCH:
+        arm = FighitchArm(clock, deployment, engines, callers, stalls, case.seed)
+    else:
+        arm = BaselineArm(clock, deployment, engines, callers, stalls, choose[case.arm])
+    return Run(clock, deployment, scenario, case.phases, store, engines, callers, arm)
+
+
+def _flood_window(scenario: Scenario, phases: Phases) -> tuple[Seconds, Seconds]:
+    rank = min(scenario.floods, default=None)
+    if rank is None:
+        return phases.event_at, phases.event_until
+    start, end = scenario.flood_window(rank, phases)
+    return start + _FLOOD_SETTLE_SECONDS, end
+
+
+def _schedule_event(run: Run) -> None:
+    scenario, phases, clock = run.scenario, run.phases, run.clock
+    if scenario.load_factor != 1.0:
+        clock.at(phases.event_at, setattr, run.store, "factor", scenario.load_factor)
+        clock.at(phases.event_until, setattr, run.store, "factor", 1.0)
+    if scenario.is_platform_down:
+        clock.at(phases.event_at, run.arm.platform_down, True)
+        clock.at(phases.event_until, run.arm.platform_down, False)
+    if scenario.is_zone_lost:
+        zone = run.deployment.zones[-1]
+        clock.at(phases.event_at, run.arm.lose_zone, zone)
+    restarted = round(scenario.restarted_share * len(run.engines))
+    for index in range(restarted):
+        clock.at(phases.event_at, _restart, run, index)
+
+
+def _restart(run: Run, index: int) -> None:
+    lost = run.engines[index].restart()
+    run.arm.engine_restarted(index, lost)
+
+
+def _figures(run: Run) -> Figures:
+    measured = [
+        outcome
+        for outcome in run.callers.outcomes
+        if outcome.arrival.at >= run.phases.measured_from
+    ]
+    thousands = max(1, len(measured)) / 1_000
+    totals = [engine.totals for engine in run.engines]
+    in_time = [outcome for outcome in run.callers.outcomes if outcome.is_in_time]
+    useful = sum(item.arrival.tokens for item in in_time if item.arrival.adapter)
+    busy = sum(item.busy for item in totals)
+    size = run.deployment.batch_size
+    best_rate = size / COST.step(size, 1, 0)
+    loads = sum(at >= run.phases.measured_from for at in run.store.starts)
+    return Figures(
+        ranks={rank: _rank_figures(run, rank, measured) for rank in RANKS},
+        stalls_per_1000=sum(item.stalled > 0 for item in measured) / thousands,
+        stall_seconds_per_1000=sum(item.stalled for item in measured) / thousands,
+        batch_efficiency=useful / busy / best_rate if busy else 0.0,
+        mean_batch=_ratio(
+            sum(item.sequence_steps for item in totals),
+            sum(item.steps for item in totals),
+        ),
+        loads_per_1000=loads / thousands,
+        store_violations=run.store.rate_violations + run.store.transit_violations,
+        urgent_goodput_share=_urgent_goodput(run),
+    )
+
+
+def _rank_figures(run: Run, rank: int, measured: Sequence[Outcome]) -> RankFigures:
+    mine = [outcome for outcome in measured if outcome.arrival.rank == rank]
+    histogram = HdrHistogram(_LOWEST_MS, _HIGHEST_MS, _DIGITS)
+    for outcome in mine:
+        if outcome.time_to_first_token is not None:
+            histogram.record_value(max(1, round(outcome.time_to_first_token * 1_000)))
+    start, end = run.engines[0].window
+    room = (end - start) * run.deployment.batch_size * len(run.engines)
+    used = sum(engine.window_slot_seconds[rank] for engine in run.engines)
+    refusals = Counter(
+        {kind: n for (r, kind), n in run.callers.refusals.items() if r == rank}
+    )
+    return RankFigures(
+        requests=len(mine),
+        in_target=_share(mine, lambda item: item.is_in_target),
+        in_time=_share(mine, lambda item: item.is_in_time),
+        time_to_first_token={
+            f"p{p}": histogram.get_value_at_percentile(p) / 1_000 for p in _PERCENTILES
+        },
+        stalled=sum(outcome.stalled for outcome in mine),
+        flood_share=used / room,
+        refusals=dict(refusals),
+    )
+
+
+def _urgent_goodput(run: Run) -> float | None:
+    """Returns urgent answers in time relative to the room beside the floors."""
+    if 0 not in run.scenario.floods:
+        return None
+    start, end = run.engines[0].window
+    floors = sum(profile.floor for rank, profile in PROFILES.items() if rank != 0)
+    can_carry = capacity(run.deployment, 0) * (1 - floors) * (end - start)
+    answered = sum(
+        outcome.is_in_time and start <= (outcome.done_at or 0.0) < end
+        for outcome in run.callers.outcomes
+        if outcome.arrival.rank == 0 and _is_engine_work(outcome.arrival)
+    )
+    return answered / can_carry
+
+
+def _is_engine_work(arrival: Arrival) -> bool:
+    return bool(arrival.adapter)
+
+
+def _share(items: Sequence[Outcome], holds: Callable[[Outcome], bool]) -> float:
+    return sum(map(holds, items)) / len(items) if items else 1.0
+
+
+def _ratio(part: float, whole: float) -> float:
+    return part / whole if whole else 0.0
--- /dev/null
+++ b/benchmarks/workload.py
@@ -0,0 +1,413 @@
+"""Deployments, scenarios and the requests that callers send in them."""
+
+import random
+from bisect import bisect
+from collections.abc import Callable, Iterator, Mapping
+from dataclasses import dataclass, field
+from itertools import accumulate
+
+from fighitch.core.resources import (
+    AdapterSpec,
+    AdapterVersionSpec,
+    BackendServerSpec,
+    CallerSpec,
+    Kind,
+    Resource,
+    WeightStoreSpec,
+    WorkPolicySpec,
+)
+from fighitch.types import Seconds
+
+URGENT, INTERACTIVE, BATCH = RANKS = (0, 1, 2)
+RANK_NAMES = {URGENT: "urgent", INTERACTIVE: "interactive", BATCH: "batch"}
+VERSION = "1"
+MODEL = "base"
+SERVICE = "orders"
+REGION = "r1"
+SERVICE_PATH = "/orders"
+ENGINE_PATH = "/v1/completions"
+# With this exponent the 72 slots of the fleet hold about 93 % of the demand.
+ZIPF_EXPONENT = 1.5
+CALLERS_PER_RANK = 8
+# Share of urgent requests that go to a plain service instead of an adapter.
+SERVICE_SHARE = 0.1
+# Share of urgent requests whose key the caller chose itself.
+CHOSEN_KEY_SHARE = 0.05
+
+
+@dataclass(frozen=True, slots=True)
+class Deployment:
+    """One of the two deployments of the design page."""
+
+    name: str
+    loads_per_second: float
+    max_in_transit: int
+    zone_latency: Seconds
+    zones: tuple[str, ...] = ("z1", "z2", "z3")
+    engines: int = 9
+    services: int = 3
+    adapters: int = 3_000
+    adapter_slots: int = 8
+    batch_size: int = 16
+
+
+ASSOCIATION = Deployment("association", 7.0, 16, 0.001)
+DIVISION = Deployment("division", 5.5, 24, 0.0005)
+DEPLOYMENTS = {item.name: item for item in (ASSOCIATION, DIVISION)}
+
+
+@dataclass(frozen=True, slots=True)
+class EngineCost:
+    """Time of one engine step; every running sequence gets one token in it."""
+
+    base: Seconds = 0.008
+    per_sequence: Seconds = 0.0005
+    per_adapter: Seconds = 0.001
+    per_prefill: Seconds = 0.004
+
+    def step(self, sequences: int, adapters: int, prefills: int) -> Seconds:
+        """Returns the time of a step."""
+        return (
+            self.base
+            + self.per_sequence * sequences
+            + self.per_adapter * adapters
+            + self.per_prefill * prefills
+        )
+
+    def request(self, tokens: float, batch_size: int, adapters: int) -> Seconds:
+        """Returns the engine time of one request in a full batch."""
+        full_step = self.step(batch_size, adapters, 0)
+        return tokens * full_step / batch_size + self.per_prefill
+
+
+COST = EngineCost()
+
+
+@dataclass(frozen=True, slots=True)
+class RankProfile:
+    """What requests of a rank look like and what they are owed.
+
+    Attributes:
+        calm_rate: Requests per second in the calm scenario.
+        tokens: Least and most tokens of an answer.
+        target: Agreed time to the first token.
+        deadline: Agreed time of the whole answer.
+        floor: Share of batch room kept in a flood.
+        value: Worth of one answer in time.
+        queue_limit: Most waiting requests at one sidecar.
+    """
+
+    calm_rate: float
+    tokens: tuple[int, int]
+    target: Seconds
+    deadline: Seconds
+    floor: float
+    value: float
+    queue_limit: int
+
+    @property
+    def mean_tokens(self) -> float:
+        """Mean length of an answer."""
+        return sum(self.tokens) / 2
+
+
+PROFILES = {
+    URGENT: RankProfile(20.0, (16, 32), 1.0, 5.0, 0.0, 100.0, 256),
+    INTERACTIVE: RankProfile(15.0, (64, 128), 3.0, 20.0, 0.2, 10.0, 256),
+    BATCH: RankProfile(3.0, (256, 512), 60.0, 60.0, 0.1, 1.0, 128),
+}
+
+
+def capacity(deployment: Deployment, rank: int) -> float:
+    """Returns the requests per second that the whole fleet can run of one rank."""
+    time = COST.request(
+        PROFILES[rank].mean_tokens, deployment.batch_size, deployment.adapter_slots
+    )
+    return deployment.engines / time
+
+
+@dataclass(frozen=True, slots=True)
+class Phases:
+    """Times of a run, in seconds from its start.
+
+    Attributes:
+        measured_from: End of the warm-up.
+        event_at: Start of the flood or fault.
+        event_until: End of the flood or fault.
+        end: Time of the last arrival.
+    """
+
+    measured_from: Seconds
+    event_at: Seconds
+    event_until: Seconds
+    end: Seconds
+
+
+FULL = Phases(15.0, 20.0, 45.0, 55.0)
+QUICK = Phases(10.0, 12.0, 24.0, 30.0)
+
+Rate = Callable[[Deployment, int, Phases, Seconds], float]
+
+
+@dataclass(frozen=True, slots=True)
+class Scenario:
+    """What goes wrong during a run.
+
+    Attributes:
+        name: Name in reports.
+        floods: Rank to multiple of the fleet's capacity during the event.
+        alternates: Whether the floods come one after the other.
+        popularity_shifts: Whether other adapters become popular at the event.
+        restarted_share: Share of engines that restart cold at the event.
+        load_factor: Factor on the load time during the event.
+        is_platform_down: Whether the object API is down during the event.
+        is_zone_lost: Whether the last availability zone is lost at the event.
+    """
+
+    name: str
+    floods: Mapping[int, float] = field(default_factory=dict)
+    alternates: bool = False
+    popularity_shifts: bool = False
+    restarted_share: float = 0.0
+    load_factor: float = 1.0
+    is_platform_down: bool = False
+    is_zone_lost: bool = False
+
+    def rate(
+        self, deployment: Deployment, rank: int, phases: Phases, now: Seconds
+    ) -> float:
+        """Returns the requests per second of a rank at a time."""
+        flood = self.floods.get(rank)
+        if flood is None or not self._is_flood(rank, phases, now):
+            return PROFILES[rank].calm_rate
+        return flood * capacity(deployment, rank)
+
+    def flood_window(self, rank: int, phases: Phases) -> tuple[Seconds, Seconds]:
+        """Returns when a rank floods."""
+        if not self.alternates:
+            return phases.event_at, phases.event_until
+        middle = (phases.event_at + phases.event_until) / 2
+        if rank == max(self.floods):
+            return phases.event_at, middle
+        return middle, phases.event_until
+
+    def _is_flood(self, rank: int, phases: Phases, now: Seconds) -> bool:
+        start, end = self.flood_window(rank, phases)
+        return start <= now < end
+
+
+SCENARIOS = {
+    item.name: item
+    for item in (
+        Scenario("calm"),
+        Scenario("batch-flood-3x", floods={BATCH: 3.0}),
+        Scenario("batch-flood-10x", floods={BATCH: 10.0}),
+        Scenario("urgent-flood-2x", floods={URGENT: 2.0}),
+        Scenario("both-in-turn", floods={URGENT: 2.0, BATCH: 10.0}, alternates=True),
+        Scenario("popularity-shift", popularity_shifts=True),
+        Scenario("cold-restart", restarted_share=1 / 3),
+        Scenario("slow-weight-store", load_factor=8.0),
+        Scenario("object-api-down", is_platform_down=True),
+        Scenario("zone-lost", is_zone_lost=True),
+    )
+}
+
+
+@dataclass(frozen=True, slots=True)
+class Arrival:
+    """One request of a caller.
+
+    Attributes:
+        number: Number within the run.
+        at: Time of arrival.
+        rank: Rank of the work.
+        caller: Caller that sends it.
+        adapter: Adapter that it needs; empty for a plain service.
+        tokens: Length of its answer.
+        has_chosen_key: Whether an order carries a key that the caller chose.
+    """
+
+    number: int
+    at: Seconds
+    rank: int
+    caller: str
+    adapter: str
+    tokens: int
+    has_chosen_key: bool = False
+
+
+class Popularity:
+    """Zipf popularity of adapters, in a random order."""
+
+    def __init__(self, count: int, rng: random.Random) -> None:
+        self._rng = rng
+        self._names = [adapter_name(index) for index in range(count)]
+        weights = ((index + 1) ** -ZIPF_EXPONENT for index in range(count))
+        self._sums = list(accumulate(weights))
+        self.shift()
+
+    def shift(self) -> None:
+        """Makes other adapters popular."""
+        self._rng.shuffle(self._names)
+
+    def choose(self) -> str:
+        """Returns the adapter of the next request."""
+        position = bisect(self._sums, self._rng.random() * self._sums[-1])
+        return self._names[min(position, len(self._names) - 1)]
+
+
+def arrivals(
+    deployment: Deployment, scenario: Scenario, phases: Phases, seed: int
+) -> list[Arrival]:
+    """Returns all requests of a run, the same for every arm."""
+    rng = random.Random(f"{seed}/{deployment.name}/{scenario.name}")
+    popularity = Popularity(deployment.adapters, rng)
+    times = sorted(
+        (at, rank)
+        for rank in RANKS
+        for at in _times(deployment, scenario, rank, phases, rng)
+    )
+    has_shifted = False
+    found = []
+    for number, (at, rank) in enumerate(times):
+        if scenario.popularity_shifts and not has_shifted and at >= phases.event_at:
+            has_shifted = True
+            popularity.shift()
+        is_service = rank == URGENT and rng.random() < SERVICE_SHARE
+        found.append(
+            Arrival(
+                number=number,
+                at=at,
+                rank=rank,
+                caller=caller_name(rank, rng.randrange(CALLERS_PER_RANK)),
+                adapter="" if is_service else popularity.choose(),
+                tokens=1 if is_service else rng.randint(*PROFILES[rank].tokens),
+                has_chosen_key=rank == URGENT and rng.random() < CHOSEN_KEY_SHARE,
+            )
+        )
+    return found
+
+
+def _times(
+    deployment: Deployment,
+    scenario: Scenario,
+    rank: int,
+    phases: Phases,
+    rng: random.Random,
+) -> Iterator[Seconds]:
+    # Thinning: candidates arrive at the highest rate and are kept in proportion.
+    rates = [
+        scenario.rate(deployment, rank, phases, at)
+        for at in (0.0, *scenario.flood_window(rank, phases))
+    ]
+    highest = max(rates)
+    now = rng.expovariate(highest)
+    while now < phases.end:
+        if rng.random() * highest < scenario.rate(deployment, rank, phases, now):
+            yield now
+        now += rng.expovariate(highest)
+
+
+def adapter_name(index: int) -> str:
+    """Returns the name of an adapter."""
+    return f"adapter-{index:05d}"
+
+
+def caller_name(rank: int, index: int) -> str:
+    """Returns the name of a caller."""
+    return f"{RANK_NAMES[rank]}-{index}"
+
+
+def engine_name(index: int) -> str:
+    """Returns the name of an engine and its sidecar."""
+    return f"engine-{index:04d}"
+
+
+def service_name(index: int) -> str:
+    """Returns the name of a plain service and its sidecar."""
+    return f"service-{index}"
+
+
+def servers(deployment: Deployment) -> list[Resource]:
+    """Returns the backend servers, spread over the availability zones."""
+    zones = deployment.zones
+    engines = [
+        BackendServerSpec(
+            type="engine",
+            address=f"10.0.{index // 250}.{index % 250}:7000",
+            availability_zone=zones[index % len(zones)],
+            model=MODEL,
+            adapter_slots=deployment.adapter_slots,
+            region=REGION,
+            batch_size=deployment.batch_size,
+        )
+        for index in range(deployment.engines)
+    ]
+    plain = [
+        BackendServerSpec(
+            type="service",
+            address=f"10.1.0.{index}:7000",
+            availability_zone=zones[index % len(zones)],
+            service=SERVICE,
+            region=REGION,
+            batch_size=deployment.batch_size,
+        )
+        for index in range(deployment.services)
+    ]
+    return [
+        Resource(kind=Kind.BACKEND_SERVER, name=name, revision=1, spec=spec)
+        for name, spec in (
+            *((engine_name(index), spec) for index, spec in enumerate(engines)),
+            *((service_name(index), spec) for index, spec in enumerate(plain)),
+        )
+    ]
+
+
+def configuration(deployment: Deployment) -> tuple[Resource, ...]:
+    """Returns the whole configuration of a deployment."""
+    version = AdapterVersionSpec(name=VERSION, source="weights", size_bytes=1)
+    adapter = AdapterSpec(model=MODEL, versions=(version,), default_version=VERSION)
+    policies = [
+        Resource(
+            kind=Kind.WORK_POLICY,
+            name=RANK_NAMES[rank],
+            revision=1,
+            spec=WorkPolicySpec(
+                rank=rank,
+                caller_selector=f"rank={RANK_NAMES[rank]}",
+                idempotent=rank != URGENT,
+                target_ms=round(profile.target * 1_000),
+                deadline_ms=round(profile.deadline * 1_000),
+                floor=profile.floor,
+                value=profile.value,
+                queue_limit=profile.queue_limit,
+                preemptible=rank == BATCH,
+            ),
+        )
+        for rank, profile in PROFILES.items()
+    ]
+    callers = [
+        Resource(
+            kind=Kind.CALLER,
+            name=caller_name(rank, index),
+            revision=1,
+            labels={"rank": RANK_NAMES[rank]},
+            spec=CallerSpec(key_digests=(caller_name(rank, index),)),
+        )
+        for rank in RANKS
+        for index in range(CALLERS_PER_RANK)
+    ]
+    adapters = [
+        Resource(kind=Kind.ADAPTER, name=adapter_name(index), revision=1, spec=adapter)
+        for index in range(deployment.adapters)
+    ]
+    store = Resource(
+        kind=Kind.WEIGHT_STORE,
+        name="weights",
+        revision=1,
+        spec=WeightStoreSpec(
+            loads_per_second=deployment.loads_per_second,
+            max_in_transit=deployment.max_in_transit,
+        ),
+    )
+    return (*policies, *callers, store, *servers(deployment), *adapters)
