--- /dev/null
+++ b/benchmarks/bench.py
@@ -0,0 +1,110 @@
+"""Measures the decisions of the cores against baselines and prints one table.
+
+Usage: ``python -m benchmarks.bench [--quick] [--output FILE] [--plots FOLDER]``
+"""
+
+import argparse
+import os
+import sys
+import time
+from collections.abc import Sequence
+from concurrent.futures import ProcessPoolExecutor
+from pathlib import Path
+
+from benchmarks.decision_cost import decision_costs
+from benchmarks.measure import ARMS, FIGHITCH, Case, run_case
+from benchmarks.report import (
+    checks,
+    checks_table,
+    figures_table,
+    group,
+    write_json,
+    write_plots,
+)
+from benchmarks.workload import DEPLOYMENTS, FULL, QUICK, SCENARIOS
+
+ROOT = Path(__file__).resolve().parent.parent
+SEEDS = (1, 2, 3)
+MAX_WORKERS = 10
+DEFAULT_OUTPUT = ROOT / "build" / "bench.json"
+
+
+def cases(
+    *, quick: bool, deployments: Sequence[str], scenarios: Sequence[str]
+) -> list[Case]:
+    """Returns all cases, the slowest first so that the workers end together."""
+    phases = QUICK if quick else FULL
+    found = [
+        Case(deployment, scenario, arm, seed, phases)
+        for deployment in deployments
+        for scenario in scenarios
+        for arm in ARMS
+        for seed in (SEEDS[:1] if quick else SEEDS)
+    ]
+    return sorted(found, key=lambda case: (case.arm != FIGHITCH, not _floods(case)))
+
+
+def _floods(case: Case) -> bool:
+    return bool(SCENARIOS[case.scenario].floods)
+
+
+def main(arguments: Sequence[str] | None = None) -> int:
+    """Runs the benchmark.
+
+    Returns:
+        0 also if targets are missed; the table says which.
+    """
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--quick", action="store_true", help="one seed, short runs")
+    parser.add_argument("--output", type=Path, default=DEFAULT_OUTPUT)
+    parser.add_argument("--plots", type=Path, help="folder for PNG plots")
+    parser.add_argument("--workers", type=int, default=MAX_WORKERS)
+    parser.add_argument("--deployment", choices=DEPLOYMENTS, action="append")
+    parser.add_argument("--scenario", choices=SCENARIOS, action="append")
+    options = parser.parse_args(arguments)
+    began = time.perf_counter()
+    costs = decision_costs()
+    chosen = cases(
+        quick=options.quick,
+        deployments=options.deployment or list(DEPLOYMENTS),
+        scenarios=options.scenario or list(SCENARIOS),
+    )
+    order = {case: position for position, case in enumerate(_in_table_order(chosen))}
+    workers = min(options.workers, os.cpu_count() or 1)
+    with ProcessPoolExecutor(max_workers=workers) as pool:
+        done = sorted(pool.map(run_case, chosen), key=lambda pair: order[pair[0]])
+    results = group(done)
+    found = checks(results)
+    print(figures_table(results))
+    print("\nTargets\n" + checks_table(found))
+    print("\nDecision times, median")
+    for name, microseconds in costs.items():
+        print(f"  {name:<48}{microseconds:>10.1f} µs")
+    settings = {
+        "quick": options.quick,
+        "seeds": sorted({case.seed for case in chosen}),
+        "workers": workers,
+        "seconds": round(time.perf_counter() - began, 1),
+    }
+    print(f"\n{len(chosen)} runs in {settings['seconds']} s")
+    write_json(options.output, results, found, costs, settings)
+    if options.plots:
+        write_plots(options.plots, results)
+    return 0
+
+
+def _in_table_order(chosen: Sequence[Case]) -> list[Case]:
+    scenarios = list(SCENARIOS)
+    return sorted(
+        chosen,
+        key=lambda case: (
+            case.deployment,
+            scenarios.index(case.scenario),
+            ARMS.index(case.arm),
+            case.seed,
+        ),
+    )
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/benchmarks/fighitch_arm.py
+++ b/benchmarks/fighitch_arm.py
@@ -36,6 +36,7 @@
 from fighitch.types import ConnectionId, Seconds
 
 TICK_SECONDS = 0.05
+NOT_FOUND = 404
 SAME_ZONE_LATENCY = 0.0002
 PLATFORM_LATENCY = 0.005
 REPORT_INTERVAL_SECONDS = 0.5
@@ -353,12 +354,18 @@
         self._listeners[index].calls[effect.call] = effect
         number = int(effect.request_id.partition(".")[0])
         tokens = self._callers.outcomes[number].arrival.tokens
-        self._engines[index].call(
+        is_loaded = self._engines[index].call(
             effect.call,
             effect.adapter_version.adapter,
             effect.rank,
             tokens - effect.generated_tokens,
         )
+        if not is_loaded:
+            self._clock.after(SAME_ZONE_LATENCY, self._not_found, node, effect)
+
+    def _not_found(self, node: Node, call: effects.CallBackend) -> None:
+        key = (call.request_id, call.attempt, call.call)
+        self.network.handle(node, inputs.BackendStarted(*key, NOT_FOUND))
 
     def _serve(self, node: Node, call: effects.CallBackend) -> None:
         key = (call.request_id, call.attempt, call.call)
@@ -376,7 +383,9 @@
     @_do.register
     def _load(self, effect: effects.LoadAdapter, node: Node) -> None:
         engine = self._engines[self._engine_of[node.name]]
-        engine.load(effect.adapter_version.adapter)
+        if not engine.load(effect.adapter_version.adapter):
+            failed = inputs.AdapterLoadFailed(effect.adapter_version, "no free slot")
+            self._clock.after(SAME_ZONE_LATENCY, self.network.handle, node, failed)
 
     @_do.register
     def _unload(self, effect: effects.UnloadAdapter, node: Node) -> None:
