Ask several lenders at once and return surplus permits

Cause: a sidecar asked one lender for one load and waited up to 1 s for it; loads in progress still counted as wanted, so permits were held for half a second without a use. Change: ask up to 8 lenders, keep no more permits than wanted, do not count loads in progress, keep an unmet request for 0.15 s only.

--- a/fighitch/core/engine_state.py
+++ b/fighitch/core/engine_state.py
@@ -73,6 +73,10 @@
         """Returns whether work may be dispatched on a version."""
         return version not in self._unloading and self._slots.is_ready(version)
 
+    def is_loading(self, version: AdapterVersion) -> bool:
+        """Returns whether a load of the version was commanded and has not ended."""
+        return self._loading[version] > 0
+
     def failed_recently(self, version: AdapterVersion, now: Seconds) -> bool:
         """Returns whether a load of the version failed a short time ago."""
         return self._slots.failed_recently(version, now)
--- a/fighitch/core/load_budget.py
+++ b/fighitch/core/load_budget.py
@@ -41,11 +41,13 @@
 # time. A sidecar gives up a load after a shorter time than that.
 RECLAIM_SECONDS = 60.0
 # A request that could not be met at once is kept this long; the borrower asks again.
-REQUEST_VALID_SECONDS = 1.0
+# A permit granted to a borrower that has died meanwhile is lost, so this is short.
+REQUEST_VALID_SECONDS = 0.15
 MIN_REQUEST_INTERVAL_SECONDS = 0.1
 # A borrowed permit without a use goes back after this time.
 UNUSED_SECONDS = 0.5
 MAX_PERMITS_PER_GRANT = 16
+MAX_PEERS_ASKED = 8
 
 
 @dataclass(frozen=True, slots=True)
@@ -148,7 +150,7 @@
         self._next_peer = 0
         self._fair_tokens = 1.0
         self._fair_tokens_at: Seconds | None = None
-        self._is_wanting = False
+        self._wanted = 0
 
     @property
     def share(self) -> Share:
@@ -182,7 +184,7 @@
             self._windows.append(now + self._share.window)
             self._own_in_transit += 1
         else:
-            self._is_wanting = True
+            self._wanted = max(1, self._wanted)
             return False
         self._fair_tokens = max(-1.0, self._fair_tokens_now(now) - 1.0)
         return True
@@ -278,12 +280,14 @@
         Returns:
             Messages to send.
         """
-        self._is_wanting = wanted > 0
+        self._wanted = wanted
         sends = self._returns(now) + self._grant(now)
         short = wanted - self.available(now)
         if short <= 0 or not peers:
             return sends
-        for _ in range(min(len(peers), short)):
+        # A permit that comes too late goes back at once, so asking several lenders for
+        # one load costs a round trip and saves the search for one with a free permit.
+        for _ in range(min(len(peers), MAX_PEERS_ASKED)):
             connection = peers[self._next_peer % len(peers)]
             self._next_peer += 1
             asked_at = self._asked_at.get(connection)
@@ -347,7 +351,7 @@
         for connection, (count, valid_until) in tuple(self._waiting.items()):
             free = self._free_own(now)
             # A lender with work of its own keeps a permit up to its fair rate.
-            if self._is_wanting and self._fair_tokens_now(now) >= 1.0:
+            if self._wanted and self._fair_tokens_now(now) >= 1.0:
                 free -= 1
             granted = min(count, free, MAX_PERMITS_PER_GRANT)
             if granted <= 0:
@@ -381,7 +385,13 @@
         return [Send(connection, PermitReturn(tuple(refused)))] if refused else []
 
     def _returns(self, now: Seconds) -> list[Send]:
-        due = [item for item in self._borrowed if self._is_due(item, now)]
+        unused = self._unused_borrowed()
+        surplus = unused[min(self._wanted, len(unused)) :]
+        due = [
+            item
+            for item in self._borrowed
+            if item in surplus or self._is_due(item, now)
+        ]
         self._borrowed = [item for item in self._borrowed if item not in due]
         by_connection: dict[ConnectionId, list[str]] = {}
         for item in due:
@@ -393,7 +403,7 @@
 
     def _is_due(self, item: _Borrowed, now: Seconds) -> bool:
         if item.started_at is None:
-            return not self._is_wanting or now - item.received_at >= UNUSED_SECONDS
+            return now - item.received_at >= UNUSED_SECONDS
         return item.is_finished and now - item.started_at >= self._share.window
 
 
--- a/fighitch/core/sidecar.py
+++ b/fighitch/core/sidecar.py
@@ -576,6 +576,7 @@
         waited_for = {version for _, version, _, _ in self._queue.waited_for(now)}
         wanted = sum(
             not self._engine.is_ready(version)
+            and not self._engine.is_loading(version)
             and not self._engine.failed_recently(version, now)
             for version in waited_for
         )
