--- a/fighitch/core/engine_state.py
+++ b/fighitch/core/engine_state.py
@@ -31,6 +31,19 @@
     is_superseded: bool = False
 
 
+@dataclass(frozen=True, slots=True)
+class EnginePlan:
+    """What to do with the adapters now.
+
+    Attributes:
+        commands: Commands to give to the engine.
+        drains: Versions that take no new work until they are unloaded.
+    """
+
+    commands: tuple[LoadAdapter | UnloadAdapter, ...] = ()
+    drains: tuple[AdapterVersion, ...] = ()
+
+
 class EngineState:
     """State of the engine and of the commands to it."""
 
@@ -45,7 +58,7 @@
         self._loading: Counter[AdapterVersion] = Counter()
         self._unloading: set[AdapterVersion] = set()
         # Pins by token; a token is lost when the slot table is emptied under it.
-        self._pins: dict[int, AdapterVersion] = {}
+        self._pins: dict[int, tuple[AdapterVersion, int | None]] = {}
         self._pinned: Counter[AdapterVersion] = Counter()
         self._table_pins: set[int] = set()
         self._last_pin = 0
@@ -81,29 +94,36 @@
         """Returns whether a load of the version failed a short time ago."""
         return self._slots.failed_recently(version, now)
 
-    def pin(self, version: AdapterVersion, *, value: float) -> int:
+    def pin(
+        self,
+        version: AdapterVersion,
+        *,
+        value: float,
+        preemptible_rank: int | None = None,
+    ) -> int:
         """Keeps a version loaded; returns the token to give to ``unpin``.
 
         Args:
             version: Version to keep.
             value: Worth of the answer that needs it.
+            preemptible_rank: Rank of the work if it may be paused.
         """
-        self._slots.pin(version, value=value)
+        self._slots.pin(version, value=value, preemptible_rank=preemptible_rank)
         self._last_pin += 1
-        self._pins[self._last_pin] = version
+        self._pins[self._last_pin] = (version, preemptible_rank)
         self._table_pins.add(self._last_pin)
         self._pinned[version] += 1
         return self._last_pin
 
     def unpin(self, pin: int) -> None:
         """Ends a pin."""
-        version = self._pins.pop(pin)
+        version, preemptible_rank = self._pins.pop(pin)
         self._pinned[version] -= 1
         if not self._pinned[version]:
             del self._pinned[version]
         if pin in self._table_pins:
             self._table_pins.remove(pin)
-            self._slots.unpin(version)
+            self._slots.unpin(version, preemptible_rank=preemptible_rank)
 
     def report(self, report: EngineReported) -> Report:
         """Takes a report of the engine.
@@ -160,7 +180,7 @@
         *,
         source: Callable[[AdapterVersion], str],
         now: Seconds,
-    ) -> list[LoadAdapter | UnloadAdapter]:
+    ) -> EnginePlan:
         """Returns the commands to give now.
 
         Args:
@@ -170,7 +190,7 @@
         """
         permits = self._budget.available(now)
         if self._fencing_token is None or self._is_superseded or permits <= 0:
-            return []
+            return EnginePlan()
         plan = self._slots.plan(wanted, permits=permits, now=now)
         commands: list[LoadAdapter | UnloadAdapter] = []
         for version in plan.unloads:
@@ -186,7 +206,7 @@
             check(has_permit, "load_has_a_permit", version=str(version))
             self._loading[version] += 1
             commands.append(LoadAdapter(version, source(version), self._fencing_token))
-        return commands
+        return EnginePlan(tuple(commands), plan.drains)
 
     def _end_load(self, version: AdapterVersion, now: Seconds) -> None:
         if self._loading[version]:
@@ -196,7 +216,7 @@
 
     def _pin_again(self) -> None:
         """Restores the pins of running calls after the table was emptied."""
-        for pin, version in self._pins.items():
+        for pin, (version, preemptible_rank) in self._pins.items():
             if pin not in self._table_pins and self._slots.is_ready(version):
-                self._slots.pin(version)
+                self._slots.pin(version, preemptible_rank=preemptible_rank)
                 self._table_pins.add(pin)
--- a/fighitch/core/execution.py
+++ b/fighitch/core/execution.py
@@ -141,6 +141,18 @@
                 self._ready_since.pop(version, None)
             self._queue.set_ready(version, is_ready)
 
+    def pause(self, version: AdapterVersion, *, now: Seconds) -> bool:
+        """Pauses the preemptible work on a version; returns whether there was any."""
+        paused = [
+            request
+            for request in self._requests.running()
+            if request.work.preemptible and request.work.adapter_version == version
+        ]
+        for request in paused:
+            self._stop_call(request)
+            self._requeue(request, "its adapter slot is needed", now)
+        return bool(paused)
+
     def engine_restarted(self, *, now: Seconds) -> None:
         """Handles the loss of every running call."""
         for request in self._requests.running():
@@ -268,7 +280,11 @@
                 version=str(version),
                 request_id=request.submit.request_id,
             )
-            request.pin = self._engine.pin(version, value=self._queue.value(work.rank))
+            request.pin = self._engine.pin(
+                version,
+                value=self._queue.value(work.rank),
+                preemptible_rank=work.rank if work.preemptible else None,
+            )
             ready_since = self._ready_since.get(version, now)
         if request.ticket is not None:
             self._ledger.dispatched(request.ticket)
--- a/fighitch/core/sidecar.py
+++ b/fighitch/core/sidecar.py
@@ -604,11 +604,17 @@
         self._borrow(now)
         if self._budget.available(now) <= 0:
             return
-        commands = self._engine.plan(
-            self._wanted.list(now), source=self._source, now=now
-        )
-        if not commands:
-            return
+        plan = self._engine.plan(self._wanted.list(now), source=self._source, now=now)
+        paused = [self._execution.pause(item, now=now) for item in plan.drains]
+        self._execution.readiness_changed(now=now)
+        commands = plan.commands
+        if any(paused):
+            # Versions that nothing uses any more are unloaded at once.
+            commands += self._engine.plan(
+                self._wanted.list(now), source=self._source, now=now
+            ).commands
+            self._execution.readiness_changed(now=now)
+            self._execution.pump(now=now)
         self._outbox.add(*commands)
         for command in commands:
             self._outbox.log(
@@ -616,7 +622,6 @@
                 cause="demand and waiting work",
                 adapter_version=str(command.adapter_version),
             )
-        self._execution.readiness_changed(now=now)
 
     def _source(self, version: AdapterVersion) -> str:
         adapter = self._store.get(Kind.ADAPTER, version.adapter)
--- a/fighitch/core/slots.py
+++ b/fighitch/core/slots.py
@@ -5,8 +5,9 @@
 the next use: the decayed rate of use, weighted with the value of the rank that used it.
 """
 
-from collections.abc import Iterable, Sequence
-from dataclasses import dataclass
+from collections import Counter
+from collections.abc import Iterable, Mapping, Sequence
+from dataclasses import dataclass, field
 from enum import Enum
 
 from fighitch.core.demand import DemandEstimator
@@ -54,10 +55,18 @@
 
 @dataclass(frozen=True, slots=True)
 class SlotPlan:
-    """Commands to give to the engine now."""
+    """Commands to give to the engine now.
+
+    Attributes:
+        loads: Versions to load; each needs a permit.
+        unloads: Versions to unload.
+        drains: Versions in use that take no new use and are unloaded when their last
+            use has ended; preemptible uses of them should be paused.
+    """
 
     loads: tuple[AdapterVersion, ...] = ()
     unloads: tuple[AdapterVersion, ...] = ()
+    drains: tuple[AdapterVersion, ...] = ()
 
 
 class _State(Enum):
@@ -70,6 +79,15 @@
 class _Slot:
     state: _State
     pins: int = 0
+    # Pins of work that may be paused, by rank.
+    preemptible: Counter[int] = field(default_factory=Counter)
+    is_draining: bool = False
+
+    def gives_way_to(self, rank: int) -> bool:
+        """Returns whether all uses can be paused for work of a rank."""
+        return self.pins == self.preemptible.total() and all(
+            rank < other for other in self.preemptible
+        )
 
 
 @dataclass(frozen=True, slots=True)
@@ -112,36 +130,55 @@
     def is_ready(self, adapter_version: AdapterVersion) -> bool:
         """Returns whether the engine can serve the adapter version now."""
         slot = self._slots.get(adapter_version)
-        return slot is not None and slot.state is _State.READY
+        return slot is not None and _is_usable(slot)
 
     def resident(self) -> frozenset[str]:
         """Returns the names of the adapter versions that can serve now."""
         return frozenset(str(item) for item in self._slots if self.is_ready(item))
 
     def pin(
-        self, adapter_version: AdapterVersion, *, value: float | None = None
+        self,
+        adapter_version: AdapterVersion,
+        *,
+        value: float | None = None,
+        preemptible_rank: int | None = None,
     ) -> None:
         """Marks the start of a use and counts it as demand.
 
         Args:
             adapter_version: What is used; it must be ready.
             value: Worth of the answer; None takes that of its last ``Wanted``.
+            preemptible_rank: Rank of the use if it may be paused for another one.
 
         Raises:
             ValueError: If the adapter version is not ready.
         """
         if not self.is_ready(adapter_version):
             raise ValueError(f"{adapter_version} is not ready; it cannot be pinned")
-        self._slots[adapter_version].pins += 1
+        slot = self._slots[adapter_version]
+        slot.pins += 1
+        if preemptible_rank is not None:
+            slot.preemptible[preemptible_rank] += 1
         if value is None:
             value = self._values.get(adapter_version, 1.0)
         self._demand.record(adapter_version, self._now, value)
 
-    def unpin(self, adapter_version: AdapterVersion) -> None:
-        """Marks the end of a use. Pins of an earlier start of the engine are gone."""
+    def unpin(
+        self, adapter_version: AdapterVersion, *, preemptible_rank: int | None = None
+    ) -> None:
+        """Marks the end of a use. Pins of an earlier start of the engine are gone.
+
+        Args:
+            adapter_version: What was used.
+            preemptible_rank: The same as in ``pin``.
+        """
         slot = self._slots.get(adapter_version)
-        if slot is not None and slot.pins > 0:
-            slot.pins -= 1
+        if slot is None or slot.pins <= 0:
+            return
+        slot.pins -= 1
+        if preemptible_rank is not None:
+            slot.preemptible[preemptible_rank] -= 1
+            slot.preemptible += Counter()
 
     def report(self, boot_id: str, resident: Iterable[AdapterVersion]) -> bool:
         """Takes the engine's own report, which may lag.
@@ -189,7 +226,7 @@
         self._now = now
         slot = self._slots.get(adapter_version)
         if slot is not None and slot.state is _State.UNLOADING:
-            slot.state = _State.READY
+            slot.state, slot.is_draining = _State.READY, False
             return
         if slot is not None and slot.state is _State.LOADING:
             del self._slots[adapter_version]
@@ -236,40 +273,98 @@
         ]
         free = max(0, self._capacity - len(self._slots))
         loads = candidates[: min(free, permits)]
-        unloads = self._make_room(candidates[len(loads) :], wanted, permits, now)
+        without_slot = candidates[len(loads) :]
+        waiting = {item.adapter_version: item for item in wanted}
+        unloads = self._end_drains(without_slot, waiting, now)
+        unloads += self._make_room(without_slot, waiting, permits, now)
         for item in loads:
             self._slots[item.adapter_version] = _Slot(_State.LOADING)
-        return SlotPlan(tuple(item.adapter_version for item in loads), unloads)
+        return SlotPlan(
+            tuple(item.adapter_version for item in loads),
+            tuple(unloads),
+            tuple(item for item, slot in self._slots.items() if _is_drain(slot)),
+        )
+
+    def _end_drains(
+        self,
+        candidates: Sequence[Wanted],
+        waiting: Mapping[AdapterVersion, Wanted],
+        now: Seconds,
+    ) -> list[AdapterVersion]:
+        """Unloads what is drained; takes back drains that are not needed any more."""
+        unloading = sum(slot.state is _State.UNLOADING for slot in self._slots.values())
+        stalls = [item for item in candidates if item.waiting][unloading:]
+        unloads: list[AdapterVersion] = []
+        for item, slot in tuple(self._slots.items()):
+            if not _is_drain(slot):
+                continue
+            if not stalls:
+                slot.is_draining = False
+                continue
+            stall = stalls.pop(0)
+            unused = self._victim(stall, waiting, now, only_unused=True)
+            if slot.pins and unused is not None:
+                slot.is_draining = False
+                unloads.append(unused)
+            elif not slot.pins:
+                unloads.append(item)
+        for item in unloads:
+            self._slots[item].state = _State.UNLOADING
+        return unloads
 
     def _make_room(
         self,
         candidates: Sequence[Wanted],
-        wanted: Sequence[Wanted],
+        waiting: Mapping[AdapterVersion, Wanted],
         permits: int,
         now: Seconds,
-    ) -> tuple[AdapterVersion, ...]:
+    ) -> list[AdapterVersion]:
         # A slot emptied without a permit to fill it serves nobody, so the slots that
         # are free or becoming free never outnumber the permits.
-        used = sum(slot.state is not _State.UNLOADING for slot in self._slots.values())
-        room = min(len(candidates), permits - (self._capacity - used))
-        if room <= 0:
-            return ()
-        waiting = {item.adapter_version: item for item in wanted}
-        victims = sorted(
-            (self._worth(item, waiting.get(item), now), str(item), item)
-            for item, slot in self._slots.items()
-            if slot.state is _State.READY and slot.pins == 0
+        pending = sum(
+            slot.state is _State.UNLOADING or slot.is_draining
+            for slot in self._slots.values()
         )
-        unloads = []
-        pending = len(self._slots) - used
-        for candidate, (worth, _, victim) in zip(
-            candidates[pending : pending + room], victims, strict=False
-        ):
-            gain = self._worth(candidate.adapter_version, candidate, now)
-            if worth * HYSTERESIS < gain:
-                self._slots[victim].state = _State.UNLOADING
+        free = max(0, self._capacity - len(self._slots))
+        room = min(len(candidates), permits - free - pending)
+        unloads: list[AdapterVersion] = []
+        for candidate in candidates[pending : pending + max(0, room)]:
+            victim = self._victim(candidate, waiting, now)
+            if victim is None:
+                continue
+            slot = self._slots[victim]
+            slot.is_draining = True
+            if slot.pins == 0:
+                slot.state = _State.UNLOADING
                 unloads.append(victim)
-        return tuple(unloads)
+        return unloads
+
+    def _victim(
+        self,
+        candidate: Wanted,
+        waiting: Mapping[AdapterVersion, Wanted],
+        now: Seconds,
+        *,
+        only_unused: bool = False,
+    ) -> AdapterVersion | None:
+        """Returns what makes room: unused if possible, then what can be paused.
+
+        What is in use and cannot be paused is taken last, and only for a request that
+        waits.
+        """
+        choices = []
+        for item, slot in self._slots.items():
+            may_be_used = candidate.waiting and not only_unused
+            if not _is_usable(slot) or (slot.pins and not may_be_used):
+                continue
+            cost = 0 if slot.pins == 0 else 1
+            if cost and not slot.gives_way_to(candidate.rank):
+                cost = 2
+            worth = self._worth(item, waiting.get(item), now)
+            choices.append((cost, worth, str(item), item))
+        gain = self._worth(candidate.adapter_version, candidate, now)
+        affordable = [item for item in choices if item[1] * HYSTERESIS < gain]
+        return min(affordable)[3] if affordable else None
 
     def _worth(
         self, adapter_version: AdapterVersion, wanted: Wanted | None, now: Seconds
@@ -309,6 +404,14 @@
                 self._slots[item] = _Slot(_State.READY)
 
 
+def _is_usable(slot: _Slot) -> bool:
+    return slot.state is _State.READY and not slot.is_draining
+
+
+def _is_drain(slot: _Slot) -> bool:
+    return slot.state is _State.READY and slot.is_draining
+
+
 def _urgency(wanted: Wanted) -> tuple[bool, int, Seconds, float]:
     is_prefetch = wanted.waiting == 0
     return is_prefetch, wanted.rank, -wanted.oldest_wait, -wanted.value * wanted.waiting
