--- a/fighitch/core/admission.py
+++ b/fighitch/core/admission.py
@@ -27,6 +27,8 @@
 _DRAIN_HALF_LIFE: Seconds = 5.0
 _MIN_RETRY_AFTER: Seconds = 0.1
 _MAX_RETRY_AFTER: Seconds = 10.0
+# Share of its target that preemptible work may wait for a load that can be deferred.
+_DEFERRED_SHARE = 0.25
 # Keeps 0.1 * 10 from being rounded up to 2 slots.
 _ROUNDING = 1e-9
 # Outdated entries of the deadline heap are tolerated up to this number.
@@ -43,6 +45,7 @@
         value: Worth of one answer in time, relative to other ranks.
         preemptible: Whether its work may be paused.
         idempotent: Whether its work may run more than once.
+        target: Agreed time to the first token, in seconds.
     """
 
     floor: float = 0.0
@@ -50,6 +53,7 @@
     value: float = 1.0
     preemptible: bool = False
     idempotent: bool = True
+    target: Seconds = math.inf
 
 
 @dataclass(frozen=True, slots=True)
@@ -140,6 +144,18 @@
         """Returns the worth of one answer of a rank in time."""
         return self._policy(rank).value
 
+    def can_defer_load(self, rank: int, oldest_wait: Seconds) -> bool:
+        """Returns whether a load for waiting work of a rank gains nothing yet.
+
+        Preemptible work waits for its adapter until a part of its target has passed,
+        as long as the batch is full or other work of the rank can use the room. Loads
+        are scarce, and more requests then share one.
+        """
+        policy = self._policy(rank)
+        if not policy.preemptible or oldest_wait > _DEFERRED_SHARE * policy.target:
+            return False
+        return self._free() <= 0 or self._queue(rank).has_ready
+
     def waited_for(
         self, now: Seconds
     ) -> Iterator[tuple[int, AdapterVersion, int, Seconds]]:
--- a/fighitch/core/sidecar.py
+++ b/fighitch/core/sidecar.py
@@ -573,7 +573,11 @@
 
     def _borrow(self, now: Seconds) -> None:
         """Asks other sidecars for permits if work waits for loads."""
-        waited_for = {version for _, version, _, _ in self._queue.waited_for(now)}
+        waited_for = {
+            version
+            for rank, version, _, oldest_wait in self._queue.waited_for(now)
+            if not self._queue.can_defer_load(rank, oldest_wait)
+        }
         wanted = sum(
             not self._engine.is_ready(version)
             and not self._engine.is_loading(version)
@@ -657,6 +661,7 @@
             value=max(spec.value for spec in specs),
             preemptible=all(spec.preemptible for spec in specs),
             idempotent=any(spec.idempotent for spec in specs),
+            target=min(spec.target_ms for spec in specs) / 1_000,
         )
         for rank, specs in by_rank.items()
     }
--- a/fighitch/core/wanted.py
+++ b/fighitch/core/wanted.py
@@ -33,6 +33,8 @@
         """Returns what is waited for, one entry a version, then what is in demand."""
         found: dict[AdapterVersion, Wanted] = {}
         for rank, version, waiting, oldest_wait in self._queue.waited_for(now):
+            if self._queue.can_defer_load(rank, oldest_wait):
+                continue
             known = found.get(version)
             value = self._queue.value(rank)
             found[version] = Wanted(
