Refuse work that would wait beyond its target; prefetch into free slots only

Cause: in an urgent flood at twice the capacity the queue grew until every urgent answer came just before its deadline. Prefetches took permits from stalls. Change: a rank is refused early when its expected wait exceeds its target, with the room of lower ranks' floors taken off; prefetch only into free slots.

--- a/fighitch/core/admission.py
+++ b/fighitch/core/admission.py
@@ -203,7 +203,11 @@
         Returns:
             None if it was queued.
         """
-        refusal = self._over_limit(work, now) or self._too_late(work, now)
+        refusal = (
+            self._over_limit(work, now)
+            or self._too_late(work, now)
+            or self._over_target(work, now)
+        )
         if refusal is not None:
             return refusal
         self._add(work, resumed=False)
@@ -372,6 +376,22 @@
             return None
         return self._deadline_failure(work, now, now + needed - work.deadline)
 
+    def _over_target(self, work: Work, now: Seconds) -> Failure | None:
+        """Refuses what would only wait beyond its target.
+
+        A longer queue does not raise the throughput; it only makes every answer late.
+        """
+        wait = self._expected_wait(work)
+        target = self._policy(work.rank).target
+        if wait <= target:
+            return None
+        return Failure(
+            ErrorKind.OVERLOADED,
+            f"rank {work.rank} waits for {wait:.3f} s, its target is {target:.3f} s; "
+            "repeat after the stated time",
+            retry_after=min(max(wait - target, _MIN_RETRY_AFTER), _MAX_RETRY_AFTER),
+        )
+
     def _deadline_failure(self, work: Work, now: Seconds, excess: Seconds) -> Failure:
         return Failure(
             ErrorKind.DEADLINE_EXCEEDED,
@@ -393,7 +413,12 @@
             if rank <= work.rank
         )
         own_time = self._service_times.get(work.rank, 0.0)
-        by_rank = (ahead + own_time) / max(1, self._batch_size)
+        kept = sum(
+            self.floor_slots(rank)
+            for rank, queue in self._queues.items()
+            if rank > work.rank and (queue or self._running_count(rank))
+        )
+        by_rank = (ahead + own_time) / max(1, self._batch_size - kept)
         slots = self.floor_slots(work.rank)
         if not slots:
             return by_rank
--- a/fighitch/core/slots.py
+++ b/fighitch/core/slots.py
@@ -250,7 +250,8 @@
     def plan(self, wanted: Sequence[Wanted], *, permits: int, now: Seconds) -> SlotPlan:
         """Decides what to load and unload, and marks it as begun.
 
-        Requests that wait go before prefetches, and more urgent ranks go first. Loads
+        Requests that wait go before prefetches, and more urgent ranks go first. Only
+        free slots are prefetched into: a permit is worth more to the next stall. Loads
         go into free slots; to make room, adapter versions without a pin are unloaded
         if the load that replaces them is worth more. The load follows in a later plan,
         when the unload is done.
@@ -268,7 +269,8 @@
         candidates = [
             item
             for item in sorted(wanted, key=_urgency)
-            if item.adapter_version not in self._slots
+            if (item.waiting or len(self._slots) < self._capacity)
+            and item.adapter_version not in self._slots
             and not self.failed_recently(item.adapter_version, now)
         ]
         free = max(0, self._capacity - len(self._slots))
