Let preemptible work above its floor load with own permits only

Cause: in a batch flood engines whose adapters are cold borrowed up to five permits at a time for batch loads, so that none was free for urgent loads. Change: preemptible work above its floor borrows only after a quarter of its target.

--- a/benchmarks/workload.py
+++ b/benchmarks/workload.py
@@ -143,8 +143,9 @@
     end: Seconds
 
 
-FULL = Phases(15.0, 20.0, 45.0, 55.0)
-QUICK = Phases(10.0, 12.0, 24.0, 30.0)
+# The first 15 s go into filling the slots at the weight store's rate.
+FULL = Phases(25.0, 30.0, 50.0, 60.0)
+QUICK = Phases(16.0, 18.0, 30.0, 36.0)
 
 Rate = Callable[[Deployment, int, Phases, Seconds], float]
 
--- a/fighitch/core/admission.py
+++ b/fighitch/core/admission.py
@@ -156,6 +156,17 @@
             return False
         return self._free() <= 0 or self._queue(rank).has_ready
 
+    def may_borrow_for(self, rank: int, oldest_wait: Seconds) -> bool:
+        """Returns whether waiting work of a rank may use permits of other sidecars.
+
+        Preemptible work above its floor uses own permits only, so that in a flood of it
+        some permits of the fleet are free when more urgent work needs a load.
+        """
+        policy = self._policy(rank)
+        if not policy.preemptible or oldest_wait > _DEFERRED_SHARE * policy.target:
+            return True
+        return self._running_count(rank) <= self.floor_slots(rank)
+
     def waited_for(
         self, now: Seconds
     ) -> Iterator[tuple[int, AdapterVersion, int, Seconds]]:
--- a/fighitch/core/sidecar.py
+++ b/fighitch/core/sidecar.py
@@ -577,6 +577,7 @@
             version
             for rank, version, _, oldest_wait in self._queue.waited_for(now)
             if not self._queue.can_defer_load(rank, oldest_wait)
+            and self._queue.may_borrow_for(rank, oldest_wait)
         }
         wanted = sum(
             not self._engine.is_ready(version)
