Load what sets the most waiting work going; count only ready work as ahead

Cause: in an urgent flood single old requests took the permits while up to 254 requests waited for one adapter on an idle engine; and work that waits for a load counted as work ahead in the queue. Change: within a rank the load with the highest worth (waiting x value, growing with age) goes first; only ready work counts as ahead. The benchmark counts stalls of the least urgent rank only while the batch has room.

--- a/benchmarks/callers.py
+++ b/benchmarks/callers.py
@@ -57,7 +57,11 @@
 
 
 class Stalls:
-    """Time that waiting requests spend without their adapter on the engine."""
+    """Time that waiting requests spend without their adapter on the engine.
+
+    For the least urgent rank only the time counts in which the engine's batch has room:
+    in a full batch it could not run with its adapter either.
+    """
 
     def __init__(self, clock: Clock, outcomes: Sequence[Outcome]) -> None:
         self._clock = clock
@@ -65,9 +69,11 @@
         self._waiting: dict[tuple[int, str], dict[str, int]] = defaultdict(dict)
         self._places: dict[str, tuple[int, str]] = {}
         self._since: dict[str, Seconds] = {}
+        self._engines: dict[int, Engine] = {}
 
     def watch(self, index: int, engine: Engine) -> None:
         """Follows what is loaded on an engine."""
+        self._engines[index] = engine
         engine.on_resident = lambda adapter, there: self._resident(
             index, adapter, there
         )
@@ -78,7 +84,7 @@
         self._waiting[index, adapter][request] = number
         self._places[request] = (index, adapter)
         if adapter not in engine.resident:
-            self._since[request] = self._clock.now
+            self._since[request] = self._time(number, index)
 
     def end(self, request: str) -> None:
         """A request is called, or its attempt is over."""
@@ -86,19 +92,24 @@
         if place is None:
             return
         number = self._waiting[place].pop(request)
-        self._stop(request, number)
+        self._stop(request, number, place[0])
 
     def _resident(self, index: int, adapter: str, there: bool) -> None:
         for request, number in self._waiting.get((index, adapter), {}).items():
             if there:
-                self._stop(request, number)
+                self._stop(request, number, index)
             else:
-                self._since.setdefault(request, self._clock.now)
+                self._since.setdefault(request, self._time(number, index))
 
-    def _stop(self, request: str, number: int) -> None:
+    def _stop(self, request: str, number: int, index: int) -> None:
         since = self._since.pop(request, None)
         if since is not None:
-            self._outcomes[number].stalled += self._clock.now - since
+            self._outcomes[number].stalled += self._time(number, index) - since
+
+    def _time(self, number: int, index: int) -> Seconds:
+        if self._outcomes[number].arrival.rank == BATCH:
+            return self._engines[index].room_seconds()
+        return self._clock.now
 
 
 class Callers:
--- a/benchmarks/simulation.py
+++ b/benchmarks/simulation.py
@@ -163,11 +163,24 @@
         self.listener: EngineListener | None = None
         self.on_resident: Callable[[str, bool], None] = lambda adapter, there: None
         self.is_dead = False
+        self._room: Seconds = 0.0
+        self._changed_at: Seconds = 0.0
         self.totals = EngineTotals()
         # Counters are reset at the end of the warm-up and read per window.
         self.window: tuple[Seconds, Seconds] = (0.0, 0.0)
         self.window_slot_seconds = dict.fromkeys(RANKS, 0.0)
 
+    def room_seconds(self) -> Seconds:
+        """Returns for how long the batch has had room, up to now."""
+        if len(self._running) < self.batch_size:
+            return self._room + self._clock.now - self._changed_at
+        return self._room
+
+    def _note_room(self) -> None:
+        """Adds the time since the last change; call it before any change."""
+        self._room = self.room_seconds()
+        self._changed_at = self._clock.now
+
     @property
     def boot_id(self) -> str:
         """Identifies the engine's start."""
@@ -194,12 +207,14 @@
             raise RuntimeError(f"call on {adapter!r}, which is not loaded")
         if len(self._running) >= self.batch_size:
             raise RuntimeError(f"more than {self.batch_size} calls at once")
+        self._note_room()
         self._running[call] = Sequence(adapter, rank, max(1, tokens))
         self._begin_step()
         return True
 
     def cancel(self, call: int) -> None:
         """Ends a call early."""
+        self._note_room()
         self._running.pop(call, None)
 
     def load(self, adapter: str) -> bool:
@@ -232,6 +247,7 @@
 
     def restart(self) -> list[int]:
         """Restarts cold; returns the calls that were lost."""
+        self._note_room()
         lost = [*self._running]
         self._running.clear()
         self._boots += 1
@@ -291,6 +307,8 @@
         if is_first or is_last or sequence.unsent >= TOKENS_PER_DATA:
             tokens, sequence.unsent = sequence.unsent, 0
             self.listener.data(call, tokens)
+        if is_last:
+            self._note_room()
         if is_last and self._running.pop(call, None) is not None:
             self.listener.ended(call)
 
--- a/fighitch/core/admission.py
+++ b/fighitch/core/admission.py
@@ -392,8 +392,8 @@
 
         A longer queue does not raise the throughput; it only makes every answer late.
         """
-        wait = self._expected_wait(work)
         target = self._policy(work.rank).target
+        wait = self._expected_wait(work)
         if wait <= target:
             return None
         return Failure(
@@ -418,8 +418,9 @@
             own = self._queue(work.rank)
             if not own.has_ready and self._has_room_for(work.rank):
                 return 0.0
+        # Work that waits for a load takes no room from other work.
         ahead = sum(
-            len(queue) * self._service_times.get(rank, 0.0)
+            queue.count(self._ready_versions()) * self._service_times.get(rank, 0.0)
             for rank, queue in self._queues.items()
             if rank <= work.rank
         )
@@ -433,7 +434,8 @@
         slots = self.floor_slots(work.rank)
         if not slots:
             return by_rank
-        by_floor = (len(self._queue(work.rank)) + 1) * own_time / slots
+        own_ready = self._queue(work.rank).count(self._ready_versions())
+        by_floor = (own_ready + 1) * own_time / slots
         return min(by_rank, by_floor)
 
     def _has_room_for(self, rank: int) -> bool:
@@ -477,6 +479,10 @@
     def _is_ready(self, version: AdapterVersion | None) -> bool:
         return version is None or version in self._ready
 
+    def _ready_versions(self) -> Iterator[AdapterVersion | None]:
+        yield None
+        yield from self._ready
+
     def _policy(self, rank: int) -> RankPolicy:
         return self._policies.get(rank, _NO_POLICY)
 
--- a/fighitch/core/slots.py
+++ b/fighitch/core/slots.py
@@ -374,8 +374,7 @@
         expected = self._demand.rate(adapter_version, now) * RELOAD_COST_SECONDS
         if wanted is None:
             return expected
-        age = 1.0 + wanted.oldest_wait / AGEING_SECONDS
-        return expected + wanted.waiting * wanted.value * age
+        return expected + _waiting_worth(wanted)
 
     def _remember_values(self, wanted: Sequence[Wanted]) -> None:
         for item in wanted:
@@ -414,6 +413,11 @@
     return slot.state is _State.READY and slot.is_draining
 
 
-def _urgency(wanted: Wanted) -> tuple[bool, int, Seconds, float]:
-    is_prefetch = wanted.waiting == 0
-    return is_prefetch, wanted.rank, -wanted.oldest_wait, -wanted.value * wanted.waiting
+def _urgency(wanted: Wanted) -> tuple[bool, int, float]:
+    return wanted.waiting == 0, wanted.rank, -_waiting_worth(wanted)
+
+
+def _waiting_worth(wanted: Wanted) -> float:
+    """Returns the worth of the answers that a load sets going, growing with age."""
+    age = 1.0 + wanted.oldest_wait / AGEING_SECONDS
+    return wanted.waiting * wanted.value * age
--- a/fighitch/core/waiting.py
+++ b/fighitch/core/waiting.py
@@ -6,7 +6,7 @@
 
 import heapq
 from collections import OrderedDict
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterable, Iterator
 from dataclasses import dataclass
 from typing import TypeAlias
 
@@ -116,6 +116,10 @@
         """Returns the work that waits for a version."""
         return tuple(self._by_version.get(version, {}).values())
 
+    def count(self, versions: Iterable[_Version]) -> int:
+        """Returns the number of requests that wait for one of the versions."""
+        return sum(len(self._by_version.get(version, ())) for version in versions)
+
     def add(self, order: int, work: Work, *, resumed: bool = False) -> None:
         """Queues work.
 
