Load first for a rank that misses its floor for want of adapters

Cause: in an urgent flood interactive work below its floor had no loaded adapter, and urgent loads always went first. Change: such a rank's load goes first after a wait of 2 s.

--- a/benchmarks/simulation.py
+++ b/benchmarks/simulation.py
@@ -169,6 +169,8 @@
         # Counters are reset at the end of the warm-up and read per window.
         self.window: tuple[Seconds, Seconds] = (0.0, 0.0)
         self.window_slot_seconds = dict.fromkeys(RANKS, 0.0)
+        self.window_steps = 0
+        self.window_busy: Seconds = 0.0
 
     def room_seconds(self) -> Seconds:
         """Returns for how long the batch has had room, up to now."""
@@ -318,6 +320,9 @@
         totals.steps += 1
         totals.sequence_steps += len(self._in_step)
         totals.tokens += len(self._in_step)
+        if in_window:
+            self.window_steps += 1
+            self.window_busy += time
         for sequence in self._in_step.values():
             totals.slot_seconds[sequence.rank] += time
             if in_window:
--- a/fighitch/core/admission.py
+++ b/fighitch/core/admission.py
@@ -29,6 +29,8 @@
 _MAX_RETRY_AFTER: Seconds = 10.0
 # Share of its target that preemptible work may wait for a load that can be deferred.
 _DEFERRED_SHARE = 0.25
+# A rank below its floor goes before urgent loads after it has waited this long.
+_OWED_SECONDS: Seconds = 2.0
 # Keeps 0.1 * 10 from being rounded up to 2 slots.
 _ROUNDING = 1e-9
 # Outdated entries of the deadline heap are tolerated up to this number.
@@ -140,6 +142,11 @@
         """Returns how many running requests the rank is owed when work waits."""
         return math.ceil(self._policy(rank).floor * self._batch_size - _ROUNDING)
 
+    @property
+    def highest_value(self) -> float:
+        """Worth of one answer of the most valuable rank."""
+        return max((policy.value for policy in self._policies.values()), default=1.0)
+
     def value(self, rank: int) -> float:
         """Returns the worth of one answer of a rank in time."""
         return self._policy(rank).value
@@ -154,8 +161,24 @@
         policy = self._policy(rank)
         if not policy.preemptible or oldest_wait > _DEFERRED_SHARE * policy.target:
             return False
+        if self.is_owed_load(rank, oldest_wait):
+            return False
         return self._free() <= 0 or self._queue(rank).has_ready
 
+    def is_owed_load(self, rank: int, oldest_wait: Seconds) -> bool:
+        """Returns whether a rank misses its floor for want of an adapter.
+
+        It runs less than its floor, all its work waits for loads, and more urgent work
+        would take the room.
+        """
+        if oldest_wait < _OWED_SECONDS or not self._below_floor(rank):
+            return False
+        if self._queue(rank).has_ready:
+            return False
+        return any(
+            other < rank and queue.has_ready for other, queue in self._queues.items()
+        )
+
     def may_borrow_for(self, rank: int, oldest_wait: Seconds) -> bool:
         """Returns whether waiting work of a rank may use permits of other sidecars.
 
--- a/fighitch/core/wanted.py
+++ b/fighitch/core/wanted.py
@@ -7,6 +7,9 @@
 from fighitch.core.slots import Wanted
 from fighitch.types import Seconds
 
+# Goes before every rank.
+_OWED_RANK = -1
+
 
 class WantedVersions:
     """Demand for adapter versions at one engine."""
@@ -37,6 +40,8 @@
                 continue
             known = found.get(version)
             value = self._queue.value(rank)
+            if self._queue.is_owed_load(rank, oldest_wait):
+                rank, value = _OWED_RANK, self._queue.highest_value
             found[version] = Wanted(
                 adapter_version=version,
                 rank=min(rank, known.rank) if known else rank,
