--- a/fighitch/core/sidecar/admission.py
+++ b/fighitch/core/sidecar/admission.py
@@ -27,6 +27,10 @@
 _DRAIN_HALF_LIFE: Seconds = 5.0
 _MIN_RETRY_AFTER: Seconds = 0.1
 _MAX_RETRY_AFTER: Seconds = 10.0
+# Share of its target that preemptible work may wait for a load that can be deferred.
+_DEFERRED_SHARE = 0.25
+# A rank below its floor goes before urgent loads after it has waited this long.
+_OWED_SECONDS: Seconds = 2.0
 # Keeps 0.1 * 10 from being rounded up to 2 slots.
 _ROUNDING = 1e-9
 # Outdated entries of the deadline heap are tolerated up to this number.
@@ -43,6 +47,7 @@
         value: Worth of one answer in time, relative to other ranks.
         preemptible: Whether its work may be paused.
         idempotent: Whether its work may run more than once.
+        target: Agreed time to the first token, in seconds.
     """
 
     floor: float = 0.0
@@ -50,6 +55,7 @@
     value: float = 1.0
     preemptible: bool = False
     idempotent: bool = True
+    target: Seconds = math.inf
 
 
 @dataclass(frozen=True, slots=True)
@@ -136,10 +142,54 @@
         """Returns how many running requests the rank is owed when work waits."""
         return self._floor_slots.get(rank, 0)
 
+    @property
+    def highest_value(self) -> float:
+        """Worth of one answer of the most valuable rank."""
+        return max((policy.value for policy in self._policies.values()), default=1.0)
+
     def value(self, rank: int) -> float:
         """Returns the worth of one answer of a rank in time."""
         return self._policy(rank).value
 
+    def can_defer_load(self, rank: int, oldest_wait: Seconds) -> bool:
+        """Returns whether a load for waiting work of a rank gains nothing yet.
+
+        Preemptible work waits for its adapter until a part of its target has passed,
+        as long as the batch is full or other work of the rank can use the room. Loads
+        are scarce, and more requests then share one.
+        """
+        policy = self._policy(rank)
+        if not policy.preemptible or oldest_wait > _DEFERRED_SHARE * policy.target:
+            return False
+        if self.is_owed_load(rank, oldest_wait):
+            return False
+        return self._free() <= 0 or self._queue(rank).has_ready
+
+    def is_owed_load(self, rank: int, oldest_wait: Seconds) -> bool:
+        """Returns whether a rank misses its floor for want of an adapter.
+
+        It runs less than its floor, all its work waits for loads, and more urgent work
+        would take the room.
+        """
+        if oldest_wait < _OWED_SECONDS or not self._below_floor(rank):
+            return False
+        if self._queue(rank).has_ready:
+            return False
+        return any(
+            other < rank and queue.has_ready for other, queue in self._queues.items()
+        )
+
+    def may_borrow_for(self, rank: int, oldest_wait: Seconds) -> bool:
+        """Returns whether waiting work of a rank may use permits of other sidecars.
+
+        Preemptible work above its floor uses own permits only, so that in a flood of it
+        some permits of the fleet are free when more urgent work needs a load.
+        """
+        policy = self._policy(rank)
+        if not policy.preemptible or oldest_wait > _DEFERRED_SHARE * policy.target:
+            return True
+        return self._running_count(rank) <= self.floor_slots(rank)
+
     def waited_for(
         self, now: Seconds
     ) -> Iterator[tuple[int, AdapterVersion, int, Seconds]]:
@@ -195,7 +245,11 @@
         Returns:
             None if it was queued.
         """
-        refusal = self._over_limit(work, now) or self._too_late(work, now)
+        refusal = (
+            self._over_limit(work, now)
+            or self._too_late(work, now)
+            or self._over_target(work, now)
+        )
         if refusal is not None:
             return refusal
         self._add(work, resumed=False)
@@ -358,6 +412,22 @@
             return None
         return self._deadline_failure(work, now, now + needed - work.deadline)
 
+    def _over_target(self, work: Work, now: Seconds) -> Failure | None:
+        """Refuses what would only wait beyond its target.
+
+        A longer queue does not raise the throughput; it only makes every answer late.
+        """
+        target = self._policy(work.rank).target
+        wait = self._expected_wait(work)
+        if wait <= target:
+            return None
+        return Failure(
+            ErrorKind.OVERLOADED,
+            f"rank {work.rank} waits for {wait:.3f} s, its target is {target:.3f} s; "
+            "repeat after the stated time",
+            retry_after=min(max(wait - target, _MIN_RETRY_AFTER), _MAX_RETRY_AFTER),
+        )
+
     def _deadline_failure(self, work: Work, now: Seconds, excess: Seconds) -> Failure:
         return Failure(
             ErrorKind.DEADLINE_EXCEEDED,
@@ -373,17 +443,24 @@
             own = self._queue(work.rank)
             if not own.has_ready and self._has_room_for(work.rank):
                 return 0.0
+        # Work that waits for a load takes no room from other work.
         ahead = sum(
-            len(queue) * self._service_times.get(rank, 0.0)
+            queue.count(self._ready_versions()) * self._service_times.get(rank, 0.0)
             for rank, queue in self._queues.items()
             if rank <= work.rank
         )
         own_time = self._service_times.get(work.rank, 0.0)
-        by_rank = (ahead + own_time) / max(1, self._batch_size)
+        kept = sum(
+            self.floor_slots(rank)
+            for rank, queue in self._queues.items()
+            if rank > work.rank and (queue or self._running_count(rank))
+        )
+        by_rank = (ahead + own_time) / max(1, self._batch_size - kept)
         slots = self.floor_slots(work.rank)
         if not slots:
             return by_rank
-        by_floor = (len(self._queue(work.rank)) + 1) * own_time / slots
+        own_ready = self._queue(work.rank).count(self._ready_versions())
+        by_floor = (own_ready + 1) * own_time / slots
         return min(by_rank, by_floor)
 
     def _has_room_for(self, rank: int) -> bool:
@@ -427,6 +504,10 @@
     def _is_ready(self, version: AdapterVersion | None) -> bool:
         return version is None or version in self._ready
 
+    def _ready_versions(self) -> Iterator[AdapterVersion | None]:
+        yield None
+        yield from self._ready
+
     def _policy(self, rank: int) -> RankPolicy:
         return self._policies.get(rank, _NO_POLICY)
 
--- a/fighitch/core/sidecar/core.py
+++ b/fighitch/core/sidecar/core.py
@@ -649,9 +649,15 @@
 
     def _borrow(self, now: Seconds) -> None:
         """Asks other sidecars for permits if work waits for loads."""
-        waited_for = {version for _, version, _, _ in self._queue.waited_for(now)}
+        waited_for = {
+            version
+            for rank, version, _, oldest_wait in self._queue.waited_for(now)
+            if not self._queue.can_defer_load(rank, oldest_wait)
+            and self._queue.may_borrow_for(rank, oldest_wait)
+        }
         wanted = sum(
             not self._engine.is_ready(version)
+            and not self._engine.is_loading(version)
             and not self._engine.failed_recently(version, now)
             for version in waited_for
         )
@@ -679,11 +685,17 @@
         self._borrow(now)
         if self._budget.available(now) <= 0:
             return
-        commands = self._engine.plan(
-            self._wanted.list(now), source=self._source, now=now
-        )
-        if not commands:
-            return
+        plan = self._engine.plan(self._wanted.list(now), source=self._source, now=now)
+        paused = [self._execution.pause(item, now=now) for item in plan.drains]
+        self._execution.readiness_changed(now=now)
+        commands = plan.commands
+        if any(paused):
+            # Versions that nothing uses any more are unloaded at once.
+            commands += self._engine.plan(
+                self._wanted.list(now), source=self._source, now=now
+            ).commands
+            self._execution.readiness_changed(now=now)
+            self._execution.pump(now=now)
         self._outbox.add(*commands)
         for command in commands:
             self._outbox.log(
@@ -691,7 +703,6 @@
                 cause="demand and waiting work",
                 adapter_version=str(command.adapter_version),
             )
-        self._execution.readiness_changed(now=now)
 
     def _source(self, version: AdapterVersion) -> str:
         adapter = self._store.get(Kind.ADAPTER, version.adapter)
@@ -744,6 +755,7 @@
             value=max(spec.value for spec in specs),
             preemptible=all(spec.preemptible for spec in specs),
             idempotent=any(spec.idempotent for spec in specs),
+            target=min(spec.target_ms for spec in specs) / 1_000,
         )
         for rank, specs in by_rank.items()
     }
--- a/fighitch/core/sidecar/wanted.py
+++ b/fighitch/core/sidecar/wanted.py
@@ -7,6 +7,9 @@
 from fighitch.core.sidecar.slots import Wanted
 from fighitch.types import Seconds
 
+# Goes before every rank.
+_OWED_RANK = -1
+
 
 class WantedVersions:
     """Demand for adapter versions at one engine."""
@@ -33,8 +36,12 @@
         """Returns what is waited for, one entry a version, then what is in demand."""
         found: dict[AdapterVersion, Wanted] = {}
         for rank, version, waiting, oldest_wait in self._queue.waited_for(now):
+            if self._queue.can_defer_load(rank, oldest_wait):
+                continue
             known = found.get(version)
             value = self._queue.value(rank)
+            if self._queue.is_owed_load(rank, oldest_wait):
+                rank, value = _OWED_RANK, self._queue.highest_value
             found[version] = Wanted(
                 adapter_version=version,
                 rank=min(rank, known.rank) if known else rank,
