--- a/benchmarks/decision_cost.py
+++ b/benchmarks/decision_cost.py
@@ -14,15 +14,15 @@
     configuration,
     engine_name,
 )
-from fighitch.core.admission import AdmissionQueue, RankPolicy
 from fighitch.core.configuration import ConfigurationStore
-from fighitch.core.entry_settings import EntrySettings
-from fighitch.core.indexes import Indexes
-from fighitch.core.membership import Members
+from fighitch.core.entry.indexes import Indexes
+from fighitch.core.entry.membership import Members
+from fighitch.core.entry.routing import Router
+from fighitch.core.entry.settings import EntrySettings
 from fighitch.core.messages import AdapterVersion, Heartbeat, LoadReport
 from fighitch.core.resources import Kind
-from fighitch.core.routing import Router
-from fighitch.core.waiting import Work
+from fighitch.core.sidecar.admission import AdmissionQueue, RankPolicy
+from fighitch.core.sidecar.waiting import Work
 
 SMALL = (3_000, 9)
 LARGE = (22_000, 6_400)
--- a/benchmarks/fighitch_arm.py
+++ b/benchmarks/fighitch_arm.py
@@ -31,7 +31,7 @@
 )
 from fighitch.core.resources import Resource
 from fighitch.core.sidecar import SidecarCore
-from fighitch.core.sidecar_settings import SidecarSettings
+from fighitch.core.sidecar.settings import SidecarSettings
 from fighitch.core.tickets import SharedKey, TicketSigner
 from fighitch.types import ConnectionId, Seconds
 
