--- a/fighitch/core/admission.py
+++ b/fighitch/core/admission.py
@@ -30,7 +30,7 @@
 # Share of its target that preemptible work may wait for a load that can be deferred.
 _DEFERRED_SHARE = 0.25
 # A rank below its floor goes before urgent loads after it has waited this long.
-_OWED_SECONDS: Seconds = 2.0
+_OWED_SECONDS: Seconds = 1.0
 # Keeps 0.1 * 10 from being rounded up to 2 slots.
 _ROUNDING = 1e-9
 # Outdated entries of the deadline heap are tolerated up to this number.
@@ -155,15 +155,16 @@
         """Returns whether a load for waiting work of a rank gains nothing yet.
 
         Preemptible work waits for its adapter until a part of its target has passed,
-        as long as the batch is full or other work of the rank can use the room. Loads
-        are scarce, and more requests then share one.
+        as long as the batch is full, half of it runs such work, or other work of the
+        rank can use the room. Loads are scarce, and more requests then share one.
         """
         policy = self._policy(rank)
         if not policy.preemptible or oldest_wait > _DEFERRED_SHARE * policy.target:
             return False
         if self.is_owed_load(rank, oldest_wait):
             return False
-        return self._free() <= 0 or self._queue(rank).has_ready
+        is_half_of_batch = 2 * self._running_count(rank) >= self._batch_size
+        return is_half_of_batch or self._free() <= 0 or self._queue(rank).has_ready
 
     def is_owed_load(self, rank: int, oldest_wait: Seconds) -> bool:
         """Returns whether a rank misses its floor for want of an adapter.
