--- a/benchmarks/baselines.py
+++ b/benchmarks/baselines.py
@@ -8,7 +8,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from benchmarks.callers import Callers, Stalls
+from benchmarks.simulated_callers import Callers, Stalls
 from benchmarks.simulation import SERVICE_SECONDS, Clock, Engine
 from benchmarks.workload import Arrival, Deployment
 from fighitch.types import Seconds
--- a/benchmarks/callers.py
+++ b/benchmarks/callers.py
@@ -1,178 +1,151 @@
-"""Callers: they send the arrivals, repeat refused requests and note the outcome."""
+"""A small caller for demonstrations, load and failure runs."""
 
-import random
-from collections import Counter, defaultdict
-from collections.abc import Sequence
-from dataclasses import dataclass
+import http.client
+import time
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+from typing import Any
+
+import msgspec
 
-from benchmarks.simulation import Arm, Clock, Engine
-from benchmarks.workload import BATCH, PROFILES, Arrival
 from fighitch.types import Seconds
 
-# One way between a caller and an entry.
-CALLER_LATENCY = 0.002
-MAX_ATTEMPTS = 6
-MIN_REPEAT_SECONDS = 0.05
+DEFAULT_TIMEOUT: Seconds = 60.0
 
 
-@dataclass(slots=True)
-class Outcome:
-    """What became of a request.
+@dataclass(frozen=True)
+class Reply:
+    """What a caller got.
 
     Attributes:
-        arrival: The request.
-        first_token_at: Time of the first token; None if there was none.
-        done_at: Time of the whole answer; None if there was none.
-        failure: Kind of the last failure; empty if it was answered.
-        attempts: Times that the caller sent it.
-        stalled: Time that it waited for a load, in all attempts.
+        status: HTTP status; 0 if the connection broke before an answer.
+        headers: Header names in lower case.
+        body: The body as far as it came.
+        is_whole: Whether the answer ended as HTTP says it must.
+        first_byte: Time to the first byte of the body.
+        duration: Time to the end of the answer.
     """
 
-    arrival: Arrival
-    first_token_at: Seconds | None = None
-    done_at: Seconds | None = None
-    failure: str = ""
-    attempts: int = 0
-    stalled: Seconds = 0.0
-
-    @property
-    def time_to_first_token(self) -> Seconds | None:
-        """Seconds from the arrival to the first token."""
-        if self.first_token_at is None:
-            return None
-        return self.first_token_at - self.arrival.at
+    status: int
+    headers: Mapping[str, str] = field(default_factory=dict)
+    body: bytes = b""
+    is_whole: bool = False
+    first_byte: Seconds = 0.0
+    duration: Seconds = 0.0
 
     @property
-    def is_in_time(self) -> bool:
-        """Whether the whole answer came within the agreed time."""
-        deadline = self.arrival.at + PROFILES[self.arrival.rank].deadline
-        return self.done_at is not None and self.done_at <= deadline
+    def run_state(self) -> str:
+        """Run state that the answer states; empty without an answer."""
+        return self.headers.get("x-run-state", "")
 
     @property
-    def is_in_target(self) -> bool:
-        """Whether the answer is in time and so was its first token."""
-        time = self.time_to_first_token
-        target = PROFILES[self.arrival.rank].target
-        return self.is_in_time and time is not None and time <= target
-
-
-class Stalls:
-    """Time that waiting requests spend without their adapter on the engine.
-
-    For the least urgent rank only the time counts in which the engine's batch has room:
-    in a full batch it could not run with its adapter either.
-    """
-
-    def __init__(self, clock: Clock, outcomes: Sequence[Outcome]) -> None:
-        self._clock = clock
-        self._outcomes = outcomes
-        self._waiting: dict[tuple[int, str], dict[str, int]] = defaultdict(dict)
-        self._places: dict[str, tuple[int, str]] = {}
-        self._since: dict[str, Seconds] = {}
-        self._engines: dict[int, Engine] = {}
-
-    def watch(self, index: int, engine: Engine) -> None:
-        """Follows what is loaded on an engine."""
-        self._engines[index] = engine
-        engine.on_resident = lambda adapter, there: self._resident(
-            index, adapter, there
+    def error_kind(self) -> str:
+        """Error kind that the answer states; empty if there is none."""
+        return self.headers.get("x-error-kind", "")
+
+    def json(self) -> Any:
+        """Returns the decoded body."""
+        return msgspec.json.decode(self.body)
+
+    def events(self) -> list[dict[str, Any]]:
+        """Returns the events of a streamed answer without the final mark."""
+        payloads = [
+            part.removeprefix(b"data: ")
+            for part in self.body.split(b"\n\n")
+            if part.startswith(b"data: ") and part != b"data: [DONE]"
+        ]
+        return [msgspec.json.decode(payload) for payload in payloads]
+
+    def text(self) -> str:
+        """Returns the generated text of a streamed or whole answer."""
+        if self.headers.get("content-type", "").startswith("text/event-stream"):
+            choices = [item["choices"][0] for item in self.events() if item["choices"]]
+        else:
+            choices = self.json()["choices"]
+        return "".join(map(_choice_text, choices))
+
+
+def _choice_text(choice: dict[str, Any]) -> str:
+    holder = choice.get("delta") or choice.get("message") or {}
+    return holder.get("content") or choice.get("text") or ""
+
+
+class Caller:
+    """Sends requests with one bearer key; each request uses its own connection."""
+
+    def __init__(self, key: str, *, timeout: Seconds = DEFAULT_TIMEOUT) -> None:
+        """Takes the bearer key and the longest wait for more bytes."""
+        self._key = key
+        self._timeout = timeout
+
+    def call(
+        self,
+        base_url: str,
+        path: str,
+        body: Any = None,
+        *,
+        method: str = "POST",
+        headers: Mapping[str, str] | None = None,
+    ) -> Reply:
+        """Sends a request and reads the whole answer.
+
+        Args:
+            base_url: ``http://ip:port`` of an entry.
+            path: Path of the call.
+            body: Sent as JSON; bytes are sent as they are.
+            method: HTTP method.
+            headers: Further headers.
+
+        Returns:
+            The reply; status 0 if the connection broke before an answer.
+        """
+        started_at = time.monotonic()
+        connection = http.client.HTTPConnection(
+            base_url.removeprefix("http://"), timeout=self._timeout
         )
-
-    def wait(self, request: str, number: int, index: int, engine: Engine) -> None:
-        """A request begins to wait at an engine."""
-        adapter = self._outcomes[number].arrival.adapter
-        self._waiting[index, adapter][request] = number
-        self._places[request] = (index, adapter)
-        if adapter not in engine.resident:
-            self._since[request] = self._time(number, index)
-
-    def end(self, request: str) -> None:
-        """A request is called, or its attempt is over."""
-        place = self._places.pop(request, None)
-        if place is None:
-            return
-        number = self._waiting[place].pop(request)
-        self._stop(request, number, place[0])
-
-    def _resident(self, index: int, adapter: str, there: bool) -> None:
-        for request, number in self._waiting.get((index, adapter), {}).items():
-            if there:
-                self._stop(request, number, index)
-            else:
-                self._since.setdefault(request, self._time(number, index))
-
-    def _stop(self, request: str, number: int, index: int) -> None:
-        since = self._since.pop(request, None)
-        if since is not None:
-            self._outcomes[number].stalled += self._time(number, index) - since
-
-    def _time(self, number: int, index: int) -> Seconds:
-        if self._outcomes[number].arrival.rank == BATCH:
-            return self._engines[index].room_seconds()
-        return self._clock.now
-
-
-class Callers:
-    """Sends the arrivals to an arm and repeats what was refused as not run."""
-
-    def __init__(
-        self, clock: Clock, arrivals: Sequence[Arrival], rng: random.Random
-    ) -> None:
-        self._clock = clock
-        self._rng = rng
-        self._arm: Arm | None = None
-        self._open = len(arrivals)
-        self.outcomes = [Outcome(arrival) for arrival in arrivals]
-        self.refusals: Counter[tuple[int, str]] = Counter()
-
-    @property
-    def are_done(self) -> bool:
-        """Whether every request has ended."""
-        return self._open <= 0
-
-    def start(self, arm: Arm) -> None:
-        """Schedules every request."""
-        self._arm = arm
-        for outcome in self.outcomes:
-            arrival = outcome.arrival
-            self._clock.at(arrival.at + CALLER_LATENCY, self._send, outcome)
-
-    def first_token(self, number: int) -> None:
-        """The first token left the entry; later ones of repeats do not count."""
-        outcome = self.outcomes[number]
-        if outcome.first_token_at is None:
-            outcome.first_token_at = self._clock.now + CALLER_LATENCY
-
-    def answered(self, number: int) -> None:
-        """The whole answer left the entry."""
-        outcome = self.outcomes[number]
-        if outcome.done_at is None:
-            outcome.done_at = self._clock.now + CALLER_LATENCY
-            outcome.failure = ""
-            self._open -= 1
-
-    def failed(
-        self, number: int, kind: str, *, retry_after: Seconds | None, not_run: bool
-    ) -> None:
-        """An attempt failed; it is repeated if that can still be in time."""
-        outcome = self.outcomes[number]
-        rank = outcome.arrival.rank
-        self.refusals[rank, kind] += 1
-        outcome.failure = kind
-        delay = max(MIN_REPEAT_SECONDS, retry_after or 0.0)
-        # Callers of the least urgent work wait longer after each refusal.
-        if rank == BATCH:
-            delay *= 2 ** (outcome.attempts - 1) * (1 + self._rng.random())
-        latest = outcome.arrival.at + PROFILES[rank].target
-        again_at = self._clock.now + 2 * CALLER_LATENCY + delay
-        if not_run and outcome.attempts < MAX_ATTEMPTS and again_at < latest:
-            self._clock.at(again_at, self._send, outcome)
-            return
-        self._open -= 1
-
-    def _send(self, outcome: Outcome) -> None:
-        assert self._arm is not None
-        outcome.attempts += 1
-        arrival = outcome.arrival
-        deadline = arrival.at + PROFILES[arrival.rank].deadline
-        self._arm.submit(arrival, outcome.attempts, deadline)
+        sent = body if isinstance(body, bytes) else msgspec.json.encode(body)
+        all_headers = {
+            "Authorization": f"Bearer {self._key}",
+            "Content-Type": "application/json",
+            **(headers or {}),
+        }
+        try:
+            connection.request(
+                method, path, None if body is None else sent, all_headers
+            )
+            response = connection.getresponse()
+            return _read(response, started_at)
+        except (OSError, http.client.HTTPException):
+            return Reply(0, duration=time.monotonic() - started_at)
+        finally:
+            connection.close()
+
+    def issue_key(self, base_url: str, **target: str) -> str:
+        """Asks for an idempotency key; empty if none was issued."""
+        reply = self.call(base_url, "/v1/idempotency-keys", target)
+        if reply.status != http.HTTPStatus.CREATED:
+            return ""
+        return reply.json()["idempotency_key"]
+
+
+def _read(response: http.client.HTTPResponse, started_at: Seconds) -> Reply:
+    headers = {name.lower(): value for name, value in response.getheaders()}
+    body = bytearray()
+    first_byte = 0.0
+    is_whole = True
+    try:
+        while part := response.read1(65_536):
+            first_byte = first_byte or time.monotonic() - started_at
+            body += part
+        is_whole = response.length in (None, 0)
+    except (OSError, http.client.HTTPException):
+        is_whole = False
+    duration = time.monotonic() - started_at
+    return Reply(
+        response.status,
+        headers,
+        bytes(body),
+        is_whole,
+        first_byte or duration,
+        duration,
+    )
--- a/benchmarks/measure.py
+++ b/benchmarks/measure.py
@@ -9,8 +9,8 @@
 from hdrh.histogram import HdrHistogram
 
 from benchmarks.baselines import BaselineArm, least_loaded, round_robin
-from benchmarks.callers import Callers, Outcome, Stalls
 from benchmarks.fighitch_arm import FighitchArm
+from benchmarks.simulated_callers import Callers, Outcome, Stalls
 from benchmarks.simulation import Arm, Clock, Engine, WeightStore
 from benchmarks.workload import (
     COST,
--- a/fighitch/core/effects.py
+++ b/fighitch/core/effects.py
@@ -1,11 +1,12 @@
 """What the cores ask their surroundings to do."""
 
+import math
 from dataclasses import dataclass
 from typing import TypeAlias
 
 from fighitch.core.errors import Failure, RunState
 from fighitch.core.messages import AdapterVersion, Message
-from fighitch.types import ConnectionId, Milliseconds, RequestId
+from fighitch.types import ConnectionId, Milliseconds, RequestId, Seconds
 
 # --- Both cores ---
 
@@ -105,10 +106,18 @@
 
 @dataclass(frozen=True, slots=True)
 class AnswerFailed:
-    """The request ends with an error; after ``AnswerStarted`` the stream is cut."""
+    """The request ends with an error; after ``AnswerStarted`` the stream is cut.
+
+    Attributes:
+        request_id: Request that failed.
+        failure: Why, and whether the work ran.
+        was_sent: Whether this request was sent to a sidecar. If not, and no earlier
+            request used its idempotency key, the work was not run.
+    """
 
     request_id: RequestId
     failure: Failure
+    was_sent: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -159,6 +168,8 @@
         ticket: Idempotency key to pass on to a plain service; empty if none.
         streamed: Whether a stream is wanted.
         traceparent: W3C trace context.
+        deadline: Monotonic time after which the call must not be started. A process
+            may be paused between the decision and the call.
     """
 
     request_id: RequestId
@@ -174,6 +185,7 @@
     ticket: str = ""
     streamed: bool = False
     traceparent: str = ""
+    deadline: Seconds = math.inf
 
 
 @dataclass(frozen=True, slots=True)
--- a/fighitch/core/entry.py
+++ b/fighitch/core/entry/core.py
@@ -7,22 +7,28 @@
 import random
 from collections import Counter
 from collections.abc import Iterable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from functools import singledispatchmethod
 
 from expression import Error, Ok, Result
 
-from fighitch.core.answers import Answers
 from fighitch.core.anti_entropy import ConfigurationExchange
-from fighitch.core.attempts import Phase, Work, WorkTable
 from fighitch.core.audit import AuditLog, AuditRecord
 from fighitch.core.configuration import ConfigurationStore
-from fighitch.core.connections import Connections, Link
-from fighitch.core.dispatch import Dispatcher
 from fighitch.core.effects import AnswerFailed, EntryEffect, Stop
-from fighitch.core.entry_settings import EntrySettings
+from fighitch.core.entry.answers import Answers
+from fighitch.core.entry.attempts import Phase, Work, WorkTable
+from fighitch.core.entry.connections import Connections, Link
+from fighitch.core.entry.dispatch import Dispatcher
+from fighitch.core.entry.indexes import Indexes
+from fighitch.core.entry.intake import Intake, Plan
+from fighitch.core.entry.membership import MemberEvent, Members, ZoneCut
+from fighitch.core.entry.orders import Orders, body_digest
+from fighitch.core.entry.outbox import Outbox
+from fighitch.core.entry.replies import Replies
+from fighitch.core.entry.routing import Router
+from fighitch.core.entry.settings import EntrySettings
 from fighitch.core.errors import ErrorKind, Failure, RunState
-from fighitch.core.indexes import Indexes, Target
 from fighitch.core.inputs import (
     CallerGone,
     CallerRequest,
@@ -38,7 +44,6 @@
     Tick,
     TicketRequested,
 )
-from fighitch.core.membership import MemberEvent, Members, ZoneCut
 from fighitch.core.messages import (
     Chunk,
     ConfigurationDelta,
@@ -47,12 +52,6 @@
     Heartbeat,
     Refused,
 )
-from fighitch.core.orders import Orders, body_digest
-from fighitch.core.outbox import Outbox
-from fighitch.core.policies import choose_policy
-from fighitch.core.replies import Replies
-from fighitch.core.resources import Kind, Resource
-from fighitch.core.routing import Router
 from fighitch.core.tickets import TicketSigner
 from fighitch.types import Incarnation, InstanceName, RequestId, Revision, Seconds
 
@@ -68,6 +67,7 @@
     in_flight: int
     running: int
     queued: int
+    batch_size: int
     resident: int
 
 
@@ -83,7 +83,7 @@
         revision: Configuration revision; every change up to it is in force.
         configuration_age: Time since changes last arrived; None before the first.
         in_flight: Requests in flight, by rank.
-        members: Known sidecars.
+        backend_servers: Known sidecars and their backend servers.
         connections: Number of open connections.
         cut_zones: Availability zones without contact.
     """
@@ -95,18 +95,11 @@
     revision: Revision
     configuration_age: Seconds | None
     in_flight: tuple[tuple[int, int], ...]
-    members: tuple[MemberStatus, ...]
+    backend_servers: tuple[MemberStatus, ...]
     connections: int
     cut_zones: tuple[str, ...]
 
 
-@dataclass(frozen=True, slots=True)
-class _Plan:
-    caller: Resource
-    target: Target
-    policy: Resource
-
-
 class EntryCore:
     """Routes callers' requests to sidecars and verifies the answers."""
 
@@ -196,8 +189,13 @@
             outbox=self._outbox,
             settings=self._settings,
         )
+        self._intake = Intake(self._indexes)
+        self._placement_generation = self._indexes.placement_generation
         self._is_draining = False
         self._is_stopped = False
+        # Each access to a singledispatchmethod builds a new function.
+        self._handle_event = self._handle
+        self._receive_message = self._receive
 
     @property
     def is_ready(self) -> bool:
@@ -219,7 +217,7 @@
         Returns:
             Effects in the order in which they are to be carried out.
         """
-        self._handle(event, now)
+        self._handle_event(event, now)
         self._stop_if_drained(now)
         return self._outbox.drain()
 
@@ -239,7 +237,7 @@
             revision=self._store.revision,
             configuration_age=age,
             in_flight=tuple(sorted(ranks.items())),
-            members=tuple(
+            backend_servers=tuple(
                 MemberStatus(
                     name=member.name,
                     state=member.state.value,
@@ -248,6 +246,7 @@
                     in_flight=member.in_flight,
                     running=sum(member.report.running) if member.report else 0,
                     queued=sum(member.report.queued) if member.report else 0,
+                    batch_size=member.report.batch_size if member.report else 0,
                     resident=len(member.report.resident) if member.report else 0,
                 )
                 for member in sorted(self._members, key=lambda item: item.name)
@@ -266,11 +265,13 @@
             # The first request of that id gets the only answer.
             self._log_duplicate(event.request_id, now)
             return
-        planned = self._plan(
-            event.key_digest, model=event.model, service=event.service, work=event.work
-        ).bind(self._limit)
+        planned = self._plan(event).bind(self._limit)
         if planned.is_error():
-            self._refuse(event.request_id, planned.error, now)
+            failure = planned.error
+            if event.idempotency_key:
+                # An earlier request with this key may have run.
+                failure = replace(failure, stated_run_state=RunState.UNKNOWN)
+            self._refuse(event.request_id, failure, now)
             return
         plan = planned.ok
         policy = plan.policy.spec
@@ -294,9 +295,7 @@
 
     @_handle.register
     def _(self, event: TicketRequested, now: Seconds) -> None:
-        planned = self._plan(
-            event.key_digest, model=event.model, service=event.service, work=""
-        )
+        planned = self._plan(event)
         if planned.is_error():
             self._refuse(event.request_id, planned.error, now)
             return
@@ -361,7 +360,7 @@
             )
             return
         link.last_heard = now
-        self._receive(event.message, link, now)
+        self._receive_message(event.message, link, now)
 
     @_handle.register
     def _(self, event: InstancesListed, now: Seconds) -> None:
@@ -436,30 +435,26 @@
         self._changed_at = now
         self._configuration_changed(now)
 
-    def _plan(
-        self, key_digest: str, *, model: str, service: str, work: str
-    ) -> Result[_Plan, Failure]:
-        """Finds out who asks for what and by which work policy."""
+    def _plan(self, event: CallerRequest | TicketRequested) -> Result[Plan, Failure]:
+        """Returns the plan of a request unless this entry takes none."""
         if self._is_draining:
             detail = "this entry is about to stop; repeat the request at another entry"
             return Error(_not_run(ErrorKind.DRAINING, detail))
         if self._store.revision == 0:
             detail = "this entry has no configuration yet; repeat at another entry"
             return Error(_not_run(ErrorKind.NOT_READY, detail))
-        caller = self._indexes.authenticate(key_digest)
-        if caller.is_error():
-            return Error(caller.error)
-        target = self._indexes.target(model=model, service=service)
-        if target.is_error():
-            return Error(target.error)
-        return choose_policy(
-            self._indexes.policies,
-            caller=caller.ok,
-            targets=target.ok.labels,
-            work=work,
-        ).map(lambda policy: _Plan(caller.ok, target.ok, policy))
-
-    def _limit(self, plan: _Plan) -> Result[_Plan, Failure]:
+        target = {"model": event.model, "service": event.service}
+        if isinstance(event, TicketRequested):
+            return self._intake.plan(event.key_digest, **target)
+        return self._intake.plan(
+            event.key_digest,
+            **target,
+            work=event.work,
+            method=event.method,
+            path=event.path,
+        )
+
+    def _limit(self, plan: Plan) -> Result[Plan, Failure]:
         limit = plan.caller.spec.max_in_flight
         if not limit or self._works.in_flight(plan.caller.name) < limit:
             return Ok(plan)
@@ -554,14 +549,17 @@
     def _configuration_changed(self, now: Seconds) -> None:
         if not self._indexes.refresh():
             return
-        self._members.sync(self._store.of_kind(Kind.BACKEND_SERVER))
-        self._connections.reconcile(now)
         self._outbox.log(
             "configuration_changed",
             now=now,
             cause="new resources merged",
             revision=self._store.revision,
         )
+        if self._placement_generation == self._indexes.placement_generation:
+            return
+        self._placement_generation = self._indexes.placement_generation
+        self._members.sync(self._indexes.servers)
+        self._connections.reconcile(now)
         for work in list(self._works):
             if work.member and self._members.get(work.member) is None:
                 self._after_removal(work, now)
--- a/fighitch/core/replies.py
+++ b/fighitch/core/entry/replies.py
@@ -2,17 +2,17 @@
 
 import dataclasses
 
-from fighitch.core.attempts import Work, WorkTable
 from fighitch.core.effects import (
     AnswerData,
     AnswerEnded,
     AnswerFailed,
     AnswerStarted,
 )
+from fighitch.core.entry.attempts import Work, WorkTable
+from fighitch.core.entry.outbox import Outbox
 from fighitch.core.errors import Failure
 from fighitch.core.invariants import check
 from fighitch.core.messages import Chunk, End
-from fighitch.core.outbox import Outbox
 from fighitch.types import Seconds
 
 _STREAM_CONTENT_TYPE = "text/event-stream"
@@ -90,7 +90,9 @@
             run_state=failure.run_state.value,
         )
         if not work.is_abandoned:
-            self._outbox.add(AnswerFailed(work.request_id, failure))
+            self._outbox.add(
+                AnswerFailed(work.request_id, failure, was_sent=work.attempt > 0)
+            )
         self._works.remove(work)
 
     def drop(self, work: Work, now: Seconds, *, cause: str) -> None:
--- /dev/null
+++ b/fighitch/core/object_api.py
@@ -0,0 +1,217 @@
+"""Calls to the object API and the reading of its answers.
+
+The object API follows the conventions of Kubernetes: one URL for each object, writes
+that name the ``resourceVersion`` they are based on, 409 when it has changed.
+"""
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+from typing import Any, TypeAlias
+from urllib.parse import quote, urlencode
+
+import msgspec
+from expression import Error, Ok, Result
+
+from fighitch.core.errors import ErrorKind, Failure
+from fighitch.core.http_calls import CallResult, HttpAnswer, HttpCall, NoAnswer
+from fighitch.core.resources import API_VERSION, Kind, Resource, parse_resource
+from fighitch.types import Revision, Seconds
+
+GROUP_PATH = f"/apis/{API_VERSION}"
+CLAIM_KIND = "Claim"
+INSTANCE_KIND = "Instance"
+
+PLURALS: Mapping[str, str] = {
+    Kind.ADAPTER.value: "adapters",
+    Kind.CALLER.value: "callers",
+    Kind.BACKEND_SERVER.value: "backendservers",
+    Kind.WORK_POLICY.value: "workpolicies",
+    Kind.PLACEMENT.value: "placements",
+    Kind.WEIGHT_STORE.value: "weightstores",
+    CLAIM_KIND: "claims",
+    INSTANCE_KIND: "instances",
+}
+
+CONFIGURATION_KINDS = frozenset(kind.value for kind in Kind)
+
+Document: TypeAlias = dict[str, Any]
+
+
+def object_path(kind: str, name: str = "") -> str:
+    """Returns the path of an object, or of all objects of a kind."""
+    path = f"{GROUP_PATH}/{PLURALS[kind]}"
+    return f"{path}/{quote(name, safe='')}" if name else path
+
+
+def list_call(kind: str) -> HttpCall:
+    """Returns the call that lists all objects of a kind."""
+    return HttpCall("GET", object_path(kind))
+
+
+def get_call(kind: str, name: str) -> HttpCall:
+    """Returns the call that reads one object."""
+    return HttpCall("GET", object_path(kind, name))
+
+
+def create_call(document: Document) -> HttpCall:
+    """Returns the call that creates an object unless one of that name exists."""
+    metadata = {
+        key: value
+        for key, value in document["metadata"].items()
+        if key != "resourceVersion"
+    }
+    body = msgspec.json.encode({**document, "metadata": metadata})
+    return HttpCall("POST", object_path(document["kind"]), body)
+
+
+def replace_call(document: Document) -> HttpCall:
+    """Returns the call that replaces an object if its resource version is current.
+
+    Args:
+        document: New content; ``metadata.resourceVersion`` names the version that it
+            is based on.
+
+    Raises:
+        ValueError: If it names none, because such a call would overwrite blindly.
+    """
+    if not document["metadata"].get("resourceVersion"):
+        raise ValueError(
+            "replace needs metadata.resourceVersion; read the object first"
+        )
+    path = object_path(document["kind"], document["metadata"]["name"])
+    return HttpCall("PUT", path, msgspec.json.encode(document))
+
+
+def delete_call(kind: str, name: str, *, revision: Revision = 0) -> HttpCall:
+    """Returns the call that deletes an object.
+
+    Args:
+        kind: Kind of the object.
+        name: Name of the object.
+        revision: Delete only this resource version; 0 deletes any.
+    """
+    body = None
+    if revision:
+        options = {"preconditions": {"resourceVersion": str(revision)}}
+        body = msgspec.json.encode({"kind": "DeleteOptions", **options})
+    return HttpCall("DELETE", object_path(kind, name), body)
+
+
+def resources_call() -> HttpCall:
+    """Returns the call that lists the configuration of all kinds."""
+    return HttpCall("GET", f"{GROUP_PATH}/resources")
+
+
+def watch_call(since: Revision, *, timeout: Seconds) -> HttpCall:
+    """Returns the call that streams changes.
+
+    Args:
+        since: Changes after this revision are wanted.
+        timeout: Time in seconds after which the server ends the stream.
+    """
+    query = {
+        "watch": "true",
+        "resourceVersion": str(since),
+        "allowWatchBookmarks": "true",
+        "timeoutSeconds": str(max(1, round(timeout))),
+    }
+    return HttpCall("GET", f"{GROUP_PATH}/resources?{urlencode(query)}")
+
+
+# --- Reading ---
+
+
+def revision_of(document: Document) -> Revision:
+    """Returns the resource version of an object or list; 0 if it has none."""
+    try:
+        return int(document["metadata"]["resourceVersion"])
+    except (KeyError, TypeError, ValueError):
+        return 0
+
+
+def read_document(
+    result: CallResult, *, server: str = "the object API"
+) -> Result[Document, Failure]:
+    """Interprets the answer to a call that reads.
+
+    Args:
+        result: Result of a list or get call.
+        server: Who was called, for error messages.
+
+    Returns:
+        The object or list, or a failure: ``UNKNOWN_ROUTE`` if there is no such object,
+        ``PLATFORM_UNAVAILABLE`` if a repeat may succeed.
+    """
+    if isinstance(result, NoAnswer):
+        return _unavailable(f"{server} does not answer: {result.detail}")
+    if result.status == 404:
+        return Error(Failure(ErrorKind.UNKNOWN_ROUTE, answer_message(result, server)))
+    if result.status != 200:
+        return _unavailable(
+            answer_message(result, server), retry_after=result.retry_after
+        )
+    document = decoded_object(result.body)
+    if document is None:
+        return _unavailable(f"{server} answered 200 without a JSON object")
+    return Ok(document)
+
+
+@dataclass(frozen=True, slots=True)
+class ResourceList:
+    """The configuration at one revision.
+
+    Attributes:
+        resources: Resources that could be read.
+        revision: Revision of the list.
+        rejected: One line for each object that could not be read.
+    """
+
+    resources: tuple[Resource, ...]
+    revision: Revision
+    rejected: tuple[str, ...] = ()
+
+
+def read_resources(document: Document) -> ResourceList:
+    """Reads the list of all kinds.
+
+    An object that cannot be read is left out and reported, so that one bad object does
+    not keep a process without configuration.
+    """
+    parsed = [
+        parse_resource(item)
+        for item in document.get("items") or ()
+        if item.get("kind") in CONFIGURATION_KINDS
+    ]
+    return ResourceList(
+        resources=tuple(item.ok for item in parsed if item.is_ok()),
+        revision=revision_of(document),
+        rejected=tuple(item.error.detail for item in parsed if item.is_error()),
+    )
+
+
+def labels_of(document: Document) -> dict[str, str]:
+    """Returns the labels of an object."""
+    return dict(document.get("metadata", {}).get("labels") or {})
+
+
+def decoded_object(body: bytes) -> Document | None:
+    """Returns the JSON object in a body; None if there is none."""
+    try:
+        return msgspec.json.decode(body, type=dict[str, Any])
+    except msgspec.MsgspecError:
+        return None
+
+
+def answer_message(answer: HttpAnswer, server: str = "the object API") -> str:
+    """Returns a sentence on an answer that is not a success."""
+    status = decoded_object(answer.body) or {}
+    detail = status.get("message") or status.get("reason") or "no explanation"
+    return f"{server} answered {answer.status}: {detail}"
+
+
+def _unavailable(
+    detail: str, *, retry_after: Seconds | None = None
+) -> Result[Any, Failure]:
+    return Error(
+        Failure(ErrorKind.PLATFORM_UNAVAILABLE, detail, retry_after=retry_after)
+    )
--- a/fighitch/core/borrowing.py
+++ b/fighitch/core/sidecar/borrowing.py
@@ -4,7 +4,7 @@
 
 import xxhash
 
-from fighitch.core.load_budget import share_of
+from fighitch.core.sidecar.load_budget import share_of
 from fighitch.types import InstanceName
 
 # Enough lenders to get a multiple of the own share, few enough for a large fleet.
--- a/fighitch/core/engine_state.py
+++ b/fighitch/core/sidecar/engine_state.py
@@ -17,9 +17,9 @@
 from fighitch.core.effects import LoadAdapter, UnloadAdapter
 from fighitch.core.inputs import EngineReported
 from fighitch.core.invariants import check
-from fighitch.core.load_budget import LoadBudget
 from fighitch.core.messages import AdapterVersion
-from fighitch.core.slots import AdapterSlots, Wanted
+from fighitch.core.sidecar.load_budget import LoadBudget
+from fighitch.core.sidecar.slots import AdapterSlots, Wanted
 from fighitch.types import Seconds
 
 
--- a/fighitch/core/execution.py
+++ b/fighitch/core/sidecar/execution.py
@@ -9,10 +9,7 @@
 from functools import singledispatchmethod
 from typing import Any
 
-from fighitch.core.admission import AdmissionQueue
-from fighitch.core.calls import Request, RequestTable
 from fighitch.core.effects import CancelBackend
-from fighitch.core.engine_state import EngineState
 from fighitch.core.errors import ErrorKind, Failure, RunState
 from fighitch.core.inputs import (
     BackendData,
@@ -21,13 +18,16 @@
     BackendStarted,
 )
 from fighitch.core.invariants import check
-from fighitch.core.ledger import OrderLedger, Outcome
 from fighitch.core.messages import AdapterVersion
-from fighitch.core.sidecar_answers import Answers
-from fighitch.core.sidecar_outbox import Outbox
-from fighitch.core.sidecar_settings import SidecarSettings
-from fighitch.core.streams import AnswerInfo, AnswerStream
-from fighitch.core.waiting import Work
+from fighitch.core.sidecar.admission import AdmissionQueue
+from fighitch.core.sidecar.answers import Answers
+from fighitch.core.sidecar.calls import Request, RequestTable
+from fighitch.core.sidecar.engine_state import EngineState
+from fighitch.core.sidecar.ledger import OrderLedger, Outcome
+from fighitch.core.sidecar.outbox import Outbox
+from fighitch.core.sidecar.settings import SidecarSettings
+from fighitch.core.sidecar.streams import AnswerInfo, AnswerStream
+from fighitch.core.sidecar.waiting import Work
 from fighitch.types import Seconds
 
 _NOT_FOUND = 404
@@ -195,9 +195,9 @@
             self._stop_call(request)
             self._interrupted(request, "data came before the status", now)
             return
+        request.generated.append(event.text)
+        request.generated_tokens += event.tokens
         if request.submit.streamed:
-            request.generated.append(event.text)
-            request.generated_tokens += event.tokens
             if request.is_order:
                 request.hold(event.data, limit=self._settings.max_outcome_bytes)
             if request.stream is not None:
--- a/fighitch/core/wanted.py
+++ b/fighitch/core/sidecar/wanted.py
@@ -2,9 +2,9 @@
 
 from collections import OrderedDict
 
-from fighitch.core.admission import AdmissionQueue
 from fighitch.core.messages import AdapterVersion
-from fighitch.core.slots import Wanted
+from fighitch.core.sidecar.admission import AdmissionQueue
+from fighitch.core.sidecar.slots import Wanted
 from fighitch.types import Seconds
 
 # Goes before every rank.
--- /dev/null
+++ b/fighitch/settings.py
@@ -0,0 +1,410 @@
+"""Typed settings of the daemons and the client, read from JSON with comments."""
+
+from collections.abc import Iterator, Mapping
+from dataclasses import dataclass
+from enum import Enum
+from pathlib import Path
+from typing import Annotated, Any, Literal, TypeVar
+
+import msgspec
+from expression import Error, Ok, Result
+
+from fighitch.core.commented_json import KeyPath, line_of, parse_commented_json
+from fighitch.core.tickets import SharedKey
+from fighitch.settings_faults import (
+    REDACTED,
+    Problem,
+    conversion_problem,
+    dotted,
+    format_problems,
+)
+from fighitch.settings_formats import (
+    Address,
+    KeyId,
+    Name,
+    PositiveInt,
+    RequiredUrl,
+    Secret,
+    Url,
+    split_address as split_address,
+)
+
+# A message between our own processes has at most 4 MiB; the rest is for its envelope.
+MAX_BODY_BYTES = 4 * 1024 * 1024 - 64 * 1024
+MAX_HTTP_WORKERS = 4_096
+
+
+class ReloadRule(Enum):
+    """When a changed key takes effect."""
+
+    RELOAD = "reload"
+    RESTART = "restart"
+
+
+class _Settings(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
+    """Base of all settings: immutable, unknown keys are errors."""
+
+
+class SharedKeySettings(_Settings, frozen=True, kw_only=True):
+    """A key that the project's own processes share.
+
+    Attributes:
+        key_id: Name of the key, sent along with what it signs.
+        secret: The key itself.
+    """
+
+    key_id: KeyId
+    secret: Secret
+
+    def __repr__(self) -> str:
+        return f"SharedKeySettings(key_id={self.key_id!r}, secret={REDACTED})"
+
+    @property
+    def key(self) -> SharedKey:
+        """The key in the form that signing functions take."""
+        return SharedKey(self.key_id, bytes.fromhex(self.secret))
+
+
+class LogSettings(_Settings, frozen=True, kw_only=True):
+    """Where log lines go and which.
+
+    Attributes:
+        level: Least severe level that is written.
+        file: Path of the log file; empty writes to standard error.
+    """
+
+    level: Literal["debug", "info", "notice", "warning", "error", "critical"] = "info"
+    file: str = ""
+
+
+class TraceSettings(_Settings, frozen=True, kw_only=True):
+    """Where trace spans go.
+
+    Attributes:
+        exporter: Destination of finished spans.
+        path: File of the ``file`` exporter.
+    """
+
+    exporter: Literal["none", "console", "file"] = "none"
+    path: str = ""
+
+
+class BackendSettings(_Settings, frozen=True, kw_only=True):
+    """The backend server beside a sidecar.
+
+    Attributes:
+        type: Protocol that it speaks.
+        url: Its base URL.
+        service: Name of a plain service; empty for an engine.
+        model: Base model of an engine; empty for a plain service.
+        adapter_slots: Adapters that the engine holds at once.
+        batch_size: Requests that it runs at once.
+        checks_fencing: Whether it refuses commands with an old fencing token.
+    """
+
+    type: Literal["engine", "service"]
+    url: RequiredUrl
+    service: str = ""
+    model: str = ""
+    adapter_slots: PositiveInt = 8
+    batch_size: PositiveInt = 16
+    checks_fencing: bool = False
+
+
+class EntrySettings(_Settings, frozen=True, kw_only=True):
+    """Settings of ``fighitch entry``.
+
+    Attributes:
+        instance: Name of this instance, unique in the deployment.
+        availability_zone: Availability zone of this instance.
+        region: Region of this instance.
+        http_address: Address on which callers are served.
+        admin_address: Address for metrics, health checks and operators.
+        shared_keys: Keys shared by the deployment's processes; the first one signs,
+            all are accepted, which allows rotation.
+        peers: Peer addresses of sidecars, used before any configuration is known.
+        object_api: Base URL of the object API; empty runs without one.
+        instance_list: URL of the platform's list of instances; empty for none.
+        max_body_bytes: Largest body of a caller's request, in bytes.
+        http_workers: Threads that serve callers; each request holds one until its
+            answer is complete.
+        drain_seconds: Longest drain at a planned stop, in seconds, after which the
+            process exits with requests in flight; 0 waits for the last request.
+        drain_notice_seconds: Time in seconds from a stop signal, during which the
+            balancer sees that the entry is not ready and requests are still served.
+        watch: Whether this entry watches the object API and so feeds its peers.
+        log: Log output.
+        traces: Trace output.
+    """
+
+    instance: Name
+    availability_zone: Name
+    region: str = ""
+    http_address: Address
+    admin_address: Address
+    shared_keys: Annotated[tuple[SharedKeySettings, ...], msgspec.Meta(min_length=1)]
+    peers: tuple[Address, ...] = ()
+    object_api: Url = ""
+    instance_list: Url = ""
+    max_body_bytes: Annotated[int, msgspec.Meta(ge=1, le=MAX_BODY_BYTES)] = 1_048_576
+    http_workers: Annotated[int, msgspec.Meta(ge=1, le=MAX_HTTP_WORKERS)] = 128
+    drain_seconds: Annotated[float, msgspec.Meta(ge=0)] = 0.0
+    drain_notice_seconds: Annotated[float, msgspec.Meta(ge=0)] = 2.0
+    watch: bool = False
+    log: LogSettings = LogSettings()
+    traces: TraceSettings = TraceSettings()
+
+
+class SidecarSettings(_Settings, frozen=True, kw_only=True):
+    """Settings of ``fighitch sidecar``.
+
+    Attributes:
+        instance: Name of this instance, unique in the deployment.
+        availability_zone: Availability zone of this instance.
+        region: Region of this instance.
+        peer_address: Address on which entries and other sidecars are accepted.
+        admin_address: Address for metrics, health checks and operators.
+        backend: The backend server beside this sidecar.
+        shared_keys: Keys shared by the deployment's processes; the first one signs,
+            all are accepted, which allows rotation.
+        peers: Peer addresses of other sidecars, used before any configuration is
+            known.
+        object_api: Base URL of the object API; empty runs without one.
+        ticket_epoch_seconds: Time after which the ticket epoch advances, in seconds;
+            records of orders are kept for 6 epochs.
+        log: Log output.
+        traces: Trace output.
+    """
+
+    instance: Name
+    availability_zone: Name
+    region: str = ""
+    peer_address: Address
+    admin_address: Address
+    backend: BackendSettings
+    shared_keys: Annotated[tuple[SharedKeySettings, ...], msgspec.Meta(min_length=1)]
+    peers: tuple[Address, ...] = ()
+    object_api: Url = ""
+    ticket_epoch_seconds: Annotated[float, msgspec.Meta(gt=0)] = 600.0
+    log: LogSettings = LogSettings()
+    traces: TraceSettings = TraceSettings()
+
+
+class ClientSettings(_Settings, frozen=True, kw_only=True):
+    """Settings of the operators' client.
+
+    Attributes:
+        object_api: Base URL of the object API.
+        entries: Admin addresses of the entries.
+        sidecars: Admin addresses of the sidecars, asked by ``explain``.
+        shared_keys: Keys shared by the deployment's processes; the first one signs
+            configuration that is handed to entries.
+        operator_key: Bearer key sent to the object API and the admin addresses; empty
+            sends none.
+        manager: Name under which ``apply`` records what it applied, to tell the
+            changes of others from its own; empty takes the login name.
+        timeout_seconds: Longest wait for one answer, in seconds.
+        confirm_seconds: Longest wait for entries to confirm a change, in seconds.
+    """
+
+    object_api: Url
+    entries: tuple[Address, ...] = ()
+    sidecars: tuple[Address, ...] = ()
+    shared_keys: tuple[SharedKeySettings, ...] = ()
+    operator_key: str = ""
+    manager: str = ""
+    timeout_seconds: Annotated[float, msgspec.Meta(gt=0)] = 5.0
+    confirm_seconds: Annotated[float, msgspec.Meta(ge=0)] = 5.0
+
+
+_RELOAD, _RESTART = ReloadRule.RELOAD, ReloadRule.RESTART
+
+# Reload rule of each key; it covers the keys of a nested object too. Addresses and
+# identity need a restart because peers know the process by them. The client reads its
+# settings at each start.
+RELOAD_RULES: Mapping[type, Mapping[str, ReloadRule]] = {
+    EntrySettings: {
+        "instance": _RESTART,
+        "availability_zone": _RESTART,
+        "region": _RESTART,
+        "http_address": _RESTART,
+        "admin_address": _RESTART,
+        "shared_keys": _RELOAD,
+        "peers": _RELOAD,
+        "object_api": _RESTART,
+        "instance_list": _RESTART,
+        "max_body_bytes": _RELOAD,
+        "http_workers": _RESTART,
+        "drain_seconds": _RELOAD,
+        "drain_notice_seconds": _RELOAD,
+        "watch": _RESTART,
+        "log": _RELOAD,
+        "traces": _RESTART,
+    },
+    SidecarSettings: {
+        "instance": _RESTART,
+        "availability_zone": _RESTART,
+        "region": _RESTART,
+        "peer_address": _RESTART,
+        "admin_address": _RESTART,
+        "backend": _RESTART,
+        "shared_keys": _RELOAD,
+        "peers": _RELOAD,
+        "object_api": _RESTART,
+        "ticket_epoch_seconds": _RESTART,
+        "log": _RELOAD,
+        "traces": _RESTART,
+    },
+    ClientSettings: {
+        "object_api": _RESTART,
+        "entries": _RESTART,
+        "sidecars": _RESTART,
+        "shared_keys": _RESTART,
+        "operator_key": _RESTART,
+        "manager": _RESTART,
+        "timeout_seconds": _RESTART,
+        "confirm_seconds": _RESTART,
+    },
+}
+
+SETTINGS_TYPES: Mapping[str, type] = {
+    "entry": EntrySettings,
+    "sidecar": SidecarSettings,
+    "client": ClientSettings,
+}
+
+
+@dataclass(frozen=True, slots=True)
+class SettingsFailure:
+    """A settings file that cannot be used.
+
+    Attributes:
+        file: Path of the file.
+        line: Line of the key, counted from 1; 0 if the file cannot be read.
+        key: Dotted path of the key; empty for the whole file.
+        problem: The bad value and what is wrong with it.
+        allowed: What is allowed.
+    """
+
+    file: str
+    line: int
+    key: str
+    problem: str
+    allowed: str
+
+    def __str__(self) -> str:
+        place = f"{self.file}:{self.line}" if self.line else self.file
+        key = f" {self.key}:" if self.key else ""
+        return f"{place}:{key} {self.problem}; allowed: {self.allowed}"
+
+
+_T = TypeVar("_T", bound=_Settings)
+
+
+def load_settings(path: str | Path, type: type[_T]) -> Result[_T, SettingsFailure]:
+    """Reads a settings file.
+
+    Args:
+        path: JSON file, in which comments are allowed.
+        type: ``EntrySettings``, ``SidecarSettings`` or ``ClientSettings``.
+
+    Returns:
+        The settings, or the first fault with file, line, key and what is allowed.
+    """
+    try:
+        text = Path(path).read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as error:
+        problem = f"cannot be read: {error}"
+        return Error(
+            SettingsFailure(str(path), 0, "", problem, "a readable file in UTF-8")
+        )
+    return parse_settings(text, type, file=str(path))
+
+
+def parse_settings(
+    text: str, type: type[_T], *, file: str = "-"
+) -> Result[_T, SettingsFailure]:
+    """Reads settings from text.
+
+    Args:
+        text: JSON, in which comments are allowed.
+        type: ``EntrySettings``, ``SidecarSettings`` or ``ClientSettings``.
+        file: Name of the file for error messages.
+
+    Returns:
+        The settings, or the first fault.
+    """
+    parsed = parse_commented_json(text)
+    if parsed.is_error():
+        fault = parsed.error
+        return Error(
+            SettingsFailure(file, fault.line, "", fault.detail, "JSON with comments")
+        )
+    try:
+        settings = msgspec.convert(parsed.ok, type)
+        problem = next(_problems(settings, ()), None)
+    except msgspec.ValidationError as error:
+        problem = conversion_problem(error, parsed.ok, type)
+    if problem is None:
+        return Ok(settings)
+    line = line_of(text, problem.path)
+    key = dotted(problem.path)
+    return Error(SettingsFailure(file, line, key, problem.problem, problem.allowed))
+
+
+def keys_to_restart(old: _T, new: _T) -> tuple[str, ...]:
+    """Returns the changed keys that a running process cannot take over.
+
+    Args:
+        old: Settings in use.
+        new: Settings read at a reload.
+    """
+    rules = RELOAD_RULES[old.__class__]
+    return tuple(
+        key
+        for key, rule in rules.items()
+        if rule is ReloadRule.RESTART and getattr(old, key) != getattr(new, key)
+    )
+
+
+# --- Keys that depend on each other ---
+
+
+def _problems(settings: _Settings, path: KeyPath) -> Iterator[Problem]:
+    """Yields every fault of a settings object whose types are right."""
+    yield from format_problems(settings, path)
+    yield from _combination_problems(settings, path)
+    for field in msgspec.structs.fields(settings.__class__):
+        value = getattr(settings, field.name)
+        if isinstance(value, _Settings):
+            yield from _combination_problems(value, (*path, field.name))
+
+
+def _combination_problems(settings: Any, path: KeyPath) -> Iterator[Problem]:
+    """Yields faults in keys that depend on each other."""
+    match settings:
+        case TraceSettings(exporter="file", path=""):
+            problem = "'' with exporter 'file'"
+            yield Problem((*path, "path"), problem, "path of a file")
+        case BackendSettings(type="engine", model=""):
+            problem = "'' with type 'engine'"
+            yield Problem((*path, "model"), problem, "name of the base model")
+        case BackendSettings(type="service", service=""):
+            problem = "'' with type 'service'"
+            yield Problem((*path, "service"), problem, "name of the plain service")
+        case EntrySettings(watch=True, object_api=""):
+            problem = "true without object_api"
+            yield Problem((*path, "watch"), problem, "false, or set object_api")
+    yield from _duplicate_key_ids(settings, path)
+
+
+def _duplicate_key_ids(settings: Any, path: KeyPath) -> Iterator[Problem]:
+    seen: set[str] = set()
+    for index, key in enumerate(getattr(settings, "shared_keys", ())):
+        if key.key_id in seen:
+            yield Problem(
+                (*path, "shared_keys", index, "key_id"),
+                f"{key.key_id!r} is used twice",
+                "a key_id of its own for each key",
+            )
+        seen.add(key.key_id)
--- a/fighitch/tests/sidecar_helpers.py
+++ b/fighitch/tests/sidecar_helpers.py
@@ -17,7 +17,7 @@
     WorkPolicySpec,
 )
 from fighitch.core.sidecar import SidecarCore
-from fighitch.core.sidecar_settings import SidecarSettings
+from fighitch.core.sidecar.settings import SidecarSettings
 from fighitch.core.tickets import SharedKey, Ticket, TicketSigner
 
 # Deterministic runs of state machines.
@@ -192,11 +192,12 @@
             )
         )
 
-    def data(self, text, call=None):
+    def data(self, text, call=None, *, data=None, tokens=1):
         call = call or self.last_call()
+        data = text.encode() if data is None else data
         return self.give(
             inputs.BackendData(
-                call.request_id, call.attempt, call.call, text.encode(), text, 1
+                call.request_id, call.attempt, call.call, data, text, tokens
             )
         )
 
--- /dev/null
+++ b/fighitch/tests/test_claims.py
@@ -0,0 +1,69 @@
+"""Tests of ``fighitch.core.claims``."""
+
+import unittest
+from datetime import timedelta
+
+import msgspec
+
+from fighitch.core.claims import (
+    claims_older_than,
+    read_claim_list,
+    read_created_claim,
+    read_found_claim,
+)
+from fighitch.core.http_calls import HttpAnswer, NoAnswer
+from fighitch.core.inputs import ClaimStatus
+from fighitch.tests.fake_http import LOST, NOT_SENT, answer
+
+
+class ClaimTests(unittest.TestCase):
+    def test_only_a_certain_answer_is_certain(self):
+        """Guards against a second run because a claim seemed not to exist."""
+        for result, status in (
+            (answer(201), ClaimStatus.CREATED),
+            (answer(409), ClaimStatus.EXISTS),
+            (answer(503), ClaimStatus.ANSWER_LOST),
+            (LOST, ClaimStatus.ANSWER_LOST),
+            (NOT_SENT, ClaimStatus.UNAVAILABLE),
+            (answer(429), ClaimStatus.UNAVAILABLE),
+        ):
+            with self.subTest(result):
+                self.assertIs(read_created_claim(result, "t").status, status)
+        for result, status in (
+            (answer(200, {"spec": {"ticket": "t"}}), ClaimStatus.EXISTS),
+            (answer(200, {"spec": {}}), ClaimStatus.UNAVAILABLE),
+            (answer(404), ClaimStatus.NOT_FOUND),
+            (answer(500), ClaimStatus.UNAVAILABLE),
+            (LOST, ClaimStatus.UNAVAILABLE),
+        ):
+            with self.subTest(result):
+                self.assertIs(read_found_claim(result).status, status)
+
+
+class PruneTests(unittest.TestCase):
+    NOW = {"date": "Fri, 04 Dec 2026 12:00:00 GMT"}
+
+    def listed(self, *created, headers=NOW):
+        items = [
+            {
+                "metadata": {
+                    "name": f"c{number}",
+                    "resourceVersion": str(number),
+                    "creationTimestamp": time,
+                }
+            }
+            for number, time in enumerate(created, 1)
+        ]
+        body = msgspec.json.encode({"items": items})
+        return read_claim_list(HttpAnswer(200, body, headers))
+
+    def test_only_claims_older_than_the_age_by_the_servers_clock(self):
+        """Guards against an order that runs again because its claim went too early."""
+        claims = self.listed("2026-12-03T11:59:59Z", "2026-12-03T12:00:01Z", None).ok
+        found = list(claims_older_than(claims, timedelta(hours=24)))
+        self.assertEqual(found, [("c1", 1)])
+
+    def test_answer_without_a_time_prunes_nothing(self):
+        self.assertTrue(self.listed("2026-12-03T11:59:59Z", headers={}).is_error())
+        lost = read_claim_list(NoAnswer(sent=True))
+        self.assertTrue(lost.is_error())
