--- a/fighitch/core/anti_entropy.py
+++ b/fighitch/core/anti_entropy.py
@@ -8,8 +8,6 @@
 
 from collections.abc import Iterable, Iterator
 
-import msgspec
-
 from fighitch.core.configuration import (
     ConfigurationStore,
     decode_resources,
@@ -21,6 +19,7 @@
     ConfigurationRequest,
 )
 from fighitch.core.resources import Resource
+from fighitch.core.unreadable import UNREADABLE_ERRORS
 from fighitch.types import ConnectionId, Revision, Seconds
 
 # Leaves room in a 4 MiB message for resources far larger than usual ones (1 KB).
@@ -39,10 +38,22 @@
         self._parts: dict[ConnectionId, list[Resource]] = {}
 
     def heard(
-        self, connection: ConnectionId, revision: Revision, *, now: Seconds
+        self,
+        connection: ConnectionId,
+        revision: Revision,
+        *,
+        now: Seconds,
+        ahead: int = 0,
     ) -> list[Send]:
-        """Handles the revision in a peer's heartbeat."""
-        if revision <= self._store.revision:
+        """Handles the position in a peer's heartbeat.
+
+        Args:
+            connection: Connection to the peer.
+            revision: Revision of the peer.
+            now: Current time.
+            ahead: Digest of what the peer holds beyond its revision.
+        """
+        if not self._may_lack(revision, ahead):
             return []
         if self._asked_at is not None and now - self._asked_at < _REQUEST_TIMEOUT:
             return []
@@ -54,7 +65,8 @@
         self, connection: ConnectionId, request: ConfigurationRequest
     ) -> list[Send]:
         """Returns the changes that a peer lacks."""
-        if request.since >= self._store.revision:
+        is_current = request.since >= self._store.revision
+        if not self._store.revision or (is_current and not self._store.ahead):
             return []
         base, changes = self._store.changes_since(request.since)
         parts = list(_split(changes))
@@ -77,7 +89,7 @@
         """Merges changes of a peer."""
         try:
             resources = decode_resources(delta.resources)
-        except msgspec.MsgspecError as error:
+        except UNREADABLE_ERRORS as error:
             return [
                 LogEvent(
                     "configuration_unreadable",
@@ -98,6 +110,11 @@
             )
         ]
 
+    def _may_lack(self, revision: Revision, ahead: int) -> bool:
+        if revision != self._store.revision:
+            return revision > self._store.revision
+        return ahead not in (0, self._store.ahead)
+
     def closed(self, connection: ConnectionId) -> None:
         """Forgets what belongs to a connection."""
         self._parts.pop(connection, None)
--- a/fighitch/core/messages.py
+++ b/fighitch/core/messages.py
@@ -98,12 +98,22 @@
 
 @dataclass(frozen=True, slots=True)
 class Chunk:
-    """A part of an answer; ``sequence`` starts at 0 and has no gaps."""
+    """A part of an answer.
+
+    Attributes:
+        request_id: Request that is answered.
+        attempt: Attempt that is answered.
+        sequence: Position in the answer; starts at 0 and has no gaps.
+        data: Bytes for the caller.
+        status: HTTP status of the answer; the first chunk of a stream starts it, unless
+            this is an error.
+    """
 
     request_id: RequestId
     attempt: int
     sequence: int
     data: bytes
+    status: int = 200
 
 
 @dataclass(frozen=True, slots=True)
@@ -184,9 +194,11 @@
     Attributes:
         sequence: Counts the heartbeats of this connection.
         revision: Configuration revision of the sender.
+        ahead: Digest of the resources that it holds ahead of that revision; 0 if none.
         draining: Whether the sender takes no new work.
         ticket_epoch: Epoch that new tickets for this sidecar must carry.
         load: Load of a sidecar; None from an entry.
+        unreachable: Whether the sender's backend server does not answer.
     """
 
     sequence: int
@@ -194,6 +206,8 @@
     draining: bool = False
     ticket_epoch: int = 0
     load: LoadReport | None = None
+    ahead: int = 0
+    unreachable: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/fighitch/core/sidecar/execution.py
+++ b/fighitch/core/sidecar/execution.py
@@ -58,6 +58,7 @@
         self._requests = RequestTable()
         self._ready_since: dict[AdapterVersion, Seconds] = {}
         self._late_events = 0
+        self._interrupted_at: Seconds = float("-inf")
 
     @property
     def requests(self) -> RequestTable:
@@ -123,6 +124,14 @@
                 return
             self._call(self._request(work), now)
 
+    def service_interrupted(self, *, now: Seconds) -> None:
+        """Notes that this process was paused or the backend server did not answer.
+
+        The duration of a call that spans the interruption says nothing about later
+        calls. As a service time it would make the queue refuse work that has time.
+        """
+        self._interrupted_at = now
+
     # --- Engine ---
 
     def readiness_changed(self, *versions: AdapterVersion, now: Seconds) -> None:
@@ -188,6 +197,8 @@
         request.status = event.status
         request.content_type = event.content_type
         request.model = event.model
+        if request.stream is not None:
+            request.stream.status = event.status
 
     @event.register
     def _data(self, event: BackendData, request: Request, now: Seconds) -> None:
@@ -213,7 +224,9 @@
             self._stop_call(request)
             self._interrupted(request, "the answer ended before its status", now)
             return
-        self._release_call(request, service_time=now - request.started)
+        is_typical = request.started >= self._interrupted_at
+        service_time = now - request.started if is_typical else None
+        self._release_call(request, service_time=service_time)
         outcome = self._outcome(request)
         if request.ticket is not None:
             self._ledger.finish(request.ticket, outcome)
--- a/fighitch/tests/test_runtime.py
+++ b/fighitch/tests/test_runtime.py
@@ -1,10 +1,12 @@
 """Tests of the package ``fighitch.runtime``, with sockets on loopback."""
 
+import contextlib
 import http.client
 import queue
 import socket
 import threading
 import unittest
+from unittest import mock
 
 from fighitch.core.effects import Connect, Disconnect, LogEvent, Send, Stop
 from fighitch.core.inputs import (
@@ -15,6 +17,7 @@
 )
 from fighitch.core.messages import Cancel, Chunk, Peer, Role
 from fighitch.core.tickets import SharedKey
+from fighitch.runtime import http_server
 from fighitch.runtime.http_server import HttpServer
 from fighitch.runtime.loop import Loop
 from fighitch.runtime.transfers import (
@@ -61,7 +64,7 @@
         thread = threading.Thread(target=loop.run, daemon=True)
         thread.start()
         self.addCleanup(thread.join, TIMEOUT)
-        self.addCleanup(loop.post, Stop())
+        self.addCleanup(loop.stop)
         return loop, core, effects
 
     def connect(self):
@@ -99,13 +102,21 @@
             entry.post(Connect(address))
             self.assertEqual(core.next_of(ConnectionFailed).address, address)
 
+    def test_core_is_asked_after_its_drain_until_the_loop_is_stopped(self):
+        """Guards against requests that hang since they came after the drain."""
+        loop, core, _ = self.start(Role.ENTRY)
+        loop.post(Stop())
+        self.assertIs(loop.ask(lambda core: core).result(TIMEOUT), core)
+        self.assertTrue(loop.is_stopped)
+        self.assertIs(loop.ask(lambda core: core).result(TIMEOUT), core)
+
     def test_peer_with_a_wrong_key_is_refused_and_counted(self):
         """Guards against strangers that give work to a sidecar."""
         sidecar, _, effects = self.start(Role.SIDECAR, listens=True)
         entry, core, _ = self.start(Role.ENTRY, key=SharedKey("k", b"w" * 32))
         entry.post(Connect(sidecar.listen_address))
         core.next_of(ConnectionFailed)
-        entry.post(Stop())
+        entry.stop()
         with socket.create_connection(_split(sidecar.listen_address)) as sock:
             sock.sendall(b"GET / HTTP/1.1\r\n\r\n")
             self.assertTrue(_is_closed_by_peer(sock))
@@ -156,6 +167,23 @@
         start_response("201 Created", [("X-Method", environ["REQUEST_METHOD"])])
         return [path.encode(), b" ", body]
 
+    def test_stopping_server_answers_connections_made_before(self):
+        """Guards against a planned stop that resets a request on its way."""
+        server = HttpServer("127.0.0.1:0", self.app, workers=1, name="stopping")
+        server.start()
+        address = _split(server.address)
+        with mock.patch.object(http_server, "LAST_REQUEST_WAIT", TIMEOUT):
+            with socket.create_connection(address, timeout=TIMEOUT) as sock:
+                stopping = threading.Thread(target=server.stop)
+                stopping.start()
+                with contextlib.suppress(ConnectionError):
+                    while True:
+                        socket.create_connection(address, timeout=TIMEOUT).close()
+                sock.sendall(b"GET /late HTTP/1.1\r\nHost: x\r\n\r\n")
+                self.assertIn(b" 201 ", sock.recv(65_536))
+            stopping.join(TIMEOUT)
+        self.assertFalse(stopping.is_alive())
+
     def run_transfer(self, path, **options):
         events = queue.Queue()
         transfer = Transfer(
--- a/fighitch/wire/codec.py
+++ b/fighitch/wire/codec.py
@@ -183,6 +183,7 @@
     body.attempt = message.attempt
     body.sequence = message.sequence
     body.data = message.data
+    body.status = message.status
 
 
 @_fill.register
@@ -228,6 +229,8 @@
     body.revision = message.revision
     body.draining = message.draining
     body.ticketEpoch = message.ticket_epoch
+    body.ahead = message.ahead
+    body.unreachable = message.unreachable
     if message.load is None:
         return
     report = body.load.init("report")
@@ -348,6 +351,8 @@
         draining=body.draining,
         ticket_epoch=body.ticketEpoch,
         load=load,
+        ahead=body.ahead,
+        unreachable=body.unreachable,
     )
 
 
@@ -357,7 +362,11 @@
     "submit": _submit,
     "cancel": lambda body: Cancel(body.requestId, body.attempt),
     "chunk": lambda body: Chunk(
-        body.requestId, body.attempt, body.sequence, bytes(body.data)
+        body.requestId,
+        body.attempt,
+        body.sequence,
+        bytes(body.data),
+        body.status,
     ),
     "end": _end,
     "refused": _refused,
--- a/fighitch/wire/fighitch.capnp
+++ b/fighitch/wire/fighitch.capnp
@@ -43,6 +43,7 @@
   attempt @1 :UInt32;
   sequence @2 :UInt32;
   data @3 :Data;
+  status @4 :UInt16;
 }
 
 struct End {
@@ -84,6 +85,8 @@
   draining @2 :Bool;
   ticketEpoch @3 :UInt64;
   load :union { none @4 :Void; report @5 :LoadReport; }
+  ahead @6 :UInt64;
+  unreachable @7 :Bool;
 }
 
 struct ConfigurationRequest { since @0 :UInt64; }
