--- a/benchmarks/fighitch_arm.py
+++ b/benchmarks/fighitch_arm.py
@@ -18,7 +18,7 @@
     servers,
 )
 from fighitch.core import effects, inputs
-from fighitch.core.entry import EntryCore
+from fighitch.core.entry.core import EntryCore
 from fighitch.core.errors import RunState
 from fighitch.core.messages import (
     AdapterVersion,
@@ -30,7 +30,7 @@
     Submit,
 )
 from fighitch.core.resources import Resource
-from fighitch.core.sidecar import SidecarCore
+from fighitch.core.sidecar.core import SidecarCore
 from fighitch.core.sidecar.settings import SidecarSettings
 from fighitch.core.tickets import SharedKey, TicketSigner
 from fighitch.types import ConnectionId, Seconds
