Let an overdue order give way to waiting work

A connection between a sidecar and a plain service that had gone silent kept its room for 60 s, until the call timed out, although the service answered on new connections; urgent orders behind it expired. An order that runs more than 1 s beyond its deadline now gives way when other work waits; its outcome is unknown and it never runs again. Ending every order at its deadline was ruled out, since a repeat could then not learn a late outcome. The in-memory fault now also swallows what is under way for good.

--- a/benchmarks/memory_backends.py
+++ b/benchmarks/memory_backends.py
@@ -218,6 +218,12 @@
         for run in list(self.open.values()):
             self._cut(run, "connection reset")
 
+    def silence(self) -> None:
+        """Swallows all further bytes of the open connections; new ones are stuck."""
+        self.is_link_silent = True
+        for run in self.open.values():
+            run.is_cut = True
+
     # --- Running ---
 
     @property
--- a/benchmarks/memory_cells.py
+++ b/benchmarks/memory_cells.py
@@ -7,7 +7,7 @@
 
 from benchmarks.fault_checks import check_case
 from benchmarks.fault_plan import Cell, Fault, Kind, Step
-from benchmarks.memory_backends import service_answer
+from benchmarks.memory_backends import SERVICE_TIMEOUT, service_answer
 from benchmarks.memory_changes import run_change
 from benchmarks.memory_faults import HOLD, MemoryFault
 from benchmarks.memory_network import (
@@ -155,7 +155,7 @@
     network.run(6.0)
     _repeat(case)
     network.run(20.0, until=lambda: all(one.is_over for one in case.later))
-    network.run(3.0)
+    network.run(SERVICE_TIMEOUT if case.fault is Fault.SILENT_BACKEND else 3.0)
     check_case(case)
 
 
--- a/benchmarks/memory_faults.py
+++ b/benchmarks/memory_faults.py
@@ -141,7 +141,7 @@
         self._backend.cut_connections()
 
     def _silent_backend(self) -> None:
-        self._backend.is_link_silent = True
+        self._backend.silence()
 
     def _slow_backend(self) -> None:
         self._backend.slow = _SLOW_BACKEND
--- a/fighitch/core/sidecar/execution.py
+++ b/fighitch/core/sidecar/execution.py
@@ -119,7 +119,11 @@
         for expired in self._queue.expire(now):
             self._expire(self._request(expired), now)
         while True:
-            work = self._queue.pop(now=now) or self._pop_after_preemption(now)
+            work = (
+                self._queue.pop(now=now)
+                or self._pop_after_preemption(now)
+                or self._pop_after_overdue(now)
+            )
             if work is None:
                 return
             self._call(self._request(work), now)
@@ -297,6 +301,29 @@
         self._requeue(request, cause, now)
         return self._queue.pop(now=now, rank=preemption.rank)
 
+    def _pop_after_overdue(self, now: Seconds) -> Work | None:
+        """Gives up an order whose answer is late, if other work needs its room.
+
+        A connection that has gone silent would otherwise keep the room of a service
+        that works on new connections until the call times out.
+        """
+        if not any(self._queue.queued_by_rank()):
+            return None
+        limit = now - self._settings.overdue_grace
+        overdue = next(
+            (
+                request
+                for request in self._requests.running()
+                if request.is_order and request.work.deadline <= limit
+            ),
+            None,
+        )
+        if overdue is None:
+            return None
+        self._stop_call(overdue)
+        self._lose(overdue, "it gave no answer within its deadline", now)
+        return self._queue.pop(now=now)
+
     def _stop_call(self, request: Request) -> None:
         """Cancels the running call at the backend server."""
         if request.call is not None:
--- a/fighitch/core/sidecar/settings.py
+++ b/fighitch/core/sidecar/settings.py
@@ -26,6 +26,8 @@
         max_wrong_versions: Answers from a wrong version after which it is repeated.
         drain_notice: Time from the start of a drain in which the entries learn of it;
             until then orders with tickets of this incarnation are taken.
+        overdue_grace: Time beyond its deadline in which an order that runs keeps its
+            room although other work waits.
         pause: Time without any input after which this process was paused.
         retry_jitter: Largest share by which a stated Retry-After is raised, so that
             callers refused together do not come back together.
@@ -45,5 +47,6 @@
     max_unsent_retries: int = 1
     max_wrong_versions: int = 1
     drain_notice: Seconds = 2.0
+    overdue_grace: Seconds = 1.0
     pause: Seconds = 1.0
     retry_jitter: float = 0.2
--- a/fighitch/tests/test_sidecar.py
+++ b/fighitch/tests/test_sidecar.py
@@ -408,6 +408,21 @@
 
 
 class DeadlineTests(unittest.TestCase):
+    def test_silent_call_of_an_order_gives_way_after_its_deadline(self):
+        """Guards against a silent connection that blocks a working service."""
+        sidecar = Sidecar(spec=SERVICE, batch_size=1)
+        sidecar.order("o1", ticket=mint("1"), remaining=2_000)
+        sidecar.keep_alive(3.5)
+        self.assertEqual(sidecar.cancelled(), [])
+        sidecar.order("o2", ticket=mint("2"), remaining=5_000)
+        self.assertEqual(sidecar.cancelled(), [1])
+        self.assertEqual(sidecar.last_call().request_id, "o2")
+        expected = (ErrorKind.OUTCOME_UNKNOWN, RunState.UNKNOWN)
+        self.assertEqual(states(sidecar), [expected])
+        sidecar.order("o1 again", ticket=mint("1"))
+        self.assertEqual(states(sidecar), [expected, expected])
+        self.assertEqual(len(sidecar.calls()), 2)
+
     def test_expired_work_is_dropped_as_not_run(self):
         """Guards against a paused process that dispatches expired work."""
         sidecar = Sidecar(batch_size=1)
