--- a/benchmarks/faults.py
+++ b/benchmarks/faults.py
@@ -94,7 +94,8 @@
             ]
         for future in as_completed(futures):
             outcomes += future.result()
-    return _report(wanted, outcomes, options.seed)
+    expected = len(real) if options.world != "memory" else 0
+    return _report(wanted, outcomes, options.seed, expected_real=expected)
 
 
 def _options() -> argparse.Namespace:
@@ -129,7 +130,13 @@
         yield items[start : start + _CHUNK]
 
 
-def _report(wanted: Sequence[Cell], outcomes: Iterable[_Outcome], seed: int) -> int:
+def _report(
+    wanted: Sequence[Cell],
+    outcomes: Iterable[_Outcome],
+    seed: int,
+    *,
+    expected_real: int,
+) -> int:
     by_cell: dict[Cell, dict[str, list[str]]] = {}
     for cell, world, problems in outcomes:
         by_cell.setdefault(cell, {})[world] = problems
@@ -146,6 +153,9 @@
                 print(f"FAIL {cell.name} ({world}): {problem}\n     {command}")
     expected = [cell for cell in wanted if not why_not(cell)]
     counts["cells not run"] = sum(cell not in by_cell for cell in expected)
+    counts["processes not run"] = expected_real - sum(
+        "processes" in worlds for worlds in by_cell.values()
+    )
     counts["cells not applicable"] = len(wanted) - len(expected)
     print(", ".join(f"{name}: {count}" for name, count in sorted(counts.items())))
     failed = counts["memory failed"] + counts["processes failed"]
--- a/benchmarks/memory_faults.py
+++ b/benchmarks/memory_faults.py
@@ -234,6 +234,3 @@
     adapter = network.api.store.get(Kind.ADAPTER, "advisor-1")
     assert adapter is not None
     network.api.write(with_default(adapter, ("v2", "v1")[number % 2]))
-
-
-assert all(hasattr(MemoryFault, f"_{fault.name.lower()}") for fault in Fault)
--- a/benchmarks/process_faults.py
+++ b/benchmarks/process_faults.py
@@ -23,7 +23,7 @@
     Fault.CLOCK_STEP,
     Fault.OPERATOR_RACE,
 }
-_MODES = {
+MODES = {
     Fault.CUT_PEER: ("peer", Mode.CUT),
     Fault.SILENT_PEER: ("peer", Mode.SILENT_OLD),
     Fault.SILENT_TO_SIDECAR: ("peer", Mode.SILENT_FORTH),
@@ -57,8 +57,8 @@
 
     def strike(self) -> None:
         """Lets the fault happen."""
-        if self._fault in _MODES:
-            link, mode = _MODES[self._fault]
+        if self._fault in MODES:
+            link, mode = MODES[self._fault]
             name = self._entry if link == "object-api" else self._sidecar
             self._deployment.relays[f"{link}/{name}"].set_mode(mode)
             return
--- a/benchmarks/tests/test_faults.py
+++ b/benchmarks/tests/test_faults.py
@@ -7,9 +7,10 @@
 import unittest
 from unittest import mock
 
-from benchmarks import memory_cells
+from benchmarks import memory_cells, process_faults
 from benchmarks.fault_plan import Cell, Fault, Kind, Step, cells, why_not
 from benchmarks.links import Mode, Relay
+from benchmarks.memory_faults import MemoryFault
 from fighitch.core.anti_entropy import ConfigurationExchange
 from fighitch.core.configuration import ConfigurationStore
 from fighitch.core.effects import Stop
@@ -55,6 +56,15 @@
         self.assertEqual(len(found), len(set(found)))
         self.assertGreater(sum(not why_not(cell) for cell in found), 900)
 
+    def test_every_fault_can_strike(self):
+        """Guards against a column whose cells raise instead of running."""
+        for fault in Fault:
+            name = f"_{fault.name.lower()}"
+            self.assertTrue(hasattr(MemoryFault, name), name)
+            is_link = fault in process_faults.MODES
+            is_real = is_link or hasattr(process_faults.ProcessFault, name)
+            self.assertEqual(is_real, fault in process_faults.PROCESS_FAULTS, name)
+
 
 class MechanismTests(unittest.TestCase):
     """Each test disables a mechanism; the matrix must then report the invariant."""
