--- a/fighitch/tests/test_fleet.py
+++ b/fighitch/tests/test_fleet.py
@@ -62,8 +62,8 @@
 TICK = 0.05
 LATENCY = 0.001
 STATUS_INTERVAL = 0.25
-TOKEN = 0.02
-RUN = 0.05
+TOKEN = 0.05
+RUN = 0.1
 DIAL_TIMEOUT = 2.0
 CONFIGURATION_BOUND = 5.0
 # Longer than any deadline, suspicion and reconnection delay.
@@ -526,7 +526,7 @@
         process = self.processes[entry]
         number = next(self.numbers)
         name = f"r{number}"
-        body = f"{name} {self.rng.randint(1, 8)}".encode()
+        body = f"{name} {self.rng.randint(1, 20)}".encode()
         event = inputs.CallerRequest(
             name, DIGEST, **{"model": "", "service": "", "body": body, **fields}
         )
@@ -579,13 +579,24 @@
     @precondition(lambda self: self.requests)
     @rule(index=strategies.integers(0, 999))
     def caller_leaves(self, index):
-        request = list(self.requests.values())[index % len(self.requests)]
+        self.strike(
+            self.leave, list(self.requests.values())[index % len(self.requests)]
+        )
+
+    def leave(self, request):
         if request.is_open and not request.is_gone:
             request.is_gone = True
             self.give(request.process, inputs.CallerGone(request.event.request_id))
 
     @rule(name=strategies.sampled_from(INSTANCES), is_silent=strategies.booleans())
     def kill_and_restart(self, name, is_silent):
+        self.strike(self.end, name, is_silent)
+
+    def strike(self, action, *arguments):
+        """Lets a fault happen soon, in the middle of whatever is going on then."""
+        self.at(self.rng.uniform(0.0, 0.5), action, *arguments)
+
+    def end(self, name, is_silent):
         process = self.processes[name]
         if process.is_alive:
             self.kill(process, is_silent=is_silent)
@@ -597,6 +608,9 @@
 
     @rule(name=strategies.sampled_from(INSTANCES))
     def freeze_for_a_while(self, name):
+        self.strike(self.freeze, name)
+
+    def freeze(self, name):
         process = self.processes[name]
         if process.is_alive and not process.is_frozen:
             process.is_frozen = True
@@ -614,6 +628,9 @@
 
     @rule(index=strategies.integers(0, 999), is_silent=strategies.booleans())
     def break_connection(self, index, is_silent):
+        self.strike(self.cut, index, is_silent)
+
+    def cut(self, index, is_silent):
         live = [item for item in self.connections.values() if not item.closed]
         if not live:
             return
@@ -634,6 +651,9 @@
 
     @rule(name=strategies.sampled_from(ENGINES))
     def restart_engine_cold(self, name):
+        self.strike(self.restart_backend, name)
+
+    def restart_backend(self, name):
         backend = self.backends[name]
         backend.boot += 1
         backend.resident.clear()
@@ -727,6 +747,7 @@
         """Ends every fault; each open request must be answered, changes in force."""
         if not hasattr(self, "requests"):
             return
+        self.run(1.0)
         self.api, self.api_lost_answers = "up", 0
         self.cut_pairs.clear()
         for process in list(self.processes.values()):
