--- a/fighitch/tests/test_fleet.py
+++ b/fighitch/tests/test_fleet.py
@@ -673,9 +673,10 @@
         backend = self.backends[name]
         backend.stalled_until = self.now + self.rng.uniform(0.5, 4.0)
 
-    @rule(name=strategies.sampled_from(ENGINES))
-    def fail_loads(self, name):
-        self.backends[name].failing_loads = 1
+    @rule(count=strategies.sampled_from((1, 8)))
+    def fail_loads(self, count):
+        for name in ENGINES:
+            self.backends[name].failing_loads = count
 
     @rule(state=strategies.sampled_from(("up", "down", "losing")))
     def change_object_api(self, state):
