Give the thread of a stream back when its caller leaves

Cause: the handler of a streamed answer ignored that its caller was gone and waited for the next event without end, while the core had dropped the work. Each caller that left between two chunks cost one of the 128 threads, and a planned stop waited for them. Ruled out: requests that the core had not answered (each id of that entry has its last record) and keep-alive connections.

--- a/fighitch/daemons/callers_app.py
+++ b/fighitch/daemons/callers_app.py
@@ -321,6 +321,9 @@
                     body = error_body(event.failure, self._request_id)
                     yield b"event: error\ndata: " + body + b"\n\n"
                     raise StreamCutError(event.failure.detail)
+                else:
+                    # No further event comes; going on would hold the thread for good.
+                    raise StreamCutError("the caller is gone")
         finally:
             self._close()
 
--- a/fighitch/tests/test_callers_app.py
+++ b/fighitch/tests/test_callers_app.py
@@ -27,6 +27,7 @@
 
 TIMEOUT = 20
 MAX_BODY_BYTES = 1_000
+WORKERS = 4
 
 
 class ScriptedLink:
@@ -62,7 +63,7 @@
             traces=Traces(instance="entry-1"),
             max_body_bytes=lambda: MAX_BODY_BYTES,
         )
-        self.server = HttpServer("127.0.0.1:0", app, workers=4, name="test")
+        self.server = HttpServer("127.0.0.1:0", app, workers=WORKERS, name="test")
         self.server.start()
         self.addCleanup(self.server.stop)
 
@@ -117,6 +118,19 @@
             connection.close()
             self.assertIsInstance(self.link.posted.get(timeout=TIMEOUT), CallerGone)
 
+    def test_caller_that_leaves_a_stream_gives_its_thread_back(self):
+        """Guards against handlers that wait for ever, until no thread is left."""
+        started = AnswerStarted("entry-1.ab.1", 200, "text/event-stream")
+        data = AnswerData("entry-1.ab.1", b"data: 1\n\n")
+        with mock.patch.object(callers_app, "_CALLER_POLL", 0.01):
+            for _ in range(2 * WORKERS):
+                self.complete([started, data], stream=True).close()
+                self.assertIsInstance(
+                    self.link.posted.get(timeout=TIMEOUT), CallerRequest
+                )
+                self.assertIsInstance(self.link.posted.get(timeout=TIMEOUT), CallerGone)
+            self.assertEqual(self.call("/healthz", method="GET").status, 200)
+
     def test_stream_is_passed_on_and_ended(self):
         answer = [
             AnswerStarted("entry-1.ab.1", 200, "text/event-stream", "a@v1"),
