Let aged batch loads borrow permits only after half their target

Cause: all batch work that arrived at the start of a flood passed a quarter of its target at the same moment and took every permit of the fleet.

--- a/fighitch/core/sidecar/admission.py
+++ b/fighitch/core/sidecar/admission.py
@@ -29,6 +29,9 @@
 _MAX_RETRY_AFTER: Seconds = 10.0
 # Share of its target that preemptible work may wait for a load that can be deferred.
 _DEFERRED_SHARE = 0.25
+# Share of its target after which preemptible work may use permits of other sidecars.
+# All that arrived at the start of a flood passes the first limit at once.
+_BORROWING_SHARE = 0.5
 # A rank below its floor goes before urgent loads after it has waited this long.
 _OWED_SECONDS: Seconds = 1.0
 # Keeps 0.1 * 10 from being rounded up to 2 slots.
@@ -187,7 +190,7 @@
         some permits of the fleet are free when more urgent work needs a load.
         """
         policy = self._policy(rank)
-        if not policy.preemptible or oldest_wait > _DEFERRED_SHARE * policy.target:
+        if not policy.preemptible or oldest_wait > _BORROWING_SHARE * policy.target:
             return True
         return self._running_count(rank) <= self.floor_slots(rank)
 
