--- a/fighitch/tests/test_admission.py
+++ b/fighitch/tests/test_admission.py
@@ -46,6 +46,68 @@
         return list(iter(lambda: self.queue.pop(now=now), None))
 
 
+class TargetTests(unittest.TestCase):
+    def helper(self):
+        policies = {URGENT: RankPolicy(target=1.0), INTERACTIVE: RankPolicy(floor=0.5)}
+        helper = QueueHelper(batch_size=2, policies=policies)
+        helper.add_many(2, URGENT)
+        for work in helper.pop_all():
+            helper.queue.finished(work, service_time=1.0)
+        return helper
+
+    def test_work_that_would_wait_beyond_its_target_is_refused(self):
+        """Guards against a queue in a flood that makes every answer late."""
+        helper = self.helper()
+        results = [helper.add(URGENT) for _ in range(8)]
+        self.assertIsNone(results[0])
+        self.assertEqual(results[-1].kind, ErrorKind.OVERLOADED)
+        self.assertGreater(results[-1].retry_after, 0)
+
+    def test_work_that_waits_for_a_load_is_not_ahead(self):
+        """Guards against refusals while the batch has room."""
+        helper = self.helper()
+        for _ in range(8):
+            self.assertIsNone(helper.add(URGENT, version=VERSION))
+        self.assertIsNone(helper.add(URGENT))
+
+
+class LoadChoiceTests(unittest.TestCase):
+    def helper(self, *, running_batch):
+        policies = {
+            URGENT: RankPolicy(),
+            INTERACTIVE: RankPolicy(floor=0.25, target=3.0),
+            BATCH: RankPolicy(floor=0.125, target=60.0, preemptible=True),
+        }
+        helper = QueueHelper(policies=policies)
+        helper.add_many(running_batch, BATCH)
+        helper.pop_all()
+        helper.add(BATCH, version=VERSION)
+        return helper
+
+    def test_batch_loads_wait_while_the_batch_has_enough_of_them(self):
+        """Guards against a batch flood that uses up the weight store's rate."""
+        queue = self.helper(running_batch=4).queue
+        self.assertTrue(queue.can_defer_load(BATCH, 1.0))
+        self.assertFalse(queue.can_defer_load(BATCH, 16.0))
+        self.assertFalse(self.helper(running_batch=1).queue.can_defer_load(BATCH, 1.0))
+
+    def test_batch_above_its_floor_borrows_late(self):
+        """Guards against borrowed permits for batch while urgent loads need them."""
+        queue = self.helper(running_batch=2).queue
+        self.assertFalse(queue.may_borrow_for(BATCH, 16.0))
+        self.assertTrue(queue.may_borrow_for(BATCH, 31.0))
+        self.assertTrue(queue.may_borrow_for(INTERACTIVE, 0.0))
+
+    def test_rank_below_its_floor_is_owed_a_load_in_a_flood(self):
+        """Guards against a floor that stays empty for want of adapters."""
+        helper = self.helper(running_batch=0)
+        helper.add(INTERACTIVE, version=VERSION)
+        self.assertFalse(helper.queue.is_owed_load(INTERACTIVE, 2.0))
+        helper.add(URGENT)
+        self.assertTrue(helper.queue.is_owed_load(INTERACTIVE, 2.0))
+        self.assertFalse(helper.queue.is_owed_load(INTERACTIVE, 0.5))
+
+
 class OrderTests(unittest.TestCase):
     def test_callers_of_a_rank_take_turns(self):
         """Guards against a caller whose flood delays all others."""
--- /dev/null
+++ b/fighitch/tests/test_borrowing.py
@@ -0,0 +1,23 @@
+"""Tests of ``fighitch.core.sidecar.borrowing``."""
+
+import unittest
+
+from fighitch.core.sidecar.borrowing import MAX_LENDERS, lenders
+from fighitch.core.sidecar.load_budget import share_of
+
+MEMBERS = [f"s{index}" for index in range(40)]
+
+
+class LenderTests(unittest.TestCase):
+    def test_lenders_have_permits_and_are_few(self):
+        """Guards against requests to members that have nothing to lend."""
+        found = lenders("s0", MEMBERS, 7, 16)
+        self.assertLessEqual(len(found), MAX_LENDERS)
+        self.assertNotIn("s0", found)
+        for name in found:
+            self.assertGreater(share_of(name, MEMBERS, 7, 16).starts, 0)
+
+    def test_borrowers_spread_over_the_lenders(self):
+        """Guards against one lender that every member asks first."""
+        first = {lenders(name, MEMBERS, 40, 40)[0] for name in MEMBERS}
+        self.assertGreater(len(first), len(MEMBERS) // 3)
--- a/fighitch/tests/test_load_budget.py
+++ b/fighitch/tests/test_load_budget.py
@@ -208,6 +208,23 @@
         sends = borrower.request_if_short([], 1.0, wanted=0)
         self.assertEqual([send.message for send in sends], [PermitReturn(("a/1",))])
 
+    def test_surplus_permits_go_back_at_once(self):
+        """Guards against permits held by a borrower that asked several lenders."""
+        borrower = LoadBudget("b", ["a"], 1, 1)
+        borrower.request_if_short([1, 2], 0.0, wanted=1)
+        borrower.handle(1, PermitGrant(("a/1",)), 0.0)
+        borrower.handle(2, PermitGrant(("c/1",)), 0.0)
+        sends = borrower.request_if_short([1, 2], 0.0, wanted=1)
+        self.assertEqual([send.message for send in sends], [PermitReturn(("c/1",))])
+
+    def test_old_request_is_not_granted(self):
+        """Guards against a permit lent to a borrower that has died meanwhile."""
+        lender = LoadBudget("a", ["a"], 1, 1)
+        self.assertTrue(lender.start(0.0))
+        lender.handle(1, PermitRequest(1), 0.0)
+        lender.finish(0.3)
+        self.assertEqual(lender.request_if_short([], 1.0, wanted=0), [])
+
     def test_refused_late_grant_goes_back(self):
         """Guards against permits that are lost because two grants swapped places."""
         borrower = LoadBudget("b", ["a", "b"], 1, 1)
--- a/fighitch/tests/test_slots.py
+++ b/fighitch/tests/test_slots.py
@@ -141,6 +141,27 @@
         plan = slots.plan([wanted("b", waiting=0)], permits=1, now=0.0)
         self.assertEqual(plan.unloads, ())
 
+    def test_most_waiting_value_of_a_rank_is_loaded_first(self):
+        """Guards against one old request that delays hundreds for another adapter."""
+        slots = filled(capacity=1)
+        plan = slots.plan(
+            [wanted("single", oldest_wait=2.0), wanted("many", waiting=50)],
+            permits=1,
+            now=0.0,
+        )
+        self.assertEqual(plan.loads, (version("many"),))
+
+    def test_prefetch_takes_free_slots_only(self):
+        """Guards against a prefetch that uses up the permit of the next stall."""
+        slots = filled("a", capacity=2)
+        self.assertEqual(
+            slots.plan([wanted("b", waiting=0)], permits=1, now=0.0).loads,
+            (version("b"),),
+        )
+        slots.loaded(version("b"), "boot")
+        plan = slots.plan([wanted("c", waiting=0, value=99.0)], permits=1, now=600.0)
+        self.assertEqual((plan.loads, plan.unloads), ((), ()))
+
     def test_waiting_request_is_served_in_the_end(self):
         """Guards against a cold adapter that waits for ever behind hot ones."""
         slots = filled("hot", capacity=1)
@@ -150,3 +171,52 @@
         young = slots.plan([wanted("cold")], permits=1, now=0.0)
         old = slots.plan([wanted("cold", oldest_wait=600.0)], permits=1, now=0.0)
         self.assertEqual((young.unloads, old.unloads), ((), (version("hot"),)))
+
+
+class DrainTests(unittest.TestCase):
+    def test_slot_in_use_is_drained_and_then_unloaded(self):
+        """Guards against urgent work that waits for the end of all other work."""
+        slots = filled("a", capacity=1)
+        slots.pin(version("a"))
+        plan = slots.plan([wanted("b", value=9.0)], permits=1, now=60.0)
+        self.assertEqual((plan.unloads, plan.drains), ((), (version("a"),)))
+        self.assertFalse(slots.is_ready(version("a")))
+        slots.unpin(version("a"))
+        plan = slots.plan([wanted("b", value=9.0)], permits=1, now=60.0)
+        self.assertEqual((plan.unloads, plan.drains), ((version("a"),), ()))
+
+    def test_drain_ends_when_nobody_waits_any_more(self):
+        """Guards against an adapter that serves nobody after its rival gave up."""
+        slots = filled("a", capacity=1)
+        slots.pin(version("a"))
+        slots.plan([wanted("b", value=9.0)], permits=1, now=60.0)
+        slots.plan([], permits=1, now=61.0)
+        self.assertTrue(slots.is_ready(version("a")))
+
+    def test_what_can_be_paused_gives_way_first(self):
+        """Guards against a drain of a slot whose work cannot be paused."""
+        slots = filled("firm", "paused")
+        slots.pin(version("firm"), value=1.0)
+        slots.pin(version("paused"), value=2.0, preemptible_rank=2)
+        plan = slots.plan([wanted("b", rank=0, value=99.0)], permits=1, now=0.0)
+        self.assertEqual(plan.drains, (version("paused"),))
+
+    def test_equal_rank_is_not_paused_for_its_own_kind(self):
+        """Guards against batch work that pauses other batch work in turn."""
+        slots = filled("firm", "batch")
+        slots.pin(version("firm"), value=1.0)
+        slots.pin(version("batch"), value=2.0, preemptible_rank=2)
+        plan = slots.plan([wanted("b", rank=2, value=99.0)], permits=1, now=0.0)
+        self.assertEqual(plan.drains, (version("firm"),))
+
+    def test_slot_that_became_unused_is_taken_instead(self):
+        """Guards against a drain that goes on although another slot is unused."""
+        slots = filled("a", "b")
+        slots.pin(version("a"))
+        slots.pin(version("b"))
+        plan = slots.plan([wanted("c", value=9.0)], permits=1, now=60.0)
+        self.assertEqual(plan.drains, (version("a"),))
+        slots.unpin(version("b"))
+        plan = slots.plan([wanted("c", value=9.0)], permits=1, now=60.0)
+        self.assertEqual((plan.unloads, plan.drains), ((version("b"),), ()))
+        self.assertTrue(slots.is_ready(version("a")))
