--- a/benchmarks/tests/test_faults.py
+++ b/benchmarks/tests/test_faults.py
@@ -61,7 +61,7 @@
 
     def test_right_version(self):
         """Guards against a check that overlooks answers of another version."""
-        cell = Cell("streamed", "queued", "engine-restart")
+        cell = Cell("whole", "waiting-load", "engine-restart")
         with (
             mock.patch.object(execution, "_is_from", lambda wanted, event: True),
             mock.patch(
@@ -89,7 +89,7 @@
             mock.patch.object(
                 AdapterSlots, "pin", lambda self, version, **fields: None
             ),
-            mock.patch.object(AdapterSlots, "unpin", lambda self, version: None),
+            mock.patch.object(AdapterSlots, "unpin", lambda *args, **fields: None),
             mock.patch.object(engine_state, "check", lambda *args, **fields: None),
         ):
             failures = run("streamed/waiting-load/slow-backend")
