--- /dev/null
+++ b/benchmarks/core_run.py
@@ -0,0 +1,147 @@
+"""Slopes of memory, bytes and time of the configuration and of heartbeats."""
+
+import random
+from collections.abc import Callable, Sequence
+from typing import Any
+
+from benchmarks.fleet_sample import adapters, callers, heartbeat, servers
+from benchmarks.measuring import MICRO, allocated, processor_time, slope
+from benchmarks.slopes import Slope
+from fighitch.core.anti_entropy import ConfigurationExchange
+from fighitch.core.configuration import (
+    ConfigurationStore,
+    decode_resources,
+    encode_resources,
+)
+from fighitch.core.entry.indexes import Indexes
+from fighitch.core.entry.membership import Members
+from fighitch.core.entry.settings import EntrySettings
+from fighitch.core.messages import ConfigurationDelta, ConfigurationRequest
+from fighitch.core.resources import Kind, Resource
+from fighitch.wire.codec import decode, encode
+from fighitch.wire.framing import frame
+
+ADAPTER_COUNTS = (1_000, 5_500, 11_000, 22_000)
+SERVER_COUNTS = (12, 100, 800, 6_400)
+RESIDENT_COUNTS = (2, 4, 8, 16, 32)
+_SERVERS_PER_ADAPTER = 0.3
+
+_Make = Callable[[int], list[Resource]]
+
+
+def measure() -> list[Slope]:
+    """Measures every slope of this module."""
+    return [
+        _memory("adapter", adapters, ADAPTER_COUNTS),
+        _memory("backend server", servers, SERVER_COUNTS),
+        _memory("caller", callers, ADAPTER_COUNTS),
+        *_heartbeats(),
+        *_changes(),
+    ]
+
+
+def delta_bytes() -> int:
+    """Returns the bytes of a message with one changed adapter."""
+    data = encode_resources(adapters(1))
+    return len(frame(encode(ConfigurationDelta(1, 2, data))))
+
+
+def heartbeat_bytes(resident: int) -> int:
+    """Returns the bytes of a heartbeat on the wire."""
+    return len(frame(encode(heartbeat(resident))))
+
+
+def indexed(
+    resources: Sequence[Resource],
+) -> tuple[ConfigurationStore, Indexes, Members]:
+    """Returns what an entry keeps of its configuration."""
+    store = ConfigurationStore()
+    store.merge(resources, revision=1)
+    indexes = Indexes(store)
+    indexes.refresh()
+    members = Members(settings=EntrySettings(), rng=random.Random(1))
+    members.sync(store.of_kind(Kind.BACKEND_SERVER))
+    return store, indexes, members
+
+
+def _memory(name: str, make: _Make, counts: Sequence[int]) -> Slope:
+    return slope(
+        f"memory of configuration and indexes by {name}",
+        name,
+        "bytes",
+        counts,
+        lambda count: allocated(lambda: indexed(make(count))),
+    )
+
+
+def _heartbeats() -> list[Slope]:
+    def codec_time(count: int) -> float:
+        message = heartbeat(count)
+        data = encode(message)
+        return processor_time(lambda: (encode(message), decode(data))) * MICRO
+
+    name = "resident adapter"
+    return [
+        slope(
+            "bytes of a heartbeat",
+            name,
+            "bytes",
+            RESIDENT_COUNTS,
+            lambda count: float(heartbeat_bytes(count)),
+        ),
+        slope(
+            "encoding and decoding a heartbeat",
+            name,
+            "µs",
+            RESIDENT_COUNTS,
+            codec_time,
+        ),
+    ]
+
+
+def _changes() -> list[Slope]:
+    return [
+        slope("merging one change", "adapter", "µs", ADAPTER_COUNTS, _merge_time),
+        slope(
+            "answering a peer for one change",
+            "adapter",
+            "µs",
+            ADAPTER_COUNTS,
+            _answer_time,
+        ),
+        slope("bytes of a full copy", "adapter", "bytes", ADAPTER_COUNTS, _copy_bytes),
+    ]
+
+
+def _store(count: int) -> ConfigurationStore:
+    found = servers(round(count * _SERVERS_PER_ADAPTER))
+    store, _, _ = indexed([*adapters(count), *found])
+    return store
+
+
+def _merge_time(count: int) -> float:
+    store = _store(count)
+
+    def one() -> Any:
+        revision = store.revision + 1
+        data = encode_resources(adapters(1, revision=revision))
+        return store.merge(decode_resources(data), revision=revision, base=revision - 1)
+
+    return processor_time(one, rounds=50) * MICRO
+
+
+def _answer_time(count: int) -> float:
+    store = _store(count)
+    for _ in range(10):
+        revision = store.revision + 1
+        changed = adapters(1, revision=revision)
+        store.merge(changed, revision=revision, base=revision - 1)
+    exchange = ConfigurationExchange(store)
+    request = ConfigurationRequest(store.revision - 1)
+    return processor_time(lambda: exchange.answer(1, request), rounds=20) * MICRO
+
+
+def _copy_bytes(count: int) -> float:
+    store, _, _ = indexed(adapters(count))
+    sent = ConfigurationExchange(store).answer(1, ConfigurationRequest(0))
+    return float(sum(len(encode(item.message)) for item in sent))
--- /dev/null
+++ b/benchmarks/processes.py
@@ -0,0 +1,52 @@
+"""What the operating system says about a process."""
+
+import os
+import time
+from dataclasses import dataclass
+from pathlib import Path
+
+from fighitch.types import Seconds
+
+_KIB = 1_024
+_TICKS = os.sysconf("SC_CLK_TCK")
+
+
+@dataclass(frozen=True)
+class Usage:
+    """Use of a process so far.
+
+    Attributes:
+        at: Time of the reading.
+        cpu: Processor time, in seconds.
+        resident: Resident memory, in bytes.
+        anonymous: Resident memory that is not backed by files, in bytes.
+        threads: Number of threads.
+    """
+
+    at: Seconds
+    cpu: Seconds
+    resident: int
+    anonymous: int
+    threads: int
+
+
+def usage(pid: int) -> Usage:
+    """Reads the use of a process."""
+    folder = Path(f"/proc/{pid}")
+    fields = (folder / "stat").read_text().rpartition(")")[2].split()
+    lines = (folder / "status").read_text().splitlines()
+    status = dict(line.split(":", 1) for line in lines if ":" in line)
+
+    def kib(name: str) -> int:
+        return int(status[name].split()[0]) * _KIB
+
+    # Fields 14 and 15 of the line: user and system time in clock ticks.
+    cpu = (int(fields[11]) + int(fields[12])) / _TICKS
+    return Usage(
+        time.monotonic(), cpu, kib("VmRSS"), kib("RssAnon"), int(status["Threads"])
+    )
+
+
+def cpu_share(before: Usage, after: Usage) -> float:
+    """Returns the processor time between two readings, as a share of one core."""
+    return (after.cpu - before.cpu) / (after.at - before.at)
--- /dev/null
+++ b/benchmarks/slopes.py
@@ -0,0 +1,149 @@
+"""Straight lines through measured points, and what they predict at another size."""
+
+import statistics
+from collections.abc import Sequence
+from dataclasses import dataclass
+
+MIN_RANGE = 8
+
+
+@dataclass(frozen=True)
+class Slope:
+    """A line fitted by least squares through points of (size, value).
+
+    Attributes:
+        name: What was measured.
+        size_name: Unit of the sizes.
+        unit: Unit of the values.
+        points: Measured (size, value).
+        command: Command that measured it.
+    """
+
+    name: str
+    size_name: str
+    unit: str
+    points: tuple[tuple[float, float], ...]
+    command: str = "python -m benchmarks.capacity"
+
+    @property
+    def slope(self) -> float:
+        """Values per unit of size."""
+        return self._line.slope
+
+    @property
+    def intercept(self) -> float:
+        """Value at size 0."""
+        return self._line.intercept
+
+    @property
+    def range_factor(self) -> float:
+        """Largest size divided by the smallest one above 0."""
+        sizes = [size for size, _ in self.points if size > 0]
+        return max(sizes) / min(sizes)
+
+    @property
+    def r_squared(self) -> float:
+        """Share of the variance that the line explains; 1 for constant values."""
+        values = [value for _, value in self.points]
+        mean = statistics.fmean(values)
+        total = sum((value - mean) ** 2 for value in values)
+        if total == 0:
+            return 1.0
+        return 1 - sum((self.at(x) - value) ** 2 for x, value in self.points) / total
+
+    @property
+    def largest_residual(self) -> float:
+        """Largest distance of a point from the line, in the unit of the values."""
+        return max(abs(self.at(size) - value) for size, value in self.points)
+
+    def at(self, size: float) -> float:
+        """Returns the predicted value at a size."""
+        return self.intercept + self.slope * size
+
+    def size_for(self, value: float) -> float:
+        """Returns the size at which the line reaches a value; inf if it never does."""
+        if self.slope <= 0:
+            return float("inf")
+        return (value - self.intercept) / self.slope
+
+    @property
+    def _line(self) -> statistics.LinearRegression:
+        sizes, values = zip(*self.points, strict=True)
+        if len(set(sizes)) < 2:
+            raise ValueError(f"{self.name}: sizes {sizes} must include two values")
+        return statistics.linear_regression(sizes, values)
+
+
+@dataclass(frozen=True)
+class Figure:
+    """One figure of the page at the size to design for.
+
+    Attributes:
+        role: Kind of process, or part of the platform.
+        what: What is stated.
+        value: The figure.
+        unit: Its unit.
+        target: Largest value allowed; None if there is no target.
+        derivation: Slope times size, in words and numbers.
+        mechanism: What carries it.
+        limit: What breaks first and at what size.
+    """
+
+    role: str
+    what: str
+    value: float
+    unit: str
+    target: float | None
+    derivation: str
+    mechanism: str = ""
+    limit: str = ""
+
+    @property
+    def verdict(self) -> str:
+        """``met``, ``missed``, or a dash if there is no target."""
+        if self.target is None:
+            return "-"
+        return "met" if self.value <= self.target else "missed"
+
+
+def number(value: float) -> str:
+    """Returns a number with three significant digits."""
+    if value == 0:
+        return "0"
+    if abs(value) >= 1_000:
+        return f"{value:,.0f}"
+    return f"{value:.3g}"
+
+
+def slope_table(slopes: Sequence[Slope]) -> str:
+    """Returns the slopes as a Markdown table."""
+    rows = [
+        "| measured | fixed part | slope | sizes | R² | largest residual | command |",
+        "|---|---|---|---|---|---|---|",
+    ]
+    for item in slopes:
+        sizes = ", ".join(number(size) for size, _ in item.points)
+        rows.append(
+            f"| {item.name} | {number(item.intercept)} {item.unit} | "
+            f"{number(item.slope)} {item.unit} per {item.size_name} | {sizes} | "
+            f"{item.r_squared:.3f} | {number(item.largest_residual)} {item.unit} | "
+            f"`{item.command}` |"
+        )
+    return "\n".join(rows)
+
+
+def figure_table(figures: Sequence[Figure]) -> str:
+    """Returns the figures as a Markdown table."""
+    rows = [
+        "| role | figure | at the size | target | | derivation | mechanism | breaks "
+        "first |",
+        "|---|---|---|---|---|---|---|---|",
+    ]
+    for item in figures:
+        target = "-" if item.target is None else f"{number(item.target)} {item.unit}"
+        rows.append(
+            f"| {item.role} | {item.what} | {number(item.value)} {item.unit} | "
+            f"{target} | {item.verdict} | {item.derivation} | {item.mechanism} | "
+            f"{item.limit} |"
+        )
+    return "\n".join(rows)
