--- a/fighitch/core/entry/connections.py
+++ b/fighitch/core/entry/connections.py
@@ -10,8 +10,11 @@
 from fighitch.core.entry.settings import EntrySettings
 from fighitch.core.inputs import ConnectionOpened
 from fighitch.core.messages import Heartbeat, Message, Peer, Role
+from fighitch.core.rendezvous import ranked
 from fighitch.types import ConnectionId, InstanceName, Revision, Seconds
 
+_MILLISECONDS = 1_000
+
 
 @dataclass(slots=True)
 class Link:
@@ -26,7 +29,11 @@
         last_sent: Time of the last message to the peer.
         last_heartbeat: Time of the last heartbeat to the peer.
         last_used: Time of the last request on it.
+        told_interval: Interval in the last heartbeat to the peer, which keeps to it.
+        expect_from: Start of the wait for a message; later than ``last_heard`` if more
+            frequent messages are expected since.
         sent_revision: Configuration revision in the last heartbeat to the peer.
+        peer_revision: Configuration revision in the last heartbeat of the peer.
         sequence: Sequence number of the next heartbeat.
         in_flight: Requests that wait for an answer on it.
     """
@@ -39,7 +46,10 @@
     last_sent: Seconds
     last_heartbeat: Seconds
     last_used: Seconds
+    told_interval: Seconds
+    expect_from: Seconds
     sent_revision: Revision = -1
+    peer_revision: Revision = -1
     sequence: int = 0
     in_flight: int = 0
 
@@ -64,6 +74,8 @@
         rng: random.Random,
         peers: Iterable[str],
         revision: Callable[[], Revision],
+        instance: InstanceName = "",
+        availability_zone: str = "",
     ) -> None:
         """Starts without a connection.
 
@@ -74,6 +86,8 @@
             rng: Spreads reconnection attempts.
             peers: Addresses to ask for the configuration; kept connected.
             revision: Returns the own configuration revision.
+            instance: Name of this entry.
+            availability_zone: Zone of this entry.
         """
         self._members = members
         self._outbox = outbox
@@ -81,11 +95,14 @@
         self._rng = rng
         self._peers = {address: _PeerAddress() for address in peers}
         self._revision = revision
+        self._instance = instance
+        self._availability_zone = availability_zone
         self._is_draining = False
         self._links: dict[ConnectionId, Link] = {}
         self._by_member: dict[InstanceName, Link] = {}
         self._dialled: dict[str, Seconds] = {}
         self._wanted: set[InstanceName] = set()
+        self._adopted: frozenset[InstanceName] = frozenset()
 
     def __iter__(self) -> Iterator[Link]:
         return iter(self._links.values())
@@ -138,6 +155,8 @@
             last_sent=now,
             last_heartbeat=now,
             last_used=now,
+            told_interval=self._settings.heartbeat_interval,
+            expect_from=now,
         )
         self._links[link.connection] = link
         if member is not None:
@@ -190,9 +209,22 @@
     def silent_links(self, now: Seconds) -> list[Link]:
         """Returns the connections on which nothing arrived for too long."""
         return [
-            link for link in self if now - link.last_heard >= self._settings.silence
+            link
+            for link in self
+            if now - max(link.last_heard, link.expect_from) >= self._silence(link)
         ]
 
+    def bound(self, link: Link, now: Seconds) -> None:
+        """Counts a request on a connection."""
+        if not link.in_flight:
+            link.expect_from = now
+        link.in_flight += 1
+        link.last_used = now
+
+    def heard(self, link: Link, heartbeat: Heartbeat) -> None:
+        """Takes over what a heartbeat says about the connection."""
+        link.peer_revision = heartbeat.revision
+
     def overdue_addresses(self, now: Seconds) -> list[str]:
         """Returns the addresses whose connection attempt takes too long."""
         return [
@@ -222,24 +254,37 @@
         A connection to a removed sidecar, or to one that moved, serves its requests to
         the end but gets no new ones. Up to the connection limit every sidecar stays
         connected, so that its load and resident adapters are known before it is needed.
+        Beyond it each entry adopts a part of its zone, so that every sidecar has
+        entries that tell it of configuration changes.
         """
         for name, link in list(self._by_member.items()):
             member = self._members.get(name)
             if member is None or member.address != link.address:
                 del self._by_member[name]
                 self._wanted.discard(name)
-        self._adopt(now)
-        if len(self._members) > self._settings.max_connections:
-            return
-        for member in self._members:
-            if member.name not in self._wanted:
+        self._use_earlier_connections()
+        self._adopted = self._choose_adopted()
+        for name in self._adopted:
+            member = self._members.get(name)
+            if member is not None and name not in self._wanted:
                 self._wanted.add(member.name)
                 member.next_connect_at = max(
                     member.next_connect_at,
                     now + self._rng.uniform(0, self._settings.reconnect_base),
                 )
 
-    def _adopt(self, now: Seconds) -> None:
+    def _choose_adopted(self) -> frozenset[InstanceName]:
+        if len(self._members) <= self._settings.max_connections:
+            return frozenset(member.name for member in self._members)
+        zone = {
+            member.name: 1.0
+            for member in self._members
+            if member.availability_zone == self._availability_zone
+        }
+        best = ranked(self._instance, zone)[: self._settings.adopted_connections]
+        return frozenset(best)
+
+    def _use_earlier_connections(self) -> None:
         """Uses connections that were opened before the configuration was known."""
         for link in self:
             member = self._members.at(link.address) if link.address else None
@@ -296,6 +341,7 @@
             if not link.in_flight
             and link is not opened
             and link.address not in self._peers
+            and link.member not in self._adopted
         ]
         if not idle:
             return
@@ -306,19 +352,37 @@
         if member is not None:
             self._members.released(member)
 
+    def _silence(self, link: Link) -> Seconds:
+        if link.in_flight:
+            return self._settings.silence
+        return link.told_interval * self._settings.missed_heartbeats
+
     def _needs_heartbeat(self, link: Link, now: Seconds) -> bool:
         # A busy connection carries no revision in its other messages.
+        refresh = max(self._settings.heartbeat_refresh, link.told_interval)
         return (
-            now - link.last_sent >= self._settings.heartbeat_interval
-            or now - link.last_heartbeat >= self._settings.heartbeat_refresh
-            or link.sent_revision != self._revision()
+            now - link.last_sent >= link.told_interval
+            or now - link.last_heartbeat >= refresh
+            or self._is_revision_untold(link)
         )
 
+    def _is_revision_untold(self, link: Link) -> bool:
+        revision = self._revision()
+        return link.sent_revision != revision and link.peer_revision < revision
+
     def _send_heartbeat(self, link: Link, now: Seconds) -> None:
         revision = self._revision()
-        self.send(
-            link, Heartbeat(link.sequence, revision, draining=self._is_draining), now
+        interval = self._settings.interval(len(self))
+        heartbeat = Heartbeat(
+            link.sequence,
+            revision,
+            draining=self._is_draining,
+            interval=round(interval * _MILLISECONDS),
         )
+        self.send(link, heartbeat, now)
+        if interval < link.told_interval:
+            link.expect_from = now
+        link.told_interval = interval
         link.sequence += 1
         link.sent_revision = revision
         link.last_heartbeat = now
--- a/fighitch/core/entry/core.py
+++ b/fighitch/core/entry/core.py
@@ -153,6 +153,8 @@
             rng=rng,
             peers=peers,
             revision=lambda: self._store.revision,
+            instance=instance,
+            availability_zone=availability_zone,
         )
         self._router = Router(
             availability_zone=availability_zone,
@@ -418,6 +420,7 @@
 
     @_receive.register
     def _(self, message: Heartbeat, link: Link, now: Seconds) -> None:
+        self._connections.heard(link, message)
         member = self._members.get(link.member)
         if member is not None and self._connections.to(link.member) is link:
             self._members.reported(member, message)
--- a/fighitch/core/entry/dispatch.py
+++ b/fighitch/core/entry/dispatch.py
@@ -281,8 +281,7 @@
         self.unbind(work, now)
         work.connection = link.connection
         work.phase = Phase.RUNNING
-        link.in_flight += 1
-        link.last_used = now
+        self._connections.bound(link, now)
         member = self._members.get(work.member)
         if member is not None:
             member.in_flight += 1
--- a/fighitch/core/entry/settings.py
+++ b/fighitch/core/entry/settings.py
@@ -10,9 +10,12 @@
     """Constants of the entry; the defaults are the documented behaviour.
 
     Attributes:
-        heartbeat_interval: Most time between two messages on a connection.
+        heartbeat_interval: Most time between two messages of a sidecar while a request
+            is in flight, and between heartbeats while there are few connections.
         heartbeat_refresh: Most time between two heartbeats on a busy connection; they
             carry the configuration revision.
+        heartbeats_per_second: Heartbeats in a second over all connections; with more
+            connections the interval of each grows.
         missed_heartbeats: Intervals without a message after which it is silent.
         connect_timeout: Time allowed for opening a connection.
         suspicion: Time from suspect to dead.
@@ -21,6 +24,8 @@
         reconnect_base: Upper end of the first random reconnect delay.
         reconnect_cap: Upper end of every later reconnect delay.
         max_connections: Connections to sidecars that are kept open.
+        adopted_connections: Sidecars of the own zone that stay connected if there are
+            more than ``max_connections``.
         load_bound: Load that a candidate may have, relative to the candidates' mean.
         free_utilisation: Utilisation below which a candidate is always within bound.
         busy_utilisation: Utilisation below which an adapter gets no further replica.
@@ -40,6 +45,7 @@
 
     heartbeat_interval: Seconds = 0.5
     heartbeat_refresh: Seconds = 2.0
+    heartbeats_per_second: float = 24.0
     missed_heartbeats: int = 3
     connect_timeout: Seconds = 0.5
     suspicion: Seconds = 3.0
@@ -48,6 +54,7 @@
     reconnect_base: Seconds = 0.1
     reconnect_cap: Seconds = 5.0
     max_connections: int = 256
+    adopted_connections: int = 128
     load_bound: float = 1.25
     free_utilisation: float = 0.25
     busy_utilisation: float = 0.75
@@ -65,5 +72,9 @@
 
     @property
     def silence(self) -> Seconds:
-        """Time without a message after which a connection is silent."""
+        """Time without a message after which a connection in use is silent."""
         return self.heartbeat_interval * self.missed_heartbeats
+
+    def interval(self, connections: int) -> Seconds:
+        """Returns the time between heartbeats on each of that many connections."""
+        return max(self.heartbeat_interval, connections / self.heartbeats_per_second)
--- a/fighitch/core/messages.py
+++ b/fighitch/core/messages.py
@@ -186,7 +186,10 @@
         revision: Configuration revision of the sender.
         draining: Whether the sender takes no new work.
         ticket_epoch: Epoch that new tickets for this sidecar must carry.
-        load: Load of a sidecar; None from an entry.
+        load: Load of a sidecar; None from an entry, or if it was told before.
+        interval: Time between heartbeats that the sender keeps to on this connection
+            and asks of the receiver while no request is in flight on it; 0 leaves it
+            to the receiver.
     """
 
     sequence: int
@@ -194,6 +197,7 @@
     draining: bool = False
     ticket_epoch: int = 0
     load: LoadReport | None = None
+    interval: Milliseconds = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/fighitch/core/sidecar/core.py
+++ b/fighitch/core/sidecar/core.py
@@ -7,7 +7,7 @@
 
 from fighitch.core.anti_entropy import ConfigurationExchange
 from fighitch.core.configuration import ConfigurationStore
-from fighitch.core.effects import Disconnect, SidecarEffect, Stop
+from fighitch.core.effects import Disconnect, Send, SidecarEffect, Stop
 from fighitch.core.errors import ErrorKind, Failure
 from fighitch.core.inputs import (
     AdapterLoaded,
@@ -270,7 +270,11 @@
             self._execution.pump(now=now)
         self._plan_loads(now)
         self._stop_if_drained()
-        return self._outbox.take()
+        effects = self._outbox.take()
+        for effect in effects:
+            if isinstance(effect, Send):
+                self._links.sent(effect.connection, now)
+        return effects
 
     @singledispatchmethod
     def _on(self, event: Any, now: Seconds) -> None:
@@ -403,6 +407,7 @@
     def _heartbeat(
         self, message: Heartbeat, connection: ConnectionId, peer: Peer, now: Seconds
     ) -> None:
+        self._links.heard_heartbeat(connection, message)
         self._outbox.add(*self._exchange.heard(connection, message.revision, now=now))
 
     @_on_message.register
@@ -563,17 +568,24 @@
         self._outbox.log("connection_lost", cause=detail, connection=connection)
 
     def _send_heartbeats(self, now: Seconds) -> None:
-        due = tuple(self._links.due(now))
+        due = tuple(
+            self._links.due(
+                now,
+                revision=self._store.revision,
+                is_draining=self.is_draining,
+                in_use=self._answers.streams.connections(),
+            )
+        )
         load = self.load_report() if due else None
-        for connection, sequence in due:
+        for item in due:
             heartbeat = Heartbeat(
-                sequence=sequence,
+                sequence=item.sequence,
                 revision=self._store.revision,
                 draining=self.is_draining,
                 ticket_epoch=self._ledger.epoch,
-                load=load,
+                load=load if item.has_load else None,
             )
-            self._outbox.send(connection, heartbeat)
+            self._outbox.send(item.connection, heartbeat)
 
     def _advance_epoch(self, now: Seconds) -> None:
         if self._epoch_began is None:
--- a/fighitch/core/sidecar/streams.py
+++ b/fighitch/core/sidecar/streams.py
@@ -236,6 +236,10 @@
             and stream.lost_at <= time
         ]
 
+    def connections(self) -> frozenset[ConnectionId | None]:
+        """Returns the connections on which an answer is due."""
+        return frozenset(stream.connection for stream in self._live.values())
+
     def get(self, key: StreamKey) -> AnswerStream | None:
         """Returns the stream of an attempt, live or recently ended."""
         return self._live.get(key) or self._ended.get(key)
--- /dev/null
+++ b/fighitch/tests/test_heartbeats.py
@@ -0,0 +1,227 @@
+"""Tests of heartbeat intervals of entries and sidecars."""
+
+import random
+import unittest
+
+from fighitch.core import effects, inputs, messages
+from fighitch.core.entry import EntryCore
+from fighitch.core.entry.settings import EntrySettings
+from fighitch.core.resources import BackendServerSpec, Kind, Resource, WorkPolicySpec
+from fighitch.core.sidecar.links import Links
+from fighitch.tests.sidecar_helpers import SIGNER, Sidecar
+
+TICK = 0.05
+MANY = 96
+INTERVAL = MANY / EntrySettings().heartbeats_per_second
+
+
+def server(number, *, zone="z"):
+    spec = BackendServerSpec(
+        type="service",
+        address=f"10.0.0.{number}:1",
+        availability_zone=zone,
+        service="s",
+    )
+    return Resource(kind=Kind.BACKEND_SERVER, name=f"s{number}", revision=1, spec=spec)
+
+
+def policy(revision=1):
+    spec = WorkPolicySpec(rank=1)
+    return Resource(kind=Kind.WORK_POLICY, name="p", revision=revision, spec=spec)
+
+
+class Entry:
+    """An entry core whose connections are opened by hand; one for each server."""
+
+    def __init__(self, servers, **settings):
+        self.core = EntryCore(
+            "e1",
+            1,
+            signer=SIGNER,
+            rng=random.Random(1),
+            availability_zone="z",
+            settings=EntrySettings(**settings),
+        )
+        self.now = 100.0
+        self.connected = set()
+        self.sent = []
+        self.give(inputs.ConfigurationReceived((*servers, policy()), 1))
+
+    def give(self, event):
+        found = self.core.handle(event, now=self.now)
+        self.sent += [
+            (self.now, one.connection, one.message)
+            for one in found
+            if isinstance(one, effects.Send)
+        ]
+        return found
+
+    def connect(self, servers):
+        for number, one in enumerate(servers, 1):
+            peer = messages.Peer(messages.Role.SIDECAR, one.name, 7, "z")
+            self.give(inputs.ConnectionOpened(number, peer, one.spec.address))
+            self.hear(number)
+
+    def hear(self, connection, *, revision=1):
+        beat = messages.Heartbeat(1, revision, load=messages.LoadReport(batch_size=1))
+        self.give(inputs.MessageReceived(connection, beat))
+
+    def tick(self, seconds, *, heard=()):
+        """Lets time pass; returns the connections that were given up."""
+        lost = []
+        for _ in range(round(seconds / TICK)):
+            self.now += TICK
+            for connection in heard:
+                self.hear(connection)
+            found = self.give(inputs.Tick())
+            lost += [
+                one.connection for one in found if isinstance(one, effects.Disconnect)
+            ]
+        return lost
+
+    def beats(self, *, since):
+        return [
+            connection
+            for at, connection, message in self.sent
+            if at >= since and isinstance(message, messages.Heartbeat)
+        ]
+
+
+class EntryIntervalTests(unittest.TestCase):
+    def setUp(self):
+        self.servers = [server(number) for number in range(1, MANY + 1)]
+        self.entry = Entry(self.servers)
+        self.entry.connect(self.servers)
+        # The first intervals were promised while there were fewer connections.
+        self.entry.tick(2 * INTERVAL, heard=range(1, MANY + 1))
+
+    def test_heartbeats_of_many_connections_stay_within_the_rate(self):
+        """Guards against control traffic that grows with the fleet."""
+        began = self.entry.now
+        self.entry.tick(10.0, heard=range(1, MANY + 1))
+        rate = len(self.entry.beats(since=began)) / 10.0
+        self.assertLessEqual(rate, EntrySettings().heartbeats_per_second * 1.1)
+
+    def test_idle_connection_is_silent_after_three_stated_intervals(self):
+        """Guards against giving up sidecars that were asked to write seldom."""
+        others = range(2, MANY + 1)
+        self.assertEqual(self.entry.tick(2.8 * INTERVAL, heard=others), [])
+        self.assertEqual(self.entry.tick(0.4 * INTERVAL, heard=others), [1])
+
+    def test_connection_in_use_is_silent_after_the_short_time(self):
+        """Guards against requests that wait long for a dead sidecar."""
+        busy = self.entry.core._connections.get(1)
+        self.entry.core._connections.bound(busy, self.entry.now)
+        others = range(2, MANY + 1)
+        silence = EntrySettings().silence
+        self.assertEqual(self.entry.tick(silence - 2 * TICK, heard=others), [])
+        self.assertEqual(self.entry.tick(4 * TICK, heard=others), [1])
+
+    def test_changed_revision_is_told_at_once_to_those_who_lack_it(self):
+        """Guards against a change that waits for the next slow heartbeat."""
+        self.entry.hear(1, revision=2)
+        began = self.entry.now
+        event = inputs.ConfigurationReceived((policy(2),), 2, base=1)
+        self.entry.give(event)
+        self.entry.tick(TICK)
+        self.assertGreaterEqual(
+            set(self.entry.beats(since=began)), set(range(2, MANY + 1))
+        )
+
+    def test_small_fleet_keeps_the_short_interval(self):
+        few = [server(number) for number in range(1, 13)]
+        entry = Entry(few)
+        entry.connect(few)
+        stated = {
+            message.interval
+            for _, _, message in entry.sent
+            if isinstance(message, messages.Heartbeat)
+        }
+        self.assertEqual(stated, {500})
+
+
+class AdoptionTests(unittest.TestCase):
+    def test_entry_of_a_large_fleet_connects_to_a_part_of_its_zone(self):
+        """Guards against idle sidecars that no entry tells of changes."""
+        servers = [server(number, zone="zy"[number % 2]) for number in range(1, 41)]
+        entry = Entry(servers, max_connections=16, adopted_connections=8)
+        found = []
+        for _ in range(10):
+            entry.now += TICK
+            found += [
+                one.address
+                for one in entry.give(inputs.Tick())
+                if isinstance(one, effects.Connect)
+            ]
+        zone = {
+            one.spec.address for one in servers if one.spec.availability_zone == "z"
+        }
+        self.assertEqual(len(set(found)), 8)
+        self.assertLessEqual(set(found), zone)
+
+
+class SidecarLinkTests(unittest.TestCase):
+    def setUp(self):
+        self.links = Links(interval=0.5, silence=1.5)
+        self.links.open(1, messages.Peer(messages.Role.ENTRY, "e", 1), 0.0)
+        self.links.heard_heartbeat(1, messages.Heartbeat(1, 5, interval=4_000))
+
+    def due(self, now, *, revision=5, is_draining=False, in_use=()):
+        return list(
+            self.links.due(
+                now,
+                revision=revision,
+                is_draining=is_draining,
+                in_use=frozenset(in_use),
+            )
+        )
+
+    def test_interval_is_that_of_the_entry(self):
+        """Guards against sidecars that write more often than the entry can take."""
+        self.assertEqual(len(self.due(0.0)), 1)
+        self.assertEqual(self.due(3.9), [])
+        self.assertTrue(self.due(4.0)[0].has_load)
+
+    def test_entry_is_silent_after_three_of_its_intervals(self):
+        for step in range(1, 240):
+            self.assertEqual(self.links.silent(step * TICK), [])
+        self.assertEqual(self.links.silent(12.0), [1])
+
+    def test_waiting_entry_hears_something_in_every_base_interval(self):
+        """Guards against a busy sidecar that looks dead to the entry."""
+        self.due(0.0)
+        self.assertEqual(self.due(0.45, in_use={1}), [])
+        self.assertEqual(len(self.due(0.5, in_use={1})), 1)
+        self.links.sent(1, 0.9)
+        self.assertEqual(self.due(1.0, in_use={1}), [])
+
+    def test_news_is_told_at_once_and_without_the_load(self):
+        """Guards against drains and changes that wait for a slow heartbeat."""
+        self.due(0.0)
+        drain = self.due(0.1, is_draining=True)
+        self.assertEqual([item.has_load for item in drain], [False])
+        self.assertEqual(self.due(0.15, is_draining=True), [])
+        self.assertEqual(len(self.due(0.2, is_draining=True, revision=6)), 1)
+
+    def test_revision_that_the_entry_has_is_no_news(self):
+        """Guards against an echo of every change on every connection."""
+        self.due(0.0)
+        self.links.heard_heartbeat(1, messages.Heartbeat(2, 6, interval=4_000))
+        self.assertEqual(self.due(0.1, revision=6), [])
+
+
+class SidecarCoreTests(unittest.TestCase):
+    def test_request_on_an_idle_connection_is_answered_with_a_sign_of_life(self):
+        """Guards against an entry that gives up a queue as silent."""
+        sidecar = Sidecar()
+        sidecar.receive(messages.Heartbeat(1, 1, interval=4_000))
+        sidecar.tick(after=1.0)
+        sidecar.submit()
+        sidecar.effects.clear()
+        for _ in range(20):
+            sidecar.tick(after=TICK)
+        self.assertGreaterEqual(len(sidecar.sent(messages.Heartbeat)), 2)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/fighitch/tests/test_wire.py
+++ b/fighitch/tests/test_wire.py
@@ -38,6 +38,7 @@
     Resume("r", 1, 3),
     Heartbeat(1, 2, True, 3, LoadReport((1, 2), (3, 4), 16, frozenset({"a@v"}))),
     Heartbeat(9),
+    Heartbeat(9, interval=10_667),
     ConfigurationRequest(4),
     ConfigurationDelta(4, 6, b"[]"),
     PermitRequest(2),
--- a/fighitch/wire/codec.py
+++ b/fighitch/wire/codec.py
@@ -228,6 +228,7 @@
     body.revision = message.revision
     body.draining = message.draining
     body.ticketEpoch = message.ticket_epoch
+    body.intervalMs = _uint32(message.interval)
     if message.load is None:
         return
     report = body.load.init("report")
@@ -348,6 +349,7 @@
         draining=body.draining,
         ticket_epoch=body.ticketEpoch,
         load=load,
+        interval=body.intervalMs,
     )
 
 
--- a/fighitch/wire/fighitch.capnp
+++ b/fighitch/wire/fighitch.capnp
@@ -84,6 +84,7 @@
   draining @2 :Bool;
   ticketEpoch @3 :UInt64;
   load :union { none @4 :Void; report @5 :LoadReport; }
+  intervalMs @6 :UInt32; # 0 leaves it to the receiver.
 }
 
 struct ConfigurationRequest { since @0 :UInt64; }
