--- a/benchmarks/core_run.py
+++ b/benchmarks/core_run.py
@@ -2,6 +2,7 @@
 
 import random
 from collections.abc import Callable, Sequence
+from dataclasses import replace
 from typing import Any
 
 from benchmarks.fleet_sample import adapters, callers, heartbeat, servers
@@ -50,6 +51,11 @@
     return len(frame(encode(ConfigurationDelta(1, 2, data))))
 
 
+def news_bytes() -> int:
+    """Returns the bytes of a heartbeat that only tells a changed revision."""
+    return len(frame(encode(replace(heartbeat(0), load=None))))
+
+
 def heartbeat_bytes(resident: int) -> int:
     """Returns the bytes of a heartbeat on the wire."""
     return len(frame(encode(heartbeat(resident))))
