--- a/benchmarks/peers.py
+++ b/benchmarks/peers.py
@@ -204,7 +204,7 @@
                 continue
             connection.send(message)
             interval = self._intervals.get(connection.id, self._interval)
-            # The first interval is shorter, so that the connections do not stay in step.
+            # A shorter first interval spreads the connections over the time.
             is_first = connection.id not in self._next_beats
             share = (number % _PHASES + 1) / _PHASES if is_first else 1.0
             self._next_beats[connection.id] = now + interval * share
