--- a/fighitch/core/entry/indexes.py
+++ b/fighitch/core/entry/indexes.py
@@ -49,6 +49,7 @@
         self._services: dict[str, tuple[Resource, ...]] = {}
         self._servers: tuple[Resource, ...] = ()
         self._placement_generation = 0
+        self._placement_sources = (-1, -1)
 
     @property
     def generation(self) -> int:
@@ -99,15 +100,19 @@
 
         Most changes concern adapters and callers, and a fleet has thousands of servers.
         """
-        servers = tuple(self._store.of_kind(Kind.BACKEND_SERVER))
-        placements = tuple(
-            sorted(self._store.of_kind(Kind.PLACEMENT), key=lambda item: item.name)
+        sources = (
+            self._store.generation_of(Kind.BACKEND_SERVER),
+            self._store.generation_of(Kind.PLACEMENT),
         )
-        if servers == self._servers and placements == self._placements:
+        if sources == self._placement_sources:
             return
+        self._placement_sources = sources
         self._placement_generation += 1
+        servers = tuple(self._store.of_kind(Kind.BACKEND_SERVER))
         self._servers = servers
-        self._placements = placements
+        self._placements = tuple(
+            sorted(self._store.of_kind(Kind.PLACEMENT), key=lambda item: item.name)
+        )
         services: dict[str, list[Resource]] = {}
         for server in servers:
             if server.spec.service:
--- a/fighitch/core/messages.py
+++ b/fighitch/core/messages.py
@@ -197,8 +197,11 @@
         ahead: Digest of the resources that it holds ahead of that revision; 0 if none.
         draining: Whether the sender takes no new work.
         ticket_epoch: Epoch that new tickets for this sidecar must carry.
-        load: Load of a sidecar; None from an entry.
+        load: Load of a sidecar; None from an entry, or if it was told before.
         unreachable: Whether the sender's backend server does not answer.
+        interval: Time between heartbeats that the sender keeps to on this connection
+            and asks of the receiver while no request is in flight on it; 0 leaves it
+            to the receiver.
     """
 
     sequence: int
@@ -208,6 +211,7 @@
     load: LoadReport | None = None
     ahead: int = 0
     unreachable: bool = False
+    interval: Milliseconds = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/fighitch/core/sidecar/core.py
+++ b/fighitch/core/sidecar/core.py
@@ -8,7 +8,7 @@
 
 from fighitch.core.anti_entropy import ConfigurationExchange
 from fighitch.core.configuration import ConfigurationStore
-from fighitch.core.effects import Connect, Disconnect, SidecarEffect, Stop
+from fighitch.core.effects import Connect, Disconnect, Send, SidecarEffect, Stop
 from fighitch.core.errors import ErrorKind, Failure
 from fighitch.core.inputs import (
     AdapterLoaded,
@@ -176,6 +176,8 @@
         self._checks = SubmissionChecks(self._store, signer)
         self._policies: dict[int, RankPolicy] = {}
         self._generation = self._store.generation
+        self._server_generation = -1
+        self._engines: dict[InstanceName, str] = {}
         self._epoch_began: Seconds | None = None
         self._drain_cause = ""
         self._drain_began: Seconds | None = None
@@ -280,7 +282,11 @@
             self._execution.pump(now=now)
         self._plan_loads(now)
         self._stop_if_drained(now)
-        return self._outbox.take()
+        effects = self._outbox.take()
+        for effect in effects:
+            if isinstance(effect, Send):
+                self._links.sent(effect.connection, now)
+        return effects
 
     @singledispatchmethod
     def _on(self, event: Any, now: Seconds) -> None:
@@ -414,6 +420,7 @@
     def _heartbeat(
         self, message: Heartbeat, connection: ConnectionId, peer: Peer, now: Seconds
     ) -> None:
+        self._links.heard_heartbeat(connection, message)
         self._outbox.add(
             *self._exchange.heard(
                 connection, message.revision, now=now, ahead=message.ahead
@@ -586,19 +593,26 @@
         self._outbox.log("connection_lost", cause=detail, connection=connection)
 
     def _send_heartbeats(self, now: Seconds) -> None:
-        due = tuple(self._links.due(now))
+        due = tuple(
+            self._links.due(
+                now,
+                revision=self._store.revision,
+                state=(self._store.ahead, self.is_draining, not self._is_reachable),
+                in_use=self._answers.streams.connections(),
+            )
+        )
         load = self.load_report() if due else None
-        for connection, sequence in due:
+        for item in due:
             heartbeat = Heartbeat(
-                sequence=sequence,
+                sequence=item.sequence,
                 revision=self._store.revision,
                 draining=self.is_draining,
                 ticket_epoch=self._ledger.epoch,
-                load=load,
+                load=load if item.has_load else None,
                 ahead=self._store.ahead,
                 unreachable=not self._is_reachable,
             )
-            self._outbox.send(connection, heartbeat)
+            self._outbox.send(item.connection, heartbeat)
 
     def _advance_epoch(self, now: Seconds) -> None:
         if self._epoch_began is None:
@@ -635,16 +649,19 @@
         limits: list[WeightStoreSpec] = [
             item.spec for item in self._store.of_kind(Kind.WEIGHT_STORE)
         ]
-        addresses = {
-            item.name: item.spec.address
-            for item in self._store.of_kind(Kind.BACKEND_SERVER)
-            if item.spec.type == "engine"
-        }
+        generation = self._store.generation_of(Kind.BACKEND_SERVER)
+        if generation != self._server_generation:
+            self._server_generation = generation
+            self._engines = {
+                item.name: item.spec.address
+                for item in self._store.of_kind(Kind.BACKEND_SERVER)
+                if item.spec.type == "engine"
+            }
         rate = min((limit.loads_per_second for limit in limits), default=0.0)
         in_transit = min((limit.max_in_transit for limit in limits), default=0)
-        self._budget.configure(addresses, rate, in_transit, now)
-        chosen = lenders(self._instance, addresses, rate, in_transit)
-        self._lenders = {name: addresses[name] for name in chosen}
+        self._budget.configure(self._engines, rate, in_transit, now)
+        chosen = lenders(self._instance, self._engines, rate, in_transit)
+        self._lenders = {name: self._engines[name] for name in chosen}
         self._is_plan_due = True
 
     def _borrow(self, now: Seconds) -> None:
--- a/fighitch/wire/codec.py
+++ b/fighitch/wire/codec.py
@@ -231,6 +231,7 @@
     body.ticketEpoch = message.ticket_epoch
     body.ahead = message.ahead
     body.unreachable = message.unreachable
+    body.intervalMs = _uint32(message.interval)
     if message.load is None:
         return
     report = body.load.init("report")
@@ -353,6 +354,7 @@
         load=load,
         ahead=body.ahead,
         unreachable=body.unreachable,
+        interval=body.intervalMs,
     )
 
 
--- a/fighitch/wire/fighitch.capnp
+++ b/fighitch/wire/fighitch.capnp
@@ -87,6 +87,7 @@
   load :union { none @4 :Void; report @5 :LoadReport; }
   ahead @6 :UInt64;
   unreachable @7 :Bool;
+  intervalMs @8 :UInt32; # 0 leaves it to the receiver.
 }
 
 struct ConfigurationRequest { since @0 :UInt64; }
