--- a/fighitch/core/entry/connections.py
+++ b/fighitch/core/entry/connections.py
@@ -285,7 +285,8 @@
                 self._wanted.discard(name)
         self._use_earlier_connections()
         self._adopted = self._choose_adopted()
-        for name in self._adopted:
+        # In a fixed order, since each member draws a random delay.
+        for name in sorted(self._adopted):
             member = self._members.get(name)
             if member is not None and name not in self._wanted:
                 self._wanted.add(member.name)
