Adapt tests to adopted connections and told states

Two tests of the connection limit turn adoption off, since they look at connections on demand; the others follow the new signatures.

--- a/benchmarks/tests/test_faults.py
+++ b/benchmarks/tests/test_faults.py
@@ -173,7 +173,8 @@
         merge_one = ConfigurationStore._merge_one
 
         def merge_any(self, item):
-            self._resources.pop((item.kind, item.name), None)
+            self._by_kind[item.kind].pop(item.name, None)
+            self._tombstones.pop((item.kind, item.name), None)
             return merge_one(self, item)
 
         with mock.patch.object(ConfigurationStore, "_merge_one", merge_any):
--- a/fighitch/tests/test_connections.py
+++ b/fighitch/tests/test_connections.py
@@ -111,7 +111,8 @@
 
 class LimitTests(unittest.TestCase):
     def test_least_recently_used_idle_connection_is_closed(self):
-        driver = Driver(connect=False, settings=EntrySettings(max_connections=3))
+        settings = EntrySettings(max_connections=3, adopted_connections=0)
+        driver = Driver(connect=False, settings=settings)
         for name in ("e0", "e1", "e2", "s0"):
             driver.now += 0.1
             driver.open(f"{name}:1")
@@ -119,7 +120,8 @@
         self.assertEqual(driver.addresses[closed.connection], "e0")
 
     def test_connections_are_opened_on_demand_beyond_the_limit(self):
-        driver = Driver(connect=False, settings=EntrySettings(max_connections=3))
+        settings = EntrySettings(max_connections=3, adopted_connections=0)
+        driver = Driver(connect=False, settings=settings)
         driver.tick(0.2)
         self.assertEqual(driver.of(Connect), [])
         driver.ask()
--- a/fighitch/tests/test_heartbeats.py
+++ b/fighitch/tests/test_heartbeats.py
@@ -166,12 +166,12 @@
         self.links.open(1, messages.Peer(messages.Role.ENTRY, "e", 1), 0.0)
         self.links.heard_heartbeat(1, messages.Heartbeat(1, 5, interval=4_000))
 
-    def due(self, now, *, revision=5, is_draining=False, in_use=()):
+    def due(self, now, *, revision=5, ahead=0, draining=False, lost=False, in_use=()):
         return list(
             self.links.due(
                 now,
                 revision=revision,
-                is_draining=is_draining,
+                state=(ahead, draining, lost),
                 in_use=frozenset(in_use),
             )
         )
@@ -198,10 +198,17 @@
     def test_news_is_told_at_once_and_without_the_load(self):
         """Guards against drains and changes that wait for a slow heartbeat."""
         self.due(0.0)
-        drain = self.due(0.1, is_draining=True)
+        drain = self.due(0.1, draining=True)
         self.assertEqual([item.has_load for item in drain], [False])
-        self.assertEqual(self.due(0.15, is_draining=True), [])
-        self.assertEqual(len(self.due(0.2, is_draining=True, revision=6)), 1)
+        self.assertEqual(self.due(0.15, draining=True), [])
+        self.assertEqual(len(self.due(0.2, draining=True, revision=6)), 1)
+
+    def test_changes_ahead_and_a_lost_backend_server_are_news(self):
+        """Guards against an accepted change that waits 10 s for a slow heartbeat."""
+        self.due(0.0)
+        self.assertEqual(len(self.due(0.1, ahead=7)), 1)
+        self.assertEqual(self.due(0.15, ahead=7), [])
+        self.assertEqual(len(self.due(0.2, ahead=7, lost=True)), 1)
 
     def test_revision_that_the_entry_has_is_no_news(self):
         """Guards against an echo of every change on every connection."""
