Refuse beyond the target only in a flood; pause work for its slot once

Change: fewer than 8 waiting requests of a rank, or than a batch, are no flood; work that gave way to other work once keeps its slot.

--- a/fighitch/core/sidecar/admission.py
+++ b/fighitch/core/sidecar/admission.py
@@ -27,6 +27,8 @@
 _DRAIN_HALF_LIFE: Seconds = 5.0
 _MIN_RETRY_AFTER: Seconds = 0.1
 _MAX_RETRY_AFTER: Seconds = 10.0
+# Waiting requests of a rank below which nothing is refused because of its target.
+_SHORT_QUEUE = 8
 # Share of its target that preemptible work may wait for a load that can be deferred.
 _DEFERRED_SHARE = 0.25
 # Share of its target after which preemptible work may use permits of other sidecars.
@@ -420,7 +422,11 @@
         """Refuses what would only wait beyond its target.
 
         A longer queue does not raise the throughput; it only makes every answer late.
+        A few waiting requests are a short delay and no flood: refusing them would turn
+        a delay after a fault into a loss.
         """
+        if len(self._queue(work.rank)) < max(self._batch_size, _SHORT_QUEUE):
+            return None
         target = self._policy(work.rank).target
         wait = self._expected_wait(work)
         if wait <= target:
--- a/fighitch/core/sidecar/calls.py
+++ b/fighitch/core/sidecar/calls.py
@@ -39,6 +39,7 @@
         sent_calls: Calls of which a byte may have reached the backend server.
         failures: Engine failures that it was continued after.
         unsent_retries: Calls repeated because nothing of them was sent.
+        was_paused: Whether it gave way to other work that needed its adapter slot.
         wrong_versions: Calls that answered from another version.
     """
 
@@ -64,6 +65,7 @@
     sent_calls: int = 0
     failures: int = 0
     unsent_retries: int = 0
+    was_paused: bool = False
     wrong_versions: int = 0
 
     @property
--- a/fighitch/core/sidecar/execution.py
+++ b/fighitch/core/sidecar/execution.py
@@ -155,13 +155,20 @@
             self._queue.set_ready(version, is_ready)
 
     def pause(self, version: AdapterVersion, *, now: Seconds) -> bool:
-        """Pauses the preemptible work on a version; returns whether there was any."""
+        """Pauses the preemptible work on a version; returns whether there was any.
+
+        Work is paused for its slot only once, so that a series of more valuable
+        requests cannot keep it from ever ending.
+        """
         paused = [
             request
             for request in self._requests.running()
             if request.work.preemptible and request.work.adapter_version == version
         ]
+        if any(request.was_paused for request in paused):
+            return False
         for request in paused:
+            request.was_paused = True
             self._stop_call(request)
             self._requeue(request, "its adapter slot is needed", now)
         return bool(paused)
