--- a/fighitch/core/sidecar/core.py
+++ b/fighitch/core/sidecar/core.py
@@ -187,6 +187,7 @@
         self._is_plan_due = False
         self._is_reachable = True
         self._lenders: dict[InstanceName, str] = {}
+        self._lender_sources: tuple[int, float, int] = (-1, 0.0, 0)
         self._dialled_at: Seconds = float("-inf")
 
     # --- State ---
@@ -660,9 +661,14 @@
         rate = min((limit.loads_per_second for limit in limits), default=0.0)
         in_transit = min((limit.max_in_transit for limit in limits), default=0)
         self._budget.configure(self._engines, rate, in_transit, now)
+        self._is_plan_due = True
+        # Ranking a large fleet takes milliseconds, and most changes concern adapters.
+        sources = (generation, rate, in_transit)
+        if sources == self._lender_sources:
+            return
+        self._lender_sources = sources
         chosen = lenders(self._instance, self._engines, rate, in_transit)
         self._lenders = {name: self._engines[name] for name in chosen}
-        self._is_plan_due = True
 
     def _borrow(self, now: Seconds) -> None:
         """Asks other sidecars for permits if work waits for loads."""
