--- /dev/null
+++ b/fighitch/core/gateway/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions of the direct path: routing, waiting, refusal, placement; no I/O."""
--- /dev/null
+++ b/fighitch/core/gateway/adapter_places.py
@@ -0,0 +1,278 @@
+"""Which adapters one engine holds, and the next order that improves it.
+
+Load pattern: thousands of adapters share a few places per engine, and which of them are
+asked for shifts during the day. The least used idle adapter makes way; an adapter that
+is in use or waited for never does.
+"""
+
+from collections import OrderedDict
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass, field
+
+from fighitch.core.gateway.engine_queue import LoadedAdapters
+from fighitch.core.gateway.model import AdapterName, EngineSpec
+from fighitch.types import Seconds
+
+# Loads on their way to one engine: nine engines with two each stay near the number that
+# the weight store serves at full speed.
+_MAX_COLD_LOADS = 2
+_MAX_LOADS = 4  # limit of the engine
+_USE_HALF_LIFE: Seconds = 8.0
+# Adapters that an engine dropped not long ago load ten times as fast.
+_RECENT_ADAPTERS = 80
+# An old version may be used while its replacement waits for a pause, well inside the
+# bound of 5 s that the users set for new versions.
+_OLD_VERSION_GRACE: Seconds = 1.2
+
+
+@dataclass(frozen=True, slots=True)
+class LoadAdapter:
+    """Order to load an adapter or to replace an older version of it."""
+
+    adapter: AdapterName
+    version: int
+
+
+@dataclass(frozen=True, slots=True)
+class UnloadAdapter:
+    """Order to drop an adapter."""
+
+    adapter: AdapterName
+
+
+@dataclass(frozen=True, slots=True)
+class LoadModel:
+    """Order to load a base model."""
+
+    model: str
+
+
+Order = LoadAdapter | UnloadAdapter | LoadModel
+
+
+@dataclass(frozen=True, slots=True)
+class EngineReport:
+    """What an engine says of itself.
+
+    Attributes:
+        sequence: Number of orders that it accepted.
+        models: Base models that it holds.
+        adapters: Adapters that it holds, with their versions.
+        coming: Adapters on their way to it.
+        busy: Whether it carries out an order that excludes others.
+        draining: Whether it is leaving.
+        remaining: Time until it is gone, if it said so.
+        born_ms: Unix time of its start in ms; 0 if not stated.
+        instance_id: Its id; empty if not stated.
+    """
+
+    sequence: int
+    models: frozenset[str]
+    adapters: Mapping[AdapterName, int]
+    coming: frozenset[AdapterName]
+    busy: bool = False
+    draining: bool = False
+    remaining: Seconds | None = None
+    born_ms: int = 0
+    instance_id: str = ""
+
+
+@dataclass(slots=True)
+class _Use:
+    count: float = 0.0
+    at: Seconds = 0.0
+    in_use: int = 0
+
+
+@dataclass(slots=True)
+class AdapterPlaces(LoadedAdapters):
+    """Adapter places of one engine."""
+
+    report: EngineReport | None = None
+    _engine: EngineSpec | None = None
+    _uses: dict[AdapterName, _Use] = field(default_factory=dict)
+    _versions: dict[AdapterName, int] = field(default_factory=dict)
+    _outdated_since: dict[AdapterName, Seconds] = field(default_factory=dict)
+    _recent: OrderedDict[AdapterName, None] = field(default_factory=OrderedDict)
+
+    def configure(self, engine: EngineSpec) -> None:
+        """Takes the engine's limits."""
+        self._engine = engine
+
+    @property
+    def recent(self) -> Iterable[AdapterName]:
+        """Adapters that were dropped not long ago and load fast."""
+        return self._recent
+
+    @property
+    def changing(self) -> bool:
+        """Whether an adapter is on its way."""
+        return self.report is not None and bool(self.report.coming)
+
+    def note_report(self, report: EngineReport) -> None:
+        """Takes what the engine says of itself."""
+        previous = self.report
+        self.report = report
+        if previous is None:
+            return
+        if previous.born_ms != report.born_ms or report.sequence < previous.sequence:
+            self._recent.clear()
+            return
+        for adapter in previous.adapters:
+            if adapter not in report.adapters:
+                self._recent[adapter] = None
+                self._recent.move_to_end(adapter)
+        for adapter in report.adapters:
+            self._recent.pop(adapter, None)
+        while len(self._recent) > _RECENT_ADAPTERS:
+            self._recent.popitem(last=False)
+
+    def note_version(self, adapter: AdapterName, version: int, now: Seconds) -> None:
+        """Takes the announcement of a version."""
+        if version <= self._versions.get(adapter, 0):
+            return
+        self._versions[adapter] = version
+        self._outdated_since.setdefault(adapter, now)
+
+    def note_wanted(self, adapter: AdapterName, now: Seconds) -> None:
+        """Counts a request for an adapter."""
+        use = self._uses.setdefault(adapter, _Use(at=now))
+        use.count = self._decayed(use, now) + 1.0
+        use.at = now
+
+    def note_granted(self, adapter: AdapterName) -> None:
+        """Notes that a request may start on an adapter."""
+        self._uses.setdefault(adapter, _Use()).in_use += 1
+
+    def note_done(self, adapter: AdapterName) -> None:
+        """Notes the end of a request on an adapter."""
+        use = self._uses.get(adapter)
+        if use is not None:
+            use.in_use = max(0, use.in_use - 1)
+
+    def serves(self, adapter: AdapterName, version: int, now: Seconds) -> bool:
+        """Whether a request for an adapter may start."""
+        if self.report is None or adapter.model not in self.report.models:
+            return False
+        if not adapter.adapter:
+            return True
+        held = self.report.adapters.get(adapter)
+        if held is None:
+            return False
+        newest = max(version, self._versions.get(adapter, 0))
+        if held >= newest:
+            self._outdated_since.pop(adapter, None)
+            return True
+        since = self._outdated_since.setdefault(adapter, now)
+        return now < since + _OLD_VERSION_GRACE
+
+    def next_order(
+        self, wanted: Iterable[tuple[AdapterName, int]], now: Seconds
+    ) -> Order | None:
+        """Returns the order that helps the most urgent waiting work.
+
+        Args:
+            wanted: Adapters that work waits for with the oldest version allowed, the
+                most urgent first.
+            now: Time of the decision.
+        """
+        report, engine = self.report, self._engine
+        if report is None or engine is None or report.busy or report.draining:
+            return None
+        missing_model = self._missing_model(report, engine)
+        if missing_model is not None:
+            return LoadModel(missing_model)
+        wanted = list(wanted)
+        needed = {adapter for adapter, _ in wanted}
+        for adapter, version in (*wanted, *self._outdated(report)):
+            order = self._order_for(adapter, version, needed, now)
+            if order is not None:
+                return order
+        return None
+
+    def _order_for(
+        self,
+        adapter: AdapterName,
+        version: int,
+        needed: set[AdapterName],
+        now: Seconds,
+    ) -> Order | None:
+        report = self.report
+        if report is None or not adapter.adapter or adapter.model not in report.models:
+            return None
+        if adapter in report.coming:
+            return None
+        newest = max(version, self._versions.get(adapter, 0))
+        held = report.adapters.get(adapter)
+        if held is not None:
+            if held >= newest or self._in_use(adapter):
+                return None
+            return self._load(adapter, newest, report)
+        if len(report.adapters) + len(report.coming) < self._places():
+            return self._load(adapter, newest, report)
+        if not self._may_load(adapter, report):
+            return None
+        victim = self._victim(report, needed, now)
+        return None if victim is None else UnloadAdapter(victim)
+
+    def _load(
+        self, adapter: AdapterName, version: int, report: EngineReport
+    ) -> Order | None:
+        if not self._may_load(adapter, report):
+            return None
+        return LoadAdapter(adapter, version)
+
+    def _may_load(self, adapter: AdapterName, report: EngineReport) -> bool:
+        limit = _MAX_LOADS if adapter in self._recent else _MAX_COLD_LOADS
+        return len(report.coming) < limit
+
+    def _outdated(self, report: EngineReport) -> list[tuple[AdapterName, int]]:
+        return [
+            (adapter, self._versions[adapter])
+            for adapter in self._outdated_since
+            if adapter in report.adapters
+            and report.adapters[adapter] < self._versions.get(adapter, 0)
+        ]
+
+    def _places(self) -> int:
+        engine = self._engine
+        if engine is None or self.report is None:
+            return 0
+        held = [
+            engine.models[name] for name in self.report.models if name in engine.models
+        ]
+        room = engine.weights_mb - sum(model.weights_mb for model in held)
+        largest = max((model.adapter_mb for model in held), default=0.0)
+        if largest <= 0:
+            return engine.adapter_places
+        return min(engine.adapter_places, int(room / largest))
+
+    def _victim(
+        self, report: EngineReport, needed: set[AdapterName], now: Seconds
+    ) -> AdapterName | None:
+        idle = [
+            adapter
+            for adapter in report.adapters
+            if adapter not in needed and not self._in_use(adapter)
+        ]
+        if not idle:
+            return None
+        return min(idle, key=lambda adapter: self._popularity(adapter, now))
+
+    def _missing_model(self, report: EngineReport, engine: EngineSpec) -> str | None:
+        if report.models or not engine.models:
+            return None
+        # An engine that restarted holds nothing; the smallest configured model first.
+        return min(engine.models.values(), key=lambda model: model.weights_mb).name
+
+    def _in_use(self, adapter: AdapterName) -> bool:
+        use = self._uses.get(adapter)
+        return use is not None and use.in_use > 0
+
+    def _popularity(self, adapter: AdapterName, now: Seconds) -> float:
+        use = self._uses.get(adapter)
+        return 0.0 if use is None else self._decayed(use, now)
+
+    @staticmethod
+    def _decayed(use: _Use, now: Seconds) -> float:
+        return use.count * 0.5 ** ((now - use.at) / _USE_HALF_LIFE)
--- /dev/null
+++ b/fighitch/core/gateway/backend_choice.py
@@ -0,0 +1,170 @@
+"""Choice of the backend server for a request.
+
+Load pattern: prompts on few popular adapters, a long tail of rare ones, and bursts. An
+adapter's requests stay with the engines that hold it until their backlog costs more
+than loading it elsewhere; rare adapters have a home by rendezvous hashing, where they
+were held recently and load fast.
+"""
+
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass, field
+
+from fighitch.core.gateway.model import AdapterName, BackendServer
+from fighitch.core.rendezvous import ranked
+from fighitch.types import Seconds
+
+_COLD_LOAD: Seconds = 0.3
+_RECENT_LOAD: Seconds = 0.04
+# A load away from the home of an adapter costs a place there and is cold next time.
+_AWAY_FROM_HOME: Seconds = 0.06
+_FURTHEST_RANK = 4
+# Tie-breaker between equally loaded servers: traffic between zones is paid for.
+_OTHER_ZONE: Seconds = 0.01
+_PAUSED: Seconds = 5.0
+_FAILING: Seconds = 1.0
+_UNCONNECTED: Seconds = 0.5
+
+
+@dataclass(slots=True)
+class EngineView:
+    """What an entry knows of one engine.
+
+    Attributes:
+        instance_id: Instance id of the engine.
+        backlog: Time to read the prompts that were handed over or wait.
+        pending: Reading time of requests that were sent since the last status.
+        adapters: Adapters that it holds, with versions.
+        recent: Adapters that load fast there.
+        connected: Whether its agent answers.
+        serving: Whether the engine answers its agent.
+        entries: Entries connected to its agent.
+        per_token: Time to read one prompt token.
+    """
+
+    instance_id: str
+    backlog: Seconds = 0.0
+    pending: Seconds = 0.0
+    adapters: dict[AdapterName, int] = field(default_factory=dict)
+    recent: frozenset[AdapterName] = frozenset()
+    connected: bool = False
+    serving: bool = True
+    entries: int = 1
+    per_token: Seconds = 5e-5
+
+
+@dataclass(frozen=True, slots=True)
+class Candidate:
+    """A possible backend server.
+
+    Attributes:
+        server: The server.
+        cost: Expected time to a start, with penalties.
+    """
+
+    server: BackendServer
+    cost: Seconds
+
+
+class EngineChoice:
+    """Ranks engines for a request."""
+
+    def __init__(self, zone: str) -> None:
+        self._zone = zone
+        self._homes: dict[str, list[str]] = {}
+        self._nodes: tuple[str, ...] = ()
+
+    def rank(
+        self,
+        adapter: AdapterName,
+        servers: Sequence[BackendServer],
+        views: dict[str, EngineView],
+        penalty: Callable[[str], Seconds],
+    ) -> list[Candidate]:
+        """Returns the possible engines, the cheapest first.
+
+        Args:
+            adapter: Adapter that the request runs on.
+            servers: Engines that take work.
+            views: What is known of them, by instance id.
+            penalty: Returns the cost of recent failures of a server.
+        """
+        homes = self._ranking(adapter, servers)
+        candidates = []
+        for server in servers:
+            view = views.get(server.instance_id) or EngineView(server.instance_id)
+            cost = view.backlog + view.pending + penalty(server.instance_id)
+            if not view.connected:
+                cost += _UNCONNECTED
+            if not view.serving:
+                cost += _PAUSED
+            if server.zone != self._zone:
+                cost += _OTHER_ZONE
+            if adapter.adapter and adapter not in view.adapters:
+                is_recent = adapter in view.recent
+                cost += _RECENT_LOAD if is_recent else _COLD_LOAD
+                place = homes.index(server.instance_id)
+                cost += _AWAY_FROM_HOME * min(place, _FURTHEST_RANK)
+            candidates.append(Candidate(server, cost))
+        candidates.sort(key=lambda candidate: candidate.cost)
+        return candidates
+
+    def _ranking(
+        self, adapter: AdapterName, servers: Sequence[BackendServer]
+    ) -> list[str]:
+        nodes = tuple(server.instance_id for server in servers)
+        if nodes != self._nodes:
+            self._nodes = nodes
+            self._homes.clear()
+        key = str(adapter)
+        ranking = self._homes.get(key)
+        if ranking is None:
+            ranking = self._homes[key] = ranked(key, dict.fromkeys(nodes, 1.0))
+        return ranking
+
+
+@dataclass(slots=True)
+class PlainLoad:
+    """Requests of one entry at one plain server.
+
+    Attributes:
+        running: Requests without an answer.
+        service_time: Smoothed time of an answer.
+    """
+
+    running: int = 0
+    service_time: Seconds = 0.05
+
+    def note_answer(self, elapsed: Seconds) -> None:
+        """Takes the time of an answer."""
+        self.service_time += 0.1 * (elapsed - self.service_time)
+
+
+def rank_plain(
+    servers: Sequence[BackendServer],
+    loads: dict[str, PlainLoad],
+    zone: str,
+    penalty: Callable[[str], Seconds],
+) -> list[Candidate]:
+    """Ranks plain servers, the one with the shortest expected wait first.
+
+    Args:
+        servers: Servers that take work.
+        loads: Own requests at each server, by instance id.
+        zone: Zone of the entry.
+        penalty: Returns the cost of recent failures of a server.
+    """
+    candidates = []
+    for server in servers:
+        load = loads.get(server.instance_id) or PlainLoad()
+        cost = load.running * load.service_time / max(1, server.slots)
+        cost += load.service_time + penalty(server.instance_id)
+        if server.zone != zone:
+            cost += _OTHER_ZONE
+        candidates.append(Candidate(server, cost))
+    candidates.sort(key=lambda candidate: candidate.cost)
+    return candidates
+
+
+def failure_penalty(*, paused: bool, failure_ratio: float) -> Seconds:
+    """Returns the cost of a server's recent failures."""
+    return (_PAUSED if paused else 0.0) + _FAILING * failure_ratio**2
--- /dev/null
+++ b/fighitch/core/gateway/engine_queue.py
@@ -0,0 +1,297 @@
+"""Admission at one model engine: who waits, who is sent on, who is refused.
+
+Load pattern: a burst brings more prompts than the engine can read. Prompts that are
+handed to the engine at once delay each other, so that all first events come late. The
+queue hands over only as much as the engine reads within ``WINDOW``, work that can be on
+time first, and refuses what would end after its deadline as soon as that is known.
+"""
+
+from dataclasses import dataclass, field
+
+from fighitch.core.gateway.model import AdapterName, EngineSpec, PromptSize
+from fighitch.types import Seconds
+
+# Prompt reading that is handed to the engine ahead: covers one round trip to a distant
+# entry several times over, so that the engine never runs dry.
+WINDOW: Seconds = 0.15
+# Starting values, replaced by what is measured: 20 tokens/ms, 60 ms to a first event.
+_READ_SECONDS_PER_TOKEN = 5e-5
+_FIRST_EVENT_OVERHEAD: Seconds = 0.06
+_ESTIMATE_WEIGHT = 0.05
+_FASTEST_READ = 5e-6
+_SLOWEST_READ = 5e-4
+_KV_SHARE = 0.92  # the rest absorbs answers that are longer than announced
+# Time that is kept for generation when a start is compared with a deadline.
+_ANSWER_TIME: Seconds = 0.8
+# A refusal asks callers to come back when the queue has drained, spread by the load.
+_SHORTEST_RETRY: Seconds = 0.3
+_LONGEST_RETRY: Seconds = 3.0
+
+# (connection, request number) of the entry that asked.
+WorkKey = tuple[int, int]
+
+
+@dataclass(frozen=True, slots=True)
+class Work:
+    """A request for a place on the engine.
+
+    Attributes:
+        key: Who asked.
+        adapter: Adapter that the request runs on.
+        version: Oldest version that it may run on; 0 for any.
+        rank: Urgency; 0 is the most urgent.
+        size: Tokens of the prompt and of the answer.
+        arrived: When it was asked for.
+        aim: Until when its first event is worth its full value.
+        deadline: After this nothing is owed.
+    """
+
+    key: WorkKey
+    adapter: AdapterName
+    version: int
+    rank: int
+    size: PromptSize
+    arrived: Seconds
+    aim: Seconds
+    deadline: Seconds
+
+    @property
+    def tokens(self) -> int:
+        """Tokens that the request needs in the KV cache."""
+        return self.size.prompt_tokens + self.size.output_tokens
+
+
+@dataclass(slots=True)
+class _Running:
+    work: Work
+    granted: Seconds
+    ahead_tokens: int
+    started: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class Refusal:
+    """Work that can't be served in time.
+
+    Attributes:
+        work: What is refused.
+        retry_after: When room is expected.
+        reason: For the log.
+    """
+
+    work: Work
+    retry_after: Seconds
+    reason: str
+
+
+@dataclass(slots=True)
+class ReadSpeed:
+    """Running estimate of how fast the engine reads prompts.
+
+    Attributes:
+        per_token: Seconds for one prompt token.
+        overhead: Seconds to a first event on an idle engine.
+    """
+
+    per_token: Seconds = _READ_SECONDS_PER_TOKEN
+    overhead: Seconds = _FIRST_EVENT_OVERHEAD
+
+    def note(self, elapsed: Seconds, tokens_ahead: int) -> None:
+        """Takes the time from grant to first event.
+
+        Args:
+            elapsed: Time that passed.
+            tokens_ahead: Prompt tokens that had to be read, its own included.
+        """
+        if elapsed < self.overhead:
+            self.overhead += 0.2 * (elapsed - self.overhead)
+        else:
+            expected = self.overhead + tokens_ahead * self.per_token
+            self.overhead += 0.002 * (min(elapsed, expected) - self.overhead)
+        if tokens_ahead < 256:
+            return
+        sample = max(0.0, elapsed - self.overhead) / tokens_ahead
+        sample = min(_SLOWEST_READ, max(_FASTEST_READ, sample))
+        self.per_token += _ESTIMATE_WEIGHT * (sample - self.per_token)
+
+
+@dataclass(slots=True)
+class EngineQueue:
+    """Work that waits for one engine and work that was handed to it."""
+
+    slots: int = 1
+    kv_tokens: int = 0
+    speed: ReadSpeed = field(default_factory=ReadSpeed)
+    _waiting: dict[WorkKey, Work] = field(default_factory=dict)
+    _running: dict[WorkKey, _Running] = field(default_factory=dict)
+    _unread_tokens: int = 0
+    _held_tokens: int = 0
+    _waiting_tokens: int = 0
+
+    def configure(self, engine: EngineSpec) -> None:
+        """Takes the engine's limits."""
+        self.slots = engine.batch_slots
+        self.kv_tokens = engine.kv_tokens
+
+    @property
+    def running(self) -> int:
+        """Requests that were handed to the engine."""
+        return len(self._running)
+
+    @property
+    def waiting(self) -> int:
+        """Requests that wait."""
+        return len(self._waiting)
+
+    @property
+    def waiting_work(self) -> list[Work]:
+        """Requests that wait, the most urgent first."""
+        return sorted(self._waiting.values(), key=lambda work: (work.rank, work.aim))
+
+    @property
+    def backlog(self) -> Seconds:
+        """Time to read all prompts that were handed over or wait."""
+        return (self._unread_tokens + self._waiting_tokens) * self.speed.per_token
+
+    def add(self, work: Work) -> Refusal | None:
+        """Takes new work, or refuses it when it can't end before its deadline."""
+        ahead = self._tokens_ahead(work)
+        first_event = (
+            work.arrived
+            + self.speed.overhead
+            + (ahead + work.size.prompt_tokens) * self.speed.per_token
+        )
+        if work.tokens > self.kv_tokens > 0:
+            return Refusal(work, _LONGEST_RETRY, "larger_than_engine")
+        if first_event + _answer_time(work) > work.deadline:
+            return Refusal(work, self.retry_after(), "deadline_out_of_reach")
+        self._waiting[work.key] = work
+        self._waiting_tokens += work.size.prompt_tokens
+        return None
+
+    def take_ready(self, now: Seconds, loaded: "LoadedAdapters") -> list[Work]:
+        """Hands over the best work for which the engine has room.
+
+        Args:
+            now: Time of the decision.
+            loaded: Says which adapters the engine holds.
+
+        Returns:
+            Work that may be sent to the engine now.
+        """
+        taken: list[Work] = []
+        if not self._waiting:
+            return taken
+        eligible = [
+            work
+            for work in self._waiting.values()
+            if loaded.serves(work.adapter, work.version, now)
+        ]
+        eligible.sort(key=lambda work: self._order(work, now))
+        for work in eligible:
+            if not self._has_room(work):
+                break
+            self._hand_over(work, now)
+            taken.append(work)
+        return taken
+
+    def take_overdue(self, now: Seconds) -> list[Refusal]:
+        """Removes waiting work that can no longer end before its deadline."""
+        overdue = []
+        for work in list(self._waiting.values()):
+            first_event = (
+                now
+                + self.speed.overhead
+                + work.size.prompt_tokens * self.speed.per_token
+            )
+            if first_event + _answer_time(work) > work.deadline:
+                self._remove_waiting(work.key)
+                overdue.append(Refusal(work, self.retry_after(), "waited_too_long"))
+        return overdue
+
+    def work(self, key: WorkKey) -> Work | None:
+        """Returns work that waits or was handed over."""
+        running = self._running.get(key)
+        return running.work if running is not None else self._waiting.get(key)
+
+    def note_started(self, key: WorkKey, now: Seconds) -> None:
+        """Notes the first event of a request."""
+        running = self._running.get(key)
+        if running is None or running.started:
+            return
+        running.started = True
+        self._unread_tokens -= running.work.size.prompt_tokens
+        self.speed.note(now - running.granted, running.ahead_tokens)
+
+    def note_done(self, key: WorkKey) -> bool:
+        """Notes the end of a request, or that its entry no longer wants it.
+
+        Returns:
+            Whether it had been handed to the engine.
+        """
+        self._remove_waiting(key)
+        running = self._running.pop(key, None)
+        if running is None:
+            return False
+        self._held_tokens -= running.work.tokens
+        if not running.started:
+            self._unread_tokens -= running.work.size.prompt_tokens
+        return True
+
+    def forget_connection(self, connection: int) -> list[Work]:
+        """Drops all work of an entry that is gone; returns what was handed over."""
+        keys = [key for key in (*self._waiting, *self._running) if key[0] == connection]
+        handed = [self._running[key].work for key in keys if key in self._running]
+        for key in keys:
+            self.note_done(key)
+        return handed
+
+    def retry_after(self) -> Seconds:
+        """Returns when a refused caller should come back."""
+        return min(_LONGEST_RETRY, max(_SHORTEST_RETRY, self.backlog))
+
+    def _order(self, work: Work, now: Seconds) -> tuple[bool, int, Seconds]:
+        unread = self._unread_tokens + work.size.prompt_tokens
+        first_event = now + self.speed.overhead + unread * self.speed.per_token
+        return first_event > work.aim, work.rank, work.aim
+
+    def _has_room(self, work: Work) -> bool:
+        if len(self._running) >= self.slots:
+            return False
+        if not self._running:
+            return True
+        if self._held_tokens + work.tokens > _KV_SHARE * self.kv_tokens:
+            return False
+        return self._unread_tokens * self.speed.per_token < WINDOW
+
+    def _hand_over(self, work: Work, now: Seconds) -> None:
+        self._remove_waiting(work.key)
+        self._unread_tokens += work.size.prompt_tokens
+        self._held_tokens += work.tokens
+        self._running[work.key] = _Running(work, now, self._unread_tokens)
+
+    def _remove_waiting(self, key: WorkKey) -> None:
+        work = self._waiting.pop(key, None)
+        if work is not None:
+            self._waiting_tokens -= work.size.prompt_tokens
+
+    def _tokens_ahead(self, work: Work) -> int:
+        waiting = sum(
+            other.size.prompt_tokens
+            for other in self._waiting.values()
+            if other.rank <= work.rank
+        )
+        return self._unread_tokens + waiting
+
+
+class LoadedAdapters:
+    """What an engine can serve right now; implemented by the adapter places."""
+
+    def serves(self, adapter: AdapterName, version: int, now: Seconds) -> bool:
+        """Whether a request for an adapter may start."""
+        raise NotImplementedError
+
+
+def _answer_time(work: Work) -> Seconds:
+    # Work with a short deadline would never be admitted with the full reserve.
+    return min(_ANSWER_TIME, 0.1 * (work.deadline - work.arrived))
--- /dev/null
+++ b/fighitch/gateway/__init__.py
@@ -0,0 +1,1 @@
+"""Programs of the direct path: the gateway entry and the engine agent."""
--- /dev/null
+++ b/fighitch/gateway/agent.py
@@ -0,0 +1,377 @@
+"""The engine agent: admits requests to its engine and alone gives it orders."""
+
+import socket
+from dataclasses import dataclass
+
+import msgspec
+
+from fighitch.core.gateway.adapter_places import AdapterPlaces, EngineReport
+from fighitch.core.gateway.engine_queue import EngineQueue, Refusal, Work
+from fighitch.core.gateway.model import AdapterName, EngineSpec, PromptSize
+from fighitch.core.gateway.settings import Address, InstanceSettings
+from fighitch.gateway.engine_control import EngineControl, EngineHolder, order_outcome
+from fighitch.gateway.metrics import AgentMetrics
+from fighitch.gateway.peer_connection import PeerConnection
+from fighitch.gateway.peer_messages import (
+    AdapterVersions,
+    Ask,
+    Deny,
+    Done,
+    Grant,
+    Heartbeat,
+    HeldAdapters,
+    Hello,
+    Message,
+    Started,
+    Status,
+)
+from fighitch.observability.bounded_log import BoundedLog
+from fighitch.runtime.event_loop import READ, EventLoop
+from fighitch.runtime.http_client import NO_ANSWER
+from fighitch.runtime.sockets import listen
+from fighitch.types import Seconds
+
+_MS = 1_000
+_NS = 1_000_000_000
+_TICK: Seconds = 0.05
+_IDLE_REPORT: Seconds = 0.2
+_LOADING_REPORT: Seconds = 0.03
+_STATUS_INTERVAL: Seconds = 0.25
+_BACKLOG_STEP: Seconds = 0.03
+# An entry sends heartbeats every 0.5 s.
+_ENTRY_SILENCE: Seconds = 2.0
+# Two lost reports in a row may be chance, three are not.
+_MAX_LOST_REPORTS = 2
+_ORDER_PAUSE: Seconds = 0.1
+
+
+@dataclass(slots=True)
+class _LastStatus:
+    """What the entries were told last."""
+
+    status: Status | None = None
+    at: Seconds = float("-inf")
+
+
+class EngineAgent:
+    """Owns the queue and the adapter places of one engine."""
+
+    def __init__(
+        self,
+        loop: EventLoop,
+        settings: InstanceSettings,
+        engine: Address,
+        log: BoundedLog,
+        metrics: AgentMetrics,
+    ) -> None:
+        self._loop = loop
+        self._settings = settings
+        self._log = log
+        self._metrics = metrics
+        self._queue = EngineQueue()
+        self._places = AdapterPlaces()
+        self._spec: EngineSpec | None = None
+        self._engine_id = ""
+        self._peers: dict[int, PeerConnection] = {}
+        self._next_peer = 1
+        self._lost_reports = 0
+        self._serving = False
+        self._draining = False
+        self._last_report: Seconds = float("-inf")
+        self._order_not_before: Seconds = 0.0
+        self._last_status = _LastStatus()
+        self._told: dict[AdapterName, int] = {}
+        self._holder = EngineHolder(loop, settings, engine, log)
+        self._control = EngineControl(loop, engine, on_report=self._on_report)
+        self._listener = listen(settings.host, settings.peer_port)
+
+    def start(self) -> None:
+        """Starts to listen, to claim the engine and to ask for reports."""
+        self._loop.watch(self._listener, READ, self._accept)
+        self._holder.start()
+        self._control.ask_report()
+        self._loop.call_every(_TICK, self._tick)
+
+    def stop(self) -> None:
+        """Ends at once: granted requests go on without the agent."""
+        for peer in list(self._peers.values()):
+            peer.close("stopping")
+        self._loop.forget(self._listener)
+        self._listener.close()
+        self._loop.stop()
+
+    # Entries.
+
+    def _accept(self, _events: int) -> None:
+        while True:
+            try:
+                sock, _ = self._listener.accept()
+            except BlockingIOError:
+                return
+            except OSError as error:
+                self._log.event("accept_failed", detail=error)
+                return
+            self._add_peer(sock)
+
+    def _add_peer(self, sock: socket.socket) -> None:
+        peer = PeerConnection(
+            self._loop, sock, on_message=self._on_message, on_closed=self._on_closed
+        )
+        peer.number = self._next_peer
+        self._next_peer += 1
+        self._peers[peer.number] = peer
+        peer.send(self._status())
+        peer.send(self._all_held())
+
+    def _on_closed(self, peer: PeerConnection, reason: str) -> None:
+        self._peers.pop(peer.number, None)
+        handed = self._queue.forget_connection(peer.number)
+        for work in handed:
+            self._places.note_done(work.adapter)
+        self._log.event(
+            "entry_lost", peer=peer.number, reason=reason, running=len(handed)
+        )
+        self._pump()
+
+    def _on_message(self, peer: PeerConnection, message: Message) -> None:
+        match message:
+            case Ask():
+                self._on_ask(peer, message)
+            case Started():
+                self._queue.note_started(
+                    (peer.number, message.number), self._loop.now()
+                )
+                self._pump()
+            case Done():
+                self._on_done(peer, message)
+            case Hello():
+                self._on_hello(peer, message)
+            case AdapterVersions():
+                now = self._loop.now()
+                for model, adapter, version in message.versions:
+                    self._places.note_version(AdapterName(model, adapter), version, now)
+                self._pump()
+            case Heartbeat():
+                pass
+            case _:
+                peer.close("unexpected_message")
+
+    def _on_hello(self, peer: PeerConnection, hello: Hello) -> None:
+        spec = msgspec.json.decode(hello.engine_spec, type=EngineSpec)
+        if hello.engine_id != self._engine_id or spec != self._spec:
+            self._log.event(
+                "engine_assigned", engine=hello.engine_id, entry=hello.entry
+            )
+        self._engine_id = hello.engine_id
+        self._spec = spec
+        self._queue.configure(spec)
+        self._places.configure(spec)
+        self._pump()
+
+    def _on_ask(self, peer: PeerConnection, ask: Ask) -> None:
+        now = self._loop.now()
+        adapter = AdapterName(ask.model, ask.adapter)
+        work = Work(
+            key=(peer.number, ask.number),
+            adapter=adapter,
+            version=ask.version,
+            rank=ask.rank,
+            size=PromptSize(ask.prompt_tokens, ask.output_tokens),
+            arrived=now,
+            aim=now + ask.aim_ms / _MS,
+            deadline=now + ask.deadline_ms / _MS,
+        )
+        if self._draining or not self._serving:
+            reason = "draining" if self._draining else "engine_not_answering"
+            self._deny(Refusal(work, self._queue.retry_after(), reason))
+            return
+        self._places.note_wanted(adapter, now)
+        refusal = self._queue.add(work)
+        if refusal is not None:
+            self._deny(refusal)
+            return
+        self._pump()
+
+    def _on_done(self, peer: PeerConnection, done: Done) -> None:
+        key = (peer.number, done.number)
+        work = self._queue.work(key)
+        if self._queue.note_done(key) and work is not None:
+            self._places.note_done(work.adapter)
+        self._pump()
+
+    def _deny(self, refusal: Refusal) -> None:
+        connection, number = refusal.work.key
+        peer = self._peers.get(connection)
+        self._metrics.denied(refusal.reason)
+        self._log.event(
+            "work_denied",
+            peer=connection,
+            number=number,
+            adapter=refusal.work.adapter,
+            rank=refusal.work.rank,
+            reason=refusal.reason,
+            backlog=f"{self._queue.backlog:.3f}",
+            waiting=self._queue.waiting,
+        )
+        if peer is not None:
+            peer.send(Deny(number, round(refusal.retry_after * _MS), refusal.reason))
+
+    # Decisions.
+
+    def _pump(self) -> None:
+        now = self._loop.now()
+        if self._serving:
+            for work in self._queue.take_ready(now, self._places):
+                self._grant(work, now)
+        self._give_order(now)
+
+    def _grant(self, work: Work, now: Seconds) -> None:
+        self._places.note_granted(work.adapter)
+        connection, number = work.key
+        self._metrics.granted(now - work.arrived)
+        peer = self._peers.get(connection)
+        if peer is not None:
+            backlog_ms = round(self._queue.backlog * _MS)
+            peer.send(Grant(number, backlog_ms, now > work.aim))
+
+    def _give_order(self, now: Seconds) -> None:
+        report = self._places.report
+        if self._control.busy or report is None or not self._holder.may_order():
+            return
+        if now < self._order_not_before or not self._serving:
+            return
+        wanted = [
+            (work.adapter, work.version)
+            for work in self._queue.waiting_work
+            if not self._places.serves(work.adapter, work.version, now)
+        ]
+        order = self._places.next_order(wanted, now)
+        if order is None:
+            return
+
+        def ended(status: int) -> None:
+            if status == NO_ANSWER or status >= 400:
+                # The report that follows shows what the engine did.
+                self._order_not_before = self._loop.now() + _ORDER_PAUSE
+            outcome = order_outcome(status)
+            self._metrics.ordered(type(order).__name__, outcome)
+            self._log.event(
+                "order",
+                order=order,
+                sequence=report.sequence,
+                token=self._holder.token,
+                waiting=len(wanted),
+                outcome=outcome,
+            )
+
+        self._control.give(
+            order,
+            sequence=report.sequence,
+            holder=self._settings.instance,
+            token=self._holder.token,
+            instance_id=self._engine_id,
+            on_end=ended,
+        )
+
+    # The engine.
+
+    def _on_report(self, report: EngineReport | None) -> None:
+        now = self._loop.now()
+        self._last_report = now
+        if report is None:
+            self._lost_reports += 1
+            if self._lost_reports >= _MAX_LOST_REPORTS and self._serving:
+                self._serving = False
+                self._log.event("engine_lost", lost_reports=self._lost_reports)
+                self._deny_all("engine_not_answering")
+                self._tell_status(now)
+            return
+        self._lost_reports = 0
+        if not self._serving:
+            self._serving = True
+            self._log.event(
+                "engine_answers", born=report.born_ms, sequence=report.sequence
+            )
+        if report.draining and not self._draining:
+            self._log.event("engine_draining", remaining=report.remaining)
+            self._deny_all("draining")
+        self._draining = report.draining
+        self._places.note_report(report)
+        self._tell_held()
+        self._pump()
+
+    def _deny_all(self, reason: str) -> None:
+        for work in self._queue.waiting_work:
+            self._queue.note_done(work.key)
+            self._deny(Refusal(work, self._queue.retry_after(), reason))
+
+    # Timers and statuses.
+
+    def _tick(self) -> None:
+        now = self._loop.now()
+        interval = _LOADING_REPORT if self._places.changing else _IDLE_REPORT
+        if now - self._last_report >= interval:
+            self._control.ask_report()
+        for refusal in self._queue.take_overdue(now):
+            self._deny(refusal)
+        for peer in list(self._peers.values()):
+            if now - peer.last_heard > _ENTRY_SILENCE:
+                peer.close("silent")
+        self._pump()
+        self._tell_status_if_due(now)
+
+    def _tell_status_if_due(self, now: Seconds) -> None:
+        last = self._last_status
+        if last.status is not None and now - last.at < _STATUS_INTERVAL:
+            current = self._status()
+            moved = abs(current.backlog_ms - last.status.backlog_ms)
+            if moved < _BACKLOG_STEP * _MS and current.serving == last.status.serving:
+                return
+        self._tell_status(now)
+
+    def _tell_status(self, now: Seconds) -> None:
+        self._last_status = _LastStatus(self._status(), now)
+        self._metrics.state(
+            self._queue.running, self._queue.waiting, self._queue.backlog
+        )
+        self._broadcast(self._last_status.status)
+
+    def _status(self) -> Status:
+        return Status(
+            engine_id=self._engine_id,
+            serving=self._serving,
+            draining=self._draining,
+            backlog_ms=round(self._queue.backlog * _MS),
+            token_ns=round(self._queue.speed.per_token * _NS),
+            entries=len(self._peers),
+        )
+
+    def _all_held(self) -> HeldAdapters:
+        held = [
+            (name.model, name.adapter, version) for name, version in self._told.items()
+        ]
+        recent = [(name.model, name.adapter) for name in self._places.recent]
+        return HeldAdapters(True, held, recent)
+
+    def _tell_held(self) -> None:
+        report = self._places.report
+        if report is None or report.adapters == self._told:
+            return
+        added = [
+            (name.model, name.adapter, version)
+            for name, version in report.adapters.items()
+            if self._told.get(name) != version
+        ]
+        dropped = [
+            (name.model, name.adapter)
+            for name in self._told
+            if name not in report.adapters
+        ]
+        self._told = dict(report.adapters)
+        self._broadcast(HeldAdapters(False, added, dropped))
+
+    def _broadcast(self, message: Message | None) -> None:
+        if message is None:
+            return
+        for peer in list(self._peers.values()):
+            peer.send(message)
--- /dev/null
+++ b/fighitch/gateway/agent_links.py
@@ -0,0 +1,304 @@
+"""Connections of an entry to the agents beside the engines."""
+
+from collections import OrderedDict
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+import msgspec
+
+from fighitch.core.gateway.backend_choice import EngineView
+from fighitch.core.gateway.model import AdapterName, BackendServer, EngineSpec
+from fighitch.gateway.peer_connection import PeerConnection
+from fighitch.gateway.peer_messages import (
+    AdapterVersions,
+    Ask,
+    Deny,
+    Done,
+    Grant,
+    Heartbeat,
+    HeldAdapters,
+    Hello,
+    Message,
+    Started,
+    Status,
+)
+from fighitch.observability.bounded_log import BoundedLog
+from fighitch.runtime.event_loop import EventLoop
+from fighitch.runtime.sockets import open_stream
+from fighitch.types import Seconds
+
+_MS = 1_000
+_NS = 1_000_000_000
+_HEARTBEAT: Seconds = 0.5
+# An agent sends its status every 0.25 s.
+_AGENT_SILENCE: Seconds = 0.9
+_CONNECT_TIMEOUT: Seconds = 0.7
+_FIRST_RETRY: Seconds = 0.1
+_LONGEST_RETRY: Seconds = 0.8
+_RECENT_ADAPTERS = 80
+
+OnGrant = Callable[[Grant], None]
+OnDeny = Callable[[Deny | None], None]
+
+
+@dataclass(frozen=True, slots=True)
+class PlaceWaiter:
+    """Who waits for the answer of an agent.
+
+    Attributes:
+        on_grant: Called when the request may be sent.
+        on_deny: Called when it may not; None if the agent was lost.
+    """
+
+    on_grant: OnGrant
+    on_deny: OnDeny
+
+
+@dataclass(slots=True)
+class AgentLink:
+    """Connection to one agent and what it told of its engine."""
+
+    server: BackendServer
+    spec: EngineSpec
+    view: EngineView
+    peer: PeerConnection | None = None
+    waiters: dict[int, PlaceWaiter] = field(default_factory=dict)
+    next_number: int = 1
+    retry: Seconds = _FIRST_RETRY
+    removed: bool = False
+    opened: Seconds = 0.0
+    recent: OrderedDict[AdapterName, None] = field(default_factory=OrderedDict)
+
+
+class AgentLinks:
+    """Keeps a connection to the agent of each engine."""
+
+    def __init__(
+        self,
+        loop: EventLoop,
+        *,
+        entry: str,
+        peer_port: int,
+        log: BoundedLog,
+        on_draining: Callable[[str], None],
+    ) -> None:
+        """Starts the heartbeats.
+
+        Args:
+            loop: Calls back.
+            entry: Name of this instance.
+            peer_port: Port of every agent.
+            log: Receives lost and regained agents.
+            on_draining: Called with the id of an engine that is leaving.
+        """
+        self._loop = loop
+        self._entry = entry
+        self._peer_port = peer_port
+        self._log = log
+        self._on_draining = on_draining
+        self._links: dict[str, AgentLink] = {}
+        self._versions: dict[AdapterName, int] = {}
+        self.views: dict[str, EngineView] = {}
+        loop.call_every(_HEARTBEAT, self._beat)
+
+    @property
+    def entries(self) -> int:
+        """Number of entries that share the fleet, as the agents see it."""
+        return max((view.entries for view in self.views.values()), default=1)
+
+    def update(self, engines: dict[str, tuple[BackendServer, EngineSpec]]) -> None:
+        """Takes the engines that are known now."""
+        for instance_id in [name for name in self._links if name not in engines]:
+            self._remove(instance_id)
+        for instance_id, (server, spec) in engines.items():
+            link = self._links.get(instance_id)
+            if link is None:
+                self._add(instance_id, server, spec)
+                continue
+            if link.spec != spec and link.peer is not None:
+                link.spec = spec
+                link.peer.send(self._hello(link))
+            link.server = server
+
+    def announce_version(self, adapter: AdapterName, version: int) -> None:
+        """Tells all agents of a version."""
+        if version <= self._versions.get(adapter, 0):
+            return
+        self._versions[adapter] = version
+        message = AdapterVersions([(adapter.model, adapter.adapter, version)])
+        for link in self._links.values():
+            if link.peer is not None:
+                link.peer.send(message)
+
+    def version(self, adapter: AdapterName) -> int:
+        """Returns the newest announced version of an adapter, 0 if none was."""
+        return self._versions.get(adapter, 0)
+
+    def is_connected(self, instance_id: str) -> bool:
+        """Whether the agent of an engine can be asked."""
+        view = self.views.get(instance_id)
+        return view is not None and view.connected
+
+    def ask(self, instance_id: str, ask: Ask, waiter: PlaceWaiter) -> int:
+        """Asks for a place on an engine.
+
+        Args:
+            instance_id: The engine.
+            ask: The request; its number is replaced.
+            waiter: Called with the answer.
+
+        Returns:
+            Number of the request on the connection.
+        """
+        link = self._links[instance_id]
+        number = link.next_number
+        link.next_number += 1
+        link.waiters[number] = waiter
+        link.view.pending += ask.prompt_tokens * link.view.per_token
+        if link.peer is not None:
+            link.peer.send(msgspec.structs.replace(ask, number=number))
+        return number
+
+    def started(self, instance_id: str, number: int) -> None:
+        """Tells of the first event of a request."""
+        self._send(instance_id, Started(number))
+
+    def done(self, instance_id: str, number: int) -> None:
+        """Tells of the end of a request, or that it is not wanted any more."""
+        link = self._links.get(instance_id)
+        if link is not None:
+            link.waiters.pop(number, None)
+        self._send(instance_id, Done(number))
+
+    def _send(self, instance_id: str, message: Message) -> None:
+        link = self._links.get(instance_id)
+        if link is not None and link.peer is not None:
+            link.peer.send(message)
+
+    def _add(self, instance_id: str, server: BackendServer, spec: EngineSpec) -> None:
+        view = EngineView(instance_id, adapters=dict(server.adapters))
+        self.views[instance_id] = view
+        link = self._links[instance_id] = AgentLink(server, spec, view)
+        self._connect(link)
+
+    def _remove(self, instance_id: str) -> None:
+        link = self._links.pop(instance_id)
+        self.views.pop(instance_id, None)
+        link.removed = True
+        if link.peer is not None:
+            link.peer.close("engine_removed")
+
+    def _connect(self, link: AgentLink) -> None:
+        if link.removed or link.peer is not None:
+            return
+        sock = open_stream()
+        try:
+            sock.connect((link.server.host, self._peer_port))
+        except BlockingIOError:
+            pass
+        except OSError:
+            sock.close()
+            self._retry(link)
+            return
+        link.opened = self._loop.now()
+        link.peer = PeerConnection(
+            self._loop,
+            sock,
+            on_message=lambda _peer, message: self._on_message(link, message),
+            on_closed=lambda _peer, reason: self._on_closed(link, reason),
+            connected=False,
+        )
+        link.peer.send(self._hello(link))
+        versions = [
+            (name.model, name.adapter, version)
+            for name, version in self._versions.items()
+        ]
+        if versions:
+            link.peer.send(AdapterVersions(versions))
+
+    def _hello(self, link: AgentLink) -> Hello:
+        spec = msgspec.json.encode(link.spec)
+        return Hello(self._entry, link.server.instance_id, spec)
+
+    def _on_closed(self, link: AgentLink, reason: str) -> None:
+        link.peer = None
+        was_connected, link.view.connected = link.view.connected, False
+        link.view.backlog = link.view.pending = 0.0
+        if was_connected:
+            self._log.event(
+                "agent_lost",
+                engine=link.server.instance_id,
+                reason=reason,
+                waiting=len(link.waiters),
+            )
+        waiters, link.waiters = link.waiters, {}
+        if not link.removed:
+            self._retry(link)
+        for waiter in waiters.values():
+            waiter.on_deny(None)
+
+    def _retry(self, link: AgentLink) -> None:
+        self._loop.call_later(link.retry, lambda: self._connect(link))
+        link.retry = min(_LONGEST_RETRY, 2 * link.retry)
+
+    def _on_message(self, link: AgentLink, message: Message) -> None:
+        match message:
+            case Grant():
+                link.view.backlog = message.backlog_ms / _MS
+                waiter = link.waiters.pop(message.number, None)
+                if waiter is None:
+                    self._send(link.server.instance_id, Done(message.number))
+                else:
+                    waiter.on_grant(message)
+            case Deny():
+                waiter = link.waiters.pop(message.number, None)
+                if waiter is not None:
+                    waiter.on_deny(message)
+            case Status():
+                self._on_status(link, message)
+            case HeldAdapters():
+                self._on_held(link, message)
+            case _:
+                if link.peer is not None:
+                    link.peer.close("unexpected_message")
+
+    def _on_status(self, link: AgentLink, status: Status) -> None:
+        view = link.view
+        if not view.connected:
+            view.connected = True
+            link.retry = _FIRST_RETRY
+            self._log.event("agent_connected", engine=link.server.instance_id)
+        view.backlog = status.backlog_ms / _MS
+        view.pending = 0.0
+        view.serving = status.serving
+        view.entries = status.entries
+        view.per_token = status.token_ns / _NS
+        if status.draining and status.engine_id == link.server.instance_id:
+            self._on_draining(link.server.instance_id)
+
+    def _on_held(self, link: AgentLink, message: HeldAdapters) -> None:
+        if message.complete:
+            link.view.adapters = {}
+            link.recent.clear()
+        for model, adapter, version in message.held:
+            name = AdapterName(model, adapter)
+            link.view.adapters[name] = version
+            link.recent.pop(name, None)
+        for model, adapter in message.dropped:
+            name = AdapterName(model, adapter)
+            link.view.adapters.pop(name, None)
+            link.recent[name] = None
+        while len(link.recent) > _RECENT_ADAPTERS:
+            link.recent.popitem(last=False)
+        link.view.recent = frozenset(link.recent)
+
+    def _beat(self) -> None:
+        now = self._loop.now()
+        for link in list(self._links.values()):
+            if link.peer is None:
+                continue
+            limit = _AGENT_SILENCE if link.view.connected else _CONNECT_TIMEOUT
+            if now - link.peer.last_heard > limit:
+                link.peer.close("silent")
+                continue
+            link.peer.send(Heartbeat())
--- /dev/null
+++ b/fighitch/gateway/metrics.py
@@ -0,0 +1,125 @@
+"""Metrics of gateway entries and engine agents."""
+
+from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
+from prometheus_client.exposition import generate_latest
+
+from fighitch.types import Seconds
+
+_LATENCY_BUCKETS = (0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.5, 3, 6, 12)
+
+
+class EntryMetrics:
+    """Counters and histograms of an entry."""
+
+    def __init__(self) -> None:
+        self.registry = CollectorRegistry()
+        self._requests = Counter(
+            "fighitch_requests",
+            "Requests by route and outcome.",
+            ("route", "outcome"),
+            registry=self.registry,
+        )
+        self._attempts = Counter(
+            "fighitch_attempts",
+            "Requests sent to backend servers by service and outcome.",
+            ("service", "outcome"),
+            registry=self.registry,
+        )
+        self._first_byte = Histogram(
+            "fighitch_first_byte_seconds",
+            "Time from a request to the first byte of its answer.",
+            ("route",),
+            buckets=_LATENCY_BUCKETS,
+            registry=self.registry,
+        )
+        self._placed = Histogram(
+            "fighitch_placing_seconds",
+            "Time from a request to its place on a backend server.",
+            buckets=_LATENCY_BUCKETS,
+            registry=self.registry,
+        )
+        self._open = Gauge(
+            "fighitch_open_requests", "Requests under way.", registry=self.registry
+        )
+
+    def request_ended(self, route: str, outcome: str) -> None:
+        """Counts a request."""
+        self._requests.labels(route, outcome).inc()
+
+    def attempt_ended(self, service: str, outcome: str) -> None:
+        """Counts a send to a backend server."""
+        self._attempts.labels(service, outcome).inc()
+
+    def first_byte(self, route: str, elapsed: Seconds) -> None:
+        """Takes the time to the first byte of an answer."""
+        self._first_byte.labels(route).observe(elapsed)
+
+    def placed(self, elapsed: Seconds) -> None:
+        """Takes the time to a place on a backend server."""
+        self._placed.observe(elapsed)
+
+    def open_requests(self, count: int) -> None:
+        """Sets the number of requests under way."""
+        self._open.set(count)
+
+    def text(self) -> bytes:
+        """Returns all metrics in the text format."""
+        return generate_latest(self.registry)
+
+
+class AgentMetrics:
+    """Counters and histograms of an engine agent."""
+
+    def __init__(self) -> None:
+        self.registry = CollectorRegistry()
+        self._waits = Histogram(
+            "fighitch_admission_seconds",
+            "Time that granted requests waited.",
+            buckets=_LATENCY_BUCKETS,
+            registry=self.registry,
+        )
+        self._denied = Counter(
+            "fighitch_denied",
+            "Requests denied, by reason.",
+            ("reason",),
+            registry=self.registry,
+        )
+        self._orders = Counter(
+            "fighitch_orders",
+            "Orders to the engine, by kind and outcome.",
+            ("kind", "outcome"),
+            registry=self.registry,
+        )
+        self._running = Gauge(
+            "fighitch_running", "Requests on the engine.", registry=self.registry
+        )
+        self._waiting = Gauge(
+            "fighitch_waiting", "Requests that wait.", registry=self.registry
+        )
+        self._backlog = Gauge(
+            "fighitch_backlog_seconds",
+            "Time to read all prompts.",
+            registry=self.registry,
+        )
+
+    def granted(self, waited: Seconds) -> None:
+        """Counts a granted request."""
+        self._waits.observe(waited)
+
+    def denied(self, reason: str) -> None:
+        """Counts a denied request."""
+        self._denied.labels(reason).inc()
+
+    def ordered(self, kind: str, outcome: str) -> None:
+        """Counts an order."""
+        self._orders.labels(kind, outcome).inc()
+
+    def state(self, running: int, waiting: int, backlog: Seconds) -> None:
+        """Sets the gauges."""
+        self._running.set(running)
+        self._waiting.set(waiting)
+        self._backlog.set(backlog)
+
+    def text(self) -> bytes:
+        """Returns all metrics in the text format."""
+        return generate_latest(self.registry)
--- /dev/null
+++ b/fighitch/gateway/peer_connection.py
@@ -0,0 +1,141 @@
+"""A connection between a gateway entry and an engine agent."""
+
+import socket
+from collections.abc import Callable
+
+from fighitch.gateway.peer_messages import (
+    BadMessageError,
+    Message,
+    MessageReader,
+    encode,
+)
+from fighitch.runtime.event_loop import READ, WRITE, EventLoop
+from fighitch.runtime.sockets import set_stream_options
+from fighitch.types import Seconds
+
+_CHUNK = 65_536
+# A peer that does not read for so long that this much waits is taken for gone.
+_MAX_WAITING_BYTES = 4_194_304
+
+
+class PeerConnection:
+    """Sends and receives messages."""
+
+    def __init__(
+        self,
+        loop: EventLoop,
+        sock: socket.socket,
+        *,
+        on_message: Callable[["PeerConnection", Message], None],
+        on_closed: Callable[["PeerConnection", str], None],
+        connected: bool = True,
+    ) -> None:
+        """Starts to read.
+
+        Args:
+            loop: Calls this connection.
+            sock: Socket, connected or connecting.
+            on_message: Called with each message.
+            on_closed: Called once with the reason.
+            connected: Whether the socket is connected already.
+        """
+        set_stream_options(sock)
+        self.number = 0
+        self.last_heard: Seconds = loop.now()
+        self._loop = loop
+        self._sock = sock
+        self._on_message = on_message
+        self._on_closed = on_closed
+        self._connected = connected
+        self._reader = MessageReader()
+        self._out = bytearray()
+        self._closed = False
+        self._flush_due = False
+        self._watch()
+
+    @property
+    def closed(self) -> bool:
+        """Whether the connection is closed."""
+        return self._closed
+
+    def send(self, message: Message) -> None:
+        """Sends a message; messages of one turn of the loop share a system call."""
+        if self._closed:
+            return
+        self._out += encode(message)
+        if len(self._out) > _MAX_WAITING_BYTES:
+            self.close("peer_reads_too_slowly")
+            return
+        if not self._flush_due:
+            self._flush_due = True
+            self._loop.call_later(0, self._flush_now)
+
+    def close(self, reason: str) -> None:
+        """Closes the connection."""
+        if self._closed:
+            return
+        self._closed = True
+        self._loop.forget(self._sock)
+        self._sock.close()
+        self._on_closed(self, reason)
+
+    def _watch(self) -> None:
+        if self._closed:
+            return
+        waits = bool(self._out) or not self._connected
+        self._loop.watch(self._sock, READ | (WRITE if waits else 0), self._on_events)
+
+    def _on_events(self, events: int) -> None:
+        if events & WRITE:
+            if not self._connected:
+                error = self._sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+                if error:
+                    self.close("unreachable")
+                    return
+                self._connected = True
+            self._flush()
+            self._watch()
+        if events & READ and not self._closed:
+            self._read()
+
+    def _flush_now(self) -> None:
+        self._flush_due = False
+        if self._closed or not self._connected:
+            return
+        self._flush()
+        if self._out:
+            self._watch()
+
+    def _flush(self) -> None:
+        if not self._out or self._closed:
+            return
+        try:
+            count = self._sock.send(self._out)
+        except BlockingIOError:
+            return
+        except OSError:
+            self.close("reset")
+            return
+        del self._out[:count]
+
+    def _read(self) -> None:
+        try:
+            data = self._sock.recv(_CHUNK)
+        except BlockingIOError:
+            return
+        except OSError:
+            self.close("reset")
+            return
+        if not data:
+            self.close("ended")
+            return
+        self.last_heard = self._loop.now()
+        try:
+            messages = self._reader.feed(data)
+        except BadMessageError:
+            self.close("bad_message")
+            return
+        for message in messages:
+            if self._closed:
+                return
+            self._on_message(self, message)
--- /dev/null
+++ b/fighitch/gateway/process.py
@@ -0,0 +1,175 @@
+"""A process of the direct path: settings, signals and the event loop."""
+
+import os
+import signal
+import socket
+import time
+import traceback
+from collections.abc import Callable
+from pathlib import Path
+
+import msgspec
+
+from fighitch.core.gateway.settings import Address, InstanceSettings
+from fighitch.gateway.agent import EngineAgent
+from fighitch.gateway.entry import GatewayEntry
+from fighitch.gateway.metrics import AgentMetrics, EntryMetrics
+from fighitch.gateway.status_server import StatusServer
+from fighitch.observability.bounded_log import BoundedLog, write_failure
+from fighitch.platform.settings import SETTINGS_VARIABLE, decode_settings
+from fighitch.runtime.event_loop import READ, EventLoop
+from fighitch.types import Seconds
+
+METRICS_PORT = 9_464
+_SETTINGS_CHECK: Seconds = 1.0
+_BAD_SETTINGS = 2
+
+
+class Signals:
+    """Turns signals into callbacks of the event loop."""
+
+    def __init__(
+        self, loop: EventLoop, callbacks: dict[int, Callable[[], None]]
+    ) -> None:
+        self._callbacks = callbacks
+        self._reader, writer = socket.socketpair()
+        self._writer = writer
+        self._reader.setblocking(False)
+        writer.setblocking(False)
+        signal.set_wakeup_fd(writer.fileno(), warn_on_full_buffer=False)
+        for number in callbacks:
+            # The wake-up descriptor does the work; the handler only keeps the default
+            # action from happening.
+            signal.signal(number, lambda _number, _frame: None)
+        loop.watch(self._reader, READ, self._on_signal)
+
+    def _on_signal(self, _events: int) -> None:
+        try:
+            numbers = self._reader.recv(64)
+        except BlockingIOError:
+            return
+        for number in numbers:
+            callback = self._callbacks.get(number)
+            if callback is not None:
+                callback()
+
+
+class SettingsFile:
+    """The settings file, reloaded on SIGHUP and when it changes."""
+
+    def __init__(self, path: str, log: BoundedLog | None = None) -> None:
+        self._path = Path(path)
+        self._log = log
+        self._content = self._path.read_bytes()
+
+    def read(self) -> InstanceSettings:
+        """Decodes the content that was read.
+
+        Raises:
+            msgspec.DecodeError: If it is not valid.
+        """
+        return decode_settings(self._content)
+
+    def changed(self, log: BoundedLog) -> InstanceSettings | None:
+        """Returns the settings if the file changed and is valid."""
+        try:
+            content = self._path.read_bytes()
+            if content == self._content:
+                return None
+            settings = decode_settings(content)
+        except (OSError, msgspec.DecodeError) as error:
+            log.event("settings_rejected", detail=error)
+            return None
+        self._content = content
+        log.event("settings_reloaded")
+        return settings
+
+
+def run_entry() -> int:
+    """Runs a gateway entry until it is stopped.
+
+    Returns:
+        The exit code.
+    """
+    return _run(_build_entry)
+
+
+def run_agent() -> int:
+    """Runs an engine agent until it is stopped.
+
+    Returns:
+        The exit code.
+    """
+    return _run(_build_agent)
+
+
+def _run(
+    build: Callable[
+        [EventLoop, InstanceSettings, BoundedLog], GatewayEntry | EngineAgent
+    ],
+) -> int:
+    path = os.environ.get(SETTINGS_VARIABLE, "")
+    try:
+        file = SettingsFile(path)
+        settings = file.read()
+    except (OSError, msgspec.DecodeError) as error:
+        write_failure(f"settings {path!r} ({SETTINGS_VARIABLE}): {error}")
+        return _BAD_SETTINGS
+    log = BoundedLog(settings.instance)
+    loop = EventLoop()
+    loop.on_error = lambda error: log.event(
+        "callback_failed",
+        level="error",
+        detail="".join(traceback.format_exception(error)[-3:]).strip(),
+    )
+    began = time.monotonic()
+    program = build(loop, settings, log)
+
+    def reload() -> None:
+        changed = file.changed(log)
+        if changed is not None and isinstance(program, GatewayEntry):
+            program.reload(changed)
+
+    Signals(
+        loop,
+        {
+            signal.SIGTERM: program.stop,
+            signal.SIGINT: program.stop,
+            signal.SIGHUP: reload,
+        },
+    )
+    loop.call_every(_SETTINGS_CHECK, reload)
+    program.start()
+    log.event("started", zone=settings.zone, took=f"{time.monotonic() - began:.3f}")
+    loop.run()
+    log.event("ended")
+    return 0
+
+
+def _build_entry(
+    loop: EventLoop, settings: InstanceSettings, log: BoundedLog
+) -> GatewayEntry:
+    metrics = EntryMetrics()
+    entry = GatewayEntry(loop, settings, log, metrics)
+    addresses = [Address(settings.host, METRICS_PORT)]
+    if settings.readiness is not None:
+        addresses.append(settings.readiness)
+    for address in addresses:
+        StatusServer(loop, address, is_ready=entry.ready, metrics=metrics.text)
+    return entry
+
+
+def _build_agent(
+    loop: EventLoop, settings: InstanceSettings, log: BoundedLog
+) -> EngineAgent:
+    if settings.engine is None:
+        raise ValueError("an agent needs the address of its engine in its settings")
+    metrics = AgentMetrics()
+    agent = EngineAgent(loop, settings, settings.engine, log, metrics)
+    StatusServer(
+        loop,
+        Address(settings.host, METRICS_PORT),
+        is_ready=lambda: True,
+        metrics=metrics.text,
+    )
+    return agent
--- /dev/null
+++ b/fighitch/gateway/status_server.py
@@ -0,0 +1,72 @@
+"""Readiness and metrics over HTTP."""
+
+import socket
+from collections.abc import Callable
+
+from fighitch.core.gateway.model import CallerLimits
+from fighitch.core.gateway.settings import Address
+from fighitch.runtime.event_loop import READ, EventLoop
+from fighitch.runtime.http_callers import CallerConnection, CallerRequest
+from fighitch.runtime.sockets import listen
+
+_OK = 200
+_UNAVAILABLE = 503
+_NOT_FOUND = 404
+_METRICS_PATH = b"/metrics"
+_READY_PATH = b"/readyz"
+
+
+class StatusServer:
+    """Answers whether the process is ready, and its metrics."""
+
+    def __init__(
+        self,
+        loop: EventLoop,
+        address: Address,
+        *,
+        is_ready: Callable[[], bool],
+        metrics: Callable[[], bytes],
+    ) -> None:
+        """Starts to listen.
+
+        Args:
+            loop: Calls back.
+            address: Where to listen.
+            is_ready: Returns whether the process can serve.
+            metrics: Returns the metrics as text.
+        """
+        self._loop = loop
+        self._is_ready = is_ready
+        self._metrics = metrics
+        self._callers: set[CallerConnection] = set()
+        self._listener = listen(address.host, address.port)
+        loop.watch(self._listener, READ, self._accept)
+
+    def _accept(self, _events: int) -> None:
+        while True:
+            try:
+                sock, _ = self._listener.accept()
+            except OSError:
+                return
+            self._add(sock)
+
+    def _add(self, sock: socket.socket) -> None:
+        caller = CallerConnection(
+            self._loop,
+            sock,
+            CallerLimits(),
+            on_request=self._on_request,
+            on_closed=self._callers.discard,
+        )
+        self._callers.add(caller)
+
+    def _on_request(self, caller: CallerConnection, request: CallerRequest) -> None:
+        path = request.target.partition(b"?")[0]
+        status, body = _NOT_FOUND, b""
+        if path == _READY_PATH:
+            status = _OK if self._is_ready() else _UNAVAILABLE
+        elif path == _METRICS_PATH:
+            status, body = _OK, self._metrics()
+        caller.send_head(status, [(b"Content-Type", b"text/plain")], length=len(body))
+        caller.send_body(body)
+        caller.finish()
--- /dev/null
+++ b/fighitch/gateway/store_watch.py
@@ -0,0 +1,193 @@
+"""Follows the objects of one kind in the platform's store."""
+
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+
+import msgspec
+
+from fighitch.core.gateway.settings import Address
+from fighitch.observability.bounded_log import BoundedLog
+from fighitch.platform import store
+from fighitch.platform.requests import encode_call
+from fighitch.runtime.event_loop import EventLoop
+from fighitch.runtime.http_client import SerialClient
+from fighitch.types import Seconds
+
+_OK = 200
+_HISTORY_GONE = 410
+_LIST_TIMEOUT: Seconds = 2.0
+_WATCH_SLACK: Seconds = 0.6
+_FIRST_RETRY: Seconds = 0.1
+_LONGEST_RETRY: Seconds = 0.4
+
+
+@dataclass(frozen=True, slots=True)
+class WatchOptions:
+    """How a kind is followed.
+
+    Attributes:
+        kind: Kind of the objects.
+        wait: Longest wait of one watch. A connection that went silent is noticed after
+            this time.
+        pause: Time between watches; changes that come quickly share one call.
+    """
+
+    kind: str
+    wait: Seconds = 2.0
+    pause: Seconds = 0.0
+
+
+class KindWatcher:
+    """Keeps a copy of the objects of one kind up to date."""
+
+    def __init__(
+        self,
+        loop: EventLoop,
+        address: Address,
+        options: WatchOptions,
+        log: BoundedLog,
+        *,
+        on_list: Callable[[Iterable[store.StoredObject]], None],
+        on_change: Callable[[store.StoredObject], None],
+        on_contact: Callable[[bool], None] | None = None,
+    ) -> None:
+        """Prepares; ``start`` makes the first call.
+
+        Args:
+            loop: Calls back.
+            address: Address of the store.
+            options: How to follow the kind.
+            log: Receives lost and regained contact.
+            on_list: Called with all objects after a list.
+            on_change: Called with each change after it.
+            on_contact: Called after each answer with whether contact had been lost.
+        """
+        self._loop = loop
+        self._client = SerialClient(loop, address)
+        self._stopped = False
+        self._options = options
+        self._log = log
+        self._on_list = on_list
+        self._on_change = on_change
+        self._on_contact = on_contact
+        self._revision = 0
+        self._pages: list[store.StoredObject] = []
+        self._first_page_revision = 0
+        self._revisions: dict[str, int] = {}
+        self._retry = _FIRST_RETRY
+        self._lost_since: Seconds | None = None
+        self.last_contact: Seconds = float("-inf")
+
+    def start(self) -> None:
+        """Lists the objects, then watches them."""
+        self._pages = []
+        self._list("")
+
+    def is_current(self, now: Seconds) -> bool:
+        """Whether the copy can't be older than one watch."""
+        longest = self._options.wait + self._options.pause + _WATCH_SLACK
+        return self._lost_since is None and now - self.last_contact < longest
+
+    def stop(self) -> None:
+        """Makes no more calls."""
+        self._stopped = True
+        self._client.close()
+
+    def _call(
+        self, target: str, on_answer: Callable[[int, bytes], None], timeout: Seconds
+    ) -> None:
+        if self._stopped:
+            return
+        request = encode_call("GET", target, str(self._client.address))
+        self._client.call(request, on_answer, timeout=timeout)
+
+    def _list(self, after: str) -> None:
+        target = store.list_target(self._options.kind, after)
+        self._call(target, self._listed, _LIST_TIMEOUT)
+
+    def _listed(self, status: int, body: bytes) -> None:
+        page = self._decode(status, body, store.decode_list)
+        if page is None:
+            self._again(self.start, status)
+            return
+        if not self._pages:
+            self._first_page_revision = page.revision
+        self._pages += page.objects
+        if page.has_more and page.objects:
+            self._list(page.objects[-1].name)
+            return
+        # Later pages may be newer than the first; their changes come again.
+        self._revision = self._first_page_revision
+        self._revisions = {item.name: item.revision for item in self._pages}
+        objects, self._pages = self._pages, []
+        self._contact()
+        self._on_list(objects)
+        self._watch_after(0.0)
+
+    def _watch_after(self, pause: Seconds) -> None:
+        self._loop.call_later(pause, self._watch)
+
+    def _watch(self) -> None:
+        options = self._options
+        target = store.watch_target(options.kind, self._revision, options.wait)
+        self._call(target, self._watched, options.wait + _WATCH_SLACK)
+
+    def _watched(self, status: int, body: bytes) -> None:
+        if status == _HISTORY_GONE:
+            self._log.event("store_history_gone", kind=self._options.kind)
+            self.start()
+            return
+        page = self._decode(status, body, store.decode_watch)
+        if page is None:
+            self._again(self._watch, status)
+            return
+        self._contact()
+        self._revision = max(self._revision, page.revision)
+        for item in page.objects:
+            if item.revision < self._revisions.get(item.name, 0):
+                continue
+            self._revisions[item.name] = item.revision
+            self._on_change(item)
+        self._watch_after(self._options.pause if page.objects else 0.0)
+
+    def _decode(
+        self,
+        status: int,
+        body: bytes,
+        decode: Callable[[bytes], store.ObjectPage],
+    ) -> store.ObjectPage | None:
+        if status != _OK:
+            return None
+        try:
+            page = decode(body)
+        except msgspec.DecodeError as error:
+            self._log.event(
+                "store_answer_unreadable", kind=self._options.kind, detail=error
+            )
+            return None
+        if page.unreadable:
+            self._log.event(
+                "store_items_unreadable", kind=self._options.kind, count=page.unreadable
+            )
+        return page
+
+    def _contact(self) -> None:
+        now = self._loop.now()
+        self.last_contact = now
+        self._retry = _FIRST_RETRY
+        lost_since, self._lost_since = self._lost_since, None
+        if lost_since is not None:
+            self._log.event(
+                "store_regained",
+                kind=self._options.kind,
+                after=f"{now - lost_since:.3f}",
+            )
+        if self._on_contact is not None:
+            self._on_contact(lost_since is not None)
+
+    def _again(self, call: Callable[[], None], status: int) -> None:
+        if self._lost_since is None:
+            self._lost_since = self._loop.now()
+            self._log.event("store_lost", kind=self._options.kind, status=status)
+        self._loop.call_later(self._retry, call)
+        self._retry = min(_LONGEST_RETRY, 2 * self._retry)
--- /dev/null
+++ b/fighitch/platform/requests.py
@@ -0,0 +1,208 @@
+"""Headers of requests and answers between callers, entries and backend servers."""
+
+from dataclasses import dataclass
+
+from fighitch.core.gateway.model import AdapterName, PromptSize
+from fighitch.runtime.http_callers import CallerRequest, Headers
+from fighitch.runtime.http_exchange import AnswerHead
+from fighitch.types import Seconds
+
+_MS_PER_SECOND = 1_000
+_REQUEST_ID = b"attempt-id"
+_DEADLINE = b"deadline-ms"
+_RESUME_AFTER = b"last-event-id"
+# Headers of one connection, and those that only the system may set at a backend server.
+_NOT_FORWARDED = frozenset(
+    (
+        b"connection",
+        b"keep-alive",
+        b"proxy-connection",
+        b"proxy-authenticate",
+        b"proxy-authorization",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+        b"content-length",
+        b"expect",
+        b"deadline-ms",
+        b"expect-instance",
+        b"expect-version",
+        b"request-priority",
+        b"hold",
+        b"pin-ms",
+        b"kv-backup",
+        b"kv-from",
+        b"kv-fetch",
+        b"last-event-id",
+    )
+)
+# A caller can't have these dropped by naming them in its Connection header.
+_END_TO_END = frozenset(
+    (
+        b"host",
+        b"attempt-id",
+        b"model",
+        b"token-counts",
+        b"prompt-prefix",
+        b"length-hint",
+        b"content-type",
+    )
+)
+_NOT_RETURNED = frozenset(
+    (
+        b"connection",
+        b"keep-alive",
+        b"proxy-connection",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+        b"content-length",
+    )
+)
+_NOT_RUN_STATUS = 421
+
+
+@dataclass(frozen=True, slots=True)
+class RequestFacts:
+    """What a caller says of its request.
+
+    Attributes:
+        request_id: Id of this request; empty if it is missing or given twice.
+        host: Host that selects the route; empty if it is missing or given twice.
+        path: Path without query.
+        time_left: How long the caller waits; None if it doesn't say.
+        adapter: Adapter that the request runs on; None for plain work.
+        size: Tokens of the prompt and of the answer.
+        resume_after: Id of the last event that the caller has; empty for none.
+    """
+
+    request_id: str
+    host: str
+    path: str
+    time_left: Seconds | None
+    adapter: AdapterName | None
+    size: PromptSize
+    resume_after: str
+
+
+def decode_request(request: CallerRequest) -> RequestFacts:
+    """Decodes the headers of a caller's request."""
+    path = request.target.partition(b"?")[0].decode("latin-1")
+    resume_after = request.get(_RESUME_AFTER) or b""
+    return RequestFacts(
+        request_id=_only(request.values(_REQUEST_ID)),
+        host=_only(request.values(b"host")),
+        path=path,
+        time_left=_milliseconds(request.get(_DEADLINE)),
+        adapter=_adapter(request.get(b"model")),
+        size=_size(request.get(b"token-counts")),
+        resume_after=resume_after.decode("latin-1"),
+    )
+
+
+def encode_request(
+    request: CallerRequest,
+    *,
+    time_left: Seconds,
+    instance_id: str,
+    priority: int | None = None,
+    resume_after: str = "",
+) -> bytes:
+    """Encodes a caller's request for a backend server.
+
+    Args:
+        request: The request as it came.
+        time_left: How long its answer is awaited.
+        instance_id: Backend server that may run it.
+        priority: Urgency at an engine, 0 (first) to 9; None leaves it to the engine.
+        resume_after: Id of the last event that the caller has; empty for none.
+    """
+    named = _connection_headers(request)
+    lines = [request.method + b" " + request.target + b" HTTP/1.1"]
+    for name, value in request.headers:
+        lowered = name.lower()
+        if lowered not in _NOT_FORWARDED and lowered not in named:
+            lines.append(name + b": " + value)
+    lines.append(b"Deadline-Ms: %d" % max(1, int(time_left * _MS_PER_SECOND)))
+    lines.append(b"Expect-Instance: " + instance_id.encode("latin-1"))
+    if priority is not None:
+        lines.append(b"Request-Priority: %d" % priority)
+    if resume_after:
+        lines.append(b"Last-Event-Id: " + resume_after.encode("latin-1"))
+    if request.body or request.method in (b"POST", b"PUT", b"PATCH"):
+        lines.append(b"Content-Length: %d" % len(request.body))
+    return b"\r\n".join(lines) + b"\r\n\r\n" + request.body
+
+
+def returned_headers(head: AnswerHead) -> Headers:
+    """Returns the headers of a backend server's answer that go to the caller."""
+    return [item for item in head.headers if item[0].lower() not in _NOT_RETURNED]
+
+
+def was_not_run(head: AnswerHead) -> bool:
+    """Whether a backend server states that it did not run the request."""
+    return head.status == _NOT_RUN_STATUS or head.get(b"not-executed") is not None
+
+
+def is_genuine(head: AnswerHead) -> bool:
+    """Whether an answer can be a backend server's own, unencoded answer."""
+    if head.get(b"content-encoding") is not None:
+        return False
+    return head.status >= 300 or head.get(b"response-signature") is not None
+
+
+def is_system_answer(head: AnswerHead) -> bool:
+    """Whether a failure carries no signature of a backend server."""
+    return head.get(b"response-signature") is None
+
+
+def encode_call(
+    method: str, target: str, host: str, body: bytes = b"", *, instance_id: str = ""
+) -> bytes:
+    """Encodes a call to an engine's control interface or to the store."""
+    lines = [f"{method} {target} HTTP/1.1", f"Host: {host}"]
+    if instance_id:
+        lines.append(f"Expect-Instance: {instance_id}")
+    if body:
+        lines.append("Content-Type: application/json")
+        lines.append(f"Content-Length: {len(body)}")
+    return "\r\n".join(lines).encode("latin-1") + b"\r\n\r\n" + body
+
+
+def _only(values: list[bytes]) -> str:
+    return values[0].decode("latin-1") if len(values) == 1 else ""
+
+
+def _connection_headers(request: CallerRequest) -> frozenset[bytes]:
+    named = b",".join(request.values(b"connection"))
+    if not named:
+        return frozenset()
+    return frozenset(item.strip().lower() for item in named.split(b",")) - _END_TO_END
+
+
+def _milliseconds(value: bytes | None) -> Seconds | None:
+    if value is None:
+        return None
+    try:
+        return max(0.0, float(value) / _MS_PER_SECOND)
+    except ValueError:
+        return None
+
+
+def _adapter(value: bytes | None) -> AdapterName | None:
+    if not value:
+        return None
+    model, _, adapter = value.decode("latin-1").partition("/")
+    return AdapterName(model, adapter)
+
+
+def _size(value: bytes | None) -> PromptSize:
+    if value is None:
+        return PromptSize()
+    prompt, _, output = value.partition(b",")
+    try:
+        return PromptSize(int(prompt), int(output or 0))
+    except ValueError:
+        return PromptSize()
--- /dev/null
+++ b/fighitch/platform/settings.py
@@ -0,0 +1,86 @@
+"""Settings file that the platform writes for each process."""
+
+import msgspec
+
+from fighitch.core.gateway.retry_budget import BudgetLimits
+from fighitch.core.gateway.settings import Address, InstanceSettings
+
+SETTINGS_VARIABLE = "FIGHITCH_SETTINGS"
+_MS_PER_SECOND = 1_000
+
+
+class _Listen(msgspec.Struct, rename="pascal"):
+    front: str = ""
+    readiness_address: str = ""
+
+
+class _Limits(msgspec.Struct, rename="pascal"):
+    memory_mb: float = 256
+
+
+class _Bounds(msgspec.Struct, rename="pascal"):
+    drain_ms: float = 2_000
+    grace_s: float = 8
+    retry_budget_ratio: float = 0.2
+    budget_window_s: float = 10
+    budget_slack: float = 50
+    lease_ms: float = 3_000
+
+
+class _Store(msgspec.Struct, rename="pascal"):
+    address: str
+
+
+class _Settings(msgspec.Struct, rename="pascal"):
+    node_name: str
+    ip: str
+    zone: str
+    internal_ports: list[int]
+    platform: _Store
+    listen: _Listen = msgspec.field(default_factory=_Listen)
+    limits: _Limits = msgspec.field(default_factory=_Limits)
+    bounds: _Bounds = msgspec.field(default_factory=_Bounds)
+    # The runner beside a side machine; the only lowercase key of the file.
+    app: str = msgspec.field(default="", name="app")
+
+
+def decode_settings(content: bytes) -> InstanceSettings:
+    """Decodes a settings file.
+
+    Raises:
+        msgspec.ValidationError: If a value is missing or of another type.
+        msgspec.DecodeError: If the content is not JSON.
+    """
+    given = msgspec.json.decode(content, type=_Settings)
+    store = _address(given.platform.address)
+    if store is None:
+        raise msgspec.ValidationError("Platform.Address is empty; expected IP:PORT")
+    bounds = given.bounds
+    return InstanceSettings(
+        instance=given.node_name,
+        host=given.ip,
+        zone=given.zone,
+        callers=_address(given.listen.front),
+        readiness=_address(given.listen.readiness_address),
+        store=store,
+        peer_port=given.internal_ports[0],
+        engine=_address(given.app),
+        retry_limits=BudgetLimits(
+            ratio=bounds.retry_budget_ratio,
+            window=bounds.budget_window_s,
+            slack=bounds.budget_slack,
+        ),
+        stop_grace=bounds.grace_s,
+        drain_bound=bounds.drain_ms / _MS_PER_SECOND,
+        lease=bounds.lease_ms / _MS_PER_SECOND,
+        memory_mb=given.limits.memory_mb,
+    )
+
+
+def _address(text: str) -> Address | None:
+    if not text:
+        return None
+    host, _, port = text.rpartition(":")
+    if not host or not port.isdigit():
+        raise msgspec.ValidationError(f"address {text!r} is not IP:PORT")
+    return Address(host, int(port))
--- /dev/null
+++ b/fighitch/runtime/sockets.py
@@ -0,0 +1,40 @@
+"""Sockets of the event loop: options and listening."""
+
+import socket
+
+# A peer that vanished without a reset is noticed after about this time.
+_USER_TIMEOUT_MS = 3_000
+_KEEPALIVE_IDLE_SECONDS = 2
+_KEEPALIVE_INTERVAL_SECONDS = 1
+_KEEPALIVE_PROBES = 2
+_BACKLOG = 1_024
+
+
+def open_stream() -> socket.socket:
+    """Returns a non-blocking TCP socket for an outgoing connection."""
+    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    set_stream_options(sock)
+    return sock
+
+
+def set_stream_options(sock: socket.socket) -> None:
+    """Sets the options of a connection, so that a silent peer is noticed."""
+    sock.setblocking(False)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, _KEEPALIVE_IDLE_SECONDS)
+    sock.setsockopt(
+        socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, _KEEPALIVE_INTERVAL_SECONDS
+    )
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, _KEEPALIVE_PROBES)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, _USER_TIMEOUT_MS)
+
+
+def listen(host: str, port: int) -> socket.socket:
+    """Returns a non-blocking listening socket."""
+    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    sock.setblocking(False)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    sock.bind((host, port))
+    sock.listen(_BACKLOG)
+    return sock
