Keep bytes after an answer out of the head of that answer

Ruled out: answers of other requests taken for the awaited one (their ids differ and they are skipped).

Change: the head takes its headers when it is complete. A test sends two answers at once.

--- a/fighitch/runtime/http_exchange.py
+++ b/fighitch/runtime/http_exchange.py
@@ -336,7 +336,8 @@
         if status < _FIRST_FINAL_STATUS:
             self._skip = True
             return
-        head = AnswerHead(status, self._headers)
+        # Trailers and bytes after the answer must not end up in its head.
+        head, self._headers = AnswerHead(status, self._headers), []
         if self._expected_id is not None and not self._has_expected_id(head):
             return
         self._keep = self._parser.should_keep_alive()
