Give lost orders again at once, and count waits for loads when placing

Restarted engines, which hold no model, also kept receiving work, and callers of a stream leave after 4.8 s, not at their deadline of 6 s.

Ruled out: full batch and full KV cache at the engines (0 preemptions).

Agents tell which models they hold and how long loads wait; entries count both. Work that can't start before its caller leaves is refused at once.

--- a/fighitch/core/gateway/adapter_places.py
+++ b/fighitch/core/gateway/adapter_places.py
@@ -20,6 +20,9 @@
 _USE_HALF_LIFE: Seconds = 8.0
 # Adapters that an engine dropped not long ago load ten times as fast.
 _RECENT_ADAPTERS = 80
+# Starting value of the measured time of a load.
+_FIRST_LOAD_TIME: Seconds = 0.25
+_LOAD_TIME_WEIGHT = 0.1
 # An old version may be used while its replacement waits for a pause, well inside the
 # bound of 5 s that the users set for new versions.
 _OLD_VERSION_GRACE: Seconds = 1.2
@@ -94,6 +97,8 @@
     _versions: dict[AdapterName, int] = field(default_factory=dict)
     _outdated_since: dict[AdapterName, Seconds] = field(default_factory=dict)
     _recent: OrderedDict[AdapterName, None] = field(default_factory=OrderedDict)
+    _coming_since: dict[AdapterName, Seconds] = field(default_factory=dict)
+    _load_time: Seconds = _FIRST_LOAD_TIME
 
     def configure(self, engine: EngineSpec) -> None:
         """Takes the engine's limits."""
@@ -109,10 +114,29 @@
         """Whether an adapter is on its way."""
         return self.report is not None and bool(self.report.coming)
 
-    def note_report(self, report: EngineReport) -> None:
+    def queue_time(self, loads_ahead: int) -> Seconds:
+        """Returns how long a load waits behind others."""
+        return loads_ahead * self._load_time / _MAX_COLD_LOADS
+
+    def load_wait(
+        self, adapter: AdapterName, loads_ahead: int, now: Seconds
+    ) -> Seconds:
+        """Returns when a request for an adapter may start.
+
+        Args:
+            adapter: Adapter that is asked for.
+            loads_ahead: Missing adapters that work waits for.
+            now: Time of the decision.
+        """
+        if self.serves(adapter, 0, now):
+            return 0.0
+        return self.queue_time(loads_ahead) + self._load_time
+
+    def note_report(self, report: EngineReport, now: Seconds) -> None:
         """Takes what the engine says of itself."""
         previous = self.report
         self.report = report
+        self._measure_loads(report, now)
         if previous is None:
             return
         if previous.born_ms != report.born_ms or report.sequence < previous.sequence:
@@ -127,6 +151,16 @@
         while len(self._recent) > _RECENT_ADAPTERS:
             self._recent.popitem(last=False)
 
+    def _measure_loads(self, report: EngineReport, now: Seconds) -> None:
+        for adapter in [
+            name for name in self._coming_since if name not in report.coming
+        ]:
+            elapsed = now - self._coming_since.pop(adapter)
+            if adapter in report.adapters:
+                self._load_time += _LOAD_TIME_WEIGHT * (elapsed - self._load_time)
+        for adapter in report.coming:
+            self._coming_since.setdefault(adapter, now)
+
     def note_version(self, adapter: AdapterName, version: int, now: Seconds) -> None:
         """Takes the announcement of a version."""
         if version <= self._versions.get(adapter, 0):
--- a/fighitch/core/gateway/backend_choice.py
+++ b/fighitch/core/gateway/backend_choice.py
@@ -20,6 +20,8 @@
 _FURTHEST_RANK = 4
 # Tie-breaker between equally loaded servers: traffic between zones is paid for.
 _OTHER_ZONE: Seconds = 0.01
+# An engine that restarted holds no model until it is loaded.
+_MODEL_LOAD: Seconds = 3.0
 _PAUSED: Seconds = 5.0
 _FAILING: Seconds = 1.0
 _UNCONNECTED: Seconds = 0.5
@@ -39,6 +41,7 @@
         serving: Whether the engine answers its agent.
         entries: Entries connected to its agent.
         per_token: Time to read one prompt token.
+        load_wait: Time until a load that is asked for now would begin.
     """
 
     instance_id: str
@@ -50,6 +53,7 @@
     serving: bool = True
     entries: int = 1
     per_token: Seconds = 5e-5
+    load_wait: Seconds = 0.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -99,7 +103,10 @@
                 cost += _PAUSED
             if server.zone != self._zone:
                 cost += _OTHER_ZONE
+            if AdapterName(adapter.model) not in view.adapters:
+                cost += _MODEL_LOAD
             if adapter.adapter and adapter not in view.adapters:
+                cost += view.load_wait
                 is_recent = adapter in view.recent
                 cost += _RECENT_LOAD if is_recent else _COLD_LOAD
                 place = homes.index(server.instance_id)
--- a/fighitch/core/gateway/engine_queue.py
+++ b/fighitch/core/gateway/engine_queue.py
@@ -153,13 +153,22 @@
         """Time to read all prompts that were handed over or wait."""
         return (self._unread_tokens + self._waiting_tokens) * self.speed.per_token
 
-    def add(self, work: Work) -> Refusal | None:
-        """Takes new work, or refuses it when it can't end before its deadline."""
-        ahead = self._tokens_ahead(work)
+    def add(self, work: Work, load_wait: Seconds = 0.0) -> Refusal | None:
+        """Takes new work, or refuses it when it can't end before its deadline.
+
+        Args:
+            work: What is asked for.
+            load_wait: Time until the engine holds the adapter.
+
+        Returns:
+            The refusal, or None if the work waits now.
+        """
+        ahead = self._tokens_ahead(work) * self.speed.per_token
         first_event = (
             work.arrived
             + self.speed.overhead
-            + (ahead + work.size.prompt_tokens) * self.speed.per_token
+            + max(load_wait, ahead)
+            + work.size.prompt_tokens * self.speed.per_token
         )
         if work.tokens > self.kv_tokens > 0:
             return Refusal(work, _LONGEST_RETRY, "larger_than_engine")
--- a/fighitch/core/gateway/model.py
+++ b/fighitch/core/gateway/model.py
@@ -50,6 +50,7 @@
         services: Services that run the work.
         max_attempts: Most backend servers that may run one request.
         resumable: Whether another backend server may continue a broken stream.
+        caller_patience: Longest time that callers wait for the next event of a stream.
     """
 
     name: str
@@ -62,6 +63,7 @@
     services: tuple[WeightedService, ...]
     max_attempts: int = 1
     resumable: bool = False
+    caller_patience: Seconds = float("inf")
 
     @property
     def repeatable(self) -> bool:
@@ -175,7 +177,8 @@
         state: Whether it takes new work.
         slots: Requests that it runs at once.
         born_ms: Unix time of its start, in ms; 0 if not stated.
-        adapters: Adapters that it held at its last heartbeat, with their versions.
+        adapters: Models and adapters that it held at its last heartbeat, with their
+            versions.
     """
 
     instance_id: str
--- a/fighitch/gateway/agent.py
+++ b/fighitch/gateway/agent.py
@@ -27,7 +27,6 @@
 )
 from fighitch.observability.bounded_log import BoundedLog
 from fighitch.runtime.event_loop import READ, EventLoop
-from fighitch.runtime.http_client import NO_ANSWER
 from fighitch.runtime.sockets import listen
 from fighitch.types import Seconds
 
@@ -42,7 +41,7 @@
 _ENTRY_SILENCE: Seconds = 2.0
 # Two lost reports in a row may be chance, three are not.
 _MAX_LOST_REPORTS = 2
-_ORDER_PAUSE: Seconds = 0.1
+_ORDER_PAUSE: Seconds = 0.05
 
 
 @dataclass(slots=True)
@@ -186,7 +185,8 @@
             self._deny(Refusal(work, self._queue.retry_after(), reason))
             return
         self._places.note_wanted(adapter, now)
-        refusal = self._queue.add(work)
+        loads = self._missing_adapters(now)
+        refusal = self._queue.add(work, self._places.load_wait(adapter, loads, now))
         if refusal is not None:
             self._deny(refusal)
             return
@@ -250,8 +250,9 @@
             return
 
         def ended(status: int) -> None:
-            if status == NO_ANSWER or status >= 400:
-                # The report that follows shows what the engine did.
+            if status >= 400:
+                # An order without an answer is given again at once: both expect the
+                # same sequence number, so that the engine takes only one of them.
                 self._order_not_before = self._loop.now() + _ORDER_PAUSE
             outcome = order_outcome(status)
             self._metrics.ordered(type(order).__name__, outcome)
@@ -273,6 +274,14 @@
             on_end=ended,
         )
 
+    def _missing_adapters(self, now: Seconds) -> int:
+        missing = {
+            work.adapter
+            for work in self._queue.waiting_work
+            if not self._places.serves(work.adapter, work.version, now)
+        }
+        return len(missing)
+
     # The engine.
 
     def _on_report(self, report: EngineReport | None) -> None:
@@ -296,7 +305,7 @@
             self._log.event("engine_draining", remaining=report.remaining)
             self._deny_all("draining")
         self._draining = report.draining
-        self._places.note_report(report)
+        self._places.note_report(report, now)
         self._tell_held()
         self._pump()
 
@@ -343,9 +352,13 @@
             draining=self._draining,
             backlog_ms=round(self._queue.backlog * _MS),
             token_ns=round(self._queue.speed.per_token * _NS),
+            load_wait_ms=round(self._load_wait() * _MS),
             entries=len(self._peers),
         )
 
+    def _load_wait(self) -> Seconds:
+        return self._places.queue_time(self._missing_adapters(self._loop.now()))
+
     def _all_held(self) -> HeldAdapters:
         held = [
             (name.model, name.adapter, version) for name, version in self._told.items()
@@ -355,19 +368,21 @@
 
     def _tell_held(self) -> None:
         report = self._places.report
-        if report is None or report.adapters == self._told:
+        if report is None:
+            return
+        held = dict(report.adapters)
+        held.update((AdapterName(model), 0) for model in report.models)
+        if held == self._told:
             return
         added = [
             (name.model, name.adapter, version)
-            for name, version in report.adapters.items()
+            for name, version in held.items()
             if self._told.get(name) != version
         ]
         dropped = [
-            (name.model, name.adapter)
-            for name in self._told
-            if name not in report.adapters
+            (name.model, name.adapter) for name in self._told if name not in held
         ]
-        self._told = dict(report.adapters)
+        self._told = held
         self._broadcast(HeldAdapters(False, added, dropped))
 
     def _broadcast(self, message: Message | None) -> None:
--- a/fighitch/gateway/agent_links.py
+++ b/fighitch/gateway/agent_links.py
@@ -273,6 +273,7 @@
         view.serving = status.serving
         view.entries = status.entries
         view.per_token = status.token_ns / _NS
+        view.load_wait = status.load_wait_ms / _MS
         if status.draining and status.engine_id == link.server.instance_id:
             self._on_draining(link.server.instance_id)
 
--- a/fighitch/gateway/peer_messages.py
+++ b/fighitch/gateway/peer_messages.py
@@ -99,6 +99,7 @@
         draining: Whether the engine is leaving.
         backlog_ms: Time to read all prompts that were handed over or wait.
         token_ns: Time to read a prompt token, in ns.
+        load_wait_ms: Time until a load that is asked for now would begin.
         entries: Entries that are connected.
     """
 
@@ -107,6 +108,7 @@
     draining: bool
     backlog_ms: int
     token_ns: int
+    load_wait_ms: int
     entries: int
 
 
@@ -115,7 +117,8 @@
 
     Attributes:
         complete: Whether the lists replace what was sent before.
-        held: Model, adapter and version of each adapter that it holds now.
+        held: Model, adapter and version of each adapter that it holds now; an empty
+            adapter stands for the model itself.
         dropped: Model and adapter of those that it holds no more; they load fast.
     """
 
--- a/fighitch/gateway/relay.py
+++ b/fighitch/gateway/relay.py
@@ -147,6 +147,7 @@
         self._asks += 1
         self._state = RelayState.ASKED
         adapter = self._facts.adapter
+        leaves = self._request.arrived + self._route.caller_patience
         ask = Ask(
             number=0,
             model=adapter.model if adapter else "",
@@ -156,7 +157,7 @@
             prompt_tokens=self._facts.size.prompt_tokens,
             output_tokens=self._facts.size.output_tokens,
             aim_ms=round((self._aim - now) * _MS),
-            deadline_ms=round((self._deadline - now) * _MS),
+            deadline_ms=round((min(self._deadline, leaves) - now) * _MS),
         )
         waiter = PlaceWaiter(
             on_grant=lambda grant: self._granted(server, grant),
--- a/fighitch/platform/configuration.py
+++ b/fighitch/platform/configuration.py
@@ -13,12 +13,17 @@
     WeightedService,
     WorkKind,
 )
+from fighitch.types import Seconds
 
 CONFIGURATION_KIND = "config"
 CONFIGURATION_NAME = "main"
 VERSIONS_KIND = "versions"
 _MS_PER_SECOND = 1_000
 _LOWEST_RANK = 9
+# Callers abandon a stream after the longest of these pauses.
+_LEAST_PATIENCE_MS = 2_000
+_PATIENCE_IN_TARGETS = 4
+_PATIENCE_IN_GAPS = 8
 
 
 class _Backend(msgspec.Struct, rename="pascal"):
@@ -38,6 +43,8 @@
     weighted_backends: list[_Backend] = []
     max_attempts: int = 1
     resumable: bool = False
+    # Longest pause between events of an answer that is on time.
+    gap_aim_ms: float = 0
 
 
 class _Model(msgspec.Struct, rename="pascal"):
@@ -129,9 +136,22 @@
         services=services or (WeightedService(given.service, 1.0),),
         max_attempts=given.max_attempts,
         resumable=given.resumable,
+        caller_patience=_caller_patience(given),
     )
 
 
+def _caller_patience(given: _Route) -> Seconds:
+    """Returns how long callers of the platform wait for an event of a stream."""
+    if given.kind is not WorkKind.STREAMING:
+        return float("inf")
+    longest_ms = max(
+        _LEAST_PATIENCE_MS,
+        _PATIENCE_IN_TARGETS * given.target_latency_ms,
+        _PATIENCE_IN_GAPS * given.gap_aim_ms,
+    )
+    return longest_ms / _MS_PER_SECOND
+
+
 def _service(given: _Service) -> Service:
     engine = None if given.engine is None else _engine(given.engine)
     return Service(given.name, given.max_connections, engine)
--- a/fighitch/platform/engine.py
+++ b/fighitch/platform/engine.py
@@ -70,7 +70,8 @@
         state=given.state,
         slots=given.slots,
         born_ms=given.born,
-        adapters=_held_adapters(given.models),
+        adapters=_held_adapters(given.models)
+        | {AdapterName(model.name): model.version for model in given.models},
     )
 
 
