Test the decisions of the direct path and the translation; measure prompt reading apart

Cause: the estimate of an engine's reading time took its overhead for reading when prompts were alike (found by a test: 117 instead of 200 us a token).

Change: only short prompts change the overhead upwards. Loads from the weight store count as 0.45 s when a server is chosen, as a second copy costs a fetch.

--- a/fighitch/core/gateway/backend_choice.py
+++ b/fighitch/core/gateway/backend_choice.py
@@ -13,7 +13,7 @@
 from fighitch.core.rendezvous import ranked
 from fighitch.types import Seconds
 
-_COLD_LOAD: Seconds = 0.3
+_COLD_LOAD: Seconds = 0.45
 _RECENT_LOAD: Seconds = 0.04
 # A load away from the home of an adapter costs a place there and is cold next time.
 _AWAY_FROM_HOME: Seconds = 0.06
--- a/fighitch/core/gateway/engine_queue.py
+++ b/fighitch/core/gateway/engine_queue.py
@@ -18,6 +18,8 @@
 _READ_SECONDS_PER_TOKEN = 5e-5
 _FIRST_EVENT_OVERHEAD: Seconds = 0.06
 _ESTIMATE_WEIGHT = 0.05
+_OVERHEAD_WEIGHT = 0.2
+_SMALL_PROMPT = 256
 _FASTEST_READ = 5e-6
 _SLOWEST_READ = 5e-4
 _KV_SHARE = 0.92  # the rest absorbs answers that are longer than announced
@@ -104,11 +106,11 @@
             tokens_ahead: Prompt tokens that had to be read, its own included.
         """
         if elapsed < self.overhead:
-            self.overhead += 0.2 * (elapsed - self.overhead)
-        else:
-            expected = self.overhead + tokens_ahead * self.per_token
-            self.overhead += 0.002 * (min(elapsed, expected) - self.overhead)
-        if tokens_ahead < 256:
+            self.overhead += _OVERHEAD_WEIGHT * (elapsed - self.overhead)
+        if tokens_ahead < _SMALL_PROMPT:
+            # Only a short prompt tells overhead and reading apart.
+            rest = elapsed - tokens_ahead * self.per_token
+            self.overhead += _ESTIMATE_WEIGHT * (rest - self.overhead)
             return
         sample = max(0.0, elapsed - self.overhead) / tokens_ahead
         sample = min(_SLOWEST_READ, max(_FASTEST_READ, sample))
--- /dev/null
+++ b/fighitch/tests/gateway_helpers.py
@@ -0,0 +1,103 @@
+"""Shared values of the tests of the direct path."""
+
+from fighitch.core.gateway.adapter_places import EngineReport
+from fighitch.core.gateway.engine_queue import LoadedAdapters, Work
+from fighitch.core.gateway.model import (
+    AdapterName,
+    BackendServer,
+    EngineSpec,
+    ModelSpec,
+    PromptSize,
+    ServerState,
+)
+
+MODEL = "base"
+A1 = AdapterName(MODEL, "a1")
+A2 = AdapterName(MODEL, "a2")
+A3 = AdapterName(MODEL, "a3")
+
+
+def engine_spec(*, places: int = 2, slots: int = 8) -> EngineSpec:
+    model = ModelSpec(MODEL, weights_mb=100, load_seconds=1, adapter_mb=1)
+    return EngineSpec(
+        batch_slots=slots,
+        kv_tokens=100_000,
+        weights_mb=200,
+        adapter_places=places,
+        loads_per_second=5,
+        models={MODEL: model},
+    )
+
+
+def report(
+    *adapters: AdapterName,
+    versions: dict[AdapterName, int] | None = None,
+    coming: tuple[AdapterName, ...] = (),
+    models: tuple[str, ...] = (MODEL,),
+    sequence: int = 0,
+    born_ms: int = 1,
+) -> EngineReport:
+    held = dict.fromkeys(adapters, 1) | (versions or {})
+    return EngineReport(
+        sequence=sequence,
+        models=frozenset(models),
+        adapters=held,
+        coming=frozenset(coming),
+        born_ms=born_ms,
+    )
+
+
+def server(
+    name: str,
+    *,
+    zone: str = "z1",
+    state: ServerState = ServerState.READY,
+    born_ms: int = 1,
+    service: str = "models",
+    adapters: dict[AdapterName, int] | None = None,
+) -> BackendServer:
+    return BackendServer(
+        instance_id=name,
+        service=service,
+        host="127.0.0.1",
+        port=80,
+        zone=zone,
+        state=state,
+        slots=4,
+        born_ms=born_ms,
+        adapters=adapters or {},
+    )
+
+
+def work(
+    number: int,
+    *,
+    adapter: AdapterName = A1,
+    rank: int = 0,
+    prompt: int = 500,
+    output: int = 50,
+    arrived: float = 0.0,
+    aim: float = 1.0,
+    deadline: float = 10.0,
+    connection: int = 1,
+) -> Work:
+    return Work(
+        key=(connection, number),
+        adapter=adapter,
+        version=0,
+        rank=rank,
+        size=PromptSize(prompt, output),
+        arrived=arrived,
+        aim=arrived + aim,
+        deadline=arrived + deadline,
+    )
+
+
+class HoldsAll(LoadedAdapters):
+    def serves(self, adapter, version, now):
+        return True
+
+
+class HoldsNone(LoadedAdapters):
+    def serves(self, adapter, version, now):
+        return False
--- /dev/null
+++ b/fighitch/tests/test_adapter_places.py
@@ -0,0 +1,113 @@
+import unittest
+
+from fighitch.core.gateway.adapter_places import (
+    AdapterPlaces,
+    LoadAdapter,
+    LoadModel,
+    UnloadAdapter,
+)
+from fighitch.tests.gateway_helpers import (
+    A1,
+    A2,
+    A3,
+    MODEL,
+    engine_spec,
+    report,
+)
+
+
+def places(*, count: int = 2) -> AdapterPlaces:
+    made = AdapterPlaces()
+    made.configure(engine_spec(places=count))
+    return made
+
+
+class OrderTests(unittest.TestCase):
+    def test_nothing_is_ordered_before_the_first_report(self):
+        self.assertIsNone(places().next_order([(A1, 0)], 0.0))
+
+    def test_missing_adapter_is_loaded_into_a_free_place(self):
+        held = places()
+        held.note_report(report(A2), 0.0)
+        self.assertEqual(held.next_order([(A1, 0)], 0.0), LoadAdapter(A1, 0))
+
+    def test_full_places_unload_first(self):
+        # An engine that is ordered to hold more than its places crashes.
+        held = places()
+        held.note_report(report(A2, A3), 0.0)
+        self.assertIsInstance(held.next_order([(A1, 0)], 0.0), UnloadAdapter)
+
+    def test_adapters_on_their_way_count_as_held(self):
+        held = places()
+        held.note_report(report(A2, coming=(A3,)), 0.0)
+        self.assertEqual(held.next_order([(A1, 0)], 0.0), UnloadAdapter(A2))
+
+    def test_adapter_in_use_never_makes_way(self):
+        held = places()
+        held.note_report(report(A2, A3), 0.0)
+        held.note_granted(A2)
+        self.assertEqual(held.next_order([(A1, 0)], 0.0), UnloadAdapter(A3))
+        held.note_granted(A3)
+        self.assertIsNone(held.next_order([(A1, 0)], 0.0))
+
+    def test_least_used_adapter_makes_way(self):
+        held = places()
+        held.note_report(report(A2, A3), 0.0)
+        for _ in range(5):
+            held.note_wanted(A3, 0.0)
+        held.note_wanted(A2, 1.0)
+        self.assertEqual(held.next_order([(A1, 0)], 1.0), UnloadAdapter(A2))
+
+    def test_use_of_long_ago_counts_less_than_use_of_now(self):
+        held = places()
+        held.note_report(report(A2, A3), 0.0)
+        for _ in range(5):
+            held.note_wanted(A3, 0.0)
+        held.note_wanted(A2, 60.0)
+        self.assertEqual(held.next_order([(A1, 0)], 60.0), UnloadAdapter(A3))
+
+    def test_memory_bounds_the_places(self):
+        held = places(count=1_000)
+        many = [type(A1)(MODEL, f"b{number}") for number in range(100)]
+        held.note_report(report(*many), 0.0)
+        self.assertIsInstance(held.next_order([(A1, 0)], 0.0), UnloadAdapter)
+
+    def test_restarted_engine_gets_its_model_back(self):
+        held = places()
+        held.note_report(report(models=()), 0.0)
+        self.assertEqual(held.next_order([(A1, 0)], 0.0), LoadModel(MODEL))
+
+
+class VersionTests(unittest.TestCase):
+    def test_newer_version_replaces_an_idle_adapter(self):
+        held = places()
+        held.note_report(report(versions={A1: 1}), 0.0)
+        held.note_version(A1, 2, 0.0)
+        self.assertEqual(held.next_order([], 0.0), LoadAdapter(A1, 2))
+
+    def test_old_version_is_used_only_for_a_while(self):
+        held = places()
+        held.note_report(report(versions={A1: 1}), 0.0)
+        held.note_version(A1, 2, 0.0)
+        held.note_granted(A1)
+        self.assertTrue(held.serves(A1, 0, 1.0))
+        self.assertFalse(held.serves(A1, 0, 2.0))
+        self.assertIsNone(held.next_order([(A1, 2)], 2.0))
+        held.note_done(A1)
+        self.assertEqual(held.next_order([(A1, 2)], 2.0), LoadAdapter(A1, 2))
+
+    def test_version_that_an_entry_asks_for_counts_too(self):
+        held = places()
+        held.note_report(report(versions={A1: 1}), 0.0)
+        self.assertTrue(held.serves(A1, 2, 0.0))
+        self.assertFalse(held.serves(A1, 2, 5.0))
+
+
+class RecentAdapterTests(unittest.TestCase):
+    def test_dropped_adapters_are_recent_until_the_engine_restarts(self):
+        held = places()
+        held.note_report(report(A1, A2, sequence=1), 0.0)
+        held.note_report(report(A2, sequence=2), 0.0)
+        self.assertEqual(list(held.recent), [A1])
+        held.note_report(report(A2, born_ms=2), 0.0)
+        self.assertEqual(list(held.recent), [])
--- /dev/null
+++ b/fighitch/tests/test_engine_queue.py
@@ -0,0 +1,140 @@
+import unittest
+
+from fighitch.core.gateway.engine_queue import WINDOW, EngineQueue
+from fighitch.tests.gateway_helpers import (
+    A1,
+    A2,
+    HoldsAll,
+    HoldsNone,
+    engine_spec,
+    work,
+)
+
+
+def queue(*, slots: int = 64) -> EngineQueue:
+    made = EngineQueue()
+    made.configure(engine_spec(slots=slots))
+    return made
+
+
+class AdmissionTests(unittest.TestCase):
+    def test_burst_is_handed_over_no_faster_than_it_is_read(self):
+        # Prompts that are all handed over at once delay each other past their aims.
+        waiting = queue()
+        for number in range(100):
+            waiting.add(work(number))
+        taken = waiting.take_ready(0.0, HoldsAll())
+        read_time = sum(item.size.prompt_tokens for item in taken)
+        read_time *= waiting.speed.per_token
+        self.assertLess(read_time, WINDOW + 500 * waiting.speed.per_token)
+        self.assertGreaterEqual(read_time, WINDOW)
+
+    def test_first_event_makes_room(self):
+        waiting = queue()
+        for number in range(100):
+            waiting.add(work(number))
+        first = waiting.take_ready(0.0, HoldsAll())
+        self.assertEqual(waiting.take_ready(0.0, HoldsAll()), [])
+        waiting.note_started(first[0].key, 0.1)
+        self.assertEqual(len(waiting.take_ready(0.1, HoldsAll())), 1)
+
+    def test_batch_slots_bound_the_running_requests(self):
+        waiting = queue(slots=2)
+        for number in range(5):
+            waiting.add(work(number, prompt=1))
+        self.assertEqual(len(waiting.take_ready(0.0, HoldsAll())), 2)
+
+    def test_kv_cache_bounds_the_running_requests(self):
+        waiting = queue()
+        waiting.add(work(1, prompt=10, output=60_000))
+        waiting.add(work(2, prompt=10, output=60_000))
+        self.assertEqual(len(waiting.take_ready(0.0, HoldsAll())), 1)
+
+    def test_urgent_work_goes_first(self):
+        waiting = queue(slots=1)
+        waiting.add(work(1, rank=2))
+        waiting.add(work(2, rank=0))
+        self.assertEqual(waiting.take_ready(0.0, HoldsAll())[0].key, (1, 2))
+
+    def test_work_that_is_late_yields_to_work_that_can_be_on_time(self):
+        waiting = queue(slots=1)
+        waiting.add(work(1, rank=0, aim=0.5))
+        waiting.add(work(2, rank=2, aim=5.0))
+        self.assertEqual(waiting.take_ready(1.0, HoldsAll())[0].key, (1, 2))
+
+    def test_missing_adapter_does_not_hold_up_others(self):
+        class HoldsSecond(HoldsAll):
+            def serves(self, adapter, version, now):
+                return adapter == A2
+
+        waiting = queue()
+        waiting.add(work(1, adapter=A1))
+        waiting.add(work(2, adapter=A2))
+        taken = waiting.take_ready(0.0, HoldsSecond())
+        self.assertEqual([item.key for item in taken], [(1, 2)])
+
+    def test_handed_over_work_of_a_lost_entry_frees_its_room(self):
+        waiting = queue(slots=1)
+        waiting.add(work(1, connection=1))
+        waiting.add(work(1, connection=2))
+        waiting.take_ready(0.0, HoldsAll())
+        self.assertEqual(len(waiting.forget_connection(1)), 1)
+        self.assertEqual(len(waiting.take_ready(0.0, HoldsAll())), 1)
+
+
+class RefusalTests(unittest.TestCase):
+    def test_work_behind_a_long_queue_is_refused_at_once(self):
+        waiting = queue()
+        refused = 0
+        for number in range(1_000):
+            refused += waiting.add(work(number, deadline=2.0)) is not None
+        self.assertGreater(refused, 0)
+        self.assertLess(waiting.backlog, 2.0)
+
+    def test_refusal_names_when_to_come_back(self):
+        waiting = queue()
+        for number in range(60):
+            waiting.add(work(number, deadline=100.0))
+        refusal = waiting.add(work(99, deadline=1.0, rank=0))
+        self.assertIsNotNone(refusal)
+        self.assertAlmostEqual(refusal.retry_after, waiting.backlog)
+
+    def test_work_larger_than_the_engine_is_refused(self):
+        refusal = queue().add(work(1, prompt=200_000, deadline=1_000.0))
+        self.assertEqual(refusal.reason, "larger_than_engine")
+
+    def test_work_whose_adapter_comes_too_late_is_refused_at_once(self):
+        # Such work once waited until its caller left.
+        refusal = queue().add(work(1, deadline=4.8), load_wait=5.0)
+        self.assertEqual(refusal.reason, "deadline_out_of_reach")
+
+    def test_waiting_work_is_refused_when_its_deadline_is_out_of_reach(self):
+        waiting = queue()
+        waiting.add(work(1, deadline=2.0))
+        self.assertEqual(waiting.take_ready(0.5, HoldsNone()), [])
+        self.assertEqual(waiting.take_overdue(0.5), [])
+        self.assertEqual(len(waiting.take_overdue(1.95)), 1)
+        self.assertEqual(waiting.waiting, 0)
+        self.assertEqual(waiting.backlog, 0.0)
+
+    def test_books_are_empty_after_all_work_ended(self):
+        waiting = queue()
+        for number in range(50):
+            waiting.add(work(number))
+        for step in range(200):
+            for item in waiting.take_ready(step * 0.05, HoldsAll()):
+                waiting.note_started(item.key, step * 0.05 + 0.04)
+                waiting.note_done(item.key)
+        self.assertEqual((waiting.running, waiting.waiting), (0, 0))
+        self.assertEqual(waiting.backlog, 0.0)
+
+
+class ReadSpeedTests(unittest.TestCase):
+    def test_speed_follows_what_is_measured(self):
+        waiting = queue()
+        for number in range(300):
+            waiting.add(work(number, prompt=1_000, arrived=float(number)))
+            waiting.take_ready(float(number), HoldsAll())
+            waiting.note_started((1, number), number + 0.06 + 0.2)
+            waiting.note_done((1, number))
+        self.assertAlmostEqual(waiting.speed.per_token, 0.0002, delta=0.00004)
--- /dev/null
+++ b/fighitch/tests/test_gateway_decisions.py
@@ -0,0 +1,234 @@
+import unittest
+
+from fighitch.core.gateway.backend_choice import (
+    EngineChoice,
+    EngineView,
+    PlainLoad,
+    failure_penalty,
+    rank_plain,
+)
+from fighitch.core.gateway.event_stream import EventBuffer
+from fighitch.core.gateway.failures import FailureKind, truthful_kind
+from fighitch.core.gateway.holder import HolderRecord, claim_engine
+from fighitch.core.gateway.model import (
+    AdapterName,
+    Route,
+    WeightedService,
+    WorkKind,
+)
+from fighitch.core.gateway.outliers import OutlierDetector
+from fighitch.core.gateway.retry_budget import BudgetLimits, RetryBudget
+from fighitch.core.gateway.route_table import RouteTable, choose_service
+from fighitch.tests.gateway_helpers import A1, MODEL, server
+
+
+def route(name: str, prefix: str, *services: WeightedService) -> Route:
+    return Route(
+        name=name,
+        host="h.example",
+        path_prefix=prefix,
+        kind=WorkKind.IDEMPOTENT,
+        timeout=1.0,
+        target_latency=0.1,
+        rank=0,
+        services=services or (WeightedService("s", 1.0),),
+    )
+
+
+def no_penalty(_name: str) -> float:
+    return 0.0
+
+
+def view(name: str, *adapters: AdapterName, **fields) -> EngineView:
+    held = dict.fromkeys((AdapterName(MODEL), *adapters), 1)
+    return EngineView(name, adapters=held, connected=True, **fields)
+
+
+class RouteTableTests(unittest.TestCase):
+    def setUp(self):
+        self.table = RouteTable(
+            [route("short", "/a/"), route("long", "/a/b/"), route("other", "/c/")]
+        )
+
+    def find(self, path: str, host: str = "h.example") -> str | None:
+        found = self.table.find(host, path)
+        return None if found is None else found.name
+
+    def test_longest_prefix_wins(self):
+        self.assertEqual(self.find("/a/b/c"), "long")
+        self.assertEqual(self.find("/a/bc"), "short")
+
+    def test_prefix_ends_with_its_slash(self):
+        self.assertIsNone(self.find("/a"))
+        self.assertEqual(self.find("/a/"), "short")
+
+    def test_host_is_compared_without_case_and_port(self):
+        self.assertEqual(self.find("/c/", "H.Example:80"), "other")
+        self.assertIsNone(self.find("/c/", "other.example"))
+
+    def test_root_prefix_matches_every_path(self):
+        table = RouteTable([route("root", "/")])
+        self.assertIsNotNone(table.find("h.example", "/x/y"))
+
+    def test_split_follows_the_weights(self):
+        split = route("r", "/", WeightedService("s", 90), WeightedService("t", 10))
+        names = [choose_service(split, f"id-{number}") for number in range(2_000)]
+        self.assertAlmostEqual(names.count("t") / 2_000, 0.1, delta=0.03)
+
+
+class RetryBudgetTests(unittest.TestCase):
+    def test_entries_together_stay_inside_the_budget(self):
+        # A server that fails everything makes every entry send everything again.
+        limits = BudgetLimits(ratio=0.2, window=10.0, slack=56.0)
+        entries = [RetryBudget(limits) for _ in range(4)]
+        repeats = requests = 0
+        for step in range(1_000):
+            for budget in entries:
+                now = step * 0.01
+                budget.note_request(now)
+                requests += 1
+                repeats += budget.take(now, entries=4)
+        self.assertLessEqual(repeats, 0.2 * requests + 56)
+        self.assertGreater(repeats, 0.1 * requests)
+
+    def test_budget_returns_as_the_window_moves(self):
+        budget = RetryBudget(BudgetLimits(ratio=0.0, window=10.0, slack=10.0))
+        taken = sum(budget.take(0.0, entries=1) for _ in range(20))
+        self.assertEqual(taken, 6)
+        self.assertFalse(budget.take(9.0, entries=1))
+        self.assertTrue(budget.take(10.5, entries=1))
+
+
+class OutlierDetectorTests(unittest.TestCase):
+    def setUp(self):
+        self.detector = OutlierDetector()
+        self.peers = ["a", "b", "c"]
+
+    def note(self, name: str, failed: bool, now: float) -> bool:
+        return self.detector.note(name, failed=failed, peers=self.peers, now=now)
+
+    def test_server_that_fails_more_than_its_peers_is_paused(self):
+        for step in range(10):
+            self.note("b", False, step)
+            self.note("c", False, step)
+            self.note("a", True, step)
+        self.assertTrue(self.detector.is_paused("a", 9.1))
+        self.assertFalse(self.detector.is_paused("b", 9.1))
+
+    def test_service_whose_work_fails_everywhere_keeps_its_servers(self):
+        for step in range(30):
+            for name in self.peers:
+                self.note(name, step % 2 == 0, step * 0.1)
+        paused = [name for name in self.peers if self.detector.is_paused(name, 3.0)]
+        self.assertEqual(paused, [])
+
+    def test_pauses_grow_and_end(self):
+        self.detector.note_unreachable("a", 0.0)
+        self.assertTrue(self.detector.is_paused("a", 0.4))
+        self.assertFalse(self.detector.is_paused("a", 0.6))
+        self.detector.note_unreachable("a", 0.6)
+        self.assertTrue(self.detector.is_paused("a", 1.5))
+
+
+class EngineChoiceTests(unittest.TestCase):
+    def setUp(self):
+        self.choice = EngineChoice("z1")
+        self.servers = [server(name) for name in ("e1", "e2", "e3")]
+
+    def best(self, views: dict[str, EngineView], penalty=no_penalty) -> str:
+        ranked = self.choice.rank(A1, self.servers, views, penalty)
+        return ranked[0].server.instance_id
+
+    def views(self, **changed: EngineView) -> dict[str, EngineView]:
+        return {name: view(name) for name in ("e1", "e2", "e3")} | changed
+
+    def test_engine_that_holds_the_adapter_is_preferred(self):
+        for name in ("e1", "e2", "e3"):
+            views = self.views(**{name: view(name, A1)})
+            self.assertEqual(self.best(views), name)
+
+    def test_long_backlog_moves_work_to_another_engine(self):
+        views = self.views(e2=view("e2", A1, backlog=3.0))
+        self.assertNotEqual(self.best(views), "e2")
+
+    def test_short_backlog_is_waited_for(self):
+        # A second copy costs a fetch from the weight store.
+        views = self.views(e2=view("e2", A1, backlog=0.2))
+        self.assertEqual(self.best(views), "e2")
+
+    def test_rare_adapter_has_one_home(self):
+        self.assertEqual(len({self.best(self.views()) for _ in range(5)}), 1)
+
+    def test_engine_without_its_model_is_avoided(self):
+        # An engine that has just restarted answers, but can't serve for seconds.
+        home = self.best(self.views())
+        empty = EngineView(home, connected=True)
+        self.assertNotEqual(self.best(self.views(**{home: empty})), home)
+
+    def test_failing_engine_is_avoided(self):
+        home = self.best(self.views())
+
+        def penalty(name: str) -> float:
+            return failure_penalty(paused=name == home, failure_ratio=0.0)
+
+        self.assertNotEqual(self.best(self.views(), penalty), home)
+
+
+class PlainChoiceTests(unittest.TestCase):
+    def test_least_loaded_server_is_preferred(self):
+        servers = [server("a"), server("b")]
+        loads = {"a": PlainLoad(running=9), "b": PlainLoad(running=1)}
+        ranked = rank_plain(servers, loads, "z1", no_penalty)
+        self.assertEqual(ranked[0].server.instance_id, "b")
+
+    def test_own_zone_breaks_ties(self):
+        servers = [server("a", zone="z2"), server("b", zone="z1")]
+        ranked = rank_plain(servers, {}, "z1", no_penalty)
+        self.assertEqual(ranked[0].server.instance_id, "b")
+
+
+class HolderTests(unittest.TestCase):
+    def test_token_grows_although_the_clock_was_set_back(self):
+        previous = HolderRecord("side-1", 5_000)
+        claim = claim_engine(previous, "side-1", 3_000, 3.0)
+        self.assertEqual(claim.record.token, 5_001)
+        self.assertEqual(claim.wait, 0.0)
+
+    def test_new_holder_waits_for_the_lease_of_the_previous_one(self):
+        claim = claim_engine(HolderRecord("side-1", 1), "side-2", 9, 3.0)
+        self.assertEqual((claim.record.token, claim.wait), (9, 3.0))
+
+
+class EventBufferTests(unittest.TestCase):
+    def test_only_whole_events_pass(self):
+        # A server may stop in the middle of an event.
+        events = EventBuffer()
+        self.assertEqual(
+            events.feed(b"id: 1\ndata: a\n\nid: 2\nda"), b"id: 1\ndata: a\n\n"
+        )
+        self.assertTrue(events.has_partial_event)
+        self.assertEqual(events.last_id, "1")
+        self.assertEqual(events.feed(b"ta: b\n\n"), b"id: 2\ndata: b\n\n")
+        self.assertEqual(events.last_id, "2")
+
+    def test_partial_event_is_dropped_before_another_server_goes_on(self):
+        events = EventBuffer()
+        events.feed(b"id: 1\ndata: a\n\nid: 2\nda")
+        events.drop_partial_event()
+        self.assertEqual(events.feed(b"id: 2\ndata: b\n\n"), b"id: 2\ndata: b\n\n")
+
+
+class FailureAnswerTests(unittest.TestCase):
+    def test_no_refusal_for_work_that_may_have_run(self):
+        # 503 promises that the work has not run.
+        for kind in FailureKind:
+            told = truthful_kind(kind, may_have_run=True)
+            self.assertNotIn(
+                told,
+                (
+                    FailureKind.OVERLOADED,
+                    FailureKind.NO_SERVER,
+                    FailureKind.NOT_RUN_IN_TIME,
+                    FailureKind.SERVER_REFUSED,
+                ),
+            )
--- /dev/null
+++ b/fighitch/tests/test_gateway_membership.py
@@ -0,0 +1,57 @@
+import unittest
+
+from fighitch.core.gateway.membership import LAPSE_GRACE, Membership
+from fighitch.core.gateway.model import ServerState
+from fighitch.tests.gateway_helpers import server
+
+
+class MembershipTests(unittest.TestCase):
+    def setUp(self):
+        self.membership = Membership()
+        self.membership.put(server("a"))
+
+    def ready(self) -> list[str]:
+        return [item.instance_id for item in self.membership.ready("models")]
+
+    def test_removed_server_gets_no_more_work(self):
+        self.membership.remove("a", 10.0)
+        self.assertEqual(self.ready(), [])
+
+    def test_draining_server_gets_no_more_work(self):
+        self.membership.put(server("a", state=ServerState.DRAINING))
+        self.assertEqual(self.ready(), [])
+
+    def test_old_heartbeat_does_not_revive_a_leaving_server(self):
+        self.membership.put(server("a", state=ServerState.DRAINING))
+        self.membership.put(server("a"))
+        self.assertEqual(self.ready(), [])
+
+    def test_new_incarnation_under_the_same_id_takes_work(self):
+        self.membership.put(server("a", state=ServerState.DRAINING))
+        self.membership.put(server("a", born_ms=2))
+        self.assertEqual(self.ready(), ["a"])
+
+    def test_heartbeat_of_an_earlier_incarnation_is_ignored(self):
+        self.membership.put(server("a", born_ms=5))
+        self.membership.put(server("a", born_ms=4, state=ServerState.DRAINING))
+        self.assertEqual(self.ready(), ["a"])
+
+    def test_entry_that_lapsed_during_an_outage_is_kept_for_a_while(self):
+        self.membership.note_store_contact(10.0, after_outage=True)
+        self.membership.remove("a", 10.1)
+        self.assertEqual(self.ready(), ["a"])
+        self.membership.expire(10.0 + LAPSE_GRACE - 0.1)
+        self.assertEqual(self.ready(), ["a"])
+        self.membership.expire(10.0 + LAPSE_GRACE)
+        self.assertEqual(self.ready(), [])
+
+    def test_lapsed_entry_that_returns_stays(self):
+        self.membership.note_store_contact(10.0, after_outage=True)
+        self.membership.remove("a", 10.1)
+        self.membership.put(server("a"))
+        self.membership.expire(20.0)
+        self.assertEqual(self.ready(), ["a"])
+
+    def test_complete_list_removes_what_is_missing(self):
+        self.membership.replace_all([server("b")], 10.0)
+        self.assertEqual(self.ready(), ["b"])
--- /dev/null
+++ b/fighitch/tests/test_platform_folder.py
@@ -0,0 +1,271 @@
+import json
+import unittest
+
+import msgspec
+
+from fighitch.core.gateway.adapter_places import (
+    LoadAdapter,
+    LoadModel,
+    UnloadAdapter,
+)
+from fighitch.core.gateway.model import AdapterName, ServerState, WorkKind
+from fighitch.platform import requests, store
+from fighitch.platform.configuration import (
+    decode_adapter_version,
+    decode_configuration,
+)
+from fighitch.platform.engine import decode_heartbeat, decode_report, encode_order
+from fighitch.platform.settings import decode_settings
+from fighitch.runtime.http_callers import CallerRequest
+from fighitch.runtime.http_exchange import AnswerHead
+
+HEARTBEAT = {
+    "Service": "models",
+    "Address": "10.0.0.9:8080",
+    "Zone": "z1",
+    "Version": "v1",
+    "Slots": 128,
+    "State": "ready",
+    "ColdRemainingMs": 0,
+    "Models": [{"Name": "m", "Version": 1, "Adapters": ["a1@3"]}],
+    "Seq": 4,
+    "born": 17,
+}
+
+
+def caller_request(*headers: tuple[str, str], method: str = "POST") -> CallerRequest:
+    encoded = [(name.encode(), value.encode()) for name, value in headers]
+    return CallerRequest(method.encode(), b"/p/x?q=1", encoded, b"body", 0.0)
+
+
+class SettingsTests(unittest.TestCase):
+    def settings(self, **changes) -> bytes:
+        given = {
+            "NodeName": "front-1",
+            "Ip": "10.0.0.1",
+            "Zone": "z1",
+            "InternalPorts": [7380, 7395],
+            "Listen": {"Front": "10.0.0.1:80", "ReadinessAddress": "10.0.0.1:81"},
+            "Bounds": {"GraceS": 8, "RetryBudgetRatio": 0.2, "New": 1},
+            "Platform": {"Address": "10.0.0.2:90"},
+            "Unknown": True,
+        }
+        return json.dumps(given | changes).encode()
+
+    def test_settings_are_decoded_and_unknown_keys_ignored(self):
+        settings = decode_settings(self.settings())
+        self.assertEqual(settings.instance, "front-1")
+        self.assertEqual(str(settings.callers), "10.0.0.1:80")
+        self.assertEqual(settings.peer_port, 7380)
+        self.assertIsNone(settings.engine)
+        self.assertEqual(settings.stop_grace, 8)
+
+    def test_bad_address_is_named(self):
+        with self.assertRaisesRegex(msgspec.ValidationError, "'nowhere'"):
+            decode_settings(self.settings(app="nowhere"))
+
+
+class HeartbeatTests(unittest.TestCase):
+    def decode(self, **changes):
+        spec = msgspec.Raw(json.dumps(HEARTBEAT | changes).encode())
+        return decode_heartbeat("i-1", spec)
+
+    def test_heartbeat_is_decoded(self):
+        decoded = self.decode()
+        self.assertEqual((decoded.host, decoded.port), ("10.0.0.9", 8080))
+        self.assertEqual(decoded.state, ServerState.READY)
+        self.assertEqual(decoded.born_ms, 17)
+        self.assertEqual(decoded.adapters[AdapterName("m", "a1")], 3)
+
+    def test_entries_of_other_writers_are_rejected(self):
+        for change in (
+            {"State": "dancing"},
+            {"Slots": "many"},
+            {"Address": "here"},
+            {"Service": None},
+        ):
+            with self.subTest(change), self.assertRaises(msgspec.DecodeError):
+                self.decode(**change)
+
+
+class ReportTests(unittest.TestCase):
+    def test_report_is_decoded(self):
+        body = json.dumps(
+            {
+                "Stage": "colocated",
+                "Models": [{"Name": "m", "Version": 1, "Adapters": ["a1@2", "a2"]}],
+                "Busy": False,
+                "Seq": 7,
+                "State": "draining",
+                "RemainingMs": 1500,
+                "Coming": ["m/a3@1"],
+                "Runs": [["x", 1, 2, 3]],
+            }
+        ).encode()
+        decoded = decode_report(body)
+        self.assertEqual(decoded.sequence, 7)
+        self.assertEqual(decoded.adapters[AdapterName("m", "a1")], 2)
+        self.assertEqual(decoded.coming, {AdapterName("m", "a3")})
+        self.assertTrue(decoded.draining)
+        self.assertEqual(decoded.remaining, 1.5)
+
+
+class OrderEncodingTests(unittest.TestCase):
+    def encode(self, order) -> dict:
+        data = encode_order(order, sequence=2, holder="side-1", fencing_token=9)
+        return json.loads(data)
+
+    def test_every_order_expects_a_sequence_number(self):
+        # An order without an answer may be carried out seconds later.
+        adapter = AdapterName("m", "a1")
+        orders = (LoadAdapter(adapter, 0), UnloadAdapter(adapter), LoadModel("m"))
+        for order in orders:
+            fields = self.encode(order)
+            self.assertEqual(fields["Expect"], 2)
+            self.assertEqual(fields["Holder"], "side-1")
+            self.assertEqual(fields["FencingToken"], 9)
+
+    def test_version_is_named_only_if_known(self):
+        adapter = AdapterName("m", "a1")
+        self.assertNotIn("Version", self.encode(LoadAdapter(adapter, 0)))
+        self.assertEqual(self.encode(LoadAdapter(adapter, 4))["Version"], 4)
+
+    def test_model_orders_name_no_adapter(self):
+        self.assertNotIn("Adapter", self.encode(LoadModel("m")))
+
+
+class ConfigurationTests(unittest.TestCase):
+    def test_configuration_is_decoded(self):
+        spec = {
+            "Version": 7,
+            "Routes": [
+                {
+                    "Name": "r",
+                    "Host": "h.example",
+                    "PathPrefix": "/p/",
+                    "Kind": "streaming",
+                    "TimeoutMs": 15000,
+                    "TargetLatencyMs": 1000,
+                    "Priority": 1,
+                    "WeightedBackends": [{"Service": "s", "Weight": 90}],
+                    "MaxAttempts": 2,
+                    "Resumable": True,
+                    "GapAimMs": 600,
+                }
+            ],
+            "Services": [{"Name": "s", "MaxConnections": 620}],
+            "Limits": {"IdleTimeoutMs": 9000},
+        }
+        decoded = decode_configuration(msgspec.Raw(json.dumps(spec).encode()))
+        route = decoded.routes[0]
+        self.assertEqual(route.kind, WorkKind.STREAMING)
+        self.assertTrue(route.repeatable)
+        self.assertEqual(route.services[0].service, "s")
+        self.assertEqual(route.caller_patience, 4.8)
+        self.assertEqual(decoded.limits.idle_timeout, 9.0)
+
+    def test_adapter_version_is_decoded(self):
+        spec = msgspec.Raw(b'{"Model":"m","Adapter":"a1","Version":4}')
+        self.assertEqual(decode_adapter_version(spec), (AdapterName("m", "a1"), 4))
+
+
+class StoreTests(unittest.TestCase):
+    def test_unreadable_items_are_counted_and_the_others_kept(self):
+        body = (
+            b'{"items":[{"Metadata":{"Name":"a","Revision":3},"Spec":{}},"x"],"At":5}'
+        )
+        page = store.decode_list(body)
+        self.assertEqual([item.name for item in page.objects], ["a"])
+        self.assertEqual((page.unreadable, page.revision), (1, 5))
+
+    def test_removals_are_decoded(self):
+        body = (
+            b'{"events":[{"Tombstone":true,"Object":{"Metadata":{"Name":"a"}}}],"At":9}'
+        )
+        page = store.decode_watch(body)
+        self.assertTrue(page.objects[0].removed)
+
+    def test_targets(self):
+        self.assertEqual(store.list_target("k", "a b"), "/objects/k?after=a%20b")
+        self.assertEqual(
+            store.watch_target("k", 5, 2.0), "/objects/k?Watch=5&WaitMs=2000"
+        )
+
+
+class RequestTests(unittest.TestCase):
+    def encode(self, request: CallerRequest, **options) -> bytes:
+        return requests.encode_request(
+            request, time_left=1.5, instance_id="i-1", **options
+        )
+
+    def test_headers_of_the_system_are_not_taken_from_callers(self):
+        forged = caller_request(
+            ("Host", "h"),
+            ("Attempt-Id", "x"),
+            ("Hold", "1"),
+            ("Pin-Ms", "9"),
+            ("Kv-From", "1.2.3.4:5/6"),
+            ("kv-backup", "1.2.3.4:5"),
+            ("Request-Priority", "0"),
+            ("Expect-Instance", "i-2"),
+            ("Deadline-Ms", "99999"),
+        )
+        data = self.encode(forged, priority=3)
+        head = data.split(b"\r\n\r\n")[0].split(b"\r\n")[1:]
+        self.assertEqual(
+            sorted(head),
+            sorted(
+                [
+                    b"Host: h",
+                    b"Attempt-Id: x",
+                    b"Deadline-Ms: 1500",
+                    b"Expect-Instance: i-1",
+                    b"Request-Priority: 3",
+                    b"Content-Length: 4",
+                ]
+            ),
+        )
+
+    def test_headers_named_by_connection_are_dropped_but_not_the_id(self):
+        request = caller_request(
+            ("Host", "h"),
+            ("Attempt-Id", "x"),
+            ("X-Hop", "1"),
+            ("Connection", "X-Hop, Attempt-Id"),
+        )
+        data = self.encode(request)
+        self.assertNotIn(b"X-Hop", data)
+        self.assertIn(b"Attempt-Id: x", data)
+
+    def test_id_given_twice_is_no_id(self):
+        request = caller_request(("Attempt-Id", "x"), ("attempt-id", "y"))
+        self.assertEqual(requests.decode_request(request).request_id, "")
+
+    def test_facts_are_decoded(self):
+        facts = requests.decode_request(
+            caller_request(
+                ("Host", "h"),
+                ("Attempt-Id", "x"),
+                ("Model", "m/a1"),
+                ("Token-Counts", "1460,80"),
+                ("Deadline-Ms", "2500"),
+            )
+        )
+        self.assertEqual(facts.path, "/p/x")
+        self.assertEqual(facts.adapter, AdapterName("m", "a1"))
+        self.assertEqual(facts.size.prompt_tokens, 1460)
+        self.assertEqual(facts.time_left, 2.5)
+
+    def test_answer_is_genuine_only_with_signature_and_without_encoding(self):
+        signed = (b"Response-Signature", b"s")
+        self.assertTrue(requests.is_genuine(AnswerHead(200, [signed])))
+        self.assertFalse(requests.is_genuine(AnswerHead(200, [])))
+        encoded = (b"Content-Encoding", b"gzip")
+        self.assertFalse(requests.is_genuine(AnswerHead(200, [signed, encoded])))
+
+    def test_only_stated_rejections_count_as_not_run(self):
+        self.assertTrue(requests.was_not_run(AnswerHead(421, [])))
+        self.assertTrue(
+            requests.was_not_run(AnswerHead(503, [(b"Not-Executed", b"1")]))
+        )
+        self.assertFalse(requests.was_not_run(AnswerHead(503, [])))
