Tell incarnations of an engine apart; test the programs against platform stand-ins

Entries of dead incarnations stay in the list for seconds beside the new ones, at the same address. Entries sent 137 requests to them (421), and an agent took the id that was told last: three of nine agents kept a dead id and every order of theirs was refused.

Ruled out: loading the model again (0.7 s) and cold adapters, which the six other engines had too.

Change: agents and entries compare the time of start; the later server at an address supersedes the earlier one; a 421 from another server marks the meant one as left. Stand-ins of store, plain service and engine speak the platform's protocol, and 19 tests run entries and agents as processes against them.

--- a/fighitch/core/gateway/membership.py
+++ b/fighitch/core/gateway/membership.py
@@ -17,7 +17,8 @@
 
     Attributes:
         instance_id: The backend server.
-        change: One of ``added``, ``draining``, ``lapsed``, ``removed``, ``restarted``.
+        change: One of ``added``, ``draining``, ``left``, ``lapsed``, ``removed``,
+            ``restarted``, ``ready``.
     """
 
     instance_id: str
@@ -89,13 +90,14 @@
         if known == server:
             return []
         self._by_service = None
+        changes = self._supersede(server)
         if known is None:
-            return [MembershipChange(name, "added")]
-        if known.born_ms != server.born_ms:
-            return [MembershipChange(name, "restarted")]
-        if known.state is not server.state:
-            return [MembershipChange(name, server.state.value)]
-        return []
+            changes.append(MembershipChange(name, "added"))
+        elif known.born_ms != server.born_ms:
+            changes.append(MembershipChange(name, "restarted"))
+        elif known.state is not server.state:
+            changes.append(MembershipChange(name, server.state.value))
+        return changes
 
     def remove(self, instance_id: str, now: Seconds) -> list[MembershipChange]:
         """Takes the removal of an entry."""
@@ -110,18 +112,33 @@
             return [MembershipChange(instance_id, "lapsed")]
         return self._drop(instance_id)
 
-    def mark_draining(self, instance_id: str) -> list[MembershipChange]:
-        """Takes a leave that the server itself reported."""
+    def mark_left(self, instance_id: str) -> list[MembershipChange]:
+        """Takes a leave that is known from elsewhere than the list."""
         server = self._servers.get(instance_id)
         if server is None or server.state is ServerState.DRAINING:
             return []
-        return self.put(replace(server, state=ServerState.DRAINING))
+        self._by_service = None
+        self._left[instance_id] = server.born_ms
+        self._servers[instance_id] = replace(server, state=ServerState.DRAINING)
+        return [MembershipChange(instance_id, "left")]
 
     def expire(self, now: Seconds) -> list[MembershipChange]:
         """Drops lapsed servers that did not return in time."""
         due = [name for name, end in self._lapsed_until.items() if now >= end]
         return [change for name in due for change in self._drop(name)]
 
+    def _supersede(self, server: BackendServer) -> list[MembershipChange]:
+        """Marks older servers at the same address as left, before they lapse."""
+        changes = []
+        for other in list(self._servers.values()):
+            is_same = (other.host, other.port) == (server.host, server.port)
+            if not is_same or other.instance_id == server.instance_id:
+                continue
+            older, newer = sorted((other, server), key=lambda item: item.born_ms)
+            if older.born_ms < newer.born_ms:
+                changes += self.mark_left(older.instance_id)
+        return changes
+
     def _drop(self, instance_id: str) -> list[MembershipChange]:
         self._lapsed_until.pop(instance_id, None)
         if self._servers.pop(instance_id, None) is None:
--- a/fighitch/gateway/agent.py
+++ b/fighitch/gateway/agent.py
@@ -70,7 +70,8 @@
         self._queue = EngineQueue()
         self._places = AdapterPlaces()
         self._spec: EngineSpec | None = None
-        self._engine_id = ""
+        # Ids by time of start: entries of earlier incarnations stay for a while.
+        self._names: dict[int, str] = {}
         self._peers: dict[int, PeerConnection] = {}
         self._next_peer = 1
         self._lost_reports = 0
@@ -157,11 +158,9 @@
 
     def _on_hello(self, peer: PeerConnection, hello: Hello) -> None:
         spec = msgspec.json.decode(hello.engine_spec, type=EngineSpec)
-        if hello.engine_id != self._engine_id or spec != self._spec:
-            self._log.event(
-                "engine_assigned", engine=hello.engine_id, entry=hello.entry
-            )
-        self._engine_id = hello.engine_id
+        self._names[hello.engine_born_ms] = hello.engine_id
+        if spec != self._spec:
+            self._log.event("engine_spec", entry=hello.entry, spec=spec)
         self._spec = spec
         self._queue.configure(spec)
         self._places.configure(spec)
@@ -270,7 +269,7 @@
             sequence=report.sequence,
             holder=self._settings.instance,
             token=self._holder.token,
-            instance_id=self._engine_id,
+            instance_id=self._names.get(report.born_ms, ""),
             on_end=ended,
         )
 
@@ -347,7 +346,7 @@
 
     def _status(self) -> Status:
         return Status(
-            engine_id=self._engine_id,
+            engine_born_ms=self._engine_born_ms(),
             serving=self._serving,
             draining=self._draining,
             backlog_ms=round(self._queue.backlog * _MS),
@@ -356,6 +355,9 @@
             entries=len(self._peers),
         )
 
+    def _engine_born_ms(self) -> int:
+        return 0 if self._places.report is None else self._places.report.born_ms
+
     def _load_wait(self) -> Seconds:
         return self._places.queue_time(self._missing_adapters(self._loop.now()))
 
--- a/fighitch/gateway/agent_links.py
+++ b/fighitch/gateway/agent_links.py
@@ -218,7 +218,8 @@
 
     def _hello(self, link: AgentLink) -> Hello:
         spec = msgspec.json.encode(link.spec)
-        return Hello(self._entry, link.server.instance_id, spec)
+        server = link.server
+        return Hello(self._entry, server.instance_id, server.born_ms, spec)
 
     def _on_closed(self, link: AgentLink, reason: str) -> None:
         link.peer = None
@@ -270,11 +271,13 @@
             self._log.event("agent_connected", engine=link.server.instance_id)
         view.backlog = status.backlog_ms / _MS
         view.pending = 0.0
-        view.serving = status.serving
+        # The agent may serve a later incarnation than the list names.
+        same = status.engine_born_ms in (0, link.server.born_ms)
+        view.serving = status.serving and same
         view.entries = status.entries
         view.per_token = status.token_ns / _NS
         view.load_wait = status.load_wait_ms / _MS
-        if status.draining and status.engine_id == link.server.instance_id:
+        if status.draining and same:
             self._on_draining(link.server.instance_id)
 
     def _on_held(self, link: AgentLink, message: HeldAdapters) -> None:
--- a/fighitch/gateway/entry.py
+++ b/fighitch/gateway/entry.py
@@ -409,8 +409,12 @@
             self._log.event("server_entry_unreadable", entry=item.name, detail=error)
             return None
 
+    def note_replaced(self, server: BackendServer) -> None:
+        """Takes that another server answered at a server's address."""
+        self._note_changes(self._membership.mark_left(server.instance_id))
+
     def _on_engine_draining(self, instance_id: str) -> None:
-        self._note_changes(self._membership.mark_draining(instance_id))
+        self._note_changes(self._membership.mark_left(instance_id))
 
     def _note_changes(self, changes: list[MembershipChange]) -> None:
         if not changes:
--- a/fighitch/gateway/peer_messages.py
+++ b/fighitch/gateway/peer_messages.py
@@ -18,11 +18,14 @@
     Attributes:
         entry: Name of the entry's instance.
         engine_id: Instance id of the engine, as the instance list has it.
+        engine_born_ms: Unix time of its start in ms, as the instance list has it; 0 if
+            not stated.
         engine_spec: Limits of the engine, as JSON of an ``EngineSpec``.
     """
 
     entry: str
     engine_id: str
+    engine_born_ms: int
     engine_spec: bytes
 
 
@@ -94,7 +97,7 @@
     """State of an engine; sent on changes and as a heartbeat.
 
     Attributes:
-        engine_id: Instance id of the engine; empty while it is unknown.
+        engine_born_ms: Unix time of the engine's start in ms; 0 if it is unknown.
         serving: Whether the engine answers.
         draining: Whether the engine is leaving.
         backlog_ms: Time to read all prompts that were handed over or wait.
@@ -103,7 +106,7 @@
         entries: Entries that are connected.
     """
 
-    engine_id: str
+    engine_born_ms: int
     serving: bool
     draining: bool
     backlog_ms: int
--- a/fighitch/gateway/relay.py
+++ b/fighitch/gateway/relay.py
@@ -14,6 +14,7 @@
 from fighitch.gateway.peer_messages import Ask, Deny, Grant
 from fighitch.platform.requests import (
     RequestFacts,
+    answers_for_another,
     encode_request,
     is_genuine,
     is_system_answer,
@@ -363,6 +364,9 @@
 
     def _on_rejected(self, head: AnswerHead) -> None:
         self._end_exchange(failed=False, outcome=f"rejected_{head.status}")
+        server = self._server
+        if server is not None and answers_for_another(head, server.instance_id):
+            self._entry.note_replaced(server)
         self._avoid_current()
         self._rejected += 1
         is_allowed = self._rejected <= _MAX_REJECTED
--- a/fighitch/platform/requests.py
+++ b/fighitch/platform/requests.py
@@ -146,6 +146,13 @@
     return head.status == _NOT_RUN_STATUS or head.get(b"not-executed") is not None
 
 
+def answers_for_another(head: AnswerHead, instance_id: str) -> bool:
+    """Whether a rejection comes from another server than the one that was meant."""
+    name = head.get(b"instance-id")
+    is_rejection = head.status == _NOT_RUN_STATUS and name is not None
+    return is_rejection and name != instance_id.encode("latin-1")
+
+
 def is_genuine(head: AnswerHead) -> bool:
     """Whether an answer can be a backend server's own, unencoded answer."""
     if head.get(b"content-encoding") is not None:
--- a/fighitch/tests/test_gateway_membership.py
+++ b/fighitch/tests/test_gateway_membership.py
@@ -52,6 +52,21 @@
         self.membership.expire(20.0)
         self.assertEqual(self.ready(), ["a"])
 
+    def test_later_server_at_the_same_address_supersedes_the_earlier_one(self):
+        # After a loss of power the entries of dead incarnations stay for seconds.
+        changes = self.membership.put(server("b", born_ms=2))
+        self.assertEqual(self.ready(), ["b"])
+        self.assertIn("left", [change.change for change in changes])
+
+    def test_earlier_server_at_the_same_address_changes_nothing(self):
+        self.membership.put(server("c", born_ms=0))
+        self.assertEqual(self.ready(), ["a"])
+
+    def test_server_that_is_known_to_have_left_is_not_revived(self):
+        self.membership.mark_left("a")
+        self.membership.put(server("a"))
+        self.assertEqual(self.ready(), [])
+
     def test_complete_list_removes_what_is_missing(self):
         self.membership.replace_all([server("b")], 10.0)
         self.assertEqual(self.ready(), ["b"])
--- /dev/null
+++ b/fighitch/tests/test_gateway_processes.py
@@ -0,0 +1,264 @@
+import threading
+import time
+import unittest
+
+from standins.platform_fleet import PlatformFleet, wait_until
+from standins.platform_runner import RunnerFaults
+
+
+class FleetTestCase(unittest.TestCase):
+    """Runs the real programs as processes against stand-ins of the platform."""
+
+    def setUp(self):
+        self.fleet = PlatformFleet()
+        self.addCleanup(self.fleet.stop)
+        self.fleet.start()
+
+    def agents_connected(self) -> bool:
+        return all(
+            entry.log().count("event=agent_connected") >= len(self.fleet.agents)
+            for entry in self.fleet.entries
+        )
+
+    def runs(self, request_id: str) -> int:
+        servers = (*self.fleet.plain, *self.fleet.engines)
+        return sum(
+            run.request_id == request_id for server in servers for run in server.runs
+        )
+
+    def share_faults(self, servers) -> RunnerFaults:
+        """Lets a fault strike whichever server comes first, and no other."""
+        faults = RunnerFaults()
+        for server in servers:
+            server.faults = faults
+        return faults
+
+    def assert_whole_stream(self, answer, request_id: str, count: int = 4):
+        self.assertEqual((answer.status, answer.complete), (200, True), answer)
+        ids = [
+            line.removeprefix(b"id: ")
+            for line in answer.body.split(b"\n")
+            if line.startswith(b"id: ")
+        ]
+        expected = [str(number).encode() for number in range(1, count + 1)]
+        self.assertEqual(ids, expected)
+        self.assertIn(request_id.encode(), answer.body)
+
+
+class WholePathTests(FleetTestCase):
+    def test_requests_of_every_kind_are_served(self):
+        self.assertTrue(wait_until(self.agents_connected))
+        for number in range(8):
+            name = f"s{number}"
+            answer = self.fleet.ask(
+                "stream", name, adapter=f"a{number}", entry=number % 2
+            )
+            self.assert_whole_stream(answer, name)
+        for route in ("order", "lookup"):
+            answer = self.fleet.ask(route, route, Hold="1", Pin_Ms="9")
+            self.assertEqual((answer.status, answer.complete), (200, True))
+            self.assertEqual(answer.body, f"answer to {route}".encode())
+            self.assertIn("response-signature", answer.headers)
+        runs = [run for server in self.fleet.plain for run in server.runs]
+        for run in runs:
+            self.assertEqual((run.body, run.target[-4:]), (b"body", "?q=1"))
+            self.assertNotIn("hold", run.headers)
+            self.assertNotIn("pin-ms", run.headers)
+            self.assertLessEqual(int(run.headers["deadline-ms"]), 4_000)
+        for engine in self.fleet.engines:
+            self.assertLessEqual(engine.overfull, 0)
+            for order in engine.orders:
+                self.assertIn("Expect", order.fields)
+
+    def test_what_has_no_route_is_refused_and_a_new_route_is_served(self):
+        self.assertEqual(self.fleet.ask("added", "x1").status, 404)
+        self.fleet.put_configuration(added={"Kind": "idempotent", "Service": "orders"})
+        self.assertTrue(wait_until(lambda: self.fleet.ask("added", "x2").status == 200))
+
+    def test_order_whose_answer_is_lost_is_neither_repeated_nor_refused(self):
+        # 503 would promise that the order has not run.
+        for server in self.fleet.plain:
+            server.faults.reset = 1
+        answer = self.fleet.ask("order", "o1")
+        self.assertEqual(answer.status, 502)
+        self.assertEqual(self.runs("o1"), 1)
+
+    def test_order_that_a_server_turned_away_runs_elsewhere(self):
+        self.fleet.plain[0].faults.shed = 1
+        self.fleet.plain[1].faults.shed = 1
+        answers = [self.fleet.ask("order", f"o{number}") for number in range(3)]
+        self.assertEqual([answer.status for answer in answers], [200] * 3)
+        self.assertEqual([self.runs(f"o{number}") for number in range(3)], [1] * 3)
+
+    def test_lookup_whose_answer_is_lost_is_repeated(self):
+        for fault in ("reset", "errors"):
+            faults = self.share_faults(self.fleet.plain)
+            setattr(faults, fault, 1)
+            self.assertEqual(self.fleet.ask("lookup", fault).status, 200)
+            self.assertEqual(self.runs(fault), 2)
+
+    def test_second_answers_reach_nobody(self):
+        for server in self.fleet.plain:
+            server.faults.second_answers = 20
+        for number in range(20):
+            name = f"l{number}"
+            answer = self.fleet.ask("lookup", name)
+            self.assertEqual(answer.body, f"answer to {name}".encode())
+
+    def test_broken_stream_does_not_look_complete(self):
+        self.assertTrue(wait_until(self.agents_connected))
+        for engine in self.fleet.engines:
+            engine.faults.cut_streams = 1
+        answer = self.fleet.ask("stream", "s1", adapter="a1")
+        self.assertFalse(answer.complete)
+        self.assertEqual(self.runs("s1"), 1)
+
+    def test_broken_stream_is_resumed_after_its_last_event(self):
+        self.assertTrue(wait_until(self.agents_connected))
+        self.share_faults(self.fleet.engines).cut_streams = 1
+        answer = self.fleet.ask("resume", "s1", adapter="a1")
+        self.assert_whole_stream(answer, "s1")
+        self.assertEqual(self.runs("s1"), 2)
+
+    def test_lost_orders_delay_a_load_but_never_overfill_an_engine(self):
+        self.assertTrue(wait_until(self.agents_connected))
+        for engine in self.fleet.engines:
+            engine.faults.lost_orders = 3
+        for number in range(8):
+            name = f"s{number}"
+            self.assert_whole_stream(
+                self.fleet.ask("stream", name, adapter=f"a{number}"), name
+            )
+        self.assertTrue(all(engine.overfull <= 0 for engine in self.fleet.engines))
+
+    def test_caller_that_leaves_cancels_its_stream(self):
+        self.assertTrue(wait_until(self.agents_connected))
+        for engine in self.fleet.engines:
+            engine.events = 2_000
+        answer = self.fleet.ask(
+            "stream", "s2", adapter="a1", timeout=0.5, Deadline_Ms="900"
+        )
+        self.assertFalse(answer.complete)
+        self.assertTrue(
+            wait_until(lambda: any(engine.cancelled for engine in self.fleet.engines))
+        )
+
+    def test_request_that_ran_out_of_time_is_answered_then(self):
+        self.fleet.put_configuration(
+            quick={"Kind": "streaming", "Service": "models", "TimeoutMs": 300}
+        )
+        self.assertTrue(wait_until(self.agents_connected))
+        for engine in self.fleet.engines:
+            engine.events = 2_000
+        self.assertTrue(wait_until(lambda: "routes=5" in self.fleet.entries[0].log()))
+        began = time.monotonic()
+        self.fleet.ask("quick", "q1", adapter="a1")
+        self.assertLess(time.monotonic() - began, 4.0)
+
+
+class MembershipTests(FleetTestCase):
+    def test_leaving_server_gets_no_work_after_the_bound(self):
+        first, second = self.fleet.plain
+        first.state = "draining"
+        self.fleet.beat(first)
+        time.sleep(2.0)
+        before = len(first.runs)
+        for number in range(10):
+            self.assertEqual(self.fleet.ask("lookup", f"l{number}").status, 200)
+        self.assertEqual(len(first.runs), before)
+        self.assertGreaterEqual(len(second.runs), 10)
+
+    def test_entries_of_other_writers_are_ignored(self):
+        self.fleet.store.put("servers", "stranger", {"Service": "orders", "Slots": "x"})
+        self.fleet.store.put("servers", "noise", ["no", "server"])
+        for number in range(6):
+            self.assertEqual(self.fleet.ask("lookup", f"l{number}").status, 200)
+
+    def test_restarted_engine_serves_again_although_its_old_entry_stays(self):
+        # Agents once kept the id of the old entry and no order was taken any more.
+        self.assertTrue(wait_until(self.agents_connected))
+        for engine in self.fleet.engines:
+            engine.instance_id += "-again"
+            engine.born_ms += 10_000
+            self.fleet.beat(engine)
+        for number in range(6):
+            name = f"s{number}"
+            self.assertTrue(
+                wait_until(
+                    lambda name=name: (
+                        self.fleet.ask("stream", name, adapter=f"b{name}").status == 200
+                    )
+                )
+            )
+
+    def test_forgotten_history_is_listed_again(self):
+        self.fleet.store.forget_history()
+        self.fleet.put_configuration(added={"Kind": "idempotent", "Service": "orders"})
+        self.assertTrue(wait_until(lambda: self.fleet.ask("added", "x").status == 200))
+
+
+class FailureTests(FleetTestCase):
+    def test_serving_goes_on_while_the_store_is_down(self):
+        self.assertTrue(wait_until(self.agents_connected))
+        self.fleet.store.down = True
+        time.sleep(1.0)
+        for number in range(5):
+            name = f"s{number}"
+            self.assert_whole_stream(
+                self.fleet.ask("stream", name, adapter=f"a{number}"), name
+            )
+            self.assertEqual(self.fleet.ask("order", f"o{number}").status, 200)
+
+    def test_entry_without_configuration_is_not_ready_and_refuses(self):
+        self.fleet.store.down = True
+        self.fleet.entries[0].kill_and_restart()
+        self.assertTrue(
+            wait_until(lambda: self.fleet.ask("lookup", "l1").status == 503)
+        )
+        self.assertFalse(self.fleet.is_ready(self.fleet.entries[0]))
+        self.fleet.store.down = False
+        self.assertTrue(wait_until(lambda: self.fleet.is_ready(self.fleet.entries[0])))
+
+    def test_killed_agents_come_back(self):
+        self.assertTrue(wait_until(self.agents_connected))
+        for agent in self.fleet.agents:
+            agent.kill_and_restart()
+        for number in range(5):
+            name = f"s{number}"
+            answers = []
+
+            def served(name=name, answers=answers) -> bool:
+                answers.append(self.fleet.ask("stream", name, adapter=f"a{name}"))
+                return answers[-1].status == 200
+
+            self.assertTrue(wait_until(served))
+            self.assert_whole_stream(answers[-1], name)
+        tokens = [
+            order.fields["FencingToken"]
+            for engine in self.fleet.engines
+            for order in engine.orders
+        ]
+        self.assertTrue(all(token > 0 for token in tokens))
+        for engine in self.fleet.engines:
+            given = [order.fields["FencingToken"] for order in engine.orders]
+            self.assertEqual(given, sorted(given))
+
+    def test_stopping_entry_answers_what_is_under_way(self):
+        self.assertTrue(wait_until(self.agents_connected))
+        for engine in self.fleet.engines:
+            engine.events = 150
+        answers = []
+        asking = threading.Thread(
+            target=lambda: answers.append(
+                self.fleet.ask("stream", "s1", adapter="a1", Deadline_Ms="6000")
+            )
+        )
+        asking.start()
+        started = wait_until(lambda: any(engine.runs for engine in self.fleet.engines))
+        self.assertTrue(started)
+        self.fleet.drain(0)
+        asking.join(15)
+        self.assert_whole_stream(answers[0], "s1", 150)
+        self.assertEqual(answers[0].headers.get("connection"), None)
+        self.assertFalse(self.fleet.is_ready(self.fleet.entries[0]))
+        self.assertEqual(self.fleet.entries[0].process.wait(15), 0)
--- /dev/null
+++ b/standins/platform_store.py
@@ -0,0 +1,183 @@
+"""Stand-in of the platform's metadata store."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any
+from urllib.parse import parse_qs, unquote, urlsplit
+
+import msgspec
+
+from fighitch.runtime.http_callers import CallerConnection, CallerRequest
+from standins.platform_http import StandInServer, answer_json
+
+_MS = 1_000
+
+
+@dataclass(slots=True)
+class _Change:
+    kind: str
+    event: dict[str, Any]
+    revision: int
+
+
+@dataclass(slots=True)
+class _Watch:
+    kind: str
+    since: int
+    connection: CallerConnection
+    done: bool = False
+
+
+class PlatformStore(StandInServer):
+    """Objects with revisions, lists, watches and outages."""
+
+    def __init__(self, host: str = "127.0.0.1", port: int = 0) -> None:
+        super().__init__(host, port)
+        self._objects: dict[str, dict[str, dict[str, Any]]] = {}
+        self._revision = 1
+        self._oldest = 0
+        self._changes: list[_Change] = []
+        self._watches: list[_Watch] = []
+        self.down = False
+        self.calls = 0
+
+    def put(self, kind: str, name: str, spec: Any) -> None:
+        """Writes an object as the operator or a backend server does."""
+        self.call(lambda: self._write(kind, name, spec))
+
+    def remove(self, kind: str, name: str) -> None:
+        """Removes an object."""
+        self.call(lambda: self._remove(kind, name))
+
+    def forget_history(self) -> None:
+        """Drops all changes, so that watches must list again."""
+
+        def forget() -> None:
+            self._oldest = self._revision
+            self._changes.clear()
+
+        self.call(forget)
+
+    def read(self, kind: str, name: str) -> Any:
+        """Returns the content of an object, or None."""
+        found: list[Any] = []
+
+        def look() -> None:
+            item = self._objects.get(kind, {}).get(name)
+            found.append(None if item is None else item["Spec"])
+
+        self.call(look)
+        return found[0]
+
+    def handle(self, connection: CallerConnection, request: CallerRequest) -> None:
+        """Answers a call."""
+        self.calls += 1
+        if self.down:
+            answer_json(connection, 503, {})
+            return
+        target = urlsplit(request.target.decode())
+        query = parse_qs(target.query)
+        parts = [unquote(part) for part in target.path.split("/")[2:]]
+        kind, name = parts[0], parts[1] if len(parts) > 1 else ""
+        handlers: dict[bytes, Callable[[], None]] = {
+            b"GET": lambda: self._get(connection, kind, name, query),
+            b"POST": lambda: self._create(connection, kind, request),
+            b"PUT": lambda: self._replace(connection, kind, name, request),
+        }
+        handlers[request.method]()
+
+    def _get(
+        self,
+        connection: CallerConnection,
+        kind: str,
+        name: str,
+        query: dict[str, list[str]],
+    ) -> None:
+        objects = self._objects.setdefault(kind, {})
+        if name:
+            found = objects.get(name)
+            answer_json(connection, 404 if found is None else 200, found)
+            return
+        if "Watch" in query:
+            wait = int(query["WaitMs"][0]) / _MS
+            self._watch(connection, kind, int(query["Watch"][0]), wait)
+            return
+        items = [objects[key] for key in sorted(objects)]
+        answer_json(
+            connection, 200, {"items": items, "HasMore": False, "At": self._revision}
+        )
+
+    def _watch(
+        self, connection: CallerConnection, kind: str, since: int, wait: float
+    ) -> None:
+        if since < self._oldest:
+            answer_json(connection, 410, {})
+            return
+        watch = _Watch(kind, since, connection)
+        if self._answer_watch(watch, at_end=False):
+            return
+        self._watches.append(watch)
+        self.loop.call_later(wait, lambda: self._end_watch(watch))
+
+    def _end_watch(self, watch: _Watch) -> None:
+        self._answer_watch(watch, at_end=True)
+
+    def _answer_watch(self, watch: _Watch, *, at_end: bool) -> bool:
+        events = [
+            change.event
+            for change in self._changes
+            if change.kind == watch.kind and change.revision > watch.since
+        ]
+        if watch.done or not (events or at_end):
+            return watch.done
+        watch.done = True
+        if watch in self._watches:
+            self._watches.remove(watch)
+        status = 503 if self.down else 200
+        answer_json(watch.connection, status, {"events": events, "At": self._revision})
+        return True
+
+    def _create(
+        self, connection: CallerConnection, kind: str, request: CallerRequest
+    ) -> None:
+        given = msgspec.json.decode(request.body)
+        name = given["Metadata"]["Name"]
+        existing = self._objects.setdefault(kind, {}).get(name)
+        if existing is not None:
+            answer_json(connection, 409, existing)
+            return
+        answer_json(connection, 201, self._write(kind, name, given["Spec"]))
+
+    def _replace(
+        self, connection: CallerConnection, kind: str, name: str, request: CallerRequest
+    ) -> None:
+        given = msgspec.json.decode(request.body)
+        existing = self._objects.setdefault(kind, {}).get(name)
+        if existing is None:
+            answer_json(connection, 404, {})
+            return
+        expected = given["Metadata"].get("Revision")
+        if expected not in (None, existing["Metadata"]["Revision"]):
+            answer_json(connection, 409, existing)
+            return
+        answer_json(connection, 200, self._write(kind, name, given["Spec"]))
+
+    def _write(self, kind: str, name: str, spec: Any) -> dict[str, Any]:
+        self._revision += 1
+        item = {"Metadata": {"Name": name, "Revision": self._revision}, "Spec": spec}
+        self._objects.setdefault(kind, {})[name] = item
+        self._note_change(kind, {"Tombstone": False, "Object": item})
+        return item
+
+    def _remove(self, kind: str, name: str) -> None:
+        if self._objects.get(kind, {}).pop(name, None) is None:
+            return
+        self._revision += 1
+        item = {"Metadata": {"Name": name, "Revision": self._revision}, "Spec": None}
+        self._note_change(kind, {"Tombstone": True, "Object": item})
+
+    def _note_change(self, kind: str, event: dict[str, Any]) -> None:
+        self._changes.append(_Change(kind, event, self._revision))
+        for watch in list(self._watches):
+            if watch.kind == kind:
+                self._answer_watch(watch, at_end=False)
