Load adapters first for work that can be on time; wait for agents that are starting

Cause: after a loss of power every adapter is cold and loads fall behind by seconds. Loads were ordered by rank and arrival, so that the newest work became late behind work that was late already. Entries that started before the agents sent 66 requests to dead incarnations.

Tried and taken back: choosing idle engines for long answers, to keep them inside their deadline (163 streams ran into it).

Change: adapters are loaded in the order of work that can be on time, rank, number of requests. Entries wait up to 1.5 s for agents that have not answered yet.

--- a/fighitch/core/gateway/engine_queue.py
+++ b/fighitch/core/gateway/engine_queue.py
@@ -22,6 +22,8 @@
 _SMALL_PROMPT = 256
 _FASTEST_READ = 5e-6
 _SLOWEST_READ = 5e-4
+# Time of a load that is compared with aims.
+_LOAD_TIME: Seconds = 0.25
 _KV_SHARE = 0.92  # the rest absorbs answers that are longer than announced
 # Time that is kept for generation when a start is compared with a deadline.
 _ANSWER_TIME: Seconds = 0.8
@@ -71,6 +73,41 @@
     started: bool = False
 
 
+@dataclass(slots=True)
+class MissingAdapter:
+    """An adapter that work waits for.
+
+    Attributes:
+        adapter: The adapter.
+        version: Oldest version that all the work may run on.
+        on_time: Requests that can still be on time.
+        rank: Most urgent rank among these, or among all if none can be on time.
+        aim: Earliest aim among the same.
+    """
+
+    adapter: AdapterName
+    version: int = 0
+    on_time: int = 0
+    rank: int = 0
+    aim: Seconds = 0.0
+    _seen: bool = False
+
+    def note(self, work: Work, *, on_time: bool) -> None:
+        """Takes work that waits for the adapter."""
+        self.version = max(self.version, work.version)
+        if not self._seen or (on_time and not self.on_time):
+            self.rank, self.aim = work.rank, work.aim
+        elif on_time or not self.on_time:
+            self.rank = min(self.rank, work.rank)
+            self.aim = min(self.aim, work.aim)
+        self._seen = True
+        self.on_time += on_time
+
+    def order(self) -> tuple[bool, int, int, Seconds]:
+        """Returns the place in the order of loads; the lowest goes first."""
+        return self.on_time == 0, self.rank, -self.on_time, self.aim
+
+
 @dataclass(frozen=True, slots=True)
 class Refusal:
     """Work that can't be served in time.
@@ -150,6 +187,20 @@
         """Requests that wait, the most urgent first."""
         return sorted(self._waiting.values(), key=lambda work: (work.rank, work.aim))
 
+    def missing(self, loaded: "LoadedAdapters", now: Seconds) -> "list[MissingAdapter]":
+        """Returns the adapters that work waits for, the one to load first at the front.
+
+        Work that can still be on time goes first: while loads are behind, serving them
+        in order of arrival would make all work late, the newest included.
+        """
+        found: dict[AdapterName, MissingAdapter] = {}
+        for work in self._waiting.values():
+            if loaded.serves(work.adapter, work.version, now):
+                continue
+            entry = found.setdefault(work.adapter, MissingAdapter(work.adapter))
+            entry.note(work, on_time=now + _LOAD_TIME < work.aim)
+        return sorted(found.values(), key=MissingAdapter.order)
+
     @property
     def backlog(self) -> Seconds:
         """Time to read all prompts that were handed over or wait."""
--- a/fighitch/gateway/agent.py
+++ b/fighitch/gateway/agent.py
@@ -240,9 +240,8 @@
         if now < self._order_not_before or not self._serving:
             return
         wanted = [
-            (work.adapter, work.version)
-            for work in self._queue.waiting_work
-            if not self._places.serves(work.adapter, work.version, now)
+            (missing.adapter, missing.version)
+            for missing in self._queue.missing(self._places, now)
         ]
         order = self._places.next_order(wanted, now)
         if order is None:
@@ -274,12 +273,7 @@
         )
 
     def _missing_adapters(self, now: Seconds) -> int:
-        missing = {
-            work.adapter
-            for work in self._queue.waiting_work
-            if not self._places.serves(work.adapter, work.version, now)
-        }
-        return len(missing)
+        return len(self._queue.missing(self._places, now))
 
     # The engine.
 
--- a/fighitch/gateway/agent_links.py
+++ b/fighitch/gateway/agent_links.py
@@ -33,6 +33,9 @@
 # An agent sends its status every 0.25 s.
 _AGENT_SILENCE: Seconds = 0.9
 _CONNECT_TIMEOUT: Seconds = 0.7
+# After a loss of power agents start within about a second of entries. Until then the
+# list names incarnations that are gone.
+_STARTING_AGENT: Seconds = 1.5
 _FIRST_RETRY: Seconds = 0.1
 _LONGEST_RETRY: Seconds = 0.8
 _RECENT_ADAPTERS = 80
@@ -66,7 +69,8 @@
     next_number: int = 1
     retry: Seconds = _FIRST_RETRY
     removed: bool = False
-    opened: Seconds = 0.0
+    was_connected: bool = False
+    known_since: Seconds = 0.0
     recent: OrderedDict[AdapterName, None] = field(default_factory=OrderedDict)
 
 
@@ -139,6 +143,13 @@
         view = self.views.get(instance_id)
         return view is not None and view.connected
 
+    def may_connect_soon(self, instance_id: str) -> bool:
+        """Whether an agent that never answered may just not have started yet."""
+        link = self._links.get(instance_id)
+        if link is None or link.was_connected:
+            return False
+        return self._loop.now() - link.known_since < _STARTING_AGENT
+
     def ask(self, instance_id: str, ask: Ask, waiter: PlaceWaiter) -> int:
         """Asks for a place on an engine.
 
@@ -178,7 +189,8 @@
     def _add(self, instance_id: str, server: BackendServer, spec: EngineSpec) -> None:
         view = EngineView(instance_id, adapters=dict(server.adapters))
         self.views[instance_id] = view
-        link = self._links[instance_id] = AgentLink(server, spec, view)
+        link = AgentLink(server, spec, view, known_since=self._loop.now())
+        self._links[instance_id] = link
         self._connect(link)
 
     def _remove(self, instance_id: str) -> None:
@@ -200,7 +212,6 @@
             sock.close()
             self._retry(link)
             return
-        link.opened = self._loop.now()
         link.peer = PeerConnection(
             self._loop,
             sock,
@@ -266,7 +277,7 @@
     def _on_status(self, link: AgentLink, status: Status) -> None:
         view = link.view
         if not view.connected:
-            view.connected = True
+            view.connected = link.was_connected = True
             link.retry = _FIRST_RETRY
             self._log.event("agent_connected", engine=link.server.instance_id)
         view.backlog = status.backlog_ms / _MS
--- a/fighitch/gateway/relay.py
+++ b/fighitch/gateway/relay.py
@@ -52,6 +52,7 @@
 _LEAST_PATIENCE: Seconds = 0.25
 _STREAM_PATIENCE: Seconds = 1.8
 _LEAST_TIME_LEFT: Seconds = 0.02
+_AGENT_POLL: Seconds = 0.05
 
 
 class RelayState(Enum):
@@ -120,6 +121,8 @@
     def place(self) -> None:
         """Chooses a backend server and asks for a place on it or sends the request."""
         self._state = RelayState.PLACING
+        if self._state is RelayState.DONE:
+            return
         if self._deadline - self._loop.now() < _LEAST_TIME_LEFT:
             self._fail(FailureKind.NOT_RUN_IN_TIME)
             return
@@ -133,9 +136,12 @@
             return
         server = candidates[0].server
         self._server = server
-        if self._service.engine is None or not self._entry.links.is_connected(
-            server.instance_id
-        ):
+        links = self._entry.links
+        is_engine = self._service.engine is not None
+        if is_engine and links.may_connect_soon(server.instance_id):
+            self._loop.call_later(_AGENT_POLL, self.place)
+            return
+        if not is_engine or not links.is_connected(server.instance_id):
             self._send(server, late=False)
             return
         if self._asks >= _MAX_ASKS:
--- a/fighitch/tests/test_engine_queue.py
+++ b/fighitch/tests/test_engine_queue.py
@@ -82,6 +82,33 @@
         self.assertEqual(len(waiting.take_ready(0.0, HoldsAll())), 1)
 
 
+class LoadOrderTests(unittest.TestCase):
+    def order(self, now: float, *items) -> list:
+        waiting = queue()
+        for item in items:
+            waiting.add(item)
+        return [found.adapter for found in waiting.missing(HoldsNone(), now)]
+
+    def test_work_that_can_be_on_time_is_loaded_for_before_late_work(self):
+        # After a restart loads are behind; in order of arrival all work would be late.
+        old = work(1, adapter=A1, rank=0, arrived=0.0)
+        new = work(2, adapter=A2, rank=2, arrived=3.0)
+        self.assertEqual(self.order(3.0, old, new), [A2, A1])
+
+    def test_adapter_that_more_work_waits_for_goes_first(self):
+        items = [work(1, adapter=A1), work(2, adapter=A2), work(3, adapter=A2)]
+        self.assertEqual(self.order(0.0, *items), [A2, A1])
+
+    def test_urgent_work_is_loaded_for_first(self):
+        items = [work(1, adapter=A1, rank=1), work(2, adapter=A2, rank=0)]
+        self.assertEqual(self.order(0.0, *items), [A2, A1])
+
+    def test_held_adapters_are_not_missing(self):
+        waiting = queue()
+        waiting.add(work(1))
+        self.assertEqual(waiting.missing(HoldsAll(), 0.0), [])
+
+
 class RefusalTests(unittest.TestCase):
     def test_work_behind_a_long_queue_is_refused_at_once(self):
         waiting = queue()
