--- a/fighitch/cli/app.py
+++ b/fighitch/cli/app.py
@@ -16,7 +16,12 @@
 from fighitch.cli.apply import ApplyCommand
 from fighitch.cli.check import CheckCommand
 from fighitch.cli.completion import CompletionCommand
-from fighitch.cli.daemons import EntryCommand, SidecarCommand
+from fighitch.cli.daemons import (
+    EngineAgentCommand,
+    EntryCommand,
+    GatewayEntryCommand,
+    SidecarCommand,
+)
 from fighitch.cli.delete import DeleteCommand
 from fighitch.cli.exit_codes import CommandError, ExitCode
 from fighitch.cli.explain import ExplainCommand
@@ -29,6 +34,8 @@
 COMMANDS: tuple[type[Command], ...] = (
     EntryCommand,
     SidecarCommand,
+    GatewayEntryCommand,
+    EngineAgentCommand,
     ApplyCommand,
     GetCommand,
     DescribeCommand,
--- a/fighitch/cli/daemons.py
+++ b/fighitch/cli/daemons.py
@@ -1,4 +1,4 @@
-"""``fighitch entry`` and ``fighitch sidecar``.
+"""The commands that run a daemon.
 
 The daemons are imported when they are started, so that the operators' client starts
 without loading what only they need.
@@ -59,3 +59,45 @@
         from fighitch.daemons.sidecar import run
 
         return int(run(path) or 0)
+
+
+class GatewayEntryCommand(Command):
+    """Runs a gateway entry."""
+
+    name = "gateway-entry"
+    description = "Run a gateway entry on the users' platform."
+    options = [_SETTINGS]
+    help = """\
+Takes callers' requests and sends them to backend servers itself. The settings file is
+the one that the platform writes; without the option FIGHITCH_SETTINGS names it.
+
+Example:
+  fighitch gateway-entry --settings /etc/fighitch/node.json
+"""
+
+    def handle(self) -> int:
+        """Runs the command."""
+        from fighitch.gateway.process import run_entry
+
+        return run_entry(str(self.option("settings") or ""))
+
+
+class EngineAgentCommand(Command):
+    """Runs an engine agent."""
+
+    name = "engine-agent"
+    description = "Run an engine agent on the users' platform."
+    options = [_SETTINGS]
+    help = """\
+Admits requests to the engine beside it and gives it orders. The settings file is the
+one that the platform writes; without the option FIGHITCH_SETTINGS names it.
+
+Example:
+  fighitch engine-agent --settings /etc/fighitch/node.json
+"""
+
+    def handle(self) -> int:
+        """Runs the command."""
+        from fighitch.gateway.process import run_agent
+
+        return run_agent(str(self.option("settings") or ""))
--- a/fighitch/gateway/process.py
+++ b/fighitch/gateway/process.py
@@ -57,9 +57,8 @@
 class SettingsFile:
     """The settings file, reloaded on SIGHUP and when it changes."""
 
-    def __init__(self, path: str, log: BoundedLog | None = None) -> None:
+    def __init__(self, path: str) -> None:
         self._path = Path(path)
-        self._log = log
         self._content = self._path.read_bytes()
 
     def read(self) -> InstanceSettings:
@@ -85,30 +84,37 @@
         return settings
 
 
-def run_entry() -> int:
+def run_entry(settings_path: str = "") -> int:
     """Runs a gateway entry until it is stopped.
 
+    Args:
+        settings_path: Settings file; empty for the one that the environment names.
+
     Returns:
         The exit code.
     """
-    return _run(_build_entry)
+    return _run(settings_path, _build_entry)
 
 
-def run_agent() -> int:
+def run_agent(settings_path: str = "") -> int:
     """Runs an engine agent until it is stopped.
 
+    Args:
+        settings_path: Settings file; empty for the one that the environment names.
+
     Returns:
         The exit code.
     """
-    return _run(_build_agent)
+    return _run(settings_path, _build_agent)
 
 
 def _run(
+    settings_path: str,
     build: Callable[
         [EventLoop, InstanceSettings, BoundedLog], GatewayEntry | EngineAgent
     ],
 ) -> int:
-    path = os.environ.get(SETTINGS_VARIABLE, "")
+    path = settings_path or os.environ.get(SETTINGS_VARIABLE, "")
     try:
         file = SettingsFile(path)
         settings = file.read()
