--- a/Makefile
+++ b/Makefile
@@ -4,10 +4,10 @@
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.installed
 
-.PHONY: help setup lint format types test demo dist bench faults soak capacity clean
+.PHONY: help setup lint format types test demo dist bench faults soak platform-soak capacity clean
 
 help:  ## List the targets.
-	@grep -E '^[a-z]+:.*##' $(MAKEFILE_LIST) | sed -E 's/:.*## /\t/' | expand -t 12
+	@grep -E '^[a-z-]+:.*##' $(MAKEFILE_LIST) | sed -E 's/:.*## /\t/' | expand -t 12
 
 $(STAMP): requirements.txt pyproject.toml
 	$(PYTHON) -m venv $(VENV)
@@ -46,6 +46,9 @@
 soak: $(STAMP)  ## Randomised faults under load: make soak SEED=1 DURATION=60.
 	$(BIN)/python -m benchmarks.soak --seed $(or $(SEED),1) --duration $(or $(DURATION),60)
 
+platform-soak: $(STAMP)  ## Random faults on the platform path: make platform-soak SEED=1 SEEDS=3.
+	$(BIN)/python -m benchmarks.platform_soak --seed $(or $(SEED),1) --seeds $(or $(SEEDS),3)
+
 capacity: $(STAMP)  ## Measure the slopes behind docs/CAPACITY.md.
 	$(BIN)/python -m benchmarks.capacity
 
--- a/standins/platform_fleet.py
+++ b/standins/platform_fleet.py
@@ -89,6 +89,12 @@
         self.process.wait(_STOP_TIMEOUT)
         self.process = self._start()
 
+    def terminate_and_restart(self) -> None:
+        """Stops the process as planned and starts it again."""
+        self.process.terminate()
+        self.process.wait(_STOP_TIMEOUT)
+        self.process = self._start()
+
     def stop(self) -> None:
         """Ends the process."""
         if self.process.poll() is None:
--- a/standins/platform_runner.py
+++ b/standins/platform_runner.py
@@ -177,6 +177,15 @@
         self._sequence = 0
         self._event_numbers = itertools.count(1)
 
+    def restart(self, instance_id: str) -> None:
+        """Becomes another incarnation that holds and knows nothing of before."""
+        self.instance_id = instance_id
+        self.born_ms += 1
+        self._held = _Held()
+        self._sequence = 0
+        for connection in list(self._connections):
+            connection.close()
+
     def heartbeat(self) -> dict[str, Any]:
         """Returns the engine's entry in the store."""
         return super().heartbeat() | {"Models": self._models()}
