Reuse the ranked partitions for homes; load a second model when work waits for it

Cause: the ranking of homes was kept for each adapter in full; at 22,000 adapters and 6,400 engines that is no longer possible. An engine that holds one model never got a second one, although both may fit.

A wanted model is loaded if it fits beside what is held. Servers to avoid are an argument of the ranking.

--- a/fighitch/core/gateway/adapter_places.py
+++ b/fighitch/core/gateway/adapter_places.py
@@ -9,12 +9,11 @@
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
 
-from fighitch.core.gateway.engine_queue import LoadedAdapters
 from fighitch.core.gateway.model import AdapterName, EngineSpec
 from fighitch.types import Seconds
 
-# Loads on their way to one engine: nine engines with two each stay near the number that
-# the weight store serves at full speed.
+# Loads on their way to one engine. Nine engines with three each reach what the weight
+# store serves at full speed (16 and 24); beyond that, loads only take longer.
 _MAX_COLD_LOADS = 3
 _MAX_LOADS = 4  # limit of the engine
 _USE_HALF_LIFE: Seconds = 8.0
@@ -88,7 +87,7 @@
 
 
 @dataclass(slots=True)
-class AdapterPlaces(LoadedAdapters):
+class AdapterPlaces:
     """Adapter places of one engine."""
 
     report: EngineReport | None = None
@@ -213,10 +212,10 @@
         report, engine = self.report, self._engine
         if report is None or engine is None or report.busy or report.draining:
             return None
-        missing_model = self._missing_model(report, engine)
+        wanted = list(wanted)
+        missing_model = self._missing_model(report, engine, wanted)
         if missing_model is not None:
             return LoadModel(missing_model)
-        wanted = list(wanted)
         needed = {adapter for adapter, _ in wanted}
         for adapter, version in (*wanted, *self._outdated(report)):
             order = self._order_for(adapter, version, needed, now)
@@ -293,11 +292,35 @@
             return None
         return min(idle, key=lambda adapter: self._popularity(adapter, now))
 
-    def _missing_model(self, report: EngineReport, engine: EngineSpec) -> str | None:
-        if report.models or not engine.models:
-            return None
-        # An engine that restarted holds nothing; the smallest configured model first.
-        return min(engine.models.values(), key=lambda model: model.weights_mb).name
+    def _missing_model(
+        self,
+        report: EngineReport,
+        engine: EngineSpec,
+        wanted: Iterable[tuple[AdapterName, int]],
+    ) -> str | None:
+        """Returns a model to load: one that work waits for, any if none is held."""
+        names = [adapter.model for adapter, _ in wanted]
+        if not report.models:
+            # An engine that restarted holds nothing.
+            smallest = sorted(engine.models.values(), key=lambda spec: spec.weights_mb)
+            names += [spec.name for spec in smallest]
+        for name in names:
+            if name not in engine.models or name in report.models:
+                continue
+            if self._used_mb(report, engine, name) <= engine.weights_mb:
+                return name
+        return None
+
+    @staticmethod
+    def _used_mb(report: EngineReport, engine: EngineSpec, added: str) -> float:
+        models = [
+            engine.models[name]
+            for name in (*report.models, added)
+            if name in engine.models
+        ]
+        largest = max(spec.adapter_mb for spec in models)
+        adapters = len(report.adapters) + len(report.coming)
+        return sum(spec.weights_mb for spec in models) + adapters * largest
 
     def _in_use(self, adapter: AdapterName) -> bool:
         use = self._uses.get(adapter)
--- a/fighitch/core/gateway/backend_choice.py
+++ b/fighitch/core/gateway/backend_choice.py
@@ -6,11 +6,11 @@
 were held recently and load fast.
 """
 
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Container, Sequence
 from dataclasses import dataclass, field
 
 from fighitch.core.gateway.model import AdapterName, BackendServer
-from fighitch.core.rendezvous import ranked
+from fighitch.core.rendezvous import RankedPartitions
 from fighitch.types import Seconds
 
 _COLD_LOAD: Seconds = 0.45
@@ -74,8 +74,8 @@
 
     def __init__(self, zone: str) -> None:
         self._zone = zone
-        self._homes: dict[str, list[str]] = {}
-        self._nodes: tuple[str, ...] = ()
+        self._homes = RankedPartitions({})
+        self._servers: Sequence[BackendServer] = ()
 
     def rank(
         self,
@@ -83,6 +83,8 @@
         servers: Sequence[BackendServer],
         views: dict[str, EngineView],
         penalty: Callable[[str], Seconds],
+        *,
+        avoid: Container[str] = (),
     ) -> list[Candidate]:
         """Returns the possible engines, the cheapest first.
 
@@ -91,10 +93,14 @@
             servers: Engines that take work.
             views: What is known of them, by instance id.
             penalty: Returns the cost of recent failures of a server.
+            avoid: Instance ids that are left out.
         """
-        homes = self._ranking(adapter, servers)
+        homes = self._places(adapter, servers)
+        model = AdapterName(adapter.model)
         candidates = []
         for server in servers:
+            if server.instance_id in avoid:
+                continue
             view = views.get(server.instance_id) or EngineView(server.instance_id)
             cost = view.backlog + view.pending + penalty(server.instance_id)
             if not view.connected:
@@ -103,30 +109,28 @@
                 cost += _PAUSED
             if server.zone != self._zone:
                 cost += _OTHER_ZONE
-            if AdapterName(adapter.model) not in view.adapters:
+            if model not in view.adapters:
                 cost += _MODEL_LOAD
             if adapter.adapter and adapter not in view.adapters:
                 cost += view.load_wait
                 is_recent = adapter in view.recent
                 cost += _RECENT_LOAD if is_recent else _COLD_LOAD
-                place = homes.index(server.instance_id)
+                place = homes.get(server.instance_id, _FURTHEST_RANK)
                 cost += _AWAY_FROM_HOME * min(place, _FURTHEST_RANK)
             candidates.append(Candidate(server, cost))
         candidates.sort(key=lambda candidate: candidate.cost)
         return candidates
 
-    def _ranking(
+    def _places(
         self, adapter: AdapterName, servers: Sequence[BackendServer]
-    ) -> list[str]:
-        nodes = tuple(server.instance_id for server in servers)
-        if nodes != self._nodes:
-            self._nodes = nodes
-            self._homes.clear()
-        key = str(adapter)
-        ranking = self._homes.get(key)
-        if ranking is None:
-            ranking = self._homes[key] = ranked(key, dict.fromkeys(nodes, 1.0))
-        return ranking
+    ) -> dict[str, int]:
+        """Returns the place of each of the best servers in the adapter's ranking."""
+        # The list of servers is the same object until it changes.
+        if servers is not self._servers:
+            self._servers = servers
+            self._homes.update({server.instance_id: 1.0 for server in servers})
+        ranking = self._homes.ranked(str(adapter))
+        return {name: place for place, name in enumerate(ranking)}
 
 
 @dataclass(slots=True)
@@ -151,6 +155,8 @@
     loads: dict[str, PlainLoad],
     zone: str,
     penalty: Callable[[str], Seconds],
+    *,
+    avoid: Container[str] = (),
 ) -> list[Candidate]:
     """Ranks plain servers, the one with the shortest expected wait first.
 
@@ -159,9 +165,12 @@
         loads: Own requests at each server, by instance id.
         zone: Zone of the entry.
         penalty: Returns the cost of recent failures of a server.
+        avoid: Instance ids that are left out.
     """
     candidates = []
     for server in servers:
+        if server.instance_id in avoid:
+            continue
         load = loads.get(server.instance_id) or PlainLoad()
         cost = load.running * load.service_time / max(1, server.slots)
         cost += load.service_time + penalty(server.instance_id)
--- a/fighitch/core/gateway/engine_queue.py
+++ b/fighitch/core/gateway/engine_queue.py
@@ -7,6 +7,7 @@
 """
 
 from dataclasses import dataclass, field
+from typing import Protocol
 
 from fighitch.core.gateway.model import AdapterName, EngineSpec, PromptSize
 from fighitch.types import Seconds
@@ -346,12 +347,11 @@
         return self._unread_tokens + waiting
 
 
-class LoadedAdapters:
-    """What an engine can serve right now; implemented by the adapter places."""
+class LoadedAdapters(Protocol):
+    """What an engine can serve right now."""
 
     def serves(self, adapter: AdapterName, version: int, now: Seconds) -> bool:
         """Whether a request for an adapter may start."""
-        raise NotImplementedError
 
 
 def _answer_time(work: Work) -> Seconds:
--- a/fighitch/core/gateway/model.py
+++ b/fighitch/core/gateway/model.py
@@ -122,7 +122,7 @@
     """
 
     name: str
-    max_connections: int
+    max_connections: int = 100
     engine: EngineSpec | None = None
 
 
--- a/fighitch/gateway/entry.py
+++ b/fighitch/gateway/entry.py
@@ -240,7 +240,7 @@
             self._answer_failure(caller, facts, kind)
             return
         name = choose_service(route, facts.request_id)
-        service = configuration.services.get(name) or Service(name, 100)
+        service = configuration.services.get(name) or Service(name)
         self._budget(name).note_request(self.loop.now())
         relay = Relay(self, caller, request, facts, route, service)
         self._relays.add(relay)
@@ -268,16 +268,16 @@
     ) -> list[Candidate]:
         """Returns the servers that may run a request, the best first."""
         servers = self._membership.ready(service.name)
-        if avoid:
-            servers = tuple(item for item in servers if item.instance_id not in avoid)
-        if not servers:
-            return []
         if service.engine is not None and facts.adapter is not None:
             return self._choice.rank(
-                facts.adapter, servers, self.links.views, self._penalty
+                facts.adapter, servers, self.links.views, self._penalty, avoid=avoid
             )
         return rank_plain(
-            servers, self._plain_loads, self._settings.zone, self._penalty
+            servers,
+            self._plain_loads,
+            self._settings.zone,
+            self._penalty,
+            avoid=avoid,
         )
 
     def take_retry(self, service: str) -> bool:
--- a/fighitch/gateway/relay.py
+++ b/fighitch/gateway/relay.py
@@ -306,10 +306,7 @@
             self._end("caller_left")
             return
         if not self._head_sent:
-            if self._is_stream or self._head_sent:
-                self._pass_head(length=None)
-            else:
-                self._pass_head(length=len(self._held))
+            self._pass_head(length=None if self._is_stream else len(self._held))
         if self._held:
             self._caller.send_body(bytes(self._held))
         self._caller.finish()
--- a/fighitch/tests/gateway_helpers.py
+++ b/fighitch/tests/gateway_helpers.py
@@ -1,7 +1,7 @@
 """Shared values of the tests of the direct path."""
 
 from fighitch.core.gateway.adapter_places import EngineReport
-from fighitch.core.gateway.engine_queue import LoadedAdapters, Work
+from fighitch.core.gateway.engine_queue import Work
 from fighitch.core.gateway.model import (
     AdapterName,
     BackendServer,
@@ -93,11 +93,11 @@
     )
 
 
-class HoldsAll(LoadedAdapters):
+class HoldsAll:
     def serves(self, adapter, version, now):
         return True
 
 
-class HoldsNone(LoadedAdapters):
+class HoldsNone:
     def serves(self, adapter, version, now):
         return False
--- a/fighitch/tests/test_adapter_places.py
+++ b/fighitch/tests/test_adapter_places.py
@@ -1,4 +1,5 @@
 import unittest
+from dataclasses import replace
 
 from fighitch.core.gateway.adapter_places import (
     AdapterPlaces,
@@ -6,6 +7,7 @@
     LoadModel,
     UnloadAdapter,
 )
+from fighitch.core.gateway.model import AdapterName, EngineSpec, ModelSpec
 from fighitch.tests.gateway_helpers import (
     A1,
     A2,
@@ -78,6 +80,28 @@
         self.assertEqual(held.next_order([(A1, 0)], 0.0), LoadModel(MODEL))
 
 
+class ModelTests(unittest.TestCase):
+    def spec(self, weights_mb: float) -> EngineSpec:
+        models = {
+            name: ModelSpec(name, weights_mb=100, load_seconds=1, adapter_mb=1)
+            for name in (MODEL, "other")
+        }
+        return replace(engine_spec(), weights_mb=weights_mb, models=models)
+
+    def order(self, weights_mb: float):
+        held = AdapterPlaces()
+        held.configure(self.spec(weights_mb))
+        held.note_report(report(A1), 0.0)
+        return held.next_order([(AdapterName("other", "a9"), 0)], 0.0)
+
+    def test_second_model_that_fits_is_loaded_when_work_waits_for_it(self):
+        self.assertEqual(self.order(250), LoadModel("other"))
+
+    def test_model_that_does_not_fit_is_not_loaded(self):
+        # An engine that is ordered to hold more than its memory crashes.
+        self.assertIsNone(self.order(200))
+
+
 class VersionTests(unittest.TestCase):
     def test_newer_version_replaces_an_idle_adapter(self):
         held = places()
--- a/fighitch/tests/test_gateway_decisions.py
+++ b/fighitch/tests/test_gateway_decisions.py
@@ -165,6 +165,14 @@
         empty = EngineView(home, connected=True)
         self.assertNotEqual(self.best(self.views(**{home: empty})), home)
 
+    def test_engine_that_turned_the_request_away_is_left_out(self):
+        home = self.best(self.views())
+        ranked = self.choice.rank(
+            A1, self.servers, self.views(), no_penalty, avoid={home}
+        )
+        self.assertEqual(len(ranked), 2)
+        self.assertNotIn(home, [item.server.instance_id for item in ranked])
+
     def test_failing_engine_is_avoided(self):
         home = self.best(self.views())
 
