Let no request go on after its end

Cause: found by reading. A request that waits for a starting agent set its state back before it looked whether it had ended: after its caller had left it was still sent, and after its 503 it was answered again, on whatever request the connection had next. A caller that went away while its answer was written made the next write fail, so that the server's connection was never given back, and the send was counted as ended twice.

Change: the end is looked at first; a send ends once; writes go to the connection that the answer began on.

--- a/fighitch/gateway/relay.py
+++ b/fighitch/gateway/relay.py
@@ -110,6 +110,7 @@
         self._first_byte: Seconds | None = None
         self._placed: Seconds | None = None
         self._exchange = 0
+        self._under_way = False
         self._patience: Timer | None = None
         delay = max(0.0, self._deadline - self._loop.now())
         self._limit = self._loop.call_later(delay, self._on_deadline)
@@ -120,9 +121,9 @@
 
     def place(self) -> None:
         """Chooses a backend server and asks for a place on it or sends the request."""
-        self._state = RelayState.PLACING
         if self._state is RelayState.DONE:
             return
+        self._state = RelayState.PLACING
         if self._deadline - self._loop.now() < _LEAST_TIME_LEFT:
             self._fail(FailureKind.NOT_RUN_IN_TIME)
             return
@@ -216,6 +217,7 @@
             resume_after=self._resume_after,
         )
         self._exchange += 1
+        self._under_way = True
         self._entry.note_sent(server)
         self._connection = self._entry.pool.lend(
             server, repeatable=self._route.repeatable
@@ -302,14 +304,15 @@
         self._finish(head)
 
     def _finish(self, head: AnswerHead) -> None:
-        if self._caller is None:
+        caller = self._caller
+        if caller is None:
             self._end("caller_left")
             return
         if not self._head_sent:
             self._pass_head(length=None if self._is_stream else len(self._held))
-        if self._held:
-            self._caller.send_body(bytes(self._held))
-        self._caller.finish()
+        # The caller may turn out to be gone at any write; writing on does nothing then.
+        caller.send_body(bytes(self._held))
+        caller.finish()
         self._end(str(head.status))
 
     def _on_events(self, events: bytes) -> None:
@@ -403,6 +406,9 @@
         self, *, failed: bool, outcome: str, unreachable: bool = False
     ) -> None:
         """Closes the books of a send: place, connection, health of the server."""
+        if not self._under_way:
+            return
+        self._under_way = False
         self._exchange += 1
         if self._patience is not None:
             self._patience.cancel()
