Rename fighitch/platforms to fighitch/clients

Cause: next to fighitch/platform, which translates the users' platform, the name of the package with the blocking clients of the product's object API misled.

Change: the name only.

--- a/fighitch/cli/base.py
+++ b/fighitch/cli/base.py
@@ -15,11 +15,11 @@
 from expression import Result
 
 from fighitch.cli.exit_codes import CommandError, ExitCode
+from fighitch.clients.http_client import HttpClient
+from fighitch.clients.object_api import ObjectApiClient
 from fighitch.core.errors import ErrorKind, Failure
 from fighitch.core.labels import EVERYTHING, Selector, parse_selector
 from fighitch.core.object_api import PLURALS, Document, labels_of
-from fighitch.platforms.http_client import HttpClient
-from fighitch.platforms.object_api import ObjectApiClient
 from fighitch.settings import ClientSettings, load_settings
 from fighitch.types import Seconds
 
--- /dev/null
+++ b/fighitch/clients/__init__.py
@@ -0,0 +1,1 @@
+"""Blocking clients of the object API and the instance list."""
--- a/fighitch/platforms/instance_list.py
+++ b/fighitch/clients/instance_list.py
@@ -2,9 +2,9 @@
 
 import msgspec
 
+from fighitch.clients.http_client import HttpClient
 from fighitch.core.http_calls import HttpAnswer, HttpCall
 from fighitch.core.unreadable import UNREADABLE_ERRORS
-from fighitch.platforms.http_client import HttpClient
 
 _STATUS_OK = 200
 
--- a/fighitch/platforms/object_api.py
+++ b/fighitch/clients/object_api.py
@@ -5,6 +5,7 @@
 
 from expression import Error, Ok, Result
 
+from fighitch.clients.http_client import HttpClient
 from fighitch.core import (
     claims,
     object_api as calls,
@@ -17,7 +18,6 @@
 from fighitch.core.object_api import Document, ResourceList
 from fighitch.core.object_writes import Write, WriteOutcome, WriteStatus
 from fighitch.core.watch_events import WatchEvent
-from fighitch.platforms.http_client import HttpClient
 from fighitch.types import Revision, Seconds
 
 DEFAULT_TIMEOUT: Seconds = 5.0
--- a/fighitch/daemons/claims.py
+++ b/fighitch/daemons/claims.py
@@ -4,10 +4,10 @@
 from collections.abc import Callable
 from concurrent.futures import ThreadPoolExecutor
 
+from fighitch.clients.object_api import ObjectApiClient
 from fighitch.core.claims import ClaimAnswer
 from fighitch.core.effects import CreateClaim, ReadClaim
 from fighitch.core.inputs import ClaimAnswered, ClaimStatus
-from fighitch.platforms.object_api import ObjectApiClient
 from fighitch.types import Seconds
 
 WORKERS = 8
--- a/fighitch/daemons/configuration_watch.py
+++ b/fighitch/daemons/configuration_watch.py
@@ -4,9 +4,9 @@
 import threading
 from collections.abc import Callable
 
+from fighitch.clients.object_api import ObjectApiClient
 from fighitch.core.inputs import ConfigurationReceived
 from fighitch.core.watch_events import Advanced, Changed, Expired, WatchEnded
-from fighitch.platforms.object_api import ObjectApiClient
 from fighitch.types import Revision, Seconds
 
 FIRST_BACKOFF: Seconds = 0.2
--- a/fighitch/daemons/entry.py
+++ b/fighitch/daemons/entry.py
@@ -8,6 +8,8 @@
 
 from expression import Error, Ok, Result
 
+from fighitch.clients.http_client import HttpClient
+from fighitch.clients.instance_list import list_instances
 from fighitch.core.audit import AuditRecord, RequestIds
 from fighitch.core.configuration import ConfigurationStore
 from fighitch.core.effects import (
@@ -30,8 +32,6 @@
 from fighitch.daemons.callers_app import AnswerEvent, CallersApp
 from fighitch.daemons.claims import Claims
 from fighitch.daemons.configuration_watch import ConfigurationWatch
-from fighitch.platforms.http_client import HttpClient
-from fighitch.platforms.instance_list import list_instances
 from fighitch.runtime.http_server import HttpServer
 from fighitch.runtime.loop import Loop
 from fighitch.settings import EntrySettings
--- a/fighitch/platforms/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""Clients of the platform: object API and instance list."""
--- a/fighitch/tests/test_platforms_object_api.py
+++ b/fighitch/tests/test_clients_object_api.py
@@ -1,4 +1,4 @@
-"""Tests of ``fighitch.platforms.object_api`` against a fake server."""
+"""Tests of ``fighitch.clients.object_api`` against a fake server."""
 
 import json
 import threading
@@ -6,10 +6,10 @@
 
 from werkzeug.wrappers import Response
 
+from fighitch.clients.object_api import ObjectApiClient
 from fighitch.core.inputs import ClaimStatus
 from fighitch.core.object_writes import WriteStatus
 from fighitch.core.watch_events import Advanced, Changed, Expired, WatchEnded
-from fighitch.platforms.object_api import ObjectApiClient
 from fighitch.tests.fake_http import (
     LOSE_AFTER,
     LOSE_BEFORE,
