--- a/fighitch/gateway/process.py
+++ b/fighitch/gateway/process.py
@@ -25,7 +25,7 @@
 _BAD_SETTINGS = 2
 
 
-class Signals:
+class LoopSignals:
     """Turns signals into callbacks of the event loop."""
 
     def __init__(
@@ -136,7 +136,7 @@
         if changed is not None and isinstance(program, GatewayEntry):
             program.reload(changed)
 
-    Signals(
+    LoopSignals(
         loop,
         {
             signal.SIGTERM: program.stop,
