Use one copy of demand, recent adapters, accepting and estimates; drop what nothing reads

Cause: a second reading of the whole change. The adapter places had a decayed count of their own beside DemandEstimator, without its bound on keys; the recently dropped adapters were kept by the same code at the agent and at the entry; three listeners had the same accept loop, of which one swallowed its errors; the estimate of a first event stood three times. For each request an agent sorted all missing adapters to count them, and an entry listed the servers of the service although none had failed.

Change: core/sidecar/demand moves to core/demand and serves both paths; RecentAdapters, accept_waiting, EngineQueue._misses_deadline and count_missing; state, parameters and settings that nothing read are gone. Decisions are the same. A connection that the status port can't accept is now logged.

--- a/fighitch/core/gateway/adapter_places.py
+++ b/fighitch/core/gateway/adapter_places.py
@@ -5,11 +5,13 @@
 is in use or waited for never does.
 """
 
-from collections import OrderedDict
+from collections import Counter
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
 
+from fighitch.core.demand import DemandEstimator
 from fighitch.core.gateway.model import AdapterName, EngineSpec
+from fighitch.core.gateway.recent_adapters import RecentAdapters
 from fighitch.types import Seconds
 
 # Loads on their way to one engine. Nine engines with three each reach what the weight
@@ -17,8 +19,6 @@
 _MAX_COLD_LOADS = 3
 _MAX_LOADS = 4  # limit of the engine
 _USE_HALF_LIFE: Seconds = 8.0
-# Adapters that an engine dropped not long ago load ten times as fast.
-RECENT_ADAPTERS = 80
 # Starting value of the measured time of a load.
 _FIRST_LOAD_TIME: Seconds = 0.25
 _LOAD_TIME_WEIGHT = 0.1
@@ -79,23 +79,19 @@
     instance_id: str = ""
 
 
-@dataclass(slots=True)
-class _Use:
-    count: float = 0.0
-    at: Seconds = 0.0
-    in_use: int = 0
-
-
 @dataclass(slots=True)
 class AdapterPlaces:
     """Adapter places of one engine."""
 
     report: EngineReport | None = None
     _engine: EngineSpec | None = None
-    _uses: dict[AdapterName, _Use] = field(default_factory=dict)
+    _demand: DemandEstimator[AdapterName] = field(
+        default_factory=lambda: DemandEstimator(_USE_HALF_LIFE)
+    )
+    _in_use: Counter[AdapterName] = field(default_factory=Counter)
     _versions: dict[AdapterName, int] = field(default_factory=dict)
     _outdated_since: dict[AdapterName, Seconds] = field(default_factory=dict)
-    _recent: OrderedDict[AdapterName, None] = field(default_factory=OrderedDict)
+    _recent: RecentAdapters = field(default_factory=RecentAdapters)
     _coming_since: dict[AdapterName, Seconds] = field(default_factory=dict)
     _load_time: Seconds = _FIRST_LOAD_TIME
 
@@ -143,12 +139,9 @@
             return
         for adapter in previous.adapters:
             if adapter not in report.adapters:
-                self._recent[adapter] = None
-                self._recent.move_to_end(adapter)
+                self._recent.add(adapter)
         for adapter in report.adapters:
-            self._recent.pop(adapter, None)
-        while len(self._recent) > RECENT_ADAPTERS:
-            self._recent.popitem(last=False)
+            self._recent.discard(adapter)
 
     def _measure_loads(self, report: EngineReport, now: Seconds) -> None:
         for adapter in [
@@ -169,19 +162,17 @@
 
     def note_wanted(self, adapter: AdapterName, now: Seconds) -> None:
         """Counts a request for an adapter."""
-        use = self._uses.setdefault(adapter, _Use(at=now))
-        use.count = self._decayed(use, now) + 1.0
-        use.at = now
+        self._demand.record(adapter, now)
 
     def note_granted(self, adapter: AdapterName) -> None:
         """Notes that a request may start on an adapter."""
-        self._uses.setdefault(adapter, _Use()).in_use += 1
+        self._in_use[adapter] += 1
 
     def note_done(self, adapter: AdapterName) -> None:
         """Notes the end of a request on an adapter."""
-        use = self._uses.get(adapter)
-        if use is not None:
-            use.in_use = max(0, use.in_use - 1)
+        self._in_use[adapter] -= 1
+        if self._in_use[adapter] <= 0:
+            del self._in_use[adapter]
 
     def serves(self, adapter: AdapterName, version: int, now: Seconds) -> bool:
         """Whether a request for an adapter may start."""
@@ -238,7 +229,7 @@
         newest = max(version, self._versions.get(adapter, 0))
         held = report.adapters.get(adapter)
         if held is not None:
-            if held >= newest or self._in_use(adapter):
+            if held >= newest or adapter in self._in_use:
                 return None
             return self._load(adapter, newest, report)
         if len(report.adapters) + len(report.coming) < self._places():
@@ -286,11 +277,11 @@
         idle = [
             adapter
             for adapter in report.adapters
-            if adapter not in needed and not self._in_use(adapter)
+            if adapter not in needed and adapter not in self._in_use
         ]
         if not idle:
             return None
-        return min(idle, key=lambda adapter: self._popularity(adapter, now))
+        return min(idle, key=lambda adapter: self._demand.rate(adapter, now))
 
     def _missing_model(
         self,
@@ -321,15 +312,3 @@
         largest = max(spec.adapter_mb for spec in models)
         adapters = len(report.adapters) + len(report.coming)
         return sum(spec.weights_mb for spec in models) + adapters * largest
-
-    def _in_use(self, adapter: AdapterName) -> bool:
-        use = self._uses.get(adapter)
-        return use is not None and use.in_use > 0
-
-    def _popularity(self, adapter: AdapterName, now: Seconds) -> float:
-        use = self._uses.get(adapter)
-        return 0.0 if use is None else self._decayed(use, now)
-
-    @staticmethod
-    def _decayed(use: _Use, now: Seconds) -> float:
-        return use.count * 0.5 ** ((now - use.at) / _USE_HALF_LIFE)
--- a/fighitch/core/gateway/backend_choice.py
+++ b/fighitch/core/gateway/backend_choice.py
@@ -10,6 +10,7 @@
 from dataclasses import dataclass, field
 
 from fighitch.core.gateway.model import AdapterName, BackendServer
+from fighitch.core.gateway.recent_adapters import RecentAdapters
 from fighitch.core.rendezvous import RankedPartitions
 from fighitch.types import Seconds
 
@@ -48,7 +49,7 @@
     backlog: Seconds = 0.0
     pending: Seconds = 0.0
     adapters: dict[AdapterName, int] = field(default_factory=dict)
-    recent: frozenset[AdapterName] = frozenset()
+    recent: RecentAdapters = field(default_factory=RecentAdapters)
     connected: bool = False
     serving: bool = True
     entries: int = 1
--- a/fighitch/core/gateway/engine_queue.py
+++ b/fighitch/core/gateway/engine_queue.py
@@ -6,6 +6,7 @@
 time first, and refuses what would end after its deadline as soon as that is known.
 """
 
+from collections.abc import Iterator
 from dataclasses import dataclass, field
 from typing import Protocol
 
@@ -195,13 +196,20 @@
         in order of arrival would make all work late, the newest included.
         """
         found: dict[AdapterName, MissingAdapter] = {}
-        for work in self._waiting.values():
-            if loaded.serves(work.adapter, work.version, now):
-                continue
+        for work in self._not_served(loaded, now):
             entry = found.setdefault(work.adapter, MissingAdapter(work.adapter))
             entry.note(work, on_time=now + _LOAD_TIME < work.aim)
         return sorted(found.values(), key=MissingAdapter.order)
 
+    def count_missing(self, loaded: "LoadedAdapters", now: Seconds) -> int:
+        """Returns the number of adapters that work waits for."""
+        return len({work.adapter for work in self._not_served(loaded, now)})
+
+    def _not_served(self, loaded: "LoadedAdapters", now: Seconds) -> Iterator[Work]:
+        for work in self._waiting.values():
+            if not loaded.serves(work.adapter, work.version, now):
+                yield work
+
     @property
     def backlog(self) -> Seconds:
         """Time to read all prompts that were handed over or wait."""
@@ -218,15 +226,10 @@
             The refusal, or None if the work waits now.
         """
         ahead = self._tokens_ahead(work) * self.speed.per_token
-        first_event = (
-            work.arrived
-            + self.speed.overhead
-            + max(load_wait, ahead)
-            + work.size.prompt_tokens * self.speed.per_token
-        )
+        start = work.arrived + max(load_wait, ahead)
         if work.tokens > self.kv_tokens > 0:
             return Refusal(work, _LONGEST_RETRY, "larger_than_engine")
-        if first_event + _answer_time(work) > work.deadline:
+        if self._misses_deadline(work, start):
             return Refusal(work, self.retry_after(), "deadline_out_of_reach")
         self._waiting[work.key] = work
         self._waiting_tokens += work.size.prompt_tokens
@@ -262,12 +265,7 @@
         """Removes waiting work that can no longer end before its deadline."""
         overdue = []
         for work in list(self._waiting.values()):
-            first_event = (
-                now
-                + self.speed.overhead
-                + work.size.prompt_tokens * self.speed.per_token
-            )
-            if first_event + _answer_time(work) > work.deadline:
+            if self._misses_deadline(work, now):
                 self._remove_waiting(work.key)
                 overdue.append(Refusal(work, self.retry_after(), "waited_too_long"))
         return overdue
@@ -314,9 +312,16 @@
         return min(_LONGEST_RETRY, max(_SHORTEST_RETRY, self.backlog))
 
     def _order(self, work: Work, now: Seconds) -> tuple[bool, int, Seconds]:
-        unread = self._unread_tokens + work.size.prompt_tokens
-        first_event = now + self.speed.overhead + unread * self.speed.per_token
-        return first_event > work.aim, work.rank, work.aim
+        start = now + self._unread_tokens * self.speed.per_token
+        return self._first_event(work, start) > work.aim, work.rank, work.aim
+
+    def _first_event(self, work: Work, start: Seconds) -> Seconds:
+        """Returns when the first event comes if reading its prompt starts then."""
+        reading = work.size.prompt_tokens * self.speed.per_token
+        return start + self.speed.overhead + reading
+
+    def _misses_deadline(self, work: Work, start: Seconds) -> bool:
+        return self._first_event(work, start) + _answer_time(work) > work.deadline
 
     def _has_room(self, work: Work) -> bool:
         if len(self._running) >= self.slots:
--- a/fighitch/core/gateway/membership.py
+++ b/fighitch/core/gateway/membership.py
@@ -41,10 +41,6 @@
         if after_outage:
             self._outage_ended = now
 
-    def get(self, instance_id: str) -> BackendServer | None:
-        """Returns a known server."""
-        return self._servers.get(instance_id)
-
     @property
     def servers(self) -> Iterable[BackendServer]:
         """All known servers, draining ones included."""
--- a/fighitch/core/gateway/outliers.py
+++ b/fighitch/core/gateway/outliers.py
@@ -4,6 +4,7 @@
 because it answers fast, attracts more than its share under least-loaded routing.
 """
 
+from collections.abc import Iterable
 from dataclasses import dataclass
 
 from fighitch.types import Seconds
@@ -44,14 +45,14 @@
         self._servers: dict[str, ServerHealth] = {}
 
     def note(
-        self, server: str, *, failed: bool, peers: list[str], now: Seconds
+        self, server: str, *, failed: bool, peers: Iterable[str], now: Seconds
     ) -> bool:
         """Counts an outcome.
 
         Args:
             server: Instance id.
             failed: Whether the server failed the request.
-            peers: Instance ids of the service.
+            peers: Instance ids of the service; read only if the server failed.
             now: Time of the outcome.
 
         Returns:
@@ -92,6 +93,6 @@
         """Drops a server that is gone."""
         self._servers.pop(server, None)
 
-    def _usual_ratio(self, server: str, peers: list[str]) -> float:
+    def _usual_ratio(self, server: str, peers: Iterable[str]) -> float:
         ratios = sorted(self.failure_ratio(peer) for peer in peers if peer != server)
         return ratios[len(ratios) // 2] if ratios else 0.0
--- a/fighitch/core/gateway/settings.py
+++ b/fighitch/core/gateway/settings.py
@@ -32,9 +32,7 @@
         engine: Engine beside the instance; None if there is none.
         retry_limits: Budget for second sends over all entries.
         stop_grace: Time from SIGTERM to SIGKILL.
-        drain_bound: Time after which a leaving server must get no new work.
         lease: Time in which two holders must not give orders in turn.
-        memory_mb: Memory limit of the process.
     """
 
     instance: str
@@ -47,6 +45,4 @@
     engine: Address | None
     retry_limits: BudgetLimits
     stop_grace: Seconds
-    drain_bound: Seconds
     lease: Seconds
-    memory_mb: float
--- a/fighitch/core/sidecar/admission.py
+++ b/fighitch/core/sidecar/admission.py
@@ -14,10 +14,10 @@
 from collections.abc import Iterator, Mapping, Sequence
 from dataclasses import dataclass
 
+from fighitch.core.demand import DemandEstimator
 from fighitch.core.errors import ErrorKind, Failure
 from fighitch.core.invariants import check
 from fighitch.core.messages import AdapterVersion
-from fighitch.core.sidecar.demand import DemandEstimator
 from fighitch.core.sidecar.waiting import RankQueue, Work
 from fighitch.types import Seconds
 
--- a/fighitch/core/sidecar/slots.py
+++ b/fighitch/core/sidecar/slots.py
@@ -10,8 +10,8 @@
 from dataclasses import dataclass, field
 from enum import Enum
 
+from fighitch.core.demand import DemandEstimator
 from fighitch.core.messages import AdapterVersion
-from fighitch.core.sidecar.demand import DemandEstimator
 from fighitch.types import Seconds
 
 # Popularity shifts over minutes; a minute follows them and still outlasts a short lull.
--- a/fighitch/gateway/agent.py
+++ b/fighitch/gateway/agent.py
@@ -1,7 +1,6 @@
 """The engine agent: admits requests to its engine and alone gives it orders."""
 
 import socket
-from dataclasses import dataclass
 
 import msgspec
 
@@ -27,7 +26,7 @@
 )
 from fighitch.observability.bounded_log import BoundedLog
 from fighitch.runtime.event_loop import READ, EventLoop
-from fighitch.runtime.sockets import listen
+from fighitch.runtime.sockets import accept_waiting, listen
 from fighitch.types import Seconds
 
 _MS = 1_000
@@ -44,14 +43,6 @@
 _ORDER_PAUSE: Seconds = 0.05
 
 
-@dataclass(slots=True)
-class _LastStatus:
-    """What the entries were told last."""
-
-    status: Status | None = None
-    at: Seconds = float("-inf")
-
-
 class EngineAgent:
     """Owns the queue and the adapter places of one engine."""
 
@@ -79,7 +70,8 @@
         self._draining = False
         self._last_report: Seconds = float("-inf")
         self._order_not_before: Seconds = 0.0
-        self._last_status = _LastStatus()
+        self._last_status: Status | None = None
+        self._last_status_at: Seconds = float("-inf")
         self._told: dict[AdapterName, int] = {}
         self._holder = EngineHolder(loop, settings, engine, log)
         self._control = EngineControl(loop, engine, on_report=self._on_report)
@@ -103,15 +95,7 @@
     # Entries.
 
     def _accept(self, _events: int) -> None:
-        while True:
-            try:
-                sock, _ = self._listener.accept()
-            except BlockingIOError:
-                return
-            except OSError as error:
-                self._log.event("accept_failed", detail=error)
-                return
-            self._add_peer(sock)
+        accept_waiting(self._listener, self._add_peer, self._log.accept_failed)
 
     def _add_peer(self, sock: socket.socket) -> None:
         peer = PeerConnection(
@@ -273,7 +257,7 @@
         )
 
     def _missing_adapters(self, now: Seconds) -> int:
-        return len(self._queue.missing(self._places, now))
+        return self._queue.count_missing(self._places, now)
 
     # The engine.
 
@@ -324,19 +308,18 @@
 
     def _tell_status_if_due(self, now: Seconds) -> None:
         last = self._last_status
-        if last.status is not None and now - last.at < _STATUS_INTERVAL:
-            current = self._status()
-            moved = abs(current.backlog_ms - last.status.backlog_ms)
-            if moved < _BACKLOG_STEP * _MS and current.serving == last.status.serving:
+        if last is not None and now - self._last_status_at < _STATUS_INTERVAL:
+            moved = abs(round(self._queue.backlog * _MS) - last.backlog_ms)
+            if moved < _BACKLOG_STEP * _MS and self._serving == last.serving:
                 return
         self._tell_status(now)
 
     def _tell_status(self, now: Seconds) -> None:
-        self._last_status = _LastStatus(self._status(), now)
+        self._last_status, self._last_status_at = self._status(), now
         self._metrics.state(
             self._queue.running, self._queue.waiting, self._queue.backlog
         )
-        self._broadcast(self._last_status.status)
+        self._broadcast(self._last_status)
 
     def _status(self) -> Status:
         return Status(
@@ -381,8 +364,6 @@
         self._told = held
         self._broadcast(HeldAdapters(False, added, dropped))
 
-    def _broadcast(self, message: Message | None) -> None:
-        if message is None:
-            return
+    def _broadcast(self, message: Message) -> None:
         for peer in list(self._peers.values()):
             peer.send(message)
--- a/fighitch/gateway/agent_links.py
+++ b/fighitch/gateway/agent_links.py
@@ -1,12 +1,10 @@
 """Connections of an entry to the agents beside the engines."""
 
-from collections import OrderedDict
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
 import msgspec
 
-from fighitch.core.gateway.adapter_places import RECENT_ADAPTERS
 from fighitch.core.gateway.backend_choice import EngineView
 from fighitch.core.gateway.model import AdapterName, BackendServer, EngineSpec
 from fighitch.gateway.peer_connection import PeerConnection
@@ -71,7 +69,6 @@
     removed: bool = False
     was_connected: bool = False
     known_since: Seconds = 0.0
-    recent: OrderedDict[AdapterName, None] = field(default_factory=OrderedDict)
 
 
 class AgentLinks:
@@ -294,18 +291,15 @@
     def _on_held(self, link: AgentLink, message: HeldAdapters) -> None:
         if message.complete:
             link.view.adapters = {}
-            link.recent.clear()
+            link.view.recent.clear()
         for model, adapter, version in message.held:
             name = AdapterName(model, adapter)
             link.view.adapters[name] = version
-            link.recent.pop(name, None)
+            link.view.recent.discard(name)
         for model, adapter in message.dropped:
             name = AdapterName(model, adapter)
             link.view.adapters.pop(name, None)
-            link.recent[name] = None
-        while len(link.recent) > RECENT_ADAPTERS:
-            link.recent.popitem(last=False)
-        link.view.recent = frozenset(link.recent)
+            link.view.recent.add(name)
 
     def _beat(self) -> None:
         now = self._loop.now()
--- a/fighitch/gateway/backend_pool.py
+++ b/fighitch/gateway/backend_pool.py
@@ -33,7 +33,6 @@
     def __init__(self, loop: EventLoop) -> None:
         self._loop = loop
         self._idle: dict[_ServerKey, list[HttpConnection]] = {}
-        self.opened = 0
 
     def lend(self, server: BackendServer, *, repeatable: bool) -> HttpConnection:
         """Returns a connection that is ready for a request.
@@ -57,7 +56,6 @@
             if age <= longest and connection.usable():
                 return connection
             connection.close()
-        self.opened += 1
         return HttpConnection(
             self._loop,
             server.host,
--- a/fighitch/gateway/entry.py
+++ b/fighitch/gateway/entry.py
@@ -41,9 +41,9 @@
 from fighitch.platform.engine import SERVERS_KIND, decode_heartbeat
 from fighitch.platform.requests import RequestFacts, decode_request
 from fighitch.platform.store import StoredObject
-from fighitch.runtime.event_loop import READ, EventLoop, Timer
+from fighitch.runtime.event_loop import READ, EventLoop
 from fighitch.runtime.http_callers import CallerConnection, CallerRequest
-from fighitch.runtime.sockets import listen
+from fighitch.runtime.sockets import accept_waiting, listen
 from fighitch.types import Seconds
 
 # Servers change with every heartbeat of an engine; one call a pause covers them all and
@@ -89,7 +89,6 @@
         self._callers: set[CallerConnection] = set()
         self._relays: set[Relay] = set()
         self._stopping_since: Seconds | None = None
-        self._stop_timer: Timer | None = None
         self.links = AgentLinks(
             loop,
             entry=settings.instance,
@@ -166,7 +165,6 @@
             address,
             WatchOptions(CONFIGURATION_KIND, pause=_CONFIGURATION_PAUSE),
             self._log,
-            on_list=self._on_configurations,
             on_change=self._on_configuration,
         )
         servers = KindWatcher(
@@ -183,7 +181,6 @@
             address,
             WatchOptions(VERSIONS_KIND, wait=_VERSIONS_WAIT, pause=_VERSIONS_PAUSE),
             self._log,
-            on_list=self._on_versions,
             on_change=self._on_version,
         )
         self._watchers = [configuration, servers, versions]
@@ -197,27 +194,23 @@
     # Callers.
 
     def _accept(self, _events: int) -> None:
-        while self._listener is not None:
-            try:
-                sock, _ = self._listener.accept()
-            except BlockingIOError:
-                return
-            except OSError as error:
-                self._log.event("accept_failed", detail=error)
-                return
-            if len(self._callers) >= _MAX_CALLERS:
-                self._log.event("caller_refused", callers=len(self._callers))
-                sock.close()
-                continue
-            caller = CallerConnection(
-                self.loop,
-                sock,
-                self._limits(),
-                on_request=self._on_request,
-                on_closed=self._callers.discard,
-            )
-            caller.closing = self._stopping_since is not None
-            self._callers.add(caller)
+        if self._listener is not None:
+            accept_waiting(self._listener, self._add_caller, self._log.accept_failed)
+
+    def _add_caller(self, sock: socket.socket) -> None:
+        if len(self._callers) >= _MAX_CALLERS:
+            self._log.event("caller_refused", callers=len(self._callers))
+            sock.close()
+            return
+        caller = CallerConnection(
+            self.loop,
+            sock,
+            self._limits(),
+            on_request=self._on_request,
+            on_closed=self._callers.discard,
+        )
+        caller.closing = self._stopping_since is not None
+        self._callers.add(caller)
 
     def _limits(self) -> CallerLimits:
         if self._configuration is None:
@@ -312,7 +305,8 @@
             self._outliers.note_unreachable(server.instance_id, now)
             self._log.event("server_unreachable", server=server.instance_id)
             return
-        peers = [item.instance_id for item in self._membership.ready(service.name)]
+        ready = self._membership.ready(service.name)
+        peers = (item.instance_id for item in ready)
         is_paused = self._outliers.note(
             server.instance_id, failed=failed, peers=peers, now=now
         )
@@ -346,10 +340,6 @@
 
     # The store.
 
-    def _on_configurations(self, objects: Iterable[StoredObject]) -> None:
-        for item in objects:
-            self._on_configuration(item)
-
     def _on_configuration(self, item: StoredObject) -> None:
         if item.name != CONFIGURATION_NAME or item.removed:
             return
@@ -371,10 +361,6 @@
         )
         self._update_links()
 
-    def _on_versions(self, objects: Iterable[StoredObject]) -> None:
-        for item in objects:
-            self._on_version(item)
-
     def _on_version(self, item: StoredObject) -> None:
         if item.removed:
             return
--- a/fighitch/gateway/peer_connection.py
+++ b/fighitch/gateway/peer_connection.py
@@ -53,11 +53,6 @@
         self._flush_due = False
         self._watch()
 
-    @property
-    def closed(self) -> bool:
-        """Whether the connection is closed."""
-        return self._closed
-
     def send(self, message: Message) -> None:
         """Sends a message; messages of one turn of the loop share a system call."""
         if self._closed:
--- a/fighitch/gateway/process.py
+++ b/fighitch/gateway/process.py
@@ -161,7 +161,7 @@
     if settings.readiness is not None:
         addresses.append(settings.readiness)
     for address in addresses:
-        StatusServer(loop, address, is_ready=entry.ready, metrics=metrics.text)
+        StatusServer(loop, address, log, is_ready=entry.ready, metrics=metrics.text)
     return entry
 
 
@@ -175,6 +175,7 @@
     StatusServer(
         loop,
         Address(settings.host, METRICS_PORT),
+        log,
         is_ready=lambda: True,
         metrics=metrics.text,
     )
--- a/fighitch/gateway/relay.py
+++ b/fighitch/gateway/relay.py
@@ -228,7 +228,7 @@
         self._start_patience(time_left)
 
     def _start_patience(self, time_left: Seconds) -> None:
-        if not self._route.repeatable or not self._may_run_again():
+        if not self._may_run_again():
             return
         if self._route.kind is WorkKind.STREAMING:
             patience = _STREAM_PATIENCE
@@ -471,7 +471,7 @@
     def _abort(self, outcome: str) -> None:
         if self._caller is not None:
             self._caller.on_gone = None
-            self._caller.abort()
+            self._caller.close()
         self._end(f"broken_off_{outcome}")
 
     def _end(self, outcome: str) -> None:
--- a/fighitch/gateway/status_server.py
+++ b/fighitch/gateway/status_server.py
@@ -5,9 +5,10 @@
 
 from fighitch.core.gateway.model import CallerLimits
 from fighitch.core.gateway.settings import Address
+from fighitch.observability.bounded_log import BoundedLog
 from fighitch.runtime.event_loop import READ, EventLoop
 from fighitch.runtime.http_callers import CallerConnection, CallerRequest
-from fighitch.runtime.sockets import listen
+from fighitch.runtime.sockets import accept_waiting, listen
 
 _OK = 200
 _UNAVAILABLE = 503
@@ -23,6 +24,7 @@
         self,
         loop: EventLoop,
         address: Address,
+        log: BoundedLog,
         *,
         is_ready: Callable[[], bool],
         metrics: Callable[[], bytes],
@@ -32,10 +34,12 @@
         Args:
             loop: Calls back.
             address: Where to listen.
+            log: Receives connections that can't be accepted.
             is_ready: Returns whether the process can serve.
             metrics: Returns the metrics as text.
         """
         self._loop = loop
+        self._log = log
         self._is_ready = is_ready
         self._metrics = metrics
         self._callers: set[CallerConnection] = set()
@@ -43,12 +47,7 @@
         loop.watch(self._listener, READ, self._accept)
 
     def _accept(self, _events: int) -> None:
-        while True:
-            try:
-                sock, _ = self._listener.accept()
-            except OSError:
-                return
-            self._add(sock)
+        accept_waiting(self._listener, self._add, self._log.accept_failed)
 
     def _add(self, sock: socket.socket) -> None:
         caller = CallerConnection(
--- a/fighitch/gateway/store_watch.py
+++ b/fighitch/gateway/store_watch.py
@@ -47,8 +47,8 @@
         options: WatchOptions,
         log: BoundedLog,
         *,
-        on_list: Callable[[Iterable[store.StoredObject]], None],
         on_change: Callable[[store.StoredObject], None],
+        on_list: Callable[[Iterable[store.StoredObject]], None] | None = None,
         on_contact: Callable[[bool], None] | None = None,
     ) -> None:
         """Prepares; ``start`` makes the first call.
@@ -58,8 +58,9 @@
             address: Address of the store.
             options: How to follow the kind.
             log: Receives lost and regained contact.
-            on_list: Called with all objects after a list.
-            on_change: Called with each change after it.
+            on_change: Called with each change.
+            on_list: Called with all objects after a list; None if each of them counts
+                as a change.
             on_contact: Called after each answer with whether contact had been lost.
         """
         self._loop = loop
@@ -121,7 +122,11 @@
         self._revisions = {item.name: item.revision for item in self._pages}
         objects, self._pages = self._pages, []
         self._contact()
-        self._on_list(objects)
+        if self._on_list is not None:
+            self._on_list(objects)
+        else:
+            for item in objects:
+                self._on_change(item)
         self._watch_after(0.0)
 
     def _watch_after(self, pause: Seconds) -> None:
--- a/fighitch/observability/bounded_log.py
+++ b/fighitch/observability/bounded_log.py
@@ -13,7 +13,7 @@
 
 import logbook
 
-from fighitch.observability.logs import format_event
+from fighitch.observability.logs import LINE_FORMAT, format_event
 from fighitch.types import Seconds
 
 # A request's line has about 280 bytes, so that a process writes at most 34 KB/s.
@@ -33,10 +33,7 @@
             level: Least severe level to write.
         """
         super().__init__(level=logbook.lookup_level(level))
-        self.formatter = logbook.StringFormatter(
-            "time={record.time:%Y-%m-%dT%H:%M:%S.%f}Z level={record.level_name} "
-            "{record.message}"
-        )
+        self.formatter = logbook.StringFormatter(LINE_FORMAT)
         self._descriptor = descriptor
         self._poll = select.poll()
         self._poll.register(descriptor, select.POLLOUT)
@@ -110,6 +107,10 @@
         if self._handler.dropped == dropped_before:
             self._suppressed = self._handler.dropped = 0
 
+    def accept_failed(self, error: OSError) -> None:
+        """Writes that a connection could not be accepted."""
+        self.event("accept_failed", detail=error)
+
 
 def write_failure(message: str) -> None:
     """Writes a message of a process that can't start to standard error."""
--- a/fighitch/observability/logs.py
+++ b/fighitch/observability/logs.py
@@ -7,6 +7,10 @@
 
 from fighitch.core.effects import LogEvent
 
+LINE_FORMAT = (
+    "time={record.time:%Y-%m-%dT%H:%M:%S.%f}Z level={record.level_name} "
+    "{record.message}"
+)
 _NEEDS_QUOTES = frozenset(' "=\n\t')
 
 
@@ -41,17 +45,13 @@
             path: File to append to; empty for standard error.
         """
         least = logbook.lookup_level(level.upper())
-        line = (
-            "time={record.time:%Y-%m-%dT%H:%M:%S.%f}Z level={record.level_name} "
-            "{record.message}"
-        )
         logbook.set_datetime_format("utc")
         self._handler: logbook.Handler
         if path:
             self._handler = logbook.FileHandler(path, level=least)
         else:
             self._handler = logbook.StreamHandler(sys.stderr, level=least)
-        self._handler.format_string = line
+        self._handler.format_string = LINE_FORMAT
         self._handler.push_application()
         self._logger = logbook.Logger(instance)
         self._instance = instance
--- a/fighitch/platform/requests.py
+++ b/fighitch/platform/requests.py
@@ -3,9 +3,9 @@
 from dataclasses import dataclass
 
 from fighitch.core.gateway.model import AdapterName, PromptSize
-from fighitch.runtime.http_callers import CallerRequest, Headers
+from fighitch.runtime.http_callers import CallerRequest
 from fighitch.runtime.http_exchange import AnswerHead
-from fighitch.types import Seconds
+from fighitch.types import Headers, Seconds
 
 _MS_PER_SECOND = 1_000
 _REQUEST_ID = b"attempt-id"
--- a/fighitch/platform/settings.py
+++ b/fighitch/platform/settings.py
@@ -14,12 +14,7 @@
     readiness_address: str = ""
 
 
-class _Limits(msgspec.Struct, rename="pascal"):
-    memory_mb: float = 256
-
-
 class _Bounds(msgspec.Struct, rename="pascal"):
-    drain_ms: float = 2_000
     grace_s: float = 8
     retry_budget_ratio: float = 0.2
     budget_window_s: float = 10
@@ -38,7 +33,6 @@
     internal_ports: list[int]
     platform: _Store
     listen: _Listen = msgspec.field(default_factory=_Listen)
-    limits: _Limits = msgspec.field(default_factory=_Limits)
     bounds: _Bounds = msgspec.field(default_factory=_Bounds)
     # The runner beside a side machine; the only lowercase key of the file.
     app: str = msgspec.field(default="", name="app")
@@ -71,9 +65,7 @@
             slack=bounds.budget_slack,
         ),
         stop_grace=bounds.grace_s,
-        drain_bound=bounds.drain_ms / _MS_PER_SECOND,
         lease=bounds.lease_ms / _MS_PER_SECOND,
-        memory_mb=given.limits.memory_mb,
     )
 
 
--- a/fighitch/runtime/http_callers.py
+++ b/fighitch/runtime/http_callers.py
@@ -10,9 +10,7 @@
 from fighitch.core.gateway.model import CallerLimits
 from fighitch.runtime.event_loop import READ, WRITE, EventLoop, Timer
 from fighitch.runtime.sockets import set_stream_options
-from fighitch.types import Seconds
-
-Headers = list[tuple[bytes, bytes]]
+from fighitch.types import Headers, Seconds
 
 _CHUNK = 65_536
 # Bytes of an answer that may wait for a slow caller before reading is paused.
@@ -129,18 +127,15 @@
         """Whether many bytes wait for the caller to read them."""
         return len(self._out) > _HIGH_WATER
 
-    def send_head(
-        self, status: int, headers: Headers, *, length: int | None, close: bool = False
-    ) -> None:
+    def send_head(self, status: int, headers: Headers, *, length: int | None) -> None:
         """Sends the head of an answer.
 
         Args:
             status: HTTP status.
             headers: Headers without those about framing and the connection.
             length: Length of the body; None if it is not known yet.
-            close: Whether to close the connection after the answer.
         """
-        self._close_after = self._close_after or close or self.closing
+        self._close_after = self._close_after or self.closing
         reason = _REASONS.get(status, b"Status")
         lines = [b"HTTP/1.1 %d %s" % (status, reason)]
         lines += [b"%s: %s" % header for header in headers]
@@ -177,12 +172,8 @@
         self._start_timer(self._limits.idle_timeout + _IDLE_SLACK, self._idle_timeout)
         self._next_request()
 
-    def abort(self) -> None:
-        """Closes so that an answer that was begun does not look complete."""
-        self.close()
-
     def close(self) -> None:
-        """Closes the connection."""
+        """Closes the connection; an answer that was begun does not look complete."""
         if self._closed:
             return
         self._closed = True
--- a/fighitch/runtime/http_exchange.py
+++ b/fighitch/runtime/http_exchange.py
@@ -14,9 +14,7 @@
 
 from fighitch.runtime.event_loop import READ, WRITE, EventLoop, Timer
 from fighitch.runtime.sockets import open_stream
-from fighitch.types import Seconds
-
-Headers = list[tuple[bytes, bytes]]
+from fighitch.types import Headers, Seconds
 
 _CHUNK = 65_536
 _CONNECT_TIMEOUT: Seconds = 0.6
--- a/fighitch/runtime/sockets.py
+++ b/fighitch/runtime/sockets.py
@@ -1,6 +1,7 @@
 """Sockets of the event loop: options and listening."""
 
 import socket
+from collections.abc import Callable
 
 # A peer that vanished without a reset is noticed after about this time.
 _USER_TIMEOUT_MS = 3_000
@@ -38,3 +39,26 @@
     sock.bind((host, port))
     sock.listen(_BACKLOG)
     return sock
+
+
+def accept_waiting(
+    listener: socket.socket,
+    on_socket: Callable[[socket.socket], None],
+    on_error: Callable[[OSError], None],
+) -> None:
+    """Accepts all connections that wait.
+
+    Args:
+        listener: Non-blocking listening socket.
+        on_socket: Called with each accepted socket.
+        on_error: Called if the next one can't be accepted, as without descriptors.
+    """
+    while True:
+        try:
+            sock, _ = listener.accept()
+        except BlockingIOError:
+            return
+        except OSError as error:
+            on_error(error)
+            return
+        on_socket(sock)
--- a/fighitch/tests/test_demand.py
+++ b/fighitch/tests/test_demand.py
@@ -1,8 +1,8 @@
-"""Tests of ``fighitch.core.sidecar.demand``."""
+"""Tests of ``fighitch.core.demand``."""
 
 import unittest
 
-from fighitch.core.sidecar.demand import DemandEstimator
+from fighitch.core.demand import DemandEstimator
 
 
 class DemandTests(unittest.TestCase):
--- a/fighitch/tests/test_http_callers.py
+++ b/fighitch/tests/test_http_callers.py
@@ -133,7 +133,7 @@
             def break_off():
                 self.held[0].send_head(200, [], length=None)
                 self.held[0].send_body(b"part")
-                self.held[0].abort()
+                self.held[0].close()
 
             self.loop.call_later(0, break_off)
             received = b""
--- a/fighitch/types.py
+++ b/fighitch/types.py
@@ -13,4 +13,6 @@
 # Identifies one start of a process by a random number; only compared for equality.
 Incarnation: TypeAlias = int
 Seconds: TypeAlias = float
+# Headers of an HTTP message, as sent and in order.
+Headers: TypeAlias = list[tuple[bytes, bytes]]
 Milliseconds: TypeAlias = int
--- a/standins/platform_http.py
+++ b/standins/platform_http.py
@@ -1,5 +1,6 @@
 """HTTP server of the platform's stand-ins: a thread with its own event loop."""
 
+import socket
 import threading
 from collections.abc import Callable
 
@@ -8,7 +9,7 @@
 from fighitch.core.gateway.model import CallerLimits
 from fighitch.runtime.event_loop import READ, EventLoop
 from fighitch.runtime.http_callers import CallerConnection, CallerRequest
-from fighitch.runtime.sockets import listen
+from fighitch.runtime.sockets import accept_waiting, listen
 
 _JSON = [(b"Content-Type", b"application/json")]
 _LIMITS = CallerLimits(idle_timeout=60.0)
@@ -60,20 +61,18 @@
         raise NotImplementedError
 
     def _accept(self, _events: int) -> None:
-        while True:
-            try:
-                sock, _ = self._listener.accept()
-            except OSError:
-                return
-            self._connections.add(
-                CallerConnection(
-                    self.loop,
-                    sock,
-                    _LIMITS,
-                    on_request=self.handle,
-                    on_closed=self._connections.discard,
-                )
+        accept_waiting(self._listener, self._add, lambda _error: None)
+
+    def _add(self, sock: socket.socket) -> None:
+        self._connections.add(
+            CallerConnection(
+                self.loop,
+                sock,
+                _LIMITS,
+                on_request=self.handle,
+                on_closed=self._connections.discard,
             )
+        )
 
 
 def answer_json(connection: CallerConnection, status: int, content: object) -> None:
