Close a caller's connection with the answer during which a stop began

The head of a stream that was under way at SIGTERM had gone out without 'Connection: close', so the connection stayed open after the stream until the next look for idle ones, up to 0.2 s later, and took another request.

Change: a connection ends with that answer, unless another request had been read already, which is then answered first. A test fails before and passes after.

--- a/fighitch/runtime/http_callers.py
+++ b/fighitch/runtime/http_callers.py
@@ -135,7 +135,7 @@
             headers: Headers without those about framing and the connection.
             length: Length of the body; None if it is not known yet.
         """
-        self._close_after = self._close_after or self.closing
+        self._close_if_stopping()
         reason = _REASONS.get(status, b"Status")
         lines = [b"HTTP/1.1 %d %s" % (status, reason)]
         lines += [b"%s: %s" % header for header in headers]
@@ -166,6 +166,7 @@
         self.on_drained = None
         if self._closed:
             return
+        self._close_if_stopping()
         if self._close_after:
             self._close_when_written()
             return
@@ -363,6 +364,11 @@
             return
         self._watch()
 
+    def _close_if_stopping(self) -> None:
+        """Lets this be the last answer, unless another request has been read."""
+        if self.closing and not self._requests:
+            self._close_after = True
+
     def _close_when_written(self) -> None:
         if not self._out:
             self._shut_down()
--- a/fighitch/tests/test_http_callers.py
+++ b/fighitch/tests/test_http_callers.py
@@ -141,3 +141,43 @@
                 received += data
         self.assertIn(b"part", received)
         self.assertNotIn(b"0\r\n\r\n", received)
+
+    def finish_while_closing(self, sock: socket.socket, *, requests: int) -> bytes:
+        """Stops as planned while an answer is under way; returns all that comes."""
+        while not self.held:
+            pass
+
+        def stop_and_finish():
+            caller = self.held[0]
+            caller.send_head(200, [], length=None)
+            while len(self.requests) + len(caller._requests) < requests:
+                caller._read()
+            self.hold = False
+            caller.closing = True
+            caller.send_body(b"stream")
+            caller.finish()
+
+        self.loop.call_later(0, stop_and_finish)
+        sock.settimeout(3)
+        received = b""
+        while data := sock.recv(65_536):
+            received += data
+        return received
+
+    def test_connection_whose_answer_ends_during_a_stop_takes_no_other_request(self):
+        # The head went out before the stop, without "Connection: close". A request that
+        # came just after the answer was taken long after SIGTERM and cut at the end.
+        self.hold = True
+        with socket.create_connection(self.listener.getsockname()) as sock:
+            sock.sendall(b"GET /1 HTTP/1.1\r\nHost: h\r\n\r\n")
+            received = self.finish_while_closing(sock, requests=1)
+        self.assertTrue(received.endswith(b"stream\r\n0\r\n\r\n"), received)
+
+    def test_request_that_was_read_before_a_stop_is_still_answered(self):
+        self.hold = True
+        with socket.create_connection(self.listener.getsockname()) as sock:
+            sock.sendall(b"GET /1 HTTP/1.1\r\nHost: h\r\n\r\n")
+            sock.sendall(b"GET /2 HTTP/1.1\r\nHost: h\r\n\r\n")
+            received = self.finish_while_closing(sock, requests=2)
+        self.assertIn(b"Connection: close", received)
+        self.assertTrue(received.endswith(b"to /2"), received)
