Break links in the soak of the platform path; let its faults overlap

The soak broke servers, store and processes only, one fault at a time, and each caller opened a connection for each request.

Change: standins/fault_proxy.py stands before callers' entries, servers, agents and, one for each instance, the store. Faults end by a schedule, so that they overlap. Callers keep seven of ten connections.

--- a/benchmarks/platform_soak.py
+++ b/benchmarks/platform_soak.py
@@ -1,11 +1,16 @@
 """Random faults against the programs of the platform path, run as real processes.
 
-Callers send requests of every kind while instances are killed, paused and stopped, the
-store goes away or forgets its history, servers leave and restart, and answers and
-orders are lost. What callers and servers saw is checked against the users' promises.
+Callers send requests of every kind on kept and on new connections while faults come in
+series and overlap: instances are killed, paused and stopped; links are delayed, reset,
+cut one way or silenced by proxies; the store goes away or forgets its history; servers
+leave and restart; answers and orders are lost. What callers and servers saw is checked
+against the users' promises. A planned run has planned work only, and no answer may be
+lost in it.
 """
 
 import argparse
+import heapq
+import http.client
 import itertools
 import random
 import signal
@@ -13,54 +18,27 @@
 import threading
 import time
 from collections import Counter
-from collections.abc import Callable, Sequence
+from collections.abc import Callable
 from concurrent.futures import ThreadPoolExecutor
-from dataclasses import dataclass, field
 
-from standins.platform_fleet import Answer, FleetProcess, PlatformFleet
+from benchmarks.platform_soak_checks import Sent, SoakRecord, check
+from standins.fault_proxy import FaultProxy
+from standins.platform_fleet import FleetProcess, PlatformFleet, exchange, wait_until
 from standins.platform_runner import PlatformRunner, RunnerFaults
 
 _ROUTES = ("stream", "resume", "order", "lookup")
-_SINGLE_RUN_ROUTES = frozenset(("stream", "order"))
-_REFUSALS = frozenset((408, 421, 429, 503))
 _ADAPTERS = 12
 _CALLERS = 12
 _PAUSE = 0.03
 # Longer than any answer may take, so that late runs are counted too.
 _SETTLE = 5.0
-_LEAST_SERVED_SHARE = 0.25
-
-
-@dataclass(frozen=True, slots=True)
-class Sent:
-    """A request and what its caller got.
-
-    Attributes:
-        request_id: Its id.
-        route: Name of its route.
-        at: Seconds since the start of the run.
-        answer: What the caller got.
-    """
-
-    request_id: str
-    route: str
-    at: float
-    answer: Answer
-
-
-@dataclass(slots=True)
-class SoakResult:
-    """Outcome of a run.
-
-    Attributes:
-        sent: All requests.
-        faults: Faults in order, with their times.
-        violations: Broken promises.
-    """
-
-    sent: list[Sent] = field(default_factory=list)
-    faults: list[str] = field(default_factory=list)
-    violations: list[str] = field(default_factory=list)
+_RECOVERY = 4.0
+_AFTER_RECOVERY = 2.0
+_KEPT_SHARE = 0.7
+_LEAVING_SHARE = 0.1
+_PATIENCE = 8.0
+# A run whose seed is a multiple of this has planned work only.
+PLANNED_EVERY = 5
 
 
 class PlatformSoak:
@@ -69,16 +47,21 @@
     def __init__(self, seed: int, seconds: float) -> None:
         self._random = random.Random(seed)
         self._seconds = seconds
-        self._fleet = PlatformFleet(engines=3)
+        self._fleet = PlatformFleet(engines=3, proxied=True)
         self._faults = RunnerFaults()
-        self._result = SoakResult()
+        self._planned = seed % PLANNED_EVERY == 0
+        self._record = SoakRecord(planned=self._planned)
         self._ids = itertools.count()
         self._lock = threading.Lock()
         self._began = 0.0
         self._incarnations = itertools.count(1)
-        self._stopped: set[int] = set()
+        # Ends of faults under way, by time.
+        self._heals: list[tuple[float, int, Callable[[], None]]] = []
+        self._order = itertools.count()
+        self._stops = ThreadPoolExecutor(4)
+        self._routes = list(_ROUTES)
 
-    def run(self) -> SoakResult:
+    def run(self) -> SoakRecord:
         """Plays the run and checks it."""
         for server in (*self._fleet.plain, *self._fleet.engines):
             server.faults = self._faults
@@ -87,10 +70,14 @@
             self._began = time.monotonic()
             self._play()
             time.sleep(_SETTLE)
-            self._check()
+            check(self._record, self._fleet)
         finally:
+            self._stops.shutdown()
             self._fleet.stop()
-        return self._result
+        return self._record
+
+    def _now(self) -> float:
+        return time.monotonic() - self._began
 
     def _play(self) -> None:
         ending = threading.Event()
@@ -99,59 +86,107 @@
             for seed in seeds:
                 pool.submit(self._call_until, ending, random.Random(seed))
             try:
-                while time.monotonic() - self._began < self._seconds:
+                while self._now() < self._seconds:
                     self._strike()
-                    time.sleep(self._random.uniform(0.2, 1.5))
+                    self._wait(self._random.uniform(0.1, 1.2))
                 self._heal()
-                time.sleep(4.0)
+                time.sleep(_RECOVERY)
                 self._note("healed")
-                time.sleep(2.0)
+                self._record.healed_at = self._now()
+                time.sleep(_AFTER_RECOVERY)
             finally:
                 ending.set()
 
+    def _wait(self, length: float) -> None:
+        """Lets time pass and ends the faults that are due."""
+        end = self._now() + length
+        while self._heals and self._heals[0][0] <= end:
+            due, _, heal = heapq.heappop(self._heals)
+            time.sleep(max(0.0, due - self._now()))
+            heal()
+        time.sleep(max(0.0, end - self._now()))
+
+    def _later(self, length: float, heal: Callable[[], None]) -> None:
+        heapq.heappush(self._heals, (self._now() + length, next(self._order), heal))
+
+    # Callers.
+
     def _call_until(self, ending: threading.Event, rng: random.Random) -> None:
+        kept: dict[int, http.client.HTTPConnection] = {}
         while not ending.is_set():
-            route = rng.choice(_ROUTES)
-            request_id = f"r{next(self._ids)}"
-            adapter = ""
-            if route in ("stream", "resume"):
-                adapter = f"a{min(rng.randrange(_ADAPTERS), rng.randrange(_ADAPTERS))}"
-            at = time.monotonic() - self._began
-            timeout = 8.0 if rng.random() < 0.9 else rng.uniform(0.005, 0.05)
-            answer = self._fleet.ask(
-                route,
-                request_id,
-                entry=rng.randrange(2),
-                adapter=adapter,
-                timeout=timeout,
-            )
-            with self._lock:
-                self._result.sent.append(Sent(request_id, route, at, answer))
+            entry = rng.randrange(len(self._fleet.entries))
+            if rng.random() > _KEPT_SHARE and entry in kept:
+                kept.pop(entry).close()
+            connection = kept.get(entry)
+            if connection is None:
+                host, port = self._fleet.front_address(entry)
+                connection = http.client.HTTPConnection(host, port)
+                kept[entry] = connection
+            if not self._call(entry, connection, rng):
+                kept.pop(entry).close()
             time.sleep(rng.uniform(0, _PAUSE))
+        for connection in kept.values():
+            connection.close()
+
+    def _call(
+        self, entry: int, connection: http.client.HTTPConnection, rng: random.Random
+    ) -> bool:
+        """Sends one request; returns whether the connection can be used again."""
+        route = rng.choice(self._routes)
+        request_id = f"r{next(self._ids)}"
+        adapter = ""
+        if route in ("stream", "resume"):
+            adapter = f"a{min(rng.randrange(_ADAPTERS), rng.randrange(_ADAPTERS))}"
+        leaves = rng.random() < _LEAVING_SHARE and not self._planned
+        timeout = rng.uniform(0.005, 0.05) if leaves else _PATIENCE
+        connection.timeout = timeout
+        if connection.sock is not None:
+            connection.sock.settimeout(timeout)
+        incarnation = self._fleet.entries[entry].incarnation
+        at = self._now()
+        answer = exchange(connection, route, request_id, adapter=adapter)
+        with self._lock:
+            self._record.sent.append(
+                Sent(request_id, route, at, answer, (entry, incarnation))
+            )
+        return answer.complete and connection.sock is not None
 
     # Faults.
 
     def _strike(self) -> None:
-        faults: list[Callable[[], None]] = [
+        planned: list[Callable[[], None]] = [
+            self._stop_entry,
+            self._drain_plain,
+            self._change_configuration,
+            self._reload,
+        ]
+        unplanned: list[Callable[[], None]] = [
             self._kill,
             self._pause,
-            self._stop_entry,
             self._store_outage,
             self._forget_history,
             self._lose_answers,
             self._lose_orders,
             self._restart_engine,
-            self._drain_plain,
-            self._change_configuration,
+            self._delay_link,
+            self._cut_link,
+            self._reset_link,
+            self._silence_link,
         ]
+        faults = planned if self._planned else planned + unplanned
         self._random.choice(faults)()
 
     def _note(self, what: str) -> None:
-        self._result.faults.append(f"{time.monotonic() - self._began:.2f} {what}")
+        self._record.faults.append(f"{self._now():.2f} {what}")
 
     def _any_process(self) -> FleetProcess:
         return self._random.choice((*self._fleet.entries, *self._fleet.agents))
 
+    def _any_link(self, what: str) -> FaultProxy:
+        name = self._random.choice(list(self._fleet.links))
+        self._note(f"{what} {name}")
+        return self._fleet.links[name]
+
     def _kill(self) -> None:
         process = self._any_process()
         self._note(f"kill {process.settings['NodeName']}")
@@ -162,19 +197,28 @@
         length = self._random.uniform(0.2, 2.5)
         self._note(f"pause {process.settings['NodeName']} {length:.1f}")
         process.signal(signal.SIGSTOP)
-        time.sleep(length)
-        process.signal(signal.SIGCONT)
+        self._later(length, lambda: process.signal(signal.SIGCONT))
+
+    def _reload(self) -> None:
+        process = self._any_process()
+        self._note(f"reload {process.settings['NodeName']}")
+        process.signal(signal.SIGHUP)
 
     def _stop_entry(self) -> None:
         entry = self._random.choice(self._fleet.entries)
+        others = [item for item in self._fleet.entries if item is not entry]
+        if self._planned and not all(map(self._fleet.is_ready, others)):
+            return
         self._note(f"terminate {entry.settings['NodeName']}")
-        entry.terminate_and_restart()
+        self._stops.submit(entry.terminate_and_restart)
 
     def _store_outage(self) -> None:
         length = self._random.uniform(0.3, 3.0)
         self._note(f"store down {length:.1f}")
         self._fleet.store.down = True
-        time.sleep(length)
+        self._later(length, self._end_outage)
+
+    def _end_outage(self) -> None:
         self._fleet.store.down = False
 
     def _forget_history(self) -> None:
@@ -210,70 +254,40 @@
         self._fleet.beat(server)
 
     def _change_configuration(self) -> None:
-        self._note("configuration")
-        self._fleet.put_configuration()
+        route = self._fleet.add_route()
+        self._note(f"configuration with {route}")
+        self._routes.append(route)
+
+    def _delay_link(self) -> None:
+        delay = self._random.uniform(0.02, 0.6)
+        link = self._any_link(f"delay {delay:.2f}")
+        link.faults.delay = delay
+        self._later(self._random.uniform(0.5, 3.0), link.heal)
+
+    def _cut_link(self) -> None:
+        to_server, to_client = self._random.choice(
+            ((False, False), (True, False), (False, True))
+        )
+        link = self._any_link(f"cut to_server={to_server} to_client={to_client}")
+        link.faults.to_server, link.faults.to_client = to_server, to_client
+        self._later(self._random.uniform(0.3, 3.0), link.heal)
+
+    def _reset_link(self) -> None:
+        self._any_link("reset").reset_all()
+
+    def _silence_link(self) -> None:
+        self._any_link("silence").silence_all()
 
     def _heal(self) -> None:
         self._note("heal")
-        self._fleet.store.down = False
+        while self._heals:
+            heapq.heappop(self._heals)[2]()
+        for link in self._fleet.links.values():
+            link.heal()
         for name in ("reset", "errors", "shed", "second_answers", "cut_streams"):
             setattr(self._faults, name, 0)
         self._faults.lost_orders = 0
-
-    # Checks.
-
-    def _check(self) -> None:
-        servers: Sequence[PlatformRunner] = (*self._fleet.plain, *self._fleet.engines)
-        runs = Counter(run.request_id for server in servers for run in server.runs)
-        known = {sent.request_id: sent for sent in self._result.sent}
-        for sent in self._result.sent:
-            self._check_request(sent, runs[sent.request_id])
-        for request_id in runs:
-            if request_id not in known:
-                self._violation(f"{request_id}: run though no caller sent it")
-        self._check_engines()
-        self._check_recovery()
-
-    def _check_request(self, sent: Sent, runs: int) -> None:
-        answer = sent.answer
-        if sent.route in _SINGLE_RUN_ROUTES and runs > 1:
-            self._violation(f"{sent.request_id} ({sent.route}): ran {runs} times")
-        if answer.status in _REFUSALS and runs and sent.route in _SINGLE_RUN_ROUTES:
-            self._violation(f"{sent.request_id}: refused {answer.status} but ran")
-        if answer.status != 200:
-            return
-        if "response-signature" not in answer.headers or not runs:
-            self._violation(f"{sent.request_id}: success that no server gave")
-        if not answer.complete:
-            return
-        if sent.request_id.encode() not in answer.body.replace(b"\n", b" ").split():
-            self._violation(f"{sent.request_id}: answer of another request")
-        if sent.route in ("stream", "resume"):
-            numbers = [
-                line.removeprefix(b"id: ")
-                for line in answer.body.split(b"\n")
-                if line.startswith(b"id: ")
-            ]
-            if numbers != [b"1", b"2", b"3", b"4"]:
-                self._violation(f"{sent.request_id}: events {numbers}")
-
-    def _check_engines(self) -> None:
-        for engine in self._fleet.engines:
-            if engine.overfull > 0:
-                self._violation(f"{engine.instance_id}: {engine.overfull} too many")
-            tokens = [order.fields["FencingToken"] for order in engine.orders]
-            if tokens != sorted(tokens):
-                self._violation(f"{engine.instance_id}: a fencing token fell")
-
-    def _check_recovery(self) -> None:
-        healed = float(self._result.faults[-1].split()[0])
-        late = [sent for sent in self._result.sent if sent.at >= healed]
-        served = sum(sent.answer.status == 200 for sent in late)
-        if not late or served < _LEAST_SERVED_SHARE * len(late):
-            self._violation(f"after the faults {served} of {len(late)} served")
-
-    def _violation(self, text: str) -> None:
-        self._result.violations.append(text)
+        wait_until(lambda: all(map(self._fleet.is_ready, self._fleet.entries)))
 
 
 def main() -> int:
@@ -289,14 +303,14 @@
     options = parser.parse_args()
     failed = 0
     for seed in range(options.seed, options.seed + options.seeds):
-        result = PlatformSoak(seed, options.seconds).run()
-        outcomes = Counter(sent.answer.status for sent in result.sent)
-        print(f"seed {seed}: {len(result.sent)} requests {dict(outcomes)}", flush=True)
-        for violation in result.violations:
+        record = PlatformSoak(seed, options.seconds).run()
+        outcomes = Counter(sent.answer.status for sent in record.sent)
+        print(f"seed {seed}: {len(record.sent)} requests {dict(outcomes)}", flush=True)
+        for violation in record.violations:
             print(f"  VIOLATION {violation}", flush=True)
-        if result.violations:
-            print("  " + "\n  ".join(result.faults), flush=True)
-        failed += bool(result.violations)
+        if record.violations:
+            print("  " + "\n  ".join(record.faults), flush=True)
+        failed += bool(record.violations)
     return 1 if failed else 0
 
 
--- a/standins/platform_fleet.py
+++ b/standins/platform_fleet.py
@@ -8,6 +8,7 @@
 import subprocess
 import sys
 import tempfile
+import threading
 import time
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -15,6 +16,7 @@
 from pathlib import Path
 from typing import Any
 
+from standins.fault_proxy import FaultProxy
 from standins.platform_runner import PlatformEngine, PlatformRunner
 from standins.platform_store import PlatformStore
 
@@ -52,6 +54,34 @@
     return condition()
 
 
+def exchange(
+    connection: http.client.HTTPConnection,
+    route: str,
+    request_id: str,
+    *,
+    adapter: str = "",
+    body: bytes = b"body",
+    **headers: str,
+) -> Answer:
+    """Sends a request on a connection and reads the answer."""
+    sent = {"Host": HOST, "Attempt-Id": request_id, "Deadline-Ms": "4000"}
+    if adapter:
+        sent |= {"Model": f"{MODEL}/{adapter}", "Token-Counts": "100,20"}
+    sent |= {name.replace("_", "-"): value for name, value in headers.items()}
+    try:
+        connection.request("POST", f"/{route}/x?q=1", body=body, headers=sent)
+        response = connection.getresponse()
+    except (OSError, http.client.HTTPException):
+        return Answer(0, {}, b"", complete=False)
+    received = {name.lower(): value for name, value in response.getheaders()}
+    try:
+        return Answer(response.status, received, response.read())
+    except http.client.IncompleteRead as error:
+        return Answer(response.status, received, error.partial, complete=False)
+    except OSError:
+        return Answer(response.status, received, b"", complete=False)
+
+
 def free_port(host: str) -> int:
     """Returns a TCP port that was free a moment ago."""
     with socket.socket() as sock:
@@ -69,6 +99,8 @@
         self.path = Path(folder) / f"{settings['NodeName']}.json"
         self.log_path = self.path.with_suffix(".log")
         self.write_settings()
+        self.incarnation = 1
+        self._ending = threading.Lock()
         self.process = self._start()
 
     def write_settings(self) -> None:
@@ -85,15 +117,23 @@
 
     def kill_and_restart(self) -> None:
         """Kills the process and starts it again."""
-        self.process.kill()
-        self.process.wait(_STOP_TIMEOUT)
-        self.process = self._start()
+        self._end_and_restart(signal.SIGKILL)
 
     def terminate_and_restart(self) -> None:
         """Stops the process as planned and starts it again."""
-        self.process.terminate()
-        self.process.wait(_STOP_TIMEOUT)
-        self.process = self._start()
+        self._end_and_restart(signal.SIGTERM)
+
+    def _end_and_restart(self, number: int) -> None:
+        """Sends a signal; a process that is ending already only gets the signal."""
+        self.process.send_signal(number)
+        if not self._ending.acquire(blocking=False):
+            return
+        try:
+            self.process.wait(_STOP_TIMEOUT)
+            self.incarnation += 1
+            self.process = self._start()
+        finally:
+            self._ending.release()
 
     def stop(self) -> None:
         """Ends the process."""
@@ -114,9 +154,24 @@
 
 
 class PlatformFleet:
-    """Two entries, two engines with agents, two plain servers and the store."""
+    """Entries, engines with agents, two plain servers and the store."""
 
-    def __init__(self, *, engines: int = 2, entries: int = 2, places: int = 3) -> None:
+    def __init__(
+        self,
+        *,
+        engines: int = 2,
+        entries: int = 2,
+        places: int = 3,
+        proxied: bool = False,
+    ) -> None:
+        """Prepares the stand-ins.
+
+        Args:
+            engines: Number of engines, each with its agent.
+            entries: Number of entries.
+            places: Adapter places of each engine.
+            proxied: Whether connections between programs pass a fault proxy.
+        """
         # Each run has loopback addresses of its own, so that runs don't collide.
         self._net = f"127.{os.getpid() % 200 + 20}.{os.getpid() // 200 % 250}"
         self._folder = tempfile.TemporaryDirectory()
@@ -139,6 +194,10 @@
         self.entries: list[FleetProcess] = []
         self.agents: list[FleetProcess] = []
         self._entry_count = entries
+        self._proxied = proxied
+        # Fault proxies by the name of the link.
+        self.links: dict[str, FaultProxy] = {}
+        self._added_routes: list[str] = []
         self.version = 1
 
     def start(self) -> None:
@@ -146,6 +205,9 @@
         self.store.start()
         for server in (*self.plain, *self.engines):
             server.start()
+        if self._proxied:
+            self._start_proxies()
+        for server in (*self.plain, *self.engines):
             self.beat(server)
         self.put_configuration()
         for number, engine in enumerate(self.engines):
@@ -160,6 +222,9 @@
                 "ReadinessAddress": f"{host}:{free_port(host)}",
             }
             self.entries.append(FleetProcess("entry", settings, self._folder.name))
+            if self._proxied:
+                target = _split(settings["Listen"]["Front"])
+                self._add_link(f"callers-front-{number}", 70 + number, {0: target})
         for entry in self.entries:
             if not wait_until(partial(self.is_ready, entry)):
                 raise RuntimeError(f"entry is not ready: {entry.log()}")
@@ -168,14 +233,56 @@
         """Ends everything."""
         for process in (*self.entries, *self.agents):
             process.stop()
+        for link in self.links.values():
+            link.stop()
         for server in (*self.plain, *self.engines, self.store):
             server.stop()
         self._folder.cleanup()
 
+    def _start_proxies(self) -> None:
+        """Puts a proxy before each server, that of an engine before its agent too."""
+        for number, server in enumerate(self.plain):
+            targets = {0: (server.host, server.port)}
+            link = self._add_link(server.instance_id, 90 + number, targets)
+            server.advertised = link.address
+        for number, engine in enumerate(self.engines):
+            targets = {
+                engine.port: (engine.host, engine.port),
+                self._peer_port: (engine.host, self._peer_port),
+            }
+            link = self._add_link(engine.instance_id, 110 + number, targets)
+            engine.advertised = link.address
+
+    def _add_link(
+        self, name: str, number: int, targets: dict[int, tuple[str, int]]
+    ) -> FaultProxy:
+        link = self.links[name] = FaultProxy(self._ip(number), targets)
+        link.start()
+        return link
+
+    def _store_address(self, name: str, number: int) -> str:
+        if not self._proxied:
+            return self.store.address
+        target = (self.store.host, self.store.port)
+        return self._add_link(f"store-{name}", 130 + number, {0: target}).address
+
+    def front_address(self, entry: int) -> tuple[str, int]:
+        """Returns where callers reach an entry."""
+        if self._proxied:
+            return _split(self.links[f"callers-front-{entry}"].address)
+        return _split(self.entries[entry].settings["Listen"]["Front"])
+
     def beat(self, server: PlatformRunner) -> None:
         """Writes a server's entry to the store."""
         self.store.put("servers", server.instance_id, server.heartbeat())
 
+    def add_route(self) -> str:
+        """Writes a configuration with one more route; returns the route's name."""
+        name = f"added-{len(self._added_routes)}"
+        self._added_routes.append(name)
+        self.put_configuration()
+        return name
+
     def put_configuration(self, **routes: dict[str, Any]) -> None:
         """Writes a new version of the configuration.
 
@@ -194,6 +301,8 @@
             "order": {"Kind": "non_idempotent", "Service": "orders"},
             "lookup": {"Kind": "idempotent", "Service": "orders", "MaxAttempts": 2},
         }
+        for name in self._added_routes:
+            base[name] = {"Kind": "idempotent", "Service": "orders"}
         listed = []
         for name in base | routes:
             route = {
@@ -251,25 +360,12 @@
         **headers: str,
     ) -> Answer:
         """Sends a request on a new connection and reads the answer."""
-        host, port = self.entries[entry].settings["Listen"]["Front"].split(":")
-        connection = http.client.HTTPConnection(host, int(port), timeout=timeout)
-        sent = {"Host": HOST, "Attempt-Id": request_id, "Deadline-Ms": "4000"}
-        if adapter:
-            sent |= {"Model": f"{MODEL}/{adapter}", "Token-Counts": "100,20"}
-        sent |= {name.replace("_", "-"): value for name, value in headers.items()}
+        host, port = self.front_address(entry)
+        connection = http.client.HTTPConnection(host, port, timeout=timeout)
         try:
-            connection.request("POST", f"/{route}/x?q=1", body=body, headers=sent)
-            response = connection.getresponse()
-        except (OSError, http.client.HTTPException):
-            connection.close()
-            return Answer(0, {}, b"", complete=False)
-        received = {name.lower(): value for name, value in response.getheaders()}
-        try:
-            return Answer(response.status, received, response.read())
-        except http.client.IncompleteRead as error:
-            return Answer(response.status, received, error.partial, complete=False)
-        except OSError:
-            return Answer(response.status, received, b"", complete=False)
+            return exchange(
+                connection, route, request_id, adapter=adapter, body=body, **headers
+            )
         finally:
             connection.close()
 
@@ -288,5 +384,10 @@
             "InternalPorts": [self._peer_port, self._peer_port + 1],
             "Limits": {"MemoryMb": 256},
             "Bounds": {"GraceS": 8, "RetryBudgetRatio": 0.2, "BudgetSlack": 60},
-            "Platform": {"Address": self.store.address},
+            "Platform": {"Address": self._store_address(name, number)},
         }
+
+
+def _split(address: str) -> tuple[str, int]:
+    host, _, port = address.rpartition(":")
+    return host, int(port)
--- a/standins/platform_runner.py
+++ b/standins/platform_runner.py
@@ -45,12 +45,23 @@
 
 @dataclass(slots=True)
 class RunRecord:
-    """A request that a server began to run."""
+    """A request that a server began to run.
+
+    Attributes:
+        request_id: Its id.
+        headers: Its headers by lowercase name.
+        body: Its body.
+        target: Its path and query.
+        state: State that the server had announced.
+        at: When it began, on the steady clock.
+    """
 
     request_id: str
     headers: dict[str, str]
     body: bytes
     target: str
+    state: str = "ready"
+    at: float = 0.0
 
 
 @dataclass(slots=True)
@@ -75,12 +86,14 @@
         self.runs: list[RunRecord] = []
         self.cancelled: list[str] = []
         self.state = "ready"
+        # Where others reach the server, if not at its own address.
+        self.advertised = ""
 
     def heartbeat(self) -> dict[str, Any]:
         """Returns the server's entry in the store."""
         return {
             "Service": self.service,
-            "Address": self.address,
+            "Address": self.advertised or self.address,
             "Zone": "z1",
             "Version": "v1",
             "Slots": 4,
@@ -126,7 +139,14 @@
     def note_run(self, request: CallerRequest, headers: dict[str, str]) -> None:
         """Notes that a request began to run."""
         target = request.target.decode()
-        record = RunRecord(headers["attempt-id"], headers, request.body, target)
+        record = RunRecord(
+            headers["attempt-id"],
+            headers,
+            request.body,
+            target,
+            self.state,
+            time.monotonic(),
+        )
         self.runs.append(record)
 
     def answer_headers(self, request_id: str) -> list[tuple[bytes, bytes]]:
