Keep held adapters for the work that waits for them; leave late work out of the backlog

An adapter counted as free to go if it was not in use and no work waited for its load. Work that waits for its turn on an adapter that is held protected nothing, so that in a flood engines dropped what was waited for, and loaded it again. Besides, the backlog that entries choose engines by counted work that is late already, although new work goes before it: callers were sent to engines that had to fetch their adapters.

Ruled out: prompts. The engines read 12 tokens/ms of 19 at 18 to 20 s; and adapters on their way: 28 ms each for those dropped not long ago.

Change: an adapter that work waits for stays, unless all that work is late and the one to be loaded can be on time. The backlog counts work that can be on time. Tests replay both.

--- a/fighitch/core/gateway/adapter_places.py
+++ b/fighitch/core/gateway/adapter_places.py
@@ -1,17 +1,19 @@
 """Which adapters one engine holds, and the next order that improves it.
 
 Load pattern: thousands of adapters share a few places per engine, and which of them are
-asked for shifts during the day. The least used idle adapter makes way; an adapter that
-is in use or waited for never does.
+asked for shifts during the day. The least used idle adapter makes way. In a flood more
+adapters are waited for than fit: an adapter that is held stays for the work that waits
+for it, or the engine would load adapters in turn and serve none of them.
 """
 
 from collections import Counter
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterable, Mapping, Sequence
 from dataclasses import dataclass, field
 
 from fighitch.core.demand import DemandEstimator
 from fighitch.core.gateway.model import AdapterName, EngineSpec
 from fighitch.core.gateway.recent_adapters import RecentAdapters
+from fighitch.core.gateway.waiting_adapters import WaitingAdapter
 from fighitch.types import Seconds
 
 # Loads on their way to one engine. Nine engines with three each reach what the weight
@@ -191,42 +193,39 @@
         return now < since + _OLD_VERSION_GRACE
 
     def next_order(
-        self, wanted: Iterable[tuple[AdapterName, int]], now: Seconds
+        self, waiting: Sequence[WaitingAdapter], now: Seconds
     ) -> Order | None:
         """Returns the order that helps the most urgent waiting work.
 
         Args:
-            wanted: Adapters that work waits for with the oldest version allowed, the
+            waiting: Adapters that work waits for, those that are held included, the
                 most urgent first.
             now: Time of the decision.
         """
         report, engine = self.report, self._engine
         if report is None or engine is None or report.busy or report.draining:
             return None
-        wanted = list(wanted)
-        missing_model = self._missing_model(report, engine, wanted)
+        missing_model = self._missing_model(report, engine, waiting)
         if missing_model is not None:
             return LoadModel(missing_model)
-        needed = {adapter for adapter, _ in wanted}
-        for adapter, version in (*wanted, *self._outdated(report)):
-            order = self._order_for(adapter, version, needed, now)
+        for wanted in (*waiting, *self._outdated(report)):
+            order = self._order_for(wanted, waiting, now)
             if order is not None:
                 return order
         return None
 
     def _order_for(
         self,
-        adapter: AdapterName,
-        version: int,
-        needed: set[AdapterName],
+        wanted: WaitingAdapter,
+        waiting: Iterable[WaitingAdapter],
         now: Seconds,
     ) -> Order | None:
-        report = self.report
+        report, adapter = self.report, wanted.adapter
         if report is None or not adapter.adapter or adapter.model not in report.models:
             return None
         if adapter in report.coming:
             return None
-        newest = max(version, self._versions.get(adapter, 0))
+        newest = max(wanted.version, self._versions.get(adapter, 0))
         held = report.adapters.get(adapter)
         if held is not None:
             if held >= newest or adapter in self._in_use:
@@ -236,7 +235,11 @@
             return self._load(adapter, newest, report)
         if not self._may_load(adapter, report):
             return None
-        victim = self._victim(report, needed, now)
+        # Work that is late already yields its adapter to work that can be on time.
+        stay = {
+            other.adapter for other in waiting if other.on_time or not wanted.on_time
+        }
+        victim = self._victim(report, stay, now)
         return None if victim is None else UnloadAdapter(victim)
 
     def _load(
@@ -250,9 +253,9 @@
         limit = _MAX_LOADS if adapter in self._recent else _MAX_COLD_LOADS
         return len(report.coming) < limit
 
-    def _outdated(self, report: EngineReport) -> list[tuple[AdapterName, int]]:
+    def _outdated(self, report: EngineReport) -> list[WaitingAdapter]:
         return [
-            (adapter, self._versions[adapter])
+            WaitingAdapter(adapter, self._versions[adapter])
             for adapter in self._outdated_since
             if adapter in report.adapters
             and report.adapters[adapter] < self._versions.get(adapter, 0)
@@ -272,12 +275,12 @@
         return min(engine.adapter_places, int(room / largest))
 
     def _victim(
-        self, report: EngineReport, needed: set[AdapterName], now: Seconds
+        self, report: EngineReport, stay: set[AdapterName], now: Seconds
     ) -> AdapterName | None:
         idle = [
             adapter
             for adapter in report.adapters
-            if adapter not in needed and adapter not in self._in_use
+            if adapter not in stay and adapter not in self._in_use
         ]
         if not idle:
             return None
@@ -287,10 +290,10 @@
         self,
         report: EngineReport,
         engine: EngineSpec,
-        wanted: Iterable[tuple[AdapterName, int]],
+        waiting: Iterable[WaitingAdapter],
     ) -> str | None:
         """Returns a model to load: one that work waits for, any if none is held."""
-        names = [adapter.model for adapter, _ in wanted]
+        names = [wanted.adapter.model for wanted in waiting]
         if not report.models:
             # An engine that restarted holds nothing.
             smallest = sorted(engine.models.values(), key=lambda spec: spec.weights_mb)
--- a/fighitch/core/gateway/engine_queue.py
+++ b/fighitch/core/gateway/engine_queue.py
@@ -6,11 +6,11 @@
 time first, and refuses what would end after its deadline as soon as that is known.
 """
 
-from collections.abc import Iterator
 from dataclasses import dataclass, field
 from typing import Protocol
 
 from fighitch.core.gateway.model import AdapterName, EngineSpec, PromptSize
+from fighitch.core.gateway.waiting_adapters import WaitingAdapter
 from fighitch.types import Seconds
 
 # Prompt reading that is handed to the engine ahead: covers one round trip to a distant
@@ -75,41 +75,6 @@
     started: bool = False
 
 
-@dataclass(slots=True)
-class MissingAdapter:
-    """An adapter that work waits for.
-
-    Attributes:
-        adapter: The adapter.
-        version: Oldest version that all the work may run on.
-        on_time: Requests that can still be on time.
-        rank: Most urgent rank among these, or among all if none can be on time.
-        aim: Earliest aim among the same.
-    """
-
-    adapter: AdapterName
-    version: int = 0
-    on_time: int = 0
-    rank: int = 0
-    aim: Seconds = 0.0
-    _seen: bool = False
-
-    def note(self, work: Work, *, on_time: bool) -> None:
-        """Takes work that waits for the adapter."""
-        self.version = max(self.version, work.version)
-        if not self._seen or (on_time and not self.on_time):
-            self.rank, self.aim = work.rank, work.aim
-        elif on_time or not self.on_time:
-            self.rank = min(self.rank, work.rank)
-            self.aim = min(self.aim, work.aim)
-        self._seen = True
-        self.on_time += on_time
-
-    def order(self) -> tuple[bool, int, int, Seconds]:
-        """Returns the place in the order of loads; the lowest goes first."""
-        return self.on_time == 0, self.rank, -self.on_time, self.aim
-
-
 @dataclass(frozen=True, slots=True)
 class Refusal:
     """Work that can't be served in time.
@@ -189,32 +154,50 @@
         """Requests that wait, the most urgent first."""
         return sorted(self._waiting.values(), key=lambda work: (work.rank, work.aim))
 
-    def missing(self, loaded: "LoadedAdapters", now: Seconds) -> "list[MissingAdapter]":
-        """Returns the adapters that work waits for, the one to load first at the front.
+    def waiting_adapters(self, now: Seconds) -> list[WaitingAdapter]:
+        """Returns the adapters that work waits for, the one to hold first at the front.
 
         Work that can still be on time goes first: while loads are behind, serving them
         in order of arrival would make all work late, the newest included.
         """
-        found: dict[AdapterName, MissingAdapter] = {}
-        for work in self._not_served(loaded, now):
-            entry = found.setdefault(work.adapter, MissingAdapter(work.adapter))
-            entry.note(work, on_time=now + _LOAD_TIME < work.aim)
-        return sorted(found.values(), key=MissingAdapter.order)
+        found: dict[AdapterName, WaitingAdapter] = {}
+        for work in self._waiting.values():
+            entry = found.setdefault(work.adapter, WaitingAdapter(work.adapter))
+            entry.note(
+                version=work.version,
+                rank=work.rank,
+                aim=work.aim,
+                on_time=now + _LOAD_TIME < work.aim,
+            )
+        return sorted(found.values(), key=WaitingAdapter.order)
 
     def count_missing(self, loaded: "LoadedAdapters", now: Seconds) -> int:
-        """Returns the number of adapters that work waits for."""
-        return len({work.adapter for work in self._not_served(loaded, now)})
-
-    def _not_served(self, loaded: "LoadedAdapters", now: Seconds) -> Iterator[Work]:
-        for work in self._waiting.values():
-            if not loaded.serves(work.adapter, work.version, now):
-                yield work
+        """Returns how many adapters that work waits for must be loaded."""
+        missing = {
+            work.adapter
+            for work in self._waiting.values()
+            if not loaded.serves(work.adapter, work.version, now)
+        }
+        return len(missing)
 
     @property
-    def backlog(self) -> Seconds:
+    def drain_time(self) -> Seconds:
         """Time to read all prompts that were handed over or wait."""
         return (self._unread_tokens + self._waiting_tokens) * self.speed.per_token
 
+    def backlog(self, now: Seconds) -> Seconds:
+        """Returns how long new work that can be on time waits for its prompt's turn.
+
+        Work that is late already does not count, as new work goes before it: counted
+        in, it would send callers to engines that have to load their adapters first.
+        """
+        ahead = sum(
+            work.size.prompt_tokens
+            for work in self._waiting.values()
+            if not self._is_late(work, now)
+        )
+        return (self._unread_tokens + ahead) * self.speed.per_token
+
     def add(self, work: Work, load_wait: Seconds = 0.0) -> Refusal | None:
         """Takes new work, or refuses it when it can't end before its deadline.
 
@@ -309,11 +292,14 @@
 
     def retry_after(self) -> Seconds:
         """Returns when a refused caller should come back."""
-        return min(_LONGEST_RETRY, max(_SHORTEST_RETRY, self.backlog))
+        return min(_LONGEST_RETRY, max(_SHORTEST_RETRY, self.drain_time))
 
     def _order(self, work: Work, now: Seconds) -> tuple[bool, int, Seconds]:
+        return self._is_late(work, now), work.rank, work.aim
+
+    def _is_late(self, work: Work, now: Seconds) -> bool:
         start = now + self._unread_tokens * self.speed.per_token
-        return self._first_event(work, start) > work.aim, work.rank, work.aim
+        return self._first_event(work, start) > work.aim
 
     def _first_event(self, work: Work, start: Seconds) -> Seconds:
         """Returns when the first event comes if reading its prompt starts then."""
@@ -344,10 +330,12 @@
             self._waiting_tokens -= work.size.prompt_tokens
 
     def _tokens_ahead(self, work: Work) -> int:
+        now = work.arrived
+        place = self._order(work, now)
         waiting = sum(
             other.size.prompt_tokens
             for other in self._waiting.values()
-            if other.rank <= work.rank
+            if self._order(other, now) <= place
         )
         return self._unread_tokens + waiting
 
--- a/fighitch/gateway/agent.py
+++ b/fighitch/gateway/agent.py
@@ -193,7 +193,7 @@
             adapter=refusal.work.adapter,
             rank=refusal.work.rank,
             reason=refusal.reason,
-            backlog=f"{self._queue.backlog:.3f}",
+            backlog=f"{self._queue.backlog(self._loop.now()):.3f}",
             waiting=self._queue.waiting,
         )
         if peer is not None:
@@ -214,7 +214,7 @@
         self._metrics.granted(now - work.arrived)
         peer = self._peers.get(connection)
         if peer is not None:
-            backlog_ms = round(self._queue.backlog * _MS)
+            backlog_ms = round(self._queue.backlog(now) * _MS)
             peer.send(Grant(number, backlog_ms, now > work.aim))
 
     def _give_order(self, now: Seconds) -> None:
@@ -223,11 +223,8 @@
             return
         if now < self._order_not_before or not self._serving:
             return
-        wanted = [
-            (missing.adapter, missing.version)
-            for missing in self._queue.missing(self._places, now)
-        ]
-        order = self._places.next_order(wanted, now)
+        waiting = self._queue.waiting_adapters(now)
+        order = self._places.next_order(waiting, now)
         if order is None:
             return
 
@@ -243,7 +240,7 @@
                 order=order,
                 sequence=report.sequence,
                 token=self._holder.token,
-                waiting=len(wanted),
+                waiting=len(waiting),
                 outcome=outcome,
             )
 
@@ -309,7 +306,7 @@
     def _tell_status_if_due(self, now: Seconds) -> None:
         last = self._last_status
         if last is not None and now - self._last_status_at < _STATUS_INTERVAL:
-            moved = abs(round(self._queue.backlog * _MS) - last.backlog_ms)
+            moved = abs(round(self._queue.backlog(now) * _MS) - last.backlog_ms)
             if moved < _BACKLOG_STEP * _MS and self._serving == last.serving:
                 return
         self._tell_status(now)
@@ -317,7 +314,7 @@
     def _tell_status(self, now: Seconds) -> None:
         self._last_status, self._last_status_at = self._status(), now
         self._metrics.state(
-            self._queue.running, self._queue.waiting, self._queue.backlog
+            self._queue.running, self._queue.waiting, self._queue.backlog(now)
         )
         self._broadcast(self._last_status)
 
@@ -326,7 +323,7 @@
             engine_born_ms=self._engine_born_ms(),
             serving=self._serving,
             draining=self._draining,
-            backlog_ms=round(self._queue.backlog * _MS),
+            backlog_ms=round(self._queue.backlog(self._loop.now()) * _MS),
             token_ns=round(self._queue.speed.per_token * _NS),
             load_wait_ms=round(self._load_wait() * _MS),
             entries=len(self._peers),
--- a/fighitch/tests/test_adapter_places.py
+++ b/fighitch/tests/test_adapter_places.py
@@ -8,6 +8,7 @@
     UnloadAdapter,
 )
 from fighitch.core.gateway.model import AdapterName, EngineSpec, ModelSpec
+from fighitch.core.gateway.waiting_adapters import WaitingAdapter
 from fighitch.tests.gateway_helpers import (
     A1,
     A2,
@@ -18,6 +19,10 @@
 )
 
 
+def wanted(adapter: AdapterName, *, version: int = 0, on_time: int = 1):
+    return WaitingAdapter(adapter, version=version, on_time=on_time)
+
+
 def places(*, count: int = 2) -> AdapterPlaces:
     made = AdapterPlaces()
     made.configure(engine_spec(places=count))
@@ -26,31 +31,31 @@
 
 class OrderTests(unittest.TestCase):
     def test_nothing_is_ordered_before_the_first_report(self):
-        self.assertIsNone(places().next_order([(A1, 0)], 0.0))
+        self.assertIsNone(places().next_order([wanted(A1)], 0.0))
 
     def test_missing_adapter_is_loaded_into_a_free_place(self):
         held = places()
         held.note_report(report(A2), 0.0)
-        self.assertEqual(held.next_order([(A1, 0)], 0.0), LoadAdapter(A1, 0))
+        self.assertEqual(held.next_order([wanted(A1)], 0.0), LoadAdapter(A1, 0))
 
     def test_full_places_unload_first(self):
         # An engine that is ordered to hold more than its places crashes.
         held = places()
         held.note_report(report(A2, A3), 0.0)
-        self.assertIsInstance(held.next_order([(A1, 0)], 0.0), UnloadAdapter)
+        self.assertIsInstance(held.next_order([wanted(A1)], 0.0), UnloadAdapter)
 
     def test_adapters_on_their_way_count_as_held(self):
         held = places()
         held.note_report(report(A2, coming=(A3,)), 0.0)
-        self.assertEqual(held.next_order([(A1, 0)], 0.0), UnloadAdapter(A2))
+        self.assertEqual(held.next_order([wanted(A1)], 0.0), UnloadAdapter(A2))
 
     def test_adapter_in_use_never_makes_way(self):
         held = places()
         held.note_report(report(A2, A3), 0.0)
         held.note_granted(A2)
-        self.assertEqual(held.next_order([(A1, 0)], 0.0), UnloadAdapter(A3))
+        self.assertEqual(held.next_order([wanted(A1)], 0.0), UnloadAdapter(A3))
         held.note_granted(A3)
-        self.assertIsNone(held.next_order([(A1, 0)], 0.0))
+        self.assertIsNone(held.next_order([wanted(A1)], 0.0))
 
     def test_least_used_adapter_makes_way(self):
         held = places()
@@ -58,7 +63,7 @@
         for _ in range(5):
             held.note_wanted(A3, 0.0)
         held.note_wanted(A2, 1.0)
-        self.assertEqual(held.next_order([(A1, 0)], 1.0), UnloadAdapter(A2))
+        self.assertEqual(held.next_order([wanted(A1)], 1.0), UnloadAdapter(A2))
 
     def test_use_of_long_ago_counts_less_than_use_of_now(self):
         held = places()
@@ -66,18 +71,34 @@
         for _ in range(5):
             held.note_wanted(A3, 0.0)
         held.note_wanted(A2, 60.0)
-        self.assertEqual(held.next_order([(A1, 0)], 60.0), UnloadAdapter(A3))
+        self.assertEqual(held.next_order([wanted(A1)], 60.0), UnloadAdapter(A3))
+
+    def test_flood_for_more_adapters_than_places_does_not_load_them_in_turn(self):
+        # Seen on the grown association: an engine dropped adapters that work waited
+        # for, loaded them again, and handed out one place in ten loads.
+        held = places()
+        held.note_report(report(A2, A3), 0.0)
+        waiting = [wanted(A1), wanted(A2), wanted(A3)]
+        self.assertIsNone(held.next_order(waiting, 0.0))
+
+    def test_late_work_yields_its_adapter_to_work_that_can_be_on_time(self):
+        held = places()
+        held.note_report(report(A2, A3), 0.0)
+        waiting = [wanted(A1), wanted(A2), wanted(A3, on_time=0)]
+        self.assertEqual(held.next_order(waiting, 0.0), UnloadAdapter(A3))
+        late = [wanted(A1, on_time=0), wanted(A2, on_time=0), wanted(A3, on_time=0)]
+        self.assertIsNone(held.next_order(late, 0.0))
 
     def test_memory_bounds_the_places(self):
         held = places(count=1_000)
         many = [type(A1)(MODEL, f"b{number}") for number in range(100)]
         held.note_report(report(*many), 0.0)
-        self.assertIsInstance(held.next_order([(A1, 0)], 0.0), UnloadAdapter)
+        self.assertIsInstance(held.next_order([wanted(A1)], 0.0), UnloadAdapter)
 
     def test_restarted_engine_gets_its_model_back(self):
         held = places()
         held.note_report(report(models=()), 0.0)
-        self.assertEqual(held.next_order([(A1, 0)], 0.0), LoadModel(MODEL))
+        self.assertEqual(held.next_order([wanted(A1)], 0.0), LoadModel(MODEL))
 
 
 class ModelTests(unittest.TestCase):
@@ -92,7 +113,7 @@
         held = AdapterPlaces()
         held.configure(self.spec(weights_mb))
         held.note_report(report(A1), 0.0)
-        return held.next_order([(AdapterName("other", "a9"), 0)], 0.0)
+        return held.next_order([wanted(AdapterName("other", "a9"))], 0.0)
 
     def test_second_model_that_fits_is_loaded_when_work_waits_for_it(self):
         self.assertEqual(self.order(250), LoadModel("other"))
@@ -116,9 +137,11 @@
         held.note_granted(A1)
         self.assertTrue(held.serves(A1, 0, 1.0))
         self.assertFalse(held.serves(A1, 0, 2.0))
-        self.assertIsNone(held.next_order([(A1, 2)], 2.0))
+        self.assertIsNone(held.next_order([wanted(A1, version=2)], 2.0))
         held.note_done(A1)
-        self.assertEqual(held.next_order([(A1, 2)], 2.0), LoadAdapter(A1, 2))
+        self.assertEqual(
+            held.next_order([wanted(A1, version=2)], 2.0), LoadAdapter(A1, 2)
+        )
 
     def test_version_that_an_entry_asks_for_counts_too(self):
         held = places()
--- a/fighitch/tests/test_engine_queue.py
+++ b/fighitch/tests/test_engine_queue.py
@@ -87,7 +87,7 @@
         waiting = queue()
         for item in items:
             waiting.add(item)
-        return [found.adapter for found in waiting.missing(HoldsNone(), now)]
+        return [found.adapter for found in waiting.waiting_adapters(now)]
 
     def test_work_that_can_be_on_time_is_loaded_for_before_late_work(self):
         # After a restart loads are behind; in order of arrival all work would be late.
@@ -106,7 +106,25 @@
     def test_held_adapters_are_not_missing(self):
         waiting = queue()
         waiting.add(work(1))
-        self.assertEqual(waiting.missing(HoldsAll(), 0.0), [])
+        self.assertEqual(waiting.count_missing(HoldsAll(), 0.0), 0)
+        self.assertEqual(waiting.count_missing(HoldsNone(), 0.0), 1)
+
+
+class BacklogTests(unittest.TestCase):
+    def test_late_work_does_not_count_for_new_work(self):
+        # New work goes first; counted in, late work would send callers to engines that
+        # have to load their adapters.
+        waiting = queue()
+        waiting.add(work(1, aim=0.5))
+        self.assertGreater(waiting.backlog(0.0), 0.0)
+        self.assertEqual(waiting.backlog(1.0), 0.0)
+
+    def test_new_work_is_not_refused_for_late_work_that_it_goes_before(self):
+        waiting = queue()
+        for number in range(100):
+            waiting.add(work(number, prompt=1_000, aim=0.5))
+        new = work(200, arrived=2.0, aim=1.0, deadline=2.0)
+        self.assertIsNone(waiting.add(new))
 
 
 class RefusalTests(unittest.TestCase):
@@ -116,7 +134,7 @@
         for number in range(1_000):
             refused += waiting.add(work(number, deadline=2.0)) is not None
         self.assertGreater(refused, 0)
-        self.assertLess(waiting.backlog, 2.0)
+        self.assertLess(waiting.drain_time, 2.0)
 
     def test_refusal_names_when_to_come_back(self):
         waiting = queue()
@@ -124,7 +142,7 @@
             waiting.add(work(number, deadline=100.0))
         refusal = waiting.add(work(99, deadline=1.0, rank=0))
         self.assertIsNotNone(refusal)
-        self.assertAlmostEqual(refusal.retry_after, waiting.backlog)
+        self.assertAlmostEqual(refusal.retry_after, waiting.drain_time)
 
     def test_work_larger_than_the_engine_is_refused(self):
         refusal = queue().add(work(1, prompt=200_000, deadline=1_000.0))
@@ -142,7 +160,7 @@
         self.assertEqual(waiting.take_overdue(0.5), [])
         self.assertEqual(len(waiting.take_overdue(1.95)), 1)
         self.assertEqual(waiting.waiting, 0)
-        self.assertEqual(waiting.backlog, 0.0)
+        self.assertEqual(waiting.drain_time, 0.0)
 
     def test_books_are_empty_after_all_work_ended(self):
         waiting = queue()
@@ -153,7 +171,7 @@
                 waiting.note_started(item.key, step * 0.05 + 0.04)
                 waiting.note_done(item.key)
         self.assertEqual((waiting.running, waiting.waiting), (0, 0))
-        self.assertEqual(waiting.backlog, 0.0)
+        self.assertEqual(waiting.drain_time, 0.0)
 
 
 class ReadSpeedTests(unittest.TestCase):
