Ask other engines before a request is late at one

Twelve entries act on the same status, so that all send what the engine lacks to it; its agent knew that they would be late and took them.

Ruled out: a faster status alone.

Change: an agent declines work that it expects to be late, and the entry asks the next engines. If all decline, the one that expects the first event soonest takes it. The wait for a load is worked out from loads ahead, from whether the adapter was held recently or is on its way, and from the time for which places stay in use.

--- a/fighitch/core/gateway/adapter_places.py
+++ b/fighitch/core/gateway/adapter_places.py
@@ -23,7 +23,11 @@
 _USE_HALF_LIFE: Seconds = 8.0
 # Starting value of the measured time of a load.
 _FIRST_LOAD_TIME: Seconds = 0.25
-_LOAD_TIME_WEIGHT = 0.1
+_ESTIMATE_WEIGHT = 0.1
+# Adapters that were held recently load ten times as fast.
+_FIRST_RECENT_LOAD_TIME: Seconds = 0.03
+# Starting value of the measured time for which work keeps an adapter in use.
+_FIRST_USE_TIME: Seconds = 0.8
 # An old version may be used while its replacement waits for a pause, well inside the
 # bound of 5 s that the users set for new versions.
 _OLD_VERSION_GRACE: Seconds = 1.2
@@ -96,6 +100,9 @@
     _recent: RecentAdapters = field(default_factory=RecentAdapters)
     _coming_since: dict[AdapterName, Seconds] = field(default_factory=dict)
     _load_time: Seconds = _FIRST_LOAD_TIME
+    _recent_load_time: Seconds = _FIRST_RECENT_LOAD_TIME
+    _used_since: dict[AdapterName, Seconds] = field(default_factory=dict)
+    _use_time: Seconds = _FIRST_USE_TIME
 
     def configure(self, engine: EngineSpec) -> None:
         """Takes the engine's limits."""
@@ -112,8 +119,14 @@
         return self.report is not None and bool(self.report.coming)
 
     def queue_time(self, loads_ahead: int) -> Seconds:
-        """Returns how long a load waits behind others."""
-        return loads_ahead * self._load_time / _MAX_COLD_LOADS
+        """Returns how long a load waits behind others and for a place."""
+        wait = loads_ahead * self._load_time / _MAX_COLD_LOADS
+        places = self._places()
+        if self.report is None or not places:
+            return wait
+        taken = len(self._in_use) + len(self.report.coming)
+        lacking = taken + loads_ahead + 1 - places
+        return wait + max(0, lacking) * self._use_time / places
 
     def load_wait(
         self, adapter: AdapterName, loads_ahead: int, now: Seconds
@@ -127,7 +140,13 @@
         """
         if self.serves(adapter, 0, now):
             return 0.0
-        return self.queue_time(loads_ahead) + self._load_time
+        load_time = self._load_time
+        if adapter in self._recent:
+            load_time = self._recent_load_time
+        since = self._coming_since.get(adapter)
+        if since is not None:
+            return max(0.0, since + load_time - now)
+        return self.queue_time(loads_ahead) + load_time
 
     def note_report(self, report: EngineReport, now: Seconds) -> None:
         """Takes what the engine says of itself."""
@@ -150,8 +169,13 @@
             name for name in self._coming_since if name not in report.coming
         ]:
             elapsed = now - self._coming_since.pop(adapter)
-            if adapter in report.adapters:
-                self._load_time += _LOAD_TIME_WEIGHT * (elapsed - self._load_time)
+            if adapter not in report.adapters:
+                continue
+            if adapter in self._recent:
+                error = elapsed - self._recent_load_time
+                self._recent_load_time += _ESTIMATE_WEIGHT * error
+            else:
+                self._load_time += _ESTIMATE_WEIGHT * (elapsed - self._load_time)
         for adapter in report.coming:
             self._coming_since.setdefault(adapter, now)
 
@@ -166,15 +190,18 @@
         """Counts a request for an adapter."""
         self._demand.record(adapter, now)
 
-    def note_granted(self, adapter: AdapterName) -> None:
+    def note_granted(self, adapter: AdapterName, now: Seconds) -> None:
         """Notes that a request may start on an adapter."""
         self._in_use[adapter] += 1
+        self._used_since.setdefault(adapter, now)
 
-    def note_done(self, adapter: AdapterName) -> None:
+    def note_done(self, adapter: AdapterName, now: Seconds) -> None:
         """Notes the end of a request on an adapter."""
         self._in_use[adapter] -= 1
         if self._in_use[adapter] <= 0:
             del self._in_use[adapter]
+            used = now - self._used_since.pop(adapter)
+            self._use_time += _ESTIMATE_WEIGHT * (used - self._use_time)
 
     def serves(self, adapter: AdapterName, version: int, now: Seconds) -> bool:
         """Whether a request for an adapter may start."""
--- a/fighitch/core/gateway/engine_queue.py
+++ b/fighitch/core/gateway/engine_queue.py
@@ -198,6 +198,15 @@
         )
         return (self._unread_tokens + ahead) * self.speed.per_token
 
+    def first_event_in(self, work: Work, load_wait: Seconds = 0.0) -> Seconds:
+        """Returns after what time new work is expected to get its first event.
+
+        Args:
+            work: What is asked for.
+            load_wait: Time until the engine holds the adapter.
+        """
+        return self._first_event(work, self._start(work, load_wait)) - work.arrived
+
     def add(self, work: Work, load_wait: Seconds = 0.0) -> Refusal | None:
         """Takes new work, or refuses it when it can't end before its deadline.
 
@@ -208,8 +217,7 @@
         Returns:
             The refusal, or None if the work waits now.
         """
-        ahead = self._tokens_ahead(work) * self.speed.per_token
-        start = work.arrived + max(load_wait, ahead)
+        start = self._start(work, load_wait)
         if work.tokens > self.kv_tokens > 0:
             return Refusal(work, _LONGEST_RETRY, "larger_than_engine")
         if self._misses_deadline(work, start):
@@ -329,6 +337,10 @@
         if work is not None:
             self._waiting_tokens -= work.size.prompt_tokens
 
+    def _start(self, work: Work, load_wait: Seconds) -> Seconds:
+        ahead = self._tokens_ahead(work) * self.speed.per_token
+        return work.arrived + max(load_wait, ahead)
+
     def _tokens_ahead(self, work: Work) -> int:
         now = work.arrived
         place = self._order(work, now)
--- a/fighitch/gateway/agent.py
+++ b/fighitch/gateway/agent.py
@@ -14,6 +14,7 @@
 from fighitch.gateway.peer_messages import (
     AdapterVersions,
     Ask,
+    Decline,
     Deny,
     Done,
     Grant,
@@ -111,7 +112,7 @@
         self._peers.pop(peer.number, None)
         handed = self._queue.forget_connection(peer.number)
         for work in handed:
-            self._places.note_done(work.adapter)
+            self._places.note_done(work.adapter, self._loop.now())
         self._log.event(
             "entry_lost", peer=peer.number, reason=reason, running=len(handed)
         )
@@ -167,9 +168,15 @@
             reason = "draining" if self._draining else "engine_not_answering"
             self._deny(Refusal(work, self._queue.retry_after(), reason))
             return
-        self._places.note_wanted(adapter, now)
         loads = self._missing_adapters(now)
-        refusal = self._queue.add(work, self._places.load_wait(adapter, loads, now))
+        load_wait = self._places.load_wait(adapter, loads, now)
+        if ask.may_decline:
+            first_event = self._queue.first_event_in(work, load_wait)
+            if now + first_event > work.aim:
+                self._decline(peer, ask, first_event)
+                return
+        self._places.note_wanted(adapter, now)
+        refusal = self._queue.add(work, load_wait)
         if refusal is not None:
             self._deny(refusal)
             return
@@ -179,9 +186,13 @@
         key = (peer.number, done.number)
         work = self._queue.work(key)
         if self._queue.note_done(key) and work is not None:
-            self._places.note_done(work.adapter)
+            self._places.note_done(work.adapter, self._loop.now())
         self._pump()
 
+    def _decline(self, peer: PeerConnection, ask: Ask, first_event: Seconds) -> None:
+        self._metrics.denied("late_here")
+        peer.send(Decline(ask.number, round(first_event * _MS)))
+
     def _deny(self, refusal: Refusal) -> None:
         connection, number = refusal.work.key
         peer = self._peers.get(connection)
@@ -209,7 +220,7 @@
         self._give_order(now)
 
     def _grant(self, work: Work, now: Seconds) -> None:
-        self._places.note_granted(work.adapter)
+        self._places.note_granted(work.adapter, now)
         connection, number = work.key
         self._metrics.granted(now - work.arrived)
         peer = self._peers.get(connection)
@@ -306,8 +317,10 @@
     def _tell_status_if_due(self, now: Seconds) -> None:
         last = self._last_status
         if last is not None and now - self._last_status_at < _STATUS_INTERVAL:
-            moved = abs(round(self._queue.backlog(now) * _MS) - last.backlog_ms)
-            if moved < _BACKLOG_STEP * _MS and self._serving == last.serving:
+            backlog = abs(self._queue.backlog(now) * _MS - last.backlog_ms)
+            loads = abs(self._load_wait() * _MS - last.load_wait_ms)
+            moved = max(backlog, loads) >= _BACKLOG_STEP * _MS
+            if not moved and self._serving == last.serving:
                 return
         self._tell_status(now)
 
--- a/fighitch/gateway/agent_links.py
+++ b/fighitch/gateway/agent_links.py
@@ -11,6 +11,7 @@
 from fighitch.gateway.peer_messages import (
     AdapterVersions,
     Ask,
+    Decline,
     Deny,
     Done,
     Grant,
@@ -39,6 +40,7 @@
 _LONGEST_RETRY: Seconds = 0.8
 
 OnGrant = Callable[[Grant], None]
+OnDecline = Callable[[Decline], None]
 OnDeny = Callable[[Deny | None], None]
 
 
@@ -48,10 +50,12 @@
 
     Attributes:
         on_grant: Called when the request may be sent.
+        on_decline: Called when it would be late there and others should be asked.
         on_deny: Called when it may not; None if the agent was lost.
     """
 
     on_grant: OnGrant
+    on_decline: OnDecline
     on_deny: OnDeny
 
 
@@ -263,6 +267,10 @@
                 waiter = link.waiters.pop(message.number, None)
                 if waiter is not None:
                     waiter.on_deny(message)
+            case Decline():
+                waiter = link.waiters.pop(message.number, None)
+                if waiter is not None:
+                    waiter.on_decline(message)
             case Status():
                 self._on_status(link, message)
             case HeldAdapters():
--- a/fighitch/gateway/peer_messages.py
+++ b/fighitch/gateway/peer_messages.py
@@ -52,6 +52,8 @@
         output_tokens: Most tokens of the answer.
         aim_ms: Time left for its first event to be worth its full value.
         deadline_ms: Time left until nothing is owed.
+        may_decline: Whether the agent may decline it when it would be late there: the
+            entry tries other engines first.
     """
 
     number: int
@@ -63,6 +65,7 @@
     output_tokens: int
     aim_ms: int
     deadline_ms: int
+    may_decline: bool = False
 
 
 class Grant(_Message, frozen=True, tag=4):
@@ -81,6 +84,18 @@
     reason: str
 
 
+class Decline(_Message, frozen=True, tag=11):
+    """The request would be late at this engine, and another one may be faster.
+
+    Attributes:
+        number: Number of the request.
+        first_event_ms: Expected time to its first event here.
+    """
+
+    number: int
+    first_event_ms: int
+
+
 class Started(_Message, frozen=True, tag=6):
     """The first event of a request arrived."""
 
@@ -140,6 +155,7 @@
     | Ask
     | Grant
     | Deny
+    | Decline
     | Started
     | Done
     | Status
--- a/fighitch/gateway/relay.py
+++ b/fighitch/gateway/relay.py
@@ -11,7 +11,7 @@
 )
 from fighitch.core.gateway.model import BackendServer, Route, Service, WorkKind
 from fighitch.gateway.agent_links import PlaceWaiter
-from fighitch.gateway.peer_messages import Ask, Deny, Grant
+from fighitch.gateway.peer_messages import Ask, Decline, Deny, Grant
 from fighitch.platform.requests import (
     RequestFacts,
     answers_for_another,
@@ -99,6 +99,8 @@
         self._may_have_run = False
         self._retry_after: Seconds | None = None
         self._avoid: set[str] = set()
+        # Engines at which it would be late, with the expected time of its first event.
+        self._declined: dict[str, Seconds] = {}
         self._events = EventBuffer()
         self._resume_after = facts.resume_after if route.resumable else ""
         self._head: AnswerHead | None = None
@@ -127,15 +129,12 @@
         if self._deadline - self._loop.now() < _LEAST_TIME_LEFT:
             self._fail(FailureKind.NOT_RUN_IN_TIME)
             return
-        candidates = self._entry.candidates(self._service, self._facts, self._avoid)
-        if not candidates and self._avoid and not self._asks:
-            candidates = self._entry.candidates(self._service, self._facts, set())
-        if not candidates:
+        server = self._choose()
+        if server is None:
             self._fail(
                 FailureKind.NO_SERVER if not self._asks else FailureKind.OVERLOADED
             )
             return
-        server = candidates[0].server
         self._server = server
         links = self._entry.links
         is_engine = self._service.engine is not None
@@ -145,11 +144,25 @@
         if not is_engine or not links.is_connected(server.instance_id):
             self._send(server, late=False)
             return
-        if self._asks >= _MAX_ASKS:
-            self._fail(FailureKind.OVERLOADED)
-            return
         self._ask(server)
 
+    def _choose(self) -> BackendServer | None:
+        """Returns the server to try next, None if no other is worth trying."""
+        find = self._entry.candidates
+        candidates = find(self._service, self._facts, self._avoid)
+        if not candidates and self._avoid and not self._asks:
+            candidates = find(self._service, self._facts, set())
+        servers = [candidate.server for candidate in candidates]
+        if self._asks < _MAX_ASKS:
+            for server in servers:
+                if server.instance_id not in self._declined:
+                    return server
+        # It will be late wherever it runs: the engine that expects it first takes it.
+        late = [server for server in servers if server.instance_id in self._declined]
+        return min(
+            late, key=lambda server: self._declined[server.instance_id], default=None
+        )
+
     def _ask(self, server: BackendServer) -> None:
         now = self._loop.now()
         self._asks += 1
@@ -166,9 +179,13 @@
             output_tokens=self._facts.size.output_tokens,
             aim_ms=round((self._aim - now) * _MS),
             deadline_ms=round((min(self._deadline, leaves) - now) * _MS),
+            may_decline=now < self._aim and server.instance_id not in self._declined,
         )
+        if not ask.may_decline:
+            self._declined.clear()
         waiter = PlaceWaiter(
             on_grant=lambda grant: self._granted(server, grant),
+            on_decline=lambda decline: self._on_decline(server, decline),
             on_deny=lambda deny: self._denied(server, deny),
         )
         self._place = self._entry.links.ask(server.instance_id, ask, waiter)
@@ -178,6 +195,14 @@
             return
         self._send(server, late=grant.late)
 
+    def _on_decline(self, server: BackendServer, decline: Decline) -> None:
+        if self._state is not RelayState.ASKED:
+            return
+        self._place = None
+        first_event = self._loop.now() + decline.first_event_ms / _MS
+        self._declined[server.instance_id] = first_event
+        self.place()
+
     def _denied(self, server: BackendServer, deny: Deny | None) -> None:
         if self._state is not RelayState.ASKED:
             return
--- a/fighitch/tests/test_adapter_places.py
+++ b/fighitch/tests/test_adapter_places.py
@@ -52,9 +52,9 @@
     def test_adapter_in_use_never_makes_way(self):
         held = places()
         held.note_report(report(A2, A3), 0.0)
-        held.note_granted(A2)
+        held.note_granted(A2, 0.0)
         self.assertEqual(held.next_order([wanted(A1)], 0.0), UnloadAdapter(A3))
-        held.note_granted(A3)
+        held.note_granted(A3, 0.0)
         self.assertIsNone(held.next_order([wanted(A1)], 0.0))
 
     def test_least_used_adapter_makes_way(self):
@@ -101,6 +101,46 @@
         self.assertEqual(held.next_order([wanted(A1)], 0.0), LoadModel(MODEL))
 
 
+class LoadWaitTests(unittest.TestCase):
+    """What an agent expects before it takes work whose adapter is missing."""
+
+    def test_held_adapter_is_not_waited_for(self):
+        held = places()
+        held.note_report(report(A1), 0.0)
+        self.assertEqual(held.load_wait(A1, 0, 0.0), 0.0)
+
+    def test_recent_adapter_is_expected_sooner_than_one_from_the_store(self):
+        held = places()
+        held.note_report(report(A1, sequence=1), 0.0)
+        held.note_report(report(sequence=2), 0.0)
+        self.assertLess(held.load_wait(A1, 0, 0.0), held.load_wait(A2, 0, 0.0) / 5)
+
+    def test_adapter_on_its_way_is_expected_when_its_load_ends(self):
+        held = places()
+        held.note_report(report(coming=(A1,)), 0.0)
+        whole = held.load_wait(A1, 0, 0.0)
+        self.assertAlmostEqual(held.load_wait(A1, 0, 0.1), whole - 0.1)
+
+    def test_places_in_use_are_waited_for(self):
+        # In a flood all places are in use, and a load waits until work on one ends.
+        held = places()
+        held.note_report(report(A2, A3), 0.0)
+        free = held.load_wait(A1, 0, 0.0)
+        held.note_granted(A2, 0.0)
+        held.note_granted(A3, 0.0)
+        self.assertGreater(held.load_wait(A1, 0, 0.0), free)
+
+    def test_time_in_use_is_measured(self):
+        held = places()
+        held.note_report(report(A2, A3), 0.0)
+        for turn in range(100):
+            held.note_granted(A2, 10.0 * turn)
+            held.note_done(A2, 10.0 * turn + 5.0)
+        held.note_granted(A2, 1_000.0)
+        held.note_granted(A3, 1_000.0)
+        self.assertGreater(held.load_wait(A1, 0, 1_000.0), 2.0)
+
+
 class ModelTests(unittest.TestCase):
     def spec(self, weights_mb: float) -> EngineSpec:
         models = {
@@ -134,11 +174,11 @@
         held = places()
         held.note_report(report(versions={A1: 1}), 0.0)
         held.note_version(A1, 2, 0.0)
-        held.note_granted(A1)
+        held.note_granted(A1, 0.0)
         self.assertTrue(held.serves(A1, 0, 1.0))
         self.assertFalse(held.serves(A1, 0, 2.0))
         self.assertIsNone(held.next_order([wanted(A1, version=2)], 2.0))
-        held.note_done(A1)
+        held.note_done(A1, 2.0)
         self.assertEqual(
             held.next_order([wanted(A1, version=2)], 2.0), LoadAdapter(A1, 2)
         )
--- a/fighitch/tests/test_engine_queue.py
+++ b/fighitch/tests/test_engine_queue.py
@@ -127,6 +127,21 @@
         self.assertIsNone(waiting.add(new))
 
 
+class ExpectationTests(unittest.TestCase):
+    def test_first_event_is_expected_after_what_goes_before(self):
+        waiting = queue()
+        alone = waiting.first_event_in(work(1))
+        for number in range(10):
+            waiting.add(work(number + 2, rank=0))
+        ahead = 10 * 500 * waiting.speed.per_token
+        self.assertAlmostEqual(waiting.first_event_in(work(1)), alone + ahead)
+
+    def test_first_event_is_expected_after_the_load(self):
+        waiting = queue()
+        alone = waiting.first_event_in(work(1))
+        self.assertAlmostEqual(waiting.first_event_in(work(1), 0.5), alone + 0.5)
+
+
 class RefusalTests(unittest.TestCase):
     def test_work_behind_a_long_queue_is_refused_at_once(self):
         waiting = queue()
--- a/fighitch/tests/test_relay.py
+++ b/fighitch/tests/test_relay.py
@@ -8,6 +8,7 @@
     WeightedService,
     WorkKind,
 )
+from fighitch.gateway.peer_messages import Decline, Deny
 from fighitch.gateway.relay import Relay
 from fighitch.platform.requests import decode_request
 from fighitch.runtime.event_loop import EventLoop
@@ -33,7 +34,7 @@
             (b"Model", b"base/a1"),
             (b"Deadline-Ms", b"%d" % deadline_ms),
         ]
-        request = CallerRequest(b"POST", b"/p/", headers, b"", self.loop.now())
+        request = CallerRequest(b"POST", b"/p/", headers, b"", self.entry.loop.now())
         route = Route(
             name="r",
             host="h",
@@ -83,6 +84,68 @@
         self.entry.pool.lend.assert_not_called()
 
 
+class DeclineTests(RelayTestCase):
+    """Engines at which a request would be late say so, and others are asked.
+
+    Without it twelve entries that act on the same status sent their callers to the same
+    new engine, where all waited for loads.
+    """
+
+    def setUp(self):
+        super().setUp()
+        self.entry.links.may_connect_soon.return_value = False
+        self.entry.links.is_connected.return_value = True
+        self.entry.links.version.return_value = 0
+        self.engines = [Candidate(server(name), 0.0) for name in ("e1", "e2", "e3")]
+        self.entry.candidates.side_effect = lambda _service, _facts, avoid: [
+            item for item in self.engines if item.server.instance_id not in avoid
+        ]
+
+    def asked(self) -> list[tuple[str, bool]]:
+        return [
+            (call.args[0], call.args[1].may_decline)
+            for call in self.entry.links.ask.call_args_list
+        ]
+
+    def answer(self, message) -> None:
+        waiter = self.entry.links.ask.call_args.args[2]
+        match message:
+            case Decline():
+                waiter.on_decline(message)
+            case Deny():
+                waiter.on_deny(message)
+
+    def test_declined_request_goes_to_the_engine_that_expects_it_first(self):
+        self.relay().place()
+        for first_event_ms in (1_500, 1_200, 1_900):
+            self.answer(Decline(0, first_event_ms))
+        expected = [("e1", True), ("e2", True), ("e3", True), ("e2", False)]
+        self.assertEqual(self.asked(), expected)
+
+    def test_engine_that_left_meanwhile_is_not_asked_again(self):
+        self.relay().place()
+        self.answer(Decline(0, 1_200))
+        self.engines = self.engines[1:]
+        self.answer(Decline(0, 1_500))
+        self.answer(Decline(0, 1_900))
+        self.assertEqual(self.asked()[-1], ("e2", False))
+
+    def test_denied_request_is_refused_after_all_declined(self):
+        self.relay().place()
+        for _ in self.engines:
+            self.answer(Decline(0, 1_500))
+        self.answer(Deny(0, 700, "waited_too_long"))
+        self.assertEqual(self.caller.send_head.call_args.args[0], 503)
+
+    def test_request_that_is_late_already_is_not_declined(self):
+        self.entry.loop = mock.Mock()
+        self.entry.loop.now.return_value = 100.0
+        relay = self.relay()
+        self.entry.loop.now.return_value = 101.5
+        relay.place()
+        self.assertEqual(self.asked(), [("e1", False)])
+
+
 class AnswerTests(RelayTestCase):
     def test_caller_that_is_gone_while_its_answer_is_written_ends_the_request(self):
         # The next write once failed, and the server's connection was never given back.
