Follow the list of servers as often as the notice of a leave asks for

Change: the pause is 0.4 of the notice that the settings state (0.8 and 1.2 s). A watcher that has a copy asks a store that is away every 0.8 s at the most; one without a copy asks every 0.4 s as before, as it can't serve. Tests for both.

--- a/fighitch/gateway/entry.py
+++ b/fighitch/gateway/entry.py
@@ -46,9 +46,9 @@
 from fighitch.runtime.sockets import accept_waiting, listen
 from fighitch.types import Seconds
 
-# Servers change with every heartbeat of an engine; one call a pause covers them all and
-# stays well inside the bound of 2 s for leaving servers.
-_SERVERS_PAUSE: Seconds = 0.7
+# Servers change with every heartbeat of an engine; one call a pause covers them all.
+# The rest of the notice of a leave is kept for a slow or repeated call.
+_SERVERS_PAUSE_SHARE = 0.4
 # Configurations that come in quick succession share calls; the bound is 2 s.
 _CONFIGURATION_PAUSE: Seconds = 0.25
 _VERSIONS_PAUSE: Seconds = 0.5
@@ -160,6 +160,7 @@
         for watcher in self._watchers:
             watcher.stop()
         address = self._settings.store
+        servers_pause = _SERVERS_PAUSE_SHARE * self._settings.leave_notice
         configuration = KindWatcher(
             self.loop,
             address,
@@ -170,7 +171,7 @@
         servers = KindWatcher(
             self.loop,
             address,
-            WatchOptions(SERVERS_KIND, pause=_SERVERS_PAUSE),
+            WatchOptions(SERVERS_KIND, pause=servers_pause),
             self._log,
             on_list=self._on_servers,
             on_change=self._on_server,
--- a/fighitch/gateway/store_watch.py
+++ b/fighitch/gateway/store_watch.py
@@ -18,7 +18,9 @@
 _LIST_TIMEOUT: Seconds = 2.0
 _WATCH_SLACK: Seconds = 0.6
 _FIRST_RETRY: Seconds = 0.1
-_LONGEST_RETRY: Seconds = 0.4
+# Calls that fail are priced too; without a copy nothing can be served meanwhile.
+_LONGEST_RETRY: Seconds = 0.8
+_LONGEST_FIRST_RETRY: Seconds = 0.4
 
 
 @dataclass(frozen=True, slots=True)
@@ -195,4 +197,6 @@
             self._lost_since = self._loop.now()
             self._log.event("store_lost", kind=self._options.kind, status=status)
         self._loop.call_later(self._retry, call)
-        self._retry = min(_LONGEST_RETRY, 2 * self._retry)
+        has_copy = self.last_contact > float("-inf")
+        longest = _LONGEST_RETRY if has_copy else _LONGEST_FIRST_RETRY
+        self._retry = min(longest, 2 * self._retry)
--- a/fighitch/platform/settings.py
+++ b/fighitch/platform/settings.py
@@ -20,6 +20,8 @@
     budget_window_s: float = 10
     budget_slack: float = 50
     lease_ms: float = 3_000
+    # From the announcement of a server's leave until no request may reach it.
+    drain_ms: float = 2_000
 
 
 class _Store(msgspec.Struct, rename="pascal"):
@@ -66,6 +68,7 @@
         ),
         stop_grace=bounds.grace_s,
         lease=bounds.lease_ms / _MS_PER_SECOND,
+        leave_notice=bounds.drain_ms / _MS_PER_SECOND,
     )
 
 
--- a/fighitch/tests/test_platform_folder.py
+++ b/fighitch/tests/test_platform_folder.py
@@ -60,6 +60,10 @@
         self.assertIsNone(settings.engine)
         self.assertEqual(settings.stop_grace, 8)
 
+    def test_notice_of_a_leave_is_decoded_to_seconds(self):
+        settings = decode_settings(self.settings(Bounds={"DrainMs": 3_000}))
+        self.assertEqual(settings.leave_notice, 3.0)
+
     def test_bad_address_is_named(self):
         with self.assertRaisesRegex(msgspec.ValidationError, "'nowhere'"):
             decode_settings(self.settings(app="nowhere"))
--- /dev/null
+++ b/fighitch/tests/test_store_watch.py
@@ -0,0 +1,62 @@
+"""Tests of ``fighitch.gateway.store_watch``."""
+
+import unittest
+from unittest import mock
+
+from fighitch.core.gateway.settings import Address
+from fighitch.gateway import store_watch
+from fighitch.gateway.store_watch import KindWatcher, WatchOptions
+
+EMPTY_LIST = b'{"items": [], "HasMore": false, "At": 5}'
+
+
+class RetryTests(unittest.TestCase):
+    """Calls to a store that is away are priced, and there are as many as entries."""
+
+    def setUp(self):
+        self.loop = mock.Mock()
+        self.loop.now.return_value = 0.0
+        client = mock.patch.object(store_watch, "SerialClient").start()
+        self.addCleanup(mock.patch.stopall)
+        client.return_value.address = Address("10.0.0.1", 80)
+        self.client = client.return_value
+        self.watcher = KindWatcher(
+            self.loop,
+            Address("10.0.0.1", 80),
+            WatchOptions("servers"),
+            mock.Mock(),
+            on_change=mock.Mock(),
+        )
+
+    def answer(self, status: int, body: bytes = b"") -> None:
+        self.client.call.call_args.args[1](status, body)
+
+    def pauses(self, failures: int) -> list[float]:
+        """Lets calls fail; returns the pauses before they are made again."""
+        found = []
+        for _ in range(failures):
+            self.answer(503)
+            delay, call = self.loop.call_later.call_args.args
+            found.append(delay)
+            call()
+        return found
+
+    def test_entry_without_a_copy_asks_more_often(self):
+        self.watcher.start()
+        without_copy = self.pauses(8)
+        self.answer(200, EMPTY_LIST)
+        self.loop.call_later.call_args.args[1]()
+        with_copy = self.pauses(8)
+        self.assertLess(max(without_copy), max(with_copy))
+
+    def test_pauses_grow_from_the_shortest_after_each_contact(self):
+        self.watcher.start()
+        first = self.pauses(5)
+        self.assertEqual(first, sorted(first))
+        self.answer(200, EMPTY_LIST)
+        self.loop.call_later.call_args.args[1]()
+        self.assertEqual(self.pauses(1), first[:1])
+
+
+if __name__ == "__main__":
+    unittest.main()
