Log each decision of an agent with the request's id; measure the use of a place by single requests

Cause: an agent's lines had the number of a request on its connection only, so that an id could not be followed from an entry to the agent; grants were not logged.

Change: work_granted, work_declined and work_denied carry the id; entry_connected names the entry of a connection. Only a use by a single request counts as a sample.

--- a/fighitch/core/gateway/adapter_places.py
+++ b/fighitch/core/gateway/adapter_places.py
@@ -85,6 +85,14 @@
     instance_id: str = ""
 
 
+@dataclass(slots=True)
+class _Use:
+    """A time for which an adapter is in use without a break."""
+
+    since: Seconds
+    requests: int = 0
+
+
 @dataclass(slots=True)
 class AdapterPlaces:
     """Adapter places of one engine."""
@@ -101,7 +109,7 @@
     _coming_since: dict[AdapterName, Seconds] = field(default_factory=dict)
     _load_time: Seconds = _FIRST_LOAD_TIME
     _recent_load_time: Seconds = _FIRST_RECENT_LOAD_TIME
-    _used_since: dict[AdapterName, Seconds] = field(default_factory=dict)
+    _uses: dict[AdapterName, _Use] = field(default_factory=dict)
     _use_time: Seconds = _FIRST_USE_TIME
 
     def configure(self, engine: EngineSpec) -> None:
@@ -193,15 +201,18 @@
     def note_granted(self, adapter: AdapterName, now: Seconds) -> None:
         """Notes that a request may start on an adapter."""
         self._in_use[adapter] += 1
-        self._used_since.setdefault(adapter, now)
+        self._uses.setdefault(adapter, _Use(now)).requests += 1
 
     def note_done(self, adapter: AdapterName, now: Seconds) -> None:
         """Notes the end of a request on an adapter."""
         self._in_use[adapter] -= 1
         if self._in_use[adapter] <= 0:
             del self._in_use[adapter]
-            used = now - self._used_since.pop(adapter)
-            self._use_time += _ESTIMATE_WEIGHT * (used - self._use_time)
+            use = self._uses.pop(adapter)
+            if use.requests == 1:
+                # A popular adapter stays in use; its place is not the next to be free.
+                error = now - use.since - self._use_time
+                self._use_time += _ESTIMATE_WEIGHT * error
 
     def serves(self, adapter: AdapterName, version: int, now: Seconds) -> bool:
         """Whether a request for an adapter may start."""
--- a/fighitch/core/gateway/engine_queue.py
+++ b/fighitch/core/gateway/engine_queue.py
@@ -50,6 +50,7 @@
         arrived: When it was asked for.
         aim: Until when its first event is worth its full value.
         deadline: After this nothing is owed.
+        request_id: Id of the request, for the log.
     """
 
     key: WorkKey
@@ -60,6 +61,7 @@
     arrived: Seconds
     aim: Seconds
     deadline: Seconds
+    request_id: str = ""
 
     @property
     def tokens(self) -> int:
--- a/fighitch/gateway/agent.py
+++ b/fighitch/gateway/agent.py
@@ -144,6 +144,7 @@
     def _on_hello(self, peer: PeerConnection, hello: Hello) -> None:
         spec = msgspec.json.decode(hello.engine_spec, type=EngineSpec)
         self._names[hello.engine_born_ms] = hello.engine_id
+        self._log.event("entry_connected", peer=peer.number, entry=hello.entry)
         if spec != self._spec:
             self._log.event("engine_spec", entry=hello.entry, spec=spec)
         self._spec = spec
@@ -163,6 +164,7 @@
             arrived=now,
             aim=now + ask.aim_ms / _MS,
             deadline=now + ask.deadline_ms / _MS,
+            request_id=ask.request_id,
         )
         if self._draining or not self._serving:
             reason = "draining" if self._draining else "engine_not_answering"
@@ -173,7 +175,7 @@
         if ask.may_decline:
             first_event = self._queue.first_event_in(work, load_wait)
             if now + first_event > work.aim:
-                self._decline(peer, ask, first_event)
+                self._decline(peer, ask, first_event=first_event, load_wait=load_wait)
                 return
         self._places.note_wanted(adapter, now)
         refusal = self._queue.add(work, load_wait)
@@ -189,8 +191,26 @@
             self._places.note_done(work.adapter, self._loop.now())
         self._pump()
 
-    def _decline(self, peer: PeerConnection, ask: Ask, first_event: Seconds) -> None:
-        self._metrics.denied("late_here")
+    def _decline(
+        self,
+        peer: PeerConnection,
+        ask: Ask,
+        *,
+        first_event: Seconds,
+        load_wait: Seconds,
+    ) -> None:
+        self._metrics.declined()
+        self._log.event(
+            "work_declined",
+            request=ask.request_id,
+            peer=peer.number,
+            adapter=AdapterName(ask.model, ask.adapter),
+            rank=ask.rank,
+            aim_ms=ask.aim_ms,
+            first_event=f"{first_event:.3f}",
+            load_wait=f"{load_wait:.3f}",
+            waiting=self._queue.waiting,
+        )
         peer.send(Decline(ask.number, round(first_event * _MS)))
 
     def _deny(self, refusal: Refusal) -> None:
@@ -199,8 +219,8 @@
         self._metrics.denied(refusal.reason)
         self._log.event(
             "work_denied",
+            request=refusal.work.request_id,
             peer=connection,
-            number=number,
             adapter=refusal.work.adapter,
             rank=refusal.work.rank,
             reason=refusal.reason,
@@ -224,9 +244,19 @@
         connection, number = work.key
         self._metrics.granted(now - work.arrived)
         peer = self._peers.get(connection)
+        backlog = self._queue.backlog(now)
+        self._log.event(
+            "work_granted",
+            request=work.request_id,
+            peer=connection,
+            adapter=work.adapter,
+            waited=f"{now - work.arrived:.3f}",
+            backlog=f"{backlog:.3f}",
+            running=self._queue.running,
+            late=int(now > work.aim),
+        )
         if peer is not None:
-            backlog_ms = round(self._queue.backlog(now) * _MS)
-            peer.send(Grant(number, backlog_ms, now > work.aim))
+            peer.send(Grant(number, round(backlog * _MS), now > work.aim))
 
     def _give_order(self, now: Seconds) -> None:
         report = self._places.report
--- a/fighitch/gateway/metrics.py
+++ b/fighitch/gateway/metrics.py
@@ -84,6 +84,11 @@
             ("reason",),
             registry=self.registry,
         )
+        self._declined = Counter(
+            "fighitch_declined",
+            "Requests declined because they would be late here.",
+            registry=self.registry,
+        )
         self._orders = Counter(
             "fighitch_orders",
             "Orders to the engine, by kind and outcome.",
@@ -110,6 +115,10 @@
         """Counts a denied request."""
         self._denied.labels(reason).inc()
 
+    def declined(self) -> None:
+        """Counts a declined request."""
+        self._declined.inc()
+
     def ordered(self, kind: str, outcome: str) -> None:
         """Counts an order."""
         self._orders.labels(kind, outcome).inc()
--- a/fighitch/gateway/peer_messages.py
+++ b/fighitch/gateway/peer_messages.py
@@ -54,6 +54,7 @@
         deadline_ms: Time left until nothing is owed.
         may_decline: Whether the agent may decline it when it would be late there: the
             entry tries other engines first.
+        request_id: Id of the request, for the agent's log.
     """
 
     number: int
@@ -66,6 +67,7 @@
     aim_ms: int
     deadline_ms: int
     may_decline: bool = False
+    request_id: str = ""
 
 
 class Grant(_Message, frozen=True, tag=4):
--- a/fighitch/gateway/relay.py
+++ b/fighitch/gateway/relay.py
@@ -180,6 +180,7 @@
             aim_ms=round((self._aim - now) * _MS),
             deadline_ms=round((min(self._deadline, leaves) - now) * _MS),
             may_decline=now < self._aim and server.instance_id not in self._declined,
+            request_id=self._facts.request_id,
         )
         if not ask.may_decline:
             self._declined.clear()
--- a/fighitch/tests/test_adapter_places.py
+++ b/fighitch/tests/test_adapter_places.py
@@ -140,6 +140,20 @@
         held.note_granted(A3, 1_000.0)
         self.assertGreater(held.load_wait(A1, 0, 1_000.0), 2.0)
 
+    def test_popular_adapter_does_not_lengthen_the_wait_for_a_place(self):
+        # An adapter that was in use for 20 s once made agents decline work that was on
+        # time at them.
+        held = places()
+        held.note_report(report(A2, A3), 0.0)
+        held.note_granted(A2, 0.0)
+        held.note_granted(A3, 0.0)
+        before = held.load_wait(A1, 0, 0.0)
+        held.note_granted(A2, 19.5)
+        held.note_done(A2, 20.0)
+        held.note_done(A2, 20.5)
+        held.note_granted(A2, 21.0)
+        self.assertAlmostEqual(held.load_wait(A1, 0, 21.0), before)
+
 
 class ModelTests(unittest.TestCase):
     def spec(self, weights_mb: float) -> EngineSpec:
