--- a/fighitch/core/gateway/backend_choice.py
+++ b/fighitch/core/gateway/backend_choice.py
@@ -6,7 +6,7 @@
 were held recently and load fast.
 """
 
-from collections.abc import Callable, Container, Sequence
+from collections.abc import Callable, Container, Mapping, Sequence
 from dataclasses import dataclass, field
 
 from fighitch.core.gateway.model import AdapterName, BackendServer
@@ -26,6 +26,8 @@
 _PAUSED: Seconds = 5.0
 _FAILING: Seconds = 1.0
 _UNCONNECTED: Seconds = 0.5
+# Engines that are asked for a place before a request is late or refused.
+_MAX_ASKS = 3
 
 
 @dataclass(slots=True)
@@ -70,6 +72,34 @@
     cost: Seconds
 
 
+def next_server(
+    candidates: Sequence[Candidate], *, asks: int, declined: Mapping[str, Seconds]
+) -> BackendServer | None:
+    """Returns the server to try next for a request.
+
+    Load pattern: many entries act on the same status, so that a new or idle engine gets
+    more work at once than it can start in time. An engine at which a request would be
+    late declines it, and the next ones are asked. If all would be late, the one that
+    expects the first event soonest takes the request.
+
+    Args:
+        candidates: Servers that may run it, the cheapest first.
+        asks: Times that an engine was asked for a place already.
+        declined: Expected time of the first event at engines that declined, by
+            instance id.
+
+    Returns:
+        The server; None if no other is worth trying.
+    """
+    servers = [candidate.server for candidate in candidates]
+    if asks < _MAX_ASKS:
+        for server in servers:
+            if server.instance_id not in declined:
+                return server
+    late = [server for server in servers if server.instance_id in declined]
+    return min(late, key=lambda server: declined[server.instance_id], default=None)
+
+
 class EngineChoice:
     """Ranks engines for a request."""
 
--- a/fighitch/gateway/relay.py
+++ b/fighitch/gateway/relay.py
@@ -3,6 +3,7 @@
 from enum import Enum
 from typing import TYPE_CHECKING
 
+from fighitch.core.gateway.backend_choice import next_server
 from fighitch.core.gateway.event_stream import EventBuffer
 from fighitch.core.gateway.failures import (
     FAILURE_ANSWERS,
@@ -40,8 +41,6 @@
 # Answers up to this size are held back until they are whole, so that one that breaks
 # can still be repeated or answered with a failure.
 _HELD_BACK_BYTES = 262_144
-# Engines that are asked for a place before the request is refused.
-_MAX_ASKS = 3
 # Sends that servers turn away without running them.
 _MAX_REJECTED = 3
 # Priorities at an engine: 0 to 9, 0 first; work that is late already yields.
@@ -147,21 +146,11 @@
         self._ask(server)
 
     def _choose(self) -> BackendServer | None:
-        """Returns the server to try next, None if no other is worth trying."""
         find = self._entry.candidates
         candidates = find(self._service, self._facts, self._avoid)
         if not candidates and self._avoid and not self._asks:
             candidates = find(self._service, self._facts, set())
-        servers = [candidate.server for candidate in candidates]
-        if self._asks < _MAX_ASKS:
-            for server in servers:
-                if server.instance_id not in self._declined:
-                    return server
-        # It will be late wherever it runs: the engine that expects it first takes it.
-        late = [server for server in servers if server.instance_id in self._declined]
-        return min(
-            late, key=lambda server: self._declined[server.instance_id], default=None
-        )
+        return next_server(candidates, asks=self._asks, declined=self._declined)
 
     def _ask(self, server: BackendServer) -> None:
         now = self._loop.now()
--- a/fighitch/tests/test_gateway_decisions.py
+++ b/fighitch/tests/test_gateway_decisions.py
@@ -1,10 +1,12 @@
 import unittest
 
 from fighitch.core.gateway.backend_choice import (
+    Candidate,
     EngineChoice,
     EngineView,
     PlainLoad,
     failure_penalty,
+    next_server,
     rank_plain,
 )
 from fighitch.core.gateway.event_stream import EventBuffer
@@ -182,6 +184,33 @@
         self.assertNotEqual(self.best(self.views(), penalty), home)
 
 
+class NextServerTests(unittest.TestCase):
+    """Twelve entries with the same status once sent all their work to one engine."""
+
+    def setUp(self):
+        self.candidates = [Candidate(server(name), 0.0) for name in ("e1", "e2", "e3")]
+
+    def next(self, asks, **declined):
+        found = next_server(self.candidates, asks=asks, declined=declined)
+        return None if found is None else found.instance_id
+
+    def test_cheapest_server_is_tried_first(self):
+        self.assertEqual(self.next(0), "e1")
+
+    def test_engine_that_declined_is_passed_over(self):
+        self.assertEqual(self.next(1, e1=1.5), "e2")
+
+    def test_engine_that_expects_it_first_is_asked_again(self):
+        self.assertEqual(self.next(3, e1=1.5, e2=1.2, e3=1.9), "e2")
+
+    def test_engine_that_declined_and_left_is_not_asked_again(self):
+        self.candidates = self.candidates[1:]
+        self.assertEqual(self.next(3, e1=1.0, e2=1.2), "e2")
+
+    def test_nothing_is_left_after_refusals(self):
+        self.assertIsNone(self.next(3))
+
+
 class PlainChoiceTests(unittest.TestCase):
     def test_least_loaded_server_is_preferred(self):
         servers = [server("a"), server("b")]
