--- a/benchmarks/platform_soak.py
+++ b/benchmarks/platform_soak.py
@@ -44,10 +44,20 @@
 class PlatformSoak:
     """One run with a seed."""
 
-    def __init__(self, seed: int, seconds: float) -> None:
+    def __init__(
+        self, seed: int, seconds: float, *, engines: int = 3, entries: int = 2
+    ) -> None:
+        """Prepares the fleet.
+
+        Args:
+            seed: Decides requests and faults.
+            seconds: Length of the time with faults.
+            engines: Number of engines, each with its agent.
+            entries: Number of entries.
+        """
         self._random = random.Random(seed)
         self._seconds = seconds
-        self._fleet = PlatformFleet(engines=3, proxied=True)
+        self._fleet = PlatformFleet(engines=engines, entries=entries, proxied=True)
         self._faults = RunnerFaults()
         self._planned = seed % PLANNED_EVERY == 0
         self._record = SoakRecord(planned=self._planned)
@@ -300,10 +310,14 @@
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--seeds", type=int, default=1, help="number of seeds in a row")
     parser.add_argument("--seconds", type=float, default=20.0)
+    parser.add_argument("--engines", type=int, default=3, help="at most 20")
+    parser.add_argument("--entries", type=int, default=2, help="at most 20")
     options = parser.parse_args()
     failed = 0
     for seed in range(options.seed, options.seed + options.seeds):
-        record = PlatformSoak(seed, options.seconds).run()
+        record = PlatformSoak(
+            seed, options.seconds, engines=options.engines, entries=options.entries
+        ).run()
         outcomes = Counter(sent.answer.status for sent in record.sent)
         print(f"seed {seed}: {len(record.sent)} requests {dict(outcomes)}", flush=True)
         for violation in record.violations:
