Keep one record of the use of an adapter; say what the backlog is

Cause: reading the change again. Adapters in use were counted beside the records of their use, and three comments still called the backlog all prompts that wait.

No decision changes.

--- a/fighitch/core/gateway/adapter_places.py
+++ b/fighitch/core/gateway/adapter_places.py
@@ -6,7 +6,6 @@
 for it, or the engine would load adapters in turn and serve none of them.
 """
 
-from collections import Counter
 from collections.abc import Iterable, Mapping, Sequence
 from dataclasses import dataclass, field
 
@@ -87,10 +86,17 @@
 
 @dataclass(slots=True)
 class _Use:
-    """A time for which an adapter is in use without a break."""
+    """A time for which an adapter is in use without a break.
+
+    Attributes:
+        since: When it began.
+        requests: Requests that were granted in it.
+        running: Those that have not ended.
+    """
 
     since: Seconds
     requests: int = 0
+    running: int = 0
 
 
 @dataclass(slots=True)
@@ -102,7 +108,6 @@
     _demand: DemandEstimator[AdapterName] = field(
         default_factory=lambda: DemandEstimator(_USE_HALF_LIFE)
     )
-    _in_use: Counter[AdapterName] = field(default_factory=Counter)
     _versions: dict[AdapterName, int] = field(default_factory=dict)
     _outdated_since: dict[AdapterName, Seconds] = field(default_factory=dict)
     _recent: RecentAdapters = field(default_factory=RecentAdapters)
@@ -132,7 +137,7 @@
         places = self._places()
         if self.report is None or not places:
             return wait
-        taken = len(self._in_use) + len(self.report.coming)
+        taken = len(self._uses) + len(self.report.coming)
         lacking = taken + loads_ahead + 1 - places
         return wait + max(0, lacking) * self._use_time / places
 
@@ -200,19 +205,20 @@
 
     def note_granted(self, adapter: AdapterName, now: Seconds) -> None:
         """Notes that a request may start on an adapter."""
-        self._in_use[adapter] += 1
-        self._uses.setdefault(adapter, _Use(now)).requests += 1
+        use = self._uses.setdefault(adapter, _Use(now))
+        use.requests += 1
+        use.running += 1
 
     def note_done(self, adapter: AdapterName, now: Seconds) -> None:
         """Notes the end of a request on an adapter."""
-        self._in_use[adapter] -= 1
-        if self._in_use[adapter] <= 0:
-            del self._in_use[adapter]
-            use = self._uses.pop(adapter)
-            if use.requests == 1:
-                # A popular adapter stays in use; its place is not the next to be free.
-                error = now - use.since - self._use_time
-                self._use_time += _ESTIMATE_WEIGHT * error
+        use = self._uses[adapter]
+        use.running -= 1
+        if use.running:
+            return
+        del self._uses[adapter]
+        if use.requests == 1:
+            # A popular adapter stays in use; its place is not the next to be free.
+            self._use_time += _ESTIMATE_WEIGHT * (now - use.since - self._use_time)
 
     def serves(self, adapter: AdapterName, version: int, now: Seconds) -> bool:
         """Whether a request for an adapter may start."""
@@ -266,7 +272,7 @@
         newest = max(wanted.version, self._versions.get(adapter, 0))
         held = report.adapters.get(adapter)
         if held is not None:
-            if held >= newest or adapter in self._in_use:
+            if held >= newest or adapter in self._uses:
                 return None
             return self._load(adapter, newest, report)
         if len(report.adapters) + len(report.coming) < self._places():
@@ -318,7 +324,7 @@
         idle = [
             adapter
             for adapter in report.adapters
-            if adapter not in stay and adapter not in self._in_use
+            if adapter not in stay and adapter not in self._uses
         ]
         if not idle:
             return None
--- a/fighitch/core/gateway/backend_choice.py
+++ b/fighitch/core/gateway/backend_choice.py
@@ -36,7 +36,7 @@
 
     Attributes:
         instance_id: Instance id of the engine.
-        backlog: Time to read the prompts that were handed over or wait.
+        backlog: Time until the prompt of new work that can be on time is read.
         pending: Reading time of requests that were sent since the last status.
         adapters: Adapters that it holds, with versions.
         recent: Adapters that load fast there.
--- a/fighitch/gateway/metrics.py
+++ b/fighitch/gateway/metrics.py
@@ -103,7 +103,7 @@
         )
         self._backlog = Gauge(
             "fighitch_backlog_seconds",
-            "Time to read all prompts.",
+            "Time until the prompt of new work that can be on time is read.",
             registry=self.registry,
         )
 
--- a/fighitch/gateway/peer_messages.py
+++ b/fighitch/gateway/peer_messages.py
@@ -117,7 +117,7 @@
         engine_born_ms: Unix time of the engine's start in ms; 0 if it is unknown.
         serving: Whether the engine answers.
         draining: Whether the engine is leaving.
-        backlog_ms: Time to read all prompts that were handed over or wait.
+        backlog_ms: Time until the prompt of new work that can be on time is read.
         token_ns: Time to read a prompt token, in ns.
         load_wait_ms: Time until a load that is asked for now would begin.
         entries: Entries that are connected.
