Work out an agent's status once; drop fields of a run that nothing reads

Every 50 ms an agent worked out its backlog up to three times and the wait for loads twice: to compare, to tell and for the metrics. The records of runs had a time and a state that no check reads.

Ruled out: a change of decisions; the same figures are compared and told, rounded to 1 ms.

--- a/fighitch/gateway/agent.py
+++ b/fighitch/gateway/agent.py
@@ -105,7 +105,7 @@
         peer.number = self._next_peer
         self._next_peer += 1
         self._peers[peer.number] = peer
-        peer.send(self._status())
+        peer.send(self._status(self._loop.now()))
         peer.send(self._all_held())
 
     def _on_closed(self, peer: PeerConnection, reason: str) -> None:
@@ -345,38 +345,41 @@
         self._tell_status_if_due(now)
 
     def _tell_status_if_due(self, now: Seconds) -> None:
-        last = self._last_status
+        status, last = self._status(now), self._last_status
         if last is not None and now - self._last_status_at < _STATUS_INTERVAL:
-            backlog = abs(self._queue.backlog(now) * _MS - last.backlog_ms)
-            loads = abs(self._load_wait() * _MS - last.load_wait_ms)
+            backlog = abs(status.backlog_ms - last.backlog_ms)
+            loads = abs(status.load_wait_ms - last.load_wait_ms)
             moved = max(backlog, loads) >= _BACKLOG_STEP * _MS
-            if not moved and self._serving == last.serving:
+            if not moved and status.serving == last.serving:
                 return
-        self._tell_status(now)
+        self._tell(status, now)
 
     def _tell_status(self, now: Seconds) -> None:
-        self._last_status, self._last_status_at = self._status(), now
+        self._tell(self._status(now), now)
+
+    def _tell(self, status: Status, now: Seconds) -> None:
+        self._last_status, self._last_status_at = status, now
         self._metrics.state(
-            self._queue.running, self._queue.waiting, self._queue.backlog(now)
+            self._queue.running, self._queue.waiting, status.backlog_ms / _MS
         )
-        self._broadcast(self._last_status)
+        self._broadcast(status)
 
-    def _status(self) -> Status:
+    def _status(self, now: Seconds) -> Status:
         return Status(
             engine_born_ms=self._engine_born_ms(),
             serving=self._serving,
             draining=self._draining,
-            backlog_ms=round(self._queue.backlog(self._loop.now()) * _MS),
+            backlog_ms=round(self._queue.backlog(now) * _MS),
             token_ns=round(self._queue.speed.per_token * _NS),
-            load_wait_ms=round(self._load_wait() * _MS),
+            load_wait_ms=round(self._load_wait(now) * _MS),
             entries=len(self._peers),
         )
 
     def _engine_born_ms(self) -> int:
         return 0 if self._places.report is None else self._places.report.born_ms
 
-    def _load_wait(self) -> Seconds:
-        return self._places.queue_time(self._missing_adapters(self._loop.now()))
+    def _load_wait(self, now: Seconds) -> Seconds:
+        return self._places.queue_time(self._missing_adapters(now))
 
     def _all_held(self) -> HeldAdapters:
         held = [
--- a/standins/platform_runner.py
+++ b/standins/platform_runner.py
@@ -45,23 +45,12 @@
 
 @dataclass(slots=True)
 class RunRecord:
-    """A request that a server began to run.
-
-    Attributes:
-        request_id: Its id.
-        headers: Its headers by lowercase name.
-        body: Its body.
-        target: Its path and query.
-        state: State that the server had announced.
-        at: When it began, on the steady clock.
-    """
+    """A request that a server began to run."""
 
     request_id: str
     headers: dict[str, str]
     body: bytes
     target: str
-    state: str = "ready"
-    at: float = 0.0
 
 
 @dataclass(slots=True)
@@ -139,14 +128,7 @@
     def note_run(self, request: CallerRequest, headers: dict[str, str]) -> None:
         """Notes that a request began to run."""
         target = request.target.decode()
-        record = RunRecord(
-            headers["attempt-id"],
-            headers,
-            request.body,
-            target,
-            self.state,
-            time.monotonic(),
-        )
+        record = RunRecord(headers["attempt-id"], headers, request.body, target)
         self.runs.append(record)
 
     def answer_headers(self, request_id: str) -> list[tuple[bytes, bytes]]:
