Let the fault proxy and the HTTP stand-ins share their loop's thread

Cause: the duplicates of the change: FaultProxy had the thread, its end and the call from another thread of StandInServer again.

Change: standins/loop_thread holds them once.

--- a/standins/fault_proxy.py
+++ b/standins/fault_proxy.py
@@ -2,7 +2,6 @@
 
 import socket
 import struct
-import threading
 from collections import deque
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
@@ -10,13 +9,13 @@
 
 from fighitch.runtime.event_loop import READ, WRITE, EventLoop
 from fighitch.runtime.sockets import accept_waiting, listen, open_stream
+from standins.loop_thread import LoopThread
 
 _CHUNK = 65_536
 # Held bytes of one direction; a longer backlog makes the sender wait, as a link does.
 _MOST_HELD_BYTES = 262_144
 # Bytes pass as they come; a turn passes on those that were held.
 _TURN = 0.02
-_LONGEST_CALL = 30.0
 # Closes a socket with a reset.
 _LINGER_ZERO = struct.pack("ii", 1, 0)
 
@@ -153,7 +152,7 @@
         self._watch(direction)
 
 
-class FaultProxy:
+class FaultProxy(LoopThread):
     """Listens at one address for some ports and passes connections on."""
 
     def __init__(self, host: str, targets: Mapping[int, tuple[str, int]]) -> None:
@@ -163,7 +162,7 @@
             host: Loopback address of the proxy.
             targets: Where each port of the proxy leads to; port 0 takes a free one.
         """
-        self.loop = EventLoop()
+        super().__init__()
         self.faults = LinkFaults()
         self.host = host
         # Longest time for which the proxy's own thread did not run.
@@ -177,7 +176,6 @@
             self.ports.append(listener.getsockname()[1])
             self._listeners.append(listener)
             self.loop.watch(listener, READ, partial(self._accept, listener, target))
-        self._thread = threading.Thread(target=self.loop.run, daemon=True)
 
     @property
     def address(self) -> str:
@@ -187,12 +185,11 @@
     def start(self) -> None:
         """Starts to pass connections on."""
         self.loop.call_every(_TURN, self._turn)
-        self._thread.start()
+        super().start()
 
     def stop(self) -> None:
         """Ends all connections."""
-        self.loop.stop()
-        self._thread.join(5)
+        super().stop()
         for connection in list(self._connections):
             connection.close()
         for listener in self._listeners:
@@ -200,29 +197,17 @@
 
     def reset_all(self) -> None:
         """Resets the open connections."""
-        self._call(lambda: self._each(_Connection.reset))
+        self.call(lambda: self._each(_Connection.reset))
 
     def silence_all(self) -> None:
         """Lets the open connections go silent for good; new ones work."""
-        self._call(lambda: self._each(_silence))
+        self.call(lambda: self._each(_silence))
 
     def heal(self) -> None:
         """Ends delays and cuts; silenced connections stay silent."""
         self.faults.delay = 0.0
         self.faults.to_server = self.faults.to_client = True
 
-    def _call(self, function: Callable[[], None]) -> None:
-        """Runs a function on the proxy's thread and waits for it."""
-        done = threading.Event()
-
-        def run() -> None:
-            function()
-            done.set()
-
-        self.loop.call_later(0, run)
-        if not done.wait(_LONGEST_CALL):
-            raise TimeoutError(f"the proxy at {self.host} stands still")
-
     def _each(self, action: Callable[[_Connection], None]) -> None:
         for connection in list(self._connections):
             action(connection)
--- a/standins/platform_http.py
+++ b/standins/platform_http.py
@@ -1,29 +1,27 @@
 """HTTP server of the platform's stand-ins: a thread with its own event loop."""
 
 import socket
-import threading
-from collections.abc import Callable
 
 import msgspec
 
 from fighitch.core.gateway.model import CallerLimits
-from fighitch.runtime.event_loop import READ, EventLoop
+from fighitch.runtime.event_loop import READ
 from fighitch.runtime.http_callers import CallerConnection, CallerRequest
 from fighitch.runtime.sockets import accept_waiting, listen
+from standins.loop_thread import LoopThread
 
 _JSON = [(b"Content-Type", b"application/json")]
 _LIMITS = CallerLimits(idle_timeout=60.0)
 
 
-class StandInServer:
-    """Base of stand-ins: all state is touched by the loop's thread only."""
+class StandInServer(LoopThread):
+    """Base of stand-ins that serve HTTP."""
 
     def __init__(self, host: str, port: int = 0) -> None:
-        self.loop = EventLoop()
+        super().__init__()
         self._listener = listen(host, port)
         self.host, self.port = self._listener.getsockname()
         self._connections: set[CallerConnection] = set()
-        self._thread = threading.Thread(target=self.loop.run, daemon=True)
 
     @property
     def address(self) -> str:
@@ -35,27 +33,15 @@
         self.loop.watch(self._listener, READ, self._accept)
         # A periodic timer bounds the time until calls from other threads run.
         self.loop.call_every(0.005, lambda: None)
-        self._thread.start()
+        super().start()
 
     def stop(self) -> None:
         """Closes all connections without a word, as a lost server does."""
-        self.loop.stop()
-        self._thread.join(5)
+        super().stop()
         for connection in list(self._connections):
             connection.close()
         self._listener.close()
 
-    def call(self, function: Callable[[], object]) -> None:
-        """Runs a function on the loop's thread and waits for it."""
-        done = threading.Event()
-
-        def run() -> None:
-            function()
-            done.set()
-
-        self.loop.call_later(0, run)
-        done.wait(5)
-
     def handle(self, connection: CallerConnection, request: CallerRequest) -> None:
         """Answers a request."""
         raise NotImplementedError
