Follow a changed notice of a leave after a reload

Cause: reading the change.

Change: a reload with another notice restarts the watches. The test failed before.

--- a/fighitch/gateway/entry.py
+++ b/fighitch/gateway/entry.py
@@ -123,7 +123,8 @@
         previous, self._settings = self._settings, settings
         if previous.retry_limits != settings.retry_limits:
             self._budgets.clear()
-        if previous.store != settings.store:
+        is_same_store = previous.store == settings.store
+        if not is_same_store or previous.leave_notice != settings.leave_notice:
             self._follow_store()
 
     def stop(self) -> None:
