Limit the bytes that do not advance a response, and keep pooled connections readable

Cause: a server's head, trailers, chunk extensions, interim responses and responses to other requests were read or buffered for as long as they came; buffered bodies (reports, orders, store calls, libcurl clients) had no limit either. A connection whose reading was paused while the last bytes of a response were handled returned to the pool without reading again. Bytes after a complete response that are no HTTP made the complete response a failure.

Ruled out: libcurl bounds heads and interim responses itself (tests show it); a second copy of a response on a reused connection is skipped by its id.

Change: a meter without I/O compares each read with limits on header bytes, header time and preliminary bytes; the failure names the limit. Bodies that are buffered as a whole have a limit. A completed exchange resumes reading.

--- a/fighitch/clients/http_client.py
+++ b/fighitch/clients/http_client.py
@@ -15,6 +15,9 @@
 _MS_PER_SECOND = 1_000
 _USER_AGENT = "fighitch"
 _OK = 200
+# Larger than any list or report; libcurl itself limits the size of the headers.
+_MAX_BODY_BYTES = 67_108_864
+_MAX_LINE_BYTES = 8_388_608
 
 
 @dataclass(slots=True)
@@ -24,6 +27,12 @@
     headers: dict[str, str] = field(default_factory=dict)
     body: BytesIO = field(default_factory=BytesIO)
 
+    def add_body(self, data: bytes) -> int:
+        """Appends a part of the body; a body above the limit ends the transfer."""
+        if self.body.tell() + len(data) > _MAX_BODY_BYTES:
+            return 0
+        return self.body.write(data)
+
     def add_header(self, line: bytes) -> None:
         text = line.decode("latin-1")
         # A status line starts new headers; an interim response precedes the final one.
@@ -66,7 +75,7 @@
         """Sends a call and waits for the complete response."""
         received = _ResponseBuffer()
         self._configure(self._curl, call, received)
-        self._curl.setopt(pycurl.WRITEFUNCTION, received.body.write)
+        self._curl.setopt(pycurl.WRITEFUNCTION, received.add_body)
         self._curl.setopt(pycurl.TIMEOUT_MS, round(self._timeout * _MS_PER_SECOND))
         try:
             self._curl.perform()
@@ -105,6 +114,12 @@
                 multi.perform()
                 if curl.getinfo(pycurl.RESPONSE_CODE) == _OK:
                     yield from _pop_lines(buffer)
+                if len(buffer) > _MAX_LINE_BYTES:
+                    yield NoResponse(
+                        sent=True,
+                        detail=f"line or body above {_MAX_LINE_BYTES} bytes",
+                    )
+                    return
                 transfer_result = _transfer_result(multi)
                 if transfer_result is not None:
                     yield _final_result(curl, transfer_result, received, bytes(buffer))
--- a/fighitch/daemons/backend_calls.py
+++ b/fighitch/daemons/backend_calls.py
@@ -25,6 +25,9 @@
     TransferStarted,
 )
 
+# Larger than any status or response to a command.
+_MAX_BUFFERED_BYTES = 8_388_608
+
 _PROTOCOLS: dict[str, ModuleType] = {"engine": engine, "service": service}
 
 
@@ -143,19 +146,26 @@
     ) -> None:
         body = bytearray()
         status = 0
+        is_too_large = False
 
         def on_event(event: TransferEvent) -> None:
-            nonlocal status
+            nonlocal status, is_too_large
             if isinstance(event, TransferStarted):
                 status = event.status
+            elif is_too_large:
+                return
             elif isinstance(event, TransferData):
                 body.extend(event.data)
+                if len(body) > _MAX_BUFFERED_BYTES:
+                    is_too_large = True
+                    self._transfers.cancel(number)
+                    on_failure(f"response above {_MAX_BUFFERED_BYTES} bytes")
             elif isinstance(event, TransferEnded):
                 on_response(status, bytes(body))
             else:
                 on_failure(event.detail)
 
-        self._transfers.submit(call, on_event)
+        number = self._transfers.submit(call, on_event)
 
 
 def _end_span(span: OpenSpan, event: TransferEvent) -> None:
--- a/fighitch/runtime/http_client.py
+++ b/fighitch/runtime/http_client.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 
+from fighitch.core.gateway.response_limits import LimitKind
 from fighitch.core.gateway.settings import Address
 from fighitch.runtime.event_loop import EventLoop
 from fighitch.runtime.http_exchange import (
@@ -12,6 +13,8 @@
 )
 from fighitch.types import Seconds
 
+# Larger than a page of the store's list and than any report of an engine.
+_MAX_BODY_BYTES = 8_388_608
 # Reported instead of an HTTP status if there is no complete response.
 NO_RESPONSE = 0
 
@@ -35,8 +38,10 @@
         self._status = head.status
 
     def on_body(self, data: bytes) -> None:
-        """Appends a part of the body."""
+        """Appends a part of the body; a body above the limit counts as no response."""
         self._body += data
+        if len(self._body) > _MAX_BODY_BYTES:
+            self._abort(FailureKind.BAD_ANSWER, LimitKind.BODY_BYTES)
 
     def on_complete(self) -> None:
         """Reports the complete response."""
@@ -47,9 +52,12 @@
         self._finish(NO_RESPONSE)
 
     def _on_timeout(self) -> None:
+        self._abort(FailureKind.TIMEOUT)
+
+    def _abort(self, kind: FailureKind, limit: LimitKind | None = None) -> None:
         if self.connection is not None:
             self.connection.close()
-        self.on_failure(ExchangeFailure(FailureKind.TIMEOUT, sent=True))
+        self.on_failure(ExchangeFailure(kind, sent=True, limit=limit))
 
     def _finish(self, status: int) -> None:
         on_response, self._on_response = self._on_response, None
--- a/fighitch/runtime/http_exchange.py
+++ b/fighitch/runtime/http_exchange.py
@@ -12,6 +12,12 @@
 
 import httptools
 
+from fighitch.core.gateway.response_limits import (
+    LimitKind,
+    ReadProgress,
+    ResponseLimits,
+    ResponseMeter,
+)
 from fighitch.runtime.event_loop import READ, WRITE, EventLoop, Timer
 from fighitch.runtime.sockets import open_stream
 from fighitch.types import Headers, Seconds
@@ -23,6 +29,7 @@
 _FIRST_FINAL_STATUS = 200
 # Limit of late responses to earlier requests that may precede the expected one.
 _MAX_SKIPPED_RESPONSES = 2
+_RESPONSE_LIMITS = ResponseLimits()
 
 
 class FailureKind(Enum):
@@ -42,10 +49,12 @@
     Attributes:
         kind: Why there is no complete response.
         sent: Whether any byte of the request may have reached the server.
+        limit: Limit that the response exceeded; None for another cause.
     """
 
     kind: FailureKind
     sent: bool
+    limit: LimitKind | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -91,6 +100,7 @@
         on_idle: Callable[["HttpConnection"], None] | None = None,
         on_closed: Callable[["HttpConnection"], None] | None = None,
         connect_timeout: Seconds = _CONNECT_TIMEOUT,
+        limits: ResponseLimits = _RESPONSE_LIMITS,
     ) -> None:
         """Starts connecting.
 
@@ -101,12 +111,14 @@
             on_idle: Called when another exchange can start on the connection.
             on_closed: Called once when the connection is closed.
             connect_timeout: Longest time until the connection is established.
+            limits: Limits on bytes that do not advance the expected response.
         """
         self.host = host
         self.port = port
         self.idle_since: Seconds = loop.now()
         self.keep_alive: Seconds | None = None
         self._loop = loop
+        self._limits = limits
         self._on_idle = on_idle
         self._on_closed = on_closed
         self._response_handler: ResponseHandler | None = None
@@ -272,10 +284,21 @@
         if self._response_handler is None:
             self.close()
             return
+        self._has_expected = self._has_boundary = False
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserError:
-            self._fail(FailureKind.BAD_ANSWER)
+            if not self._is_complete:
+                self._fail(FailureKind.BAD_ANSWER)
+                return
+            # The bytes after a complete response belong to no request.
+            self._has_unexpected_data = True
+        progress = ReadProgress(
+            self._has_expected or self._is_complete, self._has_boundary
+        )
+        limit = self._meter.record_read(len(data), progress, self._loop.now())
+        if limit is not None:
+            self._fail(FailureKind.BAD_ANSWER, limit)
             return
         self._process_parsed()
 
@@ -303,23 +326,29 @@
         )
         if keep_open:
             self.idle_since = self._loop.now()
+            # The consumer of this response may have paused reading; the next one starts
+            # with an empty buffer.
+            self.resume_reading()
         else:
             self.close()
         response_handler.on_complete()
         if keep_open and not self._closed and self._on_idle is not None:
             self._on_idle(self)
 
-    def _fail(self, kind: FailureKind) -> None:
+    def _fail(self, kind: FailureKind, limit: LimitKind | None = None) -> None:
         response_handler = self._response_handler
         sent = self._has_sent
         self.close()
         if response_handler is not None:
-            response_handler.on_failure(ExchangeFailure(kind, sent))
+            response_handler.on_failure(ExchangeFailure(kind, sent, limit))
 
     # Parser callbacks, called by httptools.
 
     def _reset_parser(self) -> None:
         self._parser = httptools.HttpResponseParser(self)
+        self._meter = ResponseMeter(self._limits)
+        self._has_expected = False
+        self._has_boundary = False
         self._headers: Headers = []
         self._is_complete = False
         self._has_unexpected_data = False
@@ -343,6 +372,7 @@
 
     def on_headers_complete(self) -> None:
         """Reports the head of the expected response; determines how the body ends."""
+        self._has_boundary = True
         if self._is_complete or self._is_invalid or self._response_handler is None:
             return
         status = self._parser.get_status_code()
@@ -353,6 +383,7 @@
         head, self._headers = ResponseHead(status, self._headers), []
         if self._expected_id is not None and not self._has_expected_id(head):
             return
+        self._has_expected = True
         self._should_keep_alive = self._parser.should_keep_alive()
         self.keep_alive = _keep_alive_time(head)
         has_length = head.get(b"content-length") is not None
@@ -368,10 +399,12 @@
 
     def on_body(self, data: bytes) -> None:
         """Passes on a part of the body."""
+        self._has_boundary = True
         if (
             not (self._is_complete or self._is_skipping or self._is_invalid)
             and self._response_handler is not None
         ):
+            self._has_expected = True
             self._response_handler.on_body(data)
 
     def on_message_complete(self) -> None:
--- a/fighitch/tests/test_http_exchange.py
+++ b/fighitch/tests/test_http_exchange.py
@@ -1,8 +1,12 @@
+import itertools
 import socket
 import threading
 import unittest
 
+from fighitch.core.gateway.response_limits import LimitKind, ResponseLimits
+from fighitch.core.gateway.settings import Address
 from fighitch.runtime.event_loop import EventLoop
+from fighitch.runtime.http_client import NO_RESPONSE, SerialClient
 from fighitch.runtime.http_exchange import (
     ExchangeFailure,
     FailureKind,
@@ -109,6 +113,15 @@
         self.assertEqual(handler.body, b"one")
         self.assertEqual(self.idle, [])
 
+    def test_garbage_after_a_complete_response_does_not_fail_it(self):
+        # A faulty server sends more bytes than its response has. The complete response
+        # is valid; only the connection may not be used again.
+        server = ScriptedServer(build_response("a", "one") + b"\0garbage\r\n")
+        handler = self.exchange(self.connect(server), "a")
+        self.assertTrue(handler.complete)
+        self.assertEqual(handler.body, b"one")
+        self.assertEqual(self.idle, [])
+
     def test_late_response_to_another_request_is_skipped(self):
         server = ScriptedServer(build_response("z", "old") + build_response("a", "one"))
         handler = self.exchange(self.connect(server), "a")
@@ -171,3 +184,152 @@
         self.assertTrue(self.exchange(connection, "a").complete)
         self.assertEqual(self.idle, [connection])
         self.assertTrue(connection.usable())
+
+    def test_connection_paused_during_the_last_bytes_reads_the_next_response(self):
+        # A caller's backlog pauses reading. If the pause came with the last bytes of a
+        # response, the connection returned to the pool and never read again.
+        server = ScriptedServer(build_response("a", "one"), build_response("b", "two"))
+        connection = self.connect(server)
+        handler = RecordingHandler()
+        handler.on_body = lambda data: connection.pause_reading()
+        request = b"GET / HTTP/1.1\r\nAttempt-Id: a\r\n\r\n"
+        connection.send(request, handler, expected_id=b"a")
+        while not handler.ended:
+            self.loop.run_once(0.01)
+        self.assertTrue(connection.usable())
+        self.assertEqual(self.exchange(connection, "b").body, b"two")
+
+    def test_second_copy_on_a_reused_connection_is_not_the_next_response(self):
+        # A late copy of an earlier response arrives where the next one is expected.
+        copy = build_response("a", "one")
+        server = ScriptedServer(copy, copy + build_response("b", "two"))
+        connection = self.connect(server)
+        self.assertEqual(self.exchange(connection, "a").body, b"one")
+        self.assertEqual(self.exchange(connection, "b").body, b"two")
+
+
+class EndlessServer:
+    """Sends a prefix and then a block again and again until the connection closes."""
+
+    _MAX_BYTES = 64 * 1_048_576  # ends a test in which nothing closes the connection
+
+    def __init__(self, prefix: bytes, block: bytes):
+        self._listener = socket.create_server(("127.0.0.1", 0))
+        self._prefix, self._block = prefix, block
+        self.sent_bytes = 0
+        self.port = self._listener.getsockname()[1]
+        self._thread = threading.Thread(target=self._serve, daemon=True)
+        self._thread.start()
+
+    def _serve(self):
+        sock, _ = self._listener.accept()
+        with sock:
+            sock.recv(65_536)
+            try:
+                for data in itertools.chain(
+                    (self._prefix,), itertools.repeat(self._block)
+                ):
+                    sock.sendall(data)
+                    self.sent_bytes += len(data)
+                    if self.sent_bytes > self._MAX_BYTES:
+                        return
+            except OSError:
+                return
+
+    def close(self):
+        self._listener.close()
+        self._thread.join(5)
+
+
+class EndlessResponseTests(unittest.TestCase):
+    """A faulty server sends bytes that are no response until the connection closes.
+
+    Without limits, an entry buffered or read them until its memory ran out or the
+    deadline of the request passed.
+    """
+
+    # The kernel buffers up to several MB between the two ends of a connection.
+    MAX_SENT_BYTES = 16 * 1_048_576
+
+    def setUp(self):
+        self.loop = EventLoop()
+
+    def exchange(self, prefix: bytes, block: bytes, limits=None):
+        server = EndlessServer(prefix, block)
+        self.addCleanup(server.close)
+        connection = HttpConnection(
+            self.loop,
+            "127.0.0.1",
+            server.port,
+            limits=limits or ResponseLimits(),
+        )
+        self.addCleanup(connection.close)
+        handler = RecordingHandler()
+        request = b"GET / HTTP/1.1\r\nAttempt-Id: a\r\n\r\n"
+        connection.send(request, handler, expected_id=b"a")
+        while not handler.ended:
+            self.loop.run_once(0.01)
+        return handler, server
+
+    def assert_limited(self, limit: LimitKind, prefix: bytes, block: bytes):
+        handler, server = self.exchange(prefix, block)
+        failure = ExchangeFailure(FailureKind.BAD_ANSWER, sent=True, limit=limit)
+        self.assertEqual(handler.failure, failure)
+        self.assertLess(server.sent_bytes, self.MAX_SENT_BYTES)
+
+    def test_endless_header_lines(self):
+        block = b"X-Filler: %s\r\n" % (b"x" * 1_000)
+        self.assert_limited(
+            LimitKind.HEADER_BYTES, b"HTTP/1.1 200 OK\r\nAttempt-Id: a\r\n", block
+        )
+
+    def test_endless_header_value(self):
+        prefix = b"HTTP/1.1 200 OK\r\nAttempt-Id: a\r\nX-Filler: "
+        self.assert_limited(LimitKind.HEADER_BYTES, prefix, b"x" * 4_096)
+
+    def test_endless_interim_responses(self):
+        block = b"HTTP/1.1 100 Continue\r\n\r\n" * 100
+        self.assert_limited(LimitKind.PRELIMINARY_BYTES, block, block)
+
+    def test_endless_body_of_a_response_to_another_request(self):
+        prefix = b"HTTP/1.1 200 OK\r\nAttempt-Id: z\r\n"
+        prefix += b"Transfer-Encoding: chunked\r\n\r\n"
+        self.assert_limited(
+            LimitKind.PRELIMINARY_BYTES, prefix, b"1000\r\n%s\r\n" % (b"x" * 4_096)
+        )
+
+    def test_endless_trailers(self):
+        prefix = b"HTTP/1.1 200 OK\r\nAttempt-Id: a\r\n"
+        prefix += b"Transfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n"
+        self.assert_limited(LimitKind.HEADER_BYTES, prefix, b"X-Filler: x\r\n" * 400)
+
+    def test_endless_chunk_extension(self):
+        prefix = b"HTTP/1.1 200 OK\r\nAttempt-Id: a\r\n"
+        prefix += b"Transfer-Encoding: chunked\r\n\r\n1;a="
+        self.assert_limited(LimitKind.HEADER_BYTES, prefix, b"x" * 4_096)
+
+    def test_body_of_the_expected_response_is_not_limited(self):
+        # Large and slow responses are legitimate; only their consumer limits them.
+        size = 2 * ResponseLimits().preliminary_bytes
+        prefix = b"HTTP/1.1 200 OK\r\nAttempt-Id: a\r\nContent-Length: %d\r\n\r\n"
+        handler, _ = self.exchange(prefix % size, b"x" * 65_536)
+        self.assertEqual(len(handler.body), size)
+        self.assertTrue(handler.complete)
+
+    def test_endless_body_of_a_buffered_response(self):
+        # Reports, orders and calls to the store buffer the whole body.
+        head = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+        server = EndlessServer(head, b"10000\r\n%s\r\n" % (b"x" * 65_536))
+        self.addCleanup(server.close)
+        client = SerialClient(self.loop, Address("127.0.0.1", server.port))
+        self.addCleanup(client.close)
+        results = []
+        client.call(
+            b"GET / HTTP/1.1\r\n\r\n",
+            lambda status, body: results.append(status),
+            timeout=60.0,
+        )
+        while not results:
+            self.loop.run_once(0.01)
+        self.assertEqual(results, [NO_RESPONSE])
+        self.assertLess(server.sent_bytes, 2 * self.MAX_SENT_BYTES)
