Limit endless header lines of callers and send rejections whole

Cause: the parser reports a header line when it is complete, so that a line or chunk extension without end was buffered until the header timeout. A rejection shut down the sending side after its head, so that its body was lost and the unread input reset the connection.

Change: bytes without a finished head or body part count towards the limit of the head; the connection is shut down after the body of a rejection.

--- a/fighitch/runtime/http_callers.py
+++ b/fighitch/runtime/http_callers.py
@@ -18,6 +18,8 @@
 _BODY_TIMEOUT: Seconds = 10.0
 _IDLE_SLACK: Seconds = 1.0
 _MAX_PIPELINED = 2
+# Bytes of a head that its size limit leaves out, such as method and line ends.
+_HEAD_OVERHEAD_BYTES = 1_024
 _REASON_PHRASES = {
     200: b"OK",
     400: b"Bad Request",
@@ -34,6 +36,10 @@
 }
 
 
+class _RequestTooLargeError(Exception):
+    """Raised if a request exceeds a size limit."""
+
+
 @dataclass(slots=True)
 class CallerRequest:
     """A complete request of a caller.
@@ -103,11 +109,14 @@
         self._unsent = bytearray()
         self._chunked = False
         self._close_after_response = False
+        self._is_rejecting = False
         self._closed = False
         self._has_stopped_reading = False
         self._caller_requested_close = False
         self._watched_events = 0
         self._timer: Timer | None = None
+        self._has_boundary = False
+        self._bytes_without_boundary = 0
         self._new_parser()
         self._start_timer(limits.idle_timeout + _IDLE_SLACK, self._on_idle_timeout)
         self._watch()
@@ -236,8 +245,10 @@
             self._watch()
 
     def _feed(self, data: bytes) -> None:
+        self._has_boundary = False
         try:
             self._parser.feed_data(data)
+            self._check_header_size(len(data))
         except httptools.HttpParserUpgrade as upgrade:
             # Upgrades are not supported; the bytes that follow are the next request.
             rest = data[upgrade.args[0] :]
@@ -245,7 +256,7 @@
             if rest:
                 self._feed(rest)
                 return
-        except httptools.HttpParserError:
+        except (httptools.HttpParserError, _RequestTooLargeError):
             self._reject(self._error_status or 400)
             return
         if self._error_status:
@@ -259,6 +270,20 @@
             self._start_timer(self._limits.header_timeout, self._on_request_timeout)
         self._next_request()
 
+    def _check_header_size(self, received: int) -> None:
+        """Limits a header line, trailer or chunk extension that never ends.
+
+        The parser reports a header line only when it is complete.
+        """
+        if self._has_boundary:
+            self._bytes_without_boundary = 0
+            return
+        self._bytes_without_boundary += received
+        limit = self._limits.header_bytes + _HEAD_OVERHEAD_BYTES
+        if self._bytes_without_boundary > limit:
+            self._error_status = 431
+            raise _RequestTooLargeError("request head is too large")
+
     def _handle_disconnect(self) -> None:
         on_disconnected, self.on_disconnected = self.on_disconnected, None
         self.close()
@@ -276,11 +301,13 @@
             self._has_stopped_reading = True
             return
         self._close_after_response = True
+        self._is_rejecting = True
         body = b'{"error":"bad_request"}'
         self.send_head(
             status, [(b"Content-Type", b"application/json")], length=len(body)
         )
         self.send_body(body)
+        self._is_rejecting = False
         self.finish()
 
     def _next_request(self) -> None:
@@ -316,6 +343,7 @@
 
     def on_headers_complete(self) -> None:
         """Sends ``100 Continue`` if requested and starts the timeout of the body."""
+        self._has_boundary = True
         for name, value in self._headers:
             expects = name.lower() == b"expect" and value.lower() == b"100-continue"
             if expects and self._current_request is None:
@@ -325,13 +353,15 @@
 
     def on_body(self, data: bytes) -> None:
         """Appends to the body and enforces its size limit."""
+        self._has_boundary = True
         self._body += data
         if len(self._body) > self._limits.body_bytes:
             self._error_status = 413
-            raise ValueError("request body is too large")
+            raise _RequestTooLargeError("request body is too large")
 
     def on_message_complete(self) -> None:
         """Queues the complete request."""
+        self._has_boundary = True
         self._is_reading_request = False
         request = CallerRequest(
             self._parser.get_method(),
@@ -349,7 +379,7 @@
         self._head_bytes += count
         if self._head_bytes > self._limits.header_bytes:
             self._error_status = 431
-            raise ValueError("request head is too large")
+            raise _RequestTooLargeError("request head is too large")
 
     # Writing.
 
@@ -383,6 +413,7 @@
             not self._unsent
             and self._close_after_response
             and self._current_request is None
+            and not self._is_rejecting
         ):
             self._shut_down_sending()
             return
--- a/fighitch/tests/test_http_callers.py
+++ b/fighitch/tests/test_http_callers.py
@@ -76,6 +76,32 @@
         self.assertLess(received.index(b"to /1"), received.index(b"to /2"))
         self.assertEqual(received.count(b"200 OK"), 3)
 
+    def assert_rejected_while_sending(self, prefix: bytes, block: bytes):
+        """Sends a block again and again; expects a rejection within the limits."""
+        host, port = self.listener.getsockname()
+        with socket.create_connection((host, port), timeout=5) as sock:
+            sock.sendall(prefix)
+            for _ in range(64):
+                sock.sendall(block)
+            received = b""
+            while data := sock.recv(65_536):
+                received += data
+        # The whole response arrives although the caller has not stopped sending.
+        self.assertIn(b" 431 ", received)
+        self.assertTrue(received.endswith(b'{"error":"bad_request"}'))
+
+    def test_endless_header_value_is_rejected(self):
+        # The parser buffers a header line until it is complete.
+        self.assert_rejected_while_sending(
+            b"GET / HTTP/1.1\r\nHost: h\r\nX-Filler: ", b"x" * 4_096
+        )
+
+    def test_endless_chunk_extension_is_rejected(self):
+        self.assert_rejected_while_sending(
+            b"POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n1;a=",
+            b"x" * 4_096,
+        )
+
     def test_chunked_body_is_joined(self):
         self.send_and_receive(
             b"POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n",
