End stalled streams and endless bodies that are not forwarded

Cause: comments counted as events, and a stream that may not be repeated had no timer but its deadline, so that a stalled server held it until then. The body of a server error or of an unsigned response was buffered without limit.

Change: a stream without an event for longer than callers wait, plus 0.5 s, fails; only events reset the timers.

Not changed: a stream with steady events runs until the deadline or the timeout of its route, which the operators state.

--- a/fighitch/core/gateway/event_stream.py
+++ b/fighitch/core/gateway/event_stream.py
@@ -12,6 +12,12 @@
     def __init__(self) -> None:
         self._partial = b""
         self._last_id = ""
+        self._has_new_event = False
+
+    @property
+    def has_new_event(self) -> bool:
+        """Whether the latest bytes completed an event, rather than only comments."""
+        return self._has_new_event
 
     @property
     def last_id(self) -> str:
@@ -29,6 +35,7 @@
 
     def feed(self, data: bytes) -> bytes:
         """Adds received bytes and returns all complete events."""
+        self._has_new_event = False
         data = self._partial + data if self._partial else data
         end = data.rfind(_SEPARATOR)
         if end < 0 and len(data) <= _MAX_EVENT_BYTES:
@@ -37,6 +44,7 @@
         end = len(data) if end < 0 else end + len(_SEPARATOR)
         self._partial = data[end:]
         events = data[:end]
+        self._has_new_event = _has_field(events, b"data") or _has_field(events, b"id")
         self._update_last_id(events)
         return events
 
@@ -50,3 +58,7 @@
             return
         line = events[start : events.find(b"\n", start)]
         self._last_id = line.strip().decode("latin-1")
+
+
+def _has_field(events: bytes, name: bytes) -> bool:
+    return events.startswith(name) or b"\n" + name in events
--- a/fighitch/gateway/entry.py
+++ b/fighitch/gateway/entry.py
@@ -22,6 +22,7 @@
     Service,
 )
 from fighitch.core.gateway.outliers import OutlierDetector
+from fighitch.core.gateway.response_limits import LimitKind
 from fighitch.core.gateway.retry_budget import RetryBudget
 from fighitch.core.gateway.route_table import RouteTable, choose_service
 from fighitch.core.gateway.settings import InstanceSettings
@@ -338,6 +339,17 @@
                 outcome=outcome,
             )
 
+    def record_limit_exceeded(
+        self, server: BackendServer, request_id: str, limit: LimitKind
+    ) -> None:
+        """Logs the limit that ended an exchange with a server."""
+        self._log.event(
+            "response_limit_exceeded",
+            request=request_id,
+            server=server.instance_id,
+            limit=limit.value,
+        )
+
     def record_end(self, relay: Relay, **fields: Any) -> None:
         """Records the end of a request."""
         self._relays.discard(relay)
--- a/fighitch/gateway/relay.py
+++ b/fighitch/gateway/relay.py
@@ -11,6 +11,7 @@
     reported_kind,
 )
 from fighitch.core.gateway.model import BackendServer, Route, Service, WorkKind
+from fighitch.core.gateway.response_limits import LimitKind
 from fighitch.gateway.agent_links import AdmissionCallbacks
 from fighitch.gateway.peer_messages import AdmissionRequest, Decline, Deny, Grant
 from fighitch.platform.requests import (
@@ -53,6 +54,9 @@
 _MIN_ATTEMPT_TIMEOUT: Seconds = 0.25
 # A repeatable stream that sends no event for this long is continued on another server.
 _STREAM_IDLE_TIMEOUT: Seconds = 1.8
+# Margin after the time at which callers leave a stream without events, so that a caller
+# ends the request first.
+_EVENT_TIMEOUT_MARGIN: Seconds = 0.5
 # A request with less time left until its deadline is not sent to a server.
 _MIN_TIME_LEFT: Seconds = 0.02
 # Interval at which a request checks whether a starting agent has connected.
@@ -121,6 +125,7 @@
         self._exchange_number = 0
         self._in_flight = False
         self._attempt_timer: Timer | None = None
+        self._event_timer: Timer | None = None
         delay = max(0.0, self._deadline - self._loop.now())
         self._deadline_timer = self._loop.call_later(delay, self._on_deadline)
         caller.on_disconnected = self._on_caller_gone
@@ -260,6 +265,26 @@
         request_id = self._metadata.request_id.encode("latin-1")
         self._connection.send(data, receiver, expected_id=request_id)
         self._start_attempt_timer(time_left)
+        self._start_event_timer()
+
+    def _start_event_timer(self) -> None:
+        """Starts the time limit until the next event of a stream.
+
+        Load pattern: a stalled server keeps a stream open with comments and never sends
+        another event, and the caller does not leave.
+        """
+        if self._event_timer is not None:
+            self._event_timer.cancel()
+        timeout = self._route.caller_event_timeout
+        if self._route.kind is not WorkKind.STREAMING or timeout == float("inf"):
+            return
+        self._event_timer = self._loop.call_later(
+            timeout + _EVENT_TIMEOUT_MARGIN, self._on_event_timeout
+        )
+
+    def _on_event_timeout(self) -> None:
+        self._event_timer = None
+        self.on_failure(ExchangeFailure(ExchangeFailureKind.TIMEOUT, sent=True))
 
     def _start_attempt_timer(self, time_left: Seconds) -> None:
         if not self._may_retry():
@@ -321,10 +346,18 @@
             self._on_events(self._event_buffer.feed(data))
             return
         self._buffered_body += data
-        if len(self._buffered_body) > _MAX_BUFFERED_BYTES and self._may_forward():
-            self._forward_head(length=None)
-            self._forward_body(bytes(self._buffered_body))
-            self._buffered_body.clear()
+        if len(self._buffered_body) <= _MAX_BUFFERED_BYTES:
+            return
+        if not self._may_forward():
+            # A response that is not forwarded is buffered as a whole.
+            failure = ExchangeFailure(
+                ExchangeFailureKind.BAD_ANSWER, sent=True, limit=LimitKind.BODY_BYTES
+            )
+            self.on_failure(failure)
+            return
+        self._forward_head(length=None)
+        self._forward_body(bytes(self._buffered_body))
+        self._buffered_body.clear()
 
     def on_complete(self) -> None:
         """Handles the end of a response."""
@@ -370,9 +403,11 @@
                 self._entry.links.report_first_event(
                     self._server.instance_id, self._admission_number
                 )
-        if self._attempt_timer is not None:
-            self._attempt_timer.cancel()
-            self._start_attempt_timer(self._deadline - self._loop.now())
+        if self._event_buffer.has_new_event:
+            self._start_event_timer()
+            if self._attempt_timer is not None:
+                self._attempt_timer.cancel()
+                self._start_attempt_timer(self._deadline - self._loop.now())
         if not self._head_sent:
             self._forward_head(length=None)
         self._forward_body(events)
@@ -434,6 +469,10 @@
         """Handles a failed exchange."""
         outcome = failure.kind.value
         unreachable = not failure.sent
+        if failure.limit is not None and self._server is not None:
+            self._entry.record_limit_exceeded(
+                self._server, self._metadata.request_id, failure.limit
+            )
         self._end_exchange(failed=True, outcome=outcome, unreachable=unreachable)
         if not failure.sent:
             self._avoid_current()
@@ -462,6 +501,9 @@
         if self._attempt_timer is not None:
             self._attempt_timer.cancel()
             self._attempt_timer = None
+        if self._event_timer is not None:
+            self._event_timer.cancel()
+            self._event_timer = None
         connection, self._connection = self._connection, None
         if connection is not None and connection.busy:
             connection.close()
--- a/fighitch/tests/test_gateway_decisions.py
+++ b/fighitch/tests/test_gateway_decisions.py
@@ -245,6 +245,13 @@
 
 
 class EventBufferTests(unittest.TestCase):
+    def test_comments_are_no_events(self):
+        events = EventBuffer()
+        events.feed(b": data\n\n")
+        self.assertFalse(events.has_new_event)
+        events.feed(b": comment\nid: 7\ndata: a\n\n")
+        self.assertTrue(events.has_new_event)
+
     def test_only_complete_events_are_forwarded(self):
         # A server may fail within an event. If a part of it were forwarded, the stream
         # could not be resumed.
--- a/fighitch/tests/test_relay.py
+++ b/fighitch/tests/test_relay.py
@@ -8,6 +8,7 @@
     WeightedService,
     WorkKind,
 )
+from fighitch.core.gateway.response_limits import LimitKind
 from fighitch.gateway.peer_messages import Decline, Deny
 from fighitch.gateway.relay import Relay
 from fighitch.platform.requests import decode_request
@@ -27,7 +28,9 @@
         self.entry.links.is_connected.return_value = False
         self.caller = mock.Mock()
 
-    def relay(self, *, deadline_ms: int = 5_000) -> Relay:
+    def relay(
+        self, *, deadline_ms: int = 5_000, caller_event_timeout: float = float("inf")
+    ) -> Relay:
         headers = [
             (b"Host", b"h"),
             (b"Attempt-Id", b"x"),
@@ -44,6 +47,7 @@
             target_latency=1.0,
             rank=0,
             services=(WeightedService("models", 1.0),),
+            caller_event_timeout=caller_event_timeout,
         )
         service = Service("models", engine=engine_spec())
         metadata = decode_request(request)
@@ -149,6 +153,23 @@
 
 
 class ResponseTests(RelayTestCase):
+    def test_endless_body_that_may_not_be_forwarded_ends_the_attempt(self):
+        # The body of a server error is buffered as a whole, and a faulty server sends
+        # it without end.
+        self.entry.links.may_connect_soon.return_value = False
+        self.entry.take_retry.return_value = False
+        relay = self.relay()
+        relay.place()
+        relay.on_head(ResponseHead(500, [(b"Response-Signature", b"s")]))
+        for _ in range(5):
+            relay.on_body(b"x" * 65_536)
+        self.assertEqual(
+            self.entry.record_limit_exceeded.call_args.args[1:],
+            ("x", LimitKind.BODY_BYTES),
+        )
+        self.assertEqual(self.caller.send_head.call_args.args[0], 502)
+        self.entry.pool.acquire.return_value.close.assert_called_once()
+
     def test_caller_disconnect_during_response_ends_the_request(self):
         # Guards against a leaked server connection: the write after the disconnect
         # raised an exception, and the connection was never released.
@@ -163,3 +184,39 @@
         relay.on_complete()
         self.entry.record_end.assert_called_once()
         self.entry.record_outcome.assert_called_once()
+
+
+class StalledStreamTests(RelayTestCase):
+    """A stream without events is ended after the time at which callers leave it."""
+
+    def start_stream(self) -> Relay:
+        patch = mock.patch("fighitch.gateway.relay._EVENT_TIMEOUT_MARGIN", 0.1)
+        patch.start()
+        self.addCleanup(patch.stop)
+        self.entry.links.may_connect_soon.return_value = False
+        relay = self.relay(caller_event_timeout=0.2)
+        relay.place()
+        self.caller.is_backlogged = False
+        relay.on_head(ResponseHead(200, [(b"Response-Signature", b"s")]))
+        relay.on_body(b"id: 1\ndata: a\n\n")
+        return relay
+
+    def test_stream_with_comments_only_is_ended(self):
+        # Comments kept a stalled stream open until its deadline.
+        relay = self.start_stream()
+        for _ in range(10):
+            self.run_for(0.05)
+            if self.entry.record_end.called:
+                break
+            relay.on_body(b": keep-alive\n\n")
+        self.entry.record_end.assert_called_once()
+        self.caller.close.assert_called_once()
+
+    def test_slow_stream_with_events_continues(self):
+        relay = self.start_stream()
+        for number in range(2, 12):
+            self.run_for(0.05)
+            relay.on_body(b"id: %d\ndata: a\n\n" % number)
+        self.entry.record_end.assert_not_called()
+        relay.on_complete()
+        self.caller.finish.assert_called_once()
