Keep watching a kind after an object that can't be handled

Cause: an exception other than a decoding error, raised while one object of another writer was handled, left the watcher without a next call: the entry kept its list of servers as it was until it was restarted. Such an exception came from a port that str.isdigit accepts and int does not, or from deep nesting. An empty InternalPorts raised an IndexError that escaped a reload; rendezvous.score divided by zero for a digest of ones.

Change: each object is handled by itself and an error is logged with its name; ports are ASCII digits; an empty list names key and expectation; the score is clamped below one. A report with unexpected Runs is still valid.

An object so deeply nested that the list can't be skipped over keeps the list unreadable; it is retried and logged.

--- a/fighitch/core/rendezvous.py
+++ b/fighitch/core/rendezvous.py
@@ -19,6 +19,7 @@
 RANKING_DEPTH = 32
 # Number of bits of a digest that a float represents exactly.
 _MANTISSA_BITS = 53
+_LARGEST_BELOW_ONE = math.nextafter(1.0, 0.0)
 
 
 def score(key_digest: int, node: str, weight: float) -> float:
@@ -30,8 +31,10 @@
         weight: Share of the keys for the node, relative to other nodes.
     """
     digest = xxhash.xxh3_64_intdigest(node.encode(), seed=key_digest)
-    # 0.5 keeps the value above 0, where the logarithm is defined.
+    # 0.5 keeps the value above 0, where the logarithm is defined. The largest value is
+    # rounded to 1, where the logarithm is 0.
     uniform = ((digest >> (64 - _MANTISSA_BITS)) + 0.5) / (1 << _MANTISSA_BITS)
+    uniform = min(uniform, _LARGEST_BELOW_ONE)
     return -weight / math.log(uniform)
 
 
--- a/fighitch/gateway/store_watch.py
+++ b/fighitch/gateway/store_watch.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
+from typing import TypeVar
 
 import msgspec
 
@@ -13,6 +14,8 @@
 from fighitch.runtime.http_client import SerialClient
 from fighitch.types import Seconds
 
+_T = TypeVar("_T")
+
 _OK = 200
 _GONE = 410
 _LIST_TIMEOUT: Seconds = 2.0
@@ -135,10 +138,10 @@
         objects, self._listed_objects = self._listed_objects, []
         self._record_contact()
         if self._on_list is not None:
-            self._on_list(objects)
+            self._deliver(self._on_list, objects, "list")
         else:
             for item in objects:
-                self._on_change(item)
+                self._deliver(self._on_change, item, item.name)
         self._schedule_watch(0.0)
 
     def _schedule_watch(self, pause: Seconds) -> None:
@@ -166,9 +169,22 @@
             if item.revision < self._object_revisions.get(item.name, 0):
                 continue
             self._object_revisions[item.name] = item.revision
-            self._on_change(item)
+            self._deliver(self._on_change, item, item.name)
         self._schedule_watch(self._options.pause if page.objects else 0.0)
 
+    def _deliver(self, callback: Callable[[_T], None], content: _T, name: str) -> None:
+        """Passes on objects; an unexpected error must not end the watch."""
+        try:
+            callback(content)
+        except Exception as error:
+            self._log.event(
+                "store_object_failed",
+                level="error",
+                kind=self._options.kind,
+                entry=name,
+                detail=repr(error),
+            )
+
     def _decode(
         self,
         status: int,
@@ -179,7 +195,7 @@
             return None
         try:
             page = decode(body)
-        except msgspec.DecodeError as error:
+        except (msgspec.DecodeError, RecursionError) as error:
             self._log.event(
                 "store_answer_unreadable", kind=self._options.kind, detail=error
             )
--- a/fighitch/platform/engine.py
+++ b/fighitch/platform/engine.py
@@ -49,8 +49,14 @@
     remaining_ms: float | None = None
     id: str = ""
     born: int = msgspec.field(default=0, name="born")
-    # Running requests: request id, tokens in memory, events produced, priority.
-    runs: list[tuple[str, int, int, int]] = []
+    # Decoded separately, as a report without it is still valid.
+    runs: msgspec.Raw = msgspec.Raw(b"[]")
+
+
+class _Run(msgspec.Struct, array_like=True):
+    request_id: str
+    tokens_in_memory: float
+    events: int
 
 
 def decode_heartbeat(instance_id: str, spec: msgspec.Raw) -> BackendServer:
@@ -61,7 +67,7 @@
     """
     decoded = msgspec.json.decode(spec, type=_Heartbeat)
     host, _, port = decoded.address.rpartition(":")
-    if not host or not port.isdigit():
+    if not host or not (port.isascii() and port.isdigit()):
         raise msgspec.ValidationError(f"address {decoded.address!r} is not IP:PORT")
     return BackendServer(
         instance_id=instance_id,
@@ -95,7 +101,7 @@
         time_left=None if time_left_ms is None else time_left_ms / _MS_PER_SECOND,
         start_time_ms=decoded.born,
         instance_id=decoded.id,
-        events={run[0]: run[2] for run in decoded.runs},
+        events=_decode_events(decoded.runs),
     )
 
 
@@ -150,6 +156,15 @@
     return {"Operation": "model_load", "Model": order.model}
 
 
+def _decode_events(runs: msgspec.Raw) -> dict[str, int]:
+    """Returns the events that each running request has produced, if they are stated."""
+    try:
+        decoded = msgspec.json.decode(runs, type=list[_Run])
+    except msgspec.DecodeError:
+        return {}
+    return {run.request_id: run.events for run in decoded}
+
+
 def _held_adapters(models: Iterable[_HeldModel]) -> dict[AdapterName, int]:
     held = {}
     for model in models:
@@ -166,4 +181,5 @@
 
 def _split_version(name: str) -> tuple[str, int]:
     adapter, _, version = name.partition("@")
-    return adapter, int(version) if version.isdigit() else 0
+    is_number = version.isascii() and version.isdigit()
+    return adapter, int(version) if is_number else 0
--- a/fighitch/platform/settings.py
+++ b/fighitch/platform/settings.py
@@ -52,6 +52,8 @@
     store = _parse_address(decoded.platform.address)
     if store is None:
         raise msgspec.ValidationError("Platform.Address is empty; expected IP:PORT")
+    if not decoded.internal_ports:
+        raise msgspec.ValidationError("InternalPorts is empty; expected a port or more")
     bounds = decoded.bounds
     return InstanceSettings(
         instance=decoded.node_name,
@@ -77,6 +79,6 @@
     if not text:
         return None
     host, _, port = text.rpartition(":")
-    if not host or not port.isdigit():
+    if not host or not (port.isascii() and port.isdigit()):
         raise msgspec.ValidationError(f"address {text!r} is not IP:PORT")
     return Address(host, int(port))
--- a/fighitch/tests/test_platform_folder.py
+++ b/fighitch/tests/test_platform_folder.py
@@ -68,12 +68,33 @@
         with self.assertRaisesRegex(msgspec.ValidationError, "'nowhere'"):
             decode_settings(self.settings(app="nowhere"))
 
+    def test_empty_list_of_internal_ports_is_an_error(self):
+        # An IndexError would end the process at startup and escape a reload.
+        with self.assertRaisesRegex(msgspec.ValidationError, "InternalPorts"):
+            decode_settings(self.settings(InternalPorts=[]))
+
+    def test_port_that_is_no_ascii_number_is_an_error(self):
+        with self.assertRaises(msgspec.ValidationError):
+            decode_settings(self.settings(app="10.0.0.1:\u00b2"))
+
 
 class HeartbeatTests(unittest.TestCase):
     def decode(self, **changes):
         spec = msgspec.Raw(json.dumps(HEARTBEAT | changes).encode())
         return decode_heartbeat("i-1", spec)
 
+    def test_port_that_is_no_ascii_number_is_an_error(self):
+        # str.isdigit accepts characters that int does not.
+        spec = {
+            "Service": "models",
+            "Address": "10.0.0.1:\u00b2",
+            "Zone": "z1",
+            "State": "ready",
+            "Slots": 4,
+        }
+        with self.assertRaises(msgspec.ValidationError):
+            decode_heartbeat("i-1", msgspec.Raw(json.dumps(spec).encode()))
+
     def test_heartbeat_is_decoded(self):
         decoded = self.decode()
         self.assertEqual((decoded.host, decoded.port), ("10.0.0.9", 8080))
@@ -93,6 +114,18 @@
 
 
 class ReportTests(unittest.TestCase):
+    def test_events_of_running_requests(self):
+        cases = {
+            b"[]": {},
+            b'[["r1", 40, 7, 5], ["r2", 1, 0, 5, "more"]]': {"r1": 7, "r2": 0},
+            b'[["r1"]]': {},
+            b"null": {},
+        }
+        for runs, expected in cases.items():
+            with self.subTest(runs=runs):
+                report = decode_report(b'{"Seq": 1, "Runs": %s}' % runs)
+                self.assertEqual(report.events, expected)
+
     def test_report_is_decoded(self):
         body = json.dumps(
             {
--- a/fighitch/tests/test_rendezvous.py
+++ b/fighitch/tests/test_rendezvous.py
@@ -2,14 +2,24 @@
 
 import unittest
 from collections import Counter
+from unittest import mock
 
-from fighitch.core.rendezvous import RankedPartitions, rank_nodes
+from fighitch.core.rendezvous import RankedPartitions, rank_nodes, score
 
 NODES = {f"node-{number}": 16.0 for number in range(50)}
 KEYS = [f"model/adapter-{number}@1" for number in range(2_000)]
 
 
 class RankingTests(unittest.TestCase):
+    def test_extreme_digests_have_a_finite_score(self):
+        """Guards against a division by zero for a digest of ones only."""
+        for digest in (0, (1 << 64) - 1):
+            with (
+                self.subTest(digest=digest),
+                mock.patch("xxhash.xxh3_64_intdigest", return_value=digest),
+            ):
+                self.assertGreater(score(1, "node", 1.0), 0.0)
+
     def test_weight_sets_the_share_of_the_keys(self):
         """Guards against large servers that get as few keys as small ones."""
         nodes = {"small": 1.0, "large": 3.0}
