Repair the membership part of the capacity measurements

Cause: renamed EntryStatus.members to backend_servers, and no test ran the part. A test runs it with eight members now.

--- a/benchmarks/membership_run.py
+++ b/benchmarks/membership_run.py
@@ -178,7 +178,7 @@
         return any(
             member.state in ("alive", "unknown")
             for entry in self.entries
-            for member in entry.core.status(now=self.now).members
+            for member in entry.core.status(now=self.now).backend_servers
             if member.name == name
         )
 
--- a/benchmarks/tests/test_capacity.py
+++ b/benchmarks/tests/test_capacity.py
@@ -2,7 +2,7 @@
 
 import unittest
 
-from benchmarks import design_size as size
+from benchmarks import design_size as size, membership_run
 from benchmarks.capacity import SECTION_BEGIN, SECTION_END, replace_section
 from benchmarks.slopes import Figure, Slope, rounded
 from benchmarks.stream_caller import Stream, summarize_latency
@@ -90,5 +90,13 @@
         self.assertAlmostEqual(found.between_tokens[99.0], 0.02, places=4)
 
 
+class MembershipRunTests(unittest.TestCase):
+    def test_run_detects_a_killed_and_a_draining_member(self):
+        """Guards against a run that reads a field that the status no longer has."""
+        result = membership_run.run_one(8, 0.0)
+        self.assertLess(result.drain_detection, result.death_detection)
+        self.assertEqual(result.false_suspicions, 0)
+
+
 if __name__ == "__main__":
     unittest.main()
