Answer requests that arrive while a stopping entry closes its listener

Cause: at a planned stop the listener was closed with connections in its backlog, and idle connections were closed with a request in their receive buffer; both are reset, so that a request that had just been accepted got no answer.

A request that crosses the close on the wire is still lost to the caller, but has not been read.

--- a/fighitch/gateway/entry.py
+++ b/fighitch/gateway/entry.py
@@ -146,12 +146,16 @@
         self.loop.call_later(drain_time, self._finish_stop)
 
     def _close_idle_callers(self) -> None:
+        callers = list(self._callers)
         if self._listener is not None:
+            # Closing the listener resets the connections that are not yet accepted.
+            # Their callers get until the next round to send a request.
+            self._accept(READ)
             self.loop.forget(self._listener)
             self._listener.close()
             self._listener = None
-        for caller in [caller for caller in self._callers if caller.idle]:
-            caller.close()
+        for caller in callers:
+            caller.close_if_idle()
         if not self._callers:
             self._finish_stop()
             return
--- a/fighitch/runtime/http_callers.py
+++ b/fighitch/runtime/http_callers.py
@@ -199,6 +199,20 @@
         self._sock.close()
         self._on_closed(self)
 
+    def close_if_idle(self) -> None:
+        """Closes the connection if it is idle and has no unread input.
+
+        Unread input may be a request, which closing the connection would discard.
+        """
+        if self._closed or not self.idle:
+            return
+        try:
+            has_input = bool(self._sock.recv(1, socket.MSG_PEEK))
+        except OSError:
+            has_input = False
+        if not has_input:
+            self.close()
+
     # Reading.
 
     def _new_parser(self) -> None:
--- a/fighitch/tests/test_gateway_entry.py
+++ b/fighitch/tests/test_gateway_entry.py
@@ -1,5 +1,6 @@
 """Tests of ``fighitch.gateway.entry``."""
 
+import socket
 import unittest
 from dataclasses import replace
 from unittest import mock
@@ -9,6 +10,10 @@
 from fighitch.gateway import entry as entry_module
 from fighitch.gateway.entry import GatewayEntry
 from fighitch.platform.engine import SERVERS_KIND
+from fighitch.runtime.event_loop import EventLoop
+from fighitch.runtime.sockets import listen
+
+REQUEST = b"GET /p/ HTTP/1.1\r\nHost: h\r\nAttempt-Id: x\r\n\r\n"
 
 SETTINGS = InstanceSettings(
     instance="front-1",
@@ -51,5 +56,65 @@
         self.assertEqual(len(self.pauses()), 1)
 
 
+class StopTests(unittest.TestCase):
+    """Connections and requests that arrive when a stopping entry closes its listener.
+
+    Closing a socket with unread input resets it, and the caller gets no response to a
+    request that had just been accepted.
+    """
+
+    def setUp(self):
+        self.loop = EventLoop()
+        for name in ("KindWatcher", "_LISTENER_CLOSE_DELAY"):
+            value = mock.Mock() if name == "KindWatcher" else 0.0
+            patch = mock.patch.object(entry_module, name, value)
+            patch.start()
+            self.addCleanup(patch.stop)
+        self.listener = listen("127.0.0.1", 0)
+        with mock.patch.object(entry_module, "listen", return_value=self.listener):
+            self.entry = GatewayEntry(self.loop, SETTINGS, mock.Mock(), mock.Mock())
+            self.entry.start()
+        self.addCleanup(self.listener.close)
+
+    def connect(self) -> socket.socket:
+        sock = socket.create_connection(self.listener.getsockname(), timeout=5)
+        self.addCleanup(sock.close)
+        return sock
+
+    def receive(self, sock: socket.socket) -> bytes:
+        """Stops the entry and returns all that it sends."""
+        self.entry.stop()
+        self.loop.call_later(2.0, self.loop.stop)
+        self.loop.run()
+        received = b""
+        while data := sock.recv(65_536):
+            received += data
+        return received
+
+    def assert_answered(self, received: bytes) -> None:
+        # Without a configuration, the entry answers each request with 503.
+        self.assertIn(b"HTTP/1.1 503", received)
+        self.assertIn(b"Connection: close", received)
+
+    def test_request_on_a_connection_that_is_not_yet_accepted(self):
+        sock = self.connect()
+        sock.sendall(REQUEST)
+        self.assert_answered(self.receive(sock))
+
+    def test_request_on_a_persistent_connection_that_is_not_yet_read(self):
+        sock = self.connect()
+        self.loop.run_once(0.1)
+        sock.sendall(REQUEST)
+        # The request arrives after the latest read of the loop.
+        self.entry.stop()
+        self.entry._close_idle_callers()
+        self.assert_answered(self.receive(sock))
+
+    def test_idle_connection_is_closed(self):
+        sock = self.connect()
+        self.loop.run_once(0.1)
+        self.assertEqual(self.receive(sock), b"")
+
+
 if __name__ == "__main__":
     unittest.main()
