Write the claim on an engine over a new connection for each call

Cause: responses of the store and of engines' control calls have no id, so that a late second copy of a response on a reused connection was taken for the next one. A claim could count as written although it was not. A copy in place of a watch response shifted all later responses on the connection.

Ruled out: orders and reports, as each order names the expected sequence number; the request path, which compares ids.

Change: the two calls of a claim use a connection each; a response that can't be decoded ends the use of its connection.

Result: a test each; the suite of the processes passes.

--- a/fighitch/gateway/engine_control.py
+++ b/fighitch/gateway/engine_control.py
@@ -89,7 +89,10 @@
         on_response: Callable[[int, bytes], None],
     ) -> None:
         request = encode_call(method, target, str(self._settings.store), body)
-        self._client.call(request, on_response, timeout=_STORE_TIMEOUT)
+        # A claim that seems written but is not would allow two holders.
+        self._client.call(
+            request, on_response, timeout=_STORE_TIMEOUT, reuse_connection=False
+        )
 
     def _on_record(self, status: int, body: bytes) -> None:
         if status == _NOT_FOUND:
--- a/fighitch/gateway/store_watch.py
+++ b/fighitch/gateway/store_watch.py
@@ -199,6 +199,9 @@
             self._log.event(
                 "store_answer_unreadable", kind=self._options.kind, detail=error
             )
+            # It may be a late copy of an earlier response; the right one would then be
+            # taken for the response to the next call.
+            self._client.close()
             return None
         if page.unreadable:
             self._log.event(
--- a/fighitch/runtime/http_client.py
+++ b/fighitch/runtime/http_client.py
@@ -80,7 +80,12 @@
         return self._address
 
     def call(
-        self, request: bytes, on_response: ResponseCallback, *, timeout: Seconds
+        self,
+        request: bytes,
+        on_response: ResponseCallback,
+        *,
+        timeout: Seconds,
+        reuse_connection: bool = True,
     ) -> None:
         """Sends a request.
 
@@ -90,9 +95,12 @@
                 if there was no complete response in time; the request may still have
                 taken effect.
             timeout: Longest time until the response is complete.
+            reuse_connection: Whether a persistent connection may be used. Responses
+                have no id, so that a late second copy of the previous response would
+                be taken for the response to this call.
         """
         connection = self._connection
-        if connection is None or not connection.usable():
+        if connection is None or not reuse_connection or not connection.usable():
             if connection is not None:
                 connection.close()
             connection = HttpConnection(
--- a/fighitch/tests/test_http_exchange.py
+++ b/fighitch/tests/test_http_exchange.py
@@ -208,6 +208,56 @@
         self.assertEqual(self.exchange(connection, "b").body, b"two")
 
 
+class RepeatingServer:
+    """Answers the first request of each connection, and again at every later one."""
+
+    def __init__(self, *bodies: bytes):
+        self._listener = socket.create_server(("127.0.0.1", 0))
+        self._bodies = bodies
+        self.port = self._listener.getsockname()[1]
+        self._thread = threading.Thread(target=self._serve, daemon=True)
+        self._thread.start()
+
+    def _serve(self):
+        for body in self._bodies:
+            sock, _ = self._listener.accept()
+            threading.Thread(target=self._answer, args=(sock, body)).start()
+
+    @staticmethod
+    def _answer(sock: socket.socket, body: bytes):
+        with sock:
+            while sock.recv(65_536):
+                head = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body)
+                sock.sendall(head + body)
+
+    def close(self):
+        self._listener.close()
+        self._thread.join(5)
+
+
+class SerialClientTests(unittest.TestCase):
+    def test_late_copy_is_not_the_response_on_a_new_connection(self):
+        # The copy of a read response would count as the response to the write of a
+        # claim, and an agent would give orders without holding its engine.
+        loop = EventLoop()
+        server = RepeatingServer(b"first", b"second")
+        self.addCleanup(server.close)
+        client = SerialClient(loop, Address("127.0.0.1", server.port))
+        self.addCleanup(client.close)
+        bodies = []
+        for _ in range(2):
+            client.call(
+                b"GET / HTTP/1.1\r\n\r\n",
+                lambda status, body: bodies.append(body),
+                timeout=5.0,
+                reuse_connection=False,
+            )
+            expected = len(bodies) + 1
+            while len(bodies) < expected:
+                loop.run_once(0.01)
+        self.assertEqual(bodies, [b"first", b"second"])
+
+
 class EndlessServer:
     """Sends a prefix and then a block again and again until the connection closes."""
 
--- a/fighitch/tests/test_store_watch.py
+++ b/fighitch/tests/test_store_watch.py
@@ -119,6 +119,14 @@
         self.respond(b'{"items": [%s], "At": 5}' % item)
         self.assert_next_call()
 
+    def test_unreadable_response_ends_the_use_of_its_connection(self):
+        # A late copy of a list in place of a watch would shift all later responses.
+        self.start()
+        self.respond(EMPTY_LIST)
+        self.assert_next_call()
+        self.respond(EMPTY_LIST)
+        self.client.close.assert_called_once()
+
     def test_deeply_nested_object_does_not_end_the_watch(self):
         nested = b"[" * 100_000 + b"]" * 100_000
         item = b'{"Metadata": {"Name": "x", "Revision": 1}, "Spec": %s}' % nested
