Let long prompts join pending ones, and bound the slowdown that is assumed

Load pattern: long prompts among short ones in a burst.

A prompt of 9,190 tokens never fits half of the gap target at the worst slowdown, so that it waited until no prompt was pending and held up all requests behind it. An engine that stood still counted as slowed down by 10 and more for a minute.

Change: a prompt that breaks the gap target of a slow engine on its own gains nothing from waiting for a slow phase, so that only the usual speed counts; other prompts share 0.7 of the target at the worst slowdown, at most 3.

--- a/fighitch/core/gateway/engine_queue.py
+++ b/fighitch/core/gateway/engine_queue.py
@@ -12,7 +12,7 @@
 from typing import Protocol
 
 from fighitch.core.gateway.adapter_demand import AdapterDemand
-from fighitch.core.gateway.event_gaps import EventPace, breaks_gap_target
+from fighitch.core.gateway.event_gaps import EventPace, GapLimits
 from fighitch.core.gateway.model import AdapterName, EngineSpec, RequestSize
 from fighitch.types import Seconds
 
@@ -404,8 +404,8 @@
     def _keeps_gap_targets(self, request: EngineRequest, now: Seconds) -> bool:
         """Returns whether the prefill of a prompt leaves the running streams on time.
 
-        A prompt joins pending ones only if the pause is short enough on a slow engine.
-        A single prompt can't be divided and is always admitted.
+        A prompt joins pending ones only if their pause is short enough. A single prompt
+        can't be divided and is always admitted.
         """
         pending_tokens = self._active_prefill_tokens(now)
         if not pending_tokens:
@@ -413,12 +413,13 @@
         gap_target = min(
             running.request.gap_target for running in self._running.values()
         )
-        return not breaks_gap_target(
-            pending_tokens + request.size.prompt_tokens,
+        limits = GapLimits(
             gap_target=min(gap_target, request.gap_target),
             event_interval=self.prefill_speed.overhead,
-            seconds_per_token=self._slow_seconds_per_token,
+            seconds_per_token=self.prefill_speed.seconds_per_token,
+            slowdown=self.event_pace.worst_slowdown,
         )
+        return limits.allows(request.size.prompt_tokens, pending_tokens)
 
     def _active_prefill_tokens(self, now: Seconds) -> int:
         """Returns the prompt tokens that the engine may be prefilling.
@@ -426,20 +427,19 @@
         A prompt without a first event after the longest expected time has not reached
         the engine, or its entry does not report.
         """
+        slow_seconds_per_token = (
+            self.prefill_speed.seconds_per_token * self.event_pace.worst_slowdown
+        )
         return sum(
             running.request.size.prompt_tokens
             for running in self._running.values()
             if not running.has_first_event
             and now
             < running.admitted_at
-            + running.tokens_ahead * self._slow_seconds_per_token
+            + running.tokens_ahead * slow_seconds_per_token
             + self.prefill_speed.overhead
         )
 
-    @property
-    def _slow_seconds_per_token(self) -> Seconds:
-        return self.prefill_speed.seconds_per_token * self.event_pace.worst_slowdown
-
     def _is_urgent(self, request: EngineRequest, now: Seconds) -> bool:
         """Returns whether a request is on time only if it joins the pending prompts."""
         if self._is_late(request, now):
--- a/fighitch/core/gateway/event_gaps.py
+++ b/fighitch/core/gateway/event_gaps.py
@@ -10,9 +10,11 @@
 
 from fighitch.types import Seconds
 
-# Share of a gap target that the pending prompts may use. An event holds several tokens,
-# so that the prefill of the next prompt can fall into the same pause.
-_GAP_SHARE = 0.5
+# Share of a gap target that prompts may use on a slow engine. An event holds several
+# tokens, so that the prefill of the next prompt can fall into the same pause.
+_SLOW_GAP_SHARE = 0.7
+# Share that they may use at the usual speed; the rest absorbs errors of the estimate.
+_USUAL_GAP_SHARE = 0.9
 # Shorter intervals between reports hold too few events to compare speeds.
 _MIN_REPORT_INTERVAL: Seconds = 0.03
 # The usual pace follows a slower one with this time constant, so that an engine that
@@ -20,6 +22,8 @@
 _PACE_TIME_CONSTANT: Seconds = 2.0
 _PACE_RECOVERY_FACTOR = 0.3
 _INITIAL_WORST_SLOWDOWN = 3.0
+# An engine that is slower than this has stopped rather than slowed down.
+_MAX_SLOWDOWN = 3.0
 # The worst slowdown is forgotten with this time constant.
 _WORST_TIME_CONSTANT: Seconds = 60.0
 
@@ -66,7 +70,7 @@
             return
         interval = elapsed / max(sum(produced) / len(produced), 0.5)
         self._update_usual_interval(interval, elapsed)
-        slowdown = interval / self._usual_interval
+        slowdown = min(_MAX_SLOWDOWN, interval / self._usual_interval)
         decayed = self.worst_slowdown - (self.worst_slowdown - 1) * min(
             1.0, elapsed / _WORST_TIME_CONSTANT
         )
@@ -84,20 +88,37 @@
         self._usual_interval += weight * (interval - self._usual_interval)
 
 
-def breaks_gap_target(
-    prompt_tokens: int,
-    *,
-    gap_target: Seconds,
-    event_interval: Seconds,
-    seconds_per_token: Seconds,
-) -> bool:
-    """Returns whether prefill would pause streams for longer than their gap target.
+@dataclass(frozen=True, slots=True)
+class GapLimits:
+    """What decides how long streams of an engine pause for prefill.
 
-    Args:
-        prompt_tokens: Prompt tokens that are prefilled between two events.
+    Attributes:
         gap_target: Shortest gap target of the streams.
         event_interval: Time between two events without prefill.
-        seconds_per_token: Prefill time of one prompt token.
+        seconds_per_token: Usual prefill time of one prompt token.
+        slowdown: Factor by which prefill may be slowed down.
     """
-    pause = event_interval + prompt_tokens * seconds_per_token
-    return pause > _GAP_SHARE * gap_target
+
+    gap_target: Seconds
+    event_interval: Seconds
+    seconds_per_token: Seconds
+    slowdown: float
+
+    def allows(self, prompt_tokens: int, pending_tokens: int) -> bool:
+        """Returns whether a prompt may be prefilled together with pending ones.
+
+        A prompt that would break the gap target of a slow engine on its own gains
+        nothing from waiting for a slow phase, so that only the usual speed counts.
+
+        Args:
+            prompt_tokens: Tokens of the prompt.
+            pending_tokens: Tokens of the pending prompts.
+        """
+        joint_tokens = prompt_tokens + pending_tokens
+        if self._pause(prompt_tokens, self.slowdown) > self.gap_target:
+            return self._pause(joint_tokens, 1.0) <= _USUAL_GAP_SHARE * self.gap_target
+        joint_pause = self._pause(joint_tokens, self.slowdown)
+        return joint_pause <= _SLOW_GAP_SHARE * self.gap_target
+
+    def _pause(self, tokens: int, slowdown: float) -> Seconds:
+        return self.event_interval + tokens * self.seconds_per_token * slowdown
