Keep streams of slow callers while their backlog pauses reading

Cause: while a caller's backlog pauses reading, no event can arrive, so that the time limit until the next event, and the one after which a repeatable stream moves to another server, ended or moved sound streams.

Change: both timers stop with reading and start again when the caller has read the backlog.

--- a/fighitch/gateway/relay.py
+++ b/fighitch/gateway/relay.py
@@ -274,8 +274,6 @@
         Load pattern: a stalled server keeps a stream open with comments and never sends
         another event, and the caller does not leave.
         """
-        if self._event_timer is not None:
-            self._event_timer.cancel()
         timeout = self._route.caller_event_timeout
         if self._route.kind is not WorkKind.STREAMING or timeout == float("inf"):
             return
@@ -405,14 +403,22 @@
                     self._server.instance_id, self._admission_number
                 )
         if self._event_buffer.has_new_event:
-            self._start_event_timer()
-            if self._attempt_timer is not None:
-                self._attempt_timer.cancel()
-                self._start_attempt_timer(self._deadline - self._loop.now())
+            self._restart_stream_timers()
         if not self._head_sent:
             self._forward_head(length=None)
         self._forward_body(events)
 
+    def _restart_stream_timers(self) -> None:
+        self._cancel_stream_timers()
+        self._start_event_timer()
+        self._start_attempt_timer(self._deadline - self._loop.now())
+
+    def _cancel_stream_timers(self) -> None:
+        for timer in (self._event_timer, self._attempt_timer):
+            if timer is not None:
+                timer.cancel()
+        self._event_timer = self._attempt_timer = None
+
     def _record_first_byte(self) -> None:
         if self._first_byte_time is None:
             self._first_byte_time = self._loop.now() - self._request.received_at
@@ -434,6 +440,9 @@
         self._caller.send_body(data)
         if self._caller is not None and self._caller.is_backlogged and self._connection:
             self._connection.pause_reading()
+            if self._is_stream:
+                # No event can arrive until the caller has read the earlier ones.
+                self._cancel_stream_timers()
 
     def _may_forward(self) -> bool:
         head = self._head
@@ -499,12 +508,7 @@
             return
         self._in_flight = False
         self._exchange_number += 1
-        if self._attempt_timer is not None:
-            self._attempt_timer.cancel()
-            self._attempt_timer = None
-        if self._event_timer is not None:
-            self._event_timer.cancel()
-            self._event_timer = None
+        self._cancel_stream_timers()
         connection, self._connection = self._connection, None
         if connection is not None and connection.busy:
             connection.close()
@@ -549,6 +553,8 @@
     def _on_caller_drained(self) -> None:
         if self._connection is not None:
             self._connection.resume_reading()
+            if self._is_stream:
+                self._restart_stream_timers()
 
     def _fail(self, kind: FailureKind) -> None:
         if self._head_sent:
--- a/fighitch/tests/test_relay.py
+++ b/fighitch/tests/test_relay.py
@@ -220,3 +220,15 @@
         self.entry.record_end.assert_not_called()
         relay.on_complete()
         self.caller.finish.assert_called_once()
+
+    def test_stream_of_a_slow_caller_continues(self):
+        # While the caller's backlog pauses reading, no event can arrive.
+        relay = self.start_stream()
+        self.caller.is_backlogged = True
+        relay.on_body(b"id: 2\ndata: a\n\n")
+        self.run_for(0.5)
+        self.entry.record_end.assert_not_called()
+        self.caller.is_backlogged = False
+        self.caller.on_buffer_drained()
+        self.run_for(0.5)
+        self.entry.record_end.assert_called_once()
