--- a/fighitch/core/gateway/engine_queue.py
+++ b/fighitch/core/gateway/engine_queue.py
@@ -4,7 +4,8 @@
 that are sent to the engine all at once delay each other, so that every first event is
 late. The queue admits only as many prompt tokens as the engine prefills within
 ``PREFILL_WINDOW``, starting with requests that can still meet their latency target, and
-rejects a request as soon as it is known to miss its deadline.
+rejects a request as soon as it is known to miss its deadline. Within the window, a
+prompt joins others only if the running streams keep their gap target (``event_gaps``).
 """
 
 from collections.abc import Mapping
@@ -415,6 +416,7 @@
         )
         limits = GapLimits(
             gap_target=min(gap_target, request.gap_target),
+            # Without prefill, the first event takes about as long as any other.
             event_interval=self.prefill_speed.overhead,
             seconds_per_token=self.prefill_speed.seconds_per_token,
             slowdown=self.event_pace.worst_slowdown,
--- a/fighitch/core/gateway/event_gaps.py
+++ b/fighitch/core/gateway/event_gaps.py
@@ -20,10 +20,14 @@
 # The usual pace follows a slower one with this time constant, so that an engine that
 # stays slow counts as usual after a few seconds.
 _PACE_TIME_CONSTANT: Seconds = 2.0
+# Share of the difference by which the usual pace follows a faster one.
 _PACE_RECOVERY_FACTOR = 0.3
-_INITIAL_WORST_SLOWDOWN = 3.0
+# Mean number of events that is assumed if streams produced fewer between two reports.
+_MIN_EVENTS_PER_REPORT = 0.5
 # An engine that is slower than this has stopped rather than slowed down.
 _MAX_SLOWDOWN = 3.0
+# Assumed until reports show the pace; a lower value could make streams late.
+_INITIAL_WORST_SLOWDOWN = _MAX_SLOWDOWN
 # The worst slowdown is forgotten with this time constant.
 _WORST_TIME_CONSTANT: Seconds = 60.0
 
@@ -68,7 +72,8 @@
         ]
         if not produced:
             return
-        interval = elapsed / max(sum(produced) / len(produced), 0.5)
+        events_per_run = sum(produced) / len(produced)
+        interval = elapsed / max(events_per_run, _MIN_EVENTS_PER_REPORT)
         self._update_usual_interval(interval, elapsed)
         slowdown = min(_MAX_SLOWDOWN, interval / self._usual_interval)
         decayed = self.worst_slowdown - (self.worst_slowdown - 1) * min(
@@ -90,7 +95,7 @@
 
 @dataclass(frozen=True, slots=True)
 class GapLimits:
-    """What decides how long streams of an engine pause for prefill.
+    """Limits on the prompts that an engine prefills between two events of a stream.
 
     Attributes:
         gap_target: Shortest gap target of the streams.
--- a/fighitch/tests/test_gateway_processes.py
+++ b/fighitch/tests/test_gateway_processes.py
@@ -1,3 +1,4 @@
+import signal
 import threading
 import time
 import unittest
@@ -270,6 +271,33 @@
             given = [order.fields["FencingToken"] for order in engine.orders]
             self.assertEqual(given, sorted(given))
 
+    def test_running_stream_survives_the_silence_of_its_agent(self):
+        # An agent that is only silent for a while must not cause its running requests
+        # to be given up, or to be started again elsewhere.
+        self.assertTrue(wait_until(self.agents_connected))
+        for engine in self.fleet.engines:
+            engine.events = 400
+        responses = []
+        request_thread = threading.Thread(
+            target=lambda: responses.append(
+                self.fleet.send_request(
+                    "resume", "s1", adapter="a1", Deadline_Ms="20000"
+                )
+            )
+        )
+        request_thread.start()
+        self.assertTrue(wait_until(lambda: self.runs("s1") == 1))
+        for agent in self.fleet.agents:
+            agent.signal(signal.SIGSTOP)
+        entry = self.fleet.entries[0]
+        self.assertTrue(wait_until(lambda: "event=agent_lost" in entry.log()))
+        self.assertEqual(responses, [], "the stream ended before its agent was lost")
+        for agent in self.fleet.agents:
+            agent.signal(signal.SIGCONT)
+        request_thread.join(25)
+        self.assert_complete_stream(responses[0], "s1", 400)
+        self.assertEqual(self.runs("s1"), 1)
+
     def test_stopping_entry_completes_in_flight_requests(self):
         self.assertTrue(wait_until(self.agents_connected))
         for engine in self.fleet.engines:
