Log the prompt parts of requests that are lost with their engine

An entry now logs run_lost with the ids of the shared parts when an exchange breaks before its first event.

--- a/fighitch/gateway/entry.py
+++ b/fighitch/gateway/entry.py
@@ -28,8 +28,9 @@
 from fighitch.core.gateway.settings import InstanceSettings
 from fighitch.gateway.agent_links import AgentLinks
 from fighitch.gateway.backend_pool import BackendPool
+from fighitch.gateway.failure_response import send_failure_response
 from fighitch.gateway.metrics import EntryMetrics
-from fighitch.gateway.relay import Relay, send_failure_response
+from fighitch.gateway.relay import Relay
 from fighitch.gateway.store_watch import KindWatcher, WatchOptions
 from fighitch.observability.bounded_log import BoundedLog
 from fighitch.platform.configuration import (
@@ -316,9 +317,30 @@
         unreachable: bool,
         outcome: str,
         elapsed: Seconds,
+        metadata: RequestMetadata,
+        has_begun: bool,
     ) -> None:
-        """Records the outcome of an attempt in loads, metrics and outlier detection."""
+        """Records the outcome of an attempt in loads, metrics and outlier detection.
+
+        Args:
+            service: Service of the request.
+            server: Backend server that received the request.
+            failed: Whether the attempt failed because of the server.
+            unreachable: Whether the server did not receive the request.
+            outcome: Outcome for the log and the metrics.
+            elapsed: Time since the request was sent.
+            metadata: Metadata of the request.
+            has_begun: Whether the first event of a stream had arrived.
+        """
         now = self.loop.now()
+        if failed and not unreachable and not has_begun and metadata.shared_parts:
+            self._log.event(
+                "run_lost",
+                request=metadata.request_id,
+                server=server.instance_id,
+                outcome=outcome,
+                parts=",".join(metadata.shared_parts),
+            )
         load = self._plain_loads.get(server.instance_id)
         if load is not None:
             load.running = max(0, load.running - 1)
--- a/fighitch/gateway/relay.py
+++ b/fighitch/gateway/relay.py
@@ -5,14 +5,12 @@
 
 from fighitch.core.gateway.backend_choice import next_server
 from fighitch.core.gateway.event_stream import EventBuffer
-from fighitch.core.gateway.failures import (
-    FAILURE_RESPONSES,
-    FailureKind,
-    reported_kind,
-)
+from fighitch.core.gateway.failures import FailureKind, reported_kind
 from fighitch.core.gateway.model import BackendServer, Route, Service, WorkKind
 from fighitch.core.gateway.response_limits import LimitKind
 from fighitch.gateway.agent_links import AdmissionCallbacks
+from fighitch.gateway.attempt_receiver import AttemptReceiver
+from fighitch.gateway.failure_response import send_failure_response
 from fighitch.gateway.peer_messages import AdmissionRequest, Decline, Deny, Grant
 from fighitch.platform.requests import (
     RequestMetadata,
@@ -262,7 +260,7 @@
         self._connection = self._entry.pool.acquire(
             server, repeatable=self._route.repeatable
         )
-        receiver = _ExchangeReceiver(self, self._exchange_number)
+        receiver = AttemptReceiver(self, self._exchange_number)
         request_id = self._metadata.request_id.encode("latin-1")
         self._connection.send(data, receiver, expected_id=request_id)
         self._start_attempt_timer(time_left)
@@ -525,6 +523,8 @@
             unreachable=unreachable,
             outcome=outcome,
             elapsed=self._loop.now() - self._sent_at,
+            metadata=self._metadata,
+            has_begun=self._state is RelayState.STREAMING,
         )
 
     def _on_deadline(self) -> None:
@@ -613,58 +613,3 @@
     def is_current(self, exchange: int) -> bool:
         """Returns whether the request still waits for the response of this exchange."""
         return exchange == self._exchange_number and self._state is not RelayState.DONE
-
-
-class _ExchangeReceiver:
-    """Passes the response of one attempt to the relay while the attempt is current."""
-
-    def __init__(self, relay: Relay, number: int) -> None:
-        self._relay = relay
-        self._number = number
-
-    def on_head(self, head: ResponseHead) -> None:
-        """Handles the head of the response."""
-        if self._relay.is_current(self._number):
-            self._relay.on_head(head)
-
-    def on_body(self, data: bytes) -> None:
-        """Handles a chunk of the response body."""
-        if self._relay.is_current(self._number):
-            self._relay.on_body(data)
-
-    def on_complete(self) -> None:
-        """Handles the end of the response."""
-        if self._relay.is_current(self._number):
-            self._relay.on_complete()
-
-    def on_failure(self, failure: ExchangeFailure) -> None:
-        """Handles a failed exchange."""
-        if self._relay.is_current(self._number):
-            self._relay.on_failure(failure)
-
-
-def send_failure_response(
-    caller: CallerConnection,
-    kind: FailureKind,
-    request_id: str,
-    retry_after: Seconds | None = None,
-) -> None:
-    """Sends an error response of the entry itself.
-
-    Args:
-        caller: Connection of the caller.
-        kind: Kind of failure that ended the request.
-        request_id: Id of the request; empty if unknown.
-        retry_after: Time until capacity is expected; None for the default of the kind.
-    """
-    response = FAILURE_RESPONSES[kind]
-    body = b'{"error":"%s"}' % kind.value.encode()
-    headers = [(b"Content-Type", b"application/json")]
-    if request_id:
-        headers.append((b"Attempt-Id", request_id.encode("latin-1")))
-    if response.retry_after is not None:
-        wait = max(response.retry_after, retry_after or 0.0)
-        headers.append((b"Retry-After", b"%.3f" % wait))
-    caller.send_head(response.status, headers, length=len(body))
-    caller.send_body(body)
-    caller.finish()
--- a/fighitch/platform/requests.py
+++ b/fighitch/platform/requests.py
@@ -62,6 +62,9 @@
         b"content-length",
     )
 )
+# Limits on what is kept of a prompt's parts; the header itself may be much longer.
+_MAX_SHARED_PARTS = 32
+_MAX_PART_ID_LENGTH = 64
 # Misdirected Request: the server is not the expected instance, or refuses the request.
 _NOT_RUN_STATUS = 421
 
@@ -78,6 +81,8 @@
         adapter: Adapter that the request runs on; None for requests to plain services.
         size: Number of prompt tokens and of output tokens; 0 if not stated.
         resume_after: Id of the last event that the caller received; empty for none.
+        shared_parts: Ids of the prompt parts that other requests may share, in order;
+            the last part of a prompt belongs to the request itself.
     """
 
     request_id: str
@@ -87,6 +92,7 @@
     adapter: AdapterName | None
     size: RequestSize
     resume_after: str
+    shared_parts: tuple[str, ...] = ()
 
 
 def decode_request(request: CallerRequest) -> RequestMetadata:
@@ -101,6 +107,7 @@
         adapter=_parse_adapter(request.get(b"model")),
         size=_parse_request_size(request.get(b"token-counts")),
         resume_after=resume_after.decode("latin-1"),
+        shared_parts=_parse_shared_parts(request.get(b"prompt-prefix")),
     )
 
 
@@ -215,6 +222,15 @@
     return AdapterName(model, adapter)
 
 
+def _parse_shared_parts(value: bytes | None) -> tuple[str, ...]:
+    """Returns the ids of all prompt parts but the last, from ID:TOKENS pairs."""
+    if not value:
+        return ()
+    parts = value.decode("latin-1").split(",")[:-1][:_MAX_SHARED_PARTS]
+    ids = (part.partition(":")[0].strip().lower() for part in parts)
+    return tuple(name[:_MAX_PART_ID_LENGTH] for name in ids if name)
+
+
 def _parse_request_size(value: bytes | None) -> RequestSize:
     if value is None:
         return RequestSize()
