Reproduce engines that crash one after the other under one prompt part

The stand-in engine crashes when it begins to answer such a prompt, refuses connections for 0.5 s and restarts empty under a new id.

--- a/standins/platform_backends.py
+++ b/standins/platform_backends.py
@@ -2,6 +2,7 @@
 
 import itertools
 import time
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -12,6 +13,9 @@
 
 _EVENT_INTERVAL_SECONDS = 0.005
 _LOAD_SECONDS = 0.03
+# Time from the head of a response to the crash that its prompt causes.
+_CRASH_DELAY_SECONDS = 0.02
+_DOWN_SECONDS = 0.5
 
 
 @dataclass(slots=True)
@@ -181,6 +185,11 @@
         # Largest excess of loaded and loading adapters over the adapter slots.
         self.overcommit = 0
         self.versions: dict[str, int] = {}
+        # Part of a prompt that crashes the engine; empty for none.
+        self.crashing_part = ""
+        self.crashes = 0
+        # Called with the earlier instance id after a restart that follows a crash.
+        self.on_restarted: Callable[[str], None] = lambda _instance_id: None
         self._adapter_state = _AdapterState()
         self._sequence = 0
         self._event_numbers = itertools.count(1)
@@ -194,6 +203,22 @@
         for connection in list(self._connections):
             connection.close()
 
+    def crash(self) -> None:
+        """Ends the engine without notice and restarts it empty after a while."""
+        if not self.listening:
+            return
+        self.crashes += 1
+        self.stop_listening()
+        for connection in list(self._connections):
+            connection.close()
+        self.loop.call_later(_DOWN_SECONDS, self._restart_after_crash)
+
+    def _restart_after_crash(self) -> None:
+        previous = self.instance_id
+        self.restart(f"{previous.partition('+')[0]}+{self.crashes}")
+        self.resume_listening()
+        self.on_restarted(previous)
+
     def heartbeat(self) -> dict[str, Any]:
         """Returns the heartbeat of the engine for the store."""
         return super().heartbeat() | {"Models": self._models()}
@@ -226,8 +251,15 @@
         first = int(headers.get("last-event-id") or 0) + 1
         connection.on_disconnected = lambda: self.cancelled.append(request_id)
         connection.send_head(200, self.response_headers(request_id), length=None)
+        if self._is_crashing(headers.get("prompt-prefix", "")):
+            self.loop.call_later(_CRASH_DELAY_SECONDS, self.crash)
+            return
         self._send_event(connection, request_id, first)
 
+    def _is_crashing(self, prompt_prefix: str) -> bool:
+        parts = [part.partition(":")[0] for part in prompt_prefix.split(",")]
+        return bool(self.crashing_part) and self.crashing_part in parts
+
     def _send_event(
         self, connection: CallerConnection, request_id: str, number: int
     ) -> None:
--- a/standins/platform_fleet.py
+++ b/standins/platform_fleet.py
@@ -223,6 +223,8 @@
             self._start_proxies()
         for server in (*self.plain_servers, *self.engines):
             self.publish_heartbeat(server)
+        for engine in self.engines:
+            engine.on_restarted = partial(self._replace_heartbeat, engine)
         self.put_configuration()
         for number, engine in enumerate(self.engines):
             settings = self._build_settings(f"side-{number}", 10 + number)
@@ -290,6 +292,10 @@
         """Writes the heartbeat of a server to the store."""
         self.store.put("servers", server.instance_id, server.heartbeat())
 
+    def _replace_heartbeat(self, engine: PlatformEngine, previous: str) -> None:
+        self.publish_heartbeat(engine)
+        self.store.remove("servers", previous)
+
     def add_route(self) -> str:
         """Writes a configuration with an additional route and returns its name."""
         name = f"added-{len(self._added_routes)}"
--- a/standins/platform_http.py
+++ b/standins/platform_http.py
@@ -22,6 +22,7 @@
         self._listener = listen(host, port)
         self.host, self.port = self._listener.getsockname()
         self._connections: set[CallerConnection] = set()
+        self.listening = True
 
     @property
     def address(self) -> str:
@@ -42,6 +43,18 @@
             connection.close()
         self._listener.close()
 
+    def stop_listening(self) -> None:
+        """Refuses new connections until ``resume_listening``."""
+        self.listening = False
+        self.loop.forget(self._listener)
+        self._listener.close()
+
+    def resume_listening(self) -> None:
+        """Accepts connections again, at the same address."""
+        self._listener = listen(self.host, self.port)
+        self.loop.watch(self._listener, READ, self._accept)
+        self.listening = True
+
     def handle(self, connection: CallerConnection, request: CallerRequest) -> None:
         """Handles a request."""
         raise NotImplementedError
