Keep requests with a prompt part that crashes engines away from them

Cause: no instance keeps what a request carried when its engine ended, so nothing keeps the next request with the same part from the next engine. Class of fault: a request that harms whatever runs it is passed on to the next healthy server. Ruled out by run_lost lines: repetitions by the entries (536 of 564 lost requests had one attempt), load on the survivors (engines that had just returned ended under their first request).

Change: an entry counts a lost request only if its engine is found down within 2 s (agent's status, refused connection), and records the shared parts of such requests as a crash of this incarnation. A part is blocked after three crashes that no request with it survived; parts with the same evidence are blocked only together, and a part is not blamed for crashes that another one explains. Entries share crashes and answered parts through three agents, which pass them on and keep them for entries that restart; what stands for a second is written to the store for a restart of everything, where operators can delete it. Both sets only grow, so that order and repetition of messages do not matter; builds without these messages are not sent any. A request that may have crashed an engine is not repeated. Blocked requests get 503 with Retry-After 60 s.

--- /dev/null
+++ b/fighitch/core/gateway/crash_evidence.py
@@ -0,0 +1,214 @@
+"""Finds the prompt parts that crash engines.
+
+Load pattern: requests of many callers share a prompt part that crashes each engine that
+begins to answer it. The engine loses all its requests and is back after seconds, and
+the next request with the part crashes the next engine.
+
+The evidence is a set of crashes, each with the parts of the requests that were lost
+before their answer was under way, and the time at which a request with a part was last
+answered. Both only grow, so that instances can merge them in any order.
+"""
+
+from collections import OrderedDict
+from collections.abc import Collection, Iterable, Mapping
+from dataclasses import dataclass, replace
+
+from fighitch.types import Seconds
+
+# A part that no request survived is held responsible after this many crashes, at two
+# moments or more: a failure that ends several engines at once proves little.
+_MIN_CRASHES = 3
+_MIN_MOMENTS = 2
+# Enough crashes under one part even if they all come at the same moment.
+_ENOUGH_CRASHES = 5
+# A part that requests survived before needs more: at an outage of all engines, no
+# request with the most common part is answered either.
+_MIN_MOMENTS_IF_ANSWERED = 3
+# Crashes that are closer together count as one moment.
+_MOMENT_GAP: Seconds = 0.25
+# Evidence is dropped after this time, so that a part gets another chance after a repair
+# of the engines.
+EVIDENCE_LIFETIME: Seconds = 3_600.0
+_MAX_CRASHES = 256
+_MAX_PARTS_PER_CRASH = 64
+# Parts whose latest answer is remembered; the longest unused are dropped.
+_MAX_ANSWERED_PARTS = 16_384
+
+# Parts that are only harmful together, as far as the evidence shows.
+PartGroup = frozenset[str]
+
+
+@dataclass(frozen=True, slots=True)
+class Incarnation:
+    """One start of an engine, which can crash once.
+
+    Attributes:
+        instance_id: Instance id in the instance list.
+        start_time_ms: Unix time of its start, in ms; 0 if not reported.
+    """
+
+    instance_id: str
+    start_time_ms: int
+
+
+@dataclass(frozen=True, slots=True)
+class Crash:
+    """Crash of an engine.
+
+    Attributes:
+        engine: Incarnation that crashed.
+        at: Time of the crash.
+        parts: Shared prompt parts of the requests that were lost before their answers
+            were under way.
+    """
+
+    engine: Incarnation
+    at: Seconds
+    parts: frozenset[str]
+
+
+class CrashEvidence:
+    """Crashes of engines and answered parts, as known to one instance."""
+
+    def __init__(self) -> None:
+        self._crashes: dict[Incarnation, Crash] = {}
+        self._suspects: set[str] = set()
+        self._answered: OrderedDict[str, Seconds] = OrderedDict()
+        self._groups: tuple[PartGroup, ...] = ()
+
+    @property
+    def crashes(self) -> Collection[Crash]:
+        """All known crashes."""
+        return self._crashes.values()
+
+    @property
+    def groups(self) -> tuple[PartGroup, ...]:
+        """Groups of parts that crash engines."""
+        return self._groups
+
+    def record_crash(self, crash: Crash) -> bool:
+        """Records a crash, or further parts of a known crash.
+
+        Returns:
+            Whether this was new.
+        """
+        known = self._crashes.get(crash.engine)
+        parts = crash.parts if known is None else known.parts | crash.parts
+        if len(parts) > _MAX_PARTS_PER_CRASH:
+            # Parts of requests that were answered before are the least suspect.
+            parts = frozenset(
+                sorted(parts, key=lambda part: (part in self._answered, part))[
+                    :_MAX_PARTS_PER_CRASH
+                ]
+            )
+        if known is not None and parts == known.parts:
+            return False
+        self._crashes[crash.engine] = replace(known or crash, parts=parts)
+        if len(self._crashes) > _MAX_CRASHES:
+            oldest = min(self._crashes.values(), key=lambda item: item.at)
+            del self._crashes[oldest.engine]
+        self._update()
+        return True
+
+    def record_answered(self, parts: Iterable[str], at: Seconds) -> None:
+        """Records that a request with these parts was answered without a crash."""
+        changed = False
+        for part in parts:
+            previous = self._answered.get(part)
+            if previous is None or previous < at:
+                self._answered[part] = at
+                changed = changed or part in self._suspects
+            self._answered.move_to_end(part)
+        while len(self._answered) > _MAX_ANSWERED_PARTS:
+            self._answered.popitem(last=False)
+        if changed and self._crashes:
+            self._update()
+
+    def answered_at(self, part: str) -> Seconds | None:
+        """Returns when a request with a part was last answered, if this is known."""
+        return self._answered.get(part)
+
+    def answered_suspects(self) -> dict[str, Seconds]:
+        """Returns the latest answer of each part that was involved in a crash."""
+        return {
+            part: self._answered[part]
+            for part in self._suspects
+            if part in self._answered
+        }
+
+    def blocks(self, parts: Collection[str]) -> bool:
+        """Returns whether a request with these parts would crash an engine."""
+        return any(group.issubset(parts) for group in self._groups)
+
+    def is_suspect(self, parts: Iterable[str]) -> bool:
+        """Returns whether a part was involved in a crash and never answered."""
+        return any(
+            part in self._suspects and part not in self._answered for part in parts
+        )
+
+    def expire(self, now: Seconds) -> None:
+        """Drops evidence older than its lifetime."""
+        oldest = now - EVIDENCE_LIFETIME
+        expired = [item.engine for item in self._crashes.values() if item.at < oldest]
+        if not expired:
+            return
+        for engine in expired:
+            del self._crashes[engine]
+        self._update()
+
+    def _update(self) -> None:
+        self._suspects = {part for item in self.crashes for part in item.parts}
+        self._groups = find_crashing_parts(self.crashes, self._answered)
+
+
+def find_crashing_parts(
+    crashes: Iterable[Crash], answered: Mapping[str, Seconds]
+) -> tuple[PartGroup, ...]:
+    """Returns the smallest number of groups of parts that explain repeated crashes.
+
+    Parts with the same evidence form a group, and a request is harmful only if it has
+    all of them: a request with some of them then shows which one it is. A part that
+    comes with a harmful one in other requests is explained by that one.
+
+    Args:
+        crashes: Known crashes.
+        answered: Time at which a request with a part was last answered, by part.
+    """
+    crash_times: dict[str, dict[Incarnation, Seconds]] = {}
+    for crash in crashes:
+        for part in crash.parts:
+            if crash.at > answered.get(part, float("-inf")):
+                crash_times.setdefault(part, {})[crash.engine] = crash.at
+    # Parts by whether they were ever answered and by the crashes since then.
+    candidates: dict[tuple[bool, frozenset[Incarnation]], set[str]] = {}
+    for part, times in crash_times.items():
+        candidates.setdefault((part in answered, frozenset(times)), set()).add(part)
+    explained: set[Incarnation] = set()
+    groups = []
+    for (was_answered, engines), parts in sorted(
+        candidates.items(), key=lambda item: (item[0][0], -len(item[0][1]))
+    ):
+        times = crash_times[next(iter(parts))]
+        unexplained = [times[engine] for engine in engines - explained]
+        if _is_conclusive(unexplained, was_answered=was_answered):
+            groups.append(frozenset(parts))
+            explained |= engines
+    return tuple(groups)
+
+
+def _is_conclusive(times: Collection[Seconds], *, was_answered: bool) -> bool:
+    moments = _count_moments(times)
+    if was_answered:
+        return len(times) >= _ENOUGH_CRASHES and moments >= _MIN_MOMENTS_IF_ANSWERED
+    if len(times) >= _ENOUGH_CRASHES:
+        return True
+    return len(times) >= _MIN_CRASHES and moments >= _MIN_MOMENTS
+
+
+def _count_moments(times: Iterable[Seconds]) -> int:
+    moments, latest = 0, float("-inf")
+    for at in sorted(times):
+        if at - latest > _MOMENT_GAP:
+            moments += 1
+        latest = at
+    return moments
--- a/fighitch/core/gateway/failures.py
+++ b/fighitch/core/gateway/failures.py
@@ -15,6 +15,7 @@
     NO_SERVER = "no_server"
     OVERLOADED = "overloaded"
     NOT_RUN_IN_TIME = "not_run_in_time"
+    PROMPT_QUARANTINED = "prompt_quarantined"
     SERVER_REFUSED = "server_refused"
     SERVER_LOST = "server_lost"
     TIMED_OUT = "timed_out"
@@ -40,6 +41,8 @@
     FailureKind.NO_SERVER: FailureResponse(503, 0.5),
     FailureKind.OVERLOADED: FailureResponse(503, 0.3),
     FailureKind.NOT_RUN_IN_TIME: FailureResponse(503, 0.3),
+    # The quarantine lasts longer than any caller waits.
+    FailureKind.PROMPT_QUARANTINED: FailureResponse(503, 60.0),
     FailureKind.SERVER_REFUSED: FailureResponse(503, 0.3),
     FailureKind.SERVER_LOST: FailureResponse(502),
     FailureKind.TIMED_OUT: FailureResponse(504),
--- /dev/null
+++ b/fighitch/core/gateway/quarantine.py
@@ -0,0 +1,108 @@
+"""Decides which requests are kept from engines because of their prompt parts.
+
+Load pattern: see ``crash_evidence``. What is decided from the evidence of the running
+instances is kept in the platform's store, so that it outlasts a restart of all of them.
+"""
+
+from collections.abc import Collection, Mapping
+from dataclasses import dataclass
+
+from fighitch.core.gateway.crash_evidence import CrashEvidence, PartGroup
+from fighitch.types import Seconds
+
+# A group is stored once it has stood for this time: evidence from other instances may
+# still show that one of its parts is sound. Instances whose own requests were lost
+# write first, the others only if nobody else does.
+_STORE_DELAY: Seconds = 1.0
+_STORE_DELAY_OF_OTHERS: Seconds = 2.5
+
+
+@dataclass(frozen=True, slots=True)
+class StoredQuarantine:
+    """Parts that crash engines, as stored.
+
+    Attributes:
+        parts: Parts that are only harmful together.
+        until_ms: Unix time at which the quarantine ends, in ms.
+    """
+
+    parts: PartGroup
+    until_ms: int
+
+
+class Quarantine:
+    """Groups of prompt parts that crash engines, from the evidence and the store."""
+
+    def __init__(self) -> None:
+        self.evidence = CrashEvidence()
+        self._stored: dict[str, StoredQuarantine] = {}
+        # Times since which the evidence shows each of its groups.
+        self._found_at: dict[PartGroup, Seconds] = {}
+        self._own_parts: set[str] = set()
+
+    @property
+    def groups(self) -> set[PartGroup]:
+        """All quarantined groups."""
+        return {*self.evidence.groups, *self._stored_groups}
+
+    def blocks(self, parts: Collection[str]) -> bool:
+        """Returns whether a request with these parts must not reach an engine."""
+        if self.evidence.blocks(parts):
+            return True
+        return any(group.issubset(parts) for group in self._stored_groups)
+
+    def record_own_parts(self, parts: Collection[str]) -> None:
+        """Records that this instance lost requests with these parts in a crash."""
+        self._own_parts.update(parts)
+
+    @property
+    def _stored_groups(self) -> set[PartGroup]:
+        return {item.parts for item in self._stored.values()}
+
+    def replace_stored(
+        self, stored: Mapping[str, StoredQuarantine], now: Seconds
+    ) -> None:
+        """Applies a complete list of the stored groups, by object name."""
+        for name in [name for name in self._stored if name not in stored]:
+            self.release(name, now)
+        self._stored.update(stored)
+
+    def put_stored(self, name: str, stored: StoredQuarantine) -> None:
+        """Adds a stored group."""
+        self._stored[name] = stored
+
+    def expire(self, now: Seconds, unix_ms: float) -> None:
+        """Ends quarantines that are over.
+
+        Args:
+            now: Current time.
+            unix_ms: Current Unix time, in ms.
+        """
+        self.evidence.expire(now)
+        self._stored = {
+            name: item for name, item in self._stored.items() if item.until_ms > unix_ms
+        }
+
+    def release(self, name: str, now: Seconds) -> None:
+        """Ends the quarantine of a group whose object was deleted.
+
+        Earlier crashes count no longer, so that the parts get another chance.
+        """
+        stored = self._stored.pop(name, None)
+        if stored is not None:
+            self.evidence.record_answered(stored.parts, now)
+
+    def groups_to_store(self, now: Seconds) -> list[PartGroup]:
+        """Returns the groups that should be written to the store now."""
+        groups = self.evidence.groups
+        self._found_at = {group: self._found_at.get(group, now) for group in groups}
+        stored = self._stored_groups
+        return [
+            group
+            for group in groups
+            if group not in stored and now - self._found_at[group] >= self._delay(group)
+        ]
+
+    def _delay(self, group: PartGroup) -> Seconds:
+        is_own = not self._own_parts.isdisjoint(group)
+        return _STORE_DELAY if is_own else _STORE_DELAY_OF_OTHERS
--- a/fighitch/gateway/agent.py
+++ b/fighitch/gateway/agent.py
@@ -8,12 +8,16 @@
 from fighitch.core.gateway.engine_queue import EngineQueue, EngineRequest, Rejection
 from fighitch.core.gateway.model import AdapterName, EngineSpec, RequestSize
 from fighitch.core.gateway.settings import Address, InstanceSettings
+from fighitch.gateway.crash_reports import CrashReportRelay
 from fighitch.gateway.engine_control import EngineClaim, EngineControl, order_outcome
 from fighitch.gateway.metrics import AgentMetrics
 from fighitch.gateway.peer_connection import PeerConnection
 from fighitch.gateway.peer_messages import (
+    CRASH_REPORT_VERSION,
+    PROTOCOL_VERSION,
     AdapterVersions,
     AdmissionRequest,
+    CrashReport,
     Decline,
     Deny,
     Done,
@@ -68,6 +72,7 @@
         self._instance_ids: dict[int, str] = {}
         self._peers: dict[int, PeerConnection] = {}
         self._next_peer_number = 1
+        self._crash_reports = CrashReportRelay()
         self._failed_reports = 0
         self._serving = False
         self._draining = False
@@ -112,6 +117,7 @@
 
     def _on_closed(self, peer: PeerConnection, reason: str) -> None:
         self._peers.pop(peer.number, None)
+        self._crash_reports.remove_peer(peer)
         admitted = self._queue.drop_connection(peer.number)
         for request in admitted:
             self._adapter_cache.record_end(request.adapter, self._loop.now())
@@ -140,6 +146,8 @@
                         AdapterName(model, adapter), version, now
                     )
                 self._process_queue()
+            case CrashReport():
+                self._crash_reports.on_report(peer, message, self._loop.now())
             case Heartbeat():
                 pass
             case _:
@@ -148,6 +156,8 @@
     def _on_hello(self, peer: PeerConnection, hello: Hello) -> None:
         spec = msgspec.json.decode(hello.engine_spec, type=EngineSpec)
         self._instance_ids[hello.engine_start_time_ms] = hello.engine_id
+        if hello.protocol >= CRASH_REPORT_VERSION:
+            self._crash_reports.add_peer(peer, self._loop.now())
         self._log.event("entry_connected", peer=peer.number, entry=hello.entry)
         if spec != self._spec:
             self._log.event("engine_spec", entry=hello.entry, spec=spec)
@@ -414,6 +424,7 @@
             ),
             load_wait_ms=round(self._estimate_load_wait(now) * _MS_PER_SECOND),
             entries=len(self._peers),
+            protocol=PROTOCOL_VERSION,
         )
 
     def _engine_start_time_ms(self) -> int:
--- a/fighitch/gateway/agent_links.py
+++ b/fighitch/gateway/agent_links.py
@@ -1,5 +1,6 @@
 """Connections of an entry to the engine agents."""
 
+import random
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
@@ -9,8 +10,11 @@
 from fighitch.core.gateway.model import AdapterName, BackendServer, EngineSpec
 from fighitch.gateway.peer_connection import PeerConnection
 from fighitch.gateway.peer_messages import (
+    CRASH_REPORT_VERSION,
+    PROTOCOL_VERSION,
     AdapterVersions,
     AdmissionRequest,
+    CrashReport,
     Decline,
     Deny,
     Done,
@@ -38,6 +42,8 @@
 _AGENT_START_TIMEOUT: Seconds = 1.5
 _INITIAL_RETRY_DELAY: Seconds = 0.1
 _MAX_RETRY_DELAY: Seconds = 0.8
+# Agents that receive a crash report; each of them passes it on to all entries.
+_CRASH_REPORT_RELAYS = 3
 
 OnGrant = Callable[[Grant], None]
 OnDecline = Callable[[Decline], None]
@@ -76,6 +82,7 @@
         removed: Whether the engine was removed from the known engines.
         was_connected: Whether the agent has ever sent a status.
         added_at: Time at which the engine became known.
+        protocol: Version of the messages that the agent understands.
     """
 
     server: BackendServer
@@ -88,6 +95,7 @@
     removed: bool = False
     was_connected: bool = False
     added_at: Seconds = 0.0
+    protocol: int = 0
 
 
 class AgentLinks:
@@ -101,6 +109,9 @@
         peer_port: int,
         log: BoundedLog,
         on_draining: Callable[[str], None],
+        on_down: Callable[[BackendServer], None],
+        on_crash_report: Callable[[CrashReport], None],
+        all_crashes: Callable[[], CrashReport | None],
     ) -> None:
         """Starts the heartbeats.
 
@@ -110,12 +121,19 @@
             peer_port: Port on which all agents listen.
             log: Log for connected and lost agents.
             on_draining: Called with the instance id of an engine that is draining.
+            on_down: Called with an engine that its agent can't reach any more, or that
+                has restarted.
+            on_crash_report: Called with a crash report of another entry.
+            all_crashes: Returns all known crashes, for an agent that has connected.
         """
         self._loop = loop
         self._entry = entry
         self._peer_port = peer_port
         self._log = log
         self._on_draining = on_draining
+        self._on_down = on_down
+        self._on_crash_report = on_crash_report
+        self._all_crashes = all_crashes
         self._links: dict[str, AgentLink] = {}
         self._versions: dict[AdapterName, int] = {}
         self.views: dict[str, EngineView] = {}
@@ -204,6 +222,17 @@
             link.pending_requests.pop(number, None)
         self._send(instance_id, Done(number))
 
+    def spread(self, report: CrashReport) -> None:
+        """Sends a crash report to some agents, which pass it on to other entries."""
+        links = [
+            link
+            for link in self._links.values()
+            if link.view.connected and link.protocol >= CRASH_REPORT_VERSION
+        ]
+        for link in random.sample(links, min(_CRASH_REPORT_RELAYS, len(links))):
+            if link.peer is not None:
+                link.peer.send(report)
+
     def _send(self, instance_id: str, message: Message) -> None:
         link = self._links.get(instance_id)
         if link is not None and link.peer is not None:
@@ -253,7 +282,13 @@
     def _hello_message(self, link: AgentLink) -> Hello:
         spec = msgspec.json.encode(link.spec)
         server = link.server
-        return Hello(self._entry, server.instance_id, server.start_time_ms, spec)
+        return Hello(
+            self._entry,
+            server.instance_id,
+            server.start_time_ms,
+            spec,
+            PROTOCOL_VERSION,
+        )
 
     def _on_closed(self, link: AgentLink, reason: str) -> None:
         link.peer = None
@@ -295,6 +330,8 @@
                     callbacks.on_decline(message)
             case Status():
                 self._on_status(link, message)
+            case CrashReport():
+                self._on_crash_report(message)
             case HeldAdapters():
                 self._on_held_adapters(link, message)
             case _:
@@ -307,6 +344,14 @@
             view.connected = link.was_connected = True
             link.retry_delay = _INITIAL_RETRY_DELAY
             self._log.event("agent_connected", engine=link.server.instance_id)
+            link.protocol = status.protocol
+            report = self._all_crashes()
+            if (
+                report is not None
+                and link.peer is not None
+                and link.protocol >= CRASH_REPORT_VERSION
+            ):
+                link.peer.send(report)
         view.backlog = status.backlog_ms / _MS_PER_SECOND
         view.pending_prefill = 0.0
         # The agent may serve a later incarnation than the one in the instance list.
@@ -315,6 +360,8 @@
             link.server.start_time_ms,
         )
         view.serving = status.serving and is_same_incarnation
+        if not view.serving and status.engine_start_time_ms:
+            self._on_down(link.server)
         view.entries = status.entries
         view.seconds_per_token = status.token_ns / _NS_PER_SECOND
         view.load_wait = status.load_wait_ms / _MS_PER_SECOND
--- a/fighitch/gateway/entry.py
+++ b/fighitch/gateway/entry.py
@@ -30,6 +30,7 @@
 from fighitch.gateway.backend_pool import BackendPool
 from fighitch.gateway.failure_response import send_failure_response
 from fighitch.gateway.metrics import EntryMetrics
+from fighitch.gateway.part_quarantine import PartQuarantine
 from fighitch.gateway.relay import Relay
 from fighitch.gateway.store_watch import KindWatcher, WatchOptions
 from fighitch.observability.bounded_log import BoundedLog
@@ -41,6 +42,7 @@
     decode_configuration,
 )
 from fighitch.platform.engine import SERVERS_KIND, decode_heartbeat
+from fighitch.platform.quarantine import QUARANTINE_KIND
 from fighitch.platform.requests import RequestMetadata, decode_request
 from fighitch.platform.store import StoredObject
 from fighitch.runtime.event_loop import READ, EventLoop
@@ -56,6 +58,8 @@
 _CONFIGURATION_WATCH_PAUSE: Seconds = 0.25
 _VERSION_WATCH_PAUSE: Seconds = 0.5
 _VERSION_WATCH_WAIT: Seconds = 3.0
+# Entries tell each other about quarantined prompts; the store is for later starts.
+_QUARANTINE_WATCH_WAIT: Seconds = 10.0
 _HOUSEKEEPING_INTERVAL: Seconds = 0.2
 # The platform probes readiness every second and stops routing callers to an entry after
 # two failed probes.
@@ -94,12 +98,22 @@
         self._callers: set[CallerConnection] = set()
         self._relays: set[Relay] = set()
         self._stopping_since: Seconds | None = None
+        self.quarantine = PartQuarantine(
+            loop,
+            settings.store,
+            log,
+            spread=lambda report: self.links.spread(report),
+            on_change=self._reject_quarantined,
+        )
         self.links = AgentLinks(
             loop,
             entry=settings.instance,
             peer_port=settings.peer_port,
             log=log,
             on_draining=self._on_engine_draining,
+            on_down=self.quarantine.record_down,
+            on_crash_report=self.quarantine.on_report,
+            all_crashes=self.quarantine.all_crashes,
         )
         self._listener: socket.socket | None = listen(
             settings.callers.host, settings.callers.port
@@ -129,6 +143,8 @@
         if previous.retry_limits != settings.retry_limits:
             self._retry_budgets.clear()
         is_same_store = previous.store == settings.store
+        if not is_same_store:
+            self.quarantine.connect(settings.store)
         if not is_same_store or previous.drain_notice != settings.drain_notice:
             self._restart_watchers()
 
@@ -196,14 +212,27 @@
             self._log,
             on_change=self._on_version,
         )
-        self._watchers = [configuration, servers, versions]
+        quarantines = KindWatcher(
+            self.loop,
+            address,
+            WatchOptions(QUARANTINE_KIND, wait=_QUARANTINE_WATCH_WAIT),
+            self._log,
+            on_list=self.quarantine.on_stored_list,
+            on_change=self.quarantine.on_stored_change,
+        )
+        self._watchers = [configuration, servers, versions, quarantines]
         for watcher in self._watchers:
             watcher.start()
 
     def _run_housekeeping(self) -> None:
         self._on_membership_changes(self._membership.expire(self.loop.now()))
+        self.quarantine.run_housekeeping()
         self.metrics.set_open_requests(len(self._relays))
 
+    def _reject_quarantined(self) -> None:
+        for relay in list(self._relays):
+            relay.reject_if_quarantined()
+
     # Callers.
 
     def _accept(self, _events: int) -> None:
@@ -318,7 +347,7 @@
         outcome: str,
         elapsed: Seconds,
         metadata: RequestMetadata,
-        has_begun: bool,
+        answered: bool,
     ) -> None:
         """Records the outcome of an attempt in loads, metrics and outlier detection.
 
@@ -330,10 +359,11 @@
             outcome: Outcome for the log and the metrics.
             elapsed: Time since the request was sent.
             metadata: Metadata of the request.
-            has_begun: Whether the first event of a stream had arrived.
+            answered: Whether the answer was under way without harm to the server.
         """
         now = self.loop.now()
-        if failed and not unreachable and not has_begun and metadata.shared_parts:
+        if failed and not unreachable and not answered and metadata.shared_parts:
+            self.quarantine.record_lost(server, metadata.shared_parts)
             self._log.event(
                 "run_lost",
                 request=metadata.request_id,
@@ -348,6 +378,7 @@
                 load.record_response_time(elapsed)
         self.metrics.count_attempt(service.name, outcome)
         if unreachable:
+            self.quarantine.record_down(server)
             self._outliers.record_unreachable(server.instance_id, now)
             self._log.event("server_unreachable", server=server.instance_id)
             return
--- /dev/null
+++ b/fighitch/gateway/part_quarantine.py
@@ -0,0 +1,240 @@
+"""Keeps requests whose prompts crash engines away from them, over the whole fleet."""
+
+import time
+from collections.abc import Callable, Iterable
+
+import msgspec
+
+from fighitch.core.gateway.crash_evidence import (
+    EVIDENCE_LIFETIME,
+    Crash,
+    Incarnation,
+    PartGroup,
+)
+from fighitch.core.gateway.lost_runs import LostRuns
+from fighitch.core.gateway.model import BackendServer
+from fighitch.core.gateway.quarantine import Quarantine, StoredQuarantine
+from fighitch.core.gateway.settings import Address
+from fighitch.gateway.crash_reports import build_report, merge_report
+from fighitch.gateway.peer_messages import CrashReport
+from fighitch.observability.bounded_log import BoundedLog
+from fighitch.platform import store
+from fighitch.platform.quarantine import (
+    QUARANTINE_KIND,
+    decode_quarantine,
+    encode_quarantine,
+    quarantine_name,
+)
+from fighitch.platform.requests import encode_call
+from fighitch.runtime.event_loop import EventLoop
+from fighitch.runtime.http_client import SerialClient
+from fighitch.types import Seconds
+
+_MS_PER_SECOND = 1_000
+_WRITTEN_STATUSES = (200, 201)
+_CONFLICT = 409
+_STORE_TIMEOUT: Seconds = 0.8
+_STORE_RETRY_DELAY: Seconds = 1.0
+# Crashes are reported again to other agents, in case the first ones were cut off.
+_REPORT_INTERVAL: Seconds = 0.7
+_REPORT_TIME: Seconds = 3.0
+
+
+class PartQuarantine:
+    """Collects the evidence of an entry and shares it with the other entries."""
+
+    def __init__(
+        self,
+        loop: EventLoop,
+        store_address: Address,
+        log: BoundedLog,
+        *,
+        spread: Callable[[CrashReport], None],
+        on_change: Callable[[], None],
+    ) -> None:
+        """Initializes the quarantine without any evidence.
+
+        Args:
+            loop: Event loop that runs the calls and timers.
+            store_address: Address of the platform's store.
+            log: Log for crashes and quarantined parts.
+            spread: Sends a crash report to the other entries.
+            on_change: Called when other requests are blocked than before.
+        """
+        self._loop = loop
+        self._log = log
+        self._spread = spread
+        self._on_change = on_change
+        self._quarantine = Quarantine()
+        self._lost_runs = LostRuns()
+        self._client = SerialClient(loop, store_address)
+        self._writing = False
+        self._write_not_before: Seconds = 0.0
+        self._known_groups: set[PartGroup] = set()
+        self._own_crashes: dict[Incarnation, Crash] = {}
+        self._reported_at: Seconds = float("-inf")
+        self._reported_answers: dict[str, Seconds] = {}
+
+    def connect(self, store_address: Address) -> None:
+        """Uses another address of the store."""
+        self._client.close()
+        self._client = SerialClient(self._loop, store_address)
+        self._writing = False
+
+    def blocks(self, parts: tuple[str, ...]) -> bool:
+        """Returns whether a request with these parts must not reach an engine."""
+        return bool(parts) and self._quarantine.blocks(parts)
+
+    def is_suspect(self, parts: tuple[str, ...]) -> bool:
+        """Returns whether a request with these parts may have crashed an engine."""
+        return self._quarantine.evidence.is_suspect(parts)
+
+    # Evidence of this entry.
+
+    def record_lost(self, server: BackendServer, parts: tuple[str, ...]) -> None:
+        """Records a request that was lost before its answer was under way."""
+        crash = self._lost_runs.record_lost(
+            _incarnation(server), parts, self._loop.now()
+        )
+        self._record_crash(crash)
+
+    def record_down(self, server: BackendServer) -> None:
+        """Records that an engine is down or has restarted."""
+        self._record_crash(
+            self._lost_runs.record_down(_incarnation(server), self._loop.now())
+        )
+
+    def record_answered(self, parts: tuple[str, ...]) -> None:
+        """Records that a request with these parts was answered without a crash."""
+        self._quarantine.evidence.record_answered(parts, self._loop.now())
+
+    def _record_crash(self, crash: Crash | None) -> None:
+        if crash is None or not self._quarantine.evidence.record_crash(crash):
+            return
+        self._quarantine.record_own_parts(crash.parts)
+        self._own_crashes[crash.engine] = crash
+        self._reported_at = float("-inf")
+        self._log.event(
+            "engine_crashed",
+            server=crash.engine.instance_id,
+            parts=",".join(sorted(crash.parts)),
+        )
+        self.run_housekeeping()
+
+    # Other entries.
+
+    def all_crashes(self) -> CrashReport | None:
+        """Returns the report of all evidence, for an agent that has connected."""
+        evidence = self._quarantine.evidence
+        return build_report(
+            evidence.crashes, evidence.answered_suspects(), self._loop.now()
+        )
+
+    def on_report(self, report: CrashReport) -> None:
+        """Adds the evidence of another entry."""
+        merge_report(self._quarantine.evidence, report, self._loop.now())
+        self._check_groups()
+
+    def run_housekeeping(self) -> None:
+        """Reports new evidence, stores groups and notices changed ones."""
+        now = self._loop.now()
+        self._quarantine.expire(now, time.time() * _MS_PER_SECOND)
+        self._report(now)
+        self._check_groups()
+        if not self._writing and now >= self._write_not_before:
+            for parts in self._quarantine.groups_to_store(now)[:1]:
+                self._store(parts)
+
+    def _report(self, now: Seconds) -> None:
+        if now - self._reported_at < _REPORT_INTERVAL:
+            return
+        self._own_crashes = {
+            engine: crash
+            for engine, crash in self._own_crashes.items()
+            if now - crash.at < _REPORT_TIME
+        }
+        answers = {
+            part: at
+            for part, at in self._quarantine.evidence.answered_suspects().items()
+            if self._reported_answers.get(part, float("-inf")) < at
+        }
+        report = build_report(self._own_crashes.values(), answers, now)
+        if report is None:
+            return
+        self._reported_at = now
+        self._reported_answers |= answers
+        self._spread(report)
+
+    def _check_groups(self) -> None:
+        groups = self._quarantine.groups
+        if groups == self._known_groups:
+            return
+        for change, changed in (
+            ("blocked", groups - self._known_groups),
+            ("released", self._known_groups - groups),
+        ):
+            for parts in changed:
+                self._log.event(
+                    "prompt_parts", change=change, parts=",".join(sorted(parts))
+                )
+        self._known_groups = groups
+        self._on_change()
+
+    # The store.
+
+    def _store(self, parts: PartGroup) -> None:
+        self._writing = True
+        until = time.time() + EVIDENCE_LIFETIME
+        stored = StoredQuarantine(parts, round(until * _MS_PER_SECOND))
+        name = quarantine_name(parts)
+        self._write("POST", store.list_target(QUARANTINE_KIND), name, stored)
+
+    def _write(
+        self, method: str, target: str, name: str, stored: StoredQuarantine
+    ) -> None:
+        body = store.encode_object(name, encode_quarantine(stored), revision=None)
+        request = encode_call(method, target, str(self._client.address), body)
+
+        def on_response(status: int, _body: bytes) -> None:
+            if status == _CONFLICT and method == "POST":
+                # It exists, from another entry or with an end that is over.
+                replaced = store.object_target(QUARANTINE_KIND, name)
+                self._write("PUT", replaced, name, stored)
+                return
+            self._writing = False
+            if status in _WRITTEN_STATUSES:
+                self._quarantine.put_stored(name, stored)
+                return
+            self._write_not_before = self._loop.now() + _STORE_RETRY_DELAY
+            self._log.event("quarantine_not_stored", entry=name, status=status)
+
+        self._client.call(
+            request, on_response, timeout=_STORE_TIMEOUT, reuse_connection=False
+        )
+
+    def on_stored_list(self, objects: Iterable[store.StoredObject]) -> None:
+        """Applies the list of the stored quarantines."""
+        decoded = {item.name: self._decode(item) for item in objects}
+        stored = {name: found for name, found in decoded.items() if found is not None}
+        self._quarantine.replace_stored(stored, self._loop.now())
+        self._check_groups()
+
+    def on_stored_change(self, item: store.StoredObject) -> None:
+        """Applies a stored or deleted quarantine."""
+        stored = None if item.removed else self._decode(item)
+        if stored is None:
+            self._quarantine.release(item.name, self._loop.now())
+        else:
+            self._quarantine.put_stored(item.name, stored)
+        self._check_groups()
+
+    def _decode(self, item: store.StoredObject) -> StoredQuarantine | None:
+        try:
+            return decode_quarantine(item.content)
+        except msgspec.DecodeError as error:
+            self._log.event("quarantine_unreadable", entry=item.name, detail=error)
+            return None
+
+
+def _incarnation(server: BackendServer) -> Incarnation:
+    return Incarnation(server.instance_id, server.start_time_ms)
--- a/fighitch/gateway/peer_messages.py
+++ b/fighitch/gateway/peer_messages.py
@@ -6,6 +6,10 @@
 
 _LENGTH = struct.Struct(">I")
 MAX_MESSAGE_BYTES = 1_048_576
+# Optional messages that this build understands, as announced to its peers. A peer of an
+# earlier build announces 0 and closes the connection at a message that it can't decode.
+PROTOCOL_VERSION = 1
+CRASH_REPORT_VERSION = 1
 
 
 class _Message(msgspec.Struct, array_like=True, tag=True, frozen=True):
@@ -26,12 +30,14 @@
         engine_start_time_ms: Start time of the engine in Unix ms in the instance list;
             0 if not stated.
         engine_spec: Limits of the engine, as JSON of an ``EngineSpec``.
+        protocol: ``PROTOCOL_VERSION`` of the entry.
     """
 
     entry: str
     engine_id: str
     engine_start_time_ms: int
     engine_spec: bytes
+    protocol: int = 0
 
 
 class AdapterVersions(_Message, frozen=True, tag=2):
@@ -144,6 +150,7 @@
         token_ns: Prefill time of one prompt token, in ns.
         load_wait_ms: Estimated time until an adapter load requested now would start.
         entries: Number of connected entries.
+        protocol: ``PROTOCOL_VERSION`` of the agent.
     """
 
     engine_start_time_ms: int
@@ -153,6 +160,7 @@
     token_ns: int
     load_wait_ms: int
     entries: int
+    protocol: int = 0
 
 
 class HeldAdapters(_Message, frozen=True, tag=9):
@@ -170,6 +178,20 @@
     dropped: list[tuple[str, str]]
 
 
+class CrashReport(_Message, frozen=True, tag=12):
+    """Reports crashes of engines and the prompt parts involved; relayed by agents.
+
+    Attributes:
+        crashes: Instance id and start time in Unix ms of each engine that crashed, time
+            since its crash in ms, and shared prompt parts of the requests lost with it.
+        answered: Prompt parts that were involved in a crash, with the time in ms since
+            a request with the part was last answered.
+    """
+
+    crashes: list[tuple[str, int, int, list[str]]]
+    answered: list[tuple[str, int]]
+
+
 class Heartbeat(_Message, frozen=True, tag=10):
     """Signals that an entry is alive."""
 
@@ -185,6 +207,7 @@
     | Done
     | Status
     | HeldAdapters
+    | CrashReport
     | Heartbeat
 )
 
--- a/fighitch/gateway/relay.py
+++ b/fighitch/gateway/relay.py
@@ -55,6 +55,8 @@
 # Margin after the time at which callers leave a stream without events, so that a caller
 # ends the request first.
 _EVENT_TIMEOUT_MARGIN: Seconds = 0.5
+# A stream that goes on for this long after its first event did not crash its server.
+_CRASH_DELAY: Seconds = 0.25
 # A request with less time left until its deadline is not sent to a server.
 _MIN_TIME_LEFT: Seconds = 0.02
 # Interval at which a request checks whether a starting agent has connected.
@@ -117,6 +119,10 @@
         self._is_stream = False
         self._late = False
         self._sent_at: Seconds = 0.0
+        # First event of the current attempt, and whether its answer is under way
+        # without harm to the server.
+        self._begun_at: Seconds | None = None
+        self._answered = False
         self._first_byte_time: Seconds | None = None
         self._placement_time: Seconds | None = None
         # Changes when an attempt ends, so that data that arrives later is ignored.
@@ -139,6 +145,9 @@
         if self._deadline - self._loop.now() < _MIN_TIME_LEFT:
             self._fail(FailureKind.NOT_RUN_IN_TIME)
             return
+        if self._is_quarantined():
+            self._fail(FailureKind.PROMPT_QUARANTINED)
+            return
         server = self._choose_server()
         if server is None:
             self._fail(
@@ -158,6 +167,20 @@
             return
         self._request_admission(server)
 
+    def _is_quarantined(self) -> bool:
+        return self._entry.quarantine.blocks(self._metadata.shared_parts)
+
+    def reject_if_quarantined(self) -> None:
+        """Ends a request that would crash an engine, unless its answer has begun."""
+        if self._state in (RelayState.STREAMING, RelayState.DONE):
+            return
+        if not self._is_quarantined():
+            return
+        if self._in_flight:
+            self._may_have_run = True
+            self._end_exchange(failed=False, outcome="quarantined")
+        self._fail(FailureKind.PROMPT_QUARANTINED)
+
     def _choose_server(self) -> BackendServer | None:
         find_candidates = self._entry.candidates
         candidates = find_candidates(self._service, self._metadata, self._avoid)
@@ -234,10 +257,15 @@
         if time_left < _MIN_TIME_LEFT:
             self._fail(FailureKind.NOT_RUN_IN_TIME)
             return
+        if self._is_quarantined():
+            self._fail(FailureKind.PROMPT_QUARANTINED)
+            return
         self._state = RelayState.SENT
         self._server = server
         self._late = late
         self._sent_at = now
+        self._begun_at = None
+        self._answered = False
         self._head = None
         self._buffered_body.clear()
         if self._placement_time is None:
@@ -306,6 +334,9 @@
         self._retry()
 
     def _may_retry(self) -> bool:
+        if self._entry.quarantine.is_suspect(self._metadata.shared_parts):
+            # Another attempt could crash another engine.
+            return False
         return (
             self._route.repeatable
             and self._previous_runs + 1 < self._route.max_attempts
@@ -373,6 +404,8 @@
         if head.status >= _SERVER_ERROR:
             self._on_server_error(head)
             return
+        self._answered = True
+        self._record_answered()
         self._end_exchange(failed=False, outcome="answered")
         self._finish_response(head)
 
@@ -395,6 +428,7 @@
             return
         if self._state is RelayState.SENT:
             self._state = RelayState.STREAMING
+            self._begun_at = self._loop.now()
             self._record_first_byte()
             if self._admission_number is not None and self._server is not None:
                 self._entry.links.report_first_event(
@@ -402,10 +436,18 @@
                 )
         if self._event_buffer.has_new_event:
             self._restart_stream_timers()
+        begun_at = self._begun_at
+        if not self._answered and begun_at is not None:
+            self._answered = self._loop.now() - begun_at >= _CRASH_DELAY
+            self._record_answered()
         if not self._head_sent:
             self._forward_head(length=None)
         self._forward_body(events)
 
+    def _record_answered(self) -> None:
+        if self._answered:
+            self._entry.quarantine.record_answered(self._metadata.shared_parts)
+
     def _restart_stream_timers(self) -> None:
         self._cancel_stream_timers()
         self._start_event_timer()
@@ -524,7 +566,7 @@
             outcome=outcome,
             elapsed=self._loop.now() - self._sent_at,
             metadata=self._metadata,
-            has_begun=self._state is RelayState.STREAMING,
+            answered=self._answered,
         )
 
     def _on_deadline(self) -> None:
--- a/fighitch/tests/test_relay.py
+++ b/fighitch/tests/test_relay.py
@@ -26,6 +26,8 @@
         self.entry.candidates.return_value = [Candidate(server("e1"), 0.0)]
         self.entry.links.may_connect_soon.return_value = True
         self.entry.links.is_connected.return_value = False
+        self.entry.quarantine.blocks.return_value = False
+        self.entry.quarantine.is_suspect.return_value = False
         self.caller = mock.Mock()
 
     def relay(
--- a/standins/platform_store.py
+++ b/standins/platform_store.py
@@ -39,6 +39,8 @@
         self._changes: list[_Change] = []
         self._watches: list[_Watch] = []
         self.down = False
+        # Kinds whose calls are rejected while the others are served.
+        self.rejected_kinds: set[str] = set()
         self.calls = 0
 
     def put(self, kind: str, name: str, spec: Any) -> None:
@@ -49,6 +51,12 @@
         """Removes an object."""
         self.call(lambda: self._remove(kind, name))
 
+    def names(self, kind: str) -> list[str]:
+        """Returns the names of all objects of a kind."""
+        found: list[str] = []
+        self.call(lambda: found.extend(self._objects.get(kind, {})))
+        return found
+
     def compact_history(self) -> None:
         """Drops all recorded changes, so that watches must list again."""
 
@@ -72,13 +80,13 @@
     def handle(self, connection: CallerConnection, request: CallerRequest) -> None:
         """Handles a call."""
         self.calls += 1
-        if self.down:
-            send_json(connection, 503, {})
-            return
         target = urlsplit(request.target.decode())
         query = parse_qs(target.query)
         parts = [unquote(part) for part in target.path.split("/")[2:]]
         kind, name = parts[0], parts[1] if len(parts) > 1 else ""
+        if self.down or kind in self.rejected_kinds:
+            send_json(connection, 503, {})
+            return
         handlers: dict[bytes, Callable[[], None]] = {
             b"GET": lambda: self._get(connection, kind, name, query),
             b"POST": lambda: self._create(connection, kind, request),
