Do not take an unframed stream without any event for complete

Callers saw: 200 with an empty, complete stream if an engine ended its connection after the head of a response with neither a length nor chunks, as an engine that crashes does. Cause: the end of the connection counted as the end of the stream unless it cut an event. A stream that ends before its first event is now lost, except one that was resumed and may have no further event.

--- a/fighitch/gateway/relay.py
+++ b/fighitch/gateway/relay.py
@@ -396,9 +396,7 @@
         if was_not_run(head):
             self._on_rejected(head)
             return
-        if not is_genuine(head) or (
-            self._is_stream and self._event_buffer.has_partial_event
-        ):
+        if not is_genuine(head) or (self._is_stream and not self._ends_after_event()):
             self.on_failure(ExchangeFailure(ExchangeFailureKind.BAD_ANSWER, sent=True))
             return
         if head.status >= _SERVER_ERROR:
@@ -409,6 +407,13 @@
         self._end_exchange(failed=False, outcome="answered")
         self._finish_response(head)
 
+    def _ends_after_event(self) -> bool:
+        """Returns whether a stream that has ended can be complete."""
+        if self._event_buffer.has_partial_event:
+            return False
+        # A resumed stream may have no further event.
+        return self._begun_at is not None or bool(self._resume_after)
+
     def _finish_response(self, head: ResponseHead) -> None:
         caller = self._caller
         if caller is None:
--- a/fighitch/tests/test_relay.py
+++ b/fighitch/tests/test_relay.py
@@ -31,7 +31,12 @@
         self.caller = mock.Mock()
 
     def relay(
-        self, *, deadline_ms: int = 5_000, caller_event_timeout: float = float("inf")
+        self,
+        *,
+        deadline_ms: int = 5_000,
+        caller_event_timeout: float = float("inf"),
+        kind: WorkKind = WorkKind.STREAMING,
+        resumable: bool = False,
     ) -> Relay:
         headers = [
             (b"Host", b"h"),
@@ -44,11 +49,13 @@
             name="r",
             host="h",
             path_prefix="/p/",
-            kind=WorkKind.STREAMING,
+            kind=kind,
             timeout=5.0,
             target_latency=1.0,
             rank=0,
             services=(WeightedService("models", 1.0),),
+            max_attempts=2,
+            resumable=resumable,
             caller_event_timeout=caller_event_timeout,
         )
         service = Service("models", engine=engine_spec())
