Do not repeat a request after a part of its body was forwarded

What callers could see: 200 with the body of a second attempt behind a part of the first, if a server breaks off a response of more than 256 KiB to a request that may be repeated. Cause: the decision to repeat looked at the route and the number of attempts only; streams are continued after their last event, other bodies can't be. The response is broken off instead.

test_long_body_that_is_reset_is_broken_off failed before: the request went on and a second attempt was sent. That its body would follow is from reading _finish_response.

--- a/fighitch/gateway/relay.py
+++ b/fighitch/gateway/relay.py
@@ -337,6 +337,9 @@
         if self._entry.quarantine.is_suspect(self._metadata.shared_parts):
             # Another attempt could crash another engine.
             return False
+        if self._head_sent and not self._is_stream:
+            # The caller has a part of the first attempt's body.
+            return False
         return (
             self._route.repeatable
             and self._previous_runs + 1 < self._route.max_attempts
--- a/fighitch/tests/test_unframed_responses.py
+++ b/fighitch/tests/test_unframed_responses.py
@@ -5,7 +5,12 @@
 from fighitch.core.gateway.backend_choice import Candidate
 from fighitch.core.gateway.model import WorkKind
 from fighitch.gateway.relay import Relay
-from fighitch.runtime.http_exchange import HttpConnection
+from fighitch.runtime.http_exchange import (
+    ExchangeFailure,
+    FailureKind,
+    HttpConnection,
+    ResponseHead,
+)
 from fighitch.tests.gateway_helpers import server
 from fighitch.tests.test_http_exchange import ScriptedServer
 from fighitch.tests.test_relay import RelayTestCase
@@ -183,6 +188,19 @@
         self.run_relay(self.relay(kind=WorkKind.NON_IDEMPOTENT))
         self.assertEqual(self.caller.send_head.call_args.args[0], 502)
 
+    def test_long_body_that_is_reset_is_broken_off(self):
+        # A long body is forwarded before its end is known. A second attempt would send
+        # its body behind the part of the first.
+        relay = self.relay(kind=WorkKind.IDEMPOTENT)
+        relay.place()
+        head = ResponseHead(200, [(b"Response-Signature", b"s")])
+        relay.on_head(head)
+        for _ in range(5):
+            relay.on_body(b"x" * 65_536)
+        relay.on_failure(ExchangeFailure(FailureKind.RESET, sent=True))
+        self.assert_broken_off(b"x" * 5 * 65_536)
+        self.entry.pool.acquire.assert_called_once()
+
     def test_rejection_is_not_counted_as_a_run(self):
         rejection = b"HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\n\r\n"
         self.run_lookup(ScriptedServer(rejection), ScriptedServer(UNFRAMED + b"body"))
