--- a/fighitch/gateway/agent_links.py
+++ b/fighitch/gateway/agent_links.py
@@ -168,9 +168,9 @@
             if link.peer is not None:
                 link.peer.send(message)
 
-    def version(self, adapter: AdapterName) -> int:
+    def version(self, adapter: AdapterName | None) -> int:
         """Returns the newest announced version of an adapter; 0 if there is none."""
-        return self._versions.get(adapter, 0)
+        return 0 if adapter is None else self._versions.get(adapter, 0)
 
     def is_connected(self, instance_id: str) -> bool:
         """Returns whether the agent of an engine can receive admission requests."""
--- a/fighitch/gateway/relay.py
+++ b/fighitch/gateway/relay.py
@@ -8,10 +8,11 @@
 from fighitch.core.gateway.failures import FailureKind, reported_kind
 from fighitch.core.gateway.model import BackendServer, Route, Service, WorkKind
 from fighitch.core.gateway.response_limits import LimitKind
+from fighitch.gateway.admission_requests import build_admission_request
 from fighitch.gateway.agent_links import AdmissionCallbacks
 from fighitch.gateway.attempt_receiver import AttemptReceiver
 from fighitch.gateway.failure_response import send_failure_response
-from fighitch.gateway.peer_messages import AdmissionRequest, Decline, Deny, Grant
+from fighitch.gateway.peer_messages import Decline, Deny, Grant
 from fighitch.platform.requests import (
     RequestMetadata,
     encode_request,
@@ -97,7 +98,6 @@
         if metadata.time_left is not None:
             timeout = min(timeout, metadata.time_left)
         self._deadline = request.received_at + timeout
-        self._target_time = request.received_at + route.target_latency
         self._server: BackendServer | None = None
         self._connection: HttpConnection | None = None
         self._admission_number: int | None = None
@@ -196,24 +196,14 @@
         now = self._loop.now()
         self._admission_requests += 1
         self._state = RelayState.AWAITING_ADMISSION
-        adapter = self._metadata.adapter
-        caller_cancels_at = self._request.received_at + self._route.caller_event_timeout
-        admission_request = AdmissionRequest(
-            number=0,
-            model=adapter.model if adapter else "",
-            adapter=adapter.adapter if adapter else "",
-            version=self._entry.links.version(adapter) if adapter else 0,
-            rank=self._route.rank,
-            prompt_tokens=self._metadata.size.prompt_tokens,
-            output_tokens=self._metadata.size.output_tokens,
-            target_ms=round((self._target_time - now) * _MS_PER_SECOND),
-            deadline_ms=round(
-                (min(self._deadline, caller_cancels_at) - now) * _MS_PER_SECOND
-            ),
-            may_decline=now < self._target_time
-            and server.instance_id not in self._declined,
-            request_id=self._metadata.request_id,
-            gap_ms=round(self._route.gap_target * _MS_PER_SECOND),
+        admission_request = build_admission_request(
+            self._metadata,
+            self._route,
+            arrived=self._request.received_at,
+            deadline=self._deadline,
+            now=now,
+            version=self._entry.links.version(self._metadata.adapter),
+            may_decline=server.instance_id not in self._declined,
         )
         if not admission_request.may_decline:
             self._declined.clear()
