Log the limits that backend servers name

An entry now keeps the limit of each server and logs server_limit when it changes. A response without a limit ends it only if its request was sent after the latest response with one. Nothing follows from the limit yet.

--- a/fighitch/core/gateway/crash_evidence.py
+++ b/fighitch/core/gateway/crash_evidence.py
@@ -13,6 +13,7 @@
 from collections.abc import Collection, Iterable, Mapping
 from dataclasses import dataclass, replace
 
+from fighitch.core.gateway.model import Incarnation
 from fighitch.types import Seconds
 
 # A part that no request survived is held responsible after this many crashes, at two
@@ -38,19 +39,6 @@
 PartGroup = frozenset[str]
 
 
-@dataclass(frozen=True, slots=True)
-class Incarnation:
-    """One start of an engine, which can crash once.
-
-    Attributes:
-        instance_id: Instance id in the instance list.
-        start_time_ms: Unix time of its start, in ms; 0 if not reported.
-    """
-
-    instance_id: str
-    start_time_ms: int
-
-
 @dataclass(frozen=True, slots=True)
 class Crash:
     """Crash of an engine.
--- a/fighitch/core/gateway/lost_runs.py
+++ b/fighitch/core/gateway/lost_runs.py
@@ -7,7 +7,8 @@
 
 from collections.abc import Iterable
 
-from fighitch.core.gateway.crash_evidence import Crash, Incarnation
+from fighitch.core.gateway.crash_evidence import Crash
+from fighitch.core.gateway.model import Incarnation
 from fighitch.types import Seconds
 
 # A crash shows within this time: agents report an engine as lost after two failed
--- a/fighitch/core/gateway/model.py
+++ b/fighitch/core/gateway/model.py
@@ -180,6 +180,19 @@
         return f"{self.model}/{self.adapter}" if self.adapter else self.model
 
 
+@dataclass(frozen=True, slots=True)
+class Incarnation:
+    """One start of a backend server.
+
+    Attributes:
+        instance_id: Instance id in the instance list.
+        start_time_ms: Unix time of its start, in ms; 0 if not reported.
+    """
+
+    instance_id: str
+    start_time_ms: int
+
+
 @dataclass(frozen=True, slots=True)
 class BackendServer:
     """One incarnation of a backend server, from the instance list.
@@ -207,6 +220,11 @@
     start_time_ms: int = 0
     adapters: dict[AdapterName, int] = field(default_factory=dict)
 
+    @property
+    def incarnation(self) -> Incarnation:
+        """Identifies this start of the server."""
+        return Incarnation(self.instance_id, self.start_time_ms)
+
 
 @dataclass(frozen=True, slots=True)
 class RequestSize:
--- a/fighitch/gateway/crash_reports.py
+++ b/fighitch/gateway/crash_reports.py
@@ -2,7 +2,8 @@
 
 from collections.abc import Iterable, Mapping
 
-from fighitch.core.gateway.crash_evidence import Crash, CrashEvidence, Incarnation
+from fighitch.core.gateway.crash_evidence import Crash, CrashEvidence
+from fighitch.core.gateway.model import Incarnation
 from fighitch.gateway.peer_connection import PeerConnection
 from fighitch.gateway.peer_messages import CrashReport
 from fighitch.types import Seconds
--- a/fighitch/gateway/entry.py
+++ b/fighitch/gateway/entry.py
@@ -25,6 +25,7 @@
 from fighitch.core.gateway.response_limits import LimitKind
 from fighitch.core.gateway.retry_budget import RetryBudget
 from fighitch.core.gateway.route_table import RouteTable, choose_service
+from fighitch.core.gateway.server_limits import ServerLimits
 from fighitch.core.gateway.settings import InstanceSettings
 from fighitch.gateway.agent_links import AgentLinks
 from fighitch.gateway.backend_pool import BackendPool
@@ -43,10 +44,15 @@
 )
 from fighitch.platform.engine import SERVERS_KIND, decode_heartbeat
 from fighitch.platform.quarantine import QUARANTINE_KIND
-from fighitch.platform.requests import RequestMetadata, decode_request
+from fighitch.platform.requests import (
+    RequestMetadata,
+    decode_request,
+    named_limit,
+)
 from fighitch.platform.store import StoredObject
 from fighitch.runtime.event_loop import READ, EventLoop
 from fighitch.runtime.http_callers import CallerConnection, CallerRequest
+from fighitch.runtime.http_exchange import ResponseHead
 from fighitch.runtime.sockets import accept_pending, listen
 from fighitch.types import Seconds
 
@@ -93,6 +99,7 @@
         self._has_server_list = False
         self._engine_ranker = EngineRanker(settings.zone)
         self._outliers = OutlierDetector()
+        self._server_limits = ServerLimits()
         self._plain_loads: dict[str, PlainServerLoad] = {}
         self._retry_budgets: dict[str, RetryBudget] = {}
         self._callers: set[CallerConnection] = set()
@@ -337,6 +344,21 @@
         """Records that a request was sent to a server."""
         self._plain_loads.setdefault(server.instance_id, PlainServerLoad()).running += 1
 
+    def record_head(
+        self, server: BackendServer, head: ResponseHead, *, sent_at: Seconds
+    ) -> None:
+        """Records the limit that a response names, if any."""
+        limits, incarnation = self._server_limits, server.incarnation
+        previous, now = limits.rate(incarnation), self.loop.now()
+        rate = named_limit(head)
+        if limits.record_response(incarnation, rate, sent_at=sent_at, now=now):
+            self._log.event(
+                "server_limit",
+                server=server.instance_id,
+                limit="none" if rate is None else rate,
+                previous="none" if previous is None else previous,
+            )
+
     def record_outcome(
         self,
         service: Service,
@@ -503,6 +525,7 @@
             self._log.event("server", server=change.instance_id, change=change.change)
             if change.change == "removed":
                 self._outliers.forget(change.instance_id)
+                self._server_limits.forget(change.instance_id)
                 self._plain_loads.pop(change.instance_id, None)
         self._update_links()
 
--- a/fighitch/gateway/part_quarantine.py
+++ b/fighitch/gateway/part_quarantine.py
@@ -8,11 +8,10 @@
 from fighitch.core.gateway.crash_evidence import (
     EVIDENCE_LIFETIME,
     Crash,
-    Incarnation,
     PartGroup,
 )
 from fighitch.core.gateway.lost_runs import LostRuns
-from fighitch.core.gateway.model import BackendServer
+from fighitch.core.gateway.model import BackendServer, Incarnation
 from fighitch.core.gateway.quarantine import Quarantine, StoredQuarantine
 from fighitch.core.gateway.settings import Address
 from fighitch.gateway.crash_reports import build_report, merge_report
@@ -93,15 +92,13 @@
 
     def record_lost(self, server: BackendServer, parts: tuple[str, ...]) -> None:
         """Records a request that was lost before its answer was under way."""
-        crash = self._lost_runs.record_lost(
-            _incarnation(server), parts, self._loop.now()
-        )
+        crash = self._lost_runs.record_lost(server.incarnation, parts, self._loop.now())
         self._record_crash(crash)
 
     def record_down(self, server: BackendServer) -> None:
         """Records that an engine is down or has restarted."""
         self._record_crash(
-            self._lost_runs.record_down(_incarnation(server), self._loop.now())
+            self._lost_runs.record_down(server.incarnation, self._loop.now())
         )
 
     def record_answered(self, parts: tuple[str, ...]) -> None:
@@ -234,7 +231,3 @@
         except msgspec.DecodeError as error:
             self._log.event("quarantine_unreadable", entry=item.name, detail=error)
             return None
-
-
-def _incarnation(server: BackendServer) -> Incarnation:
-    return Incarnation(server.instance_id, server.start_time_ms)
--- a/fighitch/gateway/relay.py
+++ b/fighitch/gateway/relay.py
@@ -355,6 +355,8 @@
     def on_head(self, head: ResponseHead) -> None:
         """Handles the head of a response."""
         self._head = head
+        if self._server is not None:
+            self._entry.record_head(self._server, head, sent_at=self._sent_at)
         self._is_stream = (
             self._route.kind is WorkKind.STREAMING
             and head.status < _FIRST_NON_SUCCESS
--- a/fighitch/platform/requests.py
+++ b/fighitch/platform/requests.py
@@ -1,5 +1,6 @@
 """Headers of requests and responses between callers, entries and backend servers."""
 
+import math
 from dataclasses import dataclass
 
 from fighitch.core.gateway.model import AdapterName, RequestSize
@@ -156,6 +157,22 @@
     return head.status == _NOT_RUN_STATUS or head.get(b"not-executed") is not None
 
 
+def named_limit(head: ResponseHead) -> float | None:
+    """Returns the requests per second to which a backend server limits all entries.
+
+    Returns:
+        The limit; None if the response names none, or not a finite number.
+    """
+    value = head.get(b"server-limit")
+    if value is None:
+        return None
+    try:
+        limit = float(value)
+    except ValueError:
+        return None
+    return max(0.0, limit) if math.isfinite(limit) else None
+
+
 def is_from_another_instance(head: ResponseHead, instance_id: str) -> bool:
     """Returns whether an instance other than the expected one rejected the request."""
     name = head.get(b"instance-id")
--- a/fighitch/tests/test_crash_evidence.py
+++ b/fighitch/tests/test_crash_evidence.py
@@ -7,8 +7,8 @@
     EVIDENCE_LIFETIME,
     Crash,
     CrashEvidence,
-    Incarnation,
 )
+from fighitch.core.gateway.model import Incarnation
 
 _numbers = itertools.count(1)
 
--- a/fighitch/tests/test_crash_reports.py
+++ b/fighitch/tests/test_crash_reports.py
@@ -3,7 +3,8 @@
 import unittest
 from unittest import mock
 
-from fighitch.core.gateway.crash_evidence import Crash, CrashEvidence, Incarnation
+from fighitch.core.gateway.crash_evidence import Crash, CrashEvidence
+from fighitch.core.gateway.model import Incarnation
 from fighitch.gateway.crash_reports import (
     CrashReportRelay,
     build_report,
--- a/fighitch/tests/test_lost_runs.py
+++ b/fighitch/tests/test_lost_runs.py
@@ -2,8 +2,8 @@
 
 import unittest
 
-from fighitch.core.gateway.crash_evidence import Incarnation
 from fighitch.core.gateway.lost_runs import LostRuns
+from fighitch.core.gateway.model import Incarnation
 
 ENGINE = Incarnation("e1", 1)
 
--- a/fighitch/tests/test_quarantine.py
+++ b/fighitch/tests/test_quarantine.py
@@ -2,7 +2,8 @@
 
 import unittest
 
-from fighitch.core.gateway.crash_evidence import Crash, Incarnation
+from fighitch.core.gateway.crash_evidence import Crash
+from fighitch.core.gateway.model import Incarnation
 from fighitch.core.gateway.quarantine import Quarantine, StoredQuarantine
 
 BAD = frozenset({"bad"})
