--- a/standins/platform_backends.py
+++ b/standins/platform_backends.py
@@ -84,6 +84,9 @@
         self.runs: list[RunRecord] = []
         self.cancelled: list[str] = []
         self.state = "ready"
+        # Requests per second that responses name as the limit; None for no limit.
+        self.server_limit: float | None = None
+        self.arrivals: list[float] = []
         # Address in the heartbeat if the server is behind a proxy; empty if it is not.
         self.advertised_address = ""
 
@@ -139,13 +142,17 @@
         target = request.target.decode()
         record = RunRecord(headers["attempt-id"], headers, request.body, target)
         self.runs.append(record)
+        self.arrivals.append(time.monotonic())
 
     def response_headers(self, request_id: str) -> list[tuple[bytes, bytes]]:
         """Returns the headers of a response."""
-        return [
+        headers = [
             (b"Attempt-Id", request_id.encode()),
             (b"Response-Signature", f"{self.instance_id}.{request_id}".encode()),
         ]
+        if self.server_limit is not None:
+            headers.append((b"Server-Limit", b"%.2f" % self.server_limit))
+        return headers
 
     def send_response(
         self, connection: CallerConnection, request_id: str, status: int
