Keep the limits that backend servers name, over all entries

Callers and operators saw: engines in need got 2 to 3 times the requests that they had named as their limit (37 in 4 s at 3.7 a second, 27 allowed), for as long as they named it.

Cause: nothing read the limit. An agent admitted by prefill speed, KV cache and batch slots, entries chose plain servers by response time, and neither changes with a named limit. Class of fault: feedback of a server that is passed on to callers and ignored by whoever decides. Ruled out: rejected or repeated requests (101 of 102 had one attempt); each entry taking the whole limit (none read it).

Change: entries report the limit of a response to the engine's agent with the first event, and with the greeting to an agent that has restarted. The agent sees the requests of all entries and spaces them; a request that would wait beyond its deadline is declined or rejected at once, and the backlog that entries see contains the wait. For servers without an agent each entry takes an equal share, from the number of entries that agents report, with a random phase, and rejects at once what would wait for more than half of its time. A limit ends only with a response to a request that was sent after the latest response with one.

The check of the first form that a limited server still gets requests was wrong for a plain server whose peer is idle: the peer may serve all. It is replaced by two tests in which all servers are limited and each must get at least half of its limit.

--- a/fighitch/core/gateway/engine_queue.py
+++ b/fighitch/core/gateway/engine_queue.py
@@ -6,6 +6,7 @@
 ``PREFILL_WINDOW``, starting with requests that can still meet their latency target, and
 rejects a request as soon as it is known to miss its deadline. Within the window, a
 prompt joins others only if the running streams keep their gap target (``event_gaps``).
+An engine that limits its requests gets them spaced (``request_pacer``).
 """
 
 from collections.abc import Mapping
@@ -15,6 +16,7 @@
 from fighitch.core.gateway.adapter_demand import AdapterDemand
 from fighitch.core.gateway.event_gaps import EventPace, GapLimits
 from fighitch.core.gateway.model import AdapterName, EngineSpec, RequestSize
+from fighitch.core.gateway.request_pacer import RequestPacer
 from fighitch.types import Seconds
 
 # Prefill time of the prompts that are admitted ahead. It covers several round trips to
@@ -152,12 +154,14 @@
         kv_tokens: Capacity of the KV cache, in tokens.
         prefill_speed: Estimated prefill speed.
         event_pace: Pace of the running streams.
+        pacer: Spaces the requests if the engine limits them; None for no limit.
     """
 
     slots: int = 1
     kv_tokens: int = 0
     prefill_speed: PrefillSpeed = field(default_factory=PrefillSpeed)
     event_pace: EventPace = field(default_factory=EventPace)
+    pacer: RequestPacer | None = None
     _waiting: dict[RequestKey, EngineRequest] = field(default_factory=dict)
     _running: dict[RequestKey, _RunningRequest] = field(default_factory=dict)
     _pending_prefill_tokens: int = 0
@@ -169,6 +173,15 @@
         self.slots = engine.batch_slots
         self.kv_tokens = engine.kv_tokens
 
+    def set_rate_limit(self, rate: float | None, now: Seconds) -> None:
+        """Sets the limit of the engine on requests per second; None for no limit."""
+        if rate is None:
+            self.pacer = None
+        elif self.pacer is None:
+            self.pacer = RequestPacer.for_rate(rate, now)
+        else:
+            self.pacer.set_rate(rate, now)
+
     @property
     def running(self) -> int:
         """Number of requests admitted to the engine that have not ended."""
@@ -232,14 +245,16 @@
         target precede them. Counting them would send callers to engines that have to
         load the adapter first.
         """
-        ahead = sum(
+        ahead = [
             request.size.prompt_tokens
             for request in self._waiting.values()
             if not self._is_late(request, now)
+        ]
+        prefill = self._pending_prefill_tokens + sum(ahead)
+        return max(
+            prefill * self.prefill_speed.seconds_per_token,
+            self._pacing_delay(now, len(ahead)),
         )
-        return (
-            self._pending_prefill_tokens + ahead
-        ) * self.prefill_speed.seconds_per_token
 
     def expected_first_event_delay(
         self, request: EngineRequest, load_wait: Seconds = 0.0
@@ -273,7 +288,8 @@
         if request.tokens > self.kv_tokens > 0:
             return Rejection(request, _MAX_RETRY_AFTER, "larger_than_engine")
         if self._misses_deadline(request, start):
-            return Rejection(request, self.retry_after(), "deadline_out_of_reach")
+            retry_after = self.retry_after(request.arrived)
+            return Rejection(request, retry_after, "deadline_out_of_reach")
         self._waiting[request.key] = request
         self._waiting_prompt_tokens += request.size.prompt_tokens
         return None
@@ -312,19 +328,40 @@
     def reject_overdue(self, now: Seconds) -> list[Rejection]:
         """Rejects waiting requests that can no longer meet their deadline."""
         rejections = []
-        for request in list(self._waiting.values()):
-            if self._misses_deadline(request, now):
+        kept = 0
+        for request in self._by_urgency(now):
+            # Requests without a chance must not wait for their turn.
+            if self._misses_deadline(request, now + self._pacing_delay(now, kept)):
                 self._remove_waiting(request.key)
                 rejections.append(
-                    Rejection(request, self.retry_after(), "waited_too_long")
+                    Rejection(request, self.retry_after(now), "waited_too_long")
                 )
+            else:
+                kept += 1
         return rejections
 
+    def _by_urgency(self, now: Seconds) -> list[EngineRequest]:
+        """Returns the waiting requests in the order of admission."""
+        if self.pacer is None:
+            return list(self._waiting.values())
+        return sorted(
+            self._waiting.values(), key=lambda request: self._sort_key(request, now)
+        )
+
+    def _pacing_delay(self, now: Seconds, ahead: int) -> Seconds:
+        """Returns the time until a request with others ahead may be sent."""
+        return 0.0 if self.pacer is None else self.pacer.delay(now, ahead=ahead)
+
     def request(self, key: RequestKey) -> EngineRequest | None:
         """Returns the waiting or running request with a key, or None."""
         running = self._running.get(key)
         return running.request if running is not None else self._waiting.get(key)
 
+    def admitted_at(self, key: RequestKey) -> Seconds | None:
+        """Returns when a running request was admitted; None if it does not run."""
+        running = self._running.get(key)
+        return None if running is None else running.admitted_at
+
     def record_first_event(self, key: RequestKey, now: Seconds) -> None:
         """Records the first event of a request, which ends its prefill."""
         running = self._running.get(key)
@@ -363,9 +400,10 @@
             self.record_end(key)
         return admitted
 
-    def retry_after(self) -> Seconds:
+    def retry_after(self, now: Seconds) -> Seconds:
         """Returns the delay after which a rejected caller should retry."""
-        return min(_MAX_RETRY_AFTER, max(_MIN_RETRY_AFTER, self.drain_time))
+        drain_time = max(self.drain_time, self._pacing_delay(now, len(self._waiting)))
+        return min(_MAX_RETRY_AFTER, max(_MIN_RETRY_AFTER, drain_time))
 
     def _sort_key(
         self, request: EngineRequest, now: Seconds
@@ -390,7 +428,7 @@
         )
 
     def _has_capacity(self, request: EngineRequest, now: Seconds) -> bool:
-        if len(self._running) >= self.slots:
+        if len(self._running) >= self.slots or self._pacing_delay(now, 0) > 0:
             return False
         if not self._running:
             # An idle engine also runs a request that exceeds _MAX_KV_SHARE on its own.
@@ -453,6 +491,8 @@
 
     def _admit(self, request: EngineRequest, now: Seconds) -> None:
         self._remove_waiting(request.key)
+        if self.pacer is not None:
+            self.pacer.take(now)
         self._pending_prefill_tokens += request.size.prompt_tokens
         self._reserved_kv_tokens += request.tokens
         self._running[request.key] = _RunningRequest(
@@ -466,19 +506,16 @@
 
     def _expected_start(self, request: EngineRequest, load_wait: Seconds) -> Seconds:
         """Estimates when the prefill of a new request starts."""
-        ahead = self._tokens_ahead(request) * self.prefill_speed.seconds_per_token
-        return request.arrived + max(load_wait, ahead)
-
-    def _tokens_ahead(self, request: EngineRequest) -> int:
-        """Returns the prompt tokens to prefill before those of a new request."""
         now = request.arrived
         sort_key = self._sort_key(request, now)
-        waiting = sum(
+        ahead = [
             other.size.prompt_tokens
             for other in self._waiting.values()
             if self._sort_key(other, now) <= sort_key
-        )
-        return self._pending_prefill_tokens + waiting
+        ]
+        tokens = self._pending_prefill_tokens + sum(ahead)
+        prefill = tokens * self.prefill_speed.seconds_per_token
+        return now + max(load_wait, prefill, self._pacing_delay(now, len(ahead)))
 
 
 class LoadedAdapters(Protocol):
--- a/fighitch/gateway/agent.py
+++ b/fighitch/gateway/agent.py
@@ -6,7 +6,13 @@
 
 from fighitch.core.gateway.adapter_cache import AdapterCache, EngineReport
 from fighitch.core.gateway.engine_queue import EngineQueue, EngineRequest, Rejection
-from fighitch.core.gateway.model import AdapterName, EngineSpec, RequestSize
+from fighitch.core.gateway.model import (
+    AdapterName,
+    EngineSpec,
+    Incarnation,
+    RequestSize,
+)
+from fighitch.core.gateway.server_limits import ServerLimits
 from fighitch.core.gateway.settings import Address, InstanceSettings
 from fighitch.gateway.crash_reports import CrashReportRelay
 from fighitch.gateway.engine_control import EngineClaim, EngineControl, order_outcome
@@ -80,6 +86,7 @@
         self._order_not_before: Seconds = 0.0
         self._last_status: Status | None = None
         self._last_status_at: Seconds = float("-inf")
+        self._limits = ServerLimits()
         self._announced_adapters: dict[AdapterName, int] = {}
         self._claim = EngineClaim(loop, settings, engine, log)
         self._engine_control = EngineControl(loop, engine, on_report=self._on_report)
@@ -131,10 +138,7 @@
             case AdmissionRequest():
                 self._on_admission_request(peer, message)
             case FirstEvent():
-                self._queue.record_first_event(
-                    (peer.number, message.number), self._loop.now()
-                )
-                self._process_queue()
+                self._on_first_event(peer, message)
             case Done():
                 self._on_done(peer, message)
             case Hello():
@@ -158,6 +162,9 @@
         self._instance_ids[hello.engine_start_time_ms] = hello.engine_id
         if hello.protocol >= CRASH_REPORT_VERSION:
             self._crash_reports.add_peer(peer, self._loop.now())
+        if hello.limit is not None:
+            start_time_ms = hello.engine_start_time_ms
+            self._record_limit(hello.limit, start_time_ms, sent_at=self._loop.now())
         self._log.event("entry_connected", peer=peer.number, entry=hello.entry)
         if spec != self._spec:
             self._log.event("engine_spec", entry=hello.entry, spec=spec)
@@ -187,7 +194,7 @@
         )
         if self._draining or not self._serving:
             reason = "draining" if self._draining else "engine_not_answering"
-            self._deny(Rejection(request, self._queue.retry_after(), reason))
+            self._deny(Rejection(request, self._queue.retry_after(now), reason))
             return
         loads_ahead = self._count_missing_adapters(now)
         load_wait = self._adapter_cache.load_wait(adapter, loads_ahead, now)
@@ -208,6 +215,32 @@
             return
         self._process_queue()
 
+    def _on_first_event(self, peer: PeerConnection, message: FirstEvent) -> None:
+        now = self._loop.now()
+        key = (peer.number, message.number)
+        admitted_at = self._queue.admitted_at(key)
+        if admitted_at is not None:
+            start_time_ms = self._engine_start_time_ms()
+            self._record_limit(message.limit, start_time_ms, sent_at=admitted_at)
+        self._queue.record_first_event(key, now)
+        self._process_queue()
+
+    def _record_limit(
+        self, rate: float | None, start_time_ms: int, *, sent_at: Seconds
+    ) -> None:
+        """Records the limit in a response of the engine, if it named one."""
+        now = self._loop.now()
+        engine = Incarnation("", start_time_ms)
+        if self._limits.record_response(engine, rate, sent_at=sent_at, now=now):
+            self._log.event("engine_limit", limit="none" if rate is None else rate)
+            if self._engine_start_time_ms() in (0, start_time_ms):
+                self._apply_limit(start_time_ms)
+
+    def _apply_limit(self, start_time_ms: int) -> None:
+        """Applies the limit that an incarnation of the engine has named, if any."""
+        rate = self._limits.rate(Incarnation("", start_time_ms))
+        self._queue.set_rate_limit(rate, self._loop.now())
+
     def _on_done(self, peer: PeerConnection, done: Done) -> None:
         key = (peer.number, done.number)
         request = self._queue.request(key)
@@ -361,15 +394,18 @@
             self._log.event("engine_draining", remaining=report.time_left)
             self._deny_waiting("draining")
         self._draining = report.draining
+        if report.start_time_ms != self._engine_start_time_ms():
+            self._apply_limit(report.start_time_ms)
         self._adapter_cache.record_report(report, now)
         self._queue.record_events(report.events, now)
         self._publish_adapters()
         self._process_queue()
 
     def _deny_waiting(self, reason: str) -> None:
+        now = self._loop.now()
         for request in self._queue.waiting_requests:
             self._queue.record_end(request.key)
-            self._deny(Rejection(request, self._queue.retry_after(), reason))
+            self._deny(Rejection(request, self._queue.retry_after(now), reason))
 
     # Timers and status updates.
 
--- a/fighitch/gateway/agent_links.py
+++ b/fighitch/gateway/agent_links.py
@@ -112,6 +112,7 @@
         on_down: Callable[[BackendServer], None],
         on_crash_report: Callable[[CrashReport], None],
         all_crashes: Callable[[], CrashReport | None],
+        named_limit: Callable[[BackendServer], float | None],
     ) -> None:
         """Starts the heartbeats.
 
@@ -125,6 +126,8 @@
                 has restarted.
             on_crash_report: Called with a crash report of another entry.
             all_crashes: Returns all known crashes, for an agent that has connected.
+            named_limit: Returns the limit that an engine has named, in requests per
+                second; None for no limit.
         """
         self._loop = loop
         self._entry = entry
@@ -134,6 +137,7 @@
         self._on_down = on_down
         self._on_crash_report = on_crash_report
         self._all_crashes = all_crashes
+        self._named_limit = named_limit
         self._links: dict[str, AgentLink] = {}
         self._versions: dict[AdapterName, int] = {}
         self.views: dict[str, EngineView] = {}
@@ -212,8 +216,10 @@
         return number
 
     def report_first_event(self, instance_id: str, number: int) -> None:
-        """Reports the first event of a request to the agent."""
-        self._send(instance_id, FirstEvent(number))
+        """Reports the first event of a request to the agent, and the engine's limit."""
+        link = self._links.get(instance_id)
+        limit = None if link is None else self._named_limit(link.server)
+        self._send(instance_id, FirstEvent(number, limit))
 
     def report_done(self, instance_id: str, number: int) -> None:
         """Reports to the agent that a request ended or was cancelled."""
@@ -288,6 +294,7 @@
             server.start_time_ms,
             spec,
             PROTOCOL_VERSION,
+            self._named_limit(server),
         )
 
     def _on_closed(self, link: AgentLink, reason: str) -> None:
--- a/fighitch/gateway/entry.py
+++ b/fighitch/gateway/entry.py
@@ -1,7 +1,8 @@
 """Gateway entry: accepts callers' requests and routes them to backend servers."""
 
+import random
 import socket
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from typing import Any
 
 import msgspec
@@ -14,6 +15,7 @@
     rank_plain_servers,
 )
 from fighitch.core.gateway.failures import FailureKind
+from fighitch.core.gateway.limit_shares import LimitShares
 from fighitch.core.gateway.membership import Membership, MembershipChange
 from fighitch.core.gateway.model import (
     BackendServer,
@@ -100,6 +102,7 @@
         self._engine_ranker = EngineRanker(settings.zone)
         self._outliers = OutlierDetector()
         self._server_limits = ServerLimits()
+        self._limit_shares = LimitShares()
         self._plain_loads: dict[str, PlainServerLoad] = {}
         self._retry_budgets: dict[str, RetryBudget] = {}
         self._callers: set[CallerConnection] = set()
@@ -121,6 +124,7 @@
             on_down=self.quarantine.record_down,
             on_crash_report=self.quarantine.on_report,
             all_crashes=self.quarantine.all_crashes,
+            named_limit=lambda server: self._server_limits.rate(server.incarnation),
         )
         self._listener: socket.socket | None = listen(
             settings.callers.host, settings.callers.port
@@ -234,6 +238,7 @@
     def _run_housekeeping(self) -> None:
         self._on_membership_changes(self._membership.expire(self.loop.now()))
         self.quarantine.run_housekeeping()
+        self._limit_shares.set_entries(self._entry_count, self.loop.now())
         self.metrics.set_open_requests(len(self._relays))
 
     def _reject_quarantined(self) -> None:
@@ -316,30 +321,66 @@
     ) -> list[Candidate]:
         """Returns the servers that may run a request, the best candidate first."""
         servers = self._membership.ready(service.name)
+        penalty: Callable[[str], Seconds] = self._failure_penalty
+        if self._limit_shares.is_active:
+            penalty = self._limit_penalty(servers)
         if service.engine is not None and metadata.adapter is not None:
             return self._engine_ranker.rank(
                 metadata.adapter,
                 servers,
                 self.links.views,
-                self._failure_penalty,
+                penalty,
                 avoid=avoid,
             )
         return rank_plain_servers(
             servers,
             self._plain_loads,
             self._settings.zone,
-            self._failure_penalty,
+            penalty,
             avoid=avoid,
         )
 
+    def _limit_penalty(
+        self, servers: Iterable[BackendServer]
+    ) -> Callable[[str], Seconds]:
+        """Returns the penalties with the delays at servers that limit requests."""
+        now = self.loop.now()
+        delays = {
+            server.instance_id: self._limit_shares.delay(server.incarnation, now)
+            for server in servers
+            if not self.links.is_connected(server.instance_id)
+        }
+        return lambda instance_id: (
+            delays.get(instance_id, 0.0) + self._failure_penalty(instance_id)
+        )
+
     def take_retry(self, service: str) -> bool:
         """Takes a retry from the budget of a service; returns whether it is allowed."""
-        # Agents report the number of entries. Without agents it counts as 1; at least 4
-        # are assumed, so that four entries still stay within the budget.
         return self._retry_budget(service).take(
-            self.loop.now(), entries=max(4, self.links.entries)
+            self.loop.now(), entries=self._entry_count
         )
 
+    @property
+    def _entry_count(self) -> int:
+        # Agents report the number of entries. Without agents it counts as 1; at least 4
+        # are assumed, so that four entries still stay within their shares.
+        return max(4, self.links.entries)
+
+    def reserve(self, server: BackendServer, max_delay: Seconds) -> Seconds | None:
+        """Takes a place within the limit of a server that has no agent.
+
+        Returns:
+            Time until the request may be sent; None if it exceeds the maximum.
+        """
+        now = self.loop.now()
+        if self._limit_shares.delay(server.incarnation, now) > max_delay:
+            return None
+        return self._limit_shares.take(server.incarnation, now)
+
+    def is_ready(self, server: BackendServer) -> bool:
+        """Returns whether a server still accepts new requests."""
+        return server in self._membership.ready(server.service)
+
     def record_sent(self, server: BackendServer) -> None:
         """Records that a request was sent to a server."""
         self._plain_loads.setdefault(server.instance_id, PlainServerLoad()).running += 1
@@ -358,6 +399,13 @@
                 limit="none" if rate is None else rate,
                 previous="none" if previous is None else previous,
             )
+            self._limit_shares.set_rate(
+                incarnation,
+                rate,
+                entries=self._entry_count,
+                now=now,
+                phase=random.random(),
+            )
 
     def record_outcome(
         self,
@@ -526,6 +574,7 @@
             if change.change == "removed":
                 self._outliers.forget(change.instance_id)
                 self._server_limits.forget(change.instance_id)
+                self._limit_shares.forget(change.instance_id)
                 self._plain_loads.pop(change.instance_id, None)
         self._update_links()
 
--- a/fighitch/gateway/peer_messages.py
+++ b/fighitch/gateway/peer_messages.py
@@ -31,6 +31,7 @@
             0 if not stated.
         engine_spec: Limits of the engine, as JSON of an ``EngineSpec``.
         protocol: ``PROTOCOL_VERSION`` of the entry.
+        limit: Limit that the engine has named, in requests per second; None for none.
     """
 
     entry: str
@@ -38,6 +39,7 @@
     engine_start_time_ms: int
     engine_spec: bytes
     protocol: int = 0
+    limit: float | None = None
 
 
 class AdapterVersions(_Message, frozen=True, tag=2):
@@ -127,9 +129,16 @@
 
 
 class FirstEvent(_Message, frozen=True, tag=6):
-    """Reports that the first event of a request arrived."""
+    """Reports that the first event of a request arrived.
+
+    Attributes:
+        number: Number of the request.
+        limit: Limit that the engine named in the response, in requests per second; None
+            for none.
+    """
 
     number: int
+    limit: float | None = None
 
 
 class Done(_Message, frozen=True, tag=7):
--- a/fighitch/gateway/relay.py
+++ b/fighitch/gateway/relay.py
@@ -3,6 +3,7 @@
 from enum import Enum
 from typing import TYPE_CHECKING
 
+from fighitch.core.gateway.attempts import attempt_timeout, engine_priority
 from fighitch.core.gateway.backend_choice import next_server
 from fighitch.core.gateway.event_stream import EventBuffer
 from fighitch.core.gateway.failures import FailureKind, reported_kind
@@ -43,16 +44,6 @@
 _MAX_BUFFERED_BYTES = 262_144
 # Attempts that servers may reject without running the request.
 _MAX_REJECTIONS = 3
-# Priorities at an engine are 0 to 9, and 0 runs first. Requests that already missed
-# their latency target get 5 to 9 and yield to those that can still meet it.
-_LATE_PRIORITY_OFFSET = 5
-_LOWEST_ON_TIME_PRIORITY = 4
-# A repeatable request without a response after this share of its remaining time is sent
-# to another server.
-_ATTEMPT_TIMEOUT_SHARE = 0.4
-_MIN_ATTEMPT_TIMEOUT: Seconds = 0.25
-# A repeatable stream that sends no event for this long is continued on another server.
-_STREAM_IDLE_TIMEOUT: Seconds = 1.8
 # Margin after the time at which callers leave a stream without events, so that a caller
 # ends the request first.
 _EVENT_TIMEOUT_MARGIN: Seconds = 0.5
@@ -60,6 +51,8 @@
 _CRASH_DELAY: Seconds = 0.25
 # A request with less time left until its deadline is not sent to a server.
 _MIN_TIME_LEFT: Seconds = 0.02
+# Share of its remaining time that a request waits for a server that limits requests.
+_MAX_WAIT_SHARE = 0.5
 # Interval at which a request checks whether a starting agent has connected.
 _AGENT_POLL_INTERVAL: Seconds = 0.05
 
@@ -162,10 +155,29 @@
         if is_engine and links.may_connect_soon(server.instance_id):
             self._loop.call_later(_AGENT_POLL_INTERVAL, self.place)
             return
-        if not is_engine or not links.is_connected(server.instance_id):
+        if is_engine and links.is_connected(server.instance_id):
+            self._request_admission(server)
+            return
+        self._send_within_limit(server)
+
+    def _send_within_limit(self, server: BackendServer) -> None:
+        """Sends a request without admission, once the limit of the server allows it."""
+        now = self._loop.now()
+        delay = self._entry.reserve(server, _MAX_WAIT_SHARE * (self._deadline - now))
+        if delay is None:
+            self._fail(FailureKind.OVERLOADED)
+        elif delay > 0:
+            self._loop.call_later(delay, lambda: self._send_reserved(server))
+        else:
             self._send_request(server, late=False)
+
+    def _send_reserved(self, server: BackendServer) -> None:
+        if self._state is RelayState.DONE:
             return
-        self._request_admission(server)
+        if self._entry.is_ready(server):
+            self._send_request(server, late=False)
+        else:
+            self.place()
 
     def _is_quarantined(self) -> bool:
         return self._entry.quarantine.blocks(self._metadata.shared_parts)
@@ -263,8 +275,7 @@
             self._entry.metrics.observe_placement(self._placement_time)
         priority = None
         if self._service.engine is not None:
-            priority = min(self._route.rank, _LOWEST_ON_TIME_PRIORITY)
-            priority += _LATE_PRIORITY_OFFSET if late else 0
+            priority = engine_priority(self._route.rank, late=late)
         data = encode_request(
             self._request,
             time_left=time_left,
@@ -304,14 +315,8 @@
     def _start_attempt_timer(self, time_left: Seconds) -> None:
         if not self._may_retry():
             return
-        if self._route.kind is WorkKind.STREAMING:
-            attempt_timeout = _STREAM_IDLE_TIMEOUT
-        else:
-            attempt_timeout = max(
-                _MIN_ATTEMPT_TIMEOUT, _ATTEMPT_TIMEOUT_SHARE * time_left
-            )
         self._attempt_timer = self._loop.call_later(
-            attempt_timeout, self._on_attempt_timeout
+            attempt_timeout(self._route, time_left), self._on_attempt_timeout
         )
 
     def _on_attempt_timeout(self) -> None:
--- a/fighitch/tests/test_engine_queue.py
+++ b/fighitch/tests/test_engine_queue.py
@@ -286,3 +286,64 @@
         self.assertAlmostEqual(
             queue.prefill_speed.seconds_per_token, 0.0002, delta=0.00004
         )
+
+
+class RateLimitTests(unittest.TestCase):
+    """An engine in need limits the requests of all entries together."""
+
+    def setUp(self):
+        self.queue = make_queue()
+        self.queue.set_rate_limit(2.0, 0.0)
+
+    def admitted_until(self, end: float) -> int:
+        """Processes the queue as often as an agent does; requests end at once."""
+        count, now = 0, 0.0
+        while now < end:
+            for item in self.queue.admit_ready(now, AllAdaptersLoaded()):
+                self.queue.record_first_event(item.key, now)
+                self.queue.record_end(item.key)
+                count += 1
+            now += 0.05
+        return count
+
+    def test_requests_are_admitted_at_the_limit(self):
+        # The queue admitted as many requests as the engine could prefill.
+        for number in range(100):
+            self.queue.enqueue(request(number, target_latency=60.0, timeout=100.0))
+        self.assertTrue(7 <= self.admitted_until(4.0) <= 10)
+
+    def test_request_that_would_wait_beyond_its_deadline_is_rejected_at_once(self):
+        rejections = [
+            self.queue.enqueue(request(number, prompt=10)) for number in range(60)
+        ]
+        self.assertIsNone(rejections[0])
+        self.assertEqual(rejections[-1].reason, "deadline_out_of_reach")
+        self.assertGreater(rejections[-1].retry_after, 1.0)
+
+    def test_waiting_requests_without_a_chance_are_rejected_when_a_limit_comes(self):
+        self.queue.set_rate_limit(None, 0.0)
+        for number in range(30):
+            self.queue.enqueue(request(number, prompt=10))
+        self.queue.set_rate_limit(1.0, 0.0)
+        rejected = self.queue.reject_overdue(0.0)
+        self.assertTrue(15 <= len(rejected) <= 25, len(rejected))
+
+    def test_backlog_tells_entries_to_ask_other_engines(self):
+        before = self.queue.backlog(0.0)
+        for number in range(10):
+            self.queue.enqueue(request(number, prompt=10, target_latency=60.0))
+        self.assertGreater(self.queue.backlog(0.0), before + 4.0)
+
+    def test_wait_for_the_limit_counts_for_the_first_event(self):
+        for number in range(10):
+            self.queue.enqueue(request(number, prompt=10, target_latency=60.0))
+        late = request(99, prompt=10, target_latency=60.0)
+        self.assertGreater(self.queue.expected_first_event_delay(late), 4.0)
+
+    def test_ended_limit_admits_all_again(self):
+        for number in range(20):
+            self.queue.enqueue(
+                request(number, prompt=1, target_latency=60.0, timeout=100.0)
+            )
+        self.queue.set_rate_limit(None, 0.0)
+        self.assertEqual(self.admitted_until(0.2), 20)
--- a/fighitch/tests/test_limited_servers.py
+++ b/fighitch/tests/test_limited_servers.py
@@ -71,23 +71,59 @@
             most_arrivals(server, first_named + STABLE_SECONDS),
             allowed_arrivals(LIMIT),
         )
-        # The limit is not kept by sending nothing.
-        late = [at for at in server.arrivals if at > first_named + STABLE_SECONDS]
-        self.assertGreaterEqual(len(late), LIMIT)
+        served = self.statuses[200] / self.statuses.total()
+        self.assertGreaterEqual(served, 0.9, self.statuses)
+
+    def assert_limits_are_used(self, servers, route: str) -> None:
+        """Asserts that no server gets less than half of its limit in a flood."""
+        for server in servers:
+            server.server_limit = 2 * LIMIT
+        self.run_load(route, STABLE_SECONDS)
+        since = time.monotonic()
+        self.run_load(route, 2 * WINDOW_SECONDS)
+        for server in servers:
+            self.assertLessEqual(
+                most_arrivals(server, since), allowed_arrivals(2 * LIMIT)
+            )
+            arrivals = sum(at >= since for at in server.arrivals)
+            self.assertGreaterEqual(arrivals, 2 * WINDOW_SECONDS * LIMIT)
+        # A request that can't be served is rejected as one that has not run.
+        self.assertLessEqual(set(self.statuses), {200, 503}, self.statuses)
 
 
 class EngineLimitTests(LimitTestCase):
     def test_entries_together_keep_the_limit_of_an_engine(self):
         self.assert_limit_is_kept(self.fleet.engines[0], "stream")
-        served = self.statuses[200] / self.statuses.total()
-        self.assertGreaterEqual(served, 0.9, self.statuses)
+
+    def test_limits_of_all_engines_are_used(self):
+        self.assert_limits_are_used(self.fleet.engines, "stream")
+
+    def test_limit_outlasts_a_restart_of_the_agent(self):
+        engine = self.fleet.engines[0]
+        engine.server_limit = LIMIT
+        self.run_load("stream", STABLE_SECONDS)
+        since = time.monotonic()
+        self.fleet.agents[0].kill_and_restart()
+        self.run_load("stream", 2 * WINDOW_SECONDS)
+        self.assertLessEqual(most_arrivals(engine, since), allowed_arrivals(LIMIT))
+
+    def test_limit_ends_when_the_engine_names_none(self):
+        engine = self.fleet.engines[0]
+        engine.server_limit = LIMIT
+        self.run_load("stream", STABLE_SECONDS)
+        engine.server_limit = None
+        self.run_load("stream", 2.0)
+        since = time.monotonic()
+        self.run_load("stream", WINDOW_SECONDS)
+        self.assertGreater(most_arrivals(engine, since), allowed_arrivals(LIMIT))
 
 
 class PlainServerLimitTests(LimitTestCase):
     def test_entries_together_keep_the_limit_of_a_plain_server(self):
         self.assert_limit_is_kept(self.fleet.plain_servers[0], "lookup")
-        served = self.statuses[200] / self.statuses.total()
-        self.assertGreaterEqual(served, 0.9, self.statuses)
+
+    def test_limits_of_all_plain_servers_are_used(self):
+        self.assert_limits_are_used(self.fleet.plain_servers, "lookup")
 
 
 if __name__ == "__main__":
--- a/fighitch/tests/test_relay.py
+++ b/fighitch/tests/test_relay.py
@@ -28,6 +28,7 @@
         self.entry.links.is_connected.return_value = False
         self.entry.quarantine.blocks.return_value = False
         self.entry.quarantine.is_suspect.return_value = False
+        self.entry.reserve.return_value = 0.0
         self.caller = mock.Mock()
 
     def relay(
