Keep a limit that an engine names in its rejections

An engine that rejects every request names its limit in the rejections only. The agent learned of a limit with the first event of a stream, which a rejected request does not have, so that the engine got 52 requests in 4 s at a limit of 2 a second (17 allowed). Found by looking for other ways to the same cause. The end of a request without an event now carries the limit as well; it counts only then, as the end of a long stream may name a limit that is over.

test_limit_in_rejections_is_kept failed before. A test without agents shows that the entries' shares keep the limit of an engine too; it needed no change.

--- a/fighitch/core/gateway/engine_queue.py
+++ b/fighitch/core/gateway/engine_queue.py
@@ -362,6 +362,11 @@
         running = self._running.get(key)
         return None if running is None else running.admitted_at
 
+    def awaits_event(self, key: RequestKey) -> bool:
+        """Returns whether a request runs that has no event yet."""
+        running = self._running.get(key)
+        return running is not None and not running.has_first_event
+
     def record_first_event(self, key: RequestKey, now: Seconds) -> None:
         """Records the first event of a request, which ends its prefill."""
         running = self._running.get(key)
--- a/fighitch/gateway/agent.py
+++ b/fighitch/gateway/agent.py
@@ -243,6 +243,9 @@
 
     def _on_done(self, peer: PeerConnection, done: Done) -> None:
         key = (peer.number, done.number)
+        if done.limit is not None and self._queue.awaits_event(key):
+            start_time_ms = self._engine_start_time_ms()
+            self._record_limit(done.limit, start_time_ms, sent_at=self._loop.now())
         request = self._queue.request(key)
         if self._queue.record_end(key) and request is not None:
             self._adapter_cache.record_end(request.adapter, self._loop.now())
--- a/fighitch/gateway/agent_links.py
+++ b/fighitch/gateway/agent_links.py
@@ -224,9 +224,10 @@
     def report_done(self, instance_id: str, number: int) -> None:
         """Reports to the agent that a request ended or was cancelled."""
         link = self._links.get(instance_id)
-        if link is not None:
-            link.pending_requests.pop(number, None)
-        self._send(instance_id, Done(number))
+        if link is None:
+            return
+        link.pending_requests.pop(number, None)
+        self._send(instance_id, Done(number, self._named_limit(link.server)))
 
     def spread(self, report: CrashReport) -> None:
         """Sends a crash report to some agents, which pass it on to other entries."""
--- a/fighitch/gateway/peer_messages.py
+++ b/fighitch/gateway/peer_messages.py
@@ -142,9 +142,16 @@
 
 
 class Done(_Message, frozen=True, tag=7):
-    """Reports that a request ended or was cancelled."""
+    """Reports that a request ended or was cancelled.
+
+    Attributes:
+        number: Number of the request.
+        limit: Limit that the engine has named, in requests per second; None for none.
+            It counts if the request ended without an event, such as a rejected one.
+    """
 
     number: int
+    limit: float | None = None
 
 
 class Status(_Message, frozen=True, tag=8):
--- a/fighitch/tests/test_limited_servers.py
+++ b/fighitch/tests/test_limited_servers.py
@@ -4,6 +4,7 @@
 of what they had allowed.
 """
 
+import signal
 import threading
 import time
 import unittest
@@ -107,6 +108,23 @@
         self.run_load("stream", 2 * WINDOW_SECONDS)
         self.assertLessEqual(most_arrivals(engine, since), allowed_arrivals(LIMIT))
 
+    def test_limit_in_rejections_is_kept(self):
+        # A rejected request has no event with which the limit could be reported.
+        engine = self.fleet.engines[0]
+        engine.faults.shed = 10_000
+        self.assert_limit_is_kept(engine, "stream")
+
+    def test_entries_keep_the_limit_without_agents(self):
+        engine = self.fleet.engines[0]
+        for agent in self.fleet.agents:
+            agent.signal(signal.SIGKILL)
+        time.sleep(1.0)
+        # Engines hold the adapters that were loaded by then only.
+        engine.server_limit = LIMIT
+        since = time.monotonic() + STABLE_SECONDS
+        self.run_load("stream", STABLE_SECONDS + 6.0)
+        self.assertLessEqual(most_arrivals(engine, since), allowed_arrivals(LIMIT))
+
     def test_limit_ends_when_the_engine_names_none(self):
         engine = self.fleet.engines[0]
         engine.server_limit = LIMIT
--- a/standins/platform_backends.py
+++ b/standins/platform_backends.py
@@ -116,7 +116,9 @@
             connection.finish()
             return
         if self.faults.consume("shed"):
-            connection.send_head(503, [(b"Not-Executed", b"1")], length=0)
+            self.arrivals.append(time.monotonic())
+            rejection = [(b"Not-Executed", b"1"), *self._limit_headers()]
+            connection.send_head(503, rejection, length=0)
             connection.finish()
             return
         self.serve(connection, request, headers)
@@ -146,13 +148,16 @@
 
     def response_headers(self, request_id: str) -> list[tuple[bytes, bytes]]:
         """Returns the headers of a response."""
-        headers = [
+        return [
             (b"Attempt-Id", request_id.encode()),
             (b"Response-Signature", f"{self.instance_id}.{request_id}".encode()),
+            *self._limit_headers(),
         ]
-        if self.server_limit is not None:
-            headers.append((b"Server-Limit", b"%.2f" % self.server_limit))
-        return headers
+
+    def _limit_headers(self) -> list[tuple[bytes, bytes]]:
+        if self.server_limit is None:
+            return []
+        return [(b"Server-Limit", b"%.2f" % self.server_limit)]
 
     def send_response(
         self, connection: CallerConnection, request_id: str, status: int
