Bound the cost of crash evidence at the size of the design

Each entry also sent all evidence to each agent at its start.

Change: an answer is judged again only if it can release a part. Of the answers to a part only the first known one and the first after its latest crash are reported, and not if another entry did. All evidence goes to three agents, as new reports do.

--- a/fighitch/core/gateway/crash_evidence.py
+++ b/fighitch/core/gateway/crash_evidence.py
@@ -60,8 +60,11 @@
 
     def __init__(self) -> None:
         self._crashes: dict[Incarnation, Crash] = {}
-        self._suspects: set[str] = set()
+        # Latest crash in which a part was involved.
+        self._suspects: dict[str, Seconds] = {}
         self._answered: OrderedDict[str, Seconds] = OrderedDict()
+        # Answers that the other instances know.
+        self._shared_answers: dict[str, Seconds] = {}
         self._groups: tuple[PartGroup, ...] = ()
 
     @property
@@ -100,16 +103,16 @@
 
     def record_answered(self, parts: Iterable[str], at: Seconds) -> None:
         """Records that a request with these parts was answered without a crash."""
-        changed = False
+        releases = False
         for part in parts:
-            previous = self._answered.get(part)
-            if previous is None or previous < at:
+            if at > self._answered.get(part, float("-inf")):
                 self._answered[part] = at
-                changed = changed or part in self._suspects
+                # Other parts are not blocked, and blame no part less if they are sound.
+                releases = releases or any(part in group for group in self._groups)
             self._answered.move_to_end(part)
         while len(self._answered) > _MAX_ANSWERED_PARTS:
             self._answered.popitem(last=False)
-        if changed and self._crashes:
+        if releases:
             self._update()
 
     def answered_at(self, part: str) -> Seconds | None:
@@ -124,6 +127,25 @@
             if part in self._answered
         }
 
+    def unshared_answers(self) -> dict[str, Seconds]:
+        """Returns the answers that other instances need to judge the known crashes.
+
+        For each part these are its first known answer and the first one after its
+        latest crash; any further answer would change nothing.
+        """
+        answers = {}
+        for part, at in self.answered_suspects().items():
+            shared_at = self._shared_answers.get(part)
+            if shared_at is None or shared_at < self._suspects[part] < at:
+                answers[part] = at
+        return answers
+
+    def mark_shared(self, answers: Mapping[str, Seconds]) -> None:
+        """Records answers that the other instances know."""
+        for part, at in answers.items():
+            if at > self._shared_answers.get(part, float("-inf")):
+                self._shared_answers[part] = at
+
     def blocks(self, parts: Collection[str]) -> bool:
         """Returns whether a request with these parts would crash an engine."""
         return any(group.issubset(parts) for group in self._groups)
@@ -145,7 +167,16 @@
         self._update()
 
     def _update(self) -> None:
-        self._suspects = {part for item in self.crashes for part in item.parts}
+        self._suspects = {}
+        for item in self.crashes:
+            for part in item.parts:
+                latest = self._suspects.get(part, item.at)
+                self._suspects[part] = max(latest, item.at)
+        self._shared_answers = {
+            part: at
+            for part, at in self._shared_answers.items()
+            if part in self._suspects
+        }
         self._groups = find_crashing_parts(self.crashes, self._answered)
 
 
--- a/fighitch/gateway/agent_links.py
+++ b/fighitch/gateway/agent_links.py
@@ -42,7 +42,8 @@
 _AGENT_START_TIMEOUT: Seconds = 1.5
 _INITIAL_RETRY_DELAY: Seconds = 0.1
 _MAX_RETRY_DELAY: Seconds = 0.8
-# Agents that receive a crash report; each of them passes it on to all entries.
+# Agents that receive a crash report; each passes it on to all entries and keeps it
+# for those that restart.
 _CRASH_REPORT_RELAYS = 3
 
 OnGrant = Callable[[Grant], None]
@@ -83,6 +84,7 @@
         was_connected: Whether the agent has ever sent a status.
         added_at: Time at which the engine became known.
         protocol: Version of the messages that the agent understands.
+        has_all_crashes: Whether the agent was sent all known crashes.
     """
 
     server: BackendServer
@@ -96,6 +98,7 @@
     was_connected: bool = False
     added_at: Seconds = 0.0
     protocol: int = 0
+    has_all_crashes: bool = False
 
 
 class AgentLinks:
@@ -300,6 +303,7 @@
 
     def _on_closed(self, link: AgentLink, reason: str) -> None:
         link.peer = None
+        link.has_all_crashes = False
         was_connected, link.view.connected = link.view.connected, False
         link.view.backlog = link.view.pending_prefill = 0.0
         if was_connected:
@@ -353,13 +357,7 @@
             link.retry_delay = _INITIAL_RETRY_DELAY
             self._log.event("agent_connected", engine=link.server.instance_id)
             link.protocol = status.protocol
-            report = self._all_crashes()
-            if (
-                report is not None
-                and link.peer is not None
-                and link.protocol >= CRASH_REPORT_VERSION
-            ):
-                link.peer.send(report)
+            self._send_all_crashes(link)
         view.backlog = status.backlog_ms / _MS_PER_SECOND
         view.pending_prefill = 0.0
         # The agent may serve a later incarnation than the one in the instance list.
@@ -376,6 +374,18 @@
         if status.draining and is_same_incarnation:
             self._on_draining(link.server.instance_id)
 
+    def _send_all_crashes(self, link: AgentLink) -> None:
+        """Sends all known crashes to an agent, unless enough agents have them."""
+        if link.peer is None or link.protocol < CRASH_REPORT_VERSION:
+            return
+        holders = sum(item.has_all_crashes for item in self._links.values())
+        if holders >= _CRASH_REPORT_RELAYS:
+            return
+        link.has_all_crashes = True
+        report = self._all_crashes()
+        if report is not None:
+            link.peer.send(report)
+
     def _on_held_adapters(self, link: AgentLink, message: HeldAdapters) -> None:
         if message.complete:
             link.view.adapters = {}
--- a/fighitch/gateway/crash_reports.py
+++ b/fighitch/gateway/crash_reports.py
@@ -40,13 +40,6 @@
     Returns:
         The part of the message that was new; None if nothing was.
     """
-    answered = []
-    for part, age_ms in report.answered:
-        at = now - age_ms / _MS_PER_SECOND
-        known_at = evidence.answered_at(part)
-        if known_at is None or at > known_at + _ANSWERED_RESOLUTION:
-            evidence.record_answered((part,), at)
-            answered.append((part, age_ms))
     crashes = []
     for item in report.crashes:
         instance_id, start_time_ms, age_ms, parts = item
@@ -54,6 +47,14 @@
         at = now - age_ms / _MS_PER_SECOND
         if evidence.record_crash(Crash(engine, at, frozenset(parts))):
             crashes.append(item)
+    answered = []
+    for part, age_ms in report.answered:
+        at = now - age_ms / _MS_PER_SECOND
+        evidence.mark_shared({part: at})
+        known_at = evidence.answered_at(part)
+        if known_at is None or at > known_at + _ANSWERED_RESOLUTION:
+            evidence.record_answered((part,), at)
+            answered.append((part, age_ms))
     return CrashReport(crashes, answered) if crashes or answered else None
 
 
--- a/fighitch/gateway/part_quarantine.py
+++ b/fighitch/gateway/part_quarantine.py
@@ -72,7 +72,6 @@
         self._known_groups: set[PartGroup] = set()
         self._own_crashes: dict[Incarnation, Crash] = {}
         self._reported_at: Seconds = float("-inf")
-        self._reported_answers: dict[str, Seconds] = {}
 
     def connect(self, store_address: Address) -> None:
         """Uses another address of the store."""
@@ -150,16 +149,13 @@
             for engine, crash in self._own_crashes.items()
             if now - crash.at < _REPORT_TIME
         }
-        answers = {
-            part: at
-            for part, at in self._quarantine.evidence.answered_suspects().items()
-            if self._reported_answers.get(part, float("-inf")) < at
-        }
+        evidence = self._quarantine.evidence
+        answers = evidence.unshared_answers()
         report = build_report(self._own_crashes.values(), answers, now)
         if report is None:
             return
         self._reported_at = now
-        self._reported_answers |= answers
+        evidence.mark_shared(answers)
         self._spread(report)
 
     def _check_groups(self) -> None:
--- a/fighitch/tests/test_crash_evidence.py
+++ b/fighitch/tests/test_crash_evidence.py
@@ -131,6 +131,26 @@
         self.assertIsNotNone(self.evidence.answered_at("p19999"))
 
 
+class SharedAnswerTests(EvidenceTestCase):
+    """Which answers an instance tells the others, at any rate of requests."""
+
+    def test_first_answer_and_first_answer_after_a_crash_are_shared_once(self):
+        # Each request with the most common part would cause a message otherwise.
+        self.evidence.record_answered(("first",), 0.5)
+        self.assertEqual(self.evidence.unshared_answers(), {})
+        self.record(crash(1.0, "first", "bad"))
+        for at, expected in ((0.5, {"first": 0.5}), (1.5, {"first": 1.5}), (2.0, {})):
+            self.evidence.record_answered(("first",), at)
+            self.assertEqual(self.evidence.unshared_answers(), expected)
+            self.evidence.mark_shared(expected)
+
+    def test_answer_that_another_instance_shared_is_not_shared_again(self):
+        self.record(crash(1.0, "first"))
+        self.evidence.record_answered(("first",), 1.5)
+        self.evidence.mark_shared({"first": 1.2})
+        self.assertEqual(self.evidence.unshared_answers(), {})
+
+
 class LifetimeTests(EvidenceTestCase):
     def test_block_ends_with_the_lifetime_of_its_evidence(self):
         self.record(*(crash(at, "bad") for at in (1.0, 2.0, 3.0)))
