Keep the place of a request at a limited engine whose adapters change

A request that waits for its place within a limit compared the whole entry of the server when its turn came. Each heartbeat of an engine may list other adapters, so that the request gave up its place and took a later one. The incarnations are compared now. The test failed before.

--- a/fighitch/gateway/entry.py
+++ b/fighitch/gateway/entry.py
@@ -379,7 +379,8 @@
 
     def is_ready(self, server: BackendServer) -> bool:
         """Returns whether a server still accepts new requests."""
-        return server in self._membership.ready(server.service)
+        ready = self._membership.ready(server.service)
+        return any(item.incarnation == server.incarnation for item in ready)
 
     def record_sent(self, server: BackendServer) -> None:
         """Records that a request was sent to a server."""
--- a/fighitch/tests/test_gateway_entry.py
+++ b/fighitch/tests/test_gateway_entry.py
@@ -12,6 +12,7 @@
 from fighitch.platform.engine import SERVERS_KIND
 from fighitch.runtime.event_loop import EventLoop
 from fighitch.runtime.sockets import listen
+from fighitch.tests.gateway_helpers import A1, server
 
 REQUEST = b"GET /p/ HTTP/1.1\r\nHost: h\r\nAttempt-Id: x\r\n\r\n"
 
@@ -56,6 +57,24 @@
         self.assertEqual(len(self.pauses()), 1)
 
 
+class ReadyServerTests(unittest.TestCase):
+    """Requests that wait for a place within the limit of a server."""
+
+    def test_server_with_other_adapters_is_still_the_same(self):
+        # Each heartbeat of an engine may list other adapters. A request that waited for
+        # its place gave the place up and took another one.
+        with (
+            mock.patch.object(entry_module, "KindWatcher"),
+            mock.patch.object(entry_module, "listen", return_value=None),
+        ):
+            entry = GatewayEntry(mock.Mock(), SETTINGS, mock.Mock(), mock.Mock())
+        waiting_for = server("e1")
+        entry._membership.put(server("e1", adapters={A1: 1}))
+        self.assertTrue(entry.is_ready(waiting_for))
+        entry._membership.put(server("e1", start_time_ms=2))
+        self.assertFalse(entry.is_ready(waiting_for))
+
+
 class StopTests(unittest.TestCase):
     """Connections and requests that arrive when a stopping entry closes its listener.
 
