Do not tell a caller that a request has not run if its loss blocks its part

Cause: the loss of a request can be the evidence that blocks its part; all relays were then asked for blocked requests within the handling of this loss, before the relay had noted that the request may have run. They are asked in the next round of the event loop now. The test failed before.

--- a/fighitch/gateway/part_quarantine.py
+++ b/fighitch/gateway/part_quarantine.py
@@ -171,7 +171,8 @@
                     "prompt_parts", change=change, parts=",".join(sorted(parts))
                 )
         self._known_groups = groups
-        self._on_change()
+        # Not within the callback of the request whose loss was the evidence.
+        self._loop.call_later(0, self._on_change)
 
     # The store.
 
--- /dev/null
+++ b/fighitch/tests/test_part_quarantine.py
@@ -0,0 +1,58 @@
+"""Tests of ``fighitch.gateway.part_quarantine``."""
+
+import unittest
+from unittest import mock
+
+from fighitch.core.gateway.settings import Address
+from fighitch.gateway.part_quarantine import PartQuarantine
+from fighitch.runtime.event_loop import EventLoop
+from fighitch.tests.gateway_helpers import server
+
+PARTS = ("first", "bad")
+
+
+class PartQuarantineTests(unittest.TestCase):
+    def setUp(self):
+        self.now = 100.0
+        self.loop = EventLoop(clock=lambda: self.now)
+        self.on_change = mock.Mock()
+        self.spread = mock.Mock()
+        self.quarantine = PartQuarantine(
+            self.loop,
+            Address("127.0.0.1", 1),
+            mock.Mock(),
+            spread=self.spread,
+            on_change=self.on_change,
+        )
+
+    def crash(self, name: str) -> None:
+        self.now += 1.0
+        self.quarantine.record_down(server(name))
+        self.quarantine.record_lost(server(name), PARTS)
+
+    def test_relays_learn_of_a_blocked_part_after_the_callback_that_found_it(self):
+        # The loss of a request can be the evidence that blocks its part. The relay of
+        # this request was then rejected while it handled the loss, and told its caller
+        # that the request had not run.
+        for name in ("e1", "e2", "e3"):
+            self.crash(name)
+        self.assertTrue(self.quarantine.blocks(PARTS))
+        self.on_change.assert_not_called()
+        self.loop.run_once(0)
+        self.on_change.assert_called_once()
+
+    def test_crash_is_reported_at_once(self):
+        self.crash("e1")
+        self.spread.assert_called_once()
+
+    def test_crash_is_reported_again_to_other_agents(self):
+        # The first agents may be cut off from other entries.
+        self.crash("e1")
+        for _ in range(20):
+            self.now += 0.2
+            self.quarantine.run_housekeeping()
+        self.assertTrue(3 <= self.spread.call_count <= 6, self.spread.call_count)
+
+
+if __name__ == "__main__":
+    unittest.main()
