Let the soak crash engines by prompts and limit servers

A share of the streams carries a part that crashes engines, and servers name limits, both until the end of a run; after the faults are healed, a part with five crashes may reach engines three times and no server may get more than its limit allows.

--- a/benchmarks/platform_soak.py
+++ b/benchmarks/platform_soak.py
@@ -3,7 +3,8 @@
 Callers send requests of every kind on reused and on new connections while overlapping
 faults are injected: instances are killed, paused and stopped; proxies delay, reset or
 silence connections or cut them in one direction; the store becomes unavailable or loses
-its history; servers drain and restart; responses and orders are lost. The observations
+its history; servers drain and restart; responses and orders are lost; prompts with one
+part crash engines; servers limit the requests that they take. The observations
 of callers and servers are checked against the guarantees for users. A planned run has
 planned operations only and must not lose any response.
 """
@@ -20,8 +21,15 @@
 from collections import Counter
 from collections.abc import Callable
 from concurrent.futures import ThreadPoolExecutor
-
-from benchmarks.platform_soak_checks import SentRequest, SoakRecord, check
+from typing import Any
+
+from benchmarks.platform_soak_checks import (
+    CRASHING_PART,
+    CRASHING_PREFIX,
+    SentRequest,
+    SoakRecord,
+    check,
+)
 from standins.fault_proxy import FaultProxy
 from standins.platform_backends import BackendFaults, PlatformBackend
 from standins.platform_fleet import (
@@ -41,6 +49,8 @@
 _LOAD_AFTER_RECOVERY = 2.0
 _REUSE_SHARE = 0.7
 _DISCONNECT_SHARE = 0.1
+# Share of the streams whose prompt has the part that crashes engines.
+_CRASHING_SHARE = 0.05
 _CALLER_TIMEOUT = 8.0
 # A run whose seed is a multiple of this has planned operations only.
 PLANNED_EVERY = 5
@@ -75,6 +85,7 @@
         self._clear_order = itertools.count()
         self._stop_pool = ThreadPoolExecutor(4)
         self._routes = list(_ROUTES)
+        self._has_crashing_prompts = False
 
     def run(self) -> SoakRecord:
         """Runs load and faults and checks the observations."""
@@ -82,7 +93,7 @@
             server.faults = self._faults
         try:
             self._fleet.start()
-            self._started_at = time.monotonic()
+            self._started_at = self._record.started_at = time.monotonic()
             self._run_load_and_faults()
             time.sleep(_SETTLE_TIME)
             check(self._record, self._fleet)
@@ -152,8 +163,14 @@
         route = rng.choice(self._routes)
         request_id = f"r{next(self._ids)}"
         adapter = ""
+        headers: dict[str, Any] = {}
         if route in ("stream", "resume"):
             adapter = f"a{min(rng.randrange(_ADAPTERS), rng.randrange(_ADAPTERS))}"
+            parts = ["first:80", f"of-{adapter}:20"]
+            if rng.random() < _CRASHING_SHARE and self._has_crashing_prompts:
+                request_id = CRASHING_PREFIX + request_id
+                parts.append(f"{CRASHING_PART}:10")
+            headers["Prompt_Prefix"] = ",".join([*parts, f"{request_id}:5"])
         disconnects = rng.random() < _DISCONNECT_SHARE and not self._planned
         timeout = rng.uniform(0.005, 0.05) if disconnects else _CALLER_TIMEOUT
         connection.timeout = timeout
@@ -161,7 +178,9 @@
             connection.sock.settimeout(timeout)
         incarnation = self._fleet.entries[entry].incarnation
         at = self._now()
-        answer = send_on_connection(connection, route, request_id, adapter=adapter)
+        answer = send_on_connection(
+            connection, route, request_id, adapter=adapter, **headers
+        )
         with self._lock:
             self._record.sent.append(
                 SentRequest(request_id, route, at, answer, (entry, incarnation))
@@ -189,6 +208,8 @@
             self._cut_link,
             self._reset_link,
             self._silence_link,
+            self._start_crashing_prompts,
+            self._limit_server,
         ]
         faults = planned if self._planned else planned + unplanned
         self._random.choice(faults)()
@@ -297,6 +318,22 @@
     def _silence_link(self) -> None:
         self._choose_link("silence").silence_all()
 
+    def _start_crashing_prompts(self) -> None:
+        """Lets some prompts crash engines until the end of the run."""
+        self._log_fault("crashing prompts")
+        for engine in self._fleet.engines:
+            engine.crashing_part = CRASHING_PART
+        self._has_crashing_prompts = True
+
+    def _limit_server(self) -> None:
+        """Lets a server limit its requests until the end of the run."""
+        server: PlatformBackend = self._random.choice(
+            (*self._fleet.plain_servers, *self._fleet.engines)
+        )
+        limit = round(self._random.uniform(1.0, 8.0), 1)
+        self._log_fault(f"{server.instance_id} limits its requests to {limit}")
+        server.server_limit = limit
+
     def _clear_faults(self) -> None:
         self._log_fault("heal")
         while self._pending_clears:
--- a/benchmarks/tests/test_platform_soak_checks.py
+++ b/benchmarks/tests/test_platform_soak_checks.py
@@ -35,6 +35,33 @@
         check(self.record, self.fleet)
         return self.record.violations
 
+    def test_known_crashing_part_at_engines_is_detected(self):
+        engine = self.fleet.engines[0]
+        engine.crashed_at = [1.0, 2.0, 3.0, 4.0, 5.0]
+        self.record.recovered_at = 7.0
+        engine.runs = [
+            RunRecord(f"crash-{at}", {}, b"", "/", at=at) for at in (7.0, 8.5, 9.0, 9.5)
+        ]
+        check(self.record, self.fleet)
+        self.assertFalse(
+            any("known crashing" in item for item in self.record.violations)
+        )
+        engine.runs.append(RunRecord("crash-x", {}, b"", "/", at=10.0))
+        check(self.record, self.fleet)
+        self.assertTrue(
+            any("known crashing" in item for item in self.record.violations)
+        )
+
+    def test_exceeded_limit_of_a_server_is_detected(self):
+        server = self.fleet.plain_servers[0]
+        server.server_limit = 1.0
+        server.arrivals = [10.0 + 0.3 * number for number in range(11)]
+        check(self.record, self.fleet)
+        self.assertFalse(any("limit" in item for item in self.record.violations))
+        server.arrivals.append(13.9)
+        check(self.record, self.fleet)
+        self.assertTrue(any("limit" in item for item in self.record.violations))
+
     def test_correct_response_is_no_violation(self):
         self.assertEqual(
             self.violations("stream", CallerResponse(200, SIGNED, EVENTS), 1), []
--- a/standins/platform_backends.py
+++ b/standins/platform_backends.py
@@ -55,6 +55,7 @@
     headers: dict[str, str]
     body: bytes
     target: str
+    at: float = field(default_factory=time.monotonic)
 
 
 @dataclass(slots=True)
@@ -199,7 +200,7 @@
         self.versions: dict[str, int] = {}
         # Part of a prompt that crashes the engine; empty for none.
         self.crashing_part = ""
-        self.crashes = 0
+        self.crashed_at: list[float] = []
         # Called with the earlier instance id after a restart that follows a crash.
         self.on_restarted: Callable[[str], None] = lambda _instance_id: None
         self._adapter_state = _AdapterState()
@@ -219,7 +220,7 @@
         """Ends the engine without notice and restarts it empty after a while."""
         if not self.listening:
             return
-        self.crashes += 1
+        self.crashed_at.append(time.monotonic())
         self.stop_listening()
         for connection in list(self._connections):
             connection.close()
@@ -227,7 +228,7 @@
 
     def _restart_after_crash(self) -> None:
         previous = self.instance_id
-        self.restart(f"{previous.partition('+')[0]}+{self.crashes}")
+        self.restart(f"{previous.partition('+')[0]}+{len(self.crashed_at)}")
         self.resume_listening()
         self.on_restarted(previous)
 
