Let the test of a stopping entry wait for the head of the response

An entry that is stopping announces the end of the connection in the head, so that the expected header was wrong for this order. The test now waits until its caller has the head, and checks the same: a head that was sent before the stop does not change, and the stream is completed.

--- a/fighitch/tests/test_gateway_processes.py
+++ b/fighitch/tests/test_gateway_processes.py
@@ -303,16 +303,21 @@
         for engine in self.fleet.engines:
             engine.events = 150
         responses = []
+        head_received = threading.Event()
         request_thread = threading.Thread(
             target=lambda: responses.append(
                 self.fleet.send_request(
-                    "stream", "s1", adapter="a1", Deadline_Ms="6000"
+                    "stream",
+                    "s1",
+                    adapter="a1",
+                    Deadline_Ms="6000",
+                    on_head=head_received.set,
                 )
             )
         )
         request_thread.start()
-        started = wait_until(lambda: any(engine.runs for engine in self.fleet.engines))
-        self.assertTrue(started)
+        # A head that is sent after the signal announces the end of the connection.
+        self.assertTrue(head_received.wait(15))
         self.fleet.drain(0)
         request_thread.join(15)
         self.assert_complete_stream(responses[0], "s1", 150)
--- a/standins/platform_fleet.py
+++ b/standins/platform_fleet.py
@@ -63,9 +63,20 @@
     *,
     adapter: str = "",
     body: bytes = b"body",
+    on_head: Callable[[], None] = lambda: None,
     **headers: str,
 ) -> CallerResponse:
-    """Sends a request on a connection and reads the response."""
+    """Sends a request on a connection and reads the response.
+
+    Args:
+        connection: Connection to an entry.
+        route: Name of the route.
+        request_id: Id of the request.
+        adapter: Adapter of the model; empty for a plain service.
+        body: Body of the request.
+        on_head: Called once the head of the response has arrived.
+        **headers: Further headers, with underscores instead of hyphens.
+    """
     request_headers = {"Host": HOST, "Attempt-Id": request_id, "Deadline-Ms": "4000"}
     if adapter:
         request_headers |= {"Model": f"{MODEL}/{adapter}", "Token-Counts": "100,20"}
@@ -77,6 +88,7 @@
             "POST", f"/{route}/x?q=1", body=body, headers=request_headers
         )
         response = connection.getresponse()
+        on_head()
     except TimeoutError:
         return CallerResponse(0, {}, b"", complete=False, timed_out=True)
     except (OSError, http.client.HTTPException):
@@ -377,6 +389,7 @@
         adapter: str = "",
         body: bytes = b"body",
         timeout: float = 8.0,
+        on_head: Callable[[], None] = lambda: None,
         **headers: str,
     ) -> CallerResponse:
         """Sends a request on a new connection and reads the response."""
@@ -384,7 +397,13 @@
         connection = http.client.HTTPConnection(host, port, timeout=timeout)
         try:
             return send_on_connection(
-                connection, route, request_id, adapter=adapter, body=body, **headers
+                connection,
+                route,
+                request_id,
+                adapter=adapter,
+                body=body,
+                on_head=on_head,
+                **headers,
             )
         finally:
             connection.close()
