--- a/fighitch/core/gateway/crash_evidence.py
+++ b/fighitch/core/gateway/crash_evidence.py
@@ -72,6 +72,11 @@
         """All known crashes."""
         return self._crashes.values()
 
+    @property
+    def involved_parts(self) -> Collection[str]:
+        """Parts of the requests that were lost in the known crashes."""
+        return self._suspects.keys()
+
     @property
     def groups(self) -> tuple[PartGroup, ...]:
         """Groups of parts that crash engines."""
--- a/fighitch/core/gateway/quarantine.py
+++ b/fighitch/core/gateway/quarantine.py
@@ -49,7 +49,7 @@
         """Returns whether a request with these parts must not reach an engine."""
         if self.evidence.blocks(parts):
             return True
-        return any(group.issubset(parts) for group in self._stored_groups)
+        return any(item.parts.issubset(parts) for item in self._stored.values())
 
     def record_own_parts(self, parts: Collection[str]) -> None:
         """Records that this instance lost requests with these parts in a crash."""
@@ -79,6 +79,7 @@
             unix_ms: Current Unix time, in ms.
         """
         self.evidence.expire(now)
+        self._own_parts.intersection_update(self.evidence.involved_parts)
         self._stored = {
             name: item for name, item in self._stored.items() if item.until_ms > unix_ms
         }
