Tell callers that wait for a limited server when to come back

A request that would wait for more than half of its time was rejected with the default Retry-After of 0.3 s, although the time until a place is known. The delay is sent instead. Tests for the ways of a request with a place within a limit.

--- a/fighitch/gateway/entry.py
+++ b/fighitch/gateway/entry.py
@@ -366,16 +366,18 @@
         # are assumed, so that four entries still stay within their shares.
         return max(4, self.links.entries)
 
-    def reserve(self, server: BackendServer, max_delay: Seconds) -> Seconds | None:
+    def reserve(self, server: BackendServer, max_delay: Seconds) -> Seconds:
         """Takes a place within the limit of a server that has no agent.
 
         Returns:
-            Time until the request may be sent; None if it exceeds the maximum.
+            Time until the request may be sent; no place is taken if this is more than
+            the maximum.
         """
         now = self.loop.now()
-        if self._limit_shares.delay(server.incarnation, now) > max_delay:
-            return None
-        return self._limit_shares.take(server.incarnation, now)
+        delay = self._limit_shares.delay(server.incarnation, now)
+        if delay <= max_delay:
+            self._limit_shares.take(server.incarnation, now)
+        return delay
 
     def is_ready(self, server: BackendServer) -> bool:
         """Returns whether a server still accepts new requests."""
--- a/fighitch/gateway/relay.py
+++ b/fighitch/gateway/relay.py
@@ -162,9 +162,10 @@
 
     def _send_within_limit(self, server: BackendServer) -> None:
         """Sends a request without admission, once the limit of the server allows it."""
-        now = self._loop.now()
-        delay = self._entry.reserve(server, _MAX_WAIT_SHARE * (self._deadline - now))
-        if delay is None:
+        max_delay = _MAX_WAIT_SHARE * (self._deadline - self._loop.now())
+        delay = self._entry.reserve(server, max_delay)
+        if delay > max_delay:
+            self._retry_after = delay
             self._fail(FailureKind.OVERLOADED)
         elif delay > 0:
             self._loop.call_later(delay, lambda: self._send_reserved(server))
--- a/fighitch/tests/test_relay.py
+++ b/fighitch/tests/test_relay.py
@@ -100,6 +100,46 @@
         self.entry.pool.acquire.assert_not_called()
 
 
+class LimitedServerTests(RelayTestCase):
+    """Requests to a server without an agent that limits the requests that it takes."""
+
+    def setUp(self):
+        super().setUp()
+        self.entry.links.may_connect_soon.return_value = False
+
+    def test_request_is_sent_when_its_place_comes(self):
+        self.entry.reserve.return_value = 0.2
+        self.relay().place()
+        self.run_for(0.1)
+        self.entry.pool.acquire.assert_not_called()
+        self.run_for(0.2)
+        self.entry.pool.acquire.assert_called_once()
+
+    def test_request_that_would_wait_too_long_is_rejected_at_once(self):
+        self.entry.reserve.return_value = 30.0
+        self.relay().place()
+        status, headers = self.caller.send_head.call_args.args
+        self.assertEqual(status, 503)
+        self.assertIn((b"Retry-After", b"30.000"), headers)
+        self.entry.pool.acquire.assert_not_called()
+
+    def test_request_is_placed_again_if_its_server_has_left(self):
+        self.entry.reserve.return_value = 0.1
+        self.entry.is_ready.return_value = False
+        self.relay().place()
+        self.entry.reserve.return_value = 0.0
+        self.run_for(0.2)
+        self.assertEqual(self.entry.candidates.call_count, 2)
+        self.entry.pool.acquire.assert_called_once()
+
+    def test_request_of_a_caller_that_left_is_not_sent(self):
+        self.entry.reserve.return_value = 0.1
+        self.relay().place()
+        self.caller.on_disconnected()
+        self.run_for(0.2)
+        self.entry.pool.acquire.assert_not_called()
+
+
 class DeclineTests(RelayTestCase):
     """An engine declines requests that would miss their latency target there.
 
