--- a/benchmarks/platform_soak.py
+++ b/benchmarks/platform_soak.py
@@ -181,9 +181,11 @@
         answer = send_on_connection(
             connection, route, request_id, adapter=adapter, **headers
         )
+        answered_at = self._now()
+        process = (entry, incarnation)
         with self._lock:
             self._record.sent.append(
-                SentRequest(request_id, route, at, answer, (entry, incarnation))
+                SentRequest(request_id, route, at, answer, process, answered_at)
             )
         return answer.complete and connection.sock is not None
 
--- a/benchmarks/platform_soak_checks.py
+++ b/benchmarks/platform_soak_checks.py
@@ -43,6 +43,7 @@
         at: Time of the request, in seconds since the start of the run.
         answer: Response that the caller received.
         process: Index of the entry, and its incarnation.
+        answered_at: Time at which the caller had the response, like ``at``.
     """
 
     request_id: str
@@ -50,6 +51,7 @@
     at: float
     answer: CallerResponse
     process: tuple[int, int]
+    answered_at: float = 0.0
 
 
 @dataclass(slots=True)
@@ -214,18 +216,23 @@
     """Returns requests rejected with 404 by an entry that had served the route."""
     # Routes are numbered in order of addition: an entry that has served one knows all
     # earlier ones.
-    newest_served: dict[tuple[int, int], int] = {}
+    newest_served: dict[tuple[int, int], tuple[int, float]] = {}
     found = []
     for item in sent:
         if not item.route.startswith(_ADDED_ROUTE_PREFIX):
             continue
         number = int(item.route.removeprefix(_ADDED_ROUTE_PREFIX))
         if item.answer.status == 200:
+            served = (number, item.answered_at)
             newest_served[item.process] = max(
-                number, newest_served.get(item.process, -1)
+                served, newest_served.get(item.process, served)
+            )
+        newest, served_at = newest_served.get(item.process, (-1, 0.0))
+        if item.answer.status == 404 and number <= newest:
+            found.append(
+                f"{item.request_id}: {item.route} became unknown to its entry; sent at "
+                f"{item.at:.3f}, added-{newest} was served until {served_at:.3f}"
             )
-        if item.answer.status == 404 and number <= newest_served.get(item.process, -1):
-            found.append(f"{item.request_id}: {item.route} became unknown to its entry")
     return found
 
 
