Name when a stream has survived its start

Read-through of the change: the flag was set and recorded in two steps that were hard to follow. No behaviour changes; relay, unframed response and crash evidence tests pass.

--- a/fighitch/core/gateway/crash_evidence.py
+++ b/fighitch/core/gateway/crash_evidence.py
@@ -112,7 +112,7 @@
         for part in parts:
             if at > self._answered.get(part, float("-inf")):
                 self._answered[part] = at
-                # Other parts are not blocked, and blame no part less if they are sound.
+                # An answer to a part that is in no group changes no group.
                 releases = releases or any(part in group for group in self._groups)
             self._answered.move_to_end(part)
         while len(self._answered) > _MAX_ANSWERED_PARTS:
--- a/fighitch/gateway/relay.py
+++ b/fighitch/gateway/relay.py
@@ -403,7 +403,6 @@
         if head.status >= _SERVER_ERROR:
             self._on_server_error(head)
             return
-        self._answered = True
         self._record_answered()
         self._end_exchange(failed=False, outcome="answered")
         self._finish_response(head)
@@ -442,17 +441,19 @@
                 )
         if self._event_buffer.has_new_event:
             self._restart_stream_timers()
-        begun_at = self._begun_at
-        if not self._answered and begun_at is not None:
-            self._answered = self._loop.now() - begun_at >= _CRASH_DELAY
+        if not self._answered and self._has_survived_start():
             self._record_answered()
         if not self._head_sent:
             self._forward_head(length=None)
         self._forward_body(events)
 
+    def _has_survived_start(self) -> bool:
+        begun_at = self._begun_at
+        return begun_at is not None and self._loop.now() - begun_at >= _CRASH_DELAY
+
     def _record_answered(self) -> None:
-        if self._answered:
-            self._entry.quarantine.record_answered(self._metadata.shared_parts)
+        self._answered = True
+        self._entry.quarantine.record_answered(self._metadata.shared_parts)
 
     def _restart_stream_timers(self) -> None:
         self._cancel_stream_timers()
--- a/fighitch/tests/test_limited_servers.py
+++ b/fighitch/tests/test_limited_servers.py
@@ -119,7 +119,7 @@
         for agent in self.fleet.agents:
             agent.signal(signal.SIGKILL)
         time.sleep(1.0)
-        # Engines hold the adapters that were loaded by then only.
+        # Without agents, engines keep the adapters that they have.
         engine.server_limit = LIMIT
         since = time.monotonic() + STABLE_SECONDS
         self.run_load("stream", STABLE_SECONDS + 6.0)
