--- a/fighitch/tests/test_platform_folder.py
+++ b/fighitch/tests/test_platform_folder.py
@@ -9,12 +9,18 @@
     UnloadAdapter,
 )
 from fighitch.core.gateway.model import AdapterName, ServerState, WorkKind
+from fighitch.core.gateway.quarantine import StoredQuarantine
 from fighitch.platform import requests, store
 from fighitch.platform.configuration import (
     decode_adapter_version,
     decode_configuration,
 )
 from fighitch.platform.engine import decode_heartbeat, decode_report, encode_order
+from fighitch.platform.quarantine import (
+    decode_quarantine,
+    encode_quarantine,
+    quarantine_name,
+)
 from fighitch.platform.settings import decode_settings
 from fighitch.runtime.http_callers import CallerRequest
 from fighitch.runtime.http_exchange import ResponseHead
@@ -307,3 +313,61 @@
             requests.was_not_run(ResponseHead(503, [(b"Not-Executed", b"1")]))
         )
         self.assertFalse(requests.was_not_run(ResponseHead(503, [])))
+
+
+class PromptPartTests(unittest.TestCase):
+    def shared_parts(self, value: str) -> tuple[str, ...]:
+        request = caller_request(("Prompt-Prefix", value))
+        return requests.decode_request(request).shared_parts
+
+    def test_last_part_is_left_out(self):
+        # It belongs to the request itself, so that no other request has it.
+        self.assertEqual(
+            self.shared_parts("5c1e:800, 91bd:410,e440:250"), ("5c1e", "91bd")
+        )
+        self.assertEqual(self.shared_parts("e440:250"), ())
+        self.assertEqual(requests.decode_request(caller_request()).shared_parts, ())
+
+    def test_malformed_parts_are_no_error(self):
+        self.assertEqual(self.shared_parts(",:,A1,:5,x"), ("a1",))
+
+    def test_number_and_length_of_the_parts_are_limited(self):
+        parts = self.shared_parts(",".join(["f" * 10_000 + ":1"] * 1_000))
+        self.assertLessEqual(sum(map(len, parts)), 32 * 64)
+
+
+class ServerLimitTests(unittest.TestCase):
+    def limit(self, *values: bytes) -> float | None:
+        headers = [(b"Server-Limit", value) for value in values]
+        return requests.named_limit(ResponseHead(200, headers))
+
+    def test_decimal_number_is_decoded(self):
+        self.assertEqual(self.limit(b"2.3"), 2.3)
+        self.assertEqual(self.limit(b"0"), 0.0)
+        self.assertIsNone(self.limit())
+
+    def test_other_values_are_no_limit(self):
+        for value in (b"", b"many", b"nan", b"inf", b"-inf"):
+            with self.subTest(value=value):
+                self.assertIsNone(self.limit(value))
+
+    def test_negative_limit_takes_no_request(self):
+        self.assertEqual(self.limit(b"-1"), 0.0)
+
+
+class QuarantineCodecTests(unittest.TestCase):
+    def test_stored_quarantine_is_decoded(self):
+        stored = StoredQuarantine(frozenset({"b", "a"}), 17)
+        content = msgspec.Raw(msgspec.json.encode(encode_quarantine(stored)))
+        self.assertEqual(decode_quarantine(content), stored)
+
+    def test_name_depends_on_the_parts_only_and_needs_no_quoting(self):
+        names = {quarantine_name(frozenset(parts)) for parts in ("ab", "ba")}
+        self.assertEqual(len(names), 1)
+        self.assertTrue(quarantine_name(frozenset({"/?\n"})).isalnum())
+
+    def test_unreadable_objects_are_rejected(self):
+        # An empty group would block every request.
+        for content in (b"null", b"{}", b'{"parts":[],"until_ms":1}', b'{"parts":3}'):
+            with self.subTest(content=content), self.assertRaises(msgspec.DecodeError):
+                decode_quarantine(msgspec.Raw(content))
