Do not store or follow blocks of prompt parts that were answered

Cause: an entry that was cut off lost requests at many engines, and took connections that timed out for engines that are down. It blocked the most common part for itself and wrote it to the store, which all entries follow; a blocked part is never answered again, so that nothing released it. Ruled out: the evidence of the other entries, which answered the part until they read the store.

Change: only a refused connection shows that an engine is down, not one that times out. Parts that were ever answered are neither written to the store nor blocked because of it by an entry that answered them. The two unit tests failed before.

--- a/fighitch/core/gateway/quarantine.py
+++ b/fighitch/core/gateway/quarantine.py
@@ -43,13 +43,24 @@
     @property
     def groups(self) -> set[PartGroup]:
         """All quarantined groups."""
-        return {*self.evidence.groups, *self._stored_groups}
+        return {*self.evidence.groups, *filter(self._is_credible, self._stored_groups)}
 
     def blocks(self, parts: Collection[str]) -> bool:
         """Returns whether a request with these parts must not reach an engine."""
         if self.evidence.blocks(parts):
             return True
-        return any(item.parts.issubset(parts) for item in self._stored.values())
+        return any(
+            item.parts.issubset(parts) and self._is_credible(item.parts)
+            for item in self._stored.values()
+        )
+
+    def _is_credible(self, group: PartGroup) -> bool:
+        """Returns whether no request with a part of a group is known to be answered.
+
+        An instance that was cut off takes its lost requests for crashes of engines, and
+        has no answer that shows otherwise.
+        """
+        return all(self.evidence.answered_at(part) is None for part in group)
 
     def record_own_parts(self, parts: Collection[str]) -> None:
         """Records that this instance lost requests with these parts in a crash."""
@@ -101,7 +112,9 @@
         return [
             group
             for group in groups
-            if group not in stored and now - self._found_at[group] >= self._delay(group)
+            if group not in stored
+            and self._is_credible(group)
+            and now - self._found_at[group] >= self._delay(group)
         ]
 
     def _delay(self, group: PartGroup) -> Seconds:
--- a/fighitch/gateway/entry.py
+++ b/fighitch/gateway/entry.py
@@ -74,6 +74,9 @@
 _LISTENER_CLOSE_DELAY: Seconds = 2.3
 # Time before SIGKILL at which the event loop stops, even if requests are in flight.
 _STOP_MARGIN: Seconds = 0.7
+# A server that is down refuses a connection within this time. A connection that times
+# out may fail because of the entry's own links.
+_REFUSAL_TIME: Seconds = 0.1
 # Below the file descriptor limit, to leave descriptors for connections to servers.
 _MAX_CALLER_CONNECTIONS = 1_500
 
@@ -451,7 +454,8 @@
                 load.record_response_time(elapsed)
         self.metrics.count_attempt(service.name, outcome)
         if unreachable:
-            self.quarantine.record_down(server)
+            if elapsed < _REFUSAL_TIME:
+                self.quarantine.record_down(server)
             self._outliers.record_unreachable(server.instance_id, now)
             self._log.event("server_unreachable", server=server.instance_id)
             return
--- a/fighitch/tests/test_quarantine.py
+++ b/fighitch/tests/test_quarantine.py
@@ -25,6 +25,23 @@
         self.assertTrue(self.quarantine.blocks(("first", "bad")))
         self.assertFalse(self.quarantine.blocks(("first",)))
 
+    def test_stored_parts_that_were_answered_here_are_not_blocked(self):
+        # An entry that was cut off took the most common part for harmful and stored it;
+        # all entries rejected all requests with it from then on.
+        self.quarantine.evidence.record_answered(BAD, 0.0)
+        self.quarantine.put_stored("n", StoredQuarantine(BAD, 10))
+        self.assertFalse(self.quarantine.blocks(("bad",)))
+        self.assertEqual(self.quarantine.groups, set())
+
+    def test_parts_that_were_answered_before_are_not_stored(self):
+        self.quarantine.evidence.record_answered(BAD, 0.0)
+        for at in (1.0, 2.0, 3.0, 4.0, 5.0):
+            engine = Incarnation(f"e{at}", 1)
+            self.quarantine.evidence.record_crash(Crash(engine, at, BAD))
+        self.assertTrue(self.quarantine.blocks(("bad",)))
+        self.quarantine.groups_to_store(5.0)
+        self.assertEqual(self.quarantine.groups_to_store(20.0), [])
+
     def test_stored_quarantine_ends_with_its_time(self):
         self.quarantine.put_stored("n", StoredQuarantine(BAD, 10))
         self.quarantine.expire(0.0, 9.0)
