Keep an answer that clears a crash shortly after a known one

All answers are recorded now, and an agent passes on those that clear a part of more crashes than the known ones do.

--- a/fighitch/core/gateway/crash_evidence.py
+++ b/fighitch/core/gateway/crash_evidence.py
@@ -124,6 +124,19 @@
         """Returns when a request with a part was last answered, if this is known."""
         return self._answered.get(part)
 
+    def is_new_answer(self, part: str, at: Seconds) -> bool:
+        """Returns whether an answer clears a part of more crashes than known ones do.
+
+        An answer to a part without a known crash may clear one that is not known yet.
+        """
+        known_at = self._answered.get(part)
+        if known_at is None:
+            return True
+        crashed_at = self._suspects.get(part)
+        if crashed_at is None:
+            return at > known_at
+        return known_at < crashed_at < at
+
     def answered_suspects(self) -> dict[str, Seconds]:
         """Returns the latest answer of each part that was involved in a crash."""
         return {
--- a/fighitch/gateway/crash_reports.py
+++ b/fighitch/gateway/crash_reports.py
@@ -9,8 +9,6 @@
 from fighitch.types import Seconds
 
 _MS_PER_SECOND = 1_000
-# Later answers to requests with a part are only reported after this time.
-_ANSWERED_RESOLUTION: Seconds = 0.25
 
 
 def build_report(
@@ -51,10 +49,9 @@
     for part, age_ms in report.answered:
         at = now - age_ms / _MS_PER_SECOND
         evidence.mark_shared({part: at})
-        known_at = evidence.answered_at(part)
-        if known_at is None or at > known_at + _ANSWERED_RESOLUTION:
-            evidence.record_answered((part,), at)
+        if evidence.is_new_answer(part, at):
             answered.append((part, age_ms))
+        evidence.record_answered((part,), at)
     return CrashReport(crashes, answered) if crashes or answered else None
 
 
--- a/fighitch/tests/test_crash_reports.py
+++ b/fighitch/tests/test_crash_reports.py
@@ -44,6 +44,23 @@
         self.assertIsNone(merge_report(evidence, report("a"), 2.0))
         self.assertIsNotNone(merge_report(evidence, report("b"), 2.0))
 
+    def test_answer_shortly_after_a_known_one_still_clears_a_crash_between_them(self):
+        # The answer was dropped as too close to the known one, and its sender reports
+        # it only once, so that the crash went on to count against a sound part.
+        evidence = CrashEvidence()
+        evidence.record_answered(("a",), 10.0)
+        evidence.record_crash(Crash(ENGINE, 10.1, frozenset({"a"})))
+        sent = CrashReport([], [("a", 800)])
+        self.assertEqual(merge_report(evidence, sent, 11.0), sent)
+        self.assertAlmostEqual(evidence.answered_at("a"), 10.2)
+
+    def test_answer_that_clears_no_further_crash_is_not_passed_on(self):
+        evidence = CrashEvidence()
+        evidence.record_crash(Crash(ENGINE, 10.1, frozenset({"a"})))
+        evidence.record_answered(("a",), 10.2)
+        self.assertIsNone(merge_report(evidence, CrashReport([], [("a", 500)]), 11.0))
+        self.assertAlmostEqual(evidence.answered_at("a"), 10.5)
+
     def test_nothing_is_no_report(self):
         self.assertIsNone(build_report([], {}, 1.0))
 
