Use the usual words for limited servers

Read-through of the change: comments spoke of servers in need; and why an agent identifies its engine by the start time alone is said now. Comments and one heading only.

--- a/fighitch/core/gateway/request_pacer.py
+++ b/fighitch/core/gateway/request_pacer.py
@@ -1,7 +1,7 @@
 """Spaces the requests to a backend server so that they keep a rate.
 
-Load pattern: a server in need takes fewer requests a second than arrive for it, often
-less than one for each entry, for as long as it says so.
+Load pattern: an overloaded server takes fewer requests a second than arrive for it,
+often less than one for each entry, for as long as it says so.
 """
 
 from dataclasses import dataclass
--- a/fighitch/core/gateway/server_limits.py
+++ b/fighitch/core/gateway/server_limits.py
@@ -1,7 +1,7 @@
 """Rates to which backend servers limit the requests of all entries together.
 
-Load pattern: a server in need names a limit in its responses while requests go on at
-the rate from before, from entries that each know only their own requests.
+Load pattern: an overloaded server names a limit in its responses while requests go on
+at the rate from before, from entries that each know only their own requests.
 """
 
 from dataclasses import dataclass
--- a/fighitch/gateway/agent.py
+++ b/fighitch/gateway/agent.py
@@ -230,6 +230,7 @@
     ) -> None:
         """Records the limit in a response of the engine, if it named one."""
         now = self._loop.now()
+        # There is one engine, so that the start time alone identifies its incarnations.
         engine = Incarnation("", start_time_ms)
         if self._limits.record_response(engine, rate, sent_at=sent_at, now=now):
             self._log.event("engine_limit", limit="none" if rate is None else rate)
--- a/fighitch/tests/test_engine_queue.py
+++ b/fighitch/tests/test_engine_queue.py
@@ -289,7 +289,7 @@
 
 
 class RateLimitTests(unittest.TestCase):
-    """An engine in need limits the requests of all entries together."""
+    """An overloaded engine limits the requests of all entries together."""
 
     def setUp(self):
         self.queue = make_queue()
