Separate admission from the relay and end its circle of imports

relay.py imported the entry for its type, and entry.py imports the relay. The parts of an entry that relays use are a protocol in relay_host.py now, and the messages to agents about one request are in admission.py.

--- a/fighitch/gateway/entry.py
+++ b/fighitch/gateway/entry.py
@@ -35,6 +35,7 @@
 from fighitch.gateway.metrics import EntryMetrics
 from fighitch.gateway.part_quarantine import PartQuarantine
 from fighitch.gateway.relay import Relay
+from fighitch.gateway.relay_host import RelayedRequest
 from fighitch.gateway.store_watch import KindWatcher, WatchOptions
 from fighitch.observability.bounded_log import BoundedLog
 from fighitch.platform.configuration import (
@@ -109,7 +110,7 @@
         self._plain_loads: dict[str, PlainServerLoad] = {}
         self._retry_budgets: dict[str, RetryBudget] = {}
         self._callers: set[CallerConnection] = set()
-        self._relays: set[Relay] = set()
+        self._relays: set[RelayedRequest] = set()
         self._stopping_since: Seconds | None = None
         self.quarantine = PartQuarantine(
             loop,
@@ -484,7 +485,7 @@
             limit=limit.value,
         )
 
-    def record_end(self, relay: Relay, **fields: Any) -> None:
+    def record_end(self, relay: RelayedRequest, **fields: Any) -> None:
         """Records the end of a request."""
         self._relays.discard(relay)
         self.metrics.count_request(fields["route"], fields["outcome"])
--- a/fighitch/gateway/relay.py
+++ b/fighitch/gateway/relay.py
@@ -1,7 +1,6 @@
 """Relays one caller's request to a backend server and its response back."""
 
 from enum import Enum
-from typing import TYPE_CHECKING
 
 from fighitch.core.gateway.attempts import attempt_timeout, engine_priority
 from fighitch.core.gateway.backend_choice import next_server
@@ -9,11 +8,10 @@
 from fighitch.core.gateway.failures import FailureKind, reported_kind
 from fighitch.core.gateway.model import BackendServer, Route, Service, WorkKind
 from fighitch.core.gateway.response_limits import LimitKind
-from fighitch.gateway.admission_requests import build_admission_request
-from fighitch.gateway.agent_links import AdmissionCallbacks
+from fighitch.gateway.admission import Admission
 from fighitch.gateway.attempt_receiver import AttemptReceiver
 from fighitch.gateway.failure_response import send_failure_response
-from fighitch.gateway.peer_messages import Decline, Deny, Grant
+from fighitch.gateway.relay_host import RelayHost
 from fighitch.platform.requests import (
     RequestMetadata,
     encode_request,
@@ -33,10 +31,6 @@
 )
 from fighitch.types import Seconds
 
-if TYPE_CHECKING:
-    from fighitch.gateway.entry import GatewayEntry
-
-_MS_PER_SECOND = 1_000
 _SERVER_ERROR = 500
 _FIRST_NON_SUCCESS = 300
 # Responses up to this size are buffered until they are complete, so that a request with
@@ -72,7 +66,7 @@
 
     def __init__(
         self,
-        entry: "GatewayEntry",
+        entry: RelayHost,
         caller: CallerConnection,
         request: CallerRequest,
         metadata: RequestMetadata,
@@ -93,17 +87,20 @@
         self._deadline = request.received_at + timeout
         self._server: BackendServer | None = None
         self._connection: HttpConnection | None = None
-        self._admission_number: int | None = None
-        self._admission_requests = 0
+        self._admission = Admission(
+            entry.loop,
+            entry.links,
+            metadata,
+            route,
+            arrived=request.received_at,
+            deadline=self._deadline,
+        )
         self._rejections = 0
         # Earlier attempts that may have run; the current one is not included.
         self._previous_runs = 0
         self._may_have_run = False
-        self._retry_after: Seconds | None = None
+        self._limit_delay: Seconds | None = None
         self._avoid: set[str] = set()
-        # Engines that declined because the request would miss its latency target there,
-        # with the estimated time of its first event.
-        self._declined: dict[str, Seconds] = {}
         self._event_buffer = EventBuffer()
         self._resume_after = metadata.resume_after if route.resumable else ""
         self._head: ResponseHead | None = None
@@ -145,7 +142,7 @@
         if server is None:
             self._fail(
                 FailureKind.NO_SERVER
-                if not self._admission_requests
+                if not self._admission.requests
                 else FailureKind.OVERLOADED
             )
             return
@@ -165,7 +162,7 @@
         max_delay = _MAX_WAIT_SHARE * (self._deadline - self._loop.now())
         delay = self._entry.reserve(server, max_delay)
         if delay > max_delay:
-            self._retry_after = delay
+            self._limit_delay = delay
             self._fail(FailureKind.OVERLOADED)
         elif delay > 0:
             self._loop.call_later(delay, lambda: self._send_reserved(server))
@@ -197,59 +194,25 @@
     def _choose_server(self) -> BackendServer | None:
         find_candidates = self._entry.candidates
         candidates = find_candidates(self._service, self._metadata, self._avoid)
-        if not candidates and self._avoid and not self._admission_requests:
+        if not candidates and self._avoid and not self._admission.requests:
             candidates = find_candidates(self._service, self._metadata, set())
         return next_server(
             candidates,
-            admission_requests=self._admission_requests,
-            declined=self._declined,
+            admission_requests=self._admission.requests,
+            declined=self._admission.declined,
         )
 
     def _request_admission(self, server: BackendServer) -> None:
-        now = self._loop.now()
-        self._admission_requests += 1
         self._state = RelayState.AWAITING_ADMISSION
-        admission_request = build_admission_request(
-            self._metadata,
-            self._route,
-            arrived=self._request.received_at,
-            deadline=self._deadline,
-            now=now,
-            version=self._entry.links.version(self._metadata.adapter),
-            may_decline=server.instance_id not in self._declined,
-        )
-        if not admission_request.may_decline:
-            self._declined.clear()
-        callbacks = AdmissionCallbacks(
-            on_grant=lambda grant: self._on_grant(server, grant),
-            on_decline=lambda decline: self._on_decline(server, decline),
-            on_deny=lambda deny: self._on_deny(server, deny),
-        )
-        self._admission_number = self._entry.links.request_admission(
-            server.instance_id, admission_request, callbacks
+        self._admission.request(
+            server,
+            on_grant=lambda late: self._send_request(server, late=late),
+            on_decline=self.place,
+            on_deny=self._on_deny,
         )
 
-    def _on_grant(self, server: BackendServer, grant: Grant) -> None:
-        if self._state is not RelayState.AWAITING_ADMISSION:
-            return
-        self._send_request(server, late=grant.late)
-
-    def _on_decline(self, server: BackendServer, decline: Decline) -> None:
-        if self._state is not RelayState.AWAITING_ADMISSION:
-            return
-        self._admission_number = None
-        first_event = self._loop.now() + decline.first_event_ms / _MS_PER_SECOND
-        self._declined[server.instance_id] = first_event
-        self.place()
-
-    def _on_deny(self, server: BackendServer, deny: Deny | None) -> None:
-        if self._state is not RelayState.AWAITING_ADMISSION:
-            return
-        self._admission_number = None
-        self._avoid.add(server.instance_id)
-        if deny is not None:
-            retry_after = deny.retry_after_ms / _MS_PER_SECOND
-            self._retry_after = min(self._retry_after or retry_after, retry_after)
+    def _on_deny(self) -> None:
+        self._avoid_current()
         self.place()
 
     # Attempts.
@@ -349,7 +312,7 @@
         self._event_buffer.drop_partial_event()
         if self._event_buffer.last_id:
             self._resume_after = self._event_buffer.last_id
-        self._admission_requests = 0
+        self._admission.restart()
         self.place()
 
     def _avoid_current(self) -> None:
@@ -435,10 +398,7 @@
             self._state = RelayState.STREAMING
             self._begun_at = self._loop.now()
             self._record_first_byte()
-            if self._admission_number is not None and self._server is not None:
-                self._entry.links.report_first_event(
-                    self._server.instance_id, self._admission_number
-                )
+            self._admission.report_first_event()
         if self._event_buffer.has_new_event:
             self._restart_stream_timers()
         if not self._answered and self._has_survived_start():
@@ -562,9 +522,7 @@
         server = self._server
         if server is None:
             return
-        if self._admission_number is not None:
-            self._entry.links.report_done(server.instance_id, self._admission_number)
-            self._admission_number = None
+        self._admission.end()
         self._entry.record_outcome(
             self._service,
             server,
@@ -611,8 +569,9 @@
             return
         kind = reported_kind(kind, may_have_run=self._may_have_run)
         if self._caller is not None:
+            retry_after = self._limit_delay or self._admission.retry_after
             send_failure_response(
-                self._caller, kind, self._metadata.request_id, self._retry_after
+                self._caller, kind, self._metadata.request_id, retry_after
             )
         self._end(kind.value)
 
@@ -627,11 +586,7 @@
             return
         self._state = RelayState.DONE
         self._deadline_timer.cancel()
-        if self._admission_number is not None and self._server is not None:
-            self._entry.links.report_done(
-                self._server.instance_id, self._admission_number
-            )
-            self._admission_number = None
+        self._admission.end()
         if self._caller is not None:
             self._caller.on_disconnected = None
             self._caller.on_buffer_drained = None
@@ -647,7 +602,7 @@
             tokens=self._metadata.size.prompt_tokens,
             server=server,
             late=int(self._late),
-            asks=self._admission_requests,
+            asks=self._admission.requests,
             rejected=self._rejections,
             runs=self._previous_runs + int(self._may_have_run or self._head_sent),
             placed=""
--- /dev/null
+++ b/fighitch/gateway/relay_host.py
@@ -0,0 +1,82 @@
+"""Parts of an entry that its relays use, so that relays do not depend on the entry."""
+
+from typing import Any, Protocol
+
+from fighitch.core.gateway.backend_choice import Candidate
+from fighitch.core.gateway.model import BackendServer, Service
+from fighitch.core.gateway.response_limits import LimitKind
+from fighitch.gateway.agent_links import AgentLinks
+from fighitch.gateway.backend_pool import BackendPool
+from fighitch.gateway.metrics import EntryMetrics
+from fighitch.gateway.part_quarantine import PartQuarantine
+from fighitch.platform.requests import RequestMetadata
+from fighitch.runtime.event_loop import EventLoop
+from fighitch.runtime.http_exchange import ResponseHead
+from fighitch.types import Seconds
+
+
+class RelayedRequest(Protocol):
+    """A request in progress, as the entry sees it."""
+
+    def place(self) -> None:
+        """Chooses a backend server, then requests admission or sends the request."""
+
+    def reject_if_quarantined(self) -> None:
+        """Ends a request that would crash an engine, unless its answer has begun."""
+
+
+class RelayHost(Protocol):
+    """The entry that relays belong to."""
+
+    loop: EventLoop
+    metrics: EntryMetrics
+    pool: BackendPool
+    quarantine: PartQuarantine
+    links: AgentLinks
+
+    def candidates(
+        self, service: Service, metadata: RequestMetadata, avoid: set[str]
+    ) -> list[Candidate]:
+        """Returns the servers that may run a request, the best candidate first."""
+
+    def take_retry(self, service: str) -> bool:
+        """Takes a retry from the budget of a service; returns whether it is allowed."""
+
+    def reserve(self, server: BackendServer, max_delay: Seconds) -> Seconds:
+        """Takes a place within the limit of a server that has no agent."""
+
+    def is_ready(self, server: BackendServer) -> bool:
+        """Returns whether a server still accepts new requests."""
+
+    def record_sent(self, server: BackendServer) -> None:
+        """Records that a request was sent to a server."""
+
+    def record_head(
+        self, server: BackendServer, head: ResponseHead, *, sent_at: Seconds
+    ) -> None:
+        """Records what the head of a response says about its server."""
+
+    def record_outcome(
+        self,
+        service: Service,
+        server: BackendServer,
+        *,
+        failed: bool,
+        unreachable: bool,
+        outcome: str,
+        elapsed: Seconds,
+        metadata: RequestMetadata,
+        answered: bool,
+    ) -> None:
+        """Records the outcome of an attempt in loads, metrics and outlier detection."""
+
+    def record_limit_exceeded(
+        self, server: BackendServer, request_id: str, limit: LimitKind
+    ) -> None:
+        """Logs the limit that ended an exchange with a server."""
+
+    def record_replaced(self, server: BackendServer) -> None:
+        """Records that another server now responds at the address of a server."""
+
+    def record_end(self, relay: RelayedRequest, **fields: Any) -> None:
+        """Records the end of a request."""
