Show that a stream is cut when its sound engine falls silent for a while

What callers see: a stream that has begun ends without its last events. The entry ends a resumable stream after 1.8 s without an event and only then looks for another engine; if none takes it, the answer is cut although the first engine goes on 0.8 s later.

--- a/standins/loop_thread.py
+++ b/standins/loop_thread.py
@@ -1,6 +1,7 @@
 """Base class of stand-ins that run an event loop in a separate thread."""
 
 import threading
+import time
 from collections.abc import Callable
 
 from fighitch.runtime.event_loop import EventLoop
@@ -30,6 +31,10 @@
         self.loop.stop()
         self._thread.join(_STOP_TIMEOUT_SECONDS)
 
+    def fall_silent(self, seconds: float) -> None:
+        """Stops the thread for a while; connections stay open and nothing is sent."""
+        self.loop.call_later(0, lambda: time.sleep(seconds))
+
     def call(self, function: Callable[[], object]) -> None:
         """Runs a function in the loop's thread and waits for it.
 
