Log each attempt that failed, with its outcome and time

An attempt that an entry ended itself was only counted, so that the logs could not tell a stream that was given up while its server was silent from one that the server broke off. The line has request, server, outcome and elapsed time; there is at most one for each attempt that failed.

--- a/fighitch/gateway/entry.py
+++ b/fighitch/gateway/entry.py
@@ -454,6 +454,14 @@
             if not failed:
                 load.record_response_time(elapsed)
         self.metrics.count_attempt(service.name, outcome)
+        if failed:
+            self._log.event(
+                "attempt_failed",
+                request=metadata.request_id,
+                server=server.instance_id,
+                outcome=outcome,
+                elapsed=f"{elapsed:.3f}",
+            )
         if unreachable:
             if elapsed < _REFUSAL_TIME:
                 self.quarantine.record_down(server)
