Keep an attempt at a silent server until another server admits the request

What callers saw: a stream that had begun ended without its last events beside a pause of its engine, although the engine went on.

Cause: after 1.8 s without an event (or a share of the time left, for requests that may be repeated) the entry ended the attempt, then looked for another server, and cut the answer if none took it. A pause often hits several engines, and agents deny everything while theirs is silent, so the search failed when it was needed.

Ruled out: changed limits of an engine and closed links to agents, which drop no request.

Change: Takeover finds a server and its admission first; only then the attempt ends. If no server takes the request, the attempt goes on and the search is repeated; an event that arrives gives the place back.

--- a/fighitch/gateway/relay.py
+++ b/fighitch/gateway/relay.py
@@ -12,6 +12,7 @@
 from fighitch.gateway.attempt_receiver import AttemptReceiver
 from fighitch.gateway.failure_response import send_failure_response
 from fighitch.gateway.relay_host import RelayHost
+from fighitch.gateway.takeover import Takeover
 from fighitch.platform.requests import (
     RequestMetadata,
     encode_request,
@@ -87,14 +88,8 @@
         self._deadline = request.received_at + timeout
         self._server: BackendServer | None = None
         self._connection: HttpConnection | None = None
-        self._admission = Admission(
-            entry.loop,
-            entry.links,
-            metadata,
-            route,
-            arrived=request.received_at,
-            deadline=self._deadline,
-        )
+        self._admission = self._new_admission()
+        self._takeover: Takeover | None = None
         self._rejections = 0
         # Earlier attempts that may have run; the current one is not included.
         self._previous_runs = 0
@@ -125,6 +120,16 @@
         caller.on_disconnected = self._on_caller_gone
         caller.on_buffer_drained = self._on_caller_drained
 
+    def _new_admission(self) -> Admission:
+        return Admission(
+            self._loop,
+            self._entry.links,
+            self._metadata,
+            self._route,
+            arrived=self._request.received_at,
+            deadline=self._deadline,
+        )
+
     # Placement.
 
     def place(self) -> None:
@@ -287,10 +292,37 @@
         self._attempt_timer = None
         if self._state not in (RelayState.SENT, RelayState.STREAMING):
             return
+        if not self._may_retry():
+            return
+        avoid = set(self._avoid)
+        if self._server is not None:
+            avoid.add(self._server.instance_id)
+        self._takeover = Takeover(
+            self._entry,
+            self._service,
+            self._metadata,
+            self._new_admission(),
+            avoid=avoid,
+            on_found=self._take_over,
+            on_none=self._await_silent_server,
+        )
+        self._takeover.search()
+
+    def _take_over(
+        self, server: BackendServer, admission: Admission, late: bool
+    ) -> None:
+        """Ends the attempt at a silent server and sends the request to another."""
         if not self._may_retry() or not self._entry.take_retry(self._service.name):
+            admission.end()
+            self._await_silent_server()
             return
         self._end_exchange(failed=True, outcome="slow")
-        self._retry()
+        self._prepare_retry()
+        self._admission = admission
+        self._send_request(server, late=late)
+
+    def _await_silent_server(self) -> None:
+        self._start_attempt_timer(self._deadline - self._loop.now())
 
     def _may_retry(self) -> bool:
         if self._entry.quarantine.is_suspect(self._metadata.shared_parts):
@@ -306,14 +338,17 @@
 
     def _retry(self) -> None:
         """Retries a request on another server after an attempt that may have run."""
+        self._prepare_retry()
+        self._admission.restart()
+        self.place()
+
+    def _prepare_retry(self) -> None:
         self._may_have_run = True
         self._previous_runs += 1
         self._avoid_current()
         self._event_buffer.drop_partial_event()
         if self._event_buffer.last_id:
             self._resume_after = self._event_buffer.last_id
-        self._admission.restart()
-        self.place()
 
     def _avoid_current(self) -> None:
         if self._server is not None:
@@ -421,6 +456,9 @@
         self._start_attempt_timer(self._deadline - self._loop.now())
 
     def _cancel_stream_timers(self) -> None:
+        if self._takeover is not None:
+            self._takeover.cancel()
+            self._takeover = None
         for timer in (self._event_timer, self._attempt_timer):
             if timer is not None:
                 timer.cancel()
--- /dev/null
+++ b/fighitch/gateway/takeover.py
@@ -0,0 +1,94 @@
+"""Search for a server that takes a request over from a server that is silent."""
+
+from collections.abc import Callable
+
+from fighitch.core.gateway.backend_choice import next_server
+from fighitch.core.gateway.model import BackendServer, Service
+from fighitch.gateway.admission import Admission
+from fighitch.gateway.relay_host import RelayHost
+from fighitch.platform.requests import RequestMetadata
+
+
+class Takeover:
+    """Finds a server that may run a request while another attempt is in progress.
+
+    A silent server may be sound and go on. Its attempt must not end before another
+    server has admitted the request, as all others may reject it.
+    """
+
+    def __init__(
+        self,
+        host: RelayHost,
+        service: Service,
+        metadata: RequestMetadata,
+        admission: Admission,
+        *,
+        avoid: set[str],
+        on_found: Callable[[BackendServer, Admission, bool], None],
+        on_none: Callable[[], None],
+    ) -> None:
+        """Starts nothing yet.
+
+        Args:
+            host: The entry.
+            service: Service of the request.
+            metadata: Metadata of the request.
+            admission: Admission of the next attempt; it has requested nothing yet.
+            avoid: Instance ids of the servers that must not be chosen.
+            on_found: Called once with the server, its admission, and whether the
+                request is late there.
+            on_none: Called once if no server takes the request.
+        """
+        self._host = host
+        self._service = service
+        self._metadata = metadata
+        self._admission = admission
+        self._avoid = set(avoid)
+        self._on_found = on_found
+        self._on_none = on_none
+        self._is_over = False
+
+    def search(self) -> None:
+        """Asks the next server, the best candidate first."""
+        if self._is_over:
+            return
+        server = next_server(
+            self._host.candidates(self._service, self._metadata, self._avoid),
+            admission_requests=self._admission.requests,
+            declined=self._admission.declined,
+        )
+        if server is None:
+            self._is_over = True
+            self._on_none()
+        elif self._has_agent(server):
+            self._admission.request(
+                server,
+                on_grant=lambda late: self._finish(server, late=late),
+                on_decline=self.search,
+                on_deny=lambda: self._search_without(server),
+            )
+        elif self._host.reserve(server, 0.0) > 0:
+            self._search_without(server)
+        else:
+            self._finish(server, late=False)
+
+    def cancel(self) -> None:
+        """Ends the search; a place that was granted meanwhile is given back."""
+        if not self._is_over:
+            self._is_over = True
+            self._admission.end()
+
+    def _has_agent(self, server: BackendServer) -> bool:
+        is_engine = self._service.engine is not None
+        return is_engine and self._host.links.is_connected(server.instance_id)
+
+    def _search_without(self, server: BackendServer) -> None:
+        self._avoid.add(server.instance_id)
+        self.search()
+
+    def _finish(self, server: BackendServer, *, late: bool) -> None:
+        if self._is_over:
+            self._admission.end()
+            return
+        self._is_over = True
+        self._on_found(server, self._admission, late)
--- a/fighitch/tests/test_silent_servers.py
+++ b/fighitch/tests/test_silent_servers.py
@@ -64,3 +64,13 @@
         running.fall_silent(_SILENCE_SECONDS)
         thread.join(10.0)
         self.assert_complete(responses[0], 40)
+
+    def test_stream_moves_to_an_engine_that_takes_it(self):
+        thread, responses = self.start_stream("s3")
+        running = next(item for item in self.fleet.engines if item.runs)
+        running.fall_silent(_SILENCE_SECONDS)
+        thread.join(10.0)
+        self.assert_complete(responses[0], 40)
+        runs = sum(len(engine.runs) for engine in self.fleet.engines)
+        self.assertEqual(runs, 2)
+        self.assertIn("outcome=slow", self.fleet.entries[0].log())
