Count a caller's patience from its latest event when a stream is resumed

What callers saw: a resumable stream that broke off later than callers wait for a first event was cut, although other engines were idle.

Cause: the deadline of the admission request was the time of arrival plus the time that callers wait for an event, so that the agents denied it at once as waited too long. Callers count that time from their latest event.

Change: the admission of a further attempt gets the time of the latest event.

Measured: test_stream_that_breaks_after_a_long_time_is_resumed fails on the code before (complete=False, cut 2.3 s after the start with a wait of 2 s) and passes now; test_relay and the other tests of silent servers pass.

--- a/fighitch/gateway/admission.py
+++ b/fighitch/gateway/admission.py
@@ -25,6 +25,7 @@
         *,
         arrived: Seconds,
         deadline: Seconds,
+        waiting_since: Seconds | None = None,
     ) -> None:
         """Requests nothing yet.
 
@@ -35,6 +36,8 @@
             route: Route of the request.
             arrived: Time at which the request arrived at the entry.
             deadline: Time after which a response is useless.
+            waiting_since: Time of the latest event that the caller has; None for the
+                time of the arrival.
         """
         self._loop = loop
         self._links = links
@@ -42,6 +45,7 @@
         self._route = route
         self._arrived = arrived
         self._deadline = deadline
+        self._waiting_since = arrived if waiting_since is None else waiting_since
         self._requests = 0
         self._declined: dict[str, Seconds] = {}
         self._retry_after: Seconds | None = None
@@ -88,6 +92,7 @@
             self._metadata,
             self._route,
             arrived=self._arrived,
+            waiting_since=self._waiting_since,
             deadline=self._deadline,
             now=self._loop.now(),
             version=self._links.version(self._metadata.adapter),
@@ -118,10 +123,6 @@
             AdmissionCallbacks(on_granted, on_declined, on_denied),
         )
 
-    def restart(self) -> None:
-        """Counts the admission requests of another attempt from 0."""
-        self._requests = 0
-
     def report_first_event(self) -> None:
         """Reports the first event of an admitted request to the agent."""
         if self._server is not None:
--- a/fighitch/gateway/admission_requests.py
+++ b/fighitch/gateway/admission_requests.py
@@ -13,6 +13,7 @@
     route: Route,
     *,
     arrived: Seconds,
+    waiting_since: Seconds,
     deadline: Seconds,
     now: Seconds,
     version: int,
@@ -24,6 +25,7 @@
         metadata: Metadata of the request.
         route: Route of the request.
         arrived: Time at which the request arrived at the entry.
+        waiting_since: Time of its arrival, or of the latest event that the caller has.
         deadline: Time after which a response is useless.
         now: Current time.
         version: Oldest adapter version that the request may run on; 0 for any.
@@ -32,7 +34,7 @@
     """
     adapter = metadata.adapter
     target_time = arrived + route.target_latency
-    caller_cancels_at = arrived + route.caller_event_timeout
+    caller_cancels_at = waiting_since + route.caller_event_timeout
     return AdmissionRequest(
         number=0,
         model=adapter.model if adapter else "",
--- a/fighitch/gateway/relay.py
+++ b/fighitch/gateway/relay.py
@@ -88,6 +88,7 @@
         self._deadline = request.received_at + timeout
         self._server: BackendServer | None = None
         self._connection: HttpConnection | None = None
+        self._last_event_at: Seconds | None = None
         self._admission = self._new_admission()
         self._takeover: Takeover | None = None
         self._rejections = 0
@@ -128,6 +129,7 @@
             self._route,
             arrived=self._request.received_at,
             deadline=self._deadline,
+            waiting_since=self._last_event_at,
         )
 
     # Placement.
@@ -339,7 +341,7 @@
     def _retry(self) -> None:
         """Retries a request on another server after an attempt that may have run."""
         self._prepare_retry()
-        self._admission.restart()
+        self._admission = self._new_admission()
         self.place()
 
     def _prepare_retry(self) -> None:
@@ -435,6 +437,7 @@
             self._record_first_byte()
             self._admission.report_first_event()
         if self._event_buffer.has_new_event:
+            self._last_event_at = self._loop.now()
             self._restart_stream_timers()
         if not self._answered and self._has_survived_start():
             self._record_answered()
--- a/fighitch/tests/test_silent_servers.py
+++ b/fighitch/tests/test_silent_servers.py
@@ -74,3 +74,22 @@
         runs = sum(len(engine.runs) for engine in self.fleet.engines)
         self.assertEqual(runs, 2)
         self.assertIn("outcome=slow", self.fleet.entries[0].log())
+
+
+class BrokenStreamTests(SilentServerTestCase):
+    def test_stream_that_breaks_after_a_long_time_is_resumed(self):
+        # Guards against a deadline of admission that counts a caller's patience from
+        # the arrival of the request instead of its latest event.
+        for engine in self.fleet.engines:
+            engine.events, engine.event_interval = 30, 0.1
+        self.fleet.put_configuration(resume={"TargetLatencyMs": 100})
+        applied = (
+            f"event=configuration_applied instance=front-0 version={self.fleet.version}"
+        )
+        self.assertTrue(wait_until(lambda: applied in self.fleet.entries[0].log()))
+        thread, responses = self.start_stream("s4")
+        time.sleep(2.3)
+        running = next(item for item in self.fleet.engines if item.runs)
+        running.faults.cut_streams = 1
+        thread.join(10.0)
+        self.assert_complete(responses[0], 30)
--- a/standins/platform_backends.py
+++ b/standins/platform_backends.py
@@ -194,6 +194,7 @@
         self.model = model
         self.adapter_slots = adapter_slots
         self.events = 4
+        self.event_interval = _EVENT_INTERVAL_SECONDS
         self.orders: list[OrderRecord] = []
         # Largest excess of loaded and loading adapters over the adapter slots.
         self.overcommit = 0
@@ -289,7 +290,7 @@
             b"id: %d\ndata: %s %d\n\n" % (number, request_id.encode(), number)
         )
         self.loop.call_later(
-            _EVENT_INTERVAL_SECONDS,
+            self.event_interval,
             lambda: self._send_event(connection, request_id, number + 1),
         )
 
