Read the sockets again before timers that became due during a long callback

What callers saw: a whole request on a kept connection was reset, with neither an answer nor a refusal, when the entry was busy, for example with a large configuration, while its idle timer became due.

Cause: run_once took the time after the socket callbacks of a round and ran all timers that were due by then, without another poll. A timeout could so expire while the input that ends it was in the receive buffer; closing a connection with unread input resets it. The same held for timeouts of servers, agents and the store after a stall of the process itself.

Change: if the callbacks of a round took longer than 20 ms, only timers that were due at the poll run; the others wait for the next one. An idle connection with unread input is not closed.

--- a/fighitch/runtime/event_loop.py
+++ b/fighitch/runtime/event_loop.py
@@ -12,6 +12,9 @@
 READ = selectors.EVENT_READ
 WRITE = selectors.EVENT_WRITE
 _MAX_WAIT: Seconds = 1.0
+# If the callbacks of a round take longer, timers that became due meanwhile wait until
+# the sockets have been polled again.
+_MAX_POLL_AGE: Seconds = 0.02
 
 
 class Timer:
@@ -88,9 +91,14 @@
 
     def run_once(self, max_wait: Seconds) -> None:
         """Waits for events once and runs the callbacks that are due."""
-        for key, events in self._selector.select(self._wait_time(max_wait)):
+        ready = self._selector.select(self._wait_time(max_wait))
+        polled_at = self._clock()
+        for key, events in ready:
             self._call(key.data, events)
         now = self._clock()
+        if now - polled_at > _MAX_POLL_AGE:
+            # A timeout must not expire while the input that ends it is unread.
+            now = polled_at
         while self._timers and self._timers[0][0] <= now:
             timer = heapq.heappop(self._timers)[2]
             callback, timer.callback = timer.callback, None
--- a/fighitch/runtime/http_callers.py
+++ b/fighitch/runtime/http_callers.py
@@ -204,14 +204,14 @@
 
         Unread input may be a request, which closing the connection would discard.
         """
-        if self._closed or not self.idle:
-            return
+        if not self._closed and self.idle and not self._has_unread_input():
+            self.close()
+
+    def _has_unread_input(self) -> bool:
         try:
-            has_input = bool(self._sock.recv(1, socket.MSG_PEEK))
+            return bool(self._sock.recv(1, socket.MSG_PEEK))
         except OSError:
-            has_input = False
-        if not has_input:
-            self.close()
+            return False
 
     # Reading.
 
@@ -469,6 +469,10 @@
 
     def _on_idle_timeout(self) -> None:
         self._timer = None
+        if self._has_unread_input():
+            # The event loop was late; the input may be a request.
+            self._start_timer(_IDLE_SLACK, self._on_idle_timeout)
+            return
         self.close()
 
     def _on_request_timeout(self) -> None:
--- a/fighitch/tests/test_http_callers.py
+++ b/fighitch/tests/test_http_callers.py
@@ -1,5 +1,6 @@
 import socket
 import threading
+import time
 import unittest
 
 from fighitch.core.gateway.model import CallerLimits
@@ -15,6 +16,7 @@
 class CallerConnectionTests(unittest.TestCase):
     def setUp(self):
         self.loop = EventLoop()
+        self.limits = LIMITS
         self.requests: list[CallerRequest] = []
         self.disconnected = threading.Event()
         self.hold_response = False
@@ -36,13 +38,15 @@
         CallerConnection(
             self.loop,
             sock,
-            LIMITS,
+            self.limits,
             on_request=self.handle_request,
             on_closed=lambda _caller: None,
         )
 
     def handle_request(self, caller, request):
         self.requests.append(request)
+        if request.target == b"/stall":
+            time.sleep(0.8)
         if self.hold_response:
             caller.on_disconnected = self.disconnected.set
             self.held_connections.append(caller)
@@ -68,6 +72,13 @@
                 received += data
         return received
 
+    def receive_until(self, sock: socket.socket, expected: bytes):
+        received = b""
+        while expected not in received:
+            data = sock.recv(65_536)
+            self.assertTrue(data, received)
+            received += data
+
     def test_pipelined_requests_are_answered_in_order(self):
         request = b"GET /%d HTTP/1.1\r\nHost: h\r\n\r\n"
         received = self.send_and_receive(
@@ -76,6 +87,24 @@
         self.assertLess(received.index(b"to /1"), received.index(b"to /2"))
         self.assertEqual(received.count(b"200 OK"), 3)
 
+    def test_request_that_arrives_during_a_stall_of_the_loop_is_answered(self):
+        # Guards against an idle timer that closes a connection with unread input after
+        # a callback that took long, such as the decoding of a large configuration.
+        self.limits = CallerLimits(idle_timeout=0.1)
+        address = self.listener.getsockname()
+        with (
+            socket.create_connection(address, timeout=5) as kept,
+            socket.create_connection(address, timeout=5) as other,
+        ):
+            kept.sendall(b"GET /1 HTTP/1.1\r\nHost: h\r\n\r\n")
+            self.receive_until(kept, b"to /1")
+            time.sleep(0.6)
+            other.sendall(b"GET /stall HTTP/1.1\r\nHost: h\r\n\r\n")
+            time.sleep(0.2)
+            # The idle timer of this connection is due before the stall ends.
+            kept.sendall(b"GET /2 HTTP/1.1\r\nHost: h\r\n\r\n")
+            self.receive_until(kept, b"to /2")
+
     def assert_rejected_while_sending(self, prefix: bytes, block: bytes):
         """Sends a block again and again; expects a rejection within the limits."""
         host, port = self.listener.getsockname()
