Keep other responses out of a stream that is continued

Callers of a resumable stream whose server broke off could find the body of the next server's 4xx, 3xx or JSON response in the middle of their stream, or the stream ended as if it were complete (also after 204 and 304).

Cause: once the head of a stream had been sent, a response of the next server was still finished like a first one: its buffered body went to the caller, followed by the final chunk. Bodies above the buffer were forwarded as they came. Unsigned and encoded 200 responses, 5xx responses and rejections were not forwarded before either; the tests cover them too.

Change: a response continues a stream only if it has the same status and does not state another media type. Any other one ends its attempt; the request goes to the next server within its attempts and the retry budget, or the connection is closed without the final chunk. A sound response of this kind does not count as a failure of its server.

--- a/fighitch/gateway/relay.py
+++ b/fighitch/gateway/relay.py
@@ -21,6 +21,7 @@
     is_genuine,
     is_unsigned,
     response_headers,
+    stream_format,
     was_not_run,
 )
 from fighitch.runtime.event_loop import Timer
@@ -108,7 +109,8 @@
         self._resume_after = metadata.resume_after if route.resumable else ""
         self._head: ResponseHead | None = None
         self._buffered_body = bytearray()
-        self._head_sent = False
+        # Head that the caller has; of an earlier attempt once a stream is continued.
+        self._sent_head: ResponseHead | None = None
         self._is_stream = False
         self._late = False
         self._sent_at: Seconds = 0.0
@@ -128,6 +130,15 @@
         caller.on_disconnected = self._on_caller_gone
         caller.on_buffer_drained = self._on_caller_drained
 
+    @property
+    def _head_sent(self) -> bool:
+        return self._sent_head is not None
+
+    @property
+    def _is_continuation(self) -> bool:
+        """Whether the caller has the head of an earlier attempt."""
+        return self._head_sent and self._sent_head is not self._head
+
     # Placement.
 
     def place(self) -> None:
@@ -270,6 +281,7 @@
         self._begun_at = None
         self._answered = False
         self._head = None
+        self._is_stream = False
         self._buffered_body.clear()
         if self._placement_time is None:
             self._placement_time = now - self._request.received_at
@@ -333,7 +345,7 @@
         if self._entry.quarantine.is_suspect(self._metadata.shared_parts):
             # Another attempt could crash another engine.
             return False
-        if self._head_sent and not self._is_stream:
+        if self._sent_head and not self._is_event_stream(self._sent_head):
             # The caller has a part of the first attempt's body.
             return False
         return (
@@ -363,7 +375,13 @@
         self._head = head
         if self._server is not None:
             self._entry.record_head(self._server, head, sent_at=self._sent_at)
-        self._is_stream = (
+        self._is_stream = self._is_event_stream(head) and (
+            self._sent_head is None
+            or stream_format(head).can_continue(stream_format(self._sent_head))
+        )
+
+    def _is_event_stream(self, head: ResponseHead) -> bool:
+        return (
             self._route.kind is WorkKind.STREAMING
             and head.status < _FIRST_NON_SUCCESS
             and is_genuine(head)
@@ -403,10 +421,21 @@
         if head.status >= _SERVER_ERROR:
             self._on_server_error(head)
             return
+        if self._is_continuation and not self._is_stream:
+            self._on_other_response(head)
+            return
         self._record_answered()
         self._end_exchange(failed=False, outcome="answered")
         self._finish_response(head)
 
+    def _on_other_response(self, head: ResponseHead) -> None:
+        """Handles a response that is sound, but does not continue the stream."""
+        self._end_exchange(failed=False, outcome=f"status_{head.status}")
+        if self._may_retry() and self._entry.take_retry(self._service.name):
+            self._retry()
+            return
+        self._fail(FailureKind.SERVER_LOST)
+
     def _ends_after_event(self) -> bool:
         """Returns whether a stream that has ended can be complete."""
         if self._event_buffer.has_partial_event:
@@ -476,7 +505,7 @@
     def _forward_head(self, *, length: int | None) -> None:
         if self._caller is None or self._head is None or self._head_sent:
             return
-        self._head_sent = True
+        self._sent_head = self._head
         self._record_first_byte()
         headers = response_headers(self._head)
         self._caller.send_head(self._head.status, headers, length=length)
@@ -492,6 +521,8 @@
                 self._cancel_stream_timers()
 
     def _may_forward(self) -> bool:
+        if self._is_continuation:
+            return False
         head = self._head
         return head is not None and head.status < _SERVER_ERROR and is_genuine(head)
 
--- a/fighitch/platform/requests.py
+++ b/fighitch/platform/requests.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass
 
 from fighitch.core.gateway.model import AdapterName, RequestSize
+from fighitch.core.gateway.stream_format import StreamFormat
 from fighitch.runtime.http_callers import CallerRequest
 from fighitch.runtime.http_exchange import ResponseHead
 from fighitch.types import Headers, Seconds
@@ -195,6 +196,12 @@
     return head.get(b"response-signature") is None
 
 
+def stream_format(head: ResponseHead) -> StreamFormat:
+    """Returns the format of an event stream from the head of its response."""
+    content_type = (head.get(b"content-type") or b"").decode("latin-1")
+    return StreamFormat(head.status, content_type.partition(";")[0].strip().lower())
+
+
 def encode_call(
     method: str, target: str, host: str, body: bytes = b"", *, instance_id: str = ""
 ) -> bytes:
--- a/fighitch/tests/test_gateway_decisions.py
+++ b/fighitch/tests/test_gateway_decisions.py
@@ -21,6 +21,9 @@
 from fighitch.core.gateway.outliers import OutlierDetector
 from fighitch.core.gateway.retry_budget import BudgetLimits, RetryBudget
 from fighitch.core.gateway.route_table import RouteTable, choose_service
+from fighitch.core.gateway.stream_format import StreamFormat
+from fighitch.platform.requests import stream_format
+from fighitch.runtime.http_exchange import ResponseHead
 from fighitch.tests.gateway_helpers import A1, MODEL, server
 
 
@@ -271,6 +274,35 @@
         self.assertEqual(events.feed(b"id: 2\ndata: b\n\n"), b"id: 2\ndata: b\n\n")
 
 
+class StreamFormatTests(unittest.TestCase):
+    def test_response_that_can_continue_a_stream(self):
+        events = StreamFormat(200, "text/event-stream")
+        unstated = StreamFormat(200)
+        for response, begun in (
+            (events, events),
+            (events, unstated),
+            (unstated, events),
+            (unstated, unstated),
+        ):
+            self.assertTrue(response.can_continue(begun), (response, begun))
+
+    def test_response_that_cannot_continue_a_stream(self):
+        begun = StreamFormat(200, "text/event-stream")
+        for response in (
+            StreamFormat(204),
+            StreamFormat(404, "text/event-stream"),
+            StreamFormat(200, "application/json"),
+        ):
+            self.assertFalse(response.can_continue(begun), response)
+            unstated = StreamFormat(begun.status)
+            self.assertFalse(response.can_continue(unstated), response)
+
+    def test_media_type_has_no_parameters(self):
+        content_type = (b"Content-Type", b"Text/Event-Stream; charset=utf-8")
+        found = stream_format(ResponseHead(200, [content_type]))
+        self.assertEqual(found, StreamFormat(200, "text/event-stream"))
+
+
 class FailureResponseTests(unittest.TestCase):
     def test_request_that_may_have_run_is_not_reported_as_not_run(self):
         # Status 503 guarantees that the request has not run.
--- a/fighitch/tests/test_http_exchange.py
+++ b/fighitch/tests/test_http_exchange.py
@@ -46,6 +46,7 @@
         self._listener = socket.create_server(("127.0.0.1", 0))
         self._responses = responses
         self._reset = reset
+        self.received = b""
         self.port = self._listener.getsockname()[1]
         self._thread = threading.Thread(target=self._serve, daemon=True)
         self._thread.start()
@@ -54,8 +55,10 @@
         sock, _ = self._listener.accept()
         with sock:
             for response in self._responses:
-                if not sock.recv(65_536):
+                data = sock.recv(65_536)
+                if not data:
                     return
+                self.received += data
                 sock.sendall(response)
             if self._reset:
                 sock.setsockopt(
--- a/fighitch/tests/test_relay.py
+++ b/fighitch/tests/test_relay.py
@@ -1,4 +1,5 @@
 import unittest
+from collections.abc import Sequence
 from unittest import mock
 
 from fighitch.core.gateway.backend_choice import Candidate
@@ -38,14 +39,18 @@
         caller_event_timeout: float = float("inf"),
         kind: WorkKind = WorkKind.STREAMING,
         resumable: bool = False,
+        max_attempts: int = 2,
+        headers: Sequence[tuple[bytes, bytes]] = (),
     ) -> Relay:
-        headers = [
+        all_headers = [
             (b"Host", b"h"),
             (b"Attempt-Id", b"x"),
             (b"Model", b"base/a1"),
             (b"Deadline-Ms", b"%d" % deadline_ms),
+            *headers,
         ]
-        request = CallerRequest(b"POST", b"/p/", headers, b"", self.entry.loop.now())
+        now = self.entry.loop.now()
+        request = CallerRequest(b"POST", b"/p/", all_headers, b"", now)
         route = Route(
             name="r",
             host="h",
@@ -55,7 +60,7 @@
             target_latency=1.0,
             rank=0,
             services=(WeightedService("models", 1.0),),
-            max_attempts=2,
+            max_attempts=max_attempts,
             resumable=resumable,
             caller_event_timeout=caller_event_timeout,
         )
--- /dev/null
+++ b/fighitch/tests/test_stream_continuations.py
@@ -0,0 +1,191 @@
+"""Streams that broke off and that another server should continue."""
+
+import unittest
+
+from fighitch.gateway.relay import Relay
+from fighitch.tests.test_http_exchange import ScriptedServer
+from fighitch.tests.test_unframed_responses import (
+    CHUNKED,
+    EVENTS,
+    LAST_CHUNK,
+    UnframedTestCase,
+    chunk,
+)
+
+LARGE_BODY = b"x" * 300_000
+
+
+def response(status: bytes, *lines: bytes, body: bytes = b"") -> bytes:
+    """Returns a response with a length to the request of the tests."""
+    head = b"HTTP/1.1 " + status + b"\r\nAttempt-Id: x\r\n"
+    for line in (*lines, b"Content-Length: %d" % len(body)):
+        head += line + b"\r\n"
+    return head + b"\r\n" + body
+
+
+def stream(*events: bytes, extra: bytes = b"") -> bytes:
+    """Returns a complete stream in chunks."""
+    head = CHUNKED.replace(b"\r\n\r\n", b"\r\n" + extra + b"\r\n")
+    return head + b"".join(chunk(event) for event in events) + LAST_CHUNK
+
+
+SIGNED = b"Response-Signature: s"
+JSON = b"Content-Type: application/json"
+EVENT_STREAM = b"Content-Type: text/event-stream\r\n"
+BROKEN_OFF = CHUNKED + chunk(EVENTS[0]) + chunk(EVENTS[1]) + chunk(EVENTS[2][:-3])
+
+
+class ContinuationTestCase(UnframedTestCase):
+    begun = EVENTS[0] + EVENTS[1]
+
+    def resumable(self, *, max_attempts: int = 2) -> Relay:
+        return self.relay(resumable=True, max_attempts=max_attempts)
+
+    def resumed_after(self) -> list[bytes]:
+        """Returns the event ids after which servers were asked to continue."""
+        return [
+            line.removeprefix(b"Last-Event-Id: ")
+            for item in self.servers
+            for line in item.received.split(b"\r\n")
+            if line.startswith(b"Last-Event-Id: ")
+        ]
+
+    def serve(self, *servers: ScriptedServer) -> None:
+        self.servers = servers
+        super().serve(*servers)
+
+    def continue_with(self, answer: bytes, *, reset: bool = False) -> None:
+        """Breaks off a stream after two events and continues it with an answer."""
+        self.serve(ScriptedServer(BROKEN_OFF), ScriptedServer(answer, reset=reset))
+        self.run_relay(self.resumable())
+        self.assertEqual(self.entry.pool.acquire.call_count, 2)
+
+
+class ErrorAsContinuationTests(ContinuationTestCase):
+    """The next server answers with an error, or with another kind of body.
+
+    The error's text was sent in the middle of the stream, which then ended as if it
+    were complete.
+    """
+
+    def assert_not_forwarded(self, answer: bytes) -> None:
+        self.continue_with(answer)
+        self.assert_broken_off(self.begun)
+
+    def test_signed_client_errors(self):
+        for status in (b"400 Bad Request", b"404 Not Found", b"409 Conflict"):
+            with self.subTest(status=status):
+                self.setUp()
+                self.assert_not_forwarded(response(status, SIGNED, body=b"no run"))
+
+    def test_client_error_without_signature(self):
+        self.assert_not_forwarded(response(b"404 Not Found", body=b"no run"))
+
+    def test_client_error_without_a_body(self):
+        self.assert_not_forwarded(response(b"404 Not Found", SIGNED))
+
+    def test_client_error_larger_than_the_buffer(self):
+        answer = response(b"404 Not Found", SIGNED, body=LARGE_BODY)
+        self.assert_not_forwarded(answer)
+
+    def test_client_error_in_the_form_of_events(self):
+        body = b"id: 3\ndata: error\n\n"
+        self.assert_not_forwarded(response(b"404 Not Found", SIGNED, body=body))
+
+    def test_server_errors(self):
+        for lines in ((SIGNED,), ()):
+            with self.subTest(lines=lines):
+                self.setUp()
+                answer = response(b"500 Error", *lines, body=b"failed")
+                self.assert_not_forwarded(answer)
+
+    def test_server_error_larger_than_the_buffer(self):
+        self.assert_not_forwarded(response(b"500 Error", SIGNED, body=LARGE_BODY))
+
+    def test_redirect(self):
+        answer = response(b"302 Found", SIGNED, b"Location: /", body=b"moved")
+        self.assert_not_forwarded(answer)
+
+    def test_answers_without_a_body(self):
+        for status in (b"204 No Content", b"304 Not Modified"):
+            with self.subTest(status=status):
+                self.setUp()
+                head = b"HTTP/1.1 " + status + b"\r\nAttempt-Id: x\r\n" + SIGNED
+                self.assert_not_forwarded(head + b"\r\n\r\n")
+
+    def test_success_without_signature(self):
+        self.assert_not_forwarded(response(b"200 OK", body=b"".join(EVENTS[2:])))
+
+    def test_success_with_another_content_type(self):
+        body = b'{\n\n"id": 3}\n\n'
+        self.assert_not_forwarded(response(b"200 OK", SIGNED, JSON, body=body))
+
+    def test_empty_success_with_another_content_type(self):
+        self.assert_not_forwarded(response(b"200 OK", SIGNED, JSON))
+
+    def test_encoded_success(self):
+        encoding = b"Content-Encoding: gzip"
+        body = b"".join(EVENTS[2:])
+        self.assert_not_forwarded(response(b"200 OK", SIGNED, encoding, body=body))
+
+    def test_bytes_that_are_no_response(self):
+        self.assert_not_forwarded(b"id: 3\ndata: 3\n\n")
+
+    def test_next_server_continues_after_an_error(self):
+        self.serve(
+            ScriptedServer(BROKEN_OFF),
+            ScriptedServer(response(b"404 Not Found", SIGNED, body=b"no run")),
+            ScriptedServer(stream(*EVENTS[2:])),
+        )
+        self.run_relay(self.resumable(max_attempts=3))
+        self.assert_complete(b"".join(EVENTS))
+
+    def test_client_error_does_not_count_against_its_server(self):
+        self.continue_with(response(b"404 Not Found", SIGNED, body=b"no run"))
+        failed = [
+            call.kwargs["failed"] for call in self.entry.record_outcome.call_args_list
+        ]
+        self.assertEqual(failed, [True, False])
+
+    def test_rejections_are_followed_by_the_continuation(self):
+        rejection = response(b"503 Unavailable", b"Not-Executed: 1", body=b"full")
+        self.serve(
+            ScriptedServer(BROKEN_OFF),
+            ScriptedServer(rejection),
+            ScriptedServer(rejection),
+            ScriptedServer(stream(*EVENTS[2:])),
+        )
+        self.run_relay(self.resumable())
+        self.assert_complete(b"".join(EVENTS))
+
+    def test_rejections_only(self):
+        rejections = [response(b"421 Misdirected", body=b"not here")] * 4
+        self.serve(ScriptedServer(BROKEN_OFF), *map(ScriptedServer, rejections))
+        self.run_relay(self.resumable())
+        self.assert_broken_off(self.begun)
+
+    def test_continuation_may_leave_out_its_content_type(self):
+        broken_off = BROKEN_OFF.replace(
+            b"\r\n\r\n", b"\r\n" + EVENT_STREAM + b"\r\n", 1
+        )
+        self.serve(ScriptedServer(broken_off), ScriptedServer(stream(*EVENTS[2:])))
+        self.run_relay(self.resumable())
+        self.assert_complete(b"".join(EVENTS))
+
+    def test_continuation_may_state_its_content_type(self):
+        self.continue_with(stream(*EVENTS[2:], extra=EVENT_STREAM))
+        self.assert_complete(b"".join(EVENTS))
+
+    def test_error_before_the_head_was_sent_is_returned(self):
+        # The caller has nothing of a stream yet, so that it gets the error itself.
+        self.serve(
+            ScriptedServer(CHUNKED + chunk(EVENTS[0][:-3])),
+            ScriptedServer(response(b"404 Not Found", SIGNED, body=b"no run")),
+        )
+        self.run_relay(self.resumable())
+        self.assertEqual(self.caller.send_head.call_args.args[0], 404)
+        self.assertEqual(self.received, b"no run")
+
+
+if __name__ == "__main__":
+    unittest.main()
