Continue a stream only with events that follow its last one

Callers of a resumable stream could get events twice, or the events of two runs joined: a server that ignores Last-Event-Id began the stream again after the first server had broken off, and all of its events were forwarded. A stream without event ids was begun again in the same way.

Cause: the entry asked for the events after the last one, but did not check that it got them.

Change: the first event of a run that continues a stream must have an id that follows the last one (a larger number, or another id if ids are no numbers). Otherwise the attempt fails and nothing of it is forwarded. A stream whose last event had no id is not continued. This also holds for the first run where the caller sent Last-Event-Id. A gap can't be recognised, as ids only increase.

The test of a dropped partial event calls start_run() instead of drop_partial_event(), which is now a part of it; its assertion is unchanged.

--- a/fighitch/core/gateway/event_stream.py
+++ b/fighitch/core/gateway/event_stream.py
@@ -1,4 +1,4 @@
-"""Splits an event stream into complete events."""
+"""Splits an event stream into complete events and checks their order."""
 
 _SEPARATOR = b"\n\n"
 # A larger event is forwarded in parts; a stream that breaks within it can't be resumed
@@ -7,12 +7,25 @@
 
 
 class EventBuffer:
-    """Buffers a partial event until the event is complete."""
+    """Buffers a partial event until the event is complete.
 
-    def __init__(self) -> None:
+    A stream may take several runs. Each run but the first has to continue after the
+    last complete event of the runs before it.
+    """
+
+    def __init__(self, resume_after: str = "") -> None:
+        """Creates a buffer for a stream.
+
+        Args:
+            resume_after: Id of the last event that the caller received earlier; empty
+                for none.
+        """
         self._partial = b""
-        self._last_id = ""
+        self._last_id = resume_after
         self._has_new_event = False
+        self._can_resume = True
+        self._is_out_of_order = False
+        self._awaits_continuation = bool(resume_after)
 
     @property
     def has_new_event(self) -> bool:
@@ -29,12 +42,28 @@
         """Whether a partial event is buffered."""
         return bool(self._partial)
 
-    def drop_partial_event(self) -> None:
-        """Drops a partial event whose remainder will not arrive."""
+    @property
+    def can_resume(self) -> bool:
+        """Whether another run can continue after the events returned so far."""
+        return self._can_resume
+
+    @property
+    def is_out_of_order(self) -> bool:
+        """Whether the current run does not continue after the last event."""
+        return self._is_out_of_order
+
+    def start_run(self) -> None:
+        """Starts another run; the remainder of a partial event will not arrive."""
         self._partial = b""
+        self._is_out_of_order = False
+        self._awaits_continuation = bool(self._last_id)
 
     def feed(self, data: bytes) -> bytes:
-        """Adds received bytes and returns all complete events."""
+        """Adds received bytes of the current run and returns all complete events.
+
+        Returns:
+            The events; nothing of a run that is out of order.
+        """
         self._has_new_event = False
         data = self._partial + data if self._partial else data
         end = data.rfind(_SEPARATOR)
@@ -44,21 +73,68 @@
         end = len(data) if end < 0 else end + len(_SEPARATOR)
         self._partial = data[end:]
         events = data[:end]
-        self._has_new_event = _has_field(events, b"data") or _has_field(events, b"id")
-        self._update_last_id(events)
-        return events
-
-    def _update_last_id(self, events: bytes) -> None:
-        start = events.rfind(b"\nid:")
-        if start >= 0:
-            start += 4
-        elif events.startswith(b"id:"):
-            start = 3
-        else:
+        return events if self._accept(events) else b""
+
+    def _accept(self, events: bytes) -> bool:
+        """Records events; returns whether they follow the last one."""
+        blocks = [block for block in events.split(_SEPARATOR) if block]
+        if self._awaits_continuation:
+            self._check_order(blocks)
+        if self._is_out_of_order:
+            return False
+        ids = [_event_id(block) for block in blocks if _is_event(block)]
+        if ids:
+            self._has_new_event = True
+            # Another run would send an event without an id again.
+            self._can_resume = bool(ids[-1])
+            self._last_id = next(filter(None, reversed(ids)), self._last_id)
+        return True
+
+    def _check_order(self, blocks: list[bytes]) -> None:
+        """Compares the first block that is no comment with the last event."""
+        first = next((block for block in blocks if not _is_comment(block)), None)
+        if first is None:
             return
-        line = events[start : events.find(b"\n", start)]
-        self._last_id = line.strip().decode("latin-1")
+        self._awaits_continuation = False
+        self._is_out_of_order = not _follows(_event_id(first), self._last_id)
+
+
+def _is_event(block: bytes) -> bool:
+    return _has_field(block, b"data") or _has_field(block, b"id")
+
+
+def _has_field(block: bytes, name: bytes) -> bool:
+    return block.startswith(name) or b"\n" + name in block
+
+
+def _is_comment(block: bytes) -> bool:
+    return all(line.startswith((b":", b"retry:")) for line in block.splitlines())
+
+
+def _event_id(block: bytes) -> str:
+    """Returns the id of an event; empty if it has none."""
+    if block.startswith(b"id:"):
+        start = 0
+    else:
+        start = block.rfind(b"\nid:") + 1
+        if not start:
+            return ""
+    line = block[start:].partition(b"\n")[0]
+    return line.removeprefix(b"id:").strip().decode("latin-1")
+
+
+def _follows(event_id: str, last_id: str) -> bool:
+    """Returns whether an event can come after another one.
+
+    Ids increase, but not necessarily by one. The order of ids that are no numbers is
+    not known.
+    """
+    if event_id.isdecimal() and last_id.isdecimal():
+        return _magnitude(event_id) > _magnitude(last_id)
+    return event_id not in ("", last_id)
 
 
-def _has_field(events: bytes, name: bytes) -> bool:
-    return events.startswith(name) or b"\n" + name in events
+def _magnitude(number: str) -> tuple[int, str]:
+    """Returns a key that orders decimal numbers of any length."""
+    digits = number.lstrip("0")
+    return len(digits), digits
--- a/fighitch/gateway/relay.py
+++ b/fighitch/gateway/relay.py
@@ -105,8 +105,8 @@
         # Engines that declined because the request would miss its latency target there,
         # with the estimated time of its first event.
         self._declined: dict[str, Seconds] = {}
-        self._event_buffer = EventBuffer()
-        self._resume_after = metadata.resume_after if route.resumable else ""
+        resume_after = metadata.resume_after if route.resumable else ""
+        self._event_buffer = EventBuffer(resume_after)
         self._head: ResponseHead | None = None
         self._buffered_body = bytearray()
         # Head that the caller has; of an earlier attempt once a stream is continued.
@@ -283,6 +283,7 @@
         self._head = None
         self._is_stream = False
         self._buffered_body.clear()
+        self._event_buffer.start_run()
         if self._placement_time is None:
             self._placement_time = now - self._request.received_at
             self._entry.metrics.observe_placement(self._placement_time)
@@ -294,7 +295,7 @@
             time_left=time_left,
             instance_id=server.instance_id,
             priority=priority,
-            resume_after=self._resume_after,
+            resume_after=self._event_buffer.last_id,
         )
         self._exchange_number += 1
         self._in_flight = True
@@ -348,6 +349,8 @@
         if self._sent_head and not self._is_event_stream(self._sent_head):
             # The caller has a part of the first attempt's body.
             return False
+        if not self._event_buffer.can_resume:
+            return False
         return (
             self._route.repeatable
             and self._previous_runs + 1 < self._route.max_attempts
@@ -358,9 +361,6 @@
         self._may_have_run = True
         self._previous_runs += 1
         self._avoid_current()
-        self._event_buffer.drop_partial_event()
-        if self._event_buffer.last_id:
-            self._resume_after = self._event_buffer.last_id
         self._admission_requests = 0
         self.place()
 
@@ -390,7 +390,12 @@
     def on_body(self, data: bytes) -> None:
         """Handles a chunk of the response body."""
         if self._is_stream:
-            self._on_events(self._event_buffer.feed(data))
+            events = self._event_buffer.feed(data)
+            if self._event_buffer.is_out_of_order:
+                kind = ExchangeFailureKind.BAD_ANSWER
+                self.on_failure(ExchangeFailure(kind, sent=True))
+            else:
+                self._on_events(events)
             return
         self._buffered_body += data
         if len(self._buffered_body) <= _MAX_BUFFERED_BYTES:
@@ -441,7 +446,7 @@
         if self._event_buffer.has_partial_event:
             return False
         # A resumed stream may have no further event.
-        return self._begun_at is not None or bool(self._resume_after)
+        return self._begun_at is not None or bool(self._event_buffer.last_id)
 
     def _finish_response(self, head: ResponseHead) -> None:
         caller = self._caller
--- a/fighitch/tests/test_gateway_decisions.py
+++ b/fighitch/tests/test_gateway_decisions.py
@@ -270,10 +270,70 @@
     def test_partial_event_is_dropped_before_another_server_continues(self):
         events = EventBuffer()
         events.feed(b"id: 1\ndata: a\n\nid: 2\nda")
-        events.drop_partial_event()
+        events.start_run()
         self.assertEqual(events.feed(b"id: 2\ndata: b\n\n"), b"id: 2\ndata: b\n\n")
 
 
+class EventOrderTests(unittest.TestCase):
+    def continue_after(self, last: bytes, *events: bytes) -> bytes:
+        """Returns what a second run adds to a stream with one event."""
+        buffer = EventBuffer()
+        buffer.feed(b"id: %s\ndata: a\n\n" % last)
+        buffer.start_run()
+        added = b"".join(buffer.feed(event + b"\n\n") for event in events)
+        self.assertEqual(buffer.is_out_of_order, not added)
+        return added
+
+    def test_increasing_ids_continue_a_stream(self):
+        for last, following in (
+            (b"2", b"3"),
+            (b"9", b"10"),
+            (b"2", b"7"),
+            (b"a", b"b"),
+        ):
+            event = b"id:%s\ndata: b" % following
+            self.assertEqual(self.continue_after(last, event), event + b"\n\n")
+
+    def test_other_ids_do_not_continue_a_stream(self):
+        for last, following in (
+            (b"2", b"1"),
+            (b"2", b"2"),
+            (b"2", b"02"),
+            (b"10", b"9"),
+            (b"a b", b" a b "),
+            (b"2", b""),
+        ):
+            event = b"id: %s\ndata: b" % following
+            self.assertEqual(self.continue_after(last, event), b"", following)
+
+    def test_later_events_of_a_wrong_run_are_dropped(self):
+        events = [b"id: %d\ndata: b" % number for number in range(1, 5)]
+        self.assertEqual(self.continue_after(b"2", *events), b"")
+
+    def test_wrong_run_does_not_change_the_last_id(self):
+        buffer = EventBuffer("2")
+        buffer.start_run()
+        buffer.feed(b"id: 1\ndata: a\n\n")
+        self.assertEqual(buffer.last_id, "2")
+        self.assertTrue(buffer.can_resume)
+        buffer.start_run()
+        event = b"id: 3\ndata: a\n\n"
+        self.assertEqual(buffer.feed(event), event)
+
+    def test_version_before_the_id_of_an_event(self):
+        event = b"weight-versions: 7\nid: 3\ndata: id: 1"
+        self.assertEqual(self.continue_after(b"2", event), event + b"\n\n")
+
+    def test_stream_resumes_only_after_an_event_with_an_id(self):
+        buffer = EventBuffer()
+        self.assertTrue(buffer.can_resume)
+        buffer.feed(b"id: 1\ndata: a\n\ndata: b\n\n")
+        self.assertFalse(buffer.can_resume)
+        buffer.feed(b": comment\n\nid: 2\ndata: c\n\n: comment\n\n")
+        self.assertTrue(buffer.can_resume)
+        self.assertEqual(buffer.last_id, "2")
+
+
 class StreamFormatTests(unittest.TestCase):
     def test_response_that_can_continue_a_stream(self):
         events = StreamFormat(200, "text/event-stream")
--- a/fighitch/tests/test_stream_continuations.py
+++ b/fighitch/tests/test_stream_continuations.py
@@ -187,5 +187,84 @@
         self.assertEqual(self.received, b"no run")
 
 
+class EventOrderTests(ContinuationTestCase):
+    """The next server does not continue after the last event."""
+
+    def test_stream_that_starts_again(self):
+        # A server that ignores Last-Event-Id. Events came twice.
+        self.continue_with(stream(*EVENTS))
+        self.assert_broken_off(self.begun)
+
+    def test_last_event_comes_again(self):
+        self.continue_with(stream(*EVENTS[1:]))
+        self.assert_broken_off(self.begun)
+
+    def test_event_without_an_id(self):
+        self.continue_with(stream(b"data: error\n\n", *EVENTS[2:]))
+        self.assert_broken_off(self.begun)
+
+    def test_text_that_is_no_event(self):
+        self.continue_with(stream(b"not found\n\n"))
+        self.assert_broken_off(self.begun)
+
+    def test_comments_before_the_continuation(self):
+        comment = b": waiting\n\n"
+        self.continue_with(stream(comment, *EVENTS[2:]))
+        self.assert_complete(self.begun + comment + b"".join(EVENTS[2:]))
+
+    def test_comment_and_wrong_event_in_one_read(self):
+        self.continue_with(stream(b": waiting\n\n" + EVENTS[0]))
+        self.assert_broken_off(self.begun)
+
+    def test_continuation_after_a_stream_that_started_again(self):
+        # The id of the foreign event must not become the place to continue at.
+        self.serve(
+            ScriptedServer(BROKEN_OFF),
+            ScriptedServer(stream(*EVENTS)),
+            ScriptedServer(stream(*EVENTS[2:])),
+        )
+        self.run_relay(self.resumable(max_attempts=3))
+        self.assert_complete(b"".join(EVENTS))
+        self.assertEqual(self.resumed_after(), [b"2", b"2"])
+
+    def test_stream_without_ids_is_not_continued(self):
+        # Another run would send the first events again.
+        body = chunk(b"data: a\n\n") + chunk(b"data: b")
+        self.serve(ScriptedServer(CHUNKED + body), ScriptedServer(stream(*EVENTS)))
+        self.run_relay(self.resumable())
+        self.assert_broken_off(b"data: a\n\n")
+        self.entry.pool.acquire.assert_called_once()
+
+
+class CallerResumesTests(ContinuationTestCase):
+    """The caller itself asks for the events after the last one that it has."""
+
+    def resume(self, *servers: ScriptedServer) -> None:
+        self.serve(*servers)
+        headers = [(b"Last-Event-Id", b"2")]
+        self.run_relay(self.relay(resumable=True, headers=headers))
+
+    def test_stream_is_continued(self):
+        self.resume(ScriptedServer(stream(*EVENTS[2:])))
+        self.assert_complete(b"".join(EVENTS[2:]))
+        self.assertEqual(self.resumed_after(), [b"2"])
+
+    def test_second_server_continues_a_stream_that_starts_again(self):
+        self.resume(
+            ScriptedServer(stream(*EVENTS)), ScriptedServer(stream(*EVENTS[2:]))
+        )
+        self.assert_complete(b"".join(EVENTS[2:]))
+
+    def test_error_is_returned(self):
+        self.resume(ScriptedServer(response(b"404 Not Found", SIGNED, body=b"no run")))
+        self.assertEqual(self.caller.send_head.call_args.args[0], 404)
+        self.assertEqual(self.received, b"no run")
+
+    def test_last_event_id_on_a_route_without_resumption_is_ignored(self):
+        self.serve(ScriptedServer(stream(*EVENTS)))
+        self.run_relay(self.relay(headers=[(b"Last-Event-Id", b"2")]))
+        self.assert_complete(b"".join(EVENTS))
+
+
 if __name__ == "__main__":
     unittest.main()
