Break off streams that end inside a large event

Callers could get a part of an event above 1 MiB joined with events of another run, or such a stream ended as if it were complete.

Cause: a large event is forwarded in parts, and after each part nothing counted as pending: a resumable stream was continued after the id of the event that the caller had in part only, and the end of the response was taken for the end of the stream. A separator across two parts was missed.

Change: the buffer knows that it is inside an event that was returned in part. Such a stream is not complete, and it is continued only after a later event that was returned as a whole. Parts count as progress for the time limits, also those without a field name.

The scripted server of the tests ends at once if nothing connects to it.

--- a/fighitch/core/gateway/event_stream.py
+++ b/fighitch/core/gateway/event_stream.py
@@ -1,8 +1,7 @@
 """Splits an event stream into complete events and checks their order."""
 
 _SEPARATOR = b"\n\n"
-# A larger event is forwarded in parts; a stream that breaks within it can't be resumed
-# anyway.
+# A larger event is forwarded in parts.
 _MAX_EVENT_BYTES = 1_048_576
 
 
@@ -26,6 +25,8 @@
         self._can_resume = True
         self._is_out_of_order = False
         self._awaits_continuation = bool(resume_after)
+        # Whether the latest event was returned in part only.
+        self._is_inside_event = False
 
     @property
     def has_new_event(self) -> bool:
@@ -39,8 +40,8 @@
 
     @property
     def has_partial_event(self) -> bool:
-        """Whether a partial event is buffered."""
-        return bool(self._partial)
+        """Whether the received bytes end inside an event."""
+        return bool(self._partial) or self._is_inside_event
 
     @property
     def can_resume(self) -> bool:
@@ -70,14 +71,25 @@
         if end < 0 and len(data) <= _MAX_EVENT_BYTES:
             self._partial = data
             return b""
-        end = len(data) if end < 0 else end + len(_SEPARATOR)
+        is_cut = end < 0
+        # The first byte of a separator may be at the end of a part.
+        end = len(data) - 1 if is_cut else end + len(_SEPARATOR)
         self._partial = data[end:]
         events = data[:end]
-        return events if self._accept(events) else b""
+        return events if self._accept(events, is_cut=is_cut) else b""
 
-    def _accept(self, events: bytes) -> bool:
-        """Records events; returns whether they follow the last one."""
-        blocks = [block for block in events.split(_SEPARATOR) if block]
+    def _accept(self, events: bytes, *, is_cut: bool) -> bool:
+        """Records events; returns whether they follow the last one.
+
+        Args:
+            events: Whole events, or a part of one.
+            is_cut: Whether the last event continues after these bytes.
+        """
+        blocks = events.split(_SEPARATOR)
+        if self._is_inside_event:
+            self._has_new_event = True
+            del blocks[0]
+        blocks = [block for block in blocks if block]
         if self._awaits_continuation:
             self._check_order(blocks)
         if self._is_out_of_order:
@@ -88,6 +100,9 @@
             # Another run would send an event without an id again.
             self._can_resume = bool(ids[-1])
             self._last_id = next(filter(None, reversed(ids)), self._last_id)
+        self._is_inside_event = is_cut
+        if is_cut:
+            self._can_resume = False
         return True
 
     def _check_order(self, blocks: list[bytes]) -> None:
--- a/fighitch/tests/test_gateway_decisions.py
+++ b/fighitch/tests/test_gateway_decisions.py
@@ -1,5 +1,7 @@
 import unittest
+from unittest import mock
 
+from fighitch.core.gateway import event_stream
 from fighitch.core.gateway.backend_choice import (
     Candidate,
     EngineRanker,
@@ -363,6 +365,40 @@
         self.assertEqual(found, StreamFormat(200, "text/event-stream"))
 
 
+class LargeEventTests(unittest.TestCase):
+    def setUp(self):
+        patch = mock.patch.object(event_stream, "_MAX_EVENT_BYTES", 40)
+        patch.start()
+        self.addCleanup(patch.stop)
+        self.buffer = EventBuffer()
+
+    def feed(self, data: bytes, size: int) -> bytes:
+        parts = [data[start : start + size] for start in range(0, len(data), size)]
+        return b"".join(self.buffer.feed(part) for part in parts)
+
+    def test_large_event_is_returned_whole(self):
+        event = b"id: 1\ndata: " + b"x" * 100 + b"\n\n"
+        for size in range(1, len(event) + 1):
+            with self.subTest(size=size):
+                self.assertEqual(self.feed(event, size), event)
+                self.assertFalse(self.buffer.has_partial_event)
+
+    def test_stream_does_not_resume_inside_or_right_after_a_large_event(self):
+        self.feed(b"id: 1\ndata: a\n\nid: 2\ndata: " + b"x" * 100, 10)
+        self.assertFalse(self.buffer.can_resume)
+        self.assertTrue(self.buffer.has_partial_event)
+        self.buffer.feed(b"x\nid: 9\n\n")
+        self.assertFalse(self.buffer.can_resume)
+        self.assertFalse(self.buffer.has_partial_event)
+        self.buffer.feed(b"id: 3\ndata: a\n\n")
+        self.assertTrue(self.buffer.can_resume)
+
+    def test_parts_of_a_large_event_are_progress(self):
+        self.feed(b"id: 1\ndata: " + b"x" * 100, 10)
+        self.buffer.feed(b"x" * 100)
+        self.assertTrue(self.buffer.has_new_event)
+
+
 class FailureResponseTests(unittest.TestCase):
     def test_request_that_may_have_run_is_not_reported_as_not_run(self):
         # Status 503 guarantees that the request has not run.
--- a/fighitch/tests/test_http_exchange.py
+++ b/fighitch/tests/test_http_exchange.py
@@ -52,7 +52,11 @@
         self._thread.start()
 
     def _serve(self):
-        sock, _ = self._listener.accept()
+        try:
+            sock, _ = self._listener.accept()
+        except OSError:
+            # No connection was made until the end of the test.
+            return
         with sock:
             for response in self._responses:
                 data = sock.recv(65_536)
@@ -66,6 +70,8 @@
                 )
 
     def close(self):
+        # Ends a pending accept, unlike close.
+        self._listener.shutdown(socket.SHUT_RDWR)
         self._listener.close()
         self._thread.join(5)
 
--- a/fighitch/tests/test_stream_continuations.py
+++ b/fighitch/tests/test_stream_continuations.py
@@ -266,5 +266,35 @@
         self.assert_complete(b"".join(EVENTS))
 
 
+class LargeEventTests(ContinuationTestCase):
+    """An event above the limit of the buffer is forwarded in parts."""
+
+    def test_stream_that_breaks_inside_a_large_event_is_not_continued(self):
+        # The second run's events were joined to the part of the event.
+        part = b"id: 2\ndata: " + b"x" * 1_100_000
+        self.serve(
+            ScriptedServer(CHUNKED + chunk(EVENTS[0]) + chunk(part)),
+            ScriptedServer(stream(*EVENTS[2:])),
+        )
+        self.run_relay(self.resumable())
+        self.assertTrue(self.outcome.startswith("broken_off"), self.outcome)
+        self.entry.pool.acquire.assert_called_once()
+        self.assertTrue((EVENTS[0] + part).startswith(self.received))
+        self.caller.finish.assert_not_called()
+
+    def test_stream_that_ends_inside_a_large_event_is_broken_off(self):
+        part = b"id: 2\ndata: " + b"x" * 1_100_000
+        self.serve(ScriptedServer(stream(EVENTS[0], part)))
+        self.run_relay(self.relay())
+        self.assertTrue(self.outcome.startswith("broken_off"), self.outcome)
+        self.caller.finish.assert_not_called()
+
+    def test_large_event_is_forwarded_whole(self):
+        event = b"id: 2\ndata: " + b"x" * 1_100_000 + b"\n\n"
+        self.serve(ScriptedServer(stream(EVENTS[0], event, EVENTS[2])))
+        self.run_relay(self.resumable())
+        self.assert_complete(EVENTS[0] + event + EVENTS[2])
+
+
 if __name__ == "__main__":
     unittest.main()
