Require a stated end of a stream that is continued without a further event

Callers could get a stream that ended as if it were complete before its last event: the server that should have continued it crashed after its head, and its connection without length or chunks ended like that of a complete response. The same happened when the first server had already begun a further event and the next one sent an empty stream, and when only comments had come.

Cause: a continued stream counted as complete without any further event, however its response ended, and comments counted as events.

Change: without a further event, a stream is complete only if the response states its end by a length or by chunks and no earlier run had begun another event. Otherwise the attempt fails. The same holds for callers that resume a stream themselves; they get 502.

Before the change 6 tests failed, for example: test_connection_that_ends_after_the_head: AssertionError: False is not true : 200 test_connection_of_a_resuming_caller_that_ends_after_the_head: AssertionError: 200 != 502

test_resumed_stream_without_further_events_is_complete asserted the fault: its first server had begun another event, and the end of the second one can't be told from a crash. It is replaced by a test that such a stream is broken off, and one that a stream with a stated end is complete.

--- a/fighitch/core/gateway/event_stream.py
+++ b/fighitch/core/gateway/event_stream.py
@@ -27,6 +27,9 @@
         self._awaits_continuation = bool(resume_after)
         # Whether the latest event was returned in part only.
         self._is_inside_event = False
+        self._run_has_event = False
+        # Whether an earlier run had begun an event that the caller does not have.
+        self._has_lost_event = False
 
     @property
     def has_new_event(self) -> bool:
@@ -55,10 +58,28 @@
 
     def start_run(self) -> None:
         """Starts another run; the remainder of a partial event will not arrive."""
+        is_in_order = not (self._awaits_continuation or self._is_out_of_order)
+        if is_in_order and not _is_comment(self._partial):
+            self._has_lost_event = True
         self._partial = b""
+        self._run_has_event = False
         self._is_out_of_order = False
         self._awaits_continuation = bool(self._last_id)
 
+    def may_end(self, *, is_framed: bool) -> bool:
+        """Returns whether a stream can be complete if its current run ends here.
+
+        Args:
+            is_framed: Whether the end differs from that of a crashed server's
+                connection.
+        """
+        if self.has_partial_event:
+            return False
+        if self._run_has_event:
+            return True
+        # Only a run that continues a stream may have no further event.
+        return is_framed and bool(self._last_id) and not self._has_lost_event
+
     def feed(self, data: bytes) -> bytes:
         """Adds received bytes of the current run and returns all complete events.
 
@@ -96,7 +117,8 @@
             return False
         ids = [_event_id(block) for block in blocks if _is_event(block)]
         if ids:
-            self._has_new_event = True
+            self._has_new_event = self._run_has_event = True
+            self._has_lost_event = False
             # Another run would send an event without an id again.
             self._can_resume = bool(ids[-1])
             self._last_id = next(filter(None, reversed(ids)), self._last_id)
@@ -123,7 +145,8 @@
 
 
 def _is_comment(block: bytes) -> bool:
-    return all(line.startswith((b":", b"retry:")) for line in block.splitlines())
+    lines = filter(None, block.splitlines())
+    return all(line.startswith((b":", b"retry:")) for line in lines)
 
 
 def _event_id(block: bytes) -> str:
--- a/fighitch/gateway/relay.py
+++ b/fighitch/gateway/relay.py
@@ -420,7 +420,10 @@
         if was_not_run(head):
             self._on_rejected(head)
             return
-        if not is_genuine(head) or (self._is_stream and not self._ends_after_event()):
+        is_cut = self._is_stream and not self._event_buffer.may_end(
+            is_framed=head.is_framed
+        )
+        if is_cut or not is_genuine(head):
             self.on_failure(ExchangeFailure(ExchangeFailureKind.BAD_ANSWER, sent=True))
             return
         if head.status >= _SERVER_ERROR:
@@ -441,13 +444,6 @@
             return
         self._fail(FailureKind.SERVER_LOST)
 
-    def _ends_after_event(self) -> bool:
-        """Returns whether a stream that has ended can be complete."""
-        if self._event_buffer.has_partial_event:
-            return False
-        # A resumed stream may have no further event.
-        return self._begun_at is not None or bool(self._event_buffer.last_id)
-
     def _finish_response(self, head: ResponseHead) -> None:
         caller = self._caller
         if caller is None:
--- a/fighitch/runtime/http_exchange.py
+++ b/fighitch/runtime/http_exchange.py
@@ -71,6 +71,14 @@
                 return value
         return None
 
+    @property
+    def is_framed(self) -> bool:
+        """Whether the body has a length or chunks, or else ends with its connection."""
+        return (
+            self.get(b"content-length") is not None
+            or self.get(b"transfer-encoding") is not None
+        )
+
 
 class ResponseHandler(Protocol):
     """Handles the response of an exchange."""
@@ -386,10 +394,8 @@
         self._has_expected = True
         self._should_keep_alive = self._parser.should_keep_alive()
         self.keep_alive = _keep_alive_time(head)
-        has_length = head.get(b"content-length") is not None
-        is_chunked = head.get(b"transfer-encoding") is not None
         has_body = status not in (_NO_CONTENT, _NOT_MODIFIED)
-        self._body_ends_at_close = has_body and not has_length and not is_chunked
+        self._body_ends_at_close = has_body and not head.is_framed
         if self._body_ends_at_close:
             self._should_keep_alive = False
         self._response_handler.on_head(head)
--- a/fighitch/tests/test_gateway_decisions.py
+++ b/fighitch/tests/test_gateway_decisions.py
@@ -365,6 +365,46 @@
         self.assertEqual(found, StreamFormat(200, "text/event-stream"))
 
 
+class EndOfStreamTests(unittest.TestCase):
+    def may_end(self, *runs: bytes, is_framed: bool, resume_after: str = "") -> bool:
+        buffer = EventBuffer(resume_after)
+        for run in runs:
+            buffer.start_run()
+            buffer.feed(run)
+        return buffer.may_end(is_framed=is_framed)
+
+    def test_end_after_an_event(self):
+        for is_framed in (False, True):
+            self.assertTrue(self.may_end(b"id: 1\n\n", is_framed=is_framed))
+            self.assertFalse(self.may_end(b"id: 1\n\ni", is_framed=is_framed))
+            self.assertFalse(self.may_end(b": comment\n\n", is_framed=is_framed))
+            self.assertFalse(self.may_end(b"", is_framed=is_framed))
+
+    def test_end_without_a_further_event_must_be_stated(self):
+        for added in (b"", b": comment\n\n"):
+            runs = (b"id: 1\n\n", added)
+            self.assertTrue(self.may_end(*runs, is_framed=True))
+            self.assertFalse(self.may_end(*runs, is_framed=False))
+            self.assertTrue(self.may_end(added, is_framed=True, resume_after="1"))
+            self.assertFalse(self.may_end(added, is_framed=False, resume_after="1"))
+
+    def test_stream_with_a_lost_event_has_a_further_event(self):
+        runs = (b"id: 1\n\nid", b"", b": comment\n\n")
+        self.assertFalse(self.may_end(*runs, is_framed=True))
+        self.assertTrue(self.may_end(*runs, b"id: 2\n\n", is_framed=True))
+        runs = (b"id: 1\n\nid", b"id: 2\n\n", b"")
+        self.assertTrue(self.may_end(*runs, is_framed=True))
+
+    def test_partial_comment_is_no_lost_event(self):
+        runs = (b"id: 1\n\n: comm", b"")
+        self.assertTrue(self.may_end(*runs, is_framed=True))
+
+    def test_partial_event_of_a_wrong_run_is_no_lost_event(self):
+        for wrong_run in (b"id", b"id: 1\n\nid"):
+            runs = (b"id: 1\n\n", wrong_run, b"")
+            self.assertTrue(self.may_end(*runs, is_framed=True))
+
+
 class LargeEventTests(unittest.TestCase):
     def setUp(self):
         patch = mock.patch.object(event_stream, "_MAX_EVENT_BYTES", 40)
--- a/fighitch/tests/test_stream_continuations.py
+++ b/fighitch/tests/test_stream_continuations.py
@@ -8,6 +8,7 @@
     CHUNKED,
     EVENTS,
     LAST_CHUNK,
+    UNFRAMED,
     UnframedTestCase,
     chunk,
 )
@@ -296,5 +297,71 @@
         self.assert_complete(EVENTS[0] + event + EVENTS[2])
 
 
+class EndOfContinuationTests(ContinuationTestCase):
+    """The next server ends the stream without a further event."""
+
+    unbroken = CHUNKED + chunk(EVENTS[0]) + chunk(EVENTS[1])
+
+    def run_with(self, first: bytes, second: bytes) -> None:
+        self.serve(ScriptedServer(first), ScriptedServer(second))
+        self.run_relay(self.resumable())
+
+    def test_connection_that_ends_after_the_head(self):
+        # The second server crashed. Its stream was taken for a complete one.
+        self.run_with(self.unbroken, UNFRAMED)
+        self.assert_broken_off(self.begun)
+
+    def test_connection_that_ends_after_a_comment(self):
+        self.run_with(self.unbroken, UNFRAMED + b": waiting\n\n")
+        self.assertTrue(self.outcome.startswith("broken_off"), self.outcome)
+        self.caller.finish.assert_not_called()
+
+    def test_last_chunk_after_an_event_that_had_begun(self):
+        # The first server had begun a third event, so that the stream is longer.
+        self.run_with(BROKEN_OFF, stream())
+        self.assert_broken_off(self.begun)
+
+    def test_last_chunk_after_whole_events(self):
+        self.run_with(self.unbroken, stream())
+        self.assert_complete(self.begun)
+
+    def test_length_of_zero_after_whole_events(self):
+        self.run_with(self.unbroken, response(b"200 OK", SIGNED))
+        self.assert_complete(self.begun)
+
+    def test_last_chunk_after_a_comment_that_had_begun(self):
+        self.run_with(self.unbroken + chunk(b": wai"), stream())
+        self.assert_complete(self.begun)
+
+    def test_continuation_that_ends_inside_an_event(self):
+        self.run_with(self.unbroken, stream(EVENTS[2], EVENTS[3][:-1]))
+        self.assert_broken_off(self.begun + EVENTS[2])
+
+    def test_continuation_with_a_length_that_ends_inside_an_event(self):
+        answer = response(b"200 OK", SIGNED, body=EVENTS[2] + EVENTS[3][:-3])
+        self.run_with(self.unbroken, answer)
+        self.assert_broken_off(self.begun + EVENTS[2])
+
+    def test_comments_only(self):
+        # Nothing of the stream had come when its connection ended.
+        self.serve(ScriptedServer(UNFRAMED + b": waiting\n\n"))
+        self.run_relay(self.relay())
+        self.assert_broken_off(b": waiting\n\n")
+
+    def resume_by_caller(self, answer: bytes) -> None:
+        """Sends a request for the events after the last one that the caller has."""
+        self.serve(ScriptedServer(answer))
+        headers = [(b"Last-Event-Id", b"4")]
+        self.run_relay(self.relay(resumable=True, max_attempts=1, headers=headers))
+
+    def test_caller_that_has_all_events(self):
+        self.resume_by_caller(stream())
+        self.assert_complete(b"")
+
+    def test_connection_of_a_resuming_caller_that_ends_after_the_head(self):
+        self.resume_by_caller(UNFRAMED)
+        self.assertEqual(self.caller.send_head.call_args.args[0], 502)
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/fighitch/tests/test_unframed_responses.py
+++ b/fighitch/tests/test_unframed_responses.py
@@ -120,12 +120,21 @@
         self.assertEqual(self.caller.send_head.call_args.args[0], 502)
         self.assertNotEqual(self.outcome, "200")
 
-    def test_resumed_stream_without_further_events_is_complete(self):
+    def test_resumed_stream_without_further_events_is_broken_off(self):
+        # The first server had begun another event, and the second one may have crashed.
         self.serve(
             ScriptedServer(UNFRAMED + b"".join(EVENTS) + b"id"),
             ScriptedServer(UNFRAMED),
         )
         self.run_relay(self.relay(resumable=True))
+        self.assert_broken_off(b"".join(EVENTS))
+
+    def test_resumed_stream_that_states_its_end_is_complete(self):
+        self.serve(
+            ScriptedServer(CHUNKED + b"".join(map(chunk, EVENTS))),
+            ScriptedServer(CHUNKED + LAST_CHUNK),
+        )
+        self.run_relay(self.relay(resumable=True))
         self.assert_complete(b"".join(EVENTS))
 
     def test_lost_stream_counts_as_not_answered(self):
