Do not forward rejections with a large body

Callers could get the body of a rejection (421 or Not-Executed) above 262,144 bytes with the next server's body joined to it, or, since a response is no longer continued by another kind of response, such a body that broke off.

Cause: the head of a response whose body exceeds the buffer was forwarded without regard to a rejection, which was followed by the next server after its end.

Change: a rejection is handled as such as soon as its body exceeds the buffer; the request counts as not run there and goes to the next server.

--- a/fighitch/gateway/relay.py
+++ b/fighitch/gateway/relay.py
@@ -400,6 +400,9 @@
         self._buffered_body += data
         if len(self._buffered_body) <= _MAX_BUFFERED_BYTES:
             return
+        if self._head is not None and was_not_run(self._head):
+            self._on_rejected(self._head)
+            return
         if not self._may_forward():
             # A response that is not forwarded is buffered as a whole.
             failure = ExchangeFailure(
@@ -522,10 +525,10 @@
                 self._cancel_stream_timers()
 
     def _may_forward(self) -> bool:
-        if self._is_continuation:
-            return False
         head = self._head
-        return head is not None and head.status < _SERVER_ERROR and is_genuine(head)
+        if head is None or self._is_continuation or was_not_run(head):
+            return False
+        return head.status < _SERVER_ERROR and is_genuine(head)
 
     def _on_server_error(self, head: ResponseHead) -> None:
         self._end_exchange(failed=True, outcome=f"status_{head.status}")
--- a/fighitch/tests/test_stream_continuations.py
+++ b/fighitch/tests/test_stream_continuations.py
@@ -2,6 +2,7 @@
 
 import unittest
 
+from fighitch.core.gateway.model import WorkKind
 from fighitch.gateway.relay import Relay
 from fighitch.tests.test_http_exchange import ScriptedServer
 from fighitch.tests.test_unframed_responses import (
@@ -62,6 +63,29 @@
         self.assertEqual(self.entry.pool.acquire.call_count, 2)
 
 
+class LargeRejectionTests(ContinuationTestCase):
+    """A rejection with a body above the limit of the buffer."""
+
+    def test_next_response_is_not_joined_to_a_rejection(self):
+        # The rejection was forwarded, and the next server's body was sent behind it.
+        for status in (b"421 Misdirected", b"200 OK"):
+            with self.subTest(status=status):
+                self.setUp()
+                lines = (SIGNED, b"Not-Executed: 1")
+                rejection = response(status, *lines, body=LARGE_BODY)
+                answer = response(b"200 OK", SIGNED, body=b"body")
+                self.serve(ScriptedServer(rejection), ScriptedServer(answer))
+                self.run_relay(self.relay(kind=WorkKind.IDEMPOTENT))
+                self.assert_complete(b"body")
+                self.caller.send_head.assert_called_once()
+
+    def test_large_rejections_are_no_runs(self):
+        rejection = response(b"421 Misdirected", body=LARGE_BODY)
+        self.serve(*(ScriptedServer(rejection) for _ in range(4)))
+        self.run_relay(self.relay(kind=WorkKind.NON_IDEMPOTENT))
+        self.assertEqual(self.caller.send_head.call_args.args[0], 503)
+
+
 class ErrorAsContinuationTests(ContinuationTestCase):
     """The next server answers with an error, or with another kind of body.
 
