Recognise events whose lines end with CRLF

Callers got nothing of an event stream with CRLF line ends until its end, and then 502 (or, on a resumable route, only what a second run sent), although the stream was complete.

Cause: only LF LF counted as the end of an event, so that the whole stream was held back as one partial event.

Change: an event ends with a blank line with either line end. A separator that is split over two reads or two parts of a large event is recognised too.

Before the change both socket tests of LineEndTests failed: test_stream_is_forwarded: ('server_lost', b'{"error":"server_lost"}') != ('200', b'id: 1\r\ndata: 1\r\n...') as did the unit tests with CRLF.

--- a/fighitch/core/gateway/event_stream.py
+++ b/fighitch/core/gateway/event_stream.py
@@ -1,6 +1,8 @@
 """Splits an event stream into complete events and checks their order."""
 
-_SEPARATOR = b"\n\n"
+# Lines end with LF or CRLF, and a blank line ends an event.
+_SEPARATORS = (b"\n\n", b"\n\r\n")
+_MAX_SEPARATOR_BYTES = 3
 # A larger event is forwarded in parts.
 _MAX_EVENT_BYTES = 1_048_576
 
@@ -88,13 +90,13 @@
         """
         self._has_new_event = False
         data = self._partial + data if self._partial else data
-        end = data.rfind(_SEPARATOR)
-        if end < 0 and len(data) <= _MAX_EVENT_BYTES:
+        end = _end_of_events(data)
+        if not end and len(data) <= _MAX_EVENT_BYTES:
             self._partial = data
             return b""
-        is_cut = end < 0
-        # The first byte of a separator may be at the end of a part.
-        end = len(data) - 1 if is_cut else end + len(_SEPARATOR)
+        is_cut = not end
+        # The first bytes of a separator may be at the end of a part.
+        end = end or len(data) - _MAX_SEPARATOR_BYTES + 1
         self._partial = data[end:]
         events = data[:end]
         return events if self._accept(events, is_cut=is_cut) else b""
@@ -106,7 +108,7 @@
             events: Whole events, or a part of one.
             is_cut: Whether the last event continues after these bytes.
         """
-        blocks = events.split(_SEPARATOR)
+        blocks = events.replace(b"\r\n", b"\n").split(b"\n\n")
         if self._is_inside_event:
             self._has_new_event = True
             del blocks[0]
@@ -136,6 +138,16 @@
         self._is_out_of_order = not _follows(_event_id(first), self._last_id)
 
 
+def _end_of_events(data: bytes) -> int:
+    """Returns the position after the last complete event; 0 for none."""
+    ends = [
+        position + len(separator)
+        for separator in _SEPARATORS
+        if (position := data.rfind(separator)) >= 0
+    ]
+    return max(ends, default=0)
+
+
 def _is_event(block: bytes) -> bool:
     return _has_field(block, b"data") or _has_field(block, b"id")
 
--- a/fighitch/tests/test_gateway_decisions.py
+++ b/fighitch/tests/test_gateway_decisions.py
@@ -276,6 +276,25 @@
         self.assertEqual(events.feed(b"id: 2\ndata: b\n\n"), b"id: 2\ndata: b\n\n")
 
 
+class LineEndTests(unittest.TestCase):
+    def test_events_are_complete_with_either_line_end(self):
+        for separator in (b"\n\n", b"\r\n\r\n", b"\n\r\n"):
+            stream = b"id: 1" + separator + b"id: 2" + separator
+            for size in range(1, len(stream) + 1):
+                with self.subTest(separator=separator, size=size):
+                    buffer = EventBuffer()
+                    found = buffer.feed(stream[:size]) + buffer.feed(stream[size:])
+                    self.assertEqual(found, stream)
+                    self.assertEqual(buffer.last_id, "2")
+                    self.assertFalse(buffer.has_partial_event)
+
+    def test_one_line_end_does_not_complete_an_event(self):
+        buffer = EventBuffer()
+        self.assertEqual(buffer.feed(b"id: 1\r\ndata: a\r\n"), b"")
+        self.assertEqual(buffer.feed(b"\r"), b"")
+        self.assertTrue(buffer.has_partial_event)
+
+
 class EventOrderTests(unittest.TestCase):
     def continue_after(self, last: bytes, *events: bytes) -> bytes:
         """Returns what a second run adds to a stream with one event."""
@@ -417,11 +436,13 @@
         return b"".join(self.buffer.feed(part) for part in parts)
 
     def test_large_event_is_returned_whole(self):
-        event = b"id: 1\ndata: " + b"x" * 100 + b"\n\n"
-        for size in range(1, len(event) + 1):
-            with self.subTest(size=size):
-                self.assertEqual(self.feed(event, size), event)
-                self.assertFalse(self.buffer.has_partial_event)
+        for line_end in (b"\n", b"\r\n"):
+            lines = (b"id: 1", b"data: " + b"x" * 100, b"", b"")
+            event = line_end.join(lines)
+            for size in range(1, len(event) + 1):
+                with self.subTest(line_end=line_end, size=size):
+                    self.assertEqual(self.feed(event, size), event)
+                    self.assertFalse(self.buffer.has_partial_event)
 
     def test_stream_does_not_resume_inside_or_right_after_a_large_event(self):
         self.feed(b"id: 1\ndata: a\n\nid: 2\ndata: " + b"x" * 100, 10)
--- a/fighitch/tests/test_stream_continuations.py
+++ b/fighitch/tests/test_stream_continuations.py
@@ -291,6 +291,28 @@
         self.assert_complete(b"".join(EVENTS))
 
 
+class LineEndTests(ContinuationTestCase):
+    """Streams whose lines end with CRLF.
+
+    All events were held back until the end of the stream, which was then taken for an
+    end inside an event.
+    """
+
+    events = tuple(event.replace(b"\n", b"\r\n") for event in EVENTS)
+
+    def test_stream_is_forwarded(self):
+        self.serve(ScriptedServer(stream(*self.events)))
+        self.run_relay(self.relay())
+        self.assert_complete(b"".join(self.events))
+
+    def test_stream_is_continued(self):
+        broken_off = CHUNKED + chunk(b"".join(self.events[:2]) + b"id: 3\r\n")
+        self.serve(ScriptedServer(broken_off), ScriptedServer(stream(*EVENTS[2:])))
+        self.run_relay(self.resumable())
+        self.assert_complete(b"".join(self.events[:2]) + b"".join(EVENTS[2:]))
+        self.assertEqual(self.resumed_after(), [b"2"])
+
+
 class LargeEventTests(ContinuationTestCase):
     """An event above the limit of the buffer is forwarded in parts."""
 
