--- a/fighitch/core/gateway/event_stream.py
+++ b/fighitch/core/gateway/event_stream.py
@@ -108,7 +108,9 @@
             events: Whole events, or a part of one.
             is_cut: Whether the last event continues after these bytes.
         """
-        blocks = events.replace(b"\r\n", b"\n").split(b"\n\n")
+        if b"\r" in events:
+            events = events.replace(b"\r\n", b"\n")
+        blocks = events.split(b"\n\n")
         if self._is_inside_event:
             self._has_new_event = True
             del blocks[0]
@@ -123,7 +125,7 @@
             self._has_lost_event = False
             # Another run would send an event without an id again.
             self._can_resume = bool(ids[-1])
-            self._last_id = next(filter(None, reversed(ids)), self._last_id)
+            self._last_id = ids[-1] or next(filter(None, reversed(ids)), self._last_id)
         self._is_inside_event = is_cut
         if is_cut:
             self._can_resume = False
@@ -140,6 +142,8 @@
 
 def _end_of_events(data: bytes) -> int:
     """Returns the position after the last complete event; 0 for none."""
+    if data.endswith(_SEPARATORS):
+        return len(data)
     ends = [
         position + len(separator)
         for separator in _SEPARATORS
