Keep the entry's error out of an event that was cut

Callers of the OpenAI paths could find the entry's error in the middle of an event: a stream that broke off inside an event went on with "event: error", which a client parses as a part of the data before it.

Cause: the error event was sent whatever the stream had ended with.

Ruled out: the text of an engine's error. The response of the call that continues a stream is marked with its status, and the entry fails the request instead of sending it; two tests show it and passed before.

Change: inside an event the stream only ends, without the final chunk.

Before the change test_error_is_not_joined_to_an_event_that_was_cut failed: b'data: 1\n\ndata: 2event: error\ndata: {"error":{"message":"[...]' != b'data: 1\n\ndata: 2'

--- a/fighitch/daemons/callers_app.py
+++ b/fighitch/daemons/callers_app.py
@@ -50,6 +50,7 @@
 MAX_REQUEST_TIMEOUT: Seconds = 3_600.0
 _DISCONNECT_POLL_INTERVAL: Seconds = 0.5
 _MS = 1_000
+_END_OF_EVENT = b"\n\n"
 
 _ROUTES = Map(
     [
@@ -312,6 +313,7 @@
         )
 
     def _iter_chunks(self) -> Iterator[bytes]:
+        last_bytes = _END_OF_EVENT
         try:
             while True:
                 event = self._next_event()
@@ -320,14 +322,17 @@
                         "the caller disconnected or the entry stopped"
                     )
                 if isinstance(event, AnswerData):
+                    last_bytes = (last_bytes + event.data)[-len(_END_OF_EVENT) :]
                     yield event.data
                 elif isinstance(event, AnswerEnded):
                     self._close(ended=event)
                     return
                 elif isinstance(event, AnswerFailed):
                     self._close(failure=event.failure)
-                    body = error_body(event.failure, self._request_id)
-                    yield b"event: error\ndata: " + body + b"\n\n"
+                    # Otherwise the error would become a part of the event that was cut.
+                    if last_bytes == _END_OF_EVENT:
+                        body = error_body(event.failure, self._request_id)
+                        yield b"event: error\ndata: " + body + _END_OF_EVENT
                     raise StreamAbortedError(event.failure.detail)
                 else:
                     # No further event follows; waiting for one would block the thread
--- a/fighitch/tests/test_callers_app.py
+++ b/fighitch/tests/test_callers_app.py
@@ -169,6 +169,30 @@
             response.read()
         self.assertIn(b"event: error", caught.exception.partial)
 
+    def test_error_is_not_joined_to_an_event_that_was_cut(self):
+        """Guards against an error that clients parse as a part of an event."""
+        for parts in ((b"data: 1\n\ndata: 2",), (b"data: 1\n\n", b"data: 2\n")):
+            self.setUp()
+            answer = [
+                AnswerStarted("entry-1.ab.1", 200, "text/event-stream"),
+                *(AnswerData("entry-1.ab.1", part) for part in parts),
+                AnswerFailed("entry-1.ab.1", Failure(ErrorKind.BACKEND_FAILED, "gone")),
+            ]
+            with self.assertRaises(http.client.IncompleteRead) as caught:
+                self.complete(answer, stream=True).read()
+            self.assertEqual(caught.exception.partial, b"".join(parts))
+
+    def test_error_follows_an_event_that_came_in_parts(self):
+        answer = [
+            AnswerStarted("entry-1.ab.1", 200, "text/event-stream"),
+            AnswerData("entry-1.ab.1", b"data: 1\n"),
+            AnswerData("entry-1.ab.1", b"\n"),
+            AnswerFailed("entry-1.ab.1", Failure(ErrorKind.BACKEND_FAILED, "gone")),
+        ]
+        with self.assertRaises(http.client.IncompleteRead) as caught:
+            self.complete(answer, stream=True).read()
+        self.assertIn(b"data: 1\n\nevent: error\ndata: {", caught.exception.partial)
+
     def test_every_error_kind_states_its_run_state(self):
         """Guards against an error response without a run state."""
         for kind in ErrorKind:
--- a/fighitch/tests/test_responses.py
+++ b/fighitch/tests/test_responses.py
@@ -96,6 +96,21 @@
         self.assertEqual(driver.effects_of(AnswerStarted), [])
         self.assertEqual((driver.answer.status, driver.answer.body), (400, b"nope"))
 
+    def test_error_of_the_call_that_continues_a_stream_is_not_sent(self):
+        """Guards against an error's text in the middle of a stream."""
+        driver = SubmittedRequestDriver(streamed=True)
+        chunk, error, end = build_response(driver.submit, b"data: a\n\n", b"no")
+        driver.receive_all(
+            chunk,
+            dataclasses.replace(error, status=500),
+            dataclasses.replace(end, status=500, model=""),
+        )
+        data = [effect.data for effect in driver.effects_of(AnswerData)]
+        self.assertEqual(data, [b"data: a\n\n"])
+        self.assertEqual(driver.effects_of(AnswerEnded), [])
+        self.assertEqual(len(driver.sent(Submit)), 1)
+        self.assertIs(driver.failure.run_state, RunState.RAN)
+
     def test_started_stream_with_a_wrong_digest_fails(self):
         driver = SubmittedRequestDriver(streamed=True)
         chunk, end = build_response(driver.submit, b"a")
--- a/fighitch/tests/test_sidecar.py
+++ b/fighitch/tests/test_sidecar.py
@@ -248,6 +248,24 @@
         )
         self.assertEqual(sidecar.core.pins, 0)
 
+    def test_error_of_the_call_that_continues_a_stream_is_marked(self):
+        """Guards against an error's text that an entry takes for a part of a stream."""
+        sidecar = SidecarDriver()
+        sidecar.submit()
+        sidecar.start()
+        sidecar.data("x")
+        sidecar.fail(sent=True)
+        sidecar.start(model="", status=500)
+        sidecar.data("", data=b"no", tokens=0)
+        sidecar.end()
+        chunks = sidecar.sent(messages.Chunk)
+        self.assertEqual(
+            [(chunk.status, chunk.data) for chunk in chunks],
+            [(200, b"x"), (500, b"no")],
+        )
+        (end,) = sidecar.sent(messages.End)
+        self.assertEqual(end.status, 500)
+
     def test_unsent_call_after_a_sent_one_is_not_reported_as_not_run(self):
         """Guards against reporting "not run" for a request that was partly executed."""
         sidecar = SidecarDriver()
