Take an error event of an engine for a failed call

Callers of the OpenAI paths could get the error of an engine in the middle of their stream, followed by [DONE] and the end of a complete response. A caller without a stream got the text until then as a complete response.

Cause: engines report an error in a stream that has begun as an event with "error" and without choices; the reader took it for an event without text.

Change: such an event fails the call, which is continued by another call within the limit on interruptions, as after a connection that broke.

Before the change test_error_event_is_a_failure failed: [BackendStarted, BackendData, BackendData] instead of [..., BackendFailed].

--- a/fighitch/backends/engine.py
+++ b/fighitch/backends/engine.py
@@ -278,6 +278,10 @@
                 *self._ids, sent=True, detail="cannot decode stream event"
             )
             return
+        if "error" in event and not choices:
+            detail = f"the engine reported an error: {str(event['error'])[:200]}"
+            yield BackendFailed(*self._ids, sent=True, detail=detail)
+            return
         if not self._has_started:
             self._has_started = True
             yield self._started_event()
--- a/fighitch/tests/test_backends.py
+++ b/fighitch/tests/test_backends.py
@@ -133,6 +133,18 @@
         self.assertEqual(data.data, b'{"error": {}}')
         self.assertIsInstance(ended, BackendEnded)
 
+    def test_error_event_is_a_failure(self):
+        """Guards against a response that ends as complete after an engine's error."""
+        error = {"error": {"message": "failed"}, "model": "a@v1"}
+        for streamed in (True, False):
+            _, reader = engine.build_call_transfer(
+                make_call(streamed=streamed), "http://e"
+            )
+            events = read(reader, sse(event("one "), error))
+            kinds = [type(item) for item in events[:3]]
+            self.assertEqual(kinds, [BackendStarted, BackendData, BackendFailed])
+            self.assertIn("failed", events[2].detail)
+
     def test_malformed_events_are_a_failure(self):
         for malformed in (
             b"data: {\n\n",
