--- a/fighitch/gateway/relay.py
+++ b/fighitch/gateway/relay.py
@@ -20,6 +20,7 @@
     is_genuine,
     is_unsigned,
     response_headers,
+    stream_format,
     was_not_run,
 )
 from fighitch.runtime.event_loop import Timer
@@ -97,11 +98,12 @@
         self._may_have_run = False
         self._limit_delay: Seconds | None = None
         self._avoid: set[str] = set()
-        self._event_buffer = EventBuffer()
-        self._resume_after = metadata.resume_after if route.resumable else ""
+        resume_after = metadata.resume_after if route.resumable else ""
+        self._event_buffer = EventBuffer(resume_after)
         self._head: ResponseHead | None = None
         self._buffered_body = bytearray()
-        self._head_sent = False
+        # Head that the caller has; of an earlier attempt once a stream is continued.
+        self._sent_head: ResponseHead | None = None
         self._is_stream = False
         self._late = False
         self._sent_at: Seconds = 0.0
@@ -132,6 +134,15 @@
             waiting_since=self._last_event_at,
         )
 
+    @property
+    def _head_sent(self) -> bool:
+        return self._sent_head is not None
+
+    @property
+    def _is_continuation(self) -> bool:
+        """Whether the caller has the head of an earlier attempt."""
+        return self._head_sent and self._sent_head is not self._head
+
     # Placement.
 
     def place(self) -> None:
@@ -240,7 +251,9 @@
         self._begun_at = None
         self._answered = False
         self._head = None
+        self._is_stream = False
         self._buffered_body.clear()
+        self._event_buffer.start_run()
         if self._placement_time is None:
             self._placement_time = now - self._request.received_at
             self._entry.metrics.observe_placement(self._placement_time)
@@ -252,7 +265,7 @@
             time_left=time_left,
             instance_id=server.instance_id,
             priority=priority,
-            resume_after=self._resume_after,
+            resume_after=self._event_buffer.last_id,
         )
         self._exchange_number += 1
         self._in_flight = True
@@ -330,9 +343,11 @@
         if self._entry.quarantine.is_suspect(self._metadata.shared_parts):
             # Another attempt could crash another engine.
             return False
-        if self._head_sent and not self._is_stream:
+        if self._sent_head and not self._is_event_stream(self._sent_head):
             # The caller has a part of the first attempt's body.
             return False
+        if not self._event_buffer.can_resume:
+            return False
         return (
             self._route.repeatable
             and self._previous_runs + 1 < self._route.max_attempts
@@ -348,9 +363,6 @@
         self._may_have_run = True
         self._previous_runs += 1
         self._avoid_current()
-        self._event_buffer.drop_partial_event()
-        if self._event_buffer.last_id:
-            self._resume_after = self._event_buffer.last_id
 
     def _avoid_current(self) -> None:
         if self._server is not None:
@@ -363,7 +375,13 @@
         self._head = head
         if self._server is not None:
             self._entry.record_head(self._server, head, sent_at=self._sent_at)
-        self._is_stream = (
+        self._is_stream = self._is_event_stream(head) and (
+            self._sent_head is None
+            or stream_format(head).can_continue(stream_format(self._sent_head))
+        )
+
+    def _is_event_stream(self, head: ResponseHead) -> bool:
+        return (
             self._route.kind is WorkKind.STREAMING
             and head.status < _FIRST_NON_SUCCESS
             and is_genuine(head)
@@ -372,11 +390,19 @@
     def on_body(self, data: bytes) -> None:
         """Handles a chunk of the response body."""
         if self._is_stream:
-            self._on_events(self._event_buffer.feed(data))
+            events = self._event_buffer.feed(data)
+            if self._event_buffer.is_out_of_order:
+                kind = ExchangeFailureKind.BAD_ANSWER
+                self.on_failure(ExchangeFailure(kind, sent=True))
+            else:
+                self._on_events(events)
             return
         self._buffered_body += data
         if len(self._buffered_body) <= _MAX_BUFFERED_BYTES:
             return
+        if self._head is not None and was_not_run(self._head):
+            self._on_rejected(self._head)
+            return
         if not self._may_forward():
             # A response that is not forwarded is buffered as a whole.
             failure = ExchangeFailure(
@@ -397,22 +423,29 @@
         if was_not_run(head):
             self._on_rejected(head)
             return
-        if not is_genuine(head) or (self._is_stream and not self._ends_after_event()):
+        is_cut = self._is_stream and not self._event_buffer.may_end(
+            is_framed=head.is_framed
+        )
+        if is_cut or not is_genuine(head):
             self.on_failure(ExchangeFailure(ExchangeFailureKind.BAD_ANSWER, sent=True))
             return
         if head.status >= _SERVER_ERROR:
             self._on_server_error(head)
             return
+        if self._is_continuation and not self._is_stream:
+            self._on_other_response(head)
+            return
         self._record_answered()
         self._end_exchange(failed=False, outcome="answered")
         self._finish_response(head)
 
-    def _ends_after_event(self) -> bool:
-        """Returns whether a stream that has ended can be complete."""
-        if self._event_buffer.has_partial_event:
-            return False
-        # A resumed stream may have no further event.
-        return self._begun_at is not None or bool(self._resume_after)
+    def _on_other_response(self, head: ResponseHead) -> None:
+        """Handles a response that is sound, but does not continue the stream."""
+        self._end_exchange(failed=False, outcome=f"status_{head.status}")
+        if self._may_retry() and self._entry.take_retry(self._service.name):
+            self._retry()
+            return
+        self._fail(FailureKind.SERVER_LOST)
 
     def _finish_response(self, head: ResponseHead) -> None:
         caller = self._caller
@@ -477,7 +510,7 @@
     def _forward_head(self, *, length: int | None) -> None:
         if self._caller is None or self._head is None or self._head_sent:
             return
-        self._head_sent = True
+        self._sent_head = self._head
         self._record_first_byte()
         headers = response_headers(self._head)
         self._caller.send_head(self._head.status, headers, length=length)
@@ -494,7 +527,9 @@
 
     def _may_forward(self) -> bool:
         head = self._head
-        return head is not None and head.status < _SERVER_ERROR and is_genuine(head)
+        if head is None or self._is_continuation or was_not_run(head):
+            return False
+        return head.status < _SERVER_ERROR and is_genuine(head)
 
     def _on_server_error(self, head: ResponseHead) -> None:
         self._end_exchange(failed=True, outcome=f"status_{head.status}")
--- a/fighitch/tests/test_gateway_decisions.py
+++ b/fighitch/tests/test_gateway_decisions.py
@@ -1,5 +1,7 @@
 import unittest
+from unittest import mock
 
+from fighitch.core.gateway import event_stream
 from fighitch.core.gateway.backend_choice import (
     Candidate,
     EngineRanker,
@@ -21,6 +23,9 @@
 from fighitch.core.gateway.outliers import OutlierDetector
 from fighitch.core.gateway.retry_budget import BudgetLimits, RetryBudget
 from fighitch.core.gateway.route_table import RouteTable, choose_service
+from fighitch.core.gateway.stream_format import StreamFormat
+from fighitch.platform.requests import stream_format
+from fighitch.runtime.http_exchange import ResponseHead
 from fighitch.tests.gateway_helpers import A1, MODEL, server
 
 
@@ -267,10 +272,194 @@
     def test_partial_event_is_dropped_before_another_server_continues(self):
         events = EventBuffer()
         events.feed(b"id: 1\ndata: a\n\nid: 2\nda")
-        events.drop_partial_event()
+        events.start_run()
         self.assertEqual(events.feed(b"id: 2\ndata: b\n\n"), b"id: 2\ndata: b\n\n")
 
 
+class LineEndTests(unittest.TestCase):
+    def test_events_are_complete_with_either_line_end(self):
+        for separator in (b"\n\n", b"\r\n\r\n", b"\n\r\n"):
+            stream = b"id: 1" + separator + b"id: 2" + separator
+            for size in range(1, len(stream) + 1):
+                with self.subTest(separator=separator, size=size):
+                    buffer = EventBuffer()
+                    found = buffer.feed(stream[:size]) + buffer.feed(stream[size:])
+                    self.assertEqual(found, stream)
+                    self.assertEqual(buffer.last_id, "2")
+                    self.assertFalse(buffer.has_partial_event)
+
+    def test_one_line_end_does_not_complete_an_event(self):
+        buffer = EventBuffer()
+        self.assertEqual(buffer.feed(b"id: 1\r\ndata: a\r\n"), b"")
+        self.assertEqual(buffer.feed(b"\r"), b"")
+        self.assertTrue(buffer.has_partial_event)
+
+
+class EventOrderTests(unittest.TestCase):
+    def continue_after(self, last: bytes, *events: bytes) -> bytes:
+        """Returns what a second run adds to a stream with one event."""
+        buffer = EventBuffer()
+        buffer.feed(b"id: %s\ndata: a\n\n" % last)
+        buffer.start_run()
+        added = b"".join(buffer.feed(event + b"\n\n") for event in events)
+        self.assertEqual(buffer.is_out_of_order, not added)
+        return added
+
+    def test_increasing_ids_continue_a_stream(self):
+        for last, following in (
+            (b"2", b"3"),
+            (b"9", b"10"),
+            (b"2", b"7"),
+            (b"a", b"b"),
+        ):
+            event = b"id:%s\ndata: b" % following
+            self.assertEqual(self.continue_after(last, event), event + b"\n\n")
+
+    def test_other_ids_do_not_continue_a_stream(self):
+        for last, following in (
+            (b"2", b"1"),
+            (b"2", b"2"),
+            (b"2", b"02"),
+            (b"10", b"9"),
+            (b"a b", b" a b "),
+            (b"2", b""),
+        ):
+            event = b"id: %s\ndata: b" % following
+            self.assertEqual(self.continue_after(last, event), b"", following)
+
+    def test_later_events_of_a_wrong_run_are_dropped(self):
+        events = [b"id: %d\ndata: b" % number for number in range(1, 5)]
+        self.assertEqual(self.continue_after(b"2", *events), b"")
+
+    def test_wrong_run_does_not_change_the_last_id(self):
+        buffer = EventBuffer("2")
+        buffer.start_run()
+        buffer.feed(b"id: 1\ndata: a\n\n")
+        self.assertEqual(buffer.last_id, "2")
+        self.assertTrue(buffer.can_resume)
+        buffer.start_run()
+        event = b"id: 3\ndata: a\n\n"
+        self.assertEqual(buffer.feed(event), event)
+
+    def test_version_before_the_id_of_an_event(self):
+        event = b"weight-versions: 7\nid: 3\ndata: id: 1"
+        self.assertEqual(self.continue_after(b"2", event), event + b"\n\n")
+
+    def test_stream_resumes_only_after_an_event_with_an_id(self):
+        buffer = EventBuffer()
+        self.assertTrue(buffer.can_resume)
+        buffer.feed(b"id: 1\ndata: a\n\ndata: b\n\n")
+        self.assertFalse(buffer.can_resume)
+        buffer.feed(b": comment\n\nid: 2\ndata: c\n\n: comment\n\n")
+        self.assertTrue(buffer.can_resume)
+        self.assertEqual(buffer.last_id, "2")
+
+
+class StreamFormatTests(unittest.TestCase):
+    def test_response_that_can_continue_a_stream(self):
+        events = StreamFormat(200, "text/event-stream")
+        unstated = StreamFormat(200)
+        for response, begun in (
+            (events, events),
+            (events, unstated),
+            (unstated, events),
+            (unstated, unstated),
+        ):
+            self.assertTrue(response.can_continue(begun), (response, begun))
+
+    def test_response_that_cannot_continue_a_stream(self):
+        begun = StreamFormat(200, "text/event-stream")
+        for response in (
+            StreamFormat(204),
+            StreamFormat(404, "text/event-stream"),
+            StreamFormat(200, "application/json"),
+        ):
+            self.assertFalse(response.can_continue(begun), response)
+            unstated = StreamFormat(begun.status)
+            self.assertFalse(response.can_continue(unstated), response)
+
+    def test_media_type_has_no_parameters(self):
+        content_type = (b"Content-Type", b"Text/Event-Stream; charset=utf-8")
+        found = stream_format(ResponseHead(200, [content_type]))
+        self.assertEqual(found, StreamFormat(200, "text/event-stream"))
+
+
+class EndOfStreamTests(unittest.TestCase):
+    def may_end(self, *runs: bytes, is_framed: bool, resume_after: str = "") -> bool:
+        buffer = EventBuffer(resume_after)
+        for run in runs:
+            buffer.start_run()
+            buffer.feed(run)
+        return buffer.may_end(is_framed=is_framed)
+
+    def test_end_after_an_event(self):
+        for is_framed in (False, True):
+            self.assertTrue(self.may_end(b"id: 1\n\n", is_framed=is_framed))
+            self.assertFalse(self.may_end(b"id: 1\n\ni", is_framed=is_framed))
+            self.assertFalse(self.may_end(b": comment\n\n", is_framed=is_framed))
+            self.assertFalse(self.may_end(b"", is_framed=is_framed))
+
+    def test_end_without_a_further_event_must_be_stated(self):
+        for added in (b"", b": comment\n\n"):
+            runs = (b"id: 1\n\n", added)
+            self.assertTrue(self.may_end(*runs, is_framed=True))
+            self.assertFalse(self.may_end(*runs, is_framed=False))
+            self.assertTrue(self.may_end(added, is_framed=True, resume_after="1"))
+            self.assertFalse(self.may_end(added, is_framed=False, resume_after="1"))
+
+    def test_stream_with_a_lost_event_has_a_further_event(self):
+        runs = (b"id: 1\n\nid", b"", b": comment\n\n")
+        self.assertFalse(self.may_end(*runs, is_framed=True))
+        self.assertTrue(self.may_end(*runs, b"id: 2\n\n", is_framed=True))
+        runs = (b"id: 1\n\nid", b"id: 2\n\n", b"")
+        self.assertTrue(self.may_end(*runs, is_framed=True))
+
+    def test_partial_comment_is_no_lost_event(self):
+        runs = (b"id: 1\n\n: comm", b"")
+        self.assertTrue(self.may_end(*runs, is_framed=True))
+
+    def test_partial_event_of_a_wrong_run_is_no_lost_event(self):
+        for wrong_run in (b"id", b"id: 1\n\nid"):
+            runs = (b"id: 1\n\n", wrong_run, b"")
+            self.assertTrue(self.may_end(*runs, is_framed=True))
+
+
+class LargeEventTests(unittest.TestCase):
+    def setUp(self):
+        patch = mock.patch.object(event_stream, "_MAX_EVENT_BYTES", 40)
+        patch.start()
+        self.addCleanup(patch.stop)
+        self.buffer = EventBuffer()
+
+    def feed(self, data: bytes, size: int) -> bytes:
+        parts = [data[start : start + size] for start in range(0, len(data), size)]
+        return b"".join(self.buffer.feed(part) for part in parts)
+
+    def test_large_event_is_returned_whole(self):
+        for line_end in (b"\n", b"\r\n"):
+            lines = (b"id: 1", b"data: " + b"x" * 100, b"", b"")
+            event = line_end.join(lines)
+            for size in range(1, len(event) + 1):
+                with self.subTest(line_end=line_end, size=size):
+                    self.assertEqual(self.feed(event, size), event)
+                    self.assertFalse(self.buffer.has_partial_event)
+
+    def test_stream_does_not_resume_inside_or_right_after_a_large_event(self):
+        self.feed(b"id: 1\ndata: a\n\nid: 2\ndata: " + b"x" * 100, 10)
+        self.assertFalse(self.buffer.can_resume)
+        self.assertTrue(self.buffer.has_partial_event)
+        self.buffer.feed(b"x\nid: 9\n\n")
+        self.assertFalse(self.buffer.can_resume)
+        self.assertFalse(self.buffer.has_partial_event)
+        self.buffer.feed(b"id: 3\ndata: a\n\n")
+        self.assertTrue(self.buffer.can_resume)
+
+    def test_parts_of_a_large_event_are_progress(self):
+        self.feed(b"id: 1\ndata: " + b"x" * 100, 10)
+        self.buffer.feed(b"x" * 100)
+        self.assertTrue(self.buffer.has_new_event)
+
+
 class FailureResponseTests(unittest.TestCase):
     def test_request_that_may_have_run_is_not_reported_as_not_run(self):
         # Status 503 guarantees that the request has not run.
--- a/fighitch/tests/test_http_exchange.py
+++ b/fighitch/tests/test_http_exchange.py
@@ -46,16 +46,23 @@
         self._listener = socket.create_server(("127.0.0.1", 0))
         self._responses = responses
         self._reset = reset
+        self.received = b""
         self.port = self._listener.getsockname()[1]
         self._thread = threading.Thread(target=self._serve, daemon=True)
         self._thread.start()
 
     def _serve(self):
-        sock, _ = self._listener.accept()
+        try:
+            sock, _ = self._listener.accept()
+        except OSError:
+            # No connection was made until the end of the test.
+            return
         with sock:
             for response in self._responses:
-                if not sock.recv(65_536):
+                data = sock.recv(65_536)
+                if not data:
                     return
+                self.received += data
                 sock.sendall(response)
             if self._reset:
                 sock.setsockopt(
@@ -63,6 +70,8 @@
                 )
 
     def close(self):
+        # Ends a pending accept, unlike close.
+        self._listener.shutdown(socket.SHUT_RDWR)
         self._listener.close()
         self._thread.join(5)
 
