Follow a list although one of its objects can't be read

What callers saw: after an entry that was nested 1,100 deep, or that held NaN or Infinity, processes no longer followed the kind. Servers that left got requests, and a restarted entry never became ready. An agent with such a holder record never claimed its engine and sent no orders.

Cause: msgspec raises an error for the whole page if it can't skip over one item, RecursionError for deep nesting. The page was requested again for ever. Decoders of single objects let the RecursionError through to the event loop.

Ruled out: Python's json has a recursion limit too and decodes the whole page; a higher recursion limit only moves the depth at which this happens.

Change: if a page can't be decoded, its items are separated by their brackets, and each is decoded alone. An object that can't be decoded keeps its name, revision and content, so that it still replaces or removes the earlier one, the next page begins after it, and its reader logs it by name. Decoders turn RecursionError into msgspec.DecodeError. A list whose next page does not advance ends.

--- a/fighitch/gateway/engine_control.py
+++ b/fighitch/gateway/engine_control.py
@@ -10,6 +10,7 @@
 from fighitch.core.gateway.settings import Address, InstanceSettings
 from fighitch.observability.bounded_log import BoundedLog
 from fighitch.platform import store
+from fighitch.platform.decoding import decode
 from fighitch.platform.engine import (
     ORDER_PATH,
     REPORT_PATH,
@@ -103,7 +104,7 @@
             return
         try:
             stored = store.decode_object(body)
-            record = msgspec.json.decode(stored.content, type=_StoredRecord)
+            record = decode(stored.content, _StoredRecord)
         except msgspec.DecodeError as error:
             self._log.event("holder_record_unreadable", detail=error)
             self._retry_claim(status)
--- a/fighitch/gateway/store_watch.py
+++ b/fighitch/gateway/store_watch.py
@@ -81,6 +81,7 @@
         self._on_contact = on_contact
         self._revision = 0
         self._listed_objects: list[store.StoredObject] = []
+        self._listed_after = ""
         self._first_page_revision = 0
         self._object_revisions: dict[str, int] = {}
         self._retry_delay = _INITIAL_RETRY_DELAY
@@ -115,6 +116,7 @@
         self._client.call(request, on_response, timeout=timeout)
 
     def _list(self, after: str) -> None:
+        self._listed_after = after
         target = store.list_target(self._options.kind, after)
         self._call(target, self._on_list_response, _LIST_TIMEOUT)
 
@@ -126,8 +128,9 @@
         if not self._listed_objects:
             self._first_page_revision = page.revision
         self._listed_objects += page.objects
-        if page.has_more and page.objects:
-            self._list(page.objects[-1].name)
+        last_name = page.objects[-1].name if page.objects else self._listed_after
+        if page.has_more and last_name != self._listed_after:
+            self._list(last_name)
             return
         # Later pages may be newer than the first. A watch from the revision of the
         # first page reports their changes again but misses none.
@@ -195,7 +198,7 @@
             return None
         try:
             page = decode(body)
-        except (msgspec.DecodeError, RecursionError) as error:
+        except msgspec.DecodeError as error:
             self._log.event(
                 "store_answer_unreadable", kind=self._options.kind, detail=error
             )
--- a/fighitch/platform/configuration.py
+++ b/fighitch/platform/configuration.py
@@ -13,6 +13,7 @@
     WeightedService,
     WorkKind,
 )
+from fighitch.platform.decoding import decode
 from fighitch.types import Seconds
 
 CONFIGURATION_KIND = "config"
@@ -97,7 +98,7 @@
     Raises:
         msgspec.DecodeError: If the configuration is not valid.
     """
-    decoded = msgspec.json.decode(spec, type=_Configuration)
+    decoded = decode(spec, _Configuration)
     limits = decoded.limits
     return Configuration(
         version=decoded.version,
@@ -118,7 +119,7 @@
     Raises:
         msgspec.DecodeError: If the announcement is not valid.
     """
-    decoded = msgspec.json.decode(spec, type=_AdapterVersion)
+    decoded = decode(spec, _AdapterVersion)
     return AdapterName(decoded.model, decoded.adapter), decoded.version
 
 
--- a/fighitch/platform/engine.py
+++ b/fighitch/platform/engine.py
@@ -13,6 +13,7 @@
     UnloadAdapter,
 )
 from fighitch.core.gateway.model import AdapterName, BackendServer, ServerState
+from fighitch.platform.decoding import decode
 
 SERVERS_KIND = "servers"
 REPORT_PATH = "/report"
@@ -65,7 +66,7 @@
     Raises:
         msgspec.DecodeError: If the entry does not describe a backend server.
     """
-    decoded = msgspec.json.decode(spec, type=_Heartbeat)
+    decoded = decode(spec, _Heartbeat)
     host, _, port = decoded.address.rpartition(":")
     if not host or not (port.isascii() and port.isdigit()):
         raise msgspec.ValidationError(f"address {decoded.address!r} is not IP:PORT")
@@ -89,7 +90,7 @@
     Raises:
         msgspec.DecodeError: If the body is not a valid report.
     """
-    decoded = msgspec.json.decode(body, type=_Report)
+    decoded = decode(body, _Report)
     time_left_ms = decoded.remaining_ms
     return EngineReport(
         sequence=decoded.seq,
@@ -159,7 +160,7 @@
 def _decode_events(runs: msgspec.Raw) -> dict[str, int]:
     """Returns the events that each running request has produced, if they are stated."""
     try:
-        decoded = msgspec.json.decode(runs, type=list[_Run])
+        decoded = decode(runs, list[_Run])
     except msgspec.DecodeError:
         return {}
     return {run.request_id: run.events for run in decoded}
--- a/fighitch/platform/quarantine.py
+++ b/fighitch/platform/quarantine.py
@@ -5,6 +5,7 @@
 
 from fighitch.core.gateway.crash_evidence import PartGroup
 from fighitch.core.gateway.quarantine import StoredQuarantine
+from fighitch.platform.decoding import decode
 
 # A kind of this project's own. Operators list its objects to see what is quarantined,
 # and delete one to admit its parts again.
@@ -34,7 +35,7 @@
     Raises:
         msgspec.DecodeError: If it is not a quarantine of at least one part.
     """
-    decoded = msgspec.json.decode(content, type=_Quarantine)
+    decoded = decode(content, _Quarantine)
     if not decoded.parts:
         raise msgspec.ValidationError("parts is empty; expected one part or more")
     return StoredQuarantine(frozenset(decoded.parts), decoded.until_ms)
--- a/fighitch/platform/settings.py
+++ b/fighitch/platform/settings.py
@@ -4,6 +4,7 @@
 
 from fighitch.core.gateway.retry_budget import BudgetLimits
 from fighitch.core.gateway.settings import Address, InstanceSettings
+from fighitch.platform.decoding import decode
 
 SETTINGS_VARIABLE = "FIGHITCH_SETTINGS"
 _MS_PER_SECOND = 1_000
@@ -48,7 +49,7 @@
         msgspec.ValidationError: If a value is missing or of another type.
         msgspec.DecodeError: If the content is not valid JSON.
     """
-    decoded = msgspec.json.decode(content, type=_Settings)
+    decoded = decode(content, _Settings)
     store = _parse_address(decoded.platform.address)
     if store is None:
         raise msgspec.ValidationError("Platform.Address is empty; expected IP:PORT")
--- a/fighitch/platform/store.py
+++ b/fighitch/platform/store.py
@@ -1,12 +1,18 @@
 """Request targets and codecs of the platform's metadata store."""
 
+import json
+from collections.abc import Callable
 from dataclasses import dataclass
+from typing import TypeVar
 from urllib.parse import quote
 
 import msgspec
 
+from fighitch.platform.decoding import decode
+from fighitch.platform.json_parts import split_array, split_object
 from fighitch.types import Seconds
 
+_PageT = TypeVar("_PageT", bound=msgspec.Struct)
 _MS_PER_SECOND = 1_000
 
 
@@ -48,7 +54,8 @@
     Attributes:
         name: Name, unique within the kind.
         revision: Store-wide revision of its last change.
-        content: JSON that its owner wrote; ``null`` if the response contains none.
+        content: JSON that its owner wrote; ``null`` if the response contains none. Any
+            writer may have written it, so that it may be no valid JSON.
         removed: Whether the object was removed.
     """
 
@@ -66,7 +73,8 @@
         objects: Objects of the list, or changed objects in the order of the changes.
         revision: Revision from which to watch for later changes.
         has_more: Whether another page follows.
-        unreadable: Number of items that could not be decoded.
+        unreadable: Number of items that are left out because they have no readable
+            name.
     """
 
     objects: tuple[StoredObject, ...]
@@ -77,8 +85,9 @@
 
 def list_target(kind: str, after: str = "") -> str:
     """Returns the request target that lists a kind after the given name."""
-    query = f"?after={quote(after, safe='')}" if after else ""
-    return f"/objects/{kind}{query}"
+    if not after:
+        return f"/objects/{kind}"
+    return f"/objects/{kind}?after={quote(after, safe='', errors='surrogatepass')}"
 
 
 def watch_target(kind: str, revision: int, wait: Seconds) -> str:
@@ -97,15 +106,9 @@
     Raises:
         msgspec.DecodeError: If the body is not a list.
     """
-    decoded = msgspec.json.decode(body, type=_List)
-    objects = []
-    for item in decoded.items:
-        try:
-            objects.append(_to_stored_object(msgspec.json.decode(item, type=_Object)))
-        except msgspec.DecodeError:
-            continue
-    unreadable = len(decoded.items) - len(objects)
-    return ObjectPage(tuple(objects), decoded.at, decoded.has_more, unreadable)
+    decoded = _decode_page(body, "items", _List)
+    objects, unreadable = _decode_items(decoded.items, _decode_listed)
+    return ObjectPage(objects, decoded.at, decoded.has_more, unreadable)
 
 
 def decode_watch(body: bytes) -> ObjectPage:
@@ -114,16 +117,9 @@
     Raises:
         msgspec.DecodeError: If the body is not a list of events.
     """
-    decoded = msgspec.json.decode(body, type=_Events)
-    objects = []
-    for item in decoded.events:
-        try:
-            event = msgspec.json.decode(item, type=_Event)
-        except msgspec.DecodeError:
-            continue
-        objects.append(_to_stored_object(event.object, removed=event.tombstone))
-    unreadable = len(decoded.events) - len(objects)
-    return ObjectPage(tuple(objects), decoded.at, unreadable=unreadable)
+    decoded = _decode_page(body, "events", _Events)
+    objects, unreadable = _decode_items(decoded.events, _decode_event)
+    return ObjectPage(objects, decoded.at, unreadable=unreadable)
 
 
 def decode_object(body: bytes) -> StoredObject:
@@ -132,7 +128,7 @@
     Raises:
         msgspec.DecodeError: If the body is not an object.
     """
-    return _to_stored_object(msgspec.json.decode(body, type=_Object))
+    return _to_stored_object(decode(body, _Object))
 
 
 def encode_object(name: str, content: object, *, revision: int | None) -> bytes:
@@ -154,3 +150,76 @@
     return StoredObject(
         decoded.metadata.name, decoded.metadata.revision, decoded.spec, removed
     )
+
+
+def _decode_page(body: bytes, key: str, expected: type[_PageT]) -> _PageT:
+    """Decodes a page, even if one of its items can't be skipped over.
+
+    Args:
+        body: Body of the response.
+        key: Key of the items, which are not decoded.
+        expected: Type of the page.
+    """
+    try:
+        return decode(body, expected)
+    except msgspec.ValidationError:
+        raise
+    except msgspec.DecodeError:
+        parts = split_object(body)
+        if key not in parts:
+            raise
+        items = split_array(parts.pop(key))
+        rest = {name: msgspec.Raw(value) for name, value in parts.items()}
+        page = decode(msgspec.json.encode({**rest, key: []}), expected)
+        return msgspec.structs.replace(page, **{key: list(map(msgspec.Raw, items))})
+
+
+def _decode_items(
+    items: list[msgspec.Raw], decode_item: Callable[[msgspec.Raw], StoredObject]
+) -> tuple[tuple[StoredObject, ...], int]:
+    """Returns the objects of a page and the number of items that have no name."""
+    objects = []
+    for item in items:
+        try:
+            objects.append(decode_item(item))
+        except msgspec.DecodeError:
+            continue
+    return tuple(objects), len(items) - len(objects)
+
+
+def _decode_listed(item: msgspec.Raw) -> StoredObject:
+    try:
+        return _to_stored_object(decode(item, _Object))
+    except msgspec.DecodeError:
+        return _decode_odd_object(bytes(item))
+
+
+def _decode_event(item: msgspec.Raw) -> StoredObject:
+    try:
+        event = decode(item, _Event)
+    except msgspec.DecodeError:
+        parts = split_object(bytes(item))
+        removed = decode(parts.get("Tombstone", b"false"), bool)
+        return _decode_odd_object(parts.get("Object", b""), removed=removed)
+    return _to_stored_object(event.object, removed=event.tombstone)
+
+
+def _decode_odd_object(data: bytes, *, removed: bool = False) -> StoredObject:
+    """Decodes the name and revision of an object that can't be decoded as a whole.
+
+    The name tells which object an unreadable one replaces, and where the next page
+    begins.
+    """
+    parts = split_object(data)
+    metadata = split_object(parts.get("Metadata", b""))
+    encoded_name = metadata.get("Name", b"")
+    if not encoded_name.startswith(b'"'):
+        raise msgspec.DecodeError("object has no name")
+    try:
+        # Unlike msgspec, this accepts escapes of lone surrogates.
+        name = json.loads(encoded_name)
+    except ValueError as error:
+        raise msgspec.DecodeError("name of the object is no valid JSON") from error
+    revision = decode(metadata.get("Revision", b"0"), int)
+    content = msgspec.Raw(parts.get("Spec", b"null"))
+    return StoredObject(name, revision, content, removed)
--- a/fighitch/tests/test_gateway_processes.py
+++ b/fighitch/tests/test_gateway_processes.py
@@ -3,6 +3,8 @@
 import time
 import unittest
 
+import msgspec
+
 from standins.platform_backends import BackendFaults
 from standins.platform_fleet import PlatformFleet, wait_until
 
@@ -194,6 +196,38 @@
                 self.fleet.send_request("lookup", f"l{number}").status, 200
             )
 
+    def odd_spec(self, field: bytes) -> bytes:
+        """Returns the heartbeat of a server with another field, or a changed one."""
+        heartbeat = msgspec.json.encode(self.fleet.plain_servers[0].heartbeat())
+        return heartbeat[:-1] + b", " + field + b"}"
+
+    def put_odd_entry(self, spec: bytes) -> None:
+        """Writes an entry that sorts after all others and waits until it was read."""
+        self.fleet.store.put("servers", "z-odd", msgspec.Raw(spec))
+        for entry in self.fleet.entries:
+            self.assertTrue(wait_until(lambda entry=entry: "z-odd" in entry.log(), 6.0))
+
+    def assert_list_is_followed(self):
+        """Asserts that a drain of a server after the odd entry is noticed."""
+        first, second = self.fleet.plain_servers
+        first.state = "draining"
+        self.fleet.publish_heartbeat(first)
+        time.sleep(2.0)
+        before = len(first.runs)
+        for number in range(10):
+            response = self.fleet.send_request("lookup", f"d{number}", entry=number % 2)
+            self.assertEqual(response.status, 200)
+        self.assertEqual(len(first.runs), before)
+
+    def test_list_with_a_deeply_nested_entry_is_followed(self):
+        # Processes stopped following the list, and a restarted one never became ready.
+        nested = b"[" * 1_100 + b"]" * 1_100
+        self.put_odd_entry(self.odd_spec(b'"Extra": %s' % nested))
+        self.assert_list_is_followed()
+        self.fleet.entries[0].kill_and_restart()
+        self.assertTrue(wait_until(lambda: self.fleet.is_ready(self.fleet.entries[0])))
+        self.assertEqual(self.fleet.send_request("lookup", "after").status, 200)
+
     def test_restarted_engine_serves_while_its_old_entry_is_still_listed(self):
         # Guards against agents that keep sending the instance id of the old entry: the
         # restarted engine rejects all their orders.
--- a/fighitch/tests/test_platform_folder.py
+++ b/fighitch/tests/test_platform_folder.py
@@ -1,3 +1,4 @@
+import functools
 import json
 import unittest
 
@@ -84,6 +85,26 @@
             decode_settings(self.settings(app="10.0.0.1:\u00b2"))
 
 
+class DeeplyNestedTests(unittest.TestCase):
+    """msgspec raises RecursionError, which callers of the decoders do not expect."""
+
+    NESTED = b'{"Unknown": %s}' % (b"[" * 1_100 + b"]" * 1_100)
+
+    def test_deeply_nested_input_is_a_decode_error(self):
+        decoders = (
+            decode_adapter_version,
+            decode_configuration,
+            decode_quarantine,
+            decode_report,
+            decode_settings,
+            functools.partial(decode_heartbeat, "i-1"),
+            store.decode_object,
+        )
+        for decode in decoders:
+            with self.subTest(decode), self.assertRaises(msgspec.DecodeError):
+                decode(msgspec.Raw(self.NESTED))
+
+
 class HeartbeatTests(unittest.TestCase):
     def decode(self, **changes):
         spec = msgspec.Raw(json.dumps(HEARTBEAT | changes).encode())
