Refuse server entries whose address is no IPv4 address and port

What callers saw: a request that was placed on an entry with port 70000 had no response before its deadline, then 504. Nothing else of its relay went on either.

Cause: socket.connect raises OverflowError for such a port and TypeError for a host that it can't encode, and only OSError was caught. A host name would be looked up while all other requests wait.

Ruled out: names that resolve are not supported by the platform's protocol (IP:PORT), so refusing them loses no server.

Change: an address is a dotted IPv4 address, for servers that of one machine, and a port from 1 to 65535; other entries name no server and other settings are rejected. Connections take errors of any kind as unreachable and never look up a name.

Before the change: test_entry_with_a_port_out_of_range_gets_no_requests: AssertionError: 504 != 200 (after 4 s) InvalidAddressTests: OverflowError: connect(): port must be 0-65535; TypeError: host name must not contain null character test_address_is_an_ipv4_address_and_a_port: ValidationError not raised (17 of 24 addresses), ValueError: Exceeds the limit (4300 digits)

--- a/fighitch/gateway/agent_links.py
+++ b/fighitch/gateway/agent_links.py
@@ -28,7 +28,7 @@
 )
 from fighitch.observability.bounded_log import BoundedLog
 from fighitch.runtime.event_loop import EventLoop
-from fighitch.runtime.sockets import open_stream
+from fighitch.runtime.sockets import open_stream, start_connecting
 from fighitch.types import Seconds
 
 _MS_PER_SECOND = 1_000
@@ -267,9 +267,7 @@
             return
         sock = open_stream()
         try:
-            sock.connect((link.server.host, self._peer_port))
-        except BlockingIOError:
-            pass
+            start_connecting(sock, link.server.host, self._peer_port)
         except OSError:
             sock.close()
             self._schedule_reconnect(link)
--- a/fighitch/platform/decoding.py
+++ b/fighitch/platform/decoding.py
@@ -1,10 +1,17 @@
 """Decodes JSON that other writers wrote."""
 
+from ipaddress import IPv4Address
 from typing import TypeVar
 
 import msgspec
 
+from fighitch.core.gateway.settings import Address
+
 _T = TypeVar("_T")
+_MAX_PORT = 65_535
+_MAX_PORT_DIGITS = 5
+# Part of a bad value that an error message shows.
+_SHOWN_CHARACTERS = 64
 
 
 def decode(data: bytes | msgspec.Raw, expected: type[_T]) -> _T:
@@ -18,3 +25,26 @@
         return msgspec.json.decode(data, type=expected)
     except RecursionError as error:
         raise msgspec.DecodeError("JSON is nested too deeply") from error
+
+
+def parse_address(text: str) -> Address:
+    """Parses an address of the form IP:PORT.
+
+    Raises:
+        msgspec.ValidationError: If the host is no IPv4 address, or the port is not
+            between 1 and 65535.
+    """
+    host, _, port = text.rpartition(":")
+    is_number = port.isascii() and port.isdigit() and len(port) <= _MAX_PORT_DIGITS
+    if is_number and _is_ipv4(host) and 1 <= int(port) <= _MAX_PORT:
+        return Address(host, int(port))
+    shown = text[:_SHOWN_CHARACTERS]
+    raise msgspec.ValidationError(f"address {shown!r} is not IP:PORT")
+
+
+def _is_ipv4(host: str) -> bool:
+    try:
+        IPv4Address(host)
+    except ValueError:
+        return False
+    return True
--- a/fighitch/platform/engine.py
+++ b/fighitch/platform/engine.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterable
 from functools import singledispatch
+from ipaddress import IPv4Address
 
 import msgspec
 
@@ -13,7 +14,8 @@
     UnloadAdapter,
 )
 from fighitch.core.gateway.model import AdapterName, BackendServer, ServerState
-from fighitch.platform.decoding import decode
+from fighitch.core.gateway.settings import Address
+from fighitch.platform.decoding import decode, parse_address
 
 SERVERS_KIND = "servers"
 REPORT_PATH = "/report"
@@ -67,14 +69,12 @@
         msgspec.DecodeError: If the entry does not describe a backend server.
     """
     decoded = decode(spec, _Heartbeat)
-    host, _, port = decoded.address.rpartition(":")
-    if not host or not (port.isascii() and port.isdigit()):
-        raise msgspec.ValidationError(f"address {decoded.address!r} is not IP:PORT")
+    address = _parse_server_address(decoded.address)
     return BackendServer(
         instance_id=instance_id,
         service=decoded.service,
-        host=host,
-        port=int(port),
+        host=address.host,
+        port=address.port,
         zone=decoded.zone,
         state=decoded.state,
         slots=decoded.slots,
@@ -184,3 +184,11 @@
     adapter, _, version = name.partition("@")
     is_number = version.isascii() and version.isdigit()
     return adapter, int(version) if is_number else 0
+
+
+def _parse_server_address(text: str) -> Address:
+    address = parse_address(text)
+    ip = IPv4Address(address.host)
+    if ip.is_unspecified or ip.is_multicast or ip.is_reserved:
+        raise msgspec.ValidationError(f"address {text!r} is not that of one server")
+    return address
--- a/fighitch/platform/settings.py
+++ b/fighitch/platform/settings.py
@@ -4,7 +4,7 @@
 
 from fighitch.core.gateway.retry_budget import BudgetLimits
 from fighitch.core.gateway.settings import Address, InstanceSettings
-from fighitch.platform.decoding import decode
+from fighitch.platform.decoding import decode, parse_address
 
 SETTINGS_VARIABLE = "FIGHITCH_SETTINGS"
 _MS_PER_SECOND = 1_000
@@ -77,9 +77,4 @@
 
 
 def _parse_address(text: str) -> Address | None:
-    if not text:
-        return None
-    host, _, port = text.rpartition(":")
-    if not host or not (port.isascii() and port.isdigit()):
-        raise msgspec.ValidationError(f"address {text!r} is not IP:PORT")
-    return Address(host, int(port))
+    return parse_address(text) if text else None
--- a/fighitch/runtime/http_exchange.py
+++ b/fighitch/runtime/http_exchange.py
@@ -19,7 +19,7 @@
     ResponseMeter,
 )
 from fighitch.runtime.event_loop import READ, WRITE, EventLoop, Timer
-from fighitch.runtime.sockets import open_stream
+from fighitch.runtime.sockets import open_stream, start_connecting
 from fighitch.types import Headers, Seconds
 
 _RECEIVE_BYTES = 65_536
@@ -137,9 +137,7 @@
         )
         self._reset_parser()
         try:
-            self._sock.connect((host, port))
-        except BlockingIOError:
-            pass
+            start_connecting(self._sock, host, port)
         except OSError:
             loop.call_later(0, lambda: self._fail(FailureKind.UNREACHABLE))
             return
--- a/fighitch/runtime/sockets.py
+++ b/fighitch/runtime/sockets.py
@@ -18,6 +18,26 @@
     return sock
 
 
+def start_connecting(sock: socket.socket, host: str, port: int) -> None:
+    """Starts to connect a non-blocking socket.
+
+    Args:
+        sock: Socket that is writable once it is connected.
+        host: IPv4 address; a name would block the event loop while it is looked up.
+        port: TCP port.
+
+    Raises:
+        OSError: If the address is not valid or can't be reached.
+    """
+    try:
+        socket.inet_pton(socket.AF_INET, host)
+        sock.connect((host, port))
+    except BlockingIOError:
+        return
+    except (OverflowError, TypeError, ValueError) as error:
+        raise OSError(f"cannot connect to port {port}: {error}") from error
+
+
 def set_stream_options(sock: socket.socket) -> None:
     """Makes a socket non-blocking and enables the detection of an unresponsive peer."""
     sock.setblocking(False)
--- a/fighitch/tests/test_gateway_processes.py
+++ b/fighitch/tests/test_gateway_processes.py
@@ -228,6 +228,21 @@
         self.assertTrue(wait_until(lambda: self.fleet.is_ready(self.fleet.entries[0])))
         self.assertEqual(self.fleet.send_request("lookup", "after").status, 200)
 
+    def test_entry_with_a_port_out_of_range_gets_no_requests(self):
+        # A caller whose request got there had no response before its deadline.
+        host = self.fleet.plain_servers[0].host
+        address = b'"Address": "%s:70000"' % host.encode()
+        self.put_odd_entry(self.odd_spec(address))
+        for number in range(6):
+            # Both other servers turn the request away at first.
+            for server in self.fleet.plain_servers:
+                server.faults.shed = 1
+            response = self.fleet.send_request("order", f"o{number}", entry=number % 2)
+            self.assertEqual(response.status, 200)
+        for entry in self.fleet.entries:
+            self.assertNotIn("callback_failed", entry.log())
+            self.assertEqual(entry.log().count("event=server_entry_unreadable"), 1)
+
     def test_restarted_engine_serves_while_its_old_entry_is_still_listed(self):
         # Guards against agents that keep sending the instance id of the old entry: the
         # restarted engine rejects all their orders.
--- a/fighitch/tests/test_http_exchange.py
+++ b/fighitch/tests/test_http_exchange.py
@@ -383,3 +383,32 @@
             self.loop.run_once(0.01)
         self.assertEqual(results, [NO_RESPONSE])
         self.assertLess(server.sent_bytes, 2 * self.MAX_SENT_BYTES)
+
+
+class InvalidAddressTests(unittest.TestCase):
+    """Addresses that the socket rejects with other errors than OSError.
+
+    The exception reached the event loop, and the request had no response.
+    """
+
+    def test_invalid_address_is_unreachable(self):
+        loop = EventLoop()
+        for host, port in (
+            ("127.0.0.1", 70_000),
+            ("127.0.0.1", -1),
+            ("127.0.0.1", 10**30),
+            ("engine.invalid", 80),
+            ("a\0b", 80),
+            ("\u00e9" * 300, 80),
+            ("\ud800", 80),
+            ("", 80),
+        ):
+            with self.subTest(host=ascii(host[:20]), port=port):
+                handler, closed = RecordingHandler(), []
+                connection = HttpConnection(loop, host, port, on_closed=closed.append)
+                connection.send(b"GET / HTTP/1.1\r\n\r\n", handler)
+                loop.run_once(0.1)
+                self.assertEqual(
+                    handler.failure, ExchangeFailure(FailureKind.UNREACHABLE, False)
+                )
+                self.assertEqual(closed, [connection])
--- a/fighitch/tests/test_platform_folder.py
+++ b/fighitch/tests/test_platform_folder.py
@@ -84,6 +84,11 @@
         with self.assertRaises(msgspec.ValidationError):
             decode_settings(self.settings(app="10.0.0.1:\u00b2"))
 
+    def test_port_out_of_range_is_an_error(self):
+        for port in (0, 70_000, "9" * 5_000):
+            with self.subTest(port), self.assertRaises(msgspec.ValidationError):
+                decode_settings(self.settings(Platform={"Address": f"10.0.0.2:{port}"}))
+
 
 class DeeplyNestedTests(unittest.TestCase):
     """msgspec raises RecursionError, which callers of the decoders do not expect."""
@@ -122,6 +127,41 @@
         with self.assertRaises(msgspec.ValidationError):
             decode_heartbeat("i-1", msgspec.Raw(json.dumps(spec).encode()))
 
+    def test_address_is_an_ipv4_address_and_a_port(self):
+        # An OverflowError of the connection left callers without a response, and a
+        # name would be looked up while all other requests wait.
+        for address in (
+            "10.0.0.9:0",
+            "10.0.0.9:65536",
+            "10.0.0.9:70000",
+            "10.0.0.9:%s" % ("9" * 5_000),
+            "10.0.0.9:-1",
+            "10.0.0.9:+1",
+            "10.0.0.9:",
+            "10.0.0.9",
+            ":80",
+            "engine.example:80",
+            "localhost:80",
+            "[::1]:80",
+            "::1:80",
+            "10.0.0:80",
+            "10.0.0.256:80",
+            "10.0.0.09:80",
+            " 10.0.0.9:80",
+            "10.0.0.9\x00:80",
+            "10.0.0.9 :80",
+            "\u0661.0.0.9:80",
+            "0.0.0.0:80",
+            "224.0.0.1:80",
+            "255.255.255.255:80",
+            "",
+        ):
+            with self.subTest(address[:30]):
+                with self.assertRaises(msgspec.ValidationError) as caught:
+                    self.decode(Address=address)
+                self.assertLess(len(str(caught.exception)), 400)
+        self.assertEqual(self.decode(Address="10.0.0.9:65535").port, 65_535)
+
     def test_heartbeat_is_decoded(self):
         decoded = self.decode()
         self.assertEqual((decoded.host, decoded.port), ("10.0.0.9", 8080))
