Refuse numbers of the store that messages and computations can't hold

What callers saw: after an entry whose start time had 400 digits, an entry process connected to no agent of the engines after it in the list, and placed their requests without admission.

Cause: JSON has no limit on numbers and Python's int has none either; the message to the agent has 64 bits, and its encoder raised OverflowError in the middle of the update of all agents. A huge token of a holder record ended the claim on an engine in the same way, and int() raises ValueError for a version of more than 4,300 digits.

Change: whole numbers of entries, reports, configurations, versions, quarantines and holder records are 0 to 2^53 - 1, start times at most the end of the year 9999, slots 1 to 1,000,000, other amounts 0 to 10^12, ports 1 to 65535. What is outside is an error of decoding, which each reader already handles.

--- a/fighitch/gateway/engine_control.py
+++ b/fighitch/gateway/engine_control.py
@@ -10,7 +10,7 @@
 from fighitch.core.gateway.settings import Address, InstanceSettings
 from fighitch.observability.bounded_log import BoundedLog
 from fighitch.platform import store
-from fighitch.platform.decoding import decode
+from fighitch.platform.decoding import WholeNumber, decode
 from fighitch.platform.engine import (
     ORDER_PATH,
     REPORT_PATH,
@@ -42,7 +42,7 @@
     """Content of a holder record in the store."""
 
     holder: str
-    token: int
+    token: WholeNumber
 
 
 class EngineClaim:
--- a/fighitch/platform/configuration.py
+++ b/fighitch/platform/configuration.py
@@ -13,7 +13,7 @@
     WeightedService,
     WorkKind,
 )
-from fighitch.platform.decoding import decode
+from fighitch.platform.decoding import Amount, WholeNumber, decode
 from fighitch.types import Seconds
 
 CONFIGURATION_KIND = "config"
@@ -30,7 +30,7 @@
 
 class _Backend(msgspec.Struct, rename="pascal"):
     service: str
-    weight: float
+    weight: Amount
 
 
 class _Route(msgspec.Struct, rename="pascal"):
@@ -38,49 +38,49 @@
     host: str
     path_prefix: str
     kind: WorkKind
-    timeout_ms: float
-    target_latency_ms: float = 1_000
-    priority: int = _LOWEST_RANK
+    timeout_ms: Amount
+    target_latency_ms: Amount = 1_000
+    priority: WholeNumber = _LOWEST_RANK
     service: str = ""
     weighted_backends: list[_Backend] = []
-    max_attempts: int = 1
+    max_attempts: WholeNumber = 1
     resumable: bool = False
     # Gap target: target for the longest time between two events of a stream.
-    gap_aim_ms: float = 0
+    gap_aim_ms: Amount = 0
 
 
 class _Model(msgspec.Struct, rename="pascal"):
     name: str
-    weights_mb: float
-    load_time_s: float = msgspec.field(default=1.0, name="LoadTimeS")
-    adapter_size_mb: float = 0.0
+    weights_mb: Amount
+    load_time_s: Amount = msgspec.field(default=1.0, name="LoadTimeS")
+    adapter_size_mb: Amount = 0.0
 
 
 class _Engine(msgspec.Struct, rename="pascal"):
-    slots: int
+    slots: WholeNumber
     # Capacity of the KV cache in tokens.
-    kv_capacity: int
-    weights_mb: float = 0.0
-    max_adapters: int = 0
-    loads_per_s: float = msgspec.field(default=1.0, name="LoadsPerS")
+    kv_capacity: WholeNumber
+    weights_mb: Amount = 0.0
+    max_adapters: WholeNumber = 0
+    loads_per_s: Amount = msgspec.field(default=1.0, name="LoadsPerS")
     models: list[_Model] = []
 
 
 class _Service(msgspec.Struct, rename="pascal"):
     name: str
-    max_connections: int = 100
+    max_connections: WholeNumber = 100
     engine: _Engine | None = None
 
 
 class _Limits(msgspec.Struct, rename="pascal"):
-    max_header_bytes: int = 16_384
-    max_body_bytes: int = 4_194_304
-    header_timeout_ms: float = 3_000
-    idle_timeout_ms: float = 15_000
+    max_header_bytes: WholeNumber = 16_384
+    max_body_bytes: WholeNumber = 4_194_304
+    header_timeout_ms: Amount = 3_000
+    idle_timeout_ms: Amount = 15_000
 
 
 class _Configuration(msgspec.Struct, rename="pascal"):
-    version: int
+    version: WholeNumber
     routes: list[_Route]
     services: list[_Service]
     limits: _Limits = msgspec.field(default_factory=_Limits)
@@ -89,7 +89,7 @@
 class _AdapterVersion(msgspec.Struct, rename="pascal"):
     model: str
     adapter: str
-    version: int
+    version: WholeNumber
 
 
 def decode_configuration(spec: msgspec.Raw) -> Configuration:
--- a/fighitch/platform/engine.py
+++ b/fighitch/platform/engine.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterable
 from functools import singledispatch
 from ipaddress import IPv4Address
+from typing import Annotated
 
 import msgspec
 
@@ -15,17 +16,26 @@
 )
 from fighitch.core.gateway.model import AdapterName, BackendServer, ServerState
 from fighitch.core.gateway.settings import Address
-from fighitch.platform.decoding import decode, parse_address
+from fighitch.platform.decoding import (
+    UnixMilliseconds,
+    WholeNumber,
+    decode,
+    parse_address,
+    parse_whole_number,
+)
 
 SERVERS_KIND = "servers"
 REPORT_PATH = "/report"
 ORDER_PATH = "/order"
 _MS_PER_SECOND = 1_000
+_MAX_SLOTS = 1_000_000
+
+_Slots = Annotated[int, msgspec.Meta(ge=1, le=_MAX_SLOTS)]
 
 
 class _HeldModel(msgspec.Struct, rename="pascal"):
     name: str
-    version: int = 0
+    version: WholeNumber = 0
     # Adapters, each as NAME@VERSION.
     adapters: list[str] = []
 
@@ -35,15 +45,15 @@
     address: str
     zone: str
     state: ServerState
-    slots: int
+    slots: _Slots
     models: list[_HeldModel] = []
     # Start time of this incarnation in Unix ms.
-    born: int = msgspec.field(default=0, name="born")
+    born: UnixMilliseconds = msgspec.field(default=0, name="born")
 
 
 class _Report(msgspec.Struct, rename="pascal"):
     # Number of orders that the engine has accepted.
-    seq: int
+    seq: WholeNumber
     models: list[_HeldModel] = []
     # Adapters that are being loaded, each as MODEL/NAME@VERSION.
     coming: list[str] = []
@@ -51,7 +61,7 @@
     state: str = ""
     remaining_ms: float | None = None
     id: str = ""
-    born: int = msgspec.field(default=0, name="born")
+    born: UnixMilliseconds = msgspec.field(default=0, name="born")
     # Decoded separately, as a report without it is still valid.
     runs: msgspec.Raw = msgspec.Raw(b"[]")
 
@@ -59,7 +69,7 @@
 class _Run(msgspec.Struct, array_like=True):
     request_id: str
     tokens_in_memory: float
-    events: int
+    events: WholeNumber
 
 
 def decode_heartbeat(instance_id: str, spec: msgspec.Raw) -> BackendServer:
@@ -183,7 +193,7 @@
 def _split_version(name: str) -> tuple[str, int]:
     adapter, _, version = name.partition("@")
     is_number = version.isascii() and version.isdigit()
-    return adapter, int(version) if is_number else 0
+    return adapter, parse_whole_number(version) if is_number else 0
 
 
 def _parse_server_address(text: str) -> Address:
--- a/fighitch/platform/quarantine.py
+++ b/fighitch/platform/quarantine.py
@@ -5,7 +5,7 @@
 
 from fighitch.core.gateway.crash_evidence import PartGroup
 from fighitch.core.gateway.quarantine import StoredQuarantine
-from fighitch.platform.decoding import decode
+from fighitch.platform.decoding import UnixMilliseconds, decode
 
 # A kind of this project's own. Operators list its objects to see what is quarantined,
 # and delete one to admit its parts again.
@@ -16,7 +16,7 @@
     """Content of an object; ``until_ms`` is the Unix time of its end, in ms."""
 
     parts: list[str]
-    until_ms: int
+    until_ms: UnixMilliseconds
 
 
 def quarantine_name(parts: PartGroup) -> str:
--- a/fighitch/platform/settings.py
+++ b/fighitch/platform/settings.py
@@ -4,7 +4,7 @@
 
 from fighitch.core.gateway.retry_budget import BudgetLimits
 from fighitch.core.gateway.settings import Address, InstanceSettings
-from fighitch.platform.decoding import decode, parse_address
+from fighitch.platform.decoding import Port, decode, parse_address
 
 SETTINGS_VARIABLE = "FIGHITCH_SETTINGS"
 _MS_PER_SECOND = 1_000
@@ -34,7 +34,7 @@
     ip: str
     zone: str
     # The first port is for connections between entries and agents.
-    internal_ports: list[int]
+    internal_ports: list[Port]
     platform: _Store
     listen: _Listen = msgspec.field(default_factory=_Listen)
     bounds: _Bounds = msgspec.field(default_factory=_Bounds)
--- a/fighitch/tests/test_engine_control.py
+++ b/fighitch/tests/test_engine_control.py
@@ -47,6 +47,13 @@
         nested = b"[" * 1_100 + b"]" * 1_100
         self.assert_claimed_by_clock(b'{"holder": "a", "token": 1, "x": %s}' % nested)
 
+    def test_record_with_an_odd_token_delays_the_claim_only(self):
+        for token in (b"1" + b"0" * 400, b"-1", b"18446744073709551615", b"1e999"):
+            with self.subTest(token[:30]):
+                self.doCleanups()
+                self.setUp()
+                self.assert_claimed_by_clock(b'{"holder": "a", "token": %s}' % token)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/fighitch/tests/test_gateway_processes.py
+++ b/fighitch/tests/test_gateway_processes.py
@@ -243,6 +243,25 @@
             self.assertNotIn("callback_failed", entry.log())
             self.assertEqual(entry.log().count("event=server_entry_unreadable"), 1)
 
+    def test_entry_with_a_huge_start_time_does_not_keep_engines_from_their_agents(self):
+        # The start time did not fit the message to the agent, and the entry connected
+        # to none of the agents after it.
+        self.assertTrue(wait_until(self.agents_connected))
+        heartbeat = msgspec.json.encode(self.fleet.engines[0].heartbeat())
+        born = b'"born": 1' + b"0" * 400
+        odd = msgspec.Raw(heartbeat[:-1] + b", " + born + b"}")
+        # It sorts before all other entries.
+        self.fleet.store.put("servers", "a-odd", odd)
+        self.fleet.entries[0].kill_and_restart()
+        entry = self.fleet.entries[0]
+        self.assertTrue(wait_until(lambda: self.fleet.is_ready(entry)))
+        agents = len(self.fleet.agents)
+        connected = "event=agent_connected"
+        self.assertTrue(
+            wait_until(lambda: entry.log().count(connected) >= 2 * agents, 5.0)
+        )
+        self.assertNotIn("store_object_failed", entry.log())
+
     def test_restarted_engine_serves_while_its_old_entry_is_still_listed(self):
         # Guards against agents that keep sending the instance id of the old entry: the
         # restarted engine rejects all their orders.
--- a/fighitch/tests/test_platform_folder.py
+++ b/fighitch/tests/test_platform_folder.py
@@ -1,3 +1,5 @@
+import copy
+import dataclasses
 import functools
 import json
 import unittest
@@ -110,6 +112,171 @@
                 decode(msgspec.Raw(self.NESTED))
 
 
+# Each as JSON: too large, negative, no whole number, or of another type.
+ODD_NUMBERS = (
+    b"1" + b"0" * 400,
+    b"1" + b"0" * 5_000,
+    b"-1" + b"0" * 400,
+    b"1e999",
+    b"1e300",
+    b"18446744073709551616",
+    b"9223372036854775808",
+    b"9007199254740992",
+    b"-1",
+    b"1.5",
+    b"Infinity",
+    b"NaN",
+    b"true",
+    b'"1"',
+    b"[1]",
+    b"null",
+)
+
+
+def with_field(content: dict, path: str, value: bytes) -> msgspec.Raw:
+    """Returns JSON with another value of a field, given by keys with dots between."""
+    parent = content = copy.deepcopy(content)
+    *keys, last = path.split(".")
+    for key in keys:
+        parent = parent[int(key) if key.isdigit() else key]
+    parent[last] = msgspec.Raw(value)
+    return msgspec.Raw(msgspec.json.encode(content))
+
+
+class OddNumberTests(unittest.TestCase):
+    """Numbers that later computations or messages can't hold.
+
+    A start time of 400 digits raised an OverflowError when it was sent to the agent, so
+    that an entry connected to none of the agents after it.
+    """
+
+    CONFIGURATION = {
+        "Version": 3,
+        "Routes": [
+            {
+                "Name": "r",
+                "Host": "h",
+                "PathPrefix": "/",
+                "Kind": "streaming",
+                "TimeoutMs": 900,
+                "Priority": 1,
+                "MaxAttempts": 1,
+                "TargetLatencyMs": 500,
+                "GapAimMs": 20,
+                "WeightedBackends": [{"Service": "models", "Weight": 1}],
+            }
+        ],
+        "Services": [
+            {
+                "Name": "models",
+                "MaxConnections": 9,
+                "Engine": {
+                    "Slots": 4,
+                    "KvCapacity": 100,
+                    "WeightsMb": 9,
+                    "MaxAdapters": 4,
+                    "LoadsPerS": 2,
+                    "Models": [{"Name": "m", "WeightsMb": 1, "LoadTimeS": 1}],
+                },
+            }
+        ],
+        "Limits": {"MaxHeaderBytes": 100, "IdleTimeoutMs": 10},
+    }
+    REPORT = {
+        "Seq": 2,
+        "Models": [{"Name": "m", "Version": 1, "Adapters": ["a1@3"]}],
+        "born": 7,
+    }
+    # Fields of whole numbers.
+    FIELDS = (
+        (functools.partial(decode_heartbeat, "i-1"), HEARTBEAT, "Slots"),
+        (functools.partial(decode_heartbeat, "i-1"), HEARTBEAT, "born"),
+        (functools.partial(decode_heartbeat, "i-1"), HEARTBEAT, "Models.0.Version"),
+        (decode_report, REPORT, "Seq"),
+        (decode_report, REPORT, "born"),
+        (decode_report, REPORT, "Models.0.Version"),
+        (decode_configuration, CONFIGURATION, "Version"),
+        (decode_configuration, CONFIGURATION, "Routes.0.Priority"),
+        (decode_configuration, CONFIGURATION, "Routes.0.MaxAttempts"),
+        (decode_configuration, CONFIGURATION, "Services.0.MaxConnections"),
+        (decode_configuration, CONFIGURATION, "Services.0.Engine.Slots"),
+        (decode_configuration, CONFIGURATION, "Services.0.Engine.KvCapacity"),
+        (decode_configuration, CONFIGURATION, "Services.0.Engine.MaxAdapters"),
+        (decode_configuration, CONFIGURATION, "Limits.MaxHeaderBytes"),
+        (
+            decode_adapter_version,
+            {"Model": "m", "Adapter": "a", "Version": 2},
+            "Version",
+        ),
+        (decode_quarantine, {"parts": ["p"], "until_ms": 5}, "until_ms"),
+    )
+    # Fields that may have a fraction.
+    AMOUNTS = (
+        "Routes.0.TimeoutMs",
+        "Routes.0.TargetLatencyMs",
+        "Routes.0.GapAimMs",
+        "Routes.0.WeightedBackends.0.Weight",
+        "Services.0.Engine.WeightsMb",
+        "Services.0.Engine.LoadsPerS",
+        "Services.0.Engine.Models.0.WeightsMb",
+        "Services.0.Engine.Models.0.LoadTimeS",
+        "Services.0.Engine.Models.0.AdapterSizeMb",
+        "Limits.IdleTimeoutMs",
+    )
+
+    def test_odd_whole_numbers_are_errors(self):
+        for decode, content, path in self.FIELDS:
+            decode(with_field(content, path, b"7"))
+            for value in ODD_NUMBERS:
+                with (
+                    self.subTest(content=list(content)[0], path=path, value=value[:30]),
+                    self.assertRaises(msgspec.DecodeError),
+                ):
+                    decode(with_field(content, path, value))
+
+    def test_odd_amounts_are_errors(self):
+        for path in self.AMOUNTS:
+            decode_configuration(with_field(self.CONFIGURATION, path, b"1.5"))
+            for value in ODD_NUMBERS:
+                if value in (b"1.5", b"9007199254740992"):
+                    continue
+                with (
+                    self.subTest(path=path, value=value[:30]),
+                    self.assertRaises(msgspec.DecodeError),
+                ):
+                    decode_configuration(with_field(self.CONFIGURATION, path, value))
+
+    def test_server_without_slots_is_an_error(self):
+        with self.assertRaises(msgspec.DecodeError):
+            decode_heartbeat("i-1", with_field(HEARTBEAT, "Slots", b"0"))
+
+    def test_odd_version_of_an_adapter_is_an_error(self):
+        # int raises ValueError for more than 4,300 digits.
+        for version in ("9" * 5_000, "9" * 400, str(2**64), str(2**53)):
+            adapters = [{"Name": "m", "Adapters": [f"a@{version}"]}]
+            for decode, content in (
+                (functools.partial(decode_heartbeat, "i-1"), HEARTBEAT),
+                (decode_report, self.REPORT),
+            ):
+                spec = json.dumps(content | {"Models": adapters}).encode()
+                with self.subTest(version[:30]):
+                    with self.assertRaises(msgspec.DecodeError) as caught:
+                        decode(msgspec.Raw(spec))
+                    self.assertLess(len(str(caught.exception)), 200)
+
+    def test_odd_runs_do_not_hide_a_report(self):
+        for events in (b"-1", b"1" + b"0" * 400):
+            report = with_field(self.REPORT, "Runs", b'[["r", 1, %s, 0]]' % events)
+            self.assertEqual(decode_report(report).events, {})
+
+    def test_what_is_decoded_fits_the_messages_to_agents(self):
+        largest = b"%d" % (2**53 - 1)
+        for decode, content, path in self.FIELDS[6:14]:
+            spec = dataclasses.asdict(decode(with_field(content, path, largest)))
+            msgspec.json.encode(spec)
+            msgspec.msgpack.encode(spec)
+
+
 class HeartbeatTests(unittest.TestCase):
     def decode(self, **changes):
         spec = msgspec.Raw(json.dumps(HEARTBEAT | changes).encode())
