Refuse server entries whose id can't be sent in a header

What callers saw: a request that was placed on an entry whose id has a character outside latin-1 had no response before its deadline, then 504. An id with CR LF would have added a header to the request.

Cause: the id is sent in a header, and its encoding raised UnicodeEncodeError.

Change: an id is 1 to 200 visible ASCII characters; other entries name no server.

Before the change: test_entry_whose_id_cannot_be_sent_gets_no_requests: AssertionError: 504 != 200; test_id_that_cannot_be_sent_in_a_header_is_an_error: DecodeError not raised for all 14 ids.

--- a/fighitch/platform/engine.py
+++ b/fighitch/platform/engine.py
@@ -1,5 +1,6 @@
 """Decodes heartbeats and reports of backend servers and encodes orders to engines."""
 
+import re
 from collections.abc import Iterable
 from functools import singledispatch
 from ipaddress import IPv4Address
@@ -29,6 +30,8 @@
 ORDER_PATH = "/order"
 _MS_PER_SECOND = 1_000
 _MAX_SLOTS = 1_000_000
+# Requests carry the id in a header: visible ASCII, and short enough for any server.
+_INSTANCE_ID = re.compile(r"[!-~]{1,200}")
 
 _Slots = Annotated[int, msgspec.Meta(ge=1, le=_MAX_SLOTS)]
 
@@ -78,6 +81,8 @@
     Raises:
         msgspec.DecodeError: If the entry does not describe a backend server.
     """
+    if not _INSTANCE_ID.fullmatch(instance_id):
+        raise msgspec.ValidationError("the id can't be sent in a header")
     decoded = decode(spec, _Heartbeat)
     address = _parse_server_address(decoded.address)
     return BackendServer(
--- a/fighitch/tests/test_gateway_processes.py
+++ b/fighitch/tests/test_gateway_processes.py
@@ -262,6 +262,18 @@
         )
         self.assertNotIn("store_object_failed", entry.log())
 
+    def test_entry_whose_id_cannot_be_sent_gets_no_requests(self):
+        # A caller whose request got there had no response before its deadline.
+        spec = msgspec.Raw(self.odd_spec(b'"Extra": 0'))
+        self.fleet.store.put("servers", "z-odd-\u20ac\ud7ff", spec)
+        for entry in self.fleet.entries:
+            self.assertTrue(wait_until(lambda entry=entry: "z-odd" in entry.log(), 6.0))
+        for number in range(6):
+            for server in self.fleet.plain_servers:
+                server.faults.shed = 1
+            response = self.fleet.send_request("order", f"o{number}", entry=number % 2)
+            self.assertEqual(response.status, 200)
+
     def test_restarted_engine_serves_while_its_old_entry_is_still_listed(self):
         # Guards against agents that keep sending the instance id of the old entry: the
         # restarted engine rejects all their orders.
--- a/fighitch/tests/test_platform_folder.py
+++ b/fighitch/tests/test_platform_folder.py
@@ -329,6 +329,35 @@
                 self.assertLess(len(str(caught.exception)), 400)
         self.assertEqual(self.decode(Address="10.0.0.9:65535").port, 65_535)
 
+    def test_id_that_cannot_be_sent_in_a_header_is_an_error(self):
+        # A request to such a server had no response (UnicodeEncodeError), or the id
+        # added a header to it.
+        spec = msgspec.Raw(json.dumps(HEARTBEAT).encode())
+        for instance_id in (
+            "",
+            " ",
+            "i 1",
+            " i-1",
+            "i-1\n",
+            "i-1\r\nHold: 1",
+            "i-1\t",
+            "i-1\x00",
+            "i-1\x7f",
+            "i-\u00e9",
+            "i-\u20ac",
+            "i-\ud800",
+            "i" * 201,
+            "i" * 100_000,
+        ):
+            with self.subTest(ascii(instance_id[:20])):
+                with self.assertRaises(msgspec.DecodeError) as caught:
+                    decode_heartbeat(instance_id, spec)
+                self.assertLess(len(str(caught.exception)), 200)
+        for instance_id in ("i-7f3a91c2", "A_b.c:d/e@f", "i" * 200):
+            self.assertEqual(
+                decode_heartbeat(instance_id, spec).instance_id, instance_id
+            )
+
     def test_heartbeat_is_decoded(self):
         decoded = self.decode()
         self.assertEqual((decoded.host, decoded.port), ("10.0.0.9", 8080))
