--- a/fighitch/platform/engine.py
+++ b/fighitch/platform/engine.py
@@ -1,7 +1,10 @@
 """Decodes heartbeats and reports of backend servers and encodes orders to engines."""
 
+import re
 from collections.abc import Iterable
 from functools import singledispatch
+from ipaddress import IPv4Address
+from typing import Annotated
 
 import msgspec
 
@@ -13,16 +16,29 @@
     UnloadAdapter,
 )
 from fighitch.core.gateway.model import AdapterName, BackendServer, ServerState
+from fighitch.core.gateway.settings import Address
+from fighitch.platform.decoding import (
+    UnixMilliseconds,
+    WholeNumber,
+    decode,
+    parse_address,
+    parse_whole_number,
+)
 
 SERVERS_KIND = "servers"
 REPORT_PATH = "/report"
 ORDER_PATH = "/order"
 _MS_PER_SECOND = 1_000
+_MAX_SLOTS = 1_000_000
+# Requests carry the id in a header: visible ASCII, and short enough for any server.
+_INSTANCE_ID = re.compile(r"[!-~]{1,200}")
+
+_Slots = Annotated[int, msgspec.Meta(ge=1, le=_MAX_SLOTS)]
 
 
 class _HeldModel(msgspec.Struct, rename="pascal"):
     name: str
-    version: int = 0
+    version: WholeNumber = 0
     # Adapters, each as NAME@VERSION.
     adapters: list[str] = []
 
@@ -32,15 +48,15 @@
     address: str
     zone: str
     state: ServerState
-    slots: int
+    slots: _Slots
     models: list[_HeldModel] = []
     # Start time of this incarnation in Unix ms.
-    born: int = msgspec.field(default=0, name="born")
+    born: UnixMilliseconds = msgspec.field(default=0, name="born")
 
 
 class _Report(msgspec.Struct, rename="pascal"):
     # Number of orders that the engine has accepted.
-    seq: int
+    seq: WholeNumber
     models: list[_HeldModel] = []
     # Adapters that are being loaded, each as MODEL/NAME@VERSION.
     coming: list[str] = []
@@ -48,7 +64,7 @@
     state: str = ""
     remaining_ms: float | None = None
     id: str = ""
-    born: int = msgspec.field(default=0, name="born")
+    born: UnixMilliseconds = msgspec.field(default=0, name="born")
     # Decoded separately, as a report without it is still valid.
     runs: msgspec.Raw = msgspec.Raw(b"[]")
 
@@ -56,7 +72,7 @@
 class _Run(msgspec.Struct, array_like=True):
     request_id: str
     tokens_in_memory: float
-    events: int
+    events: WholeNumber
 
 
 def decode_heartbeat(instance_id: str, spec: msgspec.Raw) -> BackendServer:
@@ -65,15 +81,15 @@
     Raises:
         msgspec.DecodeError: If the entry does not describe a backend server.
     """
-    decoded = msgspec.json.decode(spec, type=_Heartbeat)
-    host, _, port = decoded.address.rpartition(":")
-    if not host or not (port.isascii() and port.isdigit()):
-        raise msgspec.ValidationError(f"address {decoded.address!r} is not IP:PORT")
+    if not _INSTANCE_ID.fullmatch(instance_id):
+        raise msgspec.ValidationError("the id can't be sent in a header")
+    decoded = decode(spec, _Heartbeat)
+    address = _parse_server_address(decoded.address)
     return BackendServer(
         instance_id=instance_id,
         service=decoded.service,
-        host=host,
-        port=int(port),
+        host=address.host,
+        port=address.port,
         zone=decoded.zone,
         state=decoded.state,
         slots=decoded.slots,
@@ -89,7 +105,7 @@
     Raises:
         msgspec.DecodeError: If the body is not a valid report.
     """
-    decoded = msgspec.json.decode(body, type=_Report)
+    decoded = decode(body, _Report)
     time_left_ms = decoded.remaining_ms
     return EngineReport(
         sequence=decoded.seq,
@@ -159,7 +175,7 @@
 def _decode_events(runs: msgspec.Raw) -> dict[str, int]:
     """Returns the events that each running request has produced, if they are stated."""
     try:
-        decoded = msgspec.json.decode(runs, type=list[_Run])
+        decoded = decode(runs, list[_Run])
     except msgspec.DecodeError:
         return {}
     return {run.request_id: run.events for run in decoded}
@@ -182,4 +198,12 @@
 def _split_version(name: str) -> tuple[str, int]:
     adapter, _, version = name.partition("@")
     is_number = version.isascii() and version.isdigit()
-    return adapter, int(version) if is_number else 0
+    return adapter, parse_whole_number(version) if is_number else 0
+
+
+def _parse_server_address(text: str) -> Address:
+    address = parse_address(text)
+    ip = IPv4Address(address.host)
+    if ip.is_unspecified or ip.is_multicast or ip.is_reserved:
+        raise msgspec.ValidationError(f"address {text!r} is not that of one server")
+    return address
--- a/fighitch/platform/settings.py
+++ b/fighitch/platform/settings.py
@@ -4,6 +4,7 @@
 
 from fighitch.core.gateway.retry_budget import BudgetLimits
 from fighitch.core.gateway.settings import Address, InstanceSettings
+from fighitch.platform.decoding import Port, decode, parse_address
 
 SETTINGS_VARIABLE = "FIGHITCH_SETTINGS"
 _MS_PER_SECOND = 1_000
@@ -33,7 +34,7 @@
     ip: str
     zone: str
     # The first port is for connections between entries and agents.
-    internal_ports: list[int]
+    internal_ports: list[Port]
     platform: _Store
     listen: _Listen = msgspec.field(default_factory=_Listen)
     bounds: _Bounds = msgspec.field(default_factory=_Bounds)
@@ -48,7 +49,7 @@
         msgspec.ValidationError: If a value is missing or of another type.
         msgspec.DecodeError: If the content is not valid JSON.
     """
-    decoded = msgspec.json.decode(content, type=_Settings)
+    decoded = decode(content, _Settings)
     store = _parse_address(decoded.platform.address)
     if store is None:
         raise msgspec.ValidationError("Platform.Address is empty; expected IP:PORT")
@@ -76,9 +77,4 @@
 
 
 def _parse_address(text: str) -> Address | None:
-    if not text:
-        return None
-    host, _, port = text.rpartition(":")
-    if not host or not (port.isascii() and port.isdigit()):
-        raise msgspec.ValidationError(f"address {text!r} is not IP:PORT")
-    return Address(host, int(port))
+    return parse_address(text) if text else None
