Let the stand-ins name the request in refusals

The stand-ins' refusals had no id, so that on a reused connection they now count as responses that may belong to an earlier request.

The checks that use them are unchanged.

--- a/standins/platform_backends.py
+++ b/standins/platform_backends.py
@@ -113,17 +113,28 @@
         expected = headers.get("expect-instance")
         if expected is not None and expected != self.instance_id:
             identity = (b"Instance-Id", self.instance_id.encode())
-            connection.send_head(421, [identity], length=0)
-            connection.finish()
+            self.reject(connection, headers, 421, identity)
             return
         if self.faults.consume("shed"):
             self.arrivals.append(time.monotonic())
-            rejection = [(b"Not-Executed", b"1"), *self._limit_headers()]
-            connection.send_head(503, rejection, length=0)
-            connection.finish()
+            self.reject(connection, headers, 503, *self._limit_headers())
             return
         self.serve(connection, request, headers)
 
+    def reject(
+        self,
+        connection: CallerConnection,
+        headers: dict[str, str],
+        status: int,
+        *more_headers: tuple[bytes, bytes],
+    ) -> None:
+        """Rejects a request without running it."""
+        request_id = headers["attempt-id"].encode()
+        rejection = [(b"Attempt-Id", request_id), (b"Not-Executed", b"1")]
+        rejection += more_headers
+        connection.send_head(status, rejection, length=0)
+        connection.finish()
+
     def serve(
         self,
         connection: CallerConnection,
@@ -256,8 +267,7 @@
         """Streams events if the adapter is loaded; otherwise responds with 421."""
         adapter = headers.get("model", "").partition("/")[2]
         if adapter and adapter not in self._adapter_state.loaded:
-            connection.send_head(421, [], length=0)
-            connection.finish()
+            self.reject(connection, headers, 421)
             return
         self.record_run(request, headers)
         request_id = headers["attempt-id"]
