Send a refused request again on a new connection

Callers saw: where one server remained, it refused a request, got it again on the kept connection, ran it and wrote the refusal once more: the request ran a second time.

Cause: a request keeps its id when it is sent to the same server again, so that the repeated refusal can't be told from the response.

Ruled out: a request that is placed again at once never reached the old connection, which goes back to the pool only afterwards; it took a wait for the server's limit or a second refusal. Requests of callers have an id of their own for each attempt.

Change: a server that the request was sent to before gets it on a new connection.

Before the change, the new tests failed with (status, runs) "(200, 2) != (200, 1)" for all four refusals.

--- a/fighitch/gateway/backend_pool.py
+++ b/fighitch/gateway/backend_pool.py
@@ -60,6 +60,11 @@
             if idle_time <= max_idle_time and connection.usable():
                 return connection
             connection.close()
+        return self.connect(server)
+
+    def connect(self, server: BackendServer) -> HttpConnection:
+        """Returns a new connection to a server."""
+        key = _key(server)
         return HttpConnection(
             self._loop,
             server.host,
--- a/fighitch/gateway/relay.py
+++ b/fighitch/gateway/relay.py
@@ -287,15 +287,20 @@
         self._exchange_number += 1
         self._in_flight = True
         self._entry.record_sent(server)
-        self._connection = self._entry.pool.acquire(
-            server, repeatable=self._route.repeatable
-        )
+        self._connection = self._connect(server)
         receiver = AttemptReceiver(self, self._exchange_number)
         request_id = self._metadata.request_id.encode("latin-1")
         self._connection.send(data, receiver, expected_id=request_id)
         self._start_attempt_timer(time_left)
         self._start_event_timer()
 
+    def _connect(self, server: BackendServer) -> HttpConnection:
+        pool = self._entry.pool
+        if server.instance_id in self._avoid:
+            # An earlier rejection that is sent again has the id of this request.
+            return pool.connect(server)
+        return pool.acquire(server, repeatable=self._route.repeatable)
+
     def _start_event_timer(self) -> None:
         """Starts the time limit until the next event of a stream.
 
--- a/fighitch/tests/test_repeated_refusals.py
+++ b/fighitch/tests/test_repeated_refusals.py
@@ -300,5 +300,30 @@
                 self.assertEqual((status, self.runs("y")), (200, 1))
 
 
+class RefusalOfTheSameRequestTests(RepeatedRefusalTestCase):
+    """The only server of a service refuses a request, which is then sent to it again.
+
+    It waits for the limit of the server, so that the connection of the refusal is idle.
+    """
+
+    def setUp(self):
+        super().setUp()
+        self.entry.reserve.return_value = 0.02
+
+    def test_earlier_refusal_of_the_same_request_does_not_run_it_twice(self):
+        # The repeated refusal has the id of the request that it seems to answer.
+        for name, head in REFUSALS.items():
+            with self.subTest(name):
+                self.serve(head + b"Attempt-Id: x\r\n" + NO_BODY)
+                relay = self.relay(kind=WorkKind.NON_IDEMPOTENT)
+                status = self.run_request(relay)
+                self.assertEqual((status, self.runs("x")), (200, 1))
+
+    def test_earlier_refusal_without_an_id_does_not_run_it_twice(self):
+        self.serve(REFUSALS["503"] + NO_BODY)
+        status = self.run_request(self.relay(kind=WorkKind.NON_IDEMPOTENT))
+        self.assertEqual((status, self.runs("x")), (200, 1))
+
+
 if __name__ == "__main__":
     unittest.main()
