Let the stand-ins and the soak repeat earlier refusals

Adds two faults: a server writes an earlier refusal once more on its connection before the response to a request that runs, with the id of the refused request or without any. The soak injects both with the other faults of responses; its checks are unchanged.

--- a/benchmarks/platform_soak.py
+++ b/benchmarks/platform_soak.py
@@ -52,6 +52,15 @@
 # Share of the streams whose prompt has the part that crashes engines.
 _CRASHING_SHARE = 0.05
 _CALLER_TIMEOUT = 8.0
+_RESPONSE_FAULTS = (
+    "reset",
+    "errors",
+    "shed",
+    "second_answers",
+    "cut_streams",
+    "repeated_refusals",
+    "unnamed_refusals",
+)
 # A run whose seed is a multiple of this has planned operations only.
 PLANNED_EVERY = 5
 
@@ -267,9 +276,10 @@
 
     def _lose_responses(self) -> None:
         self._log_fault(
-            "lost responses, errors, rejections, second responses, cut streams"
+            "lost responses, errors, rejections, repeated refusals, second responses, "
+            "cut streams"
         )
-        for name in ("reset", "errors", "shed", "second_answers", "cut_streams"):
+        for name in _RESPONSE_FAULTS:
             setattr(self._faults, name, self._random.randrange(4))
 
     def _lose_orders(self) -> None:
@@ -342,7 +352,7 @@
             heapq.heappop(self._pending_clears)[2]()
         for link in self._fleet.links.values():
             link.heal()
-        for name in ("reset", "errors", "shed", "second_answers", "cut_streams"):
+        for name in _RESPONSE_FAULTS:
             setattr(self._faults, name, 0)
         self._faults.lost_orders = 0
         wait_until(lambda: all(map(self._fleet.is_ready, self._fleet.entries)))
--- a/fighitch/tests/test_gateway_processes.py
+++ b/fighitch/tests/test_gateway_processes.py
@@ -2,6 +2,7 @@
 import threading
 import time
 import unittest
+from concurrent.futures import ThreadPoolExecutor
 
 from standins.platform_backends import BackendFaults
 from standins.platform_fleet import PlatformFleet, wait_until
@@ -95,6 +96,36 @@
         self.assertEqual([response.status for response in responses], [200] * 3)
         self.assertEqual([self.runs(f"o{number}") for number in range(3)], [1] * 3)
 
+    def send_orders_until_a_refusal_is_repeated(self, fault: str) -> set[int]:
+        """Sends orders of eight callers at a time; returns their statuses."""
+        self.assertTrue(wait_until(self.agents_connected))
+        faults = self.use_shared_faults(self.fleet.plain_servers)
+        statuses: dict[str, int] = {}
+
+        def send(name: str) -> None:
+            statuses[name] = self.fleet.send_request("order", name).status
+
+        def send_batch() -> bool:
+            faults.shed = 2
+            with ThreadPoolExecutor(8) as pool:
+                pool.map(send, [f"o{len(statuses) + number}" for number in range(24)])
+            return getattr(faults, fault) == 0
+
+        setattr(faults, fault, 3)
+        self.assertTrue(wait_until(send_batch))
+        runs = {name: self.runs(name) for name in statuses}
+        self.assertEqual(runs, dict.fromkeys(statuses, 1))
+        return set(statuses.values())
+
+    def test_repeated_refusal_with_an_id_is_ignored(self):
+        statuses = self.send_orders_until_a_refusal_is_repeated("repeated_refusals")
+        self.assertEqual(statuses, {200})
+
+    def test_repeated_refusal_without_an_id_is_no_promise(self):
+        # The order was sent to a second server, or its caller was told 503.
+        statuses = self.send_orders_until_a_refusal_is_repeated("unnamed_refusals")
+        self.assertEqual(statuses, {200, 502})
+
     def test_lookup_with_lost_response_is_retried(self):
         for fault in ("reset", "errors"):
             faults = self.use_shared_faults(self.fleet.plain_servers)
--- a/standins/platform_backends.py
+++ b/standins/platform_backends.py
@@ -5,10 +5,12 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Any
+from weakref import WeakKeyDictionary
 
 import msgspec
 
 from fighitch.runtime.http_callers import CallerConnection, CallerRequest
+from fighitch.types import Headers
 from standins.platform_http import StandInServer, send_json
 
 _EVENT_INTERVAL_SECONDS = 0.005
@@ -29,6 +31,9 @@
         second_answers: Responses followed by an unsolicited second one.
         lost_orders: Orders that are neither executed nor acknowledged.
         cut_streams: Streams cut in the middle of an event.
+        repeated_refusals: Requests that run, with an earlier refusal written once more
+            on their connection before their response.
+        unnamed_refusals: The same, with a refusal that does not name its request.
     """
 
     reset: int = 0
@@ -37,6 +42,8 @@
     second_answers: int = 0
     lost_orders: int = 0
     cut_streams: int = 0
+    repeated_refusals: int = 0
+    unnamed_refusals: int = 0
 
     def consume(self, name: str) -> bool:
         """Consumes one occurrence of a fault; returns whether there was one."""
@@ -88,6 +95,9 @@
         # Requests per second that responses name as the limit; None for no limit.
         self.server_limit: float | None = None
         self.arrivals: list[float] = []
+        # Status and headers of the last refusal on each connection.
+        self._refusals: WeakKeyDictionary[CallerConnection, tuple[int, Headers]]
+        self._refusals = WeakKeyDictionary()
         # Address in the heartbeat if the server is behind a proxy; empty if it is not.
         self.advertised_address = ""
 
@@ -129,12 +139,24 @@
         *more_headers: tuple[bytes, bytes],
     ) -> None:
         """Rejects a request without running it."""
-        request_id = headers["attempt-id"].encode()
+        request_id = headers.get("attempt-id", "").encode()
         rejection = [(b"Attempt-Id", request_id), (b"Not-Executed", b"1")]
         rejection += more_headers
+        self._refusals[connection] = status, rejection
         connection.send_head(status, rejection, length=0)
         connection.finish()
 
+    def repeat_refusal(self, connection: CallerConnection) -> None:
+        """Writes an earlier refusal once more if that fault is injected."""
+        if connection not in self._refusals:
+            return
+        status, headers = self._refusals[connection]
+        if self.faults.consume("unnamed_refusals"):
+            headers = [item for item in headers if item[0] != b"Attempt-Id"]
+        elif not self.faults.consume("repeated_refusals"):
+            return
+        connection.send_head(status, headers, length=0)
+
     def serve(
         self,
         connection: CallerConnection,
@@ -146,6 +168,7 @@
         if self.faults.consume("reset"):
             connection.close()
             return
+        self.repeat_refusal(connection)
         status = 500 if self.faults.consume("errors") else 200
         self.send_response(connection, headers["attempt-id"], status)
         if self.faults.consume("second_answers"):
@@ -273,6 +296,7 @@
         request_id = headers["attempt-id"]
         first = int(headers.get("last-event-id") or 0) + 1
         connection.on_disconnected = lambda: self.cancelled.append(request_id)
+        self.repeat_refusal(connection)
         connection.send_head(200, self.response_headers(request_id), length=None)
         if self._is_crashing(headers.get("prompt-prefix", "")):
             self.loop.call_later(_CRASH_DELAY_SECONDS, self.crash)
