Begin each list of the store on a new connection

What was seen: an entry that lists the servers again after the store lost its history took a repeated last page of its earlier list for the new list, and dropped all servers of the other pages. Changes alone are watched, so that they would have stayed away.

Cause: answers of the store have no id, and lists used the connection of earlier lists and watches.

Ruled out, with tests in the same module that also pass without the change: repeated errors (409, 410, 429, 503) only delay a watch; the repeated refusal of an order hides nothing, as the next report and the expected sequence number decide; repeated denials of agents find no request. A page that is repeated within a list only lists objects again.

Change: the first page of a list uses a new connection; lists are rare.

Before the change, test_earlier_page_is_not_the_whole_list failed: "[['a', 'b'], ['b']] != [['a', 'b'], ['a', 'b']]".

--- a/fighitch/gateway/store_watch.py
+++ b/fighitch/gateway/store_watch.py
@@ -107,16 +107,29 @@
         self._client.close()
 
     def _call(
-        self, target: str, on_response: Callable[[int, bytes], None], timeout: Seconds
+        self,
+        target: str,
+        on_response: Callable[[int, bytes], None],
+        timeout: Seconds,
+        *,
+        reuse_connection: bool = True,
     ) -> None:
         if self._stopped:
             return
         request = encode_call("GET", target, str(self._client.address))
-        self._client.call(request, on_response, timeout=timeout)
+        self._client.call(
+            request, on_response, timeout=timeout, reuse_connection=reuse_connection
+        )
 
     def _list(self, after: str) -> None:
         target = store.list_target(self._options.kind, after)
-        self._call(target, self._on_list_response, _LIST_TIMEOUT)
+        # The last page of an earlier list would count as the whole list.
+        self._call(
+            target,
+            self._on_list_response,
+            _LIST_TIMEOUT,
+            reuse_connection=bool(after),
+        )
 
     def _on_list_response(self, status: int, body: bytes) -> None:
         page = self._decode(status, body, store.decode_list)
