--- a/fighitch/tests/test_sidecar.py
+++ b/fighitch/tests/test_sidecar.py
@@ -44,6 +44,17 @@
         self.assertEqual(end.model, "a@1")
         self.assertEqual((sidecar.core.pins, sidecar.core.in_flight), (0, 0))
 
+    def test_refusal_of_a_backend_server_is_never_reported_as_not_run(self):
+        """Guards against an earlier refusal that a server sends again."""
+        for status in (421, 429, 503):
+            sidecar = SidecarDriver(spec=SERVICE)
+            sidecar.order()
+            sidecar.start(status=status)
+            sidecar.end()
+            (end,) = sidecar.sent(messages.End)
+            self.assertEqual((end.status, end.run_state), (status, RunState.RAN))
+            self.assertEqual(rejections(sidecar), [])
+
     def test_repeated_submit_of_an_attempt_runs_once(self):
         """Guards against executing a request twice after a duplicate message."""
         sidecar = SidecarDriver()
