--- a/fighitch/tests/test_relay.py
+++ b/fighitch/tests/test_relay.py
@@ -41,10 +41,11 @@
         resumable: bool = False,
         max_attempts: int = 2,
         headers: Sequence[tuple[bytes, bytes]] = (),
+        request_id: str = "x",
     ) -> Relay:
         all_headers = [
             (b"Host", b"h"),
-            (b"Attempt-Id", b"x"),
+            (b"Attempt-Id", request_id.encode()),
             (b"Model", b"base/a1"),
             (b"Deadline-Ms", b"%d" % deadline_ms),
             *headers,
