List the store's objects again after it was restored from an older copy

Callers saw a confirmed change that was not in force: after a restore, revisions are given out again. A watch that asked again once the revision had passed its own got no 410, missed the changes in between and dropped objects with a lower revision.

The epoch of the store (header `Store-Era`) is compared on every response now. All clients of a process share it, so that a watch without a response lists again as soon as another one sees the restore. A response of an earlier epoch counts as no response, and a missing or unreadable epoch changes nothing. A copy counts as current 2.2 s after a restored list, until then an unknown route gets 503, not 404. One line `store_epoch` names both epochs and the kind, `store_listed_again` the new revision.

The stand-in restores itself from a copy. On the code before, with only the stand-in changed:

test_changes_are_not_missed_if_revisions_are_given_out_again AssertionError: False is not true : {'a': b'2', 'b': b'1'} test_two_restores_in_quick_succession AssertionError: False is not true : {'a': b'2'} test_watch_without_a_response_ends_when_another_watch_sees_the_restore AssertionError: False is not true : {'a': b'2'} test_copy_is_not_current_until_others_could_write_again, test_restore_is_logged_with_both_epochs AssertionError: False is not true

Ruled out: a lost 410. The store answers 410 only while its revision is below that of the watch.

--- /dev/null
+++ b/fighitch/gateway/store_calls.py
@@ -0,0 +1,102 @@
+"""Calls to the platform's store, which compare the epoch of each response."""
+
+from collections.abc import Callable
+
+from fighitch.core.gateway.store_epoch import EpochStatus, StoreEpoch
+from fighitch.observability.bounded_log import BoundedLog
+from fighitch.platform.store import decode_epoch
+from fighitch.runtime.event_loop import EventLoop
+from fighitch.runtime.http_client import NO_RESPONSE, ResponseCallback, SerialClient
+from fighitch.runtime.http_exchange import ResponseHead
+from fighitch.types import Seconds
+
+
+class StoreCalls:
+    """Epoch of one store, shared by all clients of a process."""
+
+    def __init__(self, loop: EventLoop, log: BoundedLog) -> None:
+        """Initializes the calls to a store whose epoch is not known yet.
+
+        Args:
+            loop: Event loop of the clients.
+            log: Log for changes of the epoch.
+        """
+        self._loop = loop
+        self._log = log
+        self._epoch = StoreEpoch()
+        self._listeners: list[Callable[[], None]] = []
+
+    @property
+    def epoch(self) -> int | None:
+        """Epoch of the store; None if it is not known."""
+        return self._epoch.current
+
+    def add_listener(self, on_restored: Callable[[], None]) -> None:
+        """Calls a function whenever the store has been restored."""
+        self._listeners.append(on_restored)
+
+    def remove_listener(self, on_restored: Callable[[], None]) -> None:
+        """Removes a function that was added before."""
+        if on_restored in self._listeners:
+            self._listeners.remove(on_restored)
+
+    def call(
+        self,
+        client: SerialClient,
+        request: bytes,
+        on_response: ResponseCallback,
+        *,
+        timeout: Seconds,
+        subject: str,
+        reuse_connection: bool = True,
+    ) -> None:
+        """Sends a request to the store.
+
+        A response from before the last restore counts as no response: what it lists or
+        acknowledges may be lost.
+
+        Args:
+            client: Client that sends the request.
+            request: The encoded request, head and body.
+            on_response: Called once with status and body.
+            timeout: Longest time until the response is complete.
+            subject: Kind that the request concerns, for the log.
+            reuse_connection: Whether a persistent connection may be used.
+        """
+        epoch: int | None = None
+
+        def on_head(head: ResponseHead) -> None:
+            nonlocal epoch
+            epoch = decode_epoch(head)
+
+        def on_end(status: int, body: bytes) -> None:
+            if self._record(epoch, subject) is EpochStatus.OUTDATED:
+                client.close()
+                on_response(NO_RESPONSE, b"")
+                return
+            on_response(status, body)
+
+        client.call(
+            request,
+            on_end,
+            timeout=timeout,
+            reuse_connection=reuse_connection,
+            on_head=on_head,
+        )
+
+    def _record(self, epoch: int | None, subject: str) -> EpochStatus:
+        previous = self._epoch.current
+        status = self._epoch.record(epoch, self._loop.now())
+        if status is EpochStatus.CURRENT:
+            return status
+        self._log.event(
+            "store_epoch",
+            status=status.value,
+            epoch=epoch,
+            previous=previous,
+            kind=subject,
+        )
+        if status is EpochStatus.RESTORED:
+            for listener in list(self._listeners):
+                listener()
+        return status
--- a/fighitch/gateway/store_watch.py
+++ b/fighitch/gateway/store_watch.py
@@ -7,10 +7,12 @@
 import msgspec
 
 from fighitch.core.gateway.settings import Address
+from fighitch.core.gateway.store_epoch import is_restored_copy
+from fighitch.gateway.store_calls import StoreCalls
 from fighitch.observability.bounded_log import BoundedLog
 from fighitch.platform import store
 from fighitch.platform.requests import encode_call
-from fighitch.runtime.event_loop import EventLoop
+from fighitch.runtime.event_loop import EventLoop, Timer
 from fighitch.runtime.http_client import SerialClient
 from fighitch.types import Seconds
 
@@ -25,6 +27,8 @@
 # first list succeeds: an entry without a copy of the objects can't serve requests.
 _MAX_RETRY_DELAY: Seconds = 0.8
 _MAX_RETRY_DELAY_WITHOUT_COPY: Seconds = 0.4
+# Time after a restore within which other writers write again what the copy lacks.
+_REWRITE_TIME: Seconds = 2.2
 
 
 @dataclass(frozen=True, slots=True)
@@ -57,6 +61,8 @@
         on_change: Callable[[store.StoredObject], None],
         on_list: Callable[[Iterable[store.StoredObject]], None] | None = None,
         on_contact: Callable[[bool], None] | None = None,
+        on_restored: Callable[[], None] | None = None,
+        calls: StoreCalls | None = None,
     ) -> None:
         """Initializes the watcher; ``start`` makes the first call.
 
@@ -70,8 +76,14 @@
                 called with each of them.
             on_contact: Called after each valid response with whether contact had been
                 lost before.
+            on_restored: Called before the first list after the store was restored from
+                an older copy, which may lack objects and hold removed ones.
+            calls: Calls to the store, shared with its other clients; None for calls of
+                this watcher alone.
         """
         self._loop = loop
+        self._calls = calls or StoreCalls(loop, log)
+        self._calls.add_listener(self._restart)
         self._client = SerialClient(loop, address)
         self._stopped = False
         self._options = options
@@ -79,6 +91,12 @@
         self._on_list = on_list
         self._on_change = on_change
         self._on_contact = on_contact
+        self._on_restored = on_restored
+        # Number of the last call; responses to earlier ones are ignored.
+        self._call_number = 0
+        self._next_call: Timer | None = None
+        self._copy_epoch: int | None = None
+        self._restored_at: Seconds = float("-inf")
         self._revision = 0
         self._listed_objects: list[store.StoredObject] = []
         self._first_page_revision = 0
@@ -96,23 +114,48 @@
         """Returns whether the known objects are up to date.
 
         They are if contact is not lost and the last response is not older than the
-        duration of one watch.
+        duration of one watch. After a restore, changes that were acknowledged before
+        may still have to be written again.
         """
+        if now - self._restored_at < _REWRITE_TIME:
+            return False
         max_age = self._options.wait + self._options.pause + _WATCH_TIMEOUT_MARGIN
         return self._lost_since is None and now - self.last_contact < max_age
 
     def stop(self) -> None:
         """Closes the connection and makes no further calls."""
         self._stopped = True
+        self._calls.remove_listener(self._restart)
         self._client.close()
 
+    def _restart(self) -> None:
+        """Lists again, as the known revisions are of an earlier epoch."""
+        self._call_number += 1
+        self._client.close()
+        if self._next_call is not None:
+            self._next_call.cancel()
+        self.start()
+
     def _call(
         self, target: str, on_response: Callable[[int, bytes], None], timeout: Seconds
     ) -> None:
         if self._stopped:
             return
         request = encode_call("GET", target, str(self._client.address))
-        self._client.call(request, on_response, timeout=timeout)
+        self._call_number += 1
+        number = self._call_number
+
+        def on_current_response(status: int, body: bytes) -> None:
+            if number == self._call_number:
+                on_response(status, body)
+
+        self._calls.call(
+            self._client,
+            request,
+            on_current_response,
+            timeout=timeout,
+            subject=self._options.kind,
+        )
 
     def _list(self, after: str) -> None:
         target = store.list_target(self._options.kind, after)
@@ -137,6 +180,7 @@
         }
         objects, self._listed_objects = self._listed_objects, []
         self._record_contact()
+        self._record_epoch()
         if self._on_list is not None:
             self._deliver(self._on_list, objects, "list")
         else:
@@ -145,7 +189,7 @@
         self._schedule_watch(0.0)
 
     def _schedule_watch(self, pause: Seconds) -> None:
-        self._loop.call_later(pause, self._watch)
+        self._next_call = self._loop.call_later(pause, self._watch)
 
     def _watch(self) -> None:
         options = self._options
@@ -209,6 +253,22 @@
             )
         return page
 
+    def _record_epoch(self) -> None:
+        """Records the epoch of a list, all pages of which are of the same epoch."""
+        previous, self._copy_epoch = self._copy_epoch, self._calls.epoch
+        if not is_restored_copy(previous, self._copy_epoch):
+            return
+        self._restored_at = self._loop.now()
+        self._log.event(
+            "store_listed_again",
+            kind=self._options.kind,
+            epoch=self._copy_epoch,
+            previous=previous,
+            revision=self._revision,
+        )
+        if self._on_restored is not None:
+            self._on_restored()
+
     def _record_contact(self) -> None:
         now = self._loop.now()
         self.last_contact = now
@@ -227,7 +287,7 @@
         if self._lost_since is None:
             self._lost_since = self._loop.now()
             self._log.event("store_lost", kind=self._options.kind, status=status)
-        self._loop.call_later(self._retry_delay, call)
+        self._next_call = self._loop.call_later(self._retry_delay, call)
         has_copy = self.last_contact > float("-inf")
         max_delay = _MAX_RETRY_DELAY if has_copy else _MAX_RETRY_DELAY_WITHOUT_COPY
         self._retry_delay = min(max_delay, 2 * self._retry_delay)
--- a/fighitch/platform/store.py
+++ b/fighitch/platform/store.py
@@ -5,9 +5,13 @@
 
 import msgspec
 
+from fighitch.runtime.http_exchange import ResponseHead
 from fighitch.types import Seconds
 
 _MS_PER_SECOND = 1_000
+_EPOCH_HEADER = b"store-era"
+# Longer values can't be counts of restores.
+_MAX_EPOCH_DIGITS = 15
 
 
 class _Metadata(msgspec.Struct, rename="pascal"):
@@ -91,6 +95,18 @@
     return f"/objects/{kind}/{quote(name, safe='')}"
 
 
+def decode_epoch(head: ResponseHead) -> int | None:
+    """Returns the store's epoch, which rises with each restore from an older copy.
+
+    Returns:
+        The epoch; None if the response states none or one that can't be read.
+    """
+    value = (head.get(_EPOCH_HEADER) or b"").strip()
+    if not value.isdigit() or len(value) > _MAX_EPOCH_DIGITS:
+        return None
+    return int(value)
+
+
 def decode_list(body: bytes) -> ObjectPage:
     """Decodes the response to a list request.
 
--- /dev/null
+++ b/fighitch/tests/test_restored_store.py
@@ -0,0 +1,219 @@
+"""Stores that are restored from an older copy.
+
+Revisions are given out again after a restore. Watches went on from a revision of the
+lost history and missed changes.
+"""
+
+import time
+import unittest
+from collections.abc import Callable
+from unittest import mock
+
+from fighitch.core.gateway.settings import Address
+from fighitch.gateway.store_calls import StoreCalls
+from fighitch.gateway.store_watch import KindWatcher, WatchOptions
+from fighitch.runtime.event_loop import EventLoop
+from standins.platform_store import PlatformStore
+
+TIMEOUT = 6.0
+
+
+class StoreTestCase(unittest.TestCase):
+    def setUp(self):
+        self.store = PlatformStore()
+        self.store.start()
+        self.addCleanup(self.store.stop)
+        self.loop = EventLoop()
+        self.address = Address(self.store.host, self.store.port)
+        self.log = mock.Mock()
+        self.calls = StoreCalls(self.loop, self.log)
+
+    def run_until(
+        self, condition: Callable[[], bool], timeout: float = TIMEOUT
+    ) -> bool:
+        end = time.monotonic() + timeout
+        while not condition() and time.monotonic() < end:
+            self.loop.run_once(0.02)
+        return condition()
+
+    def events(self, name: str) -> list[dict[str, object]]:
+        return [
+            call.kwargs for call in self.log.event.mock_calls if call.args[0] == name
+        ]
+
+
+class WatchTests(StoreTestCase):
+    def setUp(self):
+        super().setUp()
+        self.seen: dict[str, bytes | None] = {}
+        self.restored = 0
+
+    def on_change(self, item) -> None:
+        self.seen[item.name] = None if item.removed else bytes(item.content)
+
+    def on_list(self, items) -> None:
+        self.seen.clear()
+        for item in items:
+            self.on_change(item)
+
+    def on_restored(self) -> None:
+        self.restored += 1
+
+    def watch(self, kind: str = "things", wait: float = 2.0) -> KindWatcher:
+        watcher = KindWatcher(
+            self.loop,
+            self.address,
+            WatchOptions(kind, wait=wait),
+            self.log,
+            on_list=self.on_list,
+            on_change=self.on_change,
+            on_restored=self.on_restored,
+            calls=self.calls,
+        )
+        self.addCleanup(watcher.stop)
+        watcher.start()
+        return watcher
+
+    def pass_known_revision(self) -> None:
+        """Raises the revision above the one before the restore."""
+        for number in range(10):
+            self.store.put("others", "x", number)
+
+    def test_changes_are_not_missed_if_revisions_are_given_out_again(self):
+        self.store.put("things", "a", 1)
+        self.store.take_copy()
+        self.watch()
+        self.store.put("things", "b", 1)
+        self.store.put("things", "a", 2)
+        self.assertTrue(
+            self.run_until(lambda: self.seen == {"a": b"2", "b": b"1"}), self.seen
+        )
+        self.store.restore_copy()
+        self.store.put("things", "c", 1)
+        self.store.put("things", "a", 3)
+        self.pass_known_revision()
+        self.assertTrue(
+            self.run_until(lambda: self.seen == {"a": b"3", "c": b"1"}), self.seen
+        )
+        self.assertEqual(self.restored, 1)
+
+    def test_two_restores_in_quick_succession(self):
+        self.store.put("things", "a", 1)
+        self.store.take_copy()
+        self.watch()
+        self.store.put("things", "a", 2)
+        self.assertTrue(self.run_until(lambda: self.seen == {"a": b"2"}))
+        self.store.restore_copy()
+        self.store.put("things", "b", 1)
+        self.loop.run_once(0.02)
+        self.store.restore_copy()
+        self.store.put("things", "c", 1)
+        self.pass_known_revision()
+        self.assertTrue(
+            self.run_until(lambda: self.seen == {"a": b"1", "c": b"1"}), self.seen
+        )
+
+    def test_watch_without_a_response_ends_when_another_watch_sees_the_restore(self):
+        # The long watches of rarely changed kinds would hear of a restore last.
+        self.store.put("things", "a", 1)
+        self.store.take_copy()
+        self.watch(wait=30.0)
+        self.store.put("things", "a", 2)
+        self.assertTrue(self.run_until(lambda: self.seen == {"a": b"2"}))
+        self.run_until(lambda: False, 0.1)
+        self.store.restore_copy(cut_watches=False)
+        self.store.put("things", "a", 3)
+        self.pass_known_revision()
+        other = KindWatcher(
+            self.loop,
+            self.address,
+            WatchOptions("others"),
+            self.log,
+            on_change=lambda _item: None,
+            calls=self.calls,
+        )
+        self.addCleanup(other.stop)
+        other.start()
+        self.assertTrue(self.run_until(lambda: self.seen == {"a": b"3"}), self.seen)
+
+    def test_restore_is_logged_with_both_epochs(self):
+        self.watch()
+        self.assertTrue(self.run_until(lambda: self.calls.epoch == 1))
+        self.store.restore_copy()
+        self.assertTrue(self.run_until(lambda: self.restored == 1))
+        (event,) = self.events("store_epoch")
+        self.assertEqual(
+            (event["previous"], event["epoch"], event["kind"]), (1, 2, "things")
+        )
+
+    def test_responses_without_an_epoch_are_served_as_before(self):
+        self.store.states_epoch = False
+        self.store.put("things", "a", 1)
+        self.store.take_copy()
+        self.watch()
+        self.store.put("things", "a", 2)
+        self.assertTrue(self.run_until(lambda: self.seen == {"a": b"2"}))
+        self.store.restore_copy()
+        self.assertTrue(self.run_until(lambda: self.seen == {"a": b"1"}))
+        calls = self.store.calls
+        self.run_until(lambda: False, 0.5)
+        self.assertLess(self.store.calls - calls, 3)
+        self.assertEqual(self.restored, 0)
+
+    def test_epoch_that_some_responses_lack_causes_no_repeated_lists(self):
+        self.watch()
+        self.assertTrue(self.run_until(lambda: self.calls.epoch == 1))
+        self.store.states_epoch = False
+        self.store.put("things", "a", 1)
+        self.assertTrue(self.run_until(lambda: self.seen == {"a": b"1"}))
+        self.store.states_epoch = True
+        self.store.put("things", "a", 2)
+        self.assertTrue(self.run_until(lambda: self.seen == {"a": b"2"}))
+        self.assertEqual(self.events("store_epoch"), [])
+
+    def test_copy_is_not_current_until_others_could_write_again(self):
+        # A route that was acknowledged and lost by the restore is not answered with 404
+        # before the operator has written it again.
+        watcher = self.watch()
+        self.assertTrue(self.run_until(lambda: self.calls.epoch == 1))
+        self.assertTrue(watcher.is_current(self.loop.now()))
+        self.store.restore_copy()
+        self.assertTrue(self.run_until(lambda: self.restored == 1))
+        self.assertFalse(watcher.is_current(self.loop.now()))
+        self.assertTrue(
+            self.run_until(lambda: watcher.is_current(self.loop.now())), "not current"
+        )
+
+
+class LateResponseTests(unittest.TestCase):
+    """Responses from before a restore that arrive after it."""
+
+    def setUp(self):
+        self.loop = mock.Mock()
+        self.loop.now.return_value = 0.0
+        self.client = mock.Mock()
+        self.calls = StoreCalls(self.loop, mock.Mock())
+        self.responses: list[tuple[int, bytes]] = []
+
+    def respond(self, epoch: bytes, body: bytes = b"x") -> None:
+        self.calls.call(
+            self.client,
+            b"",
+            lambda *response: self.responses.append(response),
+            timeout=1.0,
+            subject="things",
+        )
+        sent = self.client.call.call_args
+        sent.kwargs["on_head"](mock.Mock(get=lambda _name: epoch))
+        sent.args[1](200, body)
+
+    def test_acknowledgement_of_an_earlier_epoch_counts_as_no_response(self):
+        self.respond(b"3")
+        self.respond(b"2")
+        self.respond(b"3")
+        self.assertEqual(self.responses, [(200, b"x"), (0, b""), (200, b"x")])
+        self.client.close.assert_called_once()
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/standins/platform_http.py
+++ b/standins/platform_http.py
@@ -8,6 +8,7 @@
 from fighitch.runtime.event_loop import READ
 from fighitch.runtime.http_callers import CallerConnection, CallerRequest
 from fighitch.runtime.sockets import accept_pending, listen
+from fighitch.types import Headers
 from standins.loop_thread import LoopThread
 
 _JSON = [(b"Content-Type", b"application/json")]
@@ -74,11 +75,16 @@
         )
 
 
-def send_json(connection: CallerConnection, status: int, content: object) -> None:
-    """Sends a response with a JSON body."""
+def send_json(
+    connection: CallerConnection,
+    status: int,
+    content: object,
+    headers: Headers | None = None,
+) -> None:
+    """Sends a response with a JSON body, and headers besides its type."""
     if connection.closed:
         return
     body = msgspec.json.encode(content)
-    connection.send_head(status, _JSON, length=len(body))
+    connection.send_head(status, [*_JSON, *(headers or [])], length=len(body))
     connection.send_body(body)
     connection.finish()
--- a/standins/platform_store.py
+++ b/standins/platform_store.py
@@ -28,6 +28,13 @@
     done: bool = False
 
 
+@dataclass(frozen=True, slots=True)
+class _Copy:
+    objects: dict[str, dict[str, dict[str, Any]]]
+    revision: int
+    changes: list[_Change]
+
+
 class PlatformStore(StandInServer):
     """Objects with revisions, lists, watches and injected outages."""
 
@@ -42,6 +49,12 @@
         # Kinds whose calls are rejected while the others are served.
         self.rejected_kinds: set[str] = set()
         self.calls = 0
+        # Write calls of clients, as method, kind and name.
+        self.writes: list[tuple[str, str, str]] = []
+        self.epoch = 1
+        # Whether responses state the epoch.
+        self.states_epoch = True
+        self._copy = _Copy({}, self._revision, [])
 
     def put(self, kind: str, name: str, spec: Any) -> None:
         """Writes an object, as the operator or a backend server does."""
@@ -66,6 +79,37 @@
 
         self.call(compact)
 
+    def take_copy(self) -> None:
+        """Keeps a copy of all objects, to which ``restore_copy`` goes back."""
+
+        def take() -> None:
+            objects = {kind: dict(items) for kind, items in self._objects.items()}
+            self._copy = _Copy(objects, self._revision, list(self._changes))
+
+        self.call(take)
+
+    def restore_copy(self, *, cut_watches: bool = True) -> None:
+        """Goes back to the copy: later objects, changes and revisions are lost.
+
+        Args:
+            cut_watches: Whether the connections of waiting watches are closed; else
+                these watches get no response.
+        """
+
+        def restore() -> None:
+            copy = self._copy
+            self._objects = {kind: dict(items) for kind, items in copy.objects.items()}
+            self._revision, self._changes = copy.revision, list(copy.changes)
+            self._compacted_revision = min(self._compacted_revision, copy.revision)
+            self.epoch += 1
+            for watch in self._watches:
+                watch.done = True
+                if cut_watches:
+                    watch.connection.close()
+            self._watches.clear()
+
+        self.call(restore)
+
     def read(self, kind: str, name: str) -> Any:
         """Returns the spec of an object, or None if it does not exist."""
         result: list[Any] = []
@@ -85,15 +129,21 @@
         parts = [unquote(part) for part in target.path.split("/")[2:]]
         kind, name = parts[0], parts[1] if len(parts) > 1 else ""
         if self.down or kind in self.rejected_kinds:
-            send_json(connection, 503, {})
+            self._send(connection, 503, {})
             return
         handlers: dict[bytes, Callable[[], None]] = {
             b"GET": lambda: self._get(connection, kind, name, query),
             b"POST": lambda: self._create(connection, kind, request),
             b"PUT": lambda: self._replace(connection, kind, name, request),
         }
+        if request.method != b"GET":
+            self.writes.append((request.method.decode(), kind, name))
         handlers[request.method]()
 
+    def _send(self, connection: CallerConnection, status: int, content: object) -> None:
+        headers = [(b"Store-Era", b"%d" % self.epoch)] if self.states_epoch else []
+        send_json(connection, status, content, headers)
+
     def _get(
         self,
         connection: CallerConnection,
@@ -104,22 +154,22 @@
         objects = self._objects.setdefault(kind, {})
         if name:
             existing = objects.get(name)
-            send_json(connection, 404 if existing is None else 200, existing)
+            self._send(connection, 404 if existing is None else 200, existing)
             return
         if "Watch" in query:
             wait = int(query["WaitMs"][0]) / _MS_PER_SECOND
             self._watch(connection, kind, int(query["Watch"][0]), wait)
             return
         items = [objects[key] for key in sorted(objects)]
-        send_json(
+        self._send(
             connection, 200, {"items": items, "HasMore": False, "At": self._revision}
         )
 
     def _watch(
         self, connection: CallerConnection, kind: str, since: int, wait: float
     ) -> None:
-        if since < self._compacted_revision:
-            send_json(connection, 410, {})
+        if not self._compacted_revision <= since <= self._revision:
+            self._send(connection, 410, {})
             return
         watch = _Watch(kind, since, connection)
         if self._respond_to_watch(watch, timed_out=False):
@@ -142,7 +192,7 @@
         if watch in self._watches:
             self._watches.remove(watch)
         status = 503 if self.down else 200
-        send_json(watch.connection, status, {"events": events, "At": self._revision})
+        self._send(watch.connection, status, {"events": events, "At": self._revision})
         return True
 
     def _create(
@@ -152,9 +202,9 @@
         name = requested["Metadata"]["Name"]
         existing = self._objects.setdefault(kind, {}).get(name)
         if existing is not None:
-            send_json(connection, 409, existing)
+            self._send(connection, 409, existing)
             return
-        send_json(connection, 201, self._write(kind, name, requested["Spec"]))
+        self._send(connection, 201, self._write(kind, name, requested["Spec"]))
 
     def _replace(
         self, connection: CallerConnection, kind: str, name: str, request: CallerRequest
@@ -162,13 +212,13 @@
         requested = msgspec.json.decode(request.body)
         existing = self._objects.setdefault(kind, {}).get(name)
         if existing is None:
-            send_json(connection, 404, {})
+            self._send(connection, 404, {})
             return
         expected = requested["Metadata"].get("Revision")
         if expected not in (None, existing["Metadata"]["Revision"]):
-            send_json(connection, 409, existing)
+            self._send(connection, 409, existing)
             return
-        send_json(connection, 200, self._write(kind, name, requested["Spec"]))
+        self._send(connection, 200, self._write(kind, name, requested["Spec"]))
 
     def _write(self, kind: str, name: str, spec: Any) -> dict[str, Any]:
         self._revision += 1
