Write the claims of engines again after a restore of the store

A restore of the store from an older copy lost the fencing tokens of the engines' holders for ever: an agent writes its record when it starts and doesn't call the store later. The next holder then took its token from the clock alone, without the wait for the lease of the one before, and a lower one if its clock was behind.

Entries tell agents the store's epoch with their heartbeats (an optional field that earlier builds ignore). An agent whose claim is of an earlier epoch reads its record within a second and writes it again; it claims anew if another holder has taken a higher token, and gives no orders until then. A claim that was made by the clock, as the store was away, is written once the store is back. Tokens stay above all those that the agent has seen.

On the code before (claims that can't be told of an epoch):

test_lost_claim_is_written_again, test_older_claim_in_the_copy_is_replaced, test_next_holder_gets_a_higher_token_though_its_clock_is_behind, test_claim_that_another_holder_took_is_not_overwritten, test_second_restore_during_the_check_is_not_missed, test_claim_made_by_the_clock_is_written_when_the_store_is_back, test_agents_write_their_claims_again AssertionError: False is not true

--- a/fighitch/gateway/agent.py
+++ b/fighitch/gateway/agent.py
@@ -153,7 +153,7 @@
             case CrashReport():
                 self._crash_reports.on_report(peer, message, self._loop.now())
             case Heartbeat():
-                pass
+                self._claim.record_store_epoch(message.store_epoch)
             case _:
                 peer.close("unexpected_message")
 
--- a/fighitch/gateway/agent_links.py
+++ b/fighitch/gateway/agent_links.py
@@ -116,6 +116,7 @@
         on_crash_report: Callable[[CrashReport], None],
         all_crashes: Callable[[], CrashReport | None],
         named_limit: Callable[[BackendServer], float | None],
+        store_epoch: Callable[[], int | None] = lambda: None,
     ) -> None:
         """Starts the heartbeats.
 
@@ -131,6 +132,7 @@
             all_crashes: Returns all known crashes, for an agent that has connected.
             named_limit: Returns the limit that an engine has named, in requests per
                 second; None for no limit.
+            store_epoch: Returns the epoch of the platform's store; None if unknown.
         """
         self._loop = loop
         self._entry = entry
@@ -141,6 +143,7 @@
         self._on_crash_report = on_crash_report
         self._all_crashes = all_crashes
         self._named_limit = named_limit
+        self._store_epoch = store_epoch
         self._links: dict[str, AgentLink] = {}
         self._versions: dict[AdapterName, int] = {}
         self.views: dict[str, EngineView] = {}
@@ -401,6 +404,7 @@
 
     def _send_heartbeats(self) -> None:
         now = self._loop.now()
+        heartbeat = Heartbeat(self._store_epoch())
         for link in list(self._links.values()):
             if link.peer is None:
                 continue
@@ -408,4 +412,4 @@
             if now - link.peer.last_received_at > timeout:
                 link.peer.close("silent")
                 continue
-            link.peer.send(Heartbeat())
+            link.peer.send(heartbeat)
--- a/fighitch/gateway/engine_control.py
+++ b/fighitch/gateway/engine_control.py
@@ -1,13 +1,20 @@
 """Control interface of an agent's engine: claim, reports and orders."""
 
+import random
 import time
 from collections.abc import Callable
 
 import msgspec
 
 from fighitch.core.gateway.adapter_cache import EngineReport, Order
-from fighitch.core.gateway.holder import HolderRecord, claim_engine
+from fighitch.core.gateway.holder import (
+    ClaimRepair,
+    HolderRecord,
+    claim_engine,
+    repair_claim,
+)
 from fighitch.core.gateway.settings import Address, InstanceSettings
+from fighitch.gateway.store_calls import StoreCalls
 from fighitch.observability.bounded_log import BoundedLog
 from fighitch.platform import store
 from fighitch.platform.engine import (
@@ -34,6 +41,11 @@
 _STORE_RETRY_DELAY: Seconds = 0.2
 # A holder that can't reach the store for this long uses the clock as its fencing token.
 _CLAIM_TIMEOUT: Seconds = 1.5
+# Agents check their claims at random times after a restore, to spread their calls.
+_MAX_CHECK_DELAY: Seconds = 1.0
+_CHECK_RETRY_DELAY: Seconds = 1.0
+# A store that stays unreachable is not asked for ever, as each call is billed.
+_MAX_CHECK_ATTEMPTS = 20
 _MS_PER_SECOND = 1_000
 
 
@@ -60,7 +72,16 @@
         self._client = SerialClient(loop, settings.store)
         self._record_name = str(engine).replace(":", "-")
         self._started_at = loop.now()
+        self._calls = StoreCalls(loop, log)
+        self._calls.add_listener(self._on_restored)
         self._token = 0
+        # Above each token that is known to have been used for the engine.
+        self._lowest_token = 0
+        # Epoch of the store that has the claim; None if it is unknown.
+        self._claim_epoch: int | None = None
+        self._check_due = False
+        self._checked_epoch: int | None = None
+        self._check_attempts = 0
         self._orders_allowed_at: Seconds = float("inf")
 
     @property
@@ -90,39 +111,50 @@
     ) -> None:
         request = encode_call(method, target, str(self._settings.store), body)
         # A claim that seems written but is not would allow two holders.
-        self._client.call(
-            request, on_response, timeout=_STORE_TIMEOUT, reuse_connection=False
+        self._calls.call(
+            self._client,
+            request,
+            on_response,
+            timeout=_STORE_TIMEOUT,
+            subject=_HOLDERS_KIND,
+            reuse_connection=False,
         )
 
     def _on_record(self, status: int, body: bytes) -> None:
         if status == _NOT_FOUND:
             self._write_claim(None, None)
             return
-        if status != _OK:
+        decoded = self._decode_record(status, body)
+        if decoded is None:
             self._retry_claim(status)
             return
+        self._write_claim(*decoded)
+
+    def _decode_record(
+        self, status: int, body: bytes
+    ) -> tuple[HolderRecord, int] | None:
+        """Returns the stored record and its revision; None if they can't be read."""
+        if status != _OK:
+            return None
         try:
             stored = store.decode_object(body)
             record = msgspec.json.decode(stored.content, type=_StoredRecord)
         except msgspec.DecodeError as error:
             self._log.event("holder_record_unreadable", detail=error)
-            self._retry_claim(status)
-            return
-        self._write_claim(HolderRecord(record.holder, record.token), stored.revision)
+            return None
+        return HolderRecord(record.holder, record.token), stored.revision
 
     def _write_claim(self, previous: HolderRecord | None, revision: int | None) -> None:
         wall_ms = round(time.time() * _MS_PER_SECOND)
+        if previous is not None:
+            self._lowest_token = max(self._lowest_token, previous.token + 1)
         claim = claim_engine(
-            previous, self._settings.instance, wall_ms, self._settings.lease
+            previous,
+            self._settings.instance,
+            wall_ms,
+            self._settings.lease,
+            lowest_token=self._lowest_token,
         )
-        content = {"holder": claim.record.holder, "token": claim.record.token}
-        body = store.encode_object(self._record_name, content, revision=revision)
-        method, target = "POST", store.list_target(_HOLDERS_KIND)
-        if revision is not None:
-            method, target = (
-                "PUT",
-                store.object_target(_HOLDERS_KIND, self._record_name),
-            )
 
         def on_written(status: int, _body: bytes) -> None:
             if status not in (_OK, _CREATED):
@@ -130,6 +162,23 @@
                 return
             self._activate_claim(claim.record.token, claim.wait, "store")
 
+        self._write_record(claim.record, revision, on_written)
+
+    def _write_record(
+        self,
+        record: HolderRecord,
+        revision: int | None,
+        on_written: Callable[[int, bytes], None],
+    ) -> None:
+        """Creates the record, or replaces the given revision of it."""
+        content = {"holder": record.holder, "token": record.token}
+        body = store.encode_object(self._record_name, content, revision=revision)
+        method, target = "POST", store.list_target(_HOLDERS_KIND)
+        if revision is not None:
+            method, target = (
+                "PUT",
+                store.object_target(_HOLDERS_KIND, self._record_name),
+            )
         self._call_store(method, target, body, on_written)
 
     def _retry_claim(self, status: int) -> None:
@@ -137,12 +186,91 @@
             self._loop.call_later(_STORE_RETRY_DELAY, self.start)
             return
         self._log.event("holder_store_lost", status=status)
-        self._activate_claim(round(time.time() * _MS_PER_SECOND), 0.0, "clock")
+        wall_ms = round(time.time() * _MS_PER_SECOND)
+        self._activate_claim(max(wall_ms, self._lowest_token), 0.0, "clock")
 
     def _activate_claim(self, token: int, wait: Seconds, source: str) -> None:
         self._token = token
+        self._lowest_token = token + 1
         self._orders_allowed_at = self._loop.now() + wait
         self._log.event("engine_claimed", token=token, source=source, wait=wait)
+        self._claim_epoch = self._calls.epoch
+        if source == "clock":
+            # The store has no record of this claim yet.
+            self._schedule_check()
+
+    # Claims that a restore of the store may have lost.
+
+    def record_store_epoch(self, epoch: int | None) -> None:
+        """Records the epoch of the store that an entry has seen."""
+        if epoch is None or self._claim_epoch is None or epoch <= self._claim_epoch:
+            return
+        self._claim_epoch = epoch
+        self._schedule_check()
+
+    def _on_restored(self) -> None:
+        if self._token > 0:
+            self.record_store_epoch(self._calls.epoch)
+
+    def _schedule_check(self) -> None:
+        self._check_attempts = 0
+        if not self._check_due:
+            self._check_due = True
+            self._loop.call_later(random.uniform(0, _MAX_CHECK_DELAY), self._check)
+
+    def _check(self) -> None:
+        self._checked_epoch = self._claim_epoch
+        target = store.object_target(_HOLDERS_KIND, self._record_name)
+        self._call_store("GET", target, b"", self._on_checked_record)
+
+    def _on_checked_record(self, status: int, body: bytes) -> None:
+        held = HolderRecord(self._settings.instance, self._token)
+        stored: HolderRecord | None = None
+        revision: int | None = None
+        if status != _NOT_FOUND:
+            decoded = self._decode_record(status, body)
+            if decoded is None:
+                self._retry_check(status)
+                return
+            stored, revision = decoded
+        repair = repair_claim(stored, held)
+        if repair is ClaimRepair.WRITE_AGAIN:
+            self._write_record(held, revision, self._on_written_again)
+            return
+        self._end_check(repair)
+        if repair is ClaimRepair.CLAIM_AGAIN:
+            # No orders until the new claim is written.
+            self._token = 0
+            self._started_at = self._loop.now()
+            self._write_claim(stored, revision)
+
+    def _on_written_again(self, status: int, _body: bytes) -> None:
+        if status not in (_OK, _CREATED):
+            self._retry_check(status)
+            return
+        self._end_check(ClaimRepair.WRITE_AGAIN)
+
+    def _retry_check(self, status: int) -> None:
+        self._check_attempts += 1
+        if self._check_attempts < _MAX_CHECK_ATTEMPTS:
+            self._loop.call_later(_CHECK_RETRY_DELAY, self._check)
+            return
+        self._check_due = False
+        self._log.event("claim_not_checked", status=status)
+
+    def _end_check(self, repair: ClaimRepair) -> None:
+        self._check_due = False
+        if self._claim_epoch != self._checked_epoch:
+            # The store was restored once more during the check.
+            self._schedule_check()
+        elif self._claim_epoch is None:
+            self._claim_epoch = self._calls.epoch
+        self._log.event(
+            "claim_checked",
+            repair=repair.value,
+            token=self._token,
+            epoch=self._claim_epoch,
+        )
 
 
 class EngineControl:
--- a/fighitch/gateway/entry.py
+++ b/fighitch/gateway/entry.py
@@ -35,6 +35,7 @@
 from fighitch.gateway.metrics import EntryMetrics
 from fighitch.gateway.part_quarantine import PartQuarantine
 from fighitch.gateway.relay import Relay
+from fighitch.gateway.store_calls import StoreCalls
 from fighitch.gateway.store_watch import KindWatcher, WatchOptions
 from fighitch.observability.bounded_log import BoundedLog
 from fighitch.platform.configuration import (
@@ -111,6 +112,7 @@
         self._callers: set[CallerConnection] = set()
         self._relays: set[Relay] = set()
         self._stopping_since: Seconds | None = None
+        self._store_calls = StoreCalls(loop, log)
         self.quarantine = PartQuarantine(
             loop,
             settings.store,
@@ -128,6 +130,7 @@
             on_crash_report=self.quarantine.on_report,
             all_crashes=self.quarantine.all_crashes,
             named_limit=lambda server: self._server_limits.rate(server.incarnation),
+            store_epoch=lambda: self._store_calls.epoch,
         )
         self._listener: socket.socket | None = listen(
             settings.callers.host, settings.callers.port
@@ -158,6 +161,7 @@
             self._retry_budgets.clear()
         is_same_store = previous.store == settings.store
         if not is_same_store:
+            self._store_calls = StoreCalls(self.loop, self._log)
             self.quarantine.connect(settings.store)
         if not is_same_store or previous.drain_notice != settings.drain_notice:
             self._restart_watchers()
@@ -207,6 +211,7 @@
             WatchOptions(CONFIGURATION_KIND, pause=_CONFIGURATION_WATCH_PAUSE),
             self._log,
             on_change=self._on_configuration,
+            calls=self._store_calls,
         )
         servers = KindWatcher(
             self.loop,
@@ -216,6 +221,7 @@
             on_list=self._on_server_list,
             on_change=self._on_server_change,
             on_contact=self._on_store_contact,
+            calls=self._store_calls,
         )
         versions = KindWatcher(
             self.loop,
@@ -225,6 +231,7 @@
             ),
             self._log,
             on_change=self._on_version,
+            calls=self._store_calls,
         )
         quarantines = KindWatcher(
             self.loop,
@@ -233,6 +240,7 @@
             self._log,
             on_list=self.quarantine.on_stored_list,
             on_change=self.quarantine.on_stored_change,
+            calls=self._store_calls,
         )
         self._watchers = [configuration, servers, versions, quarantines]
         for watcher in self._watchers:
@@ -515,6 +523,13 @@
             return
         current = self._configuration
         if current is not None and configuration.version <= current.version:
+            if configuration.version < current.version:
+                self._log.event(
+                    "configuration_outdated",
+                    version=configuration.version,
+                    current=current.version,
+                    revision=item.revision,
+                )
             return
         self._configuration = configuration
         self._routes = RouteTable(configuration.routes)
--- a/fighitch/gateway/peer_messages.py
+++ b/fighitch/gateway/peer_messages.py
@@ -209,7 +209,15 @@
 
 
 class Heartbeat(_Message, frozen=True, tag=10):
-    """Signals that an entry is alive."""
+    """Signals that an entry is alive.
+
+    Attributes:
+        store_epoch: Latest epoch of the platform's store that the entry has seen; None
+            if it has seen none. Agents call the store rarely and learn of a restore
+            from it.
+    """
+
+    store_epoch: int | None = None
 
 
 Message = (
--- a/fighitch/tests/test_restored_store.py
+++ b/fighitch/tests/test_restored_store.py
@@ -1,20 +1,29 @@
 """Stores that are restored from an older copy.
 
 Revisions are given out again after a restore. Watches went on from a revision of the
-lost history and missed changes.
+lost history and missed changes, quarantines that the copy lacked were taken for deleted
+ones, and fencing tokens were lost.
 """
 
 import time
 import unittest
 from collections.abc import Callable
+from dataclasses import replace
 from unittest import mock
 
 from fighitch.core.gateway.settings import Address
+from fighitch.gateway import engine_control
+from fighitch.gateway.engine_control import EngineClaim
 from fighitch.gateway.store_calls import StoreCalls
 from fighitch.gateway.store_watch import KindWatcher, WatchOptions
 from fighitch.runtime.event_loop import EventLoop
+from fighitch.tests.test_gateway_entry import SETTINGS
+from fighitch.tests.test_gateway_processes import FleetTestCase
+from standins.platform_fleet import wait_until
 from standins.platform_store import PlatformStore
 
+HOLDERS_KIND = "engine-holders"
+ENGINE = Address("127.0.0.1", 9)
 TIMEOUT = 6.0
 
 
@@ -215,5 +224,116 @@
         self.client.close.assert_called_once()
 
 
+class ClaimTests(StoreTestCase):
+    """Fencing tokens of an engine's holders."""
+
+    def setUp(self):
+        super().setUp()
+        self.clock = mock.patch.object(engine_control.time, "time").start()
+        self.clock.return_value = 1_000.0
+        self.addCleanup(mock.patch.stopall)
+        self.name = str(ENGINE).replace(":", "-")
+
+    def claim(self, holder: str = "side-1") -> EngineClaim:
+        settings = replace(SETTINGS, instance=holder, store=self.address, lease=0.5)
+        claim = EngineClaim(self.loop, settings, ENGINE, self.log)
+        claim.start()
+        self.assertTrue(self.run_until(lambda: claim.token > 0))
+        return claim
+
+    def record(self) -> dict[str, object] | None:
+        return self.store.read(HOLDERS_KIND, self.name)
+
+    def test_lost_claim_is_written_again(self):
+        claim = self.claim()
+        self.store.restore_copy()
+        claim.record_store_epoch(2)
+        self.assertTrue(self.run_until(lambda: self.record() is not None))
+        self.assertEqual(self.record(), {"holder": "side-1", "token": claim.token})
+        self.assertTrue(claim.may_send_orders())
+
+    def test_next_holder_gets_a_higher_token_though_its_clock_is_behind(self):
+        claim = self.claim()
+        self.store.restore_copy()
+        claim.record_store_epoch(2)
+        self.assertTrue(self.run_until(lambda: self.record() is not None))
+        self.clock.return_value = 400.0
+        following = self.claim("side-2")
+        self.assertGreater(following.token, claim.token)
+        self.assertFalse(following.may_send_orders())
+
+    def test_older_claim_in_the_copy_is_replaced(self):
+        self.claim()
+        self.store.take_copy()
+        self.clock.return_value = 2_000.0
+        claim = self.claim()
+        self.store.restore_copy()
+        claim.record_store_epoch(2)
+        self.assertTrue(
+            self.run_until(
+                lambda: self.record() == {"holder": "side-1", "token": claim.token}
+            )
+        )
+
+    def test_claim_that_another_holder_took_is_not_overwritten(self):
+        claim = self.claim()
+        token = claim.token
+        self.store.restore_copy()
+        taken = {"holder": "side-2", "token": token + 7}
+        self.store.put(HOLDERS_KIND, self.name, taken)
+        claim.record_store_epoch(2)
+        self.assertTrue(self.run_until(lambda: claim.token != token))
+        self.assertFalse(claim.may_send_orders())
+        self.assertTrue(self.run_until(claim.may_send_orders))
+        self.assertGreater(claim.token, token + 7)
+
+    def test_known_epoch_needs_no_calls(self):
+        claim = self.claim()
+        calls = self.store.calls
+        for epoch in (None, 1, 1, 0):
+            claim.record_store_epoch(epoch)
+        self.run_until(lambda: False, 1.3)
+        self.assertEqual(self.store.calls, calls)
+
+    def test_second_restore_during_the_check_is_not_missed(self):
+        claim = self.claim()
+        self.store.restore_copy()
+        claim.record_store_epoch(2)
+        self.assertTrue(self.run_until(lambda: self.record() is not None))
+        self.store.restore_copy()
+        claim.record_store_epoch(3)
+        self.assertTrue(self.run_until(lambda: self.record() is not None))
+
+    def test_claim_made_by_the_clock_is_written_when_the_store_is_back(self):
+        self.store.down = True
+        claim = self.claim()
+        self.assertIsNone(self.record())
+        self.store.down = False
+        self.assertTrue(self.run_until(lambda: self.record() is not None))
+        self.assertEqual(self.record(), {"holder": "side-1", "token": claim.token})
+
+
+class RestoredFleetTests(FleetTestCase):
+    """Entries and agents while the store is restored."""
+
+    def test_agents_write_their_claims_again(self):
+        self.assertTrue(wait_until(self.agents_connected))
+        count = len(self.fleet.engines)
+        self.assertTrue(wait_until(lambda: len(self.tokens()) == count))
+        tokens = self.tokens()
+        # The first copy of the store is empty.
+        self.fleet.store.restore_copy()
+        for server in (*self.fleet.plain_servers, *self.fleet.engines):
+            self.fleet.publish_heartbeat(server)
+        self.fleet.put_configuration()
+        self.assertTrue(wait_until(lambda: self.tokens() == tokens, 6.0))
+
+    def tokens(self) -> dict[str, int]:
+        names = self.fleet.store.names(HOLDERS_KIND)
+        return {
+            name: self.fleet.store.read(HOLDERS_KIND, name)["token"] for name in names
+        }
+
+
 if __name__ == "__main__":
     unittest.main()
