Keep quarantines that a restored store lacks and write them again

Callers saw requests with a harmful prompt part crash engines again: an entry that read the list of a restored store took each quarantine that the copy lacked for one that an operator had deleted, counted its parts as answered and let them pass. Nobody wrote the lost objects again, so that an instance that started later didn't know them.

After a restore an entry keeps what the list lacks, with its end, and writes it again after a random time of 0.3 to 2 s unless another entry has. A quarantine that an operator deleted is neither written again nor taken from the copy. The same holds if the settings name another store.

--- a/fighitch/core/gateway/quarantine.py
+++ b/fighitch/core/gateway/quarantine.py
@@ -39,6 +39,12 @@
         # Times since which the evidence shows each of its groups.
         self._found_at: dict[PartGroup, Seconds] = {}
         self._own_parts: set[str] = set()
+        # Stored groups that a restore of the store may have lost, and when to write
+        # them again.
+        self._lost: dict[str, StoredQuarantine] = {}
+        self._write_lost_at: Seconds = float("inf")
+        # End of the groups whose objects were deleted. A restored copy may hold them.
+        self._released: dict[str, int] = {}
 
     @property
     def groups(self) -> set[PartGroup]:
@@ -75,13 +81,33 @@
     ) -> None:
         """Applies a complete list of the stored groups, by object name."""
         for name in [name for name in self._stored if name not in stored]:
-            self.release(name, now)
-        self._stored.update(stored)
+            if name not in self._lost:
+                self.release(name, now)
+        for name, item in stored.items():
+            self.put_stored(name, item)
 
     def put_stored(self, name: str, stored: StoredQuarantine) -> None:
-        """Adds a stored group."""
+        """Adds a stored group, unless it is an older state of the known one."""
+        if stored.until_ms <= self._released.get(name, -1):
+            return
+        lost = self._lost.get(name)
+        if lost is not None and stored.until_ms < lost.until_ms:
+            return
+        self._lost.pop(name, None)
         self._stored[name] = stored
 
+    def record_restored(self, write_at: Seconds) -> None:
+        """Records that the store may have lost any of the stored groups.
+
+        Groups that the next list lacks are kept and written again, as they were not
+        deleted.
+
+        Args:
+            write_at: Time from which to write them, unless another instance does.
+        """
+        self._lost = dict(self._stored)
+        self._write_lost_at = write_at
+
     def expire(self, now: Seconds, unix_ms: float) -> None:
         """Ends quarantines that are over.
 
@@ -94,16 +120,32 @@
         self._stored = {
             name: item for name, item in self._stored.items() if item.until_ms > unix_ms
         }
+        self._lost = {
+            name: item for name, item in self._lost.items() if name in self._stored
+        }
+        self._released = {
+            name: until_ms
+            for name, until_ms in self._released.items()
+            if until_ms > unix_ms
+        }
 
     def release(self, name: str, now: Seconds) -> None:
         """Ends the quarantine of a group whose object was deleted.
 
         Earlier crashes count no longer, so that the parts get another chance.
         """
+        self._lost.pop(name, None)
         stored = self._stored.pop(name, None)
         if stored is not None:
+            self._released[name] = stored.until_ms
             self.evidence.record_answered(stored.parts, now)
 
+    def lost_to_store(self, now: Seconds) -> list[StoredQuarantine]:
+        """Returns the groups that should be written again after a restore."""
+        if now < self._write_lost_at:
+            return []
+        return [item for item in self._lost.values() if self._is_credible(item.parts)]
+
     def groups_to_store(self, now: Seconds) -> list[PartGroup]:
         """Returns the groups that should be written to the store now."""
         groups = self.evidence.groups
--- a/fighitch/gateway/entry.py
+++ b/fighitch/gateway/entry.py
@@ -119,6 +119,7 @@
             log,
             spread=lambda report: self.links.spread(report),
             on_change=self._reject_quarantined,
+            calls=self._store_calls,
         )
         self.links = AgentLinks(
             loop,
@@ -162,7 +163,7 @@
         is_same_store = previous.store == settings.store
         if not is_same_store:
             self._store_calls = StoreCalls(self.loop, self._log)
-            self.quarantine.connect(settings.store)
+            self.quarantine.connect(settings.store, self._store_calls)
         if not is_same_store or previous.drain_notice != settings.drain_notice:
             self._restart_watchers()
 
@@ -240,6 +241,7 @@
             self._log,
             on_list=self.quarantine.on_stored_list,
             on_change=self.quarantine.on_stored_change,
+            on_restored=self.quarantine.on_store_restored,
             calls=self._store_calls,
         )
         self._watchers = [configuration, servers, versions, quarantines]
--- a/fighitch/gateway/part_quarantine.py
+++ b/fighitch/gateway/part_quarantine.py
@@ -1,5 +1,6 @@
 """Keeps requests whose prompts crash engines away from them, over the whole fleet."""
 
+import random
 import time
 from collections.abc import Callable, Iterable
 
@@ -16,6 +17,7 @@
 from fighitch.core.gateway.settings import Address
 from fighitch.gateway.crash_reports import build_report, merge_report
 from fighitch.gateway.peer_messages import CrashReport
+from fighitch.gateway.store_calls import StoreCalls
 from fighitch.observability.bounded_log import BoundedLog
 from fighitch.platform import store
 from fighitch.platform.quarantine import (
@@ -34,6 +36,10 @@
 _CONFLICT = 409
 _STORE_TIMEOUT: Seconds = 0.8
 _STORE_RETRY_DELAY: Seconds = 1.0
+# Each instance waits for a random time before it writes again what a restore of the
+# store has lost, so that mostly one of them does and the others hear of it.
+_MIN_REWRITE_DELAY: Seconds = 0.3
+_MAX_REWRITE_DELAY: Seconds = 2.0
 # Crashes are reported again to other agents, in case the first ones were cut off.
 _REPORT_INTERVAL: Seconds = 0.7
 _REPORT_TIME: Seconds = 3.0
@@ -50,6 +56,7 @@
         *,
         spread: Callable[[CrashReport], None],
         on_change: Callable[[], None],
+        calls: StoreCalls | None = None,
     ) -> None:
         """Initializes the quarantine without any evidence.
 
@@ -59,6 +66,8 @@
             log: Log for crashes and quarantined parts.
             spread: Sends a crash report to the other entries.
             on_change: Called when other requests are blocked than before.
+            calls: Calls to the store, shared with its other clients; None for calls of
+                the quarantine alone.
         """
         self._loop = loop
         self._log = log
@@ -67,17 +76,20 @@
         self._quarantine = Quarantine()
         self._lost_runs = LostRuns()
         self._client = SerialClient(loop, store_address)
+        self._calls = calls or StoreCalls(loop, log)
         self._writing = False
         self._write_not_before: Seconds = 0.0
         self._known_groups: set[PartGroup] = set()
         self._own_crashes: dict[Incarnation, Crash] = {}
         self._reported_at: Seconds = float("-inf")
 
-    def connect(self, store_address: Address) -> None:
-        """Uses another address of the store."""
+    def connect(self, store_address: Address, calls: StoreCalls) -> None:
+        """Uses another address of the store, which may lack what was stored."""
         self._client.close()
         self._client = SerialClient(self._loop, store_address)
+        self._calls = calls
         self._writing = False
+        self.on_store_restored()
 
     def blocks(self, parts: tuple[str, ...]) -> bool:
         """Returns whether a request with these parts must not reach an engine."""
@@ -138,8 +150,7 @@
         self._report(now)
         self._check_groups()
         if not self._writing and now >= self._write_not_before:
-            for parts in self._quarantine.groups_to_store(now)[:1]:
-                self._store(parts)
+            self._store_next(now)
 
     def _report(self, now: Seconds) -> None:
         if now - self._reported_at < _REPORT_INTERVAL:
@@ -176,11 +187,23 @@
 
     # The store.
 
-    def _store(self, parts: PartGroup) -> None:
+    def on_store_restored(self) -> None:
+        """Records that the store may lack what was stored."""
+        delay = random.uniform(_MIN_REWRITE_DELAY, _MAX_REWRITE_DELAY)
+        self._quarantine.record_restored(self._loop.now() + delay)
+
+    def _store_next(self, now: Seconds) -> None:
+        for stored in self._quarantine.lost_to_store(now)[:1]:
+            self._log.event("quarantine_restored", parts=",".join(sorted(stored.parts)))
+            self._store(stored)
+            return
+        for parts in self._quarantine.groups_to_store(now)[:1]:
+            until = time.time() + EVIDENCE_LIFETIME
+            self._store(StoredQuarantine(parts, round(until * _MS_PER_SECOND)))
+
+    def _store(self, stored: StoredQuarantine) -> None:
         self._writing = True
-        until = time.time() + EVIDENCE_LIFETIME
-        stored = StoredQuarantine(parts, round(until * _MS_PER_SECOND))
-        name = quarantine_name(parts)
+        name = quarantine_name(stored.parts)
         self._write("POST", store.list_target(QUARANTINE_KIND), name, stored)
 
     def _write(
@@ -202,8 +225,13 @@
             self._write_not_before = self._loop.now() + _STORE_RETRY_DELAY
             self._log.event("quarantine_not_stored", entry=name, status=status)
 
-        self._client.call(
-            request, on_response, timeout=_STORE_TIMEOUT, reuse_connection=False
+        self._calls.call(
+            self._client,
+            request,
+            on_response,
+            timeout=_STORE_TIMEOUT,
+            subject=QUARANTINE_KIND,
+            reuse_connection=False,
         )
 
     def on_stored_list(self, objects: Iterable[store.StoredObject]) -> None:
--- a/fighitch/tests/test_restored_store.py
+++ b/fighitch/tests/test_restored_store.py
@@ -11,11 +11,14 @@
 from dataclasses import replace
 from unittest import mock
 
+from fighitch.core.gateway.quarantine import StoredQuarantine
 from fighitch.core.gateway.settings import Address
 from fighitch.gateway import engine_control
 from fighitch.gateway.engine_control import EngineClaim
+from fighitch.gateway.part_quarantine import PartQuarantine
 from fighitch.gateway.store_calls import StoreCalls
 from fighitch.gateway.store_watch import KindWatcher, WatchOptions
+from fighitch.platform.quarantine import QUARANTINE_KIND, quarantine_name
 from fighitch.runtime.event_loop import EventLoop
 from fighitch.tests.test_gateway_entry import SETTINGS
 from fighitch.tests.test_gateway_processes import FleetTestCase
@@ -224,6 +227,102 @@
         self.client.close.assert_called_once()
 
 
+class QuarantineTests(StoreTestCase):
+    PARTS = frozenset({"bad"})
+
+    def setUp(self):
+        super().setUp()
+        self.entries = [self.add_entry() for _ in range(8)]
+        until_ms = round((time.time() + 600) * 1_000)
+        self.stored = StoredQuarantine(self.PARTS, until_ms)
+        self.name = quarantine_name(self.PARTS)
+        self.store.take_copy()
+        self.put(self.stored)
+        self.assertTrue(self.run_until(lambda: self.blocking() == len(self.entries)))
+
+    def add_entry(self) -> PartQuarantine:
+        calls = StoreCalls(self.loop, self.log)
+        quarantine = PartQuarantine(
+            self.loop,
+            self.address,
+            self.log,
+            spread=mock.Mock(),
+            on_change=mock.Mock(),
+            calls=calls,
+        )
+        watcher = KindWatcher(
+            self.loop,
+            self.address,
+            WatchOptions(QUARANTINE_KIND),
+            self.log,
+            on_list=quarantine.on_stored_list,
+            on_change=quarantine.on_stored_change,
+            on_restored=quarantine.on_store_restored,
+            calls=calls,
+        )
+        self.addCleanup(watcher.stop)
+        watcher.start()
+        self.loop.call_every(0.1, quarantine.run_housekeeping)
+        return quarantine
+
+    def put(self, stored: StoredQuarantine) -> None:
+        content = {"parts": sorted(stored.parts), "until_ms": stored.until_ms}
+        self.store.put(QUARANTINE_KIND, self.name, content)
+
+    def blocking(self) -> int:
+        return sum(item.blocks(("bad", "other")) for item in self.entries)
+
+    def is_stored(self) -> bool:
+        return self.name in self.store.names(QUARANTINE_KIND)
+
+    def test_lost_quarantine_goes_on_and_is_written_again(self):
+        self.store.restore_copy()
+        lowest = [len(self.entries)]
+
+        def is_written() -> bool:
+            lowest.append(self.blocking())
+            return self.is_stored()
+
+        self.assertTrue(self.run_until(is_written))
+        self.run_until(lambda: False, 2.5)
+        self.assertEqual(min(lowest), len(self.entries))
+        self.assertEqual(self.blocking(), len(self.entries))
+        stored = self.store.read(QUARANTINE_KIND, self.name)
+        self.assertEqual(stored["until_ms"], self.stored.until_ms)
+        self.assertLessEqual(len(self.store.writes), 3, self.store.writes)
+
+    def test_deleted_quarantine_is_not_written_again(self):
+        self.store.take_copy()
+        self.store.remove(QUARANTINE_KIND, self.name)
+        self.assertTrue(self.run_until(lambda: self.blocking() == 0))
+        self.store.restore_copy()
+        self.run_until(lambda: False, 3.0)
+        self.assertEqual(self.blocking(), 0)
+        self.assertEqual(self.store.writes, [])
+
+    def test_quarantine_that_is_deleted_after_the_restore_ends(self):
+        self.store.restore_copy()
+        self.assertTrue(self.run_until(self.is_stored))
+        self.run_until(lambda: False, 2.5)
+        self.store.remove(QUARANTINE_KIND, self.name)
+        self.assertTrue(self.run_until(lambda: self.blocking() == 0))
+        self.run_until(lambda: False, 1.0)
+        self.assertFalse(self.is_stored())
+
+    def test_later_end_is_written_again(self):
+        self.store.take_copy()
+        later = replace(self.stored, until_ms=self.stored.until_ms + 60_000)
+        self.put(later)
+        self.run_until(lambda: False, 0.3)
+        self.store.restore_copy()
+
+        def is_written() -> bool:
+            content = self.store.read(QUARANTINE_KIND, self.name)
+            return content["until_ms"] == later.until_ms
+
+        self.assertTrue(self.run_until(is_written))
+
+
 class ClaimTests(StoreTestCase):
     """Fencing tokens of an engine's holders."""
 
