Take no removed server from an older copy of the server list

A restored list names servers that have left since the copy. An entry that had seen the removal took such a server for ready again and sent it requests, though it was gone or its address belonged to another service.

After a restore, an incarnation that was removed before counts only once it is written again, which a server that is gone never does. The grace period for missing servers starts with each restored list.

On the code before:

test_removed_server_in_an_older_copy_gets_no_requests AssertionError: Lists differ: ['b', 'a'] != ['b'] test_removed_server_is_still_held_back_after_a_second_restore AssertionError: Lists differ: ['b', 'a'] != ['b'] test_server_that_a_restored_list_lacks_is_kept_for_a_grace_period AssertionError: Lists differ: ['a'] != ['a', 'b'] test_fleet_follows_the_restored_store AssertionError: 4 != 2

--- a/fighitch/core/gateway/membership.py
+++ b/fighitch/core/gateway/membership.py
@@ -3,12 +3,14 @@
 from collections.abc import Iterable
 from dataclasses import dataclass, replace
 
-from fighitch.core.gateway.model import BackendServer, ServerState
+from fighitch.core.gateway.model import BackendServer, Incarnation, ServerState
 from fighitch.types import Seconds
 
 # Grace period after an outage of the store. Servers whose list entry lapsed during the
 # outage are listed again within about 2 s; a server that is still missing then is gone.
 LAPSE_GRACE: Seconds = 2.2
+# Removed servers that are remembered, in case a restored list names them again.
+_MAX_REMOVED = 4_096
 
 
 @dataclass(frozen=True, slots=True)
@@ -34,6 +36,11 @@
         # Start time of the incarnations that announced a drain or were replaced, by
         # instance id. An outdated heartbeat doesn't make them ready again.
         self._left_incarnations: dict[str, int] = {}
+        # Start time of the removed incarnations, by instance id, the oldest first.
+        self._removed_incarnations: dict[str, int] = {}
+        self._is_list_restored = False
+        # Removed servers that a restored list names, until they are written again.
+        self._unconfirmed: set[Incarnation] = set()
         self._outage_end: Seconds = float("-inf")
         # Ready servers by service; None after a change, until the next use.
         self._ready_by_service: dict[str, tuple[BackendServer, ...]] | None = None
@@ -49,6 +56,15 @@
         if after_outage:
             self._outage_end = now
 
+    def record_store_restored(self, now: Seconds) -> None:
+        """Records that the next list comes from an older copy of the store.
+
+        Servers that started since the copy are missing there until they write again,
+        and servers that have left since are listed.
+        """
+        self._outage_end = now
+        self._is_list_restored = True
+
     @property
     def servers(self) -> Iterable[BackendServer]:
         """All known servers, including draining ones."""
@@ -71,15 +87,34 @@
     ) -> list[MembershipChange]:
         """Applies a complete list of backend servers."""
         listed = {server.instance_id: server for server in servers}
+        self._unconfirmed &= {server.incarnation for server in listed.values()}
+        if self._is_list_restored:
+            self._is_list_restored = False
+            self._unconfirmed |= {
+                server.incarnation
+                for server in listed.values()
+                if self._was_removed(server)
+            }
         changes = []
         for instance_id in [name for name in self._servers if name not in listed]:
             changes += self.remove(instance_id, now)
         for server in listed.values():
-            changes += self.put(server)
+            if server.incarnation not in self._unconfirmed:
+                changes += self._put(server)
         return changes
 
+    def _was_removed(self, server: BackendServer) -> bool:
+        removed_start_ms = self._removed_incarnations.get(server.instance_id)
+        return removed_start_ms is not None and (
+            server.start_time_ms <= removed_start_ms
+        )
+
     def put(self, server: BackendServer) -> list[MembershipChange]:
         """Adds or updates one server; an earlier incarnation is ignored."""
+        self._unconfirmed.discard(server.incarnation)
+        return self._put(server)
+
+    def _put(self, server: BackendServer) -> list[MembershipChange]:
         name = server.instance_id
         known = self._servers.get(name)
         if known is not None and server.start_time_ms < known.start_time_ms:
@@ -92,6 +127,7 @@
         if server.state is ServerState.DRAINING:
             self._left_incarnations[name] = server.start_time_ms
         self._lapse_deadlines.pop(name, None)
+        self._removed_incarnations.pop(name, None)
         self._servers[name] = server
         if known == server:
             return []
@@ -154,7 +190,11 @@
 
     def _drop(self, instance_id: str) -> list[MembershipChange]:
         self._lapse_deadlines.pop(instance_id, None)
-        if self._servers.pop(instance_id, None) is None:
+        server = self._servers.pop(instance_id, None)
+        if server is None:
             return []
+        self._removed_incarnations[instance_id] = server.start_time_ms
+        if len(self._removed_incarnations) > _MAX_REMOVED:
+            self._removed_incarnations.pop(next(iter(self._removed_incarnations)))
         self._ready_by_service = None
         return [MembershipChange(instance_id, "removed")]
--- a/fighitch/gateway/entry.py
+++ b/fighitch/gateway/entry.py
@@ -164,6 +164,7 @@
         if not is_same_store:
             self._store_calls = StoreCalls(self.loop, self._log)
             self.quarantine.connect(settings.store, self._store_calls)
+            self._on_servers_restored()
         if not is_same_store or previous.drain_notice != settings.drain_notice:
             self._restart_watchers()
 
@@ -222,6 +223,7 @@
             on_list=self._on_server_list,
             on_change=self._on_server_change,
             on_contact=self._on_store_contact,
+            on_restored=self._on_servers_restored,
             calls=self._store_calls,
         )
         versions = KindWatcher(
@@ -559,6 +561,9 @@
             self.loop.now(), after_outage=after_outage
         )
 
+    def _on_servers_restored(self) -> None:
+        self._membership.record_store_restored(self.loop.now())
+
     def _on_server_list(self, objects: Iterable[StoredObject]) -> None:
         servers = [self._decode_server(item) for item in objects]
         known = [server for server in servers if server is not None]
--- a/fighitch/tests/test_gateway_membership.py
+++ b/fighitch/tests/test_gateway_membership.py
@@ -70,3 +70,66 @@
     def test_complete_list_removes_missing_servers(self):
         self.membership.replace_all([server("b")], 10.0)
         self.assertEqual(self.ready(), ["b"])
+
+
+class RestoredListTests(unittest.TestCase):
+    """Lists of a store that was restored from an older copy."""
+
+    def setUp(self):
+        self.membership = Membership()
+        for name in ("a", "b"):
+            self.membership.put(server(name))
+
+    def ready(self) -> list[str]:
+        return [item.instance_id for item in self.membership.ready("models")]
+
+    def restore(self, *names: str, now: float = 10.0, **fields) -> None:
+        self.membership.record_store_restored(now)
+        listed = [server(name, **fields) for name in names]
+        self.membership.replace_all(listed, now)
+
+    def test_removed_server_in_an_older_copy_gets_no_requests(self):
+        # Its address may belong to another service by now.
+        self.membership.remove("a", 5.0)
+        self.restore("a", "b")
+        self.assertEqual(self.ready(), ["b"])
+        self.membership.replace_all([server("a"), server("b")], 11.0)
+        self.assertEqual(self.ready(), ["b"])
+
+    def test_removed_server_that_writes_again_is_ready(self):
+        self.membership.remove("a", 5.0)
+        self.restore("a", "b")
+        self.membership.put(server("a"))
+        self.assertEqual(self.ready(), ["b", "a"])
+        self.restore("a", "b", now=20.0)
+        self.assertEqual(self.ready(), ["b", "a"])
+
+    def test_removed_server_is_still_held_back_after_a_second_restore(self):
+        self.membership.remove("a", 5.0)
+        self.restore("a", "b")
+        self.restore("a", "b", now=10.5)
+        self.assertEqual(self.ready(), ["b"])
+
+    def test_later_incarnation_of_a_removed_server_is_ready(self):
+        self.membership.remove("a", 5.0)
+        self.restore("a", "b", start_time_ms=2)
+        self.assertEqual(sorted(self.ready()), ["a", "b"])
+
+    def test_removed_server_that_is_listed_again_without_a_restore_is_ready(self):
+        self.membership.remove("a", 5.0)
+        self.membership.replace_all([server("a"), server("b")], 10.0)
+        self.assertEqual(self.ready(), ["b", "a"])
+
+    def test_server_that_a_restored_list_lacks_is_kept_for_a_grace_period(self):
+        # Contact need not be lost before a restored list.
+        self.restore("a")
+        self.assertEqual(self.ready(), ["a", "b"])
+        self.membership.expire(10.0 + LAPSE_GRACE)
+        self.assertEqual(self.ready(), ["a"])
+
+    def test_draining_server_that_the_copy_lists_as_ready_gets_no_requests(self):
+        self.membership.put(server("a", state=ServerState.DRAINING))
+        self.restore("a", "b")
+        self.assertEqual(self.ready(), ["b"])
+        self.membership.put(server("a"))
+        self.assertEqual(self.ready(), ["b"])
--- a/fighitch/tests/test_restored_store.py
+++ b/fighitch/tests/test_restored_store.py
@@ -22,6 +22,7 @@
 from fighitch.runtime.event_loop import EventLoop
 from fighitch.tests.test_gateway_entry import SETTINGS
 from fighitch.tests.test_gateway_processes import FleetTestCase
+from standins.platform_backends import PlatformBackend
 from standins.platform_fleet import wait_until
 from standins.platform_store import PlatformStore
 
@@ -415,6 +416,34 @@
 class RestoredFleetTests(FleetTestCase):
     """Entries and agents while the store is restored."""
 
+    def test_fleet_follows_the_restored_store(self):
+        self.assertTrue(wait_until(self.agents_connected))
+        self.fleet.store.take_copy()
+        route = self.fleet.add_route()
+        gone = self.fleet.plain_servers[0]
+        self.fleet.store.remove("servers", gone.instance_id)
+        self.assertTrue(self.all_served(route))
+        self.assertTrue(wait_until(lambda: self.changes(gone, "removed") == 2))
+        runs = len(gone.runs)
+        self.fleet.store.restore_copy()
+        # Longer than the pause between the watches of the servers.
+        time.sleep(1.5)
+        # The copy lists the server that has left as ready, and lacks the route.
+        for number in range(12):
+            response = self.fleet.send_request("order", f"o{number}", entry=number % 2)
+            self.assertEqual(response.status, 200)
+        self.assertEqual(len(gone.runs), runs)
+        self.assertEqual(self.changes(gone, "added"), 2)
+        self.assertTrue(self.all_served(route))
+        # Only a server that lives writes its entry again.
+        self.fleet.publish_heartbeat(gone)
+        self.assertTrue(wait_until(lambda: self.changes(gone, "added") == 4))
+        # A later configuration is in force although revisions were given out again.
+        added_route = self.fleet.add_route()
+        self.assertTrue(wait_until(lambda: self.all_served(added_route), 2.0))
+        for entry in self.fleet.entries:
+            self.assertIn("event=store_epoch", entry.log())
+
     def test_agents_write_their_claims_again(self):
         self.assertTrue(wait_until(self.agents_connected))
         count = len(self.fleet.engines)
@@ -433,6 +462,24 @@
             name: self.fleet.store.read(HOLDERS_KIND, name)["token"] for name in names
         }
 
+    def changes(self, server: PlatformBackend, change: str) -> int:
+        line = f"server={server.instance_id} change={change}"
+        return sum(entry.log().count(line) for entry in self.fleet.entries)
+
+    def all_served(self, route: str) -> bool:
+        return all(
+            wait_until(
+                lambda entry=entry: (
+                    self.fleet.send_request(
+                        route, f"{route}-{time.monotonic()}", entry=entry
+                    ).status
+                    == 200
+                ),
+                2.0,
+            )
+            for entry in range(len(self.fleet.entries))
+        )
+
 
 if __name__ == "__main__":
     unittest.main()
