Notice a restore between two watchers of the same kind

A changed setting replaces the watchers of an entry. A restore between the last response to the old watcher and the first list of the new one was taken for a plain list, so that quarantines that the copy lacks would be released. On the code before:

test_watcher_that_replaces_another_one_notices_a_restore_in_between AssertionError: False is not true

--- a/fighitch/gateway/store_watch.py
+++ b/fighitch/gateway/store_watch.py
@@ -95,7 +95,9 @@
         # Number of the last call; responses to earlier ones are ignored.
         self._call_number = 0
         self._next_call: Timer | None = None
-        self._copy_epoch: int | None = None
+        # Epoch of the known objects; at first, of those that the previous watcher of
+        # the kind has reported.
+        self._copy_epoch = self._calls.epoch
         self._restored_at: Seconds = float("-inf")
         self._revision = 0
         self._listed_objects: list[store.StoredObject] = []
--- a/fighitch/tests/test_restored_store.py
+++ b/fighitch/tests/test_restored_store.py
@@ -11,11 +11,14 @@
 from dataclasses import replace
 from unittest import mock
 
+import msgspec
+
 from fighitch.core.gateway.quarantine import StoredQuarantine
 from fighitch.core.gateway.settings import Address
 from fighitch.gateway import engine_control
 from fighitch.gateway.engine_control import EngineClaim
 from fighitch.gateway.part_quarantine import PartQuarantine
+from fighitch.gateway.peer_messages import Heartbeat
 from fighitch.gateway.store_calls import StoreCalls
 from fighitch.gateway.store_watch import KindWatcher, WatchOptions
 from fighitch.platform.quarantine import QUARANTINE_KIND, quarantine_name
@@ -197,6 +200,28 @@
             self.run_until(lambda: watcher.is_current(self.loop.now())), "not current"
         )
 
+    def test_watcher_that_replaces_another_one_notices_a_restore_in_between(self):
+        # A changed setting replaces the watchers of an entry.
+        first = self.watch()
+        self.assertTrue(self.run_until(lambda: self.calls.epoch == 1))
+        first.stop()
+        self.store.restore_copy()
+        self.watch()
+        self.assertTrue(self.run_until(lambda: self.calls.epoch == 2))
+        self.assertTrue(self.run_until(lambda: self.restored == 1))
+
+
+class EarlierHeartbeat(msgspec.Struct, array_like=True, tag=10, frozen=True):
+    """Heartbeat of builds that know no epoch."""
+
+
+class HeartbeatTests(unittest.TestCase):
+    def test_heartbeats_of_earlier_and_later_builds_are_understood(self):
+        later = msgspec.msgpack.encode(Heartbeat(3))
+        msgspec.msgpack.decode(later, type=EarlierHeartbeat)
+        earlier = msgspec.msgpack.encode(EarlierHeartbeat())
+        self.assertIsNone(msgspec.msgpack.decode(earlier, type=Heartbeat).store_epoch)
+
 
 class LateResponseTests(unittest.TestCase):
     """Responses from before a restore that arrive after it."""
