--- a/fighitch/gateway/entry.py
+++ b/fighitch/gateway/entry.py
@@ -36,6 +36,7 @@
 from fighitch.gateway.part_quarantine import PartQuarantine
 from fighitch.gateway.relay import Relay
 from fighitch.gateway.relay_host import RelayedRequest
+from fighitch.gateway.store_calls import StoreCalls
 from fighitch.gateway.store_watch import KindWatcher, WatchOptions
 from fighitch.observability.bounded_log import BoundedLog
 from fighitch.platform.configuration import (
@@ -112,12 +113,14 @@
         self._callers: set[CallerConnection] = set()
         self._relays: set[RelayedRequest] = set()
         self._stopping_since: Seconds | None = None
+        self._store_calls = StoreCalls(loop, log)
         self.quarantine = PartQuarantine(
             loop,
             settings.store,
             log,
             spread=lambda report: self.links.spread(report),
             on_change=self._reject_quarantined,
+            calls=self._store_calls,
         )
         self.links = AgentLinks(
             loop,
@@ -129,6 +132,7 @@
             on_crash_report=self.quarantine.on_report,
             all_crashes=self.quarantine.all_crashes,
             named_limit=lambda server: self._server_limits.rate(server.incarnation),
+            store_epoch=lambda: self._store_calls.epoch,
         )
         self._listener: socket.socket | None = listen(
             settings.callers.host, settings.callers.port
@@ -159,7 +163,9 @@
             self._retry_budgets.clear()
         is_same_store = previous.store == settings.store
         if not is_same_store:
-            self.quarantine.connect(settings.store)
+            self._store_calls = StoreCalls(self.loop, self._log)
+            self.quarantine.connect(settings.store, self._store_calls)
+            self._on_servers_restored()
         if not is_same_store or previous.drain_notice != settings.drain_notice:
             self._restart_watchers()
 
@@ -208,6 +214,7 @@
             WatchOptions(CONFIGURATION_KIND, pause=_CONFIGURATION_WATCH_PAUSE),
             self._log,
             on_change=self._on_configuration,
+            calls=self._store_calls,
         )
         servers = KindWatcher(
             self.loop,
@@ -217,6 +224,8 @@
             on_list=self._on_server_list,
             on_change=self._on_server_change,
             on_contact=self._on_store_contact,
+            on_restored=self._on_servers_restored,
+            calls=self._store_calls,
         )
         versions = KindWatcher(
             self.loop,
@@ -226,6 +235,7 @@
             ),
             self._log,
             on_change=self._on_version,
+            calls=self._store_calls,
         )
         quarantines = KindWatcher(
             self.loop,
@@ -234,6 +244,8 @@
             self._log,
             on_list=self.quarantine.on_stored_list,
             on_change=self.quarantine.on_stored_change,
+            on_restored=self.quarantine.on_store_restored,
+            calls=self._store_calls,
         )
         self._watchers = [configuration, servers, versions, quarantines]
         for watcher in self._watchers:
@@ -524,6 +536,13 @@
             return
         current = self._configuration
         if current is not None and configuration.version <= current.version:
+            if configuration.version < current.version:
+                self._log.event(
+                    "configuration_outdated",
+                    version=configuration.version,
+                    current=current.version,
+                    revision=item.revision,
+                )
             return
         self._configuration = configuration
         self._routes = RouteTable(configuration.routes)
@@ -551,6 +570,9 @@
             self.loop.now(), after_outage=after_outage
         )
 
+    def _on_servers_restored(self) -> None:
+        self._membership.record_store_restored(self.loop.now())
+
     def _on_server_list(self, objects: Iterable[StoredObject]) -> None:
         servers = [self._decode_server(item) for item in objects]
         known = [server for server in servers if server is not None]
