Let the soak answer continuations of streams with other responses

The soak cut streams, but the next engine always continued them. A new fault cuts more streams, and engines answer the requests to continue them with signed and unsigned errors, other kinds of bodies or the whole stream again.

Checks, all earlier ones kept: a complete stream has exactly the expected bytes, not only the expected ids, and a stream that broke off has whole first events and nothing else.

--- a/benchmarks/platform_soak.py
+++ b/benchmarks/platform_soak.py
@@ -3,8 +3,9 @@
 Callers send requests of every kind on reused and on new connections while overlapping
 faults are injected: instances are killed, paused and stopped; proxies delay, reset or
 silence connections or cut them in one direction; the store becomes unavailable or loses
-its history; servers drain and restart; responses and orders are lost; prompts with one
-part crash engines; servers limit the requests that they take. The observations
+its history; servers drain and restart; responses and orders are lost; streams are cut
+and continued by engines that answer with something else; prompts with one part crash
+engines; servers limit the requests that they take. The observations
 of callers and servers are checked against the guarantees for users. A planned run has
 planned operations only and must not lose any response.
 """
@@ -52,6 +53,7 @@
 # Share of the streams whose prompt has the part that crashes engines.
 _CRASHING_SHARE = 0.05
 _CALLER_TIMEOUT = 8.0
+_RESPONSE_FAULTS = ("reset", "errors", "shed", "second_answers", "cut_streams")
 # A run whose seed is a multiple of this has planned operations only.
 PLANNED_EVERY = 5
 
@@ -204,6 +206,7 @@
             self._store_outage,
             self._forget_history,
             self._lose_responses,
+            self._cut_streams,
             self._lose_orders,
             self._restart_engine,
             self._delay_link,
@@ -269,9 +272,15 @@
         self._log_fault(
             "lost responses, errors, rejections, second responses, cut streams"
         )
-        for name in ("reset", "errors", "shed", "second_answers", "cut_streams"):
+        for name in _RESPONSE_FAULTS:
             setattr(self._faults, name, self._random.randrange(4))
 
+    def _cut_streams(self) -> None:
+        """Cuts streams, some of which get a wrong response as a continuation."""
+        self._log_fault("streams cut, wrong continuations")
+        self._faults.cut_streams = self._random.randrange(4, 20)
+        self._faults.wrong_continuations = self._random.randrange(2, 10)
+
     def _lose_orders(self) -> None:
         self._log_fault("orders lost")
         self._faults.lost_orders = self._random.randrange(1, 6)
@@ -342,8 +351,9 @@
             heapq.heappop(self._pending_clears)[2]()
         for link in self._fleet.links.values():
             link.heal()
-        for name in ("reset", "errors", "shed", "second_answers", "cut_streams"):
+        for name in _RESPONSE_FAULTS:
             setattr(self._faults, name, 0)
+        self._faults.wrong_continuations = 0
         self._faults.lost_orders = 0
         wait_until(lambda: all(map(self._fleet.is_ready, self._fleet.entries)))
 
--- a/benchmarks/platform_soak_checks.py
+++ b/benchmarks/platform_soak_checks.py
@@ -123,6 +123,8 @@
         found.append(f"{sent.request_id}: success that no server returned")
     if answer.complete:
         found += _body_violations(sent)
+    elif sent.route in _STREAM_ROUTES:
+        found += _partial_stream_violations(sent)
     return found
 
 
@@ -139,9 +141,28 @@
     ]
     if numbers != _EXPECTED_EVENT_IDS:
         return [f"{sent.request_id}: events {numbers}"]
+    if body != _expected_stream(sent):
+        return [f"{sent.request_id}: stream with other bytes {body[:200]!r}"]
     return []
 
 
+def _partial_stream_violations(sent: SentRequest) -> list[str]:
+    """Returns a violation if a stream that broke off has more than its first events."""
+    body = sent.answer.body
+    is_whole = not body or body.endswith(b"\n\n")
+    if not is_whole or not _expected_stream(sent).startswith(body):
+        return [f"{sent.request_id}: broken stream with other bytes {body[:200]!r}"]
+    return []
+
+
+def _expected_stream(sent: SentRequest) -> bytes:
+    request_id = sent.request_id.encode()
+    return b"".join(
+        b"id: %b\ndata: %b %b\n\n" % (number, request_id, number)
+        for number in _EXPECTED_EVENT_IDS
+    )
+
+
 def _loss_violations(sent: SentRequest, runs: int) -> list[str]:
     """Returns a violation if a response was lost in a planned run."""
     if sent.answer.complete or sent.answer.timed_out or not runs:
--- a/benchmarks/tests/test_platform_soak_checks.py
+++ b/benchmarks/tests/test_platform_soak_checks.py
@@ -90,6 +90,25 @@
         found = self.violations("stream", answer, 1)
         self.assertTrue(any("events" in item for item in found), found)
 
+    def test_foreign_bytes_in_a_complete_stream_are_detected(self):
+        for body in (EVENTS + b"failed", EVENTS.replace(b"r1 3", b"r1 3 no")):
+            self.record.violations.clear()
+            found = self.violations("resume", CallerResponse(200, SIGNED, body), 1)
+            self.assertTrue(any("other bytes" in item for item in found), found)
+
+    def test_foreign_bytes_in_a_broken_stream_are_detected(self):
+        event = b"id: 1\ndata: r1 1\n\n"
+        for body in (event + b"failed", event + event, event[:-1], EVENTS[4:]):
+            self.record.violations.clear()
+            answer = CallerResponse(200, SIGNED, body, complete=False)
+            found = self.violations("resume", answer, 1)
+            self.assertTrue(any("other bytes" in item for item in found), found)
+
+    def test_first_events_of_a_broken_stream_are_no_violation(self):
+        for body in (b"", b"id: 1\ndata: r1 1\n\n", EVENTS):
+            answer = CallerResponse(200, SIGNED, body, complete=False)
+            self.assertEqual(self.violations("resume", answer, 1), [])
+
     def test_overfull_engine_and_decreasing_token_are_detected(self):
         engine = self.fleet.engines[0]
         engine.overcommit = 1
--- a/fighitch/tests/test_gateway_processes.py
+++ b/fighitch/tests/test_gateway_processes.py
@@ -3,7 +3,7 @@
 import time
 import unittest
 
-from standins.platform_backends import BackendFaults
+from standins.platform_backends import WRONG_CONTINUATIONS, BackendFaults
 from standins.platform_fleet import PlatformFleet, wait_until
 
 
@@ -125,6 +125,23 @@
         self.assert_complete_stream(response, "s1")
         self.assertEqual(self.runs("s1"), 2)
 
+    def test_truncated_stream_is_not_continued_by_other_responses(self):
+        # An error's text was sent in the middle of the stream, which then looked
+        # complete.
+        self.assertTrue(wait_until(self.agents_connected))
+        faults = self.use_shared_faults(self.fleet.engines)
+        # The retry budget of the entry allows nine continuations.
+        for number, answer in enumerate((*WRONG_CONTINUATIONS[::2], None)):
+            for engine in self.fleet.engines:
+                engine.wrong_continuations = iter((answer,))
+            faults.cut_streams = faults.wrong_continuations = 1
+            name = f"s{number}"
+            response = self.fleet.send_request("resume", name, adapter="a1")
+            self.assertFalse(response.complete)
+            events = [b"id: %d\ndata: s%d %d\n\n" % (n, number, n) for n in (1, 2)]
+            self.assertEqual(response.body, b"".join(events))
+            self.assertEqual(self.runs(name), 2)
+
     def test_lost_orders_delay_loads_but_never_exceed_engine_capacity(self):
         self.assertTrue(wait_until(self.agents_connected))
         for engine in self.fleet.engines:
--- a/standins/platform_backends.py
+++ b/standins/platform_backends.py
@@ -2,7 +2,7 @@
 
 import itertools
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -18,6 +18,30 @@
 _DOWN_SECONDS = 0.5
 
 
+@dataclass(frozen=True, slots=True)
+class WrongContinuation:
+    """Response to a request to continue a stream that does not continue it."""
+
+    status: int
+    is_signed: bool
+    content_type: bytes
+    body: bytes
+
+
+WRONG_CONTINUATIONS = (
+    WrongContinuation(404, True, b"text/plain", b"no such run"),
+    WrongContinuation(404, False, b"text/plain", b"no such run"),
+    WrongContinuation(500, True, b"text/plain", b"failed"),
+    WrongContinuation(500, False, b"text/plain", b"failed"),
+    WrongContinuation(302, True, b"text/plain", b"moved"),
+    WrongContinuation(204, True, b"text/plain", b""),
+    WrongContinuation(200, True, b"application/json", b'{"error": "failed"}\n\n'),
+    WrongContinuation(200, False, b"text/event-stream", b"id: 9\ndata: failed\n\n"),
+    WrongContinuation(404, True, b"text/event-stream", b"id: 9\ndata: no\n\n"),
+    WrongContinuation(409, True, b"text/plain", b"x" * 300_000),
+)
+
+
 @dataclass(slots=True)
 class BackendFaults:
     """Numbers of faults to inject; each occurrence decrements its field.
@@ -29,6 +53,8 @@
         second_answers: Responses followed by an unsolicited second one.
         lost_orders: Orders that are neither executed nor acknowledged.
         cut_streams: Streams cut in the middle of an event.
+        wrong_continuations: Requests to continue a stream that are answered with an
+            error, with another kind of body or with the whole stream.
     """
 
     reset: int = 0
@@ -37,6 +63,7 @@
     second_answers: int = 0
     lost_orders: int = 0
     cut_streams: int = 0
+    wrong_continuations: int = 0
 
     def consume(self, name: str) -> bool:
         """Consumes one occurrence of a fault; returns whether there was one."""
@@ -147,13 +174,15 @@
         self.runs.append(record)
         self.arrivals.append(time.monotonic())
 
-    def response_headers(self, request_id: str) -> list[tuple[bytes, bytes]]:
+    def response_headers(
+        self, request_id: str, *, is_signed: bool = True
+    ) -> list[tuple[bytes, bytes]]:
         """Returns the headers of a response."""
-        return [
-            (b"Attempt-Id", request_id.encode()),
-            (b"Response-Signature", f"{self.instance_id}.{request_id}".encode()),
-            *self._limit_headers(),
-        ]
+        headers = [(b"Attempt-Id", request_id.encode()), *self._limit_headers()]
+        if is_signed:
+            signature = f"{self.instance_id}.{request_id}".encode()
+            headers.append((b"Response-Signature", signature))
+        return headers
 
     def _limit_headers(self) -> list[tuple[bytes, bytes]]:
         if self.server_limit is None:
@@ -206,6 +235,11 @@
         self._adapter_state = _AdapterState()
         self._sequence = 0
         self._event_numbers = itertools.count(1)
+        # Taken in turn; None stands for the whole stream, without regard to
+        # Last-Event-Id.
+        self.wrong_continuations: Iterator[WrongContinuation | None] = itertools.cycle(
+            (*WRONG_CONTINUATIONS, None)
+        )
 
     def restart(self, instance_id: str) -> None:
         """Restarts as a new incarnation without any state of the previous one."""
@@ -263,12 +297,27 @@
         request_id = headers["attempt-id"]
         first = int(headers.get("last-event-id") or 0) + 1
         connection.on_disconnected = lambda: self.cancelled.append(request_id)
+        if first > 1 and self.faults.consume("wrong_continuations"):
+            answer = next(self.wrong_continuations)
+            if answer is not None:
+                self._send_wrong_continuation(connection, request_id, answer)
+                return
+            first = 1
         connection.send_head(200, self.response_headers(request_id), length=None)
         if self._is_crashing(headers.get("prompt-prefix", "")):
             self.loop.call_later(_CRASH_DELAY_SECONDS, self.crash)
             return
         self._send_event(connection, request_id, first)
 
+    def _send_wrong_continuation(
+        self, connection: CallerConnection, request_id: str, answer: WrongContinuation
+    ) -> None:
+        headers = [(b"Content-Type", answer.content_type)]
+        headers += self.response_headers(request_id, is_signed=answer.is_signed)
+        connection.send_head(answer.status, headers, length=len(answer.body))
+        connection.send_body(answer.body)
+        connection.finish()
+
     def _is_crashing(self, prompt_prefix: str) -> bool:
         parts = [part.partition(":")[0] for part in prompt_prefix.split(",")]
         return bool(self.crashing_part) and self.crashing_part in parts
