Break off streams that another call cannot continue

Callers of the OpenAI paths could get events twice or events of two runs joined: a stream with tools, n, logprobs or similar options that was interrupted or preempted was sent to the engine again, without its text or with a text that is not enough to continue it, and all of the new call's events were forwarded.

Cause: the reader knows which responses can be continued, but told the sidecar's core only through the text, which such streams may have or lack.

Change: the start of a response says whether it can be continued. A stream that can't be and of which data was sent ends with a failure instead of another call. Without any data it is run again as before, as are responses that are not streamed. Preemption may end such a stream; its victims are chosen as before.

Before the change two tests failed: test_stream_that_cannot_be_continued_is_broken_off: AssertionError: 2 != 1 test_preempted_stream_that_cannot_be_continued_is_broken_off: ['b1', 'i1', 'b1'] != ['b1', 'i1']

--- a/fighitch/backends/engine.py
+++ b/fighitch/backends/engine.py
@@ -6,6 +6,7 @@
 ask for a stream, the events are assembled into one JSON response.
 """
 
+import dataclasses
 from collections.abc import Callable, Iterator
 from typing import Any, TypeAlias
 
@@ -302,8 +303,14 @@
 
     def __init__(self, call: CallBackend) -> None:
         super().__init__(call)
-        options = msgspec.json.decode(call.body).get("stream_options") or {}
+        body = msgspec.json.decode(call.body)
+        options = body.get("stream_options") or {}
         self._wants_usage = bool(options.get("include_usage"))
+        self._is_continuable = is_continuable(body)
+
+    def _started_event(self) -> BackendStarted:
+        started = super()._started_event()
+        return dataclasses.replace(started, is_continuable=self._is_continuable)
 
     def _handle_event(self, event: dict[str, Any], text: str) -> Iterator[BackendEvent]:
         choices = event.get("choices")
--- a/fighitch/core/inputs.py
+++ b/fighitch/core/inputs.py
@@ -175,6 +175,8 @@
         status: HTTP status.
         model: Adapter version that the engine reports; empty for a service.
         content_type: Media type of the response.
+        is_continuable: Whether another call can continue the response after the data
+            that has arrived.
     """
 
     request_id: RequestId
@@ -183,6 +185,7 @@
     status: int
     model: str = ""
     content_type: str = "application/json"
+    is_continuable: bool = True
 
 
 @dataclass(frozen=True, slots=True)
--- a/fighitch/core/sidecar/execution.py
+++ b/fighitch/core/sidecar/execution.py
@@ -212,6 +212,7 @@
         request.status = event.status
         request.content_type = event.content_type
         request.model = event.model
+        request.is_continuable = event.is_continuable
         if request.stream is not None:
             request.stream.status = event.status
 
@@ -371,6 +372,15 @@
             request.pin = None
 
     def _requeue(self, request: Request, cause: str, now: Seconds) -> None:
+        """Queues a request for another call, or ends it if none can continue it."""
+        if not request.may_have_another_call:
+            failure = Failure(
+                ErrorKind.BACKEND_FAILED,
+                f"the stream cannot be continued by another call: {cause}",
+                RunState.UNKNOWN,
+            )
+            self._end_with_failure(request, failure, now)
+            return
         request.begin_wait(now)
         self._queue.requeue(request.work)
         self._log(
--- a/fighitch/tests/sidecar_helpers.py
+++ b/fighitch/tests/sidecar_helpers.py
@@ -184,13 +184,18 @@
     def effects_of(self, kind):
         return [item for item in self.effects if isinstance(item, kind)]
 
-    def start(self, call=None, *, model=None, status=200):
+    def start(self, call=None, *, model=None, status=200, is_continuable=True):
         call = call or self.last_call()
         version = call.adapter_version
         model = (str(version) if version else "") if model is None else model
         return self.handle(
             inputs.BackendStarted(
-                call.request_id, call.attempt, call.call, status, model
+                call.request_id,
+                call.attempt,
+                call.call,
+                status,
+                model,
+                is_continuable=is_continuable,
             )
         )
 
--- a/fighitch/tests/test_backends.py
+++ b/fighitch/tests/test_backends.py
@@ -133,6 +133,16 @@
         self.assertEqual(data.data, b'{"error": {}}')
         self.assertIsInstance(ended, BackendEnded)
 
+    def test_stream_states_whether_it_can_be_continued(self):
+        for options, expected in (
+            ({}, True),
+            ({"n": 2}, False),
+            ({"tools": [1]}, False),
+        ):
+            _, reader = engine.build_call_transfer(make_call(**options), "http://e")
+            started = read(reader, sse(event("one ")))[0]
+            self.assertEqual(started.is_continuable, expected)
+
     def test_error_event_is_a_failure(self):
         """Guards against a response that ends as complete after an engine's error."""
         error = {"error": {"message": "failed"}, "model": "a@v1"}
--- a/fighitch/tests/test_sidecar.py
+++ b/fighitch/tests/test_sidecar.py
@@ -248,6 +248,40 @@
         )
         self.assertEqual(sidecar.core.pins, 0)
 
+    def test_stream_that_cannot_be_continued_is_broken_off(self):
+        """Guards against a stream joined from two runs."""
+        sidecar = SidecarDriver()
+        sidecar.submit()
+        sidecar.start(is_continuable=False)
+        sidecar.data("", data=b"tool call")
+        sidecar.fail(sent=True)
+        self.assertEqual(len(sidecar.calls()), 1)
+        self.assertEqual(
+            rejections(sidecar), [(ErrorKind.BACKEND_FAILED, RunState.UNKNOWN)]
+        )
+        self.assertEqual(sidecar.core.pins, 0)
+
+    def test_preempted_stream_that_cannot_be_continued_is_broken_off(self):
+        sidecar = SidecarDriver(batch_size=1)
+        sidecar.submit("b1", rank=BATCH)
+        sidecar.start(is_continuable=False)
+        sidecar.data("", data=b"tool call")
+        sidecar.submit("i1")
+        self.assertEqual(sidecar.last_call().request_id, "i1")
+        sidecar.start()
+        sidecar.end()
+        self.assertEqual([call.request_id for call in sidecar.calls()], ["b1", "i1"])
+        self.assertEqual(
+            rejections(sidecar), [(ErrorKind.BACKEND_FAILED, RunState.UNKNOWN)]
+        )
+
+    def test_stream_without_data_is_run_again(self):
+        sidecar = SidecarDriver()
+        sidecar.submit()
+        sidecar.start(is_continuable=False)
+        sidecar.fail(sent=True)
+        self.assertEqual(len(sidecar.calls()), 2)
+
     def test_error_of_the_call_that_continues_a_stream_is_marked(self):
         """Guards against an error's text that an entry takes for a part of a stream."""
         sidecar = SidecarDriver()
