Escape control characters and lone surrogates in log lines

What operators saw: a name with a lone surrogate gave a traceback on standard error (UnicodeEncodeError: surrogates not allowed) in place of the line that names the odd object; CR and other line ends in a name could begin a line of their own.

Change: what is not printable is escaped as in Python literals.

Before the change: 'entry="i-\\ud800"\n' not found in ''.

--- a/fighitch/observability/logs.py
+++ b/fighitch/observability/logs.py
@@ -11,7 +11,7 @@
     "time={record.time:%Y-%m-%dT%H:%M:%S.%f}Z level={record.level_name} "
     "{record.message}"
 )
-_QUOTED_CHARACTERS = frozenset(' "=\n\t')
+_QUOTED_CHARACTERS = frozenset(' "=')
 
 
 def format_event(name: str, fields: Any) -> str:
@@ -30,12 +30,21 @@
 
 def _quote_if_needed(value: Any) -> str:
     text = str(value)
-    if text and not _QUOTED_CHARACTERS.intersection(text):
+    if text and text.isprintable() and not _QUOTED_CHARACTERS.intersection(text):
         return text
-    escaped = text.replace("\\", "\\\\").replace('"', '\\"').replace("\n", "\\n")
+    escaped = text.replace("\\", "\\\\").replace('"', '\\"')
+    if not escaped.isprintable():
+        escaped = "".join(map(_escape_if_needed, escaped))
     return f'"{escaped}"'
 
 
+def _escape_if_needed(character: str) -> str:
+    """Escapes line ends, other control characters, and what UTF-8 can't encode."""
+    if character.isprintable():
+        return character
+    return character.encode("unicode_escape").decode()
+
+
 class EventLog:
     """Writes events to a file or standard error through logbook."""
 
--- a/fighitch/tests/test_bounded_log.py
+++ b/fighitch/tests/test_bounded_log.py
@@ -28,6 +28,12 @@
         )
         os.close(self.writer)
 
+    def test_value_that_utf8_cannot_encode_is_written(self):
+        # The line with the name of an odd object was replaced by a traceback.
+        self.log().event("server_entry_unreadable", entry="i-\ud800")
+        os.close(self.writer)
+        self.assertIn('entry="i-\\ud800"\n', self.read())
+
     def test_full_pipe_does_not_block(self):
         # Without a reader, the writer must not block and must report the dropped lines
         # later.
--- a/fighitch/tests/test_observability.py
+++ b/fighitch/tests/test_observability.py
@@ -55,6 +55,17 @@
         line = format_event("x", [("a", 1), ("b", 'two "words"\nnext'), ("c", "")])
         self.assertEqual(line, 'event=x a=1 b="two \\"words\\"\\nnext" c=""')
 
+    def test_control_characters_and_lone_surrogates_are_escaped(self):
+        """Guards against values that forge a line or make writing it fail."""
+        value = "a\rb\x1b[0m\x00\x85\u2028\ud800\u00e9\ttab"
+        line = format_event("x", [("a", value)])
+        self.assertEqual(
+            line,
+            'event=x a="a\\rb\\x1b[0m\\x00\\x85\\u2028\\ud800\u00e9\\ttab"',
+        )
+        self.assertEqual(line.splitlines(), [line])
+        line.encode()
+
     def test_events_below_the_level_are_not_written(self):
         log = EventLog(instance="i", level="info", path=str(self.path))
         log.write(LogEvent("quiet"), level="debug")
