Let only servers of the same service supersede a server at their address

What callers saw: an entry with the address of a server, a later start time and a service that nothing routes to took that server out of use until it restarted.

Cause: the later start at an address marks the earlier one as left, whatever service the entry names.

Ruled out: an address that passes to another service while the old entry is listed. Requests carry the expected instance, so that the new server rejects them unexecuted, which marks the old one as left.

--- a/fighitch/core/gateway/membership.py
+++ b/fighitch/core/gateway/membership.py
@@ -138,15 +138,19 @@
         return [change for name in expired for change in self._drop(name)]
 
     def _supersede(self, server: BackendServer) -> list[MembershipChange]:
-        """Marks older servers at the same address as left.
+        """Marks older servers of the service at the same address as left.
 
-        Dead incarnations stay in the instance list until their entries lapse.
+        Dead incarnations stay in the instance list until their entries lapse. An entry
+        of another service, which may be none at all, says nothing about this one: if it
+        has taken over the address, the server there rejects the requests.
         """
         changes = []
         for other in list(self._servers.values()):
             is_same_address = (other.host, other.port) == (server.host, server.port)
             if not is_same_address or other.instance_id == server.instance_id:
                 continue
+            if other.service != server.service:
+                continue
             older, newer = sorted((other, server), key=lambda item: item.start_time_ms)
             if older.start_time_ms < newer.start_time_ms:
                 changes += self.mark_left(older.instance_id)
--- a/fighitch/tests/test_gateway_membership.py
+++ b/fighitch/tests/test_gateway_membership.py
@@ -62,6 +62,11 @@
         self.membership.put(server("c", start_time_ms=0))
         self.assertEqual(self.ready(), ["a"])
 
+    def test_entry_of_an_unknown_service_does_not_supersede_a_server(self):
+        # An odd entry with the address of a server took it out of use for good.
+        self.membership.put(server("odd", start_time_ms=9, service="unknown"))
+        self.assertEqual(self.ready(), ["a"])
+
     def test_server_marked_as_left_does_not_become_ready_again(self):
         self.membership.mark_left("a")
         self.membership.put(server("a"))
