Bound the token counts that callers state

What callers saw: a request with a prompt of 10^30 tokens had no response for its whole deadline (4.0 s in the test), then 503.

Cause: the number does not fit the message to the agent, and its encoder raised OverflowError after the request had been placed. Negative counts lowered the backlog that the entry and the agent estimate.

Change: counts are clamped to 0 to 2^31 - 1.

--- a/fighitch/platform/requests.py
+++ b/fighitch/platform/requests.py
@@ -66,6 +66,8 @@
 # Limits on what is kept of a prompt's parts; the header itself may be much longer.
 _MAX_SHARED_PARTS = 32
 _MAX_PART_ID_LENGTH = 64
+# More than any engine holds; a larger number may not fit the messages to agents.
+_MAX_TOKENS = 2**31 - 1
 # Misdirected Request: the server is not the expected instance, or refuses the request.
 _NOT_RUN_STATUS = 421
 
@@ -253,6 +255,10 @@
         return RequestSize()
     prompt, _, output = value.partition(b",")
     try:
-        return RequestSize(int(prompt), int(output or 0))
+        return RequestSize(_clamp_tokens(int(prompt)), _clamp_tokens(int(output or 0)))
     except ValueError:
         return RequestSize()
+
+
+def _clamp_tokens(count: int) -> int:
+    return min(max(0, count), _MAX_TOKENS)
--- a/fighitch/tests/test_gateway_processes.py
+++ b/fighitch/tests/test_gateway_processes.py
@@ -112,6 +112,18 @@
             response = self.fleet.send_request("lookup", name)
             self.assertEqual(response.body, f"answer to {name}".encode())
 
+    def test_request_with_huge_token_counts_is_answered(self):
+        # It never reached the agent, and its caller got 503 after the deadline of 4 s.
+        self.assertTrue(wait_until(self.agents_connected))
+        for number, counts in enumerate(("1" + "0" * 30, "-5,-5", "7,1" + "0" * 30)):
+            begin = time.monotonic()
+            response = self.fleet.send_request(
+                "stream", f"t{number}", adapter="a1", Token_Counts=counts
+            )
+            self.assertIn(response.status, (200, 503))
+            self.assertLess(time.monotonic() - begin, 3.0)
+        self.assertNotIn("callback_failed", self.fleet.entries[0].log())
+
     def test_truncated_stream_does_not_look_complete(self):
         self.assertTrue(wait_until(self.agents_connected))
         for engine in self.fleet.engines:
--- a/fighitch/tests/test_platform_folder.py
+++ b/fighitch/tests/test_platform_folder.py
@@ -376,6 +376,33 @@
                 self.decode(**change)
 
 
+class OddRequestTests(unittest.TestCase):
+    """Headers of callers that later computations or messages can't hold."""
+
+    def test_token_counts_fit_the_message_to_the_agent(self):
+        # Its encoder raised OverflowError, and the caller got no response.
+        for value, expected in (
+            ("1" + "0" * 400, (2**31 - 1, 0)),
+            ("9" * 5_000, (0, 0)),
+            ("-7,-8", (0, 0)),
+            ("7," + "9" * 30, (7, 2**31 - 1)),
+            ("7,8", (7, 8)),
+            ("nan", (0, 0)),
+            ("\u00e9", (0, 0)),
+        ):
+            with self.subTest(value[:20]):
+                request = caller_request(("Token-Counts", value))
+                size = requests.decode_request(request).size
+                self.assertEqual((size.prompt_tokens, size.output_tokens), expected)
+
+    def test_odd_deadlines_do_not_raise(self):
+        for value in ("nan", "inf", "-inf", "1e999", "-1", "9" * 5_000, "", "\u00b2"):
+            with self.subTest(value[:20]):
+                request = caller_request(("Deadline-Ms", value))
+                time_left = requests.decode_request(request).time_left
+                self.assertTrue(time_left is None or time_left >= 0)
+
+
 class ReportTests(unittest.TestCase):
     def test_events_of_running_requests(self):
         cases = {
