Judge forgotten routes in the soak by the times of requests

The check was wrong: it took the order in which callers noted their responses for the order at the entry.

A 404 counts if the request was sent after a response that shows the route came.

--- a/benchmarks/platform_soak_checks.py
+++ b/benchmarks/platform_soak_checks.py
@@ -1,6 +1,6 @@
 """Checks the guarantees for users against the observations of a platform soak run."""
 
-from collections import Counter
+from collections import Counter, defaultdict
 from collections.abc import Sequence
 from dataclasses import dataclass, field
 
@@ -213,22 +213,25 @@
 
 
 def _configuration_violations(sent: list[SentRequest]) -> list[str]:
-    """Returns requests rejected with 404 by an entry that had served the route."""
+    """Returns requests rejected with 404 by an entry that had served the route.
+
+    Only responses that came before a request was sent show what its entry knew: the
+    responses to requests that are under way together come in any order.
+    """
     # Routes are numbered in order of addition: an entry that has served one knows all
     # earlier ones.
-    newest_served: dict[tuple[int, int], tuple[int, float]] = {}
+    served: dict[tuple[int, int], list[tuple[int, float]]] = defaultdict(list)
+    added = [item for item in sent if item.route.startswith(_ADDED_ROUTE_PREFIX)]
+    for item in added:
+        if item.answer.status == 200:
+            served[item.process].append((_route_number(item), item.answered_at))
     found = []
-    for item in sent:
-        if not item.route.startswith(_ADDED_ROUTE_PREFIX):
+    for item in added:
+        if item.answer.status != 404:
             continue
-        number = int(item.route.removeprefix(_ADDED_ROUTE_PREFIX))
-        if item.answer.status == 200:
-            served = (number, item.answered_at)
-            newest_served[item.process] = max(
-                served, newest_served.get(item.process, served)
-            )
-        newest, served_at = newest_served.get(item.process, (-1, 0.0))
-        if item.answer.status == 404 and number <= newest:
+        before = [known for known in served[item.process] if known[1] <= item.at]
+        newest, served_at = max(before, default=(-1, 0.0))
+        if _route_number(item) <= newest:
             found.append(
                 f"{item.request_id}: {item.route} became unknown to its entry; sent at "
                 f"{item.at:.3f}, added-{newest} was served until {served_at:.3f}"
@@ -236,6 +239,10 @@
     return found
 
 
+def _route_number(item: SentRequest) -> int:
+    return int(item.route.removeprefix(_ADDED_ROUTE_PREFIX))
+
+
 def _recovery_violations(record: SoakRecord) -> list[str]:
     late = [
         sent
--- a/benchmarks/tests/test_platform_soak_checks.py
+++ b/benchmarks/tests/test_platform_soak_checks.py
@@ -137,6 +137,21 @@
         found = " ".join(self.violations("added-2", CallerResponse(404, {}, b""), 0))
         self.assertIn("became unknown", found)
 
+    def test_route_forgotten_between_overlapping_calls_is_detected_by_times(self):
+        # Seed 3 reported a 404 that was sent before the first 200 had arrived, as its
+        # caller noted it later.
+        unknown = CallerResponse(404, {}, b"")
+        served = CallerResponse(200, SIGNED, b"answer to r0")
+        first = SentRequest("r0", "added-3", 0.50, served, FIRST_INCARNATION, 0.60)
+        for sent_at, is_violation in ((0.59, False), (0.61, True)):
+            with self.subTest(sent_at=sent_at):
+                late = SentRequest(
+                    "r2", "added-3", sent_at, unknown, FIRST_INCARNATION, 0.65
+                )
+                self.record = SoakRecord(sent=[late, first])
+                found = " ".join(self.violations("lookup", unknown, 0))
+                self.assertEqual("became unknown" in found, is_violation)
+
     def test_restarted_entry_may_not_know_a_route_yet(self):
         served = CallerResponse(200, SIGNED, b"answer to r0")
         unknown = CallerResponse(404, {}, b"")
