--- a/benchmarks/platform_soak.py
+++ b/benchmarks/platform_soak.py
@@ -2,11 +2,11 @@
 
 Callers send requests of every kind on reused and on new connections while overlapping
 faults are injected: instances are killed, paused and stopped; proxies delay, reset or
-silence connections or cut them in one direction; the store becomes unavailable or loses
-its history; servers drain and restart; responses and orders are lost; prompts with one
-part crash engines; servers limit the requests that they take. The observations
-of callers and servers are checked against the guarantees for users. A planned run has
-planned operations only and must not lose any response.
+silence connections or cut them in one direction; the store becomes unavailable, loses
+its history or is restored from an older copy; servers drain and restart; responses and
+orders are lost; prompts with one part crash engines; servers limit the requests that
+they take. The observations of callers and servers are checked against the guarantees
+for users. A planned run has planned operations only and must not lose any response.
 """
 
 import argparse
@@ -203,6 +203,7 @@
             self._pause,
             self._store_outage,
             self._forget_history,
+            self._age_copy,
             self._lose_responses,
             self._lose_orders,
             self._restart_engine,
@@ -265,6 +266,30 @@
         self._log_fault("store loses its history")
         self._fleet.store.compact_history()
 
+    def _age_copy(self) -> None:
+        """Copies the store and goes back to the copy after some seconds."""
+        self._log_fault("store is copied")
+        self._fleet.store.take_copy()
+        self._schedule_clear(self._random.uniform(0.5, 5.0), self._restore_copy)
+
+    def _restore_copy(self) -> None:
+        self._log_fault("store is restored")
+        self._fleet.store.restore_copy(cut_watches=self._random.random() < 0.5)
+        delay = self._random.uniform(0.0, 1.5)
+        self._schedule_clear(delay, self._write_again)
+
+    def _write_again(self) -> None:
+        """Writes again what the operator and the servers have written."""
+        self._log_fault("servers and configuration are written again")
+        servers = (*self._fleet.plain_servers, *self._fleet.engines)
+        for server in servers:
+            self._fleet.publish_heartbeat(server)
+        living = {server.instance_id for server in servers}
+        for name in self._fleet.store.names("servers"):
+            if name not in living:
+                self._fleet.store.remove("servers", name)
+        self._fleet.put_configuration()
+
     def _lose_responses(self) -> None:
         self._log_fault(
             "lost responses, errors, rejections, second responses, cut streams"
