--- a/benchmarks/tests/test_platform_soak_checks.py
+++ b/benchmarks/tests/test_platform_soak_checks.py
@@ -144,13 +144,14 @@
         served = CallerResponse(200, SIGNED, b"answer to r0")
         first = SentRequest("r0", "added-3", 0.50, served, FIRST_INCARNATION, 0.60)
         for sent_at, is_violation in ((0.59, False), (0.61, True)):
-            with self.subTest(sent_at=sent_at):
-                late = SentRequest(
-                    "r2", "added-3", sent_at, unknown, FIRST_INCARNATION, 0.65
-                )
-                self.record = SoakRecord(sent=[late, first])
-                found = " ".join(self.violations("lookup", unknown, 0))
-                self.assertEqual("became unknown" in found, is_violation)
+            late = SentRequest(
+                "r2", "added-3", sent_at, unknown, FIRST_INCARNATION, 0.65
+            )
+            for noted in ([first, late], [late, first]):
+                with self.subTest(sent_at=sent_at, noted_first=noted[0].request_id):
+                    self.record = SoakRecord(sent=list(noted))
+                    found = " ".join(self.violations("lookup", unknown, 0))
+                    self.assertEqual("became unknown" in found, is_violation)
 
     def test_restarted_entry_may_not_know_a_route_yet(self):
         served = CallerResponse(200, SIGNED, b"answer to r0")
