Compare the ids of responses without surrounding white space

Callers saw: a request whose Attempt-Id was followed by white space ended with its deadline, as the parser keeps that white space and a server that follows HTTP omits it from the id of its response.

Cause: the id of the request was compared with that of the response byte by byte.

Before the change, test_white_space_around_an_id_does_not_matter failed: no response was accepted.

--- a/fighitch/runtime/http_exchange.py
+++ b/fighitch/runtime/http_exchange.py
@@ -191,7 +191,7 @@
                 request on the connection may lack the header.
         """
         self._response_handler = response_handler
-        self._expected_id = expected_id
+        self._expected_id = None if expected_id is None else expected_id.strip()
         self._skipped_responses = 0
         self._exchanges += 1
         self._unsent = request
--- a/fighitch/tests/test_repeated_refusals.py
+++ b/fighitch/tests/test_repeated_refusals.py
@@ -186,6 +186,10 @@
         refusal = self.REFUSAL + b"attempt-id:  \ta \t\r\n" + NO_BODY
         handler = self.exchange(self.connect(refusal), "a")
         self.assertEqual((handler.complete, handler.head.status), (True, 503))
+        # The id of a caller may end with white space that its server omits.
+        refusal = self.REFUSAL + b"Attempt-Id: a\r\n" + NO_BODY
+        handler = self.exchange(self.connect(refusal), "a\t")
+        self.assertEqual((handler.complete, handler.head.status), (True, 503))
 
     def connect_to_peer(self) -> tuple[HttpConnection, socket.socket]:
         listener = socket.create_server(("127.0.0.1", 0))
