Send nothing to a server whose answers say that it leaves

What callers saw: with `Server-Leaving: 1` in every answer of a server, entries passed the header on and sent further requests for as long as the instance list called the server ready, up to the moment at which it was gone. The header was read nowhere: not by entries, not by agents in the reports of their engine.

Change: the head of each response, and of each report, ends new requests to that incarnation of the server at once. `core/gateway/left_incarnations.py` keeps which incarnations have left; the instance list uses it as well, also for servers that it does not list (any more), so that an old copy of the store does not bring one back. Requests that wait for admission there are placed elsewhere, a grant that arrives afterwards is not used, idle connections are closed; what runs there ends in peace. An entry tells the agent of the engine (Hello, `leaving`), which rejects its queue and tells the other entries at once by its status; they tell an agent that restarts. Plain servers have no agent: there each entry learns from its own answers and from the list. Logs: `server_leaving`, `engine_leaving`.

A draining heartbeat of an earlier incarnation no longer replaces the start time of a later one that has left.

--- a/fighitch/core/gateway/adapter_cache.py
+++ b/fighitch/core/gateway/adapter_cache.py
@@ -77,6 +77,7 @@
         loading: Adapters that are being loaded.
         busy: Whether the engine executes an order that excludes others.
         draining: Whether the engine is draining.
+        leaving: Whether the response with the report says that the engine leaves.
         time_left: Time until the engine shuts down; None if not reported.
         start_time_ms: Unix time at which the engine started, in ms; 0 if not reported.
         instance_id: Instance id of the engine; empty if not reported.
@@ -89,6 +90,7 @@
     loading: frozenset[AdapterName]
     busy: bool = False
     draining: bool = False
+    leaving: bool = False
     time_left: Seconds | None = None
     start_time_ms: int = 0
     instance_id: str = ""
@@ -291,7 +293,9 @@
             The order; None if none is needed or possible now.
         """
         report, engine = self.report, self._engine
-        if report is None or engine is None or report.busy or report.draining:
+        if report is None or engine is None or report.busy:
+            return None
+        if report.draining or report.leaving:
             return None
         missing_model = self._missing_model(report, engine, demands)
         if missing_model is not None:
--- a/fighitch/core/gateway/membership.py
+++ b/fighitch/core/gateway/membership.py
@@ -3,7 +3,8 @@
 from collections.abc import Iterable
 from dataclasses import dataclass, replace
 
-from fighitch.core.gateway.model import BackendServer, ServerState
+from fighitch.core.gateway.left_incarnations import LeftIncarnations
+from fighitch.core.gateway.model import BackendServer, Incarnation, ServerState
 from fighitch.types import Seconds
 
 # Grace period after an outage of the store. Servers whose list entry lapsed during the
@@ -31,9 +32,9 @@
     def __init__(self) -> None:
         self._servers: dict[str, BackendServer] = {}
         self._lapse_deadlines: dict[str, Seconds] = {}
-        # Start time of the incarnations that announced a drain or were replaced, by
-        # instance id. An outdated heartbeat doesn't make them ready again.
-        self._left_incarnations: dict[str, int] = {}
+        # Incarnations that announced a drain, said that they leave or were replaced.
+        # An outdated heartbeat doesn't make them ready again.
+        self._left_incarnations = LeftIncarnations()
         self._outage_end: Seconds = float("-inf")
         # Ready servers by service; None after a change, until the next use.
         self._ready_by_service: dict[str, tuple[BackendServer, ...]] | None = None
@@ -66,6 +67,15 @@
             }
         return self._ready_by_service.get(service, ())
 
+    def is_ready(self, server: BackendServer) -> bool:
+        """Returns whether a server accepts new requests and has not restarted."""
+        known = self._servers.get(server.instance_id)
+        return (
+            known is not None
+            and known.state is ServerState.READY
+            and known.incarnation == server.incarnation
+        )
+
     def replace_all(
         self, servers: Iterable[BackendServer], now: Seconds
     ) -> list[MembershipChange]:
@@ -84,13 +94,10 @@
         known = self._servers.get(name)
         if known is not None and server.start_time_ms < known.start_time_ms:
             return []
-        left_start_ms = self._left_incarnations.get(name)
-        if server.state is ServerState.READY and left_start_ms is not None:
-            if server.start_time_ms <= left_start_ms:
-                return []
-            del self._left_incarnations[name]
         if server.state is ServerState.DRAINING:
-            self._left_incarnations[name] = server.start_time_ms
+            self._left_incarnations.add(server.incarnation)
+        elif server.incarnation in self._left_incarnations:
+            return []
         self._lapse_deadlines.pop(name, None)
         self._servers[name] = server
         if known == server:
@@ -125,12 +132,24 @@
     def mark_left(self, instance_id: str) -> list[MembershipChange]:
         """Marks a server as draining without a heartbeat that says so."""
         server = self._servers.get(instance_id)
+        return [] if server is None else self.record_left(server.incarnation)
+
+    def record_left(self, incarnation: Incarnation) -> list[MembershipChange]:
+        """Records that a server leaves, even one that is not in the instance list.
+
+        A server that was removed can be listed as ready again, from an old copy of the
+        store.
+        """
+        self._left_incarnations.add(incarnation)
+        name = incarnation.instance_id
+        server = self._servers.get(name)
         if server is None or server.state is ServerState.DRAINING:
             return []
+        if server.incarnation not in self._left_incarnations:
+            return []
         self._ready_by_service = None
-        self._left_incarnations[instance_id] = server.start_time_ms
-        self._servers[instance_id] = replace(server, state=ServerState.DRAINING)
-        return [MembershipChange(instance_id, "left")]
+        self._servers[name] = replace(server, state=ServerState.DRAINING)
+        return [MembershipChange(name, "left")]
 
     def expire(self, now: Seconds) -> list[MembershipChange]:
         """Removes lapsed servers that did not return within the grace period."""
--- a/fighitch/gateway/agent.py
+++ b/fighitch/gateway/agent.py
@@ -6,6 +6,7 @@
 
 from fighitch.core.gateway.adapter_cache import AdapterCache, EngineReport
 from fighitch.core.gateway.engine_queue import EngineQueue, EngineRequest, Rejection
+from fighitch.core.gateway.left_incarnations import LeftIncarnations
 from fighitch.core.gateway.model import (
     AdapterName,
     EngineSpec,
@@ -82,6 +83,7 @@
         self._failed_reports = 0
         self._serving = False
         self._draining = False
+        self._leaving = LeftIncarnations()
         self._last_report_at: Seconds = float("-inf")
         self._order_not_before: Seconds = 0.0
         self._last_status: Status | None = None
@@ -165,6 +167,8 @@
         if hello.limit is not None:
             start_time_ms = hello.engine_start_time_ms
             self._record_limit(hello.limit, start_time_ms, sent_at=self._loop.now())
+        if hello.leaving:
+            self._record_leaving(hello.engine_start_time_ms, source=hello.entry)
         self._log.event("entry_connected", peer=peer.number, entry=hello.entry)
         if spec != self._spec:
             self._log.event("engine_spec", entry=hello.entry, spec=spec)
@@ -394,17 +398,38 @@
             self._log.event(
                 "engine_answers", born=report.start_time_ms, sequence=report.sequence
             )
-        if report.draining and not self._draining:
-            self._log.event("engine_draining", remaining=report.time_left)
-            self._deny_waiting("draining")
-        self._draining = report.draining
+        if report.leaving:
+            self._record_leaving(report.start_time_ms, source="report")
         if report.start_time_ms != self._engine_start_time_ms():
             self._apply_limit(report.start_time_ms)
         self._adapter_cache.record_report(report, now)
+        self._update_draining()
         self._queue.record_events(report.events, now)
         self._publish_adapters()
         self._process_queue()
 
+    def _record_leaving(self, start_time_ms: int, *, source: str) -> None:
+        """Records that an incarnation of the engine says that it leaves."""
+        # There is one engine, so that the start time alone identifies its incarnations.
+        if self._leaving.add(Incarnation("", start_time_ms)):
+            self._log.event("engine_leaving", born=start_time_ms, source=source)
+            self._update_draining()
+
+    def _update_draining(self) -> None:
+        """Rejects waiting requests and tells the entries once the engine is leaving."""
+        report = self._adapter_cache.report
+        if report is None:
+            return
+        engine = Incarnation("", report.start_time_ms)
+        is_draining = report.draining or engine in self._leaving
+        if is_draining == self._draining:
+            return
+        self._draining = is_draining
+        if is_draining:
+            self._log.event("engine_draining", remaining=report.time_left)
+            self._deny_waiting("draining")
+        self._publish_current_status(self._loop.now())
+
     def _deny_waiting(self, reason: str) -> None:
         now = self._loop.now()
         for request in self._queue.waiting_requests:
--- a/fighitch/gateway/agent_links.py
+++ b/fighitch/gateway/agent_links.py
@@ -116,6 +116,7 @@
         on_crash_report: Callable[[CrashReport], None],
         all_crashes: Callable[[], CrashReport | None],
         named_limit: Callable[[BackendServer], float | None],
+        is_leaving: Callable[[BackendServer], bool],
     ) -> None:
         """Starts the heartbeats.
 
@@ -131,6 +132,7 @@
             all_crashes: Returns all known crashes, for an agent that has connected.
             named_limit: Returns the limit that an engine has named, in requests per
                 second; None for no limit.
+            is_leaving: Returns whether an engine has said that it leaves.
         """
         self._loop = loop
         self._entry = entry
@@ -141,6 +143,7 @@
         self._on_crash_report = on_crash_report
         self._all_crashes = all_crashes
         self._named_limit = named_limit
+        self._is_leaving = is_leaving
         self._links: dict[str, AgentLink] = {}
         self._versions: dict[AdapterName, int] = {}
         self.views: dict[str, EngineView] = {}
@@ -232,6 +235,12 @@
         link.pending_requests.pop(number, None)
         self._send(instance_id, Done(number, self._named_limit(link.server)))
 
+    def report_leaving(self, instance_id: str) -> None:
+        """Reports to the agent of an engine that the engine says that it leaves."""
+        link = self._links.get(instance_id)
+        if link is not None and link.peer is not None:
+            link.peer.send(self._hello_message(link))
+
     def spread(self, report: CrashReport) -> None:
         """Sends a crash report to some agents, which pass it on to other entries."""
         links = [
@@ -299,6 +308,7 @@
             spec,
             PROTOCOL_VERSION,
             self._named_limit(server),
+            self._is_leaving(server),
         )
 
     def _on_closed(self, link: AgentLink, reason: str) -> None:
--- a/fighitch/gateway/engine_control.py
+++ b/fighitch/gateway/engine_control.py
@@ -16,9 +16,10 @@
     decode_report,
     encode_order,
 )
-from fighitch.platform.requests import encode_call
+from fighitch.platform.requests import encode_call, is_leaving
 from fighitch.runtime.event_loop import EventLoop
 from fighitch.runtime.http_client import NO_RESPONSE, SerialClient
+from fighitch.runtime.http_exchange import ResponseHead
 from fighitch.types import Seconds
 
 _HOLDERS_KIND = "engine-holders"
@@ -166,6 +167,8 @@
         self._client = SerialClient(loop, engine)
         self._on_report = on_report
         self._busy = False
+        # Whether the latest report came with a head that says that the engine leaves.
+        self._is_leaving = False
 
     @property
     def busy(self) -> bool:
@@ -177,8 +180,14 @@
         if self._busy:
             return
         self._busy = True
+        self._is_leaving = False
         request = encode_call("GET", REPORT_PATH, str(self._client.address))
-        self._client.call(request, self._on_report_response, timeout=_REPORT_TIMEOUT)
+        self._client.call(
+            request,
+            self._on_report_response,
+            timeout=_REPORT_TIMEOUT,
+            on_head=self._on_report_head,
+        )
 
     def send_order(
         self,
@@ -216,13 +225,16 @@
 
         self._client.call(request, on_order_end, timeout=_ORDER_TIMEOUT)
 
+    def _on_report_head(self, head: ResponseHead) -> None:
+        self._is_leaving = is_leaving(head)
+
     def _on_report_response(self, status: int, body: bytes) -> None:
         self._busy = False
         if status != _OK:
             self._on_report(None)
             return
         try:
-            report = decode_report(body)
+            report = decode_report(body, leaving=self._is_leaving)
         except msgspec.DecodeError:
             # An undecodable report counts as no response; the next one follows soon.
             self._on_report(None)
--- a/fighitch/gateway/entry.py
+++ b/fighitch/gateway/entry.py
@@ -15,6 +15,7 @@
     rank_plain_servers,
 )
 from fighitch.core.gateway.failures import FailureKind
+from fighitch.core.gateway.left_incarnations import LeftIncarnations
 from fighitch.core.gateway.limit_shares import LimitShares
 from fighitch.core.gateway.membership import Membership, MembershipChange
 from fighitch.core.gateway.model import (
@@ -50,6 +51,8 @@
 from fighitch.platform.requests import (
     RequestMetadata,
     decode_request,
+    is_from_another_instance,
+    is_leaving,
     named_limit,
 )
 from fighitch.platform.store import StoredObject
@@ -78,6 +81,8 @@
 # A server that is down refuses a connection within this time. A connection that times
 # out may fail because of the entry's own links.
 _REFUSAL_TIME: Seconds = 0.1
+# Changes after which a server gets no new requests.
+_LEAVE_CHANGES = frozenset(("draining", "left"))
 # Below the file descriptor limit, to leave descriptors for connections to servers.
 _MAX_CALLER_CONNECTIONS = 1_500
 
@@ -100,6 +105,7 @@
         self._settings = settings
         self._log = log
         self._membership = Membership()
+        self._leaving = LeftIncarnations()
         self._configuration: Configuration | None = None
         self._routes = RouteTable(())
         self._has_server_list = False
@@ -129,6 +135,7 @@
             on_crash_report=self.quarantine.on_report,
             all_crashes=self.quarantine.all_crashes,
             named_limit=lambda server: self._server_limits.rate(server.incarnation),
+            is_leaving=lambda server: server.incarnation in self._leaving,
         )
         self._listener: socket.socket | None = listen(
             settings.callers.host, settings.callers.port
@@ -385,8 +392,7 @@
 
     def is_ready(self, server: BackendServer) -> bool:
         """Returns whether a server still accepts new requests."""
-        ready = self._membership.ready(server.service)
-        return any(item.incarnation == server.incarnation for item in ready)
+        return self._membership.is_ready(server)
 
     def record_sent(self, server: BackendServer) -> None:
         """Records that a request was sent to a server."""
@@ -395,7 +401,9 @@
     def record_head(
         self, server: BackendServer, head: ResponseHead, *, sent_at: Seconds
     ) -> None:
-        """Records the limit that a response names, if any."""
+        """Records the limit that a response names, and whether the server leaves."""
+        if is_leaving(head) and not is_from_another_instance(head, server.instance_id):
+            self._record_leaving(server)
         limits, incarnation = self._server_limits, server.incarnation
         previous, now = limits.rate(incarnation), self.loop.now()
         rate = named_limit(head)
@@ -414,6 +422,17 @@
                 phase=random.random(),
             )
 
+    def _record_leaving(self, server: BackendServer) -> None:
+        """Records that a server says that it leaves, whatever the store says of it."""
+        if not self._leaving.add(server.incarnation):
+            return
+        self._log.event(
+            "server_leaving", server=server.instance_id, born=server.start_time_ms
+        )
+        self.pool.close_idle(server)
+        self.links.report_leaving(server.instance_id)
+        self._on_membership_changes(self._membership.record_left(server.incarnation))
+
     def record_outcome(
         self,
         service: Service,
@@ -577,6 +596,9 @@
     def _on_membership_changes(self, changes: list[MembershipChange]) -> None:
         if not changes:
             return
+        left = {item.instance_id for item in changes if item.change in _LEAVE_CHANGES}
+        for relay in list(self._relays) if left else ():
+            relay.leave_servers(left)
         for change in changes:
             self._log.event("server", server=change.instance_id, change=change.change)
             if change.change == "removed":
--- a/fighitch/gateway/peer_messages.py
+++ b/fighitch/gateway/peer_messages.py
@@ -22,7 +22,8 @@
 class Hello(_Message, frozen=True, tag=1):
     """Identifies an entry and carries the limits of the engine.
 
-    Sent first on a connection, and again when the limits of the engine change.
+    Sent first on a connection, and again when the limits of the engine change or the
+    engine says that it leaves.
 
     Attributes:
         entry: Name of the entry's instance.
@@ -32,6 +33,7 @@
         engine_spec: Limits of the engine, as JSON of an ``EngineSpec``.
         protocol: ``PROTOCOL_VERSION`` of the entry.
         limit: Limit that the engine has named, in requests per second; None for none.
+        leaving: Whether this start of the engine has said that it leaves.
     """
 
     entry: str
@@ -40,6 +42,7 @@
     engine_spec: bytes
     protocol: int = 0
     limit: float | None = None
+    leaving: bool = False
 
 
 class AdapterVersions(_Message, frozen=True, tag=2):
--- a/fighitch/gateway/relay.py
+++ b/fighitch/gateway/relay.py
@@ -206,11 +206,29 @@
         self._state = RelayState.AWAITING_ADMISSION
         self._admission.request(
             server,
-            on_grant=lambda late: self._send_request(server, late=late),
+            on_grant=lambda late: self._on_grant(server, late=late),
             on_decline=self.place,
             on_deny=self._on_deny,
         )
 
+    def _on_grant(self, server: BackendServer, *, late: bool) -> None:
+        if self._entry.is_ready(server):
+            self._send_request(server, late=late)
+        else:
+            self._place_elsewhere()
+
+    def leave_servers(self, instance_ids: set[str]) -> None:
+        """Places a request elsewhere that waits for admission to one of the servers."""
+        is_waiting = self._state is RelayState.AWAITING_ADMISSION
+        if is_waiting and self._server and self._server.instance_id in instance_ids:
+            self._place_elsewhere()
+
+    def _place_elsewhere(self) -> None:
+        self._admission.end()
+        self._admission.restart()
+        self._avoid_current()
+        self.place()
+
     def _on_deny(self) -> None:
         self._avoid_current()
         self.place()
--- a/fighitch/gateway/relay_host.py
+++ b/fighitch/gateway/relay_host.py
@@ -24,6 +24,9 @@
     def reject_if_quarantined(self) -> None:
         """Ends a request that would crash an engine, unless its answer has begun."""
 
+    def leave_servers(self, instance_ids: set[str]) -> None:
+        """Places a request elsewhere that waits for admission to one of the servers."""
+
 
 class RelayHost(Protocol):
     """The entry that relays belong to."""
--- a/fighitch/platform/engine.py
+++ b/fighitch/platform/engine.py
@@ -83,9 +83,13 @@
     )
 
 
-def decode_report(body: bytes) -> EngineReport:
+def decode_report(body: bytes, *, leaving: bool = False) -> EngineReport:
     """Decodes the report of an engine.
 
+    Args:
+        body: Body of the response.
+        leaving: Whether the head of the response says that the engine leaves.
+
     Raises:
         msgspec.DecodeError: If the body is not a valid report.
     """
@@ -98,6 +102,7 @@
         loading=frozenset(_parse_loading_adapter(name) for name in decoded.coming),
         busy=decoded.busy,
         draining=decoded.state == ServerState.DRAINING.value,
+        leaving=leaving,
         time_left=None if time_left_ms is None else time_left_ms / _MS_PER_SECOND,
         start_time_ms=decoded.born,
         instance_id=decoded.id,
--- a/fighitch/platform/requests.py
+++ b/fighitch/platform/requests.py
@@ -173,6 +173,11 @@
     return max(0.0, limit) if math.isfinite(limit) else None
 
 
+def is_leaving(head: ResponseHead) -> bool:
+    """Returns whether a backend server says that it leaves."""
+    return (head.get(b"server-leaving") or b"").strip() == b"1"
+
+
 def is_from_another_instance(head: ResponseHead, instance_id: str) -> bool:
     """Returns whether an instance other than the expected one rejected the request."""
     name = head.get(b"instance-id")
--- a/fighitch/runtime/http_client.py
+++ b/fighitch/runtime/http_client.py
@@ -19,23 +19,31 @@
 NO_RESPONSE = 0
 
 ResponseCallback = Callable[[int, bytes], None]
+HeadCallback = Callable[[ResponseHead], None]
 
 
 class _ResponseCollector:
     """Buffers one response and reports it to a callback once."""
 
     def __init__(
-        self, loop: EventLoop, timeout: Seconds, on_response: ResponseCallback
+        self,
+        loop: EventLoop,
+        timeout: Seconds,
+        on_response: ResponseCallback,
+        on_head: HeadCallback | None,
     ) -> None:
         self._on_response: ResponseCallback | None = on_response
+        self._on_head = on_head
         self._status = NO_RESPONSE
         self._body = bytearray()
         self._timer = loop.call_later(timeout, self._on_timeout)
         self.connection: HttpConnection | None = None
 
     def on_head(self, head: ResponseHead) -> None:
-        """Records the status."""
+        """Records the status and reports the head."""
         self._status = head.status
+        if self._on_head is not None and self._on_response is not None:
+            self._on_head(head)
 
     def on_body(self, data: bytes) -> None:
         """Appends a part of the body; a body above the limit counts as no response."""
@@ -86,6 +94,7 @@
         *,
         timeout: Seconds,
         reuse_connection: bool = True,
+        on_head: HeadCallback | None = None,
     ) -> None:
         """Sends a request.
 
@@ -98,6 +107,8 @@
             reuse_connection: Whether a persistent connection may be used. Responses
                 have no id, so that a late second copy of the previous response would
                 be taken for the response to this call.
+            on_head: Called before ``on_response`` with the head of the response, if one
+                arrives in time.
         """
         connection = self._connection
         if connection is None or not reuse_connection or not connection.usable():
@@ -107,7 +118,7 @@
                 self._loop, self._address.host, self._address.port
             )
             self._connection = connection
-        collector = _ResponseCollector(self._loop, timeout, on_response)
+        collector = _ResponseCollector(self._loop, timeout, on_response, on_head)
         collector.connection = connection
         connection.send(request, collector)
 
--- a/fighitch/tests/test_gateway_membership.py
+++ b/fighitch/tests/test_gateway_membership.py
@@ -67,6 +67,29 @@
         self.membership.put(server("a"))
         self.assertEqual(self.ready(), [])
 
+    def test_removed_server_that_leaves_does_not_return_from_an_old_list(self):
+        leaving = server("a").incarnation
+        self.membership.remove("a", 10.0)
+        self.membership.record_left(leaving)
+        self.membership.replace_all([server("a")], 11.0)
+        self.assertEqual(self.ready(), [])
+        self.membership.put(server("a", start_time_ms=2))
+        self.assertEqual(self.ready(), ["a"])
+
+    def test_answer_of_an_earlier_incarnation_does_not_mark_the_next_one(self):
+        self.membership.put(server("a", start_time_ms=2))
+        self.assertEqual(self.membership.record_left(server("a").incarnation), [])
+        self.assertEqual(self.ready(), ["a"])
+
+    def test_late_notice_of_an_earlier_drain_does_not_bring_a_server_back(self):
+        # The start time of the earlier incarnation replaced that of the later one.
+        self.membership.put(server("a", start_time_ms=5))
+        self.membership.mark_left("a")
+        self.membership.remove("a", 10.0)
+        self.membership.put(server("a", state=ServerState.DRAINING, start_time_ms=3))
+        self.membership.put(server("a", start_time_ms=5))
+        self.assertEqual(self.ready(), [])
+
     def test_complete_list_removes_missing_servers(self):
         self.membership.replace_all([server("b")], 10.0)
         self.assertEqual(self.ready(), ["b"])
--- a/fighitch/tests/test_platform_folder.py
+++ b/fighitch/tests/test_platform_folder.py
@@ -21,6 +21,7 @@
     encode_quarantine,
     quarantine_name,
 )
+from fighitch.platform.requests import is_leaving
 from fighitch.platform.settings import decode_settings
 from fighitch.runtime.http_callers import CallerRequest
 from fighitch.runtime.http_exchange import ResponseHead
@@ -355,6 +356,18 @@
         self.assertEqual(self.limit(b"-1"), 0.0)
 
 
+class LeavingTests(unittest.TestCase):
+    def test_only_one_counts_as_leaving(self):
+        for value, expected in ((b"1", True), (b" 1 ", True), (b"0", False)):
+            head = ResponseHead(200, [(b"server-leaving", value)])
+            self.assertEqual(is_leaving(head), expected, value)
+        self.assertFalse(is_leaving(ResponseHead(200, [])))
+
+    def test_report_names_the_head_of_its_response(self):
+        report = decode_report(b'{"Seq":1}', leaving=True)
+        self.assertEqual((report.leaving, report.draining), (True, False))
+
+
 class QuarantineCodecTests(unittest.TestCase):
     def test_stored_quarantine_is_decoded(self):
         stored = StoredQuarantine(frozenset({"b", "a"}), 17)
--- a/fighitch/tests/test_relay.py
+++ b/fighitch/tests/test_relay.py
@@ -9,7 +9,7 @@
     WorkKind,
 )
 from fighitch.core.gateway.response_limits import LimitKind
-from fighitch.gateway.peer_messages import Decline, Deny
+from fighitch.gateway.peer_messages import Decline, Deny, Grant
 from fighitch.gateway.relay import Relay
 from fighitch.platform.requests import decode_request
 from fighitch.runtime.event_loop import EventLoop
@@ -202,6 +202,59 @@
         self.assertEqual(self.admission_requests(), [("e1", False)])
 
 
+class LeavingEngineTests(RelayTestCase):
+    """Requests that wait for admission to an engine that says that it leaves."""
+
+    def setUp(self):
+        super().setUp()
+        self.entry.links.may_connect_soon.return_value = False
+        self.entry.links.is_connected.return_value = True
+        self.entry.links.version.return_value = 0
+        self.entry.links.request_admission.return_value = 7
+        self.engines = [Candidate(server(name), 0.0) for name in ("e1", "e2")]
+        self.entry.candidates.side_effect = lambda _service, _metadata, avoid: [
+            item for item in self.engines if item.server.instance_id not in avoid
+        ]
+
+    def asked(self) -> list[str]:
+        calls = self.entry.links.request_admission.call_args_list
+        return [call.args[0] for call in calls]
+
+    def test_waiting_request_goes_elsewhere_at_once(self):
+        relay = self.relay()
+        relay.place()
+        relay.leave_servers({"e1"})
+        self.entry.links.report_done.assert_called_once_with("e1", 7)
+        self.assertEqual(self.asked(), ["e1", "e2"])
+
+    def test_waiting_request_stays_if_another_server_leaves(self):
+        relay = self.relay()
+        relay.place()
+        relay.leave_servers({"e2"})
+        self.assertEqual(self.asked(), ["e1"])
+
+    def test_running_request_stays(self):
+        relay = self.relay()
+        relay.place()
+        self.entry.links.request_admission.call_args.args[2].on_grant(
+            Grant(7, 0, late=False)
+        )
+        relay.leave_servers({"e1"})
+        self.entry.pool.acquire.assert_called_once()
+        self.assertEqual(self.asked(), ["e1"])
+
+    def test_grant_of_an_engine_that_leaves_is_not_used(self):
+        # The agent may not know yet, or may be of an earlier build.
+        relay = self.relay()
+        relay.place()
+        self.entry.is_ready.return_value = False
+        callbacks = self.entry.links.request_admission.call_args.args[2]
+        callbacks.on_grant(Grant(7, 0, late=False))
+        self.entry.pool.acquire.assert_not_called()
+        self.entry.links.report_done.assert_called_once_with("e1", 7)
+        self.assertEqual(self.asked(), ["e1", "e2"])
+
+
 class ResponseTests(RelayTestCase):
     def test_endless_body_that_may_not_be_forwarded_ends_the_attempt(self):
         # The body of a server error is buffered as a whole, and a faulty server sends
--- a/standins/platform_backends.py
+++ b/standins/platform_backends.py
@@ -87,7 +87,13 @@
         self.state = "ready"
         # Requests per second that responses name as the limit; None for no limit.
         self.server_limit: float | None = None
+        # Whether all responses say that the server leaves; its state is separate.
+        self.leaving = False
         self.arrivals: list[float] = []
+        # Ids of all requests that reached the server, with the time.
+        self.received: list[tuple[str, float]] = []
+        # Seconds from the start of a run to its response.
+        self.response_delay = 0.0
         # Address in the heartbeat if the server is behind a proxy; empty if it is not.
         self.advertised_address = ""
 
@@ -110,15 +116,16 @@
         headers = {
             name.decode().lower(): value.decode() for name, value in request.headers
         }
+        self.received.append((headers.get("attempt-id", ""), time.monotonic()))
         expected = headers.get("expect-instance")
         if expected is not None and expected != self.instance_id:
             identity = (b"Instance-Id", self.instance_id.encode())
-            connection.send_head(421, [identity], length=0)
+            connection.send_head(421, [identity, *self._notices()], length=0)
             connection.finish()
             return
         if self.faults.consume("shed"):
             self.arrivals.append(time.monotonic())
-            rejection = [(b"Not-Executed", b"1"), *self._limit_headers()]
+            rejection = [(b"Not-Executed", b"1"), *self._notices()]
             connection.send_head(503, rejection, length=0)
             connection.finish()
             return
@@ -136,10 +143,22 @@
             connection.close()
             return
         status = 500 if self.faults.consume("errors") else 200
+        if self.response_delay:
+            self.loop.call_later(
+                self.response_delay,
+                lambda: self._send_delayed(connection, headers["attempt-id"], status),
+            )
+            return
         self.send_response(connection, headers["attempt-id"], status)
         if self.faults.consume("second_answers"):
             self.send_response(connection, "of-nobody", 200)
 
+    def _send_delayed(
+        self, connection: CallerConnection, request_id: str, status: int
+    ) -> None:
+        if not connection.closed:
+            self.send_response(connection, request_id, status)
+
     def record_run(self, request: CallerRequest, headers: dict[str, str]) -> None:
         """Records that a request started to run."""
         target = request.target.decode()
@@ -152,13 +171,17 @@
         return [
             (b"Attempt-Id", request_id.encode()),
             (b"Response-Signature", f"{self.instance_id}.{request_id}".encode()),
-            *self._limit_headers(),
+            *self._notices(),
         ]
 
-    def _limit_headers(self) -> list[tuple[bytes, bytes]]:
-        if self.server_limit is None:
-            return []
-        return [(b"Server-Limit", b"%.2f" % self.server_limit)]
+    def _notices(self) -> list[tuple[bytes, bytes]]:
+        """Returns the headers with which all responses tell the server's wishes."""
+        headers = []
+        if self.server_limit is not None:
+            headers.append((b"Server-Limit", b"%.2f" % self.server_limit))
+        if self.leaving:
+            headers.append((b"Server-Leaving", b"1"))
+        return headers
 
     def send_response(
         self, connection: CallerConnection, request_id: str, status: int
@@ -198,6 +221,8 @@
         # Largest excess of loaded and loading adapters over the adapter slots.
         self.overcommit = 0
         self.versions: dict[str, int] = {}
+        # Whether reports, too, say that the engine leaves.
+        self.reports_leaving = True
         # Part of a prompt that crashes the engine; empty for none.
         self.crashing_part = ""
         self.crashed_at: list[float] = []
@@ -210,6 +235,7 @@
     def restart(self, instance_id: str) -> None:
         """Restarts as a new incarnation without any state of the previous one."""
         self.instance_id = instance_id
+        self.leaving = False
         self.start_time_ms += 1
         self._adapter_state = _AdapterState()
         self._sequence = 0
@@ -240,7 +266,8 @@
         """Handles a request, a report or an order."""
         path = request.target.decode()
         if path == "/report":
-            send_json(connection, 200, self._report())
+            notices = self._notices() if self.reports_leaving else []
+            send_json(connection, 200, self._report(), notices)
             return
         if path == "/order":
             self._handle_order(connection, msgspec.json.decode(request.body))
@@ -256,7 +283,7 @@
         """Streams events if the adapter is loaded; otherwise responds with 421."""
         adapter = headers.get("model", "").partition("/")[2]
         if adapter and adapter not in self._adapter_state.loaded:
-            connection.send_head(421, [], length=0)
+            connection.send_head(421, self._notices(), length=0)
             connection.finish()
             return
         self.record_run(request, headers)
@@ -317,20 +344,20 @@
         if self.faults.consume("lost_orders"):
             return
         if order.get("Expect", self._sequence) != self._sequence:
-            send_json(connection, 409, {})
+            send_json(connection, 409, {}, self._notices())
             return
         self._sequence += 1
         adapter = order["Adapter"]
         if order["Operation"] == "model_unload":
             self._adapter_state.loaded.pop(adapter, None)
             self._record_order(order)
-            send_json(connection, 200, {})
+            send_json(connection, 200, {}, self._notices())
             return
         version = self.versions.get(adapter, 1)
         self._adapter_state.loading[adapter] = version
         self._record_order(order)
         self.loop.call_later(_LOAD_SECONDS, lambda: self._finish_load(adapter, version))
-        send_json(connection, 202, {})
+        send_json(connection, 202, {}, self._notices())
 
     def _record_order(self, order: dict[str, Any]) -> None:
         adapter_count = len(
--- a/standins/platform_http.py
+++ b/standins/platform_http.py
@@ -1,6 +1,7 @@
 """HTTP server of the platform stand-ins, which runs its own event loop thread."""
 
 import socket
+from collections.abc import Iterable
 
 import msgspec
 
@@ -74,11 +75,16 @@
         )
 
 
-def send_json(connection: CallerConnection, status: int, content: object) -> None:
+def send_json(
+    connection: CallerConnection,
+    status: int,
+    content: object,
+    headers: Iterable[tuple[bytes, bytes]] = (),
+) -> None:
     """Sends a response with a JSON body."""
     if connection.closed:
         return
     body = msgspec.json.encode(content)
-    connection.send_head(status, _JSON, length=len(body))
+    connection.send_head(status, [*_JSON, *headers], length=len(body))
     connection.send_body(body)
     connection.finish()
