Keep the pauses that servers ask for

What callers saw: a server that rejected a request with 503 and `Retry-After` got the next requests of the same entry all the same, within milliseconds, and callers got a 503 with the entry's default of 0.3 s while every server wanted nothing for 3 s. The header of servers was read nowhere. Outlier detection was ruled out as an answer to it: a rejection is no fault, and its penalty lasts for a time of its own.

Change: `core/gateway/server_pauses.py` keeps until when each incarnation wants no request from this entry. Until then no request is sent to it, by any way: placement, retries and resumes, grants of its agent, places within a limit. Requests that wait there, or whose connection is not established yet, are placed elsewhere at once. If all servers of a service are in a pause, callers get 503 at once, with the time until the first pause ends. A pause is at most 600 s; negative and unreadable values ask for nothing (`pause_bounded` in the log). Such a 503 does not count as a failure of the server, even without `Not-Executed`; it then may have run, as before.

The rule binds the entry that was asked. The agent tells the other entries (`Done` and `Status`, `pause_ms`), which prefer other engines meanwhile but still use this one for requests that no other engine can run sooner: it did not ask them. Logs: `server_asks_pause`, `engine_asks_pause`.

--- a/fighitch/core/gateway/backend_choice.py
+++ b/fighitch/core/gateway/backend_choice.py
@@ -49,6 +49,7 @@
         entries: Number of entries connected to the agent.
         seconds_per_token: Prefill time of one prompt token.
         load_wait: Time until a load requested now would start.
+        pause: Time for which the engine has asked another entry for no request.
     """
 
     instance_id: str
@@ -61,6 +62,7 @@
     entries: int = 1
     seconds_per_token: Seconds = 5e-5
     load_wait: Seconds = 0.0
+    pause: Seconds = 0.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -142,6 +144,8 @@
                 continue
             view = views.get(server.instance_id) or EngineView(server.instance_id)
             cost = view.backlog + view.pending_prefill + penalty(server.instance_id)
+            # The engine may still take requests of this entry.
+            cost += view.pause
             if not view.connected:
                 cost += _DISCONNECTED_PENALTY
             if not view.serving:
--- a/fighitch/gateway/agent.py
+++ b/fighitch/gateway/agent.py
@@ -14,6 +14,7 @@
     RequestSize,
 )
 from fighitch.core.gateway.server_limits import ServerLimits
+from fighitch.core.gateway.server_pauses import ServerPauses
 from fighitch.core.gateway.settings import Address, InstanceSettings
 from fighitch.gateway.crash_reports import CrashReportRelay
 from fighitch.gateway.engine_control import EngineClaim, EngineControl, order_outcome
@@ -89,6 +90,7 @@
         self._last_status: Status | None = None
         self._last_status_at: Seconds = float("-inf")
         self._limits = ServerLimits()
+        self._pauses = ServerPauses()
         self._announced_adapters: dict[AdapterName, int] = {}
         self._claim = EngineClaim(loop, settings, engine, log)
         self._engine_control = EngineControl(loop, engine, on_report=self._on_report)
@@ -251,11 +253,25 @@
         if done.limit is not None and self._queue.awaits_event(key):
             start_time_ms = self._engine_start_time_ms()
             self._record_limit(done.limit, start_time_ms, sent_at=self._loop.now())
+        if done.pause_ms > 0:
+            self._record_pause(done.pause_ms / _MS_PER_SECOND)
         request = self._queue.request(key)
         if self._queue.record_end(key) and request is not None:
             self._adapter_cache.record_end(request.adapter, self._loop.now())
         self._process_queue()
 
+    def _record_pause(self, pause: Seconds) -> None:
+        """Records that the engine wants no request of one entry, for the others.
+
+        They prefer other engines meanwhile. The engine asked only the one entry, so
+        that it still gets the requests that no other engine can run.
+        """
+        now = self._loop.now()
+        engine = Incarnation("", self._engine_start_time_ms())
+        if self._pauses.record(engine, pause, now):
+            self._log.event("engine_asks_pause", seconds=f"{pause:.3f}")
+            self._publish_current_status(now)
+
     def _decline(
         self,
         peer: PeerConnection,
@@ -490,8 +506,13 @@
             load_wait_ms=round(self._estimate_load_wait(now) * _MS_PER_SECOND),
             entries=len(self._peers),
             protocol=PROTOCOL_VERSION,
+            pause_ms=round(self._pause_left(now) * _MS_PER_SECOND),
         )
 
+    def _pause_left(self, now: Seconds) -> Seconds:
+        engine = Incarnation("", self._engine_start_time_ms())
+        return self._pauses.time_left(engine, now)
+
     def _engine_start_time_ms(self) -> int:
         return (
             0
--- a/fighitch/gateway/agent_links.py
+++ b/fighitch/gateway/agent_links.py
@@ -117,6 +117,7 @@
         all_crashes: Callable[[], CrashReport | None],
         named_limit: Callable[[BackendServer], float | None],
         is_leaving: Callable[[BackendServer], bool],
+        pause_left: Callable[[BackendServer], Seconds],
     ) -> None:
         """Starts the heartbeats.
 
@@ -133,6 +134,7 @@
             named_limit: Returns the limit that an engine has named, in requests per
                 second; None for no limit.
             is_leaving: Returns whether an engine has said that it leaves.
+            pause_left: Returns the time for which an engine wants no request.
         """
         self._loop = loop
         self._entry = entry
@@ -144,6 +146,7 @@
         self._all_crashes = all_crashes
         self._named_limit = named_limit
         self._is_leaving = is_leaving
+        self._pause_left = pause_left
         self._links: dict[str, AgentLink] = {}
         self._versions: dict[AdapterName, int] = {}
         self.views: dict[str, EngineView] = {}
@@ -233,7 +236,8 @@
         if link is None:
             return
         link.pending_requests.pop(number, None)
-        self._send(instance_id, Done(number, self._named_limit(link.server)))
+        pause_ms = int(self._pause_left(link.server) * _MS_PER_SECOND)
+        self._send(instance_id, Done(number, self._named_limit(link.server), pause_ms))
 
     def report_leaving(self, instance_id: str) -> None:
         """Reports to the agent of an engine that the engine says that it leaves."""
@@ -315,7 +319,7 @@
         link.peer = None
         link.has_all_crashes = False
         was_connected, link.view.connected = link.view.connected, False
-        link.view.backlog = link.view.pending_prefill = 0.0
+        link.view.backlog = link.view.pending_prefill = link.view.pause = 0.0
         if was_connected:
             self._log.event(
                 "agent_lost",
@@ -378,6 +382,7 @@
         view.serving = status.serving and is_same_incarnation
         if not view.serving and status.engine_start_time_ms:
             self._on_down(link.server)
+        view.pause = status.pause_ms / _MS_PER_SECOND if is_same_incarnation else 0.0
         view.entries = status.entries
         view.seconds_per_token = status.token_ns / _NS_PER_SECOND
         view.load_wait = status.load_wait_ms / _MS_PER_SECOND
--- a/fighitch/gateway/entry.py
+++ b/fighitch/gateway/entry.py
@@ -29,6 +29,7 @@
 from fighitch.core.gateway.retry_budget import RetryBudget
 from fighitch.core.gateway.route_table import RouteTable, choose_service
 from fighitch.core.gateway.server_limits import ServerLimits
+from fighitch.core.gateway.server_pauses import ServerPauses, bounded_pause
 from fighitch.core.gateway.settings import InstanceSettings
 from fighitch.gateway.agent_links import AgentLinks
 from fighitch.gateway.backend_pool import BackendPool
@@ -50,6 +51,7 @@
 from fighitch.platform.quarantine import QUARANTINE_KIND
 from fighitch.platform.requests import (
     RequestMetadata,
+    asked_pause,
     decode_request,
     is_from_another_instance,
     is_leaving,
@@ -106,6 +108,7 @@
         self._log = log
         self._membership = Membership()
         self._leaving = LeftIncarnations()
+        self._pauses = ServerPauses()
         self._configuration: Configuration | None = None
         self._routes = RouteTable(())
         self._has_server_list = False
@@ -136,6 +139,7 @@
             all_crashes=self.quarantine.all_crashes,
             named_limit=lambda server: self._server_limits.rate(server.incarnation),
             is_leaving=lambda server: server.incarnation in self._leaving,
+            pause_left=self._pause_left,
         )
         self._listener: socket.socket | None = listen(
             settings.callers.host, settings.callers.port
@@ -248,6 +252,7 @@
 
     def _run_housekeeping(self) -> None:
         self._on_membership_changes(self._membership.expire(self.loop.now()))
+        self._pauses.drop_ended(self.loop.now())
         self.quarantine.run_housekeeping()
         self._limit_shares.set_entries(self._entry_count, self.loop.now())
         self.metrics.set_open_requests(len(self._relays))
@@ -332,6 +337,8 @@
     ) -> list[Candidate]:
         """Returns the servers that may run a request, the best candidate first."""
         servers = self._membership.ready(service.name)
+        if self._pauses.is_active:
+            avoid = avoid | self._pausing(servers)
         penalty: Callable[[str], Seconds] = self._failure_penalty
         if self._limit_shares.is_active:
             penalty = self._limit_penalty(servers)
@@ -351,6 +358,25 @@
             avoid=avoid,
         )
 
+    def _pause_left(self, server: BackendServer) -> Seconds:
+        return self._pauses.time_left(server.incarnation, self.loop.now())
+
+    def _pausing(self, servers: Iterable[BackendServer]) -> set[str]:
+        """Returns the ids of the servers that want no request from this entry now."""
+        return {item.instance_id for item in servers if self._pause_left(item) > 0}
+
+    def time_until_room(self, service: Service) -> Seconds | None:
+        """Returns when a server of a service takes requests, if all asked for pauses.
+
+        Returns:
+            The time until the first pause ends; None if a server is not in a pause.
+        """
+        if not self._pauses.is_active:
+            return None
+        servers = self._membership.ready(service.name)
+        pauses = [self._pause_left(item) for item in servers]
+        return min(pauses) if pauses and min(pauses) > 0 else None
+
     def _limit_penalty(
         self, servers: Iterable[BackendServer]
     ) -> Callable[[str], Seconds]:
@@ -391,8 +417,8 @@
         return delay
 
     def is_ready(self, server: BackendServer) -> bool:
-        """Returns whether a server still accepts new requests."""
-        return self._membership.is_ready(server)
+        """Returns whether a server still accepts new requests from this entry."""
+        return self._membership.is_ready(server) and self._pause_left(server) <= 0
 
     def record_sent(self, server: BackendServer) -> None:
         """Records that a request was sent to a server."""
@@ -401,7 +427,10 @@
     def record_head(
         self, server: BackendServer, head: ResponseHead, *, sent_at: Seconds
     ) -> None:
-        """Records the limit that a response names, and whether the server leaves."""
+        """Records what a response says of its server: its limit, a pause, a leave."""
+        pause = asked_pause(head)
+        if pause is not None:
+            self._record_pause(server, pause)
         if is_leaving(head) and not is_from_another_instance(head, server.instance_id):
             self._record_leaving(server)
         limits, incarnation = self._server_limits, server.incarnation
@@ -422,6 +451,23 @@
                 phase=random.random(),
             )
 
+    def _record_pause(self, server: BackendServer, asked: Seconds) -> None:
+        """Records that a server wants no request from this entry for some time."""
+        pause = bounded_pause(asked)
+        if pause != asked:
+            self._log.event(
+                "pause_bounded", server=server.instance_id, asked=asked, kept=pause
+            )
+        if self._pauses.record(server.incarnation, pause, self.loop.now()):
+            self._log.event(
+                "server_asks_pause", server=server.instance_id, seconds=f"{pause:.3f}"
+            )
+            self._leave_servers({server.instance_id})
+
+    def _leave_servers(self, instance_ids: set[str]) -> None:
+        for relay in list(self._relays) if instance_ids else ():
+            relay.leave_servers(instance_ids)
+
     def _record_leaving(self, server: BackendServer) -> None:
         """Records that a server says that it leaves, whatever the store says of it."""
         if not self._leaving.add(server.incarnation):
@@ -596,9 +642,9 @@
     def _on_membership_changes(self, changes: list[MembershipChange]) -> None:
         if not changes:
             return
-        left = {item.instance_id for item in changes if item.change in _LEAVE_CHANGES}
-        for relay in list(self._relays) if left else ():
-            relay.leave_servers(left)
+        self._leave_servers(
+            {item.instance_id for item in changes if item.change in _LEAVE_CHANGES}
+        )
         for change in changes:
             self._log.event("server", server=change.instance_id, change=change.change)
             if change.change == "removed":
--- a/fighitch/gateway/peer_messages.py
+++ b/fighitch/gateway/peer_messages.py
@@ -151,10 +151,12 @@
         number: Number of the request.
         limit: Limit that the engine has named, in requests per second; None for none.
             It counts if the request ended without an event, such as a rejected one.
+        pause_ms: Time for which the engine wants no further request from the entry.
     """
 
     number: int
     limit: float | None = None
+    pause_ms: int = 0
 
 
 class Status(_Message, frozen=True, tag=8):
@@ -170,6 +172,8 @@
         load_wait_ms: Estimated time until an adapter load requested now would start.
         entries: Number of connected entries.
         protocol: ``PROTOCOL_VERSION`` of the agent.
+        pause_ms: Time for which the engine wants no further request from one of the
+            entries.
     """
 
     engine_start_time_ms: int
@@ -180,6 +184,7 @@
     load_wait_ms: int
     entries: int
     protocol: int = 0
+    pause_ms: int = 0
 
 
 class HeldAdapters(_Message, frozen=True, tag=9):
--- a/fighitch/gateway/relay.py
+++ b/fighitch/gateway/relay.py
@@ -14,6 +14,7 @@
 from fighitch.gateway.relay_host import RelayHost
 from fighitch.platform.requests import (
     RequestMetadata,
+    asked_pause,
     encode_request,
     is_from_another_instance,
     is_genuine,
@@ -140,11 +141,7 @@
             return
         server = self._choose_server()
         if server is None:
-            self._fail(
-                FailureKind.NO_SERVER
-                if not self._admission.requests
-                else FailureKind.OVERLOADED
-            )
+            self._fail_without_server()
             return
         self._server = server
         links = self._entry.links
@@ -157,6 +154,11 @@
             return
         self._send_within_limit(server)
 
+    def _fail_without_server(self) -> None:
+        all_pause = self._entry.time_until_room(self._service) is not None
+        is_busy = all_pause or self._admission.requests > 0
+        self._fail(FailureKind.OVERLOADED if is_busy else FailureKind.NO_SERVER)
+
     def _send_within_limit(self, server: BackendServer) -> None:
         """Sends a request without admission, once the limit of the server allows it."""
         max_delay = _MAX_WAIT_SHARE * (self._deadline - self._loop.now())
@@ -218,9 +220,14 @@
             self._place_elsewhere()
 
     def leave_servers(self, instance_ids: set[str]) -> None:
-        """Places a request elsewhere that waits for admission to one of the servers."""
-        is_waiting = self._state is RelayState.AWAITING_ADMISSION
-        if is_waiting and self._server and self._server.instance_id in instance_ids:
+        """Places a request elsewhere that has not yet been sent to its server."""
+        if self._server is None or self._server.instance_id not in instance_ids:
+            return
+        connection = self._connection
+        if self._state is RelayState.AWAITING_ADMISSION:
+            self._place_elsewhere()
+        elif connection is not None and connection.busy and not connection.has_sent:
+            self._end_exchange(failed=False, outcome="withdrawn")
             self._place_elsewhere()
 
     def _place_elsewhere(self) -> None:
@@ -474,7 +481,8 @@
         return head is not None and head.status < _SERVER_ERROR and is_genuine(head)
 
     def _on_server_error(self, head: ResponseHead) -> None:
-        self._end_exchange(failed=True, outcome=f"status_{head.status}")
+        asks_pause = (asked_pause(head) or 0.0) > 0
+        self._end_exchange(failed=not asks_pause, outcome=f"status_{head.status}")
         if self._may_retry() and self._entry.take_retry(self._service.name):
             self._retry()
             return
@@ -587,7 +595,10 @@
             return
         kind = reported_kind(kind, may_have_run=self._may_have_run)
         if self._caller is not None:
-            retry_after = self._limit_delay or self._admission.retry_after
+            time_until_room = self._entry.time_until_room(self._service)
+            retry_after = (
+                self._limit_delay or time_until_room or self._admission.retry_after
+            )
             send_failure_response(
                 self._caller, kind, self._metadata.request_id, retry_after
             )
--- a/fighitch/gateway/relay_host.py
+++ b/fighitch/gateway/relay_host.py
@@ -25,7 +25,11 @@
         """Ends a request that would crash an engine, unless its answer has begun."""
 
     def leave_servers(self, instance_ids: set[str]) -> None:
-        """Places a request elsewhere that waits for admission to one of the servers."""
+        """Places a request elsewhere that has not yet been sent to its server.
+
+        Args:
+            instance_ids: Servers that want no further requests.
+        """
 
 
 class RelayHost(Protocol):
@@ -42,6 +46,9 @@
     ) -> list[Candidate]:
         """Returns the servers that may run a request, the best candidate first."""
 
+    def time_until_room(self, service: Service) -> Seconds | None:
+        """Returns when the first server takes requests, if all asked for pauses."""
+
     def take_retry(self, service: str) -> bool:
         """Takes a retry from the budget of a service; returns whether it is allowed."""
 
@@ -49,7 +56,7 @@
         """Takes a place within the limit of a server that has no agent."""
 
     def is_ready(self, server: BackendServer) -> bool:
-        """Returns whether a server still accepts new requests."""
+        """Returns whether a server still accepts new requests from this entry."""
 
     def record_sent(self, server: BackendServer) -> None:
         """Records that a request was sent to a server."""
--- a/fighitch/platform/requests.py
+++ b/fighitch/platform/requests.py
@@ -68,6 +68,7 @@
 _MAX_PART_ID_LENGTH = 64
 # Misdirected Request: the server is not the expected instance, or refuses the request.
 _NOT_RUN_STATUS = 421
+_UNAVAILABLE_STATUS = 503
 
 
 @dataclass(frozen=True, slots=True)
@@ -173,6 +174,21 @@
     return max(0.0, limit) if math.isfinite(limit) else None
 
 
+def asked_pause(head: ResponseHead) -> Seconds | None:
+    """Returns for how long a backend server that rejects a request wants none.
+
+    Returns:
+        The pause, not bounded; NaN if it can't be read, and None if none is asked for.
+    """
+    value = head.get(b"retry-after")
+    if value is None or head.status != _UNAVAILABLE_STATUS:
+        return None
+    try:
+        return float(value)
+    except ValueError:
+        return math.nan
+
+
 def is_leaving(head: ResponseHead) -> bool:
     """Returns whether a backend server says that it leaves."""
     return (head.get(b"server-leaving") or b"").strip() == b"1"
--- a/fighitch/runtime/http_exchange.py
+++ b/fighitch/runtime/http_exchange.py
@@ -155,6 +155,11 @@
         """Whether an exchange is in progress."""
         return self._response_handler is not None
 
+    @property
+    def has_sent(self) -> bool:
+        """Whether any byte of the latest request was sent."""
+        return self._has_sent
+
     def usable(self) -> bool:
         """Returns whether another exchange may start; closes a connection that ended.
 
--- a/fighitch/tests/test_gateway_decisions.py
+++ b/fighitch/tests/test_gateway_decisions.py
@@ -1,4 +1,5 @@
 import unittest
+from dataclasses import replace
 
 from fighitch.core.gateway.backend_choice import (
     Candidate,
@@ -146,6 +147,12 @@
     def views(self, **changed: EngineView) -> dict[str, EngineView]:
         return {name: view(name) for name in ("e1", "e2", "e3")} | changed
 
+    def test_engine_that_asked_another_entry_for_a_pause_comes_last(self):
+        pausing = replace(view("e1", A1), pause=10.0)
+        self.assertNotEqual(self.best(self.views(e1=pausing)), "e1")
+        self.servers = self.servers[:1]
+        self.assertEqual(self.best(self.views(e1=pausing)), "e1")
+
     def test_engine_with_the_adapter_loaded_is_preferred(self):
         for name in ("e1", "e2", "e3"):
             views = self.views(**{name: view(name, A1)})
--- a/fighitch/tests/test_platform_folder.py
+++ b/fighitch/tests/test_platform_folder.py
@@ -1,4 +1,5 @@
 import json
+import math
 import unittest
 
 import msgspec
@@ -21,7 +22,7 @@
     encode_quarantine,
     quarantine_name,
 )
-from fighitch.platform.requests import is_leaving
+from fighitch.platform.requests import asked_pause, is_leaving
 from fighitch.platform.settings import decode_settings
 from fighitch.runtime.http_callers import CallerRequest
 from fighitch.runtime.http_exchange import ResponseHead
@@ -368,6 +369,24 @@
         self.assertEqual((report.leaving, report.draining), (True, False))
 
 
+class AskedPauseTests(unittest.TestCase):
+    def asked(self, status: int, *values: bytes) -> float | None:
+        headers = [(b"Retry-After", value) for value in values]
+        return asked_pause(ResponseHead(status, headers))
+
+    def test_seconds_of_a_rejection_are_decoded(self):
+        for value, pause in ((b"3", 3.0), (b" 0.25", 0.25), (b"0", 0.0), (b"-1", -1.0)):
+            self.assertEqual(self.asked(503, value), pause)
+
+    def test_unreadable_value_is_no_number(self):
+        value = self.asked(503, b"Sat, 05 Dec 2026 08:00:00 GMT")
+        self.assertTrue(value is not None and math.isnan(value))
+
+    def test_other_responses_ask_for_none(self):
+        self.assertIsNone(self.asked(503))
+        self.assertIsNone(self.asked(429, b"3"))
+
+
 class QuarantineCodecTests(unittest.TestCase):
     def test_stored_quarantine_is_decoded(self):
         stored = StoredQuarantine(frozenset({"b", "a"}), 17)
--- a/fighitch/tests/test_relay.py
+++ b/fighitch/tests/test_relay.py
@@ -29,6 +29,7 @@
         self.entry.quarantine.blocks.return_value = False
         self.entry.quarantine.is_suspect.return_value = False
         self.entry.reserve.return_value = 0.0
+        self.entry.time_until_room.return_value = None
         self.caller = mock.Mock()
 
     def relay(
@@ -255,6 +256,45 @@
         self.assertEqual(self.asked(), ["e1", "e2"])
 
 
+class PausingServerTests(RelayTestCase):
+    """Requests to servers that ask for a pause."""
+
+    def setUp(self):
+        super().setUp()
+        self.entry.links.may_connect_soon.return_value = False
+
+    def test_request_that_is_not_sent_yet_goes_elsewhere(self):
+        # Connections to an overloaded server take long to be established; the request
+        # would reach the server during the pause.
+        relay = self.relay()
+        relay.place()
+        self.entry.candidates.return_value = [Candidate(server("e2"), 0.0)]
+        connection = self.entry.pool.acquire.return_value
+        connection.has_sent = False
+        relay.leave_servers({"e1"})
+        connection.close.assert_called_once()
+        servers = [call.args[0] for call in self.entry.pool.acquire.call_args_list]
+        self.assertEqual([item.instance_id for item in servers], ["e1", "e2"])
+
+    def test_caller_learns_when_the_first_server_takes_requests(self):
+        self.entry.candidates.return_value = []
+        self.entry.time_until_room.return_value = 7.5
+        self.relay().place()
+        status, headers = self.caller.send_head.call_args.args
+        self.assertEqual(status, 503)
+        self.assertIn((b"Retry-After", b"7.500"), headers)
+
+    def test_request_for_a_pause_is_no_failure_of_the_server(self):
+        self.entry.take_retry.return_value = False
+        for value, failed in ((b"2", False), (b"0", True), (b"soon", True)):
+            relay = self.relay()
+            relay.place()
+            relay.on_head(ResponseHead(503, [(b"Retry-After", value)]))
+            relay.on_complete()
+            outcome = self.entry.record_outcome.call_args.kwargs
+            self.assertEqual(outcome["failed"], failed, value)
+
+
 class ResponseTests(RelayTestCase):
     def test_endless_body_that_may_not_be_forwarded_ends_the_attempt(self):
         # The body of a server error is buffered as a whole, and a faulty server sends
--- a/standins/platform_backends.py
+++ b/standins/platform_backends.py
@@ -58,6 +58,38 @@
     at: float = field(default_factory=time.monotonic)
 
 
+@dataclass(frozen=True, slots=True)
+class ReceivedRequest:
+    """A request that reached a server, even if the server rejected it.
+
+    Attributes:
+        request_id: Id of the request.
+        at: Monotonic time.
+        incarnation: Instance id and start time of the server.
+    """
+
+    request_id: str
+    at: float
+    incarnation: tuple[str, int]
+
+
+@dataclass(frozen=True, slots=True)
+class PauseRequest:
+    """A rejection in which a server asked its sender for a pause.
+
+    Attributes:
+        request_id: Id of the rejected request.
+        at: Monotonic time.
+        until: Time until which the server wants no further request.
+        incarnation: Instance id and start time of the server.
+    """
+
+    request_id: str
+    at: float
+    until: float
+    incarnation: tuple[str, int]
+
+
 @dataclass(slots=True)
 class OrderRecord:
     """An order that a server accepted.
@@ -90,13 +122,24 @@
         # Whether all responses say that the server leaves; its state is separate.
         self.leaving = False
         self.arrivals: list[float] = []
-        # Ids of all requests that reached the server, with the time.
-        self.received: list[tuple[str, float]] = []
+        self.received: list[ReceivedRequest] = []
+        # Time until which requests are rejected, with the rest as Retry-After.
+        self.pauses_until = 0.0
+        # Value of Retry-After in rejections instead of the rest; empty for the rest.
+        self.retry_after = ""
+        # Whether rejections with Retry-After say that the request was not run.
+        self.marks_rejections = True
+        self.asked_pauses: list[PauseRequest] = []
         # Seconds from the start of a run to its response.
         self.response_delay = 0.0
         # Address in the heartbeat if the server is behind a proxy; empty if it is not.
         self.advertised_address = ""
 
+    @property
+    def incarnation(self) -> tuple[str, int]:
+        """Instance id and start time."""
+        return self.instance_id, self.start_time_ms
+
     def heartbeat(self) -> dict[str, Any]:
         """Returns the heartbeat of the server for the store."""
         return {
@@ -116,13 +159,26 @@
         headers = {
             name.decode().lower(): value.decode() for name, value in request.headers
         }
-        self.received.append((headers.get("attempt-id", ""), time.monotonic()))
+        request_id, now = headers.get("attempt-id", ""), time.monotonic()
+        self.received.append(ReceivedRequest(request_id, now, self.incarnation))
         expected = headers.get("expect-instance")
         if expected is not None and expected != self.instance_id:
             identity = (b"Instance-Id", self.instance_id.encode())
             connection.send_head(421, [identity, *self._notices()], length=0)
             connection.finish()
             return
+        rest = self.pauses_until - now
+        if rest > 0:
+            self.asked_pauses.append(
+                PauseRequest(request_id, now, self.pauses_until, self.incarnation)
+            )
+            value = (self.retry_after or f"{rest:.3f}").encode()
+            rejection = [(b"Retry-After", value), *self._notices()]
+            if self.marks_rejections:
+                rejection.append((b"Not-Executed", b"1"))
+            connection.send_head(503, rejection, length=0)
+            connection.finish()
+            return
         if self.faults.consume("shed"):
             self.arrivals.append(time.monotonic())
             rejection = [(b"Not-Executed", b"1"), *self._notices()]
