Let servers of the soak leave by their answers and ask for pauses

Two faults more: a server says `Server-Leaving: 1` in all responses until its next start, while the list calls it ready or after it was removed there (also in planned runs), and a third of the servers rejects requests with `Retry-After`. Checked from outside, by the requests that servers count: no request that was sent through an entry later than DrainMs after it had passed on such an answer reaches that incarnation, and at most two requests of an entry from 0.5 s after a rejection to the end of its pause. Pauses of the entry excuse the first; pauses of processes and slow links the second.

--- a/benchmarks/platform_soak_checks.py
+++ b/benchmarks/platform_soak_checks.py
@@ -6,6 +6,7 @@
 
 from standins.platform_backends import PlatformBackend
 from standins.platform_fleet import CallerResponse, PlatformFleet
+from standins.platform_pauses import excess_requests
 
 _SINGLE_RUN_ROUTES = frozenset(("stream", "order"))
 _STREAM_ROUTES = frozenset(("stream", "resume"))
@@ -31,6 +32,9 @@
 _LIMIT_WINDOW = 4.0
 _LIMIT_FACTOR = 1.5
 _LIMIT_SLACK = 5
+# DrainMs if the settings do not state it, and the longest pause of a process.
+_DRAIN_TIME = 2.0
+_MAX_FREEZE = 3.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -64,6 +68,10 @@
         recovered_at: Time in seconds since the start from which all requests should
             be served again.
         sent: All requests.
+        freezes: Name and time of each process that was paused, in seconds since the
+            start.
+        disturbances: Monotonic begin and end of each time in which processes or links
+            were too slow for the order of requests and responses to be known.
         faults: Faults in order, with their times.
         violations: Violated guarantees.
         inconclusive: Violations that cannot be attributed to the programs, since the
@@ -76,6 +84,8 @@
     started_at: float = 0.0
     recovered_at: float = 0.0
     sent: list[SentRequest] = field(default_factory=list)
+    freezes: list[tuple[str, float]] = field(default_factory=list)
+    disturbances: list[tuple[float, float]] = field(default_factory=list)
     faults: list[str] = field(default_factory=list)
     violations: list[str] = field(default_factory=list)
     inconclusive: list[str] = field(default_factory=list)
@@ -99,8 +109,10 @@
     record.violations += _configuration_violations(record.sent)
     record.violations += _crashing_violations(record, fleet)
     record.violations += _limit_violations(record, servers)
+    record.violations += _leave_violations(record, servers)
     is_stalled = record.longest_stall > _MAX_OWN_STALL
     overdue = record.inconclusive if is_stalled else record.violations
+    overdue += _pause_violations(record, servers)
     overdue += _recovery_violations(record)
     if record.planned:
         overdue += _timeout_violations(record.sent)
@@ -208,6 +220,69 @@
     return found
 
 
+def _leave_violations(
+    record: SoakRecord, servers: Sequence[PlatformBackend]
+) -> list[str]:
+    """Returns requests to servers after an entry had passed on that they leave.
+
+    A pause of the entry since then excuses it; a cut or a restored list does not. A
+    restarted entry is another process.
+    """
+    received = {
+        (request.request_id, request.incarnation[0]): request.incarnation
+        for server in servers
+        for request in server.received
+    }
+    passed_on: dict[tuple[tuple[int, int], tuple[str, int]], float] = {}
+    for sent in record.sent:
+        if "server-leaving" not in sent.answer.headers:
+            continue
+        name = sent.answer.headers.get("response-signature", "").rpartition(".")[0]
+        incarnation = received.get((sent.request_id, name))
+        if incarnation is not None:
+            key = (sent.process, incarnation)
+            passed_on[key] = min(sent.answered_at, passed_on.get(key, sent.answered_at))
+    found = []
+    sent_by_id = {sent.request_id: sent for sent in record.sent}
+    for server in servers:
+        for request in server.received:
+            late = sent_by_id.get(request.request_id)
+            if late is None:
+                continue
+            since = passed_on.get((late.process, request.incarnation))
+            if since is None or late.at <= since + _DRAIN_TIME:
+                continue
+            frozen = f"front-{late.process[0]}"
+            if any(
+                name == frozen and at >= since - _MAX_FREEZE
+                for name, at in record.freezes
+            ):
+                continue
+            found.append(
+                f"{late.request_id} at {late.at:.2f}: reached {request.incarnation[0]} "
+                f"through front-{late.process[0]}, which had passed on at {since:.2f} "
+                "that it leaves"
+            )
+    return found
+
+
+def _pause_violations(
+    record: SoakRecord, servers: Sequence[PlatformBackend]
+) -> list[str]:
+    """Returns pauses in which an entry sent more requests than it may.
+
+    Pauses during a disturbance are left out: requests may arrive late.
+    """
+    processes = {sent.request_id: sent.process for sent in record.sent}
+    return [
+        line
+        for server in servers
+        for line in excess_requests(
+            server, processes.get, disturbances=record.disturbances
+        )
+    ]
+
+
 def _count_in_window(times: Sequence[float], start: float) -> int:
     return sum(start <= at < start + _LIMIT_WINDOW for at in times)
 
--- a/benchmarks/tests/test_platform_soak_checks.py
+++ b/benchmarks/tests/test_platform_soak_checks.py
@@ -4,7 +4,12 @@
 from unittest import mock
 
 from benchmarks.platform_soak_checks import SentRequest, SoakRecord, check
-from standins.platform_backends import OrderRecord, RunRecord
+from standins.platform_backends import (
+    OrderRecord,
+    PauseRequest,
+    ReceivedRequest,
+    RunRecord,
+)
 from standins.platform_fleet import CallerResponse, PlatformFleet
 
 SIGNED = {"response-signature": "s"}
@@ -62,6 +67,52 @@
         check(self.record, self.fleet)
         self.assertTrue(any("limit" in item for item in self.record.violations))
 
+    def send(self, request_id: str, at: float, **headers: str) -> None:
+        """Records a request through the first entry that the first server received."""
+        server = self.fleet.plain_servers[0]
+        server.received.append(
+            ReceivedRequest(request_id, at, server.incarnation),
+        )
+        server.runs.append(RunRecord(request_id, {}, b"", "/", at=at))
+        body = f"answer to {request_id}".encode()
+        headers["response-signature"] = f"{server.instance_id}.{request_id}"
+        answer = CallerResponse(200, headers, body)
+        self.record.sent.append(
+            SentRequest(request_id, "order", at, answer, FIRST_INCARNATION, at)
+        )
+
+    def found(self, text: str) -> bool:
+        self.record.violations.clear()
+        check(self.record, self.fleet)
+        return any(text in item for item in self.record.violations)
+
+    def test_request_to_a_server_that_leaves_is_detected(self):
+        self.send("r1", 10.0, **{"server-leaving": "1"})
+        self.send("r2", 11.9)
+        self.assertFalse(self.found("that it leaves"))
+        self.send("r3", 12.1)
+        self.assertTrue(self.found("r3 at 12.10: reached plain-0"))
+        self.record.freezes.append(("front-0", 11.0))
+        self.assertFalse(self.found("that it leaves"))
+
+    def test_request_to_the_next_incarnation_is_no_violation(self):
+        self.send("r1", 10.0, **{"server-leaving": "1"})
+        self.fleet.plain_servers[0].restart("plain-0+1")
+        self.send("r2", 13.0)
+        self.assertFalse(self.found("that it leaves"))
+
+    def test_requests_during_a_pause_are_detected(self):
+        server = self.fleet.plain_servers[0]
+        self.send("r1", 10.0)
+        server.asked_pauses.append(PauseRequest("r1", 10.0, 13.0, server.incarnation))
+        for number, at in enumerate((10.4, 10.6, 12.9, 13.1), start=2):
+            self.send(f"r{number}", at)
+        self.assertFalse(self.found("asked"))
+        self.send("r6", 12.0)
+        self.assertTrue(self.found("plain-0 asked"))
+        self.record.disturbances.append((12.5, 14.0))
+        self.assertFalse(self.found("asked"))
+
     def test_correct_response_is_no_violation(self):
         self.assertEqual(
             self.violations("stream", CallerResponse(200, SIGNED, EVENTS), 1), []
--- a/standins/platform_backends.py
+++ b/standins/platform_backends.py
@@ -135,6 +135,12 @@
         # Address in the heartbeat if the server is behind a proxy; empty if it is not.
         self.advertised_address = ""
 
+    def restart(self, instance_id: str) -> None:
+        """Restarts as a new incarnation; responses under way are still sent."""
+        self.instance_id = instance_id
+        self.start_time_ms += 1
+        self.leaving = False
+
     @property
     def incarnation(self) -> tuple[str, int]:
         """Instance id and start time."""
@@ -290,9 +296,7 @@
 
     def restart(self, instance_id: str) -> None:
         """Restarts as a new incarnation without any state of the previous one."""
-        self.instance_id = instance_id
-        self.leaving = False
-        self.start_time_ms += 1
+        super().restart(instance_id)
         self._adapter_state = _AdapterState()
         self._sequence = 0
         for connection in list(self._connections):
--- a/standins/platform_pauses.py
+++ b/standins/platform_pauses.py
@@ -12,19 +12,27 @@
 
 
 def excess_requests(
-    server: PlatformBackend, sender: Callable[[str], Hashable | None]
+    server: PlatformBackend,
+    sender: Callable[[str], Hashable | None],
+    *,
+    disturbances: Iterable[tuple[float, float]] = (),
 ) -> list[str]:
     """Returns a line for each pause in which a sender sent more than it may.
 
     Args:
         server: Server that asked for pauses.
         sender: Returns the sender of a request by its id, or None to ignore it.
+        disturbances: Begin and end of times, in monotonic time, during which requests
+            and responses may be late. Pauses that overlap with one are left out.
     """
     received = defaultdict(list)
+    disturbances = list(disturbances)
     for request in server.received:
         received[sender(request.request_id), request.incarnation].append(request)
     found = []
     for pause in _first_of_each(server.asked_pauses, sender):
+        if any(begin < pause.until and pause.at < end for begin, end in disturbances):
+            continue
         by = sender(pause.request_id)
         late = [
             request.request_id
