--- a/fighitch/gateway/agent.py
+++ b/fighitch/gateway/agent.py
@@ -6,6 +6,7 @@
 
 from fighitch.core.gateway.adapter_cache import AdapterCache, EngineReport
 from fighitch.core.gateway.engine_queue import EngineQueue, EngineRequest, Rejection
+from fighitch.core.gateway.left_incarnations import LeftIncarnations
 from fighitch.core.gateway.model import (
     AdapterName,
     EngineSpec,
@@ -13,6 +14,7 @@
     RequestSize,
 )
 from fighitch.core.gateway.server_limits import ServerLimits
+from fighitch.core.gateway.server_pauses import ServerPauses
 from fighitch.core.gateway.settings import Address, InstanceSettings
 from fighitch.gateway.crash_reports import CrashReportRelay
 from fighitch.gateway.engine_control import EngineClaim, EngineControl, order_outcome
@@ -82,11 +84,13 @@
         self._failed_reports = 0
         self._serving = False
         self._draining = False
+        self._leaving = LeftIncarnations()
         self._last_report_at: Seconds = float("-inf")
         self._order_not_before: Seconds = 0.0
         self._last_status: Status | None = None
         self._last_status_at: Seconds = float("-inf")
         self._limits = ServerLimits()
+        self._pauses = ServerPauses()
         self._announced_adapters: dict[AdapterName, int] = {}
         self._claim = EngineClaim(loop, settings, engine, log)
         self._engine_control = EngineControl(loop, engine, on_report=self._on_report)
@@ -165,6 +169,8 @@
         if hello.limit is not None:
             start_time_ms = hello.engine_start_time_ms
             self._record_limit(hello.limit, start_time_ms, sent_at=self._loop.now())
+        if hello.leaving:
+            self._record_leaving(hello.engine_start_time_ms, source=hello.entry)
         self._log.event("entry_connected", peer=peer.number, entry=hello.entry)
         if spec != self._spec:
             self._log.event("engine_spec", entry=hello.entry, spec=spec)
@@ -247,11 +253,25 @@
         if done.limit is not None and self._queue.awaits_event(key):
             start_time_ms = self._engine_start_time_ms()
             self._record_limit(done.limit, start_time_ms, sent_at=self._loop.now())
+        if done.pause_ms > 0:
+            self._record_pause(done.pause_ms / _MS_PER_SECOND)
         request = self._queue.request(key)
         if self._queue.record_end(key) and request is not None:
             self._adapter_cache.record_end(request.adapter, self._loop.now())
         self._process_queue()
 
+    def _record_pause(self, pause: Seconds) -> None:
+        """Records that the engine wants no request of one entry, for the others.
+
+        They prefer other engines meanwhile. The engine asked only the one entry, so
+        that it still gets the requests that no other engine can run.
+        """
+        now = self._loop.now()
+        engine = Incarnation("", self._engine_start_time_ms())
+        if self._pauses.record(engine, pause, now):
+            self._log.event("engine_asks_pause", seconds=f"{pause:.3f}")
+            self._publish_current_status(now)
+
     def _decline(
         self,
         peer: PeerConnection,
@@ -394,17 +414,38 @@
             self._log.event(
                 "engine_answers", born=report.start_time_ms, sequence=report.sequence
             )
-        if report.draining and not self._draining:
-            self._log.event("engine_draining", remaining=report.time_left)
-            self._deny_waiting("draining")
-        self._draining = report.draining
+        if report.leaving:
+            self._record_leaving(report.start_time_ms, source="report")
         if report.start_time_ms != self._engine_start_time_ms():
             self._apply_limit(report.start_time_ms)
         self._adapter_cache.record_report(report, now)
+        self._update_draining()
         self._queue.record_events(report.events, now)
         self._publish_adapters()
         self._process_queue()
 
+    def _record_leaving(self, start_time_ms: int, *, source: str) -> None:
+        """Records that an incarnation of the engine says that it leaves."""
+        # There is one engine, so that the start time alone identifies its incarnations.
+        if self._leaving.add(Incarnation("", start_time_ms)):
+            self._log.event("engine_leaving", born=start_time_ms, source=source)
+            self._update_draining()
+
+    def _update_draining(self) -> None:
+        """Rejects waiting requests and tells the entries once the engine is leaving."""
+        report = self._adapter_cache.report
+        if report is None:
+            return
+        engine = Incarnation("", report.start_time_ms)
+        is_draining = report.draining or engine in self._leaving
+        if is_draining == self._draining:
+            return
+        self._draining = is_draining
+        if is_draining:
+            self._log.event("engine_draining", remaining=report.time_left)
+            self._deny_waiting("draining")
+        self._publish_current_status(self._loop.now())
+
     def _deny_waiting(self, reason: str) -> None:
         now = self._loop.now()
         for request in self._queue.waiting_requests:
@@ -465,8 +506,13 @@
             load_wait_ms=round(self._estimate_load_wait(now) * _MS_PER_SECOND),
             entries=len(self._peers),
             protocol=PROTOCOL_VERSION,
+            pause_ms=round(self._pause_left(now) * _MS_PER_SECOND),
         )
 
+    def _pause_left(self, now: Seconds) -> Seconds:
+        engine = Incarnation("", self._engine_start_time_ms())
+        return self._pauses.time_left(engine, now)
+
     def _engine_start_time_ms(self) -> int:
         return (
             0
--- a/fighitch/gateway/entry.py
+++ b/fighitch/gateway/entry.py
@@ -15,6 +15,7 @@
     rank_plain_servers,
 )
 from fighitch.core.gateway.failures import FailureKind
+from fighitch.core.gateway.left_incarnations import LeftIncarnations
 from fighitch.core.gateway.limit_shares import LimitShares
 from fighitch.core.gateway.membership import Membership, MembershipChange
 from fighitch.core.gateway.model import (
@@ -28,6 +29,7 @@
 from fighitch.core.gateway.retry_budget import RetryBudget
 from fighitch.core.gateway.route_table import RouteTable, choose_service
 from fighitch.core.gateway.server_limits import ServerLimits
+from fighitch.core.gateway.server_pauses import ServerPauses, bounded_pause
 from fighitch.core.gateway.settings import InstanceSettings
 from fighitch.gateway.agent_links import AgentLinks
 from fighitch.gateway.backend_pool import BackendPool
@@ -50,7 +52,10 @@
 from fighitch.platform.quarantine import QUARANTINE_KIND
 from fighitch.platform.requests import (
     RequestMetadata,
+    asked_pause,
     decode_request,
+    is_from_another_instance,
+    is_leaving,
     named_limit,
 )
 from fighitch.platform.store import StoredObject
@@ -79,6 +84,8 @@
 # A server that is down refuses a connection within this time. A connection that times
 # out may fail because of the entry's own links.
 _REFUSAL_TIME: Seconds = 0.1
+# Changes after which a server gets no new requests.
+_LEAVE_CHANGES = frozenset(("draining", "left"))
 # Below the file descriptor limit, to leave descriptors for connections to servers.
 _MAX_CALLER_CONNECTIONS = 1_500
 
@@ -101,6 +108,8 @@
         self._settings = settings
         self._log = log
         self._membership = Membership()
+        self._leaving = LeftIncarnations()
+        self._pauses = ServerPauses()
         self._configuration: Configuration | None = None
         self._routes = RouteTable(())
         self._has_server_list = False
@@ -133,6 +142,8 @@
             all_crashes=self.quarantine.all_crashes,
             named_limit=lambda server: self._server_limits.rate(server.incarnation),
             store_epoch=lambda: self._store_calls.epoch,
+            is_leaving=lambda server: server.incarnation in self._leaving,
+            pause_left=self._pause_left,
         )
         self._listener: socket.socket | None = listen(
             settings.callers.host, settings.callers.port
@@ -253,6 +264,7 @@
 
     def _run_housekeeping(self) -> None:
         self._on_membership_changes(self._membership.expire(self.loop.now()))
+        self._pauses.drop_ended(self.loop.now())
         self.quarantine.run_housekeeping()
         self._limit_shares.set_entries(self._entry_count, self.loop.now())
         self.metrics.set_open_requests(len(self._relays))
@@ -337,6 +349,8 @@
     ) -> list[Candidate]:
         """Returns the servers that may run a request, the best candidate first."""
         servers = self._membership.ready(service.name)
+        if self._pauses.is_active:
+            avoid = avoid | self._pausing(servers)
         penalty: Callable[[str], Seconds] = self._failure_penalty
         if self._limit_shares.is_active:
             penalty = self._limit_penalty(servers)
@@ -356,6 +370,25 @@
             avoid=avoid,
         )
 
+    def _pause_left(self, server: BackendServer) -> Seconds:
+        return self._pauses.time_left(server.incarnation, self.loop.now())
+
+    def _pausing(self, servers: Iterable[BackendServer]) -> set[str]:
+        """Returns the ids of the servers that want no request from this entry now."""
+        return {item.instance_id for item in servers if self._pause_left(item) > 0}
+
+    def time_until_room(self, service: Service) -> Seconds | None:
+        """Returns when a server of a service takes requests, if all asked for pauses.
+
+        Returns:
+            The time until the first pause ends; None if a server is not in a pause.
+        """
+        if not self._pauses.is_active:
+            return None
+        servers = self._membership.ready(service.name)
+        pauses = [self._pause_left(item) for item in servers]
+        return min(pauses) if pauses and min(pauses) > 0 else None
+
     def _limit_penalty(
         self, servers: Iterable[BackendServer]
     ) -> Callable[[str], Seconds]:
@@ -396,9 +429,8 @@
         return delay
 
     def is_ready(self, server: BackendServer) -> bool:
-        """Returns whether a server still accepts new requests."""
-        ready = self._membership.ready(server.service)
-        return any(item.incarnation == server.incarnation for item in ready)
+        """Returns whether a server still accepts new requests from this entry."""
+        return self._membership.is_ready(server) and self._pause_left(server) <= 0
 
     def record_sent(self, server: BackendServer) -> None:
         """Records that a request was sent to a server."""
@@ -407,7 +439,12 @@
     def record_head(
         self, server: BackendServer, head: ResponseHead, *, sent_at: Seconds
     ) -> None:
-        """Records the limit that a response names, if any."""
+        """Records what a response says of its server: its limit, a pause, a leave."""
+        pause = asked_pause(head)
+        if pause is not None:
+            self._record_pause(server, pause)
+        if is_leaving(head) and not is_from_another_instance(head, server.instance_id):
+            self._record_leaving(server)
         limits, incarnation = self._server_limits, server.incarnation
         previous, now = limits.rate(incarnation), self.loop.now()
         rate = named_limit(head)
@@ -426,6 +463,34 @@
                 phase=random.random(),
             )
 
+    def _record_pause(self, server: BackendServer, asked: Seconds) -> None:
+        """Records that a server wants no request from this entry for some time."""
+        pause = bounded_pause(asked)
+        if pause != asked:
+            self._log.event(
+                "pause_bounded", server=server.instance_id, asked=asked, kept=pause
+            )
+        if self._pauses.record(server.incarnation, pause, self.loop.now()):
+            self._log.event(
+                "server_asks_pause", server=server.instance_id, seconds=f"{pause:.3f}"
+            )
+            self._leave_servers({server.instance_id})
+
+    def _leave_servers(self, instance_ids: set[str]) -> None:
+        for relay in list(self._relays) if instance_ids else ():
+            relay.leave_servers(instance_ids)
+
+    def _record_leaving(self, server: BackendServer) -> None:
+        """Records that a server says that it leaves, whatever the store says of it."""
+        if not self._leaving.add(server.incarnation):
+            return
+        self._log.event(
+            "server_leaving", server=server.instance_id, born=server.start_time_ms
+        )
+        self.pool.close_idle(server)
+        self.links.report_leaving(server.instance_id)
+        self._on_membership_changes(self._membership.record_left(server.incarnation))
+
     def record_outcome(
         self,
         service: Service,
@@ -607,6 +672,9 @@
     def _on_membership_changes(self, changes: list[MembershipChange]) -> None:
         if not changes:
             return
+        self._leave_servers(
+            {item.instance_id for item in changes if item.change in _LEAVE_CHANGES}
+        )
         for change in changes:
             self._log.event("server", server=change.instance_id, change=change.change)
             if change.change == "removed":
--- a/fighitch/gateway/peer_messages.py
+++ b/fighitch/gateway/peer_messages.py
@@ -22,7 +22,8 @@
 class Hello(_Message, frozen=True, tag=1):
     """Identifies an entry and carries the limits of the engine.
 
-    Sent first on a connection, and again when the limits of the engine change.
+    Sent first on a connection, and again when the limits of the engine change or the
+    engine says that it leaves.
 
     Attributes:
         entry: Name of the entry's instance.
@@ -32,6 +33,7 @@
         engine_spec: Limits of the engine, as JSON of an ``EngineSpec``.
         protocol: ``PROTOCOL_VERSION`` of the entry.
         limit: Limit that the engine has named, in requests per second; None for none.
+        leaving: Whether this start of the engine has said that it leaves.
     """
 
     entry: str
@@ -40,6 +42,7 @@
     engine_spec: bytes
     protocol: int = 0
     limit: float | None = None
+    leaving: bool = False
 
 
 class AdapterVersions(_Message, frozen=True, tag=2):
@@ -148,10 +151,12 @@
         number: Number of the request.
         limit: Limit that the engine has named, in requests per second; None for none.
             It counts if the request ended without an event, such as a rejected one.
+        pause_ms: Time for which the engine wants no further request from the entry.
     """
 
     number: int
     limit: float | None = None
+    pause_ms: int = 0
 
 
 class Status(_Message, frozen=True, tag=8):
@@ -167,6 +172,8 @@
         load_wait_ms: Estimated time until an adapter load requested now would start.
         entries: Number of connected entries.
         protocol: ``PROTOCOL_VERSION`` of the agent.
+        pause_ms: Time for which the engine wants no further request from one of the
+            entries.
     """
 
     engine_start_time_ms: int
@@ -177,6 +184,7 @@
     load_wait_ms: int
     entries: int
     protocol: int = 0
+    pause_ms: int = 0
 
 
 class HeldAdapters(_Message, frozen=True, tag=9):
--- a/fighitch/gateway/takeover.py
+++ b/fighitch/gateway/takeover.py
@@ -63,7 +63,7 @@
         elif self._has_agent(server):
             self._admission.request(
                 server,
-                on_grant=lambda late: self._finish(server, late=late),
+                on_grant=lambda late: self._on_grant(server, late=late),
                 on_decline=self.search,
                 on_deny=lambda: self._search_without(server),
             )
@@ -82,6 +82,13 @@
         is_engine = self._service.engine is not None
         return is_engine and self._host.links.is_connected(server.instance_id)
 
+    def _on_grant(self, server: BackendServer, *, late: bool) -> None:
+        if self._host.is_ready(server):
+            self._finish(server, late=late)
+            return
+        self._admission.end()
+        self._search_without(server)
+
     def _search_without(self, server: BackendServer) -> None:
         self._avoid.add(server.instance_id)
         self.search()
--- a/fighitch/runtime/http_client.py
+++ b/fighitch/runtime/http_client.py
@@ -40,9 +40,9 @@
         self.connection: HttpConnection | None = None
 
     def on_head(self, head: ResponseHead) -> None:
-        """Records the status and passes on the head."""
+        """Records the status and reports the head."""
         self._status = head.status
-        if self._on_head is not None:
+        if self._on_head is not None and self._on_response is not None:
             self._on_head(head)
 
     def on_body(self, data: bytes) -> None:
@@ -107,7 +107,8 @@
             reuse_connection: Whether a persistent connection may be used. Responses
                 have no id, so that a late second copy of the previous response would
                 be taken for the response to this call.
-            on_head: Called with the head of the response, before ``on_response``.
+            on_head: Called before ``on_response`` with the head of the response, if one
+                arrives in time.
         """
         connection = self._connection
         if connection is None or not reuse_connection or not connection.usable():
--- a/fighitch/tests/test_platform_folder.py
+++ b/fighitch/tests/test_platform_folder.py
@@ -2,6 +2,7 @@
 import dataclasses
 import functools
 import json
+import math
 import unittest
 
 import msgspec
@@ -24,6 +25,7 @@
     encode_quarantine,
     quarantine_name,
 )
+from fighitch.platform.requests import asked_pause, is_leaving
 from fighitch.platform.settings import decode_settings
 from fighitch.runtime.http_callers import CallerRequest
 from fighitch.runtime.http_exchange import ResponseHead
@@ -639,6 +641,36 @@
         self.assertEqual(self.limit(b"-1"), 0.0)
 
 
+class LeavingTests(unittest.TestCase):
+    def test_only_one_counts_as_leaving(self):
+        for value, expected in ((b"1", True), (b" 1 ", True), (b"0", False)):
+            head = ResponseHead(200, [(b"server-leaving", value)])
+            self.assertEqual(is_leaving(head), expected, value)
+        self.assertFalse(is_leaving(ResponseHead(200, [])))
+
+    def test_report_names_the_head_of_its_response(self):
+        report = decode_report(b'{"Seq":1}', leaving=True)
+        self.assertEqual((report.leaving, report.draining), (True, False))
+
+
+class AskedPauseTests(unittest.TestCase):
+    def asked(self, status: int, *values: bytes) -> float | None:
+        headers = [(b"Retry-After", value) for value in values]
+        return asked_pause(ResponseHead(status, headers))
+
+    def test_seconds_of_a_rejection_are_decoded(self):
+        for value, pause in ((b"3", 3.0), (b" 0.25", 0.25), (b"0", 0.0), (b"-1", -1.0)):
+            self.assertEqual(self.asked(503, value), pause)
+
+    def test_unreadable_value_is_no_number(self):
+        value = self.asked(503, b"Sat, 05 Dec 2026 08:00:00 GMT")
+        self.assertTrue(value is not None and math.isnan(value))
+
+    def test_other_responses_ask_for_none(self):
+        self.assertIsNone(self.asked(503))
+        self.assertIsNone(self.asked(429, b"3"))
+
+
 class QuarantineCodecTests(unittest.TestCase):
     def test_stored_quarantine_is_decoded(self):
         stored = StoredQuarantine(frozenset({"b", "a"}), 17)
--- a/fighitch/tests/test_relay.py
+++ b/fighitch/tests/test_relay.py
@@ -10,7 +10,7 @@
     WorkKind,
 )
 from fighitch.core.gateway.response_limits import LimitKind
-from fighitch.gateway.peer_messages import Decline, Deny
+from fighitch.gateway.peer_messages import Decline, Deny, Grant
 from fighitch.gateway.relay import Relay
 from fighitch.platform.requests import decode_request
 from fighitch.runtime.event_loop import EventLoop
@@ -30,6 +30,7 @@
         self.entry.quarantine.blocks.return_value = False
         self.entry.quarantine.is_suspect.return_value = False
         self.entry.reserve.return_value = 0.0
+        self.entry.time_until_room.return_value = None
         self.caller = mock.Mock()
 
     def relay(
@@ -208,6 +209,98 @@
         self.assertEqual(self.admission_requests(), [("e1", False)])
 
 
+class LeavingEngineTests(RelayTestCase):
+    """Requests that wait for admission to an engine that says that it leaves."""
+
+    def setUp(self):
+        super().setUp()
+        self.entry.links.may_connect_soon.return_value = False
+        self.entry.links.is_connected.return_value = True
+        self.entry.links.version.return_value = 0
+        self.entry.links.request_admission.return_value = 7
+        self.engines = [Candidate(server(name), 0.0) for name in ("e1", "e2")]
+        self.entry.candidates.side_effect = lambda _service, _metadata, avoid: [
+            item for item in self.engines if item.server.instance_id not in avoid
+        ]
+
+    def asked(self) -> list[str]:
+        calls = self.entry.links.request_admission.call_args_list
+        return [call.args[0] for call in calls]
+
+    def test_waiting_request_goes_elsewhere_at_once(self):
+        relay = self.relay()
+        relay.place()
+        relay.leave_servers({"e1"})
+        self.entry.links.report_done.assert_called_once_with("e1", 7)
+        self.assertEqual(self.asked(), ["e1", "e2"])
+
+    def test_waiting_request_stays_if_another_server_leaves(self):
+        relay = self.relay()
+        relay.place()
+        relay.leave_servers({"e2"})
+        self.assertEqual(self.asked(), ["e1"])
+
+    def test_running_request_stays(self):
+        relay = self.relay()
+        relay.place()
+        self.entry.links.request_admission.call_args.args[2].on_grant(
+            Grant(7, 0, late=False)
+        )
+        relay.leave_servers({"e1"})
+        self.entry.pool.acquire.assert_called_once()
+        self.assertEqual(self.asked(), ["e1"])
+
+    def test_grant_of_an_engine_that_leaves_is_not_used(self):
+        # The agent may not know yet, or may be of an earlier build.
+        relay = self.relay()
+        relay.place()
+        self.entry.is_ready.return_value = False
+        callbacks = self.entry.links.request_admission.call_args.args[2]
+        callbacks.on_grant(Grant(7, 0, late=False))
+        self.entry.pool.acquire.assert_not_called()
+        self.entry.links.report_done.assert_called_once_with("e1", 7)
+        self.assertEqual(self.asked(), ["e1", "e2"])
+
+
+class PausingServerTests(RelayTestCase):
+    """Requests to servers that ask for a pause."""
+
+    def setUp(self):
+        super().setUp()
+        self.entry.links.may_connect_soon.return_value = False
+
+    def test_request_that_is_not_sent_yet_goes_elsewhere(self):
+        # Connections to an overloaded server take long to be established; the request
+        # would reach the server during the pause.
+        relay = self.relay()
+        relay.place()
+        self.entry.candidates.return_value = [Candidate(server("e2"), 0.0)]
+        connection = self.entry.pool.acquire.return_value
+        connection.has_sent = False
+        relay.leave_servers({"e1"})
+        connection.close.assert_called_once()
+        servers = [call.args[0] for call in self.entry.pool.acquire.call_args_list]
+        self.assertEqual([item.instance_id for item in servers], ["e1", "e2"])
+
+    def test_caller_learns_when_the_first_server_takes_requests(self):
+        self.entry.candidates.return_value = []
+        self.entry.time_until_room.return_value = 7.5
+        self.relay().place()
+        status, headers = self.caller.send_head.call_args.args
+        self.assertEqual(status, 503)
+        self.assertIn((b"Retry-After", b"7.500"), headers)
+
+    def test_request_for_a_pause_is_no_failure_of_the_server(self):
+        self.entry.take_retry.return_value = False
+        for value, failed in ((b"2", False), (b"0", True), (b"soon", True)):
+            relay = self.relay()
+            relay.place()
+            relay.on_head(ResponseHead(503, [(b"Retry-After", value)]))
+            relay.on_complete()
+            outcome = self.entry.record_outcome.call_args.kwargs
+            self.assertEqual(outcome["failed"], failed, value)
+
+
 class ResponseTests(RelayTestCase):
     def test_endless_body_that_may_not_be_forwarded_ends_the_attempt(self):
         # The body of a server error is buffered as a whole, and a faulty server sends
--- a/standins/platform_backends.py
+++ b/standins/platform_backends.py
@@ -92,6 +92,38 @@
     at: float = field(default_factory=time.monotonic)
 
 
+@dataclass(frozen=True, slots=True)
+class ReceivedRequest:
+    """A request that reached a server, even if the server rejected it.
+
+    Attributes:
+        request_id: Id of the request.
+        at: Monotonic time.
+        incarnation: Instance id and start time of the server.
+    """
+
+    request_id: str
+    at: float
+    incarnation: tuple[str, int]
+
+
+@dataclass(frozen=True, slots=True)
+class PauseRequest:
+    """A rejection in which a server asked its sender for a pause.
+
+    Attributes:
+        request_id: Id of the rejected request.
+        at: Monotonic time.
+        until: Time until which the server wants no further request.
+        incarnation: Instance id and start time of the server.
+    """
+
+    request_id: str
+    at: float
+    until: float
+    incarnation: tuple[str, int]
+
+
 @dataclass(slots=True)
 class OrderRecord:
     """An order that a server accepted.
@@ -121,13 +153,36 @@
         self.state = "ready"
         # Requests per second that responses name as the limit; None for no limit.
         self.server_limit: float | None = None
+        # Whether all responses say that the server leaves; its state is separate.
+        self.leaving = False
         self.arrivals: list[float] = []
         # Status and headers of the last refusal on each connection.
         self._refusals: WeakKeyDictionary[CallerConnection, tuple[int, Headers]]
         self._refusals = WeakKeyDictionary()
+        self.received: list[ReceivedRequest] = []
+        # Time until which requests are rejected, with the rest as Retry-After.
+        self.pauses_until = 0.0
+        # Value of Retry-After in rejections instead of the rest; empty for the rest.
+        self.retry_after = ""
+        # Whether rejections with Retry-After say that the request was not run.
+        self.marks_rejections = True
+        self.asked_pauses: list[PauseRequest] = []
+        # Seconds from the start of a run to its response.
+        self.response_delay = 0.0
         # Address in the heartbeat if the server is behind a proxy; empty if it is not.
         self.advertised_address = ""
 
+    def restart(self, instance_id: str) -> None:
+        """Restarts as a new incarnation; responses under way are still sent."""
+        self.instance_id = instance_id
+        self.start_time_ms += 1
+        self.leaving = False
+
+    @property
+    def incarnation(self) -> tuple[str, int]:
+        """Instance id and start time."""
+        return self.instance_id, self.start_time_ms
+
     def heartbeat(self) -> dict[str, Any]:
         """Returns the heartbeat of the server for the store."""
         return {
@@ -147,14 +202,30 @@
         headers = {
             name.decode().lower(): value.decode() for name, value in request.headers
         }
+        request_id, now = headers.get("attempt-id", ""), time.monotonic()
+        self.received.append(ReceivedRequest(request_id, now, self.incarnation))
         expected = headers.get("expect-instance")
         if expected is not None and expected != self.instance_id:
             identity = (b"Instance-Id", self.instance_id.encode())
             self.reject(connection, headers, 421, identity)
             return
+        rest = self.pauses_until - now
+        if rest > 0:
+            self.asked_pauses.append(
+                PauseRequest(request_id, now, self.pauses_until, self.incarnation)
+            )
+            value = (self.retry_after or f"{rest:.3f}").encode()
+            self.reject(
+                connection,
+                headers,
+                503,
+                (b"Retry-After", value),
+                is_marked=self.marks_rejections,
+            )
+            return
         if self.faults.consume("shed"):
             self.arrivals.append(time.monotonic())
-            self.reject(connection, headers, 503, *self._limit_headers())
+            self.reject(connection, headers, 503)
             return
         self.serve(connection, request, headers)
 
@@ -164,11 +235,13 @@
         headers: dict[str, str],
         status: int,
         *more_headers: tuple[bytes, bytes],
+        is_marked: bool = True,
     ) -> None:
-        """Rejects a request without running it."""
+        """Rejects a request without running it; says so if it is marked."""
         request_id = headers.get("attempt-id", "").encode()
-        rejection = [(b"Attempt-Id", request_id), (b"Not-Executed", b"1")]
-        rejection += more_headers
+        rejection = [(b"Attempt-Id", request_id), *more_headers, *self._notices()]
+        if is_marked:
+            rejection.append((b"Not-Executed", b"1"))
         self._refusals[connection] = status, rejection
         connection.send_head(status, rejection, length=0)
         connection.finish()
@@ -197,10 +270,22 @@
             return
         self.repeat_refusal(connection)
         status = 500 if self.faults.consume("errors") else 200
+        if self.response_delay:
+            self.loop.call_later(
+                self.response_delay,
+                lambda: self._send_delayed(connection, headers["attempt-id"], status),
+            )
+            return
         self.send_response(connection, headers["attempt-id"], status)
         if self.faults.consume("second_answers"):
             self.send_response(connection, "of-nobody", 200)
 
+    def _send_delayed(
+        self, connection: CallerConnection, request_id: str, status: int
+    ) -> None:
+        if not connection.closed:
+            self.send_response(connection, request_id, status)
+
     def record_run(self, request: CallerRequest, headers: dict[str, str]) -> None:
         """Records that a request started to run."""
         target = request.target.decode()
@@ -212,16 +297,20 @@
         self, request_id: str, *, is_signed: bool = True
     ) -> list[tuple[bytes, bytes]]:
         """Returns the headers of a response."""
-        headers = [(b"Attempt-Id", request_id.encode()), *self._limit_headers()]
+        headers = [(b"Attempt-Id", request_id.encode()), *self._notices()]
         if is_signed:
             signature = f"{self.instance_id}.{request_id}".encode()
             headers.append((b"Response-Signature", signature))
         return headers
 
-    def _limit_headers(self) -> list[tuple[bytes, bytes]]:
-        if self.server_limit is None:
-            return []
-        return [(b"Server-Limit", b"%.2f" % self.server_limit)]
+    def _notices(self) -> list[tuple[bytes, bytes]]:
+        """Returns the headers with which all responses tell the server's wishes."""
+        headers = []
+        if self.server_limit is not None:
+            headers.append((b"Server-Limit", b"%.2f" % self.server_limit))
+        if self.leaving:
+            headers.append((b"Server-Leaving", b"1"))
+        return headers
 
     def send_response(
         self, connection: CallerConnection, request_id: str, status: int
@@ -262,6 +351,8 @@
         # Largest excess of loaded and loading adapters over the adapter slots.
         self.overcommit = 0
         self.versions: dict[str, int] = {}
+        # Whether reports, too, say that the engine leaves.
+        self.reports_leaving = True
         # Part of a prompt that crashes the engine; empty for none.
         self.crashing_part = ""
         self.crashed_at: list[float] = []
@@ -278,8 +369,7 @@
 
     def restart(self, instance_id: str) -> None:
         """Restarts as a new incarnation without any state of the previous one."""
-        self.instance_id = instance_id
-        self.start_time_ms += 1
+        super().restart(instance_id)
         self._adapter_state = _AdapterState()
         self._sequence = 0
         for connection in list(self._connections):
@@ -309,7 +399,8 @@
         """Handles a request, a report or an order."""
         path = request.target.decode()
         if path == "/report":
-            send_json(connection, 200, self._report())
+            notices = self._notices() if self.reports_leaving else []
+            send_json(connection, 200, self._report(), notices)
             return
         if path == "/order":
             self._handle_order(connection, msgspec.json.decode(request.body))
@@ -401,20 +492,20 @@
         if self.faults.consume("lost_orders"):
             return
         if order.get("Expect", self._sequence) != self._sequence:
-            send_json(connection, 409, {})
+            send_json(connection, 409, {}, self._notices())
             return
         self._sequence += 1
         adapter = order["Adapter"]
         if order["Operation"] == "model_unload":
             self._adapter_state.loaded.pop(adapter, None)
             self._record_order(order)
-            send_json(connection, 200, {})
+            send_json(connection, 200, {}, self._notices())
             return
         version = self.versions.get(adapter, 1)
         self._adapter_state.loading[adapter] = version
         self._record_order(order)
         self.loop.call_later(_LOAD_SECONDS, lambda: self._finish_load(adapter, version))
-        send_json(connection, 202, {})
+        send_json(connection, 202, {}, self._notices())
 
     def _record_order(self, order: dict[str, Any]) -> None:
         adapter_count = len(
--- a/standins/platform_http.py
+++ b/standins/platform_http.py
@@ -1,6 +1,7 @@
 """HTTP server of the platform stand-ins, which runs its own event loop thread."""
 
 import socket
+from collections.abc import Iterable
 
 import msgspec
 
@@ -8,7 +9,6 @@
 from fighitch.runtime.event_loop import READ
 from fighitch.runtime.http_callers import CallerConnection, CallerRequest
 from fighitch.runtime.sockets import accept_pending, listen
-from fighitch.types import Headers
 from standins.loop_thread import LoopThread
 
 _JSON = [(b"Content-Type", b"application/json")]
@@ -79,12 +79,12 @@
     connection: CallerConnection,
     status: int,
     content: object,
-    headers: Headers | None = None,
+    headers: Iterable[tuple[bytes, bytes]] = (),
 ) -> None:
     """Sends a response with a JSON body, and headers besides its type."""
     if connection.closed:
         return
     body = msgspec.json.encode(content)
-    connection.send_head(status, [*_JSON, *(headers or [])], length=len(body))
+    connection.send_head(status, [*_JSON, *headers], length=len(body))
     connection.send_body(body)
     connection.finish()
