Test stalled runs and slow callers of continued streams

Both hold already: the partial event of a run that ended by its time limit is dropped, and reading of a run that starts while the caller does not read is paused and resumed.

--- a/fighitch/tests/test_stream_continuations.py
+++ b/fighitch/tests/test_stream_continuations.py
@@ -1,6 +1,7 @@
 """Streams that broke off and that another server should continue."""
 
 import unittest
+from unittest import mock
 
 from fighitch.core.gateway.model import WorkKind
 from fighitch.gateway.relay import Relay
@@ -212,6 +213,39 @@
         self.assertEqual(self.received, b"no run")
 
 
+class StalledRunTests(ContinuationTestCase):
+    """The first run ends without an end of its connection."""
+
+    def test_partial_event_of_a_stalled_run_is_not_continued(self):
+        patch = mock.patch("fighitch.gateway.relay.attempt_timeout", return_value=0.1)
+        patch.start()
+        self.addCleanup(patch.stop)
+        # The server keeps its connection open inside the third event.
+        stalled = ScriptedServer(BROKEN_OFF, b"")
+        self.serve(stalled, ScriptedServer(stream(*EVENTS[2:])))
+        self.run_relay(self.resumable())
+        self.assert_complete(b"".join(EVENTS))
+        self.assertEqual(self.resumed_after(), [b"2"])
+
+    def test_stream_of_a_slow_caller_is_continued(self):
+        self.serve(ScriptedServer(BROKEN_OFF), ScriptedServer(stream(*EVENTS[2:])))
+        self.acquire = self.entry.pool.acquire.side_effect
+        self.entry.pool.acquire.side_effect = self.acquire_backlogged
+        self.run_relay(self.resumable())
+        self.assert_complete(b"".join(EVENTS))
+
+    def acquire_backlogged(self, *arguments, **options):
+        """Connects to a server; the second one finds a caller that does not read."""
+        if self.connections:
+            self.caller.is_backlogged = True
+            self.loop.call_later(0.1, self.drain)
+        return self.acquire(*arguments, **options)
+
+    def drain(self) -> None:
+        self.caller.is_backlogged = False
+        self.caller.on_buffer_drained()
+
+
 class EventOrderTests(ContinuationTestCase):
     """The next server does not continue after the last event."""
 
