Do not forward events of a response that states that it did not run

Callers could get the events of a 2xx response with Not-Executed before the request went to the next server, so that the stream broke off, or events of both were joined.

Cause: such a response counted as a stream, and as a rejection only at its end.

Change: it is buffered as a rejection.

Before the change test_events_of_a_rejection_are_not_forwarded failed: ('broken_off_server_lost', b'id: 1\n...') != ('200', b'id: 1\n...')

--- a/fighitch/gateway/relay.py
+++ b/fighitch/gateway/relay.py
@@ -385,6 +385,7 @@
             self._route.kind is WorkKind.STREAMING
             and head.status < _FIRST_NON_SUCCESS
             and is_genuine(head)
+            and not was_not_run(head)
         )
 
     def on_body(self, data: bytes) -> None:
--- a/fighitch/tests/test_stream_continuations.py
+++ b/fighitch/tests/test_stream_continuations.py
@@ -65,7 +65,7 @@
 
 
 class LargeRejectionTests(ContinuationTestCase):
-    """A rejection with a body above the limit of the buffer."""
+    """A rejection with a body above the limit of the buffer, or with events."""
 
     def test_next_response_is_not_joined_to_a_rejection(self):
         # The rejection was forwarded, and the next server's body was sent behind it.
@@ -80,6 +80,13 @@
                 self.assert_complete(b"body")
                 self.caller.send_head.assert_called_once()
 
+    def test_events_of_a_rejection_are_not_forwarded(self):
+        # The next server's events were joined to them.
+        rejection = stream(*EVENTS[:2], extra=b"Not-Executed: 1\r\n")
+        self.serve(ScriptedServer(rejection), ScriptedServer(stream(*EVENTS)))
+        self.run_relay(self.relay())
+        self.assert_complete(b"".join(EVENTS))
+
     def test_large_rejections_are_no_runs(self):
         rejection = response(b"421 Misdirected", body=LARGE_BODY)
         self.serve(*(ScriptedServer(rejection) for _ in range(4)))
