Answer a request at once if its placement fails with an unexpected error

Cause: the exception went to the event loop, which logs it; only the deadline ended the request then. Messages of the agent in the same read were lost too.

Change: such an error is logged with the request's id (request_error) and ends the request: 503 if nothing was sent, else 502.

The tests ended with the exceptions before the change: OverflowError: int too large; UnicodeError: latin-1.

--- a/fighitch/gateway/entry.py
+++ b/fighitch/gateway/entry.py
@@ -473,6 +473,12 @@
                 outcome=outcome,
             )
 
+    def record_internal_error(self, request_id: str, error: Exception) -> None:
+        """Logs an unexpected error that ended a request."""
+        self._log.event(
+            "request_error", level="error", request=request_id, detail=repr(error)
+        )
+
     def record_limit_exceeded(
         self, server: BackendServer, request_id: str, limit: LimitKind
     ) -> None:
--- a/fighitch/gateway/relay.py
+++ b/fighitch/gateway/relay.py
@@ -131,7 +131,26 @@
     # Placement.
 
     def place(self) -> None:
-        """Chooses a backend server, then requests admission or sends the request."""
+        """Chooses a backend server, then requests admission or sends the request.
+
+        An unexpected error ends the request at once; its caller would otherwise wait
+        until the deadline.
+        """
+        try:
+            self._place()
+        except Exception as error:
+            self._on_internal_error(error)
+
+    def _on_internal_error(self, error: Exception) -> None:
+        self._entry.record_internal_error(self._metadata.request_id, error)
+        if self._state is RelayState.DONE:
+            return
+        if self._in_flight:
+            self._may_have_run = True
+            self._end_exchange(failed=False, outcome="internal_error")
+        self._fail(FailureKind.NO_SERVER)
+
+    def _place(self) -> None:
         if self._state is RelayState.DONE:
             return
         self._state = RelayState.PLACING
@@ -255,6 +274,12 @@
     # Attempts.
 
     def _send_request(self, server: BackendServer, *, late: bool) -> None:
+        try:
+            self._start_attempt(server, late=late)
+        except Exception as error:
+            self._on_internal_error(error)
+
+    def _start_attempt(self, server: BackendServer, *, late: bool) -> None:
         now = self._loop.now()
         time_left = self._deadline - now
         if time_left < _MIN_TIME_LEFT:
--- a/fighitch/tests/test_relay.py
+++ b/fighitch/tests/test_relay.py
@@ -9,7 +9,7 @@
     WorkKind,
 )
 from fighitch.core.gateway.response_limits import LimitKind
-from fighitch.gateway.peer_messages import Decline, Deny
+from fighitch.gateway.peer_messages import Decline, Deny, Grant
 from fighitch.gateway.relay import Relay
 from fighitch.platform.requests import decode_request
 from fighitch.runtime.event_loop import EventLoop
@@ -100,6 +100,52 @@
         self.entry.pool.acquire.assert_not_called()
 
 
+class InternalErrorTests(RelayTestCase):
+    """Unexpected errors, such as one that odd data of another writer causes.
+
+    The event loop logged them, and the caller had no response before its deadline.
+    """
+
+    def setUp(self):
+        super().setUp()
+        self.entry.links.may_connect_soon.return_value = False
+        self.caller.closed = False
+
+    def assert_answered_once(self, status: int) -> None:
+        self.entry.record_internal_error.assert_called_once()
+        self.caller.send_head.assert_called_once()
+        self.assertEqual(self.caller.send_head.call_args.args[0], status)
+        self.caller.finish.assert_called_once()
+        self.entry.record_end.assert_called_once()
+
+    def test_error_of_the_choice_of_a_server(self):
+        self.entry.candidates.side_effect = OverflowError("int too large")
+        self.relay().place()
+        self.assert_answered_once(503)
+
+    def test_error_of_the_request_for_admission(self):
+        self.entry.links.is_connected.return_value = True
+        self.entry.links.request_admission.side_effect = OverflowError("too large")
+        self.relay().place()
+        self.assert_answered_once(503)
+
+    def test_error_of_the_connection(self):
+        # Some bytes may have been sent.
+        self.entry.pool.acquire.side_effect = OverflowError("port must be 0-65535")
+        self.relay().place()
+        self.assert_answered_once(502)
+        self.entry.record_outcome.assert_called_once()
+
+    def test_error_after_a_grant(self):
+        self.entry.links.is_connected.return_value = True
+        self.relay().place()
+        callbacks = self.entry.links.request_admission.call_args.args[2]
+        self.entry.pool.acquire.side_effect = UnicodeError("latin-1")
+        callbacks.on_grant(Grant(1, 0, late=False))
+        self.assert_answered_once(502)
+        self.entry.links.report_done.assert_called_once()
+
+
 class LimitedServerTests(RelayTestCase):
     """Requests to a server without an agent that limits the requests that it takes."""
 
