Log an unreadable object once for each of its changes, at a limited rate

What operators saw: each list repeated the line of every unreadable entry, and a list with many of them displaced the lines of requests, as the log of a process is limited as a whole.

Before the change: AssertionError: 3 != 1.

--- a/fighitch/gateway/entry.py
+++ b/fighitch/gateway/entry.py
@@ -36,6 +36,7 @@
 from fighitch.gateway.part_quarantine import PartQuarantine
 from fighitch.gateway.relay import Relay
 from fighitch.gateway.store_watch import KindWatcher, WatchOptions
+from fighitch.gateway.unreadable_objects import UnreadableObjects
 from fighitch.observability.bounded_log import BoundedLog
 from fighitch.platform.configuration import (
     CONFIGURATION_KIND,
@@ -133,6 +134,12 @@
             settings.callers.host, settings.callers.port
         )
         self._watchers: list[KindWatcher] = []
+        self._unreadable_entries = UnreadableObjects(
+            log, "server_entry_unreadable", loop.now
+        )
+        self._unreadable_versions = UnreadableObjects(
+            log, "version_unreadable", loop.now
+        )
 
     # Life cycle.
 
@@ -538,7 +545,7 @@
         try:
             adapter, version = decode_adapter_version(item.content)
         except msgspec.DecodeError as error:
-            self._log.event("version_unreadable", entry=item.name, detail=error)
+            self._unreadable_versions.record(item, error)
             return
         self._log.event("version_announced", adapter=adapter, version=version)
         self.links.announce_version(adapter, version)
@@ -569,7 +576,7 @@
         try:
             return decode_heartbeat(item.name, item.content)
         except msgspec.DecodeError as error:
-            self._log.event("server_entry_unreadable", entry=item.name, detail=error)
+            self._unreadable_entries.record(item, error)
             return None
 
     def record_replaced(self, server: BackendServer) -> None:
--- a/fighitch/gateway/part_quarantine.py
+++ b/fighitch/gateway/part_quarantine.py
@@ -16,6 +16,7 @@
 from fighitch.core.gateway.settings import Address
 from fighitch.gateway.crash_reports import build_report, merge_report
 from fighitch.gateway.peer_messages import CrashReport
+from fighitch.gateway.unreadable_objects import UnreadableObjects
 from fighitch.observability.bounded_log import BoundedLog
 from fighitch.platform import store
 from fighitch.platform.quarantine import (
@@ -64,6 +65,7 @@
         self._log = log
         self._spread = spread
         self._on_change = on_change
+        self._unreadable = UnreadableObjects(log, "quarantine_unreadable", loop.now)
         self._quarantine = Quarantine()
         self._lost_runs = LostRuns()
         self._client = SerialClient(loop, store_address)
@@ -226,5 +228,5 @@
         try:
             return decode_quarantine(item.content)
         except msgspec.DecodeError as error:
-            self._log.event("quarantine_unreadable", entry=item.name, detail=error)
+            self._unreadable.record(item, error)
             return None
--- a/fighitch/tests/test_gateway_entry.py
+++ b/fighitch/tests/test_gateway_entry.py
@@ -1,18 +1,27 @@
 """Tests of ``fighitch.gateway.entry``."""
 
+import json
 import socket
 import unittest
 from dataclasses import replace
 from unittest import mock
 
+from hypothesis import given, settings, strategies
+
+from fighitch.core.gateway.model import Configuration, Service
 from fighitch.core.gateway.retry_budget import BudgetLimits
 from fighitch.core.gateway.settings import Address, InstanceSettings
-from fighitch.gateway import entry as entry_module
+from fighitch.gateway import agent_links, entry as entry_module
 from fighitch.gateway.entry import GatewayEntry
+from fighitch.gateway.peer_messages import Hello, encode
+from fighitch.observability.logs import format_event
 from fighitch.platform.engine import SERVERS_KIND
+from fighitch.platform.requests import encode_call, encode_request
+from fighitch.platform.store import ObjectPage, decode_list, decode_watch
 from fighitch.runtime.event_loop import EventLoop
+from fighitch.runtime.http_callers import CallerRequest
 from fighitch.runtime.sockets import listen
-from fighitch.tests.gateway_helpers import A1, server
+from fighitch.tests.gateway_helpers import A1, engine_spec, server
 
 REQUEST = b"GET /p/ HTTP/1.1\r\nHost: h\r\nAttempt-Id: x\r\n\r\n"
 
@@ -75,6 +84,160 @@
         self.assertFalse(entry.is_ready(waiting_for))
 
 
+HEARTBEAT = {
+    "Service": "models",
+    "Address": "10.0.0.9:8080",
+    "Zone": "z1",
+    "Version": "v1",
+    "Slots": 4,
+    "State": "ready",
+    "ColdRemainingMs": 0,
+    "Models": [{"Name": "base", "Version": 1, "Adapters": ["a1@3"]}],
+    "Seq": 4,
+    "born": 1_700_000_000_000,
+}
+ODD_VALUES = strategies.recursive(
+    strategies.none()
+    | strategies.booleans()
+    | strategies.integers()
+    | strategies.sampled_from([10**30, 10**400, -(10**400), 2**53, 2**64, -1, 0])
+    | strategies.floats()
+    | strategies.text(max_size=6)
+    | strategies.sampled_from(
+        ["\ud800", "10.0.0.9:70000", "a@" + "9" * 5_000, "ready", "a\r\nb"]
+    ),
+    lambda values: (
+        strategies.lists(values, max_size=3)
+        | strategies.dictionaries(
+            strategies.sampled_from(["Name", "Version", "Adapters", "x"]), values
+        )
+    ),
+    max_leaves=6,
+)
+ODD_NUMBERS = strategies.sampled_from([10**400, -(10**400), 2**53, 2**64, 2**63, -1])
+ODD_ADDRESSES = strategies.sampled_from(
+    ["10.0.0.9:70000", "10.0.0.9:0", "h:80", "10.0.0.9:" + "9" * 5_000, "\ud800:1"]
+)
+ODD_ADAPTERS = strategies.sampled_from(
+    [[{"Name": "base", "Adapters": ["a@" + "9" * count]}] for count in (16, 5_000)]
+)
+ODD_ENTRIES = strategies.dictionaries(
+    strategies.sampled_from([*HEARTBEAT, "RemainingMs", "x"]), ODD_VALUES, max_size=4
+) | strategies.one_of(
+    strategies.fixed_dictionaries({"born": ODD_NUMBERS}),
+    strategies.fixed_dictionaries({"Slots": ODD_NUMBERS}),
+    strategies.fixed_dictionaries({"Address": ODD_ADDRESSES}),
+    strategies.fixed_dictionaries({"Models": ODD_ADAPTERS}),
+)
+NAMES = strategies.text(max_size=5) | strategies.sampled_from(
+    ["", "\ud800", "a\r\nHold: 1", "i" * 9_000, "z", "~", "\u20ac"]
+)
+
+
+class OddEntryTests(unittest.TestCase):
+    """Entries of other writers in the list of servers."""
+
+    def setUp(self):
+        patches = [mock.patch.object(entry_module, "KindWatcher")]
+        patches.append(mock.patch.object(entry_module, "listen", return_value=None))
+        patches.append(mock.patch.object(agent_links, "PeerConnection"))
+        patches.append(mock.patch.object(agent_links, "start_connecting"))
+        patches.append(mock.patch.object(agent_links, "open_stream"))
+        for patch in patches:
+            patch.start()
+            self.addCleanup(patch.stop)
+        self.loop = mock.Mock()
+        self.loop.now.return_value = 0.0
+        self.start_entry()
+
+    def start_entry(self) -> None:
+        self.log_lines: list[str] = []
+        log = mock.Mock()
+        log.event.side_effect = lambda name, **fields: self.log_lines.append(
+            format_event(name, fields.items())
+        )
+        self.entry = GatewayEntry(self.loop, SETTINGS, log, mock.Mock())
+        services = {"models": Service("models", engine=engine_spec())}
+        self.entry._configuration = Configuration(1, (), services)
+
+    def watcher_callbacks(self) -> dict:
+        self.entry.start()
+        calls = reversed(entry_module.KindWatcher.call_args_list)
+        return next(call.kwargs for call in calls if call.args[2].kind == SERVERS_KIND)
+
+    def page(self, odd_name: str, odd_spec: bytes, *, watch: bool) -> ObjectPage:
+        """Returns a decoded page with an odd entry between two servers."""
+        # The second server sorts after the odd entry.
+        good = [
+            json.dumps(HEARTBEAT | {"Address": f"10.0.0.{n}:80"}).encode()
+            for n in (1, 2)
+        ]
+        named = [("i-1", good[0]), (odd_name, odd_spec), ("i-2", good[1])]
+        items = [
+            b'{"Metadata": {"Name": %s, "Revision": 3}, "Spec": %s}'
+            % (json.dumps(name).encode(), spec)
+            for name, spec in named
+        ]
+        if not watch:
+            return decode_list(b'{"items": [%s], "At": 3}' % b",".join(items))
+        events = [b'{"Object": %s}' % item for item in items]
+        return decode_watch(b'{"events": [%s], "At": 3}' % b",".join(events))
+
+    @settings(max_examples=300, derandomize=True, deadline=None, database=None)
+    @given(
+        NAMES,
+        ODD_ENTRIES,
+        strategies.booleans(),
+        # Hypothesis raises the recursion limit.
+        strategies.sampled_from([0, 10, 50_000]),
+        strategies.binary(max_size=2),
+    )
+    def test_other_servers_are_in_use(self, name, changes, watch, depth, noise):
+        if name in ("i-1", "i-2"):
+            return
+        self.start_entry()
+        spec = json.dumps(HEARTBEAT | changes).encode()
+        nested = b"[" * depth + b"1" + b"]" * depth
+        if depth:
+            spec = b'%s, "deep": %s}' % (spec[:-1], nested)
+        if noise and not set(noise) & set(b'[]{}",\\'):
+            spec = b'%s, "noise": %s}' % (spec[:-1], noise)
+        page = self.page(name, spec, watch=watch)
+        callbacks = self.watcher_callbacks()
+        if watch:
+            for item in page.objects:
+                callbacks["on_change"](item)
+        else:
+            callbacks["on_list"](page.objects)
+        ready = {item.instance_id for item in self.entry._membership.ready("models")}
+        self.assertLessEqual({"i-1", "i-2"}, ready)
+        self.assertLessEqual({"i-1", "i-2"}, set(self.entry.links.views))
+        for item in self.entry._membership.servers:
+            self.assert_usable(item)
+        for line in self.log_lines:
+            line.encode()
+            self.assertEqual(len(line.splitlines()), 1)
+        self.entry.links.update({})
+
+    def test_odd_entry_is_logged_once_however_often_it_is_listed(self):
+        page = self.page("odd", b'{"Slots": "x"}', watch=False)
+        callbacks = self.watcher_callbacks()
+        for _ in range(3):
+            callbacks["on_list"](page.objects)
+        lines = [line for line in self.log_lines if "server_entry_unreadable" in line]
+        self.assertEqual(len(lines), 1)
+        self.assertIn("entry=odd", lines[0])
+
+    def assert_usable(self, item) -> None:
+        encode(Hello("e", item.instance_id, item.start_time_ms, b""))
+        request = CallerRequest(b"GET", b"/", [], b"", 0.0)
+        head = encode_request(request, time_left=1.0, instance_id=item.instance_id)
+        self.assertEqual(head.count(b"\r\n"), 4)
+        encode_call("POST", "/order", "h", instance_id=item.instance_id)
+        self.assertTrue(1 <= item.port <= 65_535)
+        socket.inet_pton(socket.AF_INET, item.host)
+
+
 class StopTests(unittest.TestCase):
     """Connections and requests that arrive when a stopping entry closes its listener.
 
