--- a/fighitch/gateway/entry.py
+++ b/fighitch/gateway/entry.py
@@ -40,6 +40,7 @@
 from fighitch.gateway.relay_host import RelayedRequest
 from fighitch.gateway.store_calls import StoreCalls
 from fighitch.gateway.store_watch import KindWatcher, WatchOptions
+from fighitch.gateway.unreadable_objects import UnreadableObjects
 from fighitch.observability.bounded_log import BoundedLog
 from fighitch.platform.configuration import (
     CONFIGURATION_KIND,
@@ -149,6 +150,12 @@
             settings.callers.host, settings.callers.port
         )
         self._watchers: list[KindWatcher] = []
+        self._unreadable_entries = UnreadableObjects(
+            log, "server_entry_unreadable", loop.now
+        )
+        self._unreadable_versions = UnreadableObjects(
+            log, "version_unreadable", loop.now
+        )
 
     # Life cycle.
 
@@ -559,6 +566,12 @@
                 outcome=outcome,
             )
 
+    def record_internal_error(self, request_id: str, error: Exception) -> None:
+        """Logs an unexpected error that ended a request."""
+        self._log.event(
+            "request_error", level="error", request=request_id, detail=repr(error)
+        )
+
     def record_limit_exceeded(
         self, server: BackendServer, request_id: str, limit: LimitKind
     ) -> None:
@@ -625,7 +638,7 @@
         try:
             adapter, version = decode_adapter_version(item.content)
         except msgspec.DecodeError as error:
-            self._log.event("version_unreadable", entry=item.name, detail=error)
+            self._unreadable_versions.record(item, error)
             return
         self._log.event("version_announced", adapter=adapter, version=version)
         self.links.announce_version(adapter, version)
@@ -659,7 +672,7 @@
         try:
             return decode_heartbeat(item.name, item.content)
         except msgspec.DecodeError as error:
-            self._log.event("server_entry_unreadable", entry=item.name, detail=error)
+            self._unreadable_entries.record(item, error)
             return None
 
     def record_replaced(self, server: BackendServer) -> None:
--- a/fighitch/gateway/part_quarantine.py
+++ b/fighitch/gateway/part_quarantine.py
@@ -18,6 +18,7 @@
 from fighitch.gateway.crash_reports import build_report, merge_report
 from fighitch.gateway.peer_messages import CrashReport
 from fighitch.gateway.store_calls import StoreCalls
+from fighitch.gateway.unreadable_objects import UnreadableObjects
 from fighitch.observability.bounded_log import BoundedLog
 from fighitch.platform import store
 from fighitch.platform.quarantine import (
@@ -73,6 +74,7 @@
         self._log = log
         self._spread = spread
         self._on_change = on_change
+        self._unreadable = UnreadableObjects(log, "quarantine_unreadable", loop.now)
         self._quarantine = Quarantine()
         self._lost_runs = LostRuns()
         self._client = SerialClient(loop, store_address)
@@ -254,5 +256,5 @@
         try:
             return decode_quarantine(item.content)
         except msgspec.DecodeError as error:
-            self._log.event("quarantine_unreadable", entry=item.name, detail=error)
+            self._unreadable.record(item, error)
             return None
