--- a/benchmarks/platform_soak.py
+++ b/benchmarks/platform_soak.py
@@ -375,7 +375,8 @@
         if server.incarnation != incarnation:
             return
         old = server.instance_id
-        name = f"{old.partition('+')[0]}+{next(self._incarnations)}"
+        # Engines that restart after a crash are numbered on their own.
+        name = f"{old.partition('+')[0]}+left-{next(self._incarnations)}"
         self._log_fault(f"{old} has left, {name} starts")
         server.call(lambda: server.restart(name))
         self._fleet.publish_heartbeat(server)
