--- a/fighitch/gateway/relay_host.py
+++ b/fighitch/gateway/relay_host.py
@@ -80,6 +80,9 @@
     ) -> None:
         """Records the outcome of an attempt in loads, metrics and outlier detection."""
 
+    def record_internal_error(self, request_id: str, error: Exception) -> None:
+        """Logs an unexpected error that ended a request."""
+
     def record_limit_exceeded(
         self, server: BackendServer, request_id: str, limit: LimitKind
     ) -> None:
