Number admission requests over all links of an entry

What callers see: a request that waits for an engine gets neither an answer nor a rejection until its deadline, although the engine is idle. It happens after an engine was removed and listed again under its id while it ran a request: an entry of the list that lapsed, a configuration that drops and restores the engine of a service, or a store that was restored from an older copy.

Cause: each link to an agent counted its requests from 1. The end of the earlier request was reported on the new link, where its number was that of a waiting request: the agent dropped that one and the entry forgot its callbacks. A number that matched a running request freed its place early.

The test of the links fails before (the end of the earlier request is sent with the number of the waiting one) and passes now.

--- a/fighitch/gateway/agent_links.py
+++ b/fighitch/gateway/agent_links.py
@@ -1,5 +1,6 @@
 """Connections of an entry to the engine agents."""
 
+import itertools
 import random
 from collections.abc import Callable
 from dataclasses import dataclass, field
@@ -78,7 +79,6 @@
         view: State of the engine.
         peer: Connection to the agent; None while there is none.
         pending_requests: Callbacks of admission requests without a response, by number.
-        next_number: Number of the next admission request.
         retry_delay: Delay before the next attempt to connect.
         removed: Whether the engine was removed from the known engines.
         was_connected: Whether the agent has ever sent a status.
@@ -92,7 +92,6 @@
     view: EngineView
     peer: PeerConnection | None = None
     pending_requests: dict[int, AdmissionCallbacks] = field(default_factory=dict)
-    next_number: int = 1
     retry_delay: Seconds = _INITIAL_RETRY_DELAY
     removed: bool = False
     was_connected: bool = False
@@ -151,6 +150,9 @@
         self._is_leaving = is_leaving
         self._pause_left = pause_left
         self._links: dict[str, AgentLink] = {}
+        # Numbers of admission requests on all links: one of a link that was removed
+        # must not be taken for another one on the link that replaces it.
+        self._numbers = itertools.count(1)
         self._versions: dict[AdapterName, int] = {}
         self.views: dict[str, EngineView] = {}
         loop.call_every(_HEARTBEAT_INTERVAL, self._send_heartbeats)
@@ -217,8 +219,7 @@
             Number of the request on the connection.
         """
         link = self._links[instance_id]
-        number = link.next_number
-        link.next_number += 1
+        number = next(self._numbers)
         link.pending_requests[number] = callbacks
         link.view.pending_prefill += (
             admission_request.prompt_tokens * link.view.seconds_per_token
