Let only a server that shows that it takes a request end another attempt

What callers saw: a stream whose sound engine fell silent was still cut if the next candidate was an engine without an agent, for example on an instance that is gone and still listed. Limited servers lost places to searches that had no retry budget left, and requests were moved when no time was left for the move.

Cause: the search took an engine without an agent at once, without an admission; it asked for the budget of retries last; and it was repeated until the deadline.

Change: engines take over only by admission; the budget is looked at first; the search is not repeated once an attempt elsewhere would get less time than a search waits.

--- a/fighitch/core/gateway/retry_budget.py
+++ b/fighitch/core/gateway/retry_budget.py
@@ -53,14 +53,23 @@
         Returns:
             Whether the retry is allowed; if so, it has been counted.
         """
-        self._expire(now)
-        slack = self._limits.slack / max(1, entries)
-        allowed = self._limits.ratio * len(self._requests) + slack
-        if len(self._retries) + 1 > _USABLE_SHARE * allowed:
+        if not self.allows(now, entries=entries):
             return False
         self._retries.append(now)
         return True
 
+    def allows(self, now: Seconds, *, entries: int) -> bool:
+        """Returns whether one more retry is allowed, without counting it.
+
+        Args:
+            now: Current time.
+            entries: Number of entries that share the budget.
+        """
+        self._expire(now)
+        slack = self._limits.slack / max(1, entries)
+        allowed = self._limits.ratio * len(self._requests) + slack
+        return len(self._retries) + 1 <= _USABLE_SHARE * allowed
+
     def _expire(self, now: Seconds) -> None:
         oldest = now - self._limits.window
         for times in (self._requests, self._retries):
--- a/fighitch/gateway/entry.py
+++ b/fighitch/gateway/entry.py
@@ -410,6 +410,12 @@
             delays.get(instance_id, 0.0) + self._failure_penalty(instance_id)
         )
 
+    def has_retry(self, service: str) -> bool:
+        """Returns whether the budget of a service allows a retry."""
+        return self._retry_budget(service).allows(
+            self.loop.now(), entries=self._entry_count
+        )
+
     def take_retry(self, service: str) -> bool:
         """Takes a retry from the budget of a service; returns whether it is allowed."""
         return self._retry_budget(service).take(
--- a/fighitch/gateway/relay.py
+++ b/fighitch/gateway/relay.py
@@ -364,6 +364,9 @@
             return
         if not self._may_retry():
             return
+        if not self._entry.has_retry(self._service.name):
+            self._await_silent_server()
+            return
         avoid = set(self._avoid)
         if self._server is not None:
             avoid.add(self._server.instance_id)
@@ -392,7 +395,10 @@
         self._send_request(server, late=late)
 
     def _await_silent_server(self) -> None:
-        self._start_attempt_timer(self._deadline - self._loop.now())
+        time_left = self._deadline - self._loop.now()
+        # Another attempt needs as much time as this one still gets.
+        if time_left >= 2 * attempt_timeout(self._route, time_left):
+            self._start_attempt_timer(time_left)
 
     def _may_retry(self) -> bool:
         if self._entry.quarantine.is_suspect(self._metadata.shared_parts):
--- a/fighitch/gateway/relay_host.py
+++ b/fighitch/gateway/relay_host.py
@@ -49,6 +49,9 @@
     def time_until_room(self, service: Service) -> Seconds | None:
         """Returns when the first server takes requests, if all asked for pauses."""
 
+    def has_retry(self, service: str) -> bool:
+        """Returns whether the budget of a service allows a retry."""
+
     def take_retry(self, service: str) -> bool:
         """Takes a retry from the budget of a service; returns whether it is allowed."""
 
--- a/fighitch/gateway/takeover.py
+++ b/fighitch/gateway/takeover.py
@@ -52,25 +52,44 @@
         """Asks the next server, the best candidate first."""
         if self._is_over:
             return
-        server = next_server(
-            self._host.candidates(self._service, self._metadata, self._avoid),
-            admission_requests=self._admission.requests,
-            declined=self._admission.declined,
-        )
+        is_engine = self._service.engine is not None
+        server = self._next_server()
+        while server is not None and not is_engine and self._is_limited(server):
+            self._avoid.add(server.instance_id)
+            server = self._next_server()
         if server is None:
             self._is_over = True
             self._on_none()
-        elif self._has_agent(server):
+        elif not is_engine:
+            self._finish(server, late=False)
+        else:
             self._admission.request(
                 server,
                 on_grant=lambda late: self._on_grant(server, late=late),
                 on_decline=self.search,
                 on_deny=lambda: self._search_without(server),
             )
-        elif self._host.reserve(server, 0.0) > 0:
-            self._search_without(server)
-        else:
-            self._finish(server, late=False)
+
+    def _next_server(self) -> BackendServer | None:
+        """Returns the best server that shows that it takes the request, if any does."""
+        candidates = self._host.candidates(self._service, self._metadata, self._avoid)
+        return next_server(
+            [item for item in candidates if self._may_take(item.server)],
+            admission_requests=self._admission.requests,
+            declined=self._admission.declined,
+        )
+
+    def _is_limited(self, server: BackendServer) -> bool:
+        """Returns whether a server takes no request now; else takes a place there."""
+        return self._host.reserve(server, 0.0) > 0
+
+    def _may_take(self, server: BackendServer) -> bool:
+        if server.instance_id in self._avoid:
+            return False
+        if self._service.engine is not None:
+            # An engine without an agent may be unreachable or silent too.
+            return self._host.links.is_connected(server.instance_id)
+        return True
 
     def cancel(self) -> None:
         """Ends the search; a place that was granted meanwhile is given back."""
@@ -78,10 +97,6 @@
             self._is_over = True
             self._admission.end()
 
-    def _has_agent(self, server: BackendServer) -> bool:
-        is_engine = self._service.engine is not None
-        return is_engine and self._host.links.is_connected(server.instance_id)
-
     def _on_grant(self, server: BackendServer, *, late: bool) -> None:
         if self._host.is_ready(server):
             self._finish(server, late=late)
--- a/fighitch/tests/test_relay.py
+++ b/fighitch/tests/test_relay.py
@@ -43,6 +43,7 @@
         max_attempts: int = 2,
         headers: Sequence[tuple[bytes, bytes]] = (),
         request_id: str = "x",
+        plain: bool = False,
     ) -> Relay:
         all_headers = [
             (b"Host", b"h"),
@@ -66,7 +67,7 @@
             resumable=resumable,
             caller_event_timeout=caller_event_timeout,
         )
-        service = Service("models", engine=engine_spec())
+        service = Service("models", engine=None if plain else engine_spec())
         metadata = decode_request(request)
         return Relay(self.entry, self.caller, request, metadata, route, service)
 
@@ -427,3 +428,42 @@
         self.caller.on_buffer_drained()
         self.run_for(0.5)
         self.entry.record_end.assert_called_once()
+
+
+class TakeoverTests(RelayTestCase):
+    """Searches for another server while the server of a request is silent."""
+
+    def setUp(self):
+        super().setUp()
+        self.entry.links.may_connect_soon.return_value = False
+        self.entry.candidates.side_effect = self.candidates
+        self.has_other_server = True
+
+    def candidates(self, _service, _metadata, avoid):
+        names = ("e1", "e2") if self.has_other_server else ("e1",)
+        return [Candidate(server(name), 0.0) for name in names if name not in avoid]
+
+    def test_silent_server_is_left_for_another_one(self):
+        self.relay(kind=WorkKind.IDEMPOTENT, deadline_ms=1_000, plain=True).place()
+        self.run_for(0.6)
+        self.assertEqual(self.entry.pool.acquire.call_count, 2)
+
+    def test_search_without_retry_budget_takes_no_places(self):
+        self.entry.has_retry.return_value = False
+        self.relay(kind=WorkKind.IDEMPOTENT, deadline_ms=1_000, plain=True).place()
+        self.run_for(0.97)
+        self.assertEqual(self.entry.pool.acquire.call_count, 1)
+        self.assertEqual(self.entry.reserve.call_count, 1)
+
+    def test_attempt_does_not_end_shortly_before_the_deadline(self):
+        self.has_other_server = False
+        self.relay(kind=WorkKind.IDEMPOTENT, deadline_ms=1_000, plain=True).place()
+        self.run_for(0.8)
+        self.has_other_server = True
+        self.run_for(0.19)
+        self.assertEqual(self.entry.pool.acquire.call_count, 1)
+
+    def test_engine_without_an_agent_does_not_take_over(self):
+        self.relay(kind=WorkKind.IDEMPOTENT, deadline_ms=1_000).place()
+        self.run_for(0.97)
+        self.assertEqual(self.entry.pool.acquire.call_count, 1)
--- a/fighitch/tests/test_silent_servers.py
+++ b/fighitch/tests/test_silent_servers.py
@@ -75,6 +75,18 @@
         self.assertEqual(runs, 2)
         self.assertIn("outcome=slow", self.fleet.entries[0].log())
 
+    def test_stream_goes_on_if_the_other_engine_is_unreachable(self):
+        thread, responses = self.start_stream("s5")
+        running = next(item for item in self.fleet.engines if item.runs)
+        other = next(item for item in self.fleet.engines if item is not running)
+        self.fleet.agents[self.fleet.engines.index(other)].stop()
+        other.stop()
+        log = self.fleet.entries[0].log
+        self.assertTrue(wait_until(lambda: "event=agent_lost" in log()))
+        running.fall_silent(_SILENCE_SECONDS)
+        thread.join(10.0)
+        self.assert_complete(responses[0], 40)
+
 
 class BrokenStreamTests(SilentServerTestCase):
     def test_stream_that_breaks_after_a_long_time_is_resumed(self):
