Start the timers of an attempt before its request is handed over

A kept connection that is reset between its check and the first byte fails the exchange within send. The request could end there, or go on at another server, before the timers of the failed attempt were started; they then ended the request a second time, with a second response on the caller's connection, or cut the stream of the next attempt. Found in review.

--- a/fighitch/gateway/relay.py
+++ b/fighitch/gateway/relay.py
@@ -323,9 +323,10 @@
         self._connection = self._connect(server)
         receiver = AttemptReceiver(self, self._exchange_number)
         request_id = self._metadata.request_id.encode("latin-1")
-        self._connection.send(data, receiver, expected_id=request_id)
+        # The exchange may fail, and the request may end, before ``send`` returns.
         self._start_attempt_timer(time_left)
         self._start_event_timer()
+        self._connection.send(data, receiver, expected_id=request_id)
 
     def _connect(self, server: BackendServer) -> HttpConnection:
         pool = self._entry.pool
