Keep the callbacks of the next request on a caller's connection

A caller that sends two requests before a response could leave without notice during the second one: the end of the first request cleared the callbacks of the connection, which were those of the second one by then. Its runs went on for nobody, and a response above the send buffer's limit stayed paused.

Measured: PipelinedRequestTests fails before (outcomes ['200'] instead of ['200', 'caller_left']) and passes now.

--- a/fighitch/gateway/relay.py
+++ b/fighitch/gateway/relay.py
@@ -730,9 +730,11 @@
         self._state = RelayState.DONE
         self._deadline_timer.cancel()
         self._admission.end()
-        if self._caller is not None:
-            self._caller.on_disconnected = None
-            self._caller.on_buffer_drained = None
+        caller = self._caller
+        # The connection may serve its next request already.
+        if caller is not None and caller.on_disconnected == self._on_caller_gone:
+            caller.on_disconnected = None
+            caller.on_buffer_drained = None
         server = "" if self._server is None else self._server.instance_id
         now = self._loop.now()
         self._entry.record_end(
--- a/fighitch/tests/test_relay.py
+++ b/fighitch/tests/test_relay.py
@@ -1,9 +1,11 @@
+import socket
 import unittest
 from collections.abc import Sequence
 from unittest import mock
 
 from fighitch.core.gateway.backend_choice import Candidate
 from fighitch.core.gateway.model import (
+    CallerLimits,
     Route,
     Service,
     WeightedService,
@@ -14,8 +16,12 @@
 from fighitch.gateway.relay import Relay
 from fighitch.platform.requests import decode_request
 from fighitch.runtime.event_loop import EventLoop
-from fighitch.runtime.http_callers import CallerRequest
-from fighitch.runtime.http_exchange import ResponseHead
+from fighitch.runtime.http_callers import CallerConnection, CallerRequest
+from fighitch.runtime.http_exchange import (
+    ExchangeFailure,
+    FailureKind,
+    ResponseHead,
+)
 from fighitch.tests.gateway_helpers import engine_spec, server
 
 
@@ -44,6 +50,7 @@
         headers: Sequence[tuple[bytes, bytes]] = (),
         request_id: str = "x",
         plain: bool = False,
+        request: CallerRequest | None = None,
     ) -> Relay:
         all_headers = [
             (b"Host", b"h"),
@@ -53,7 +60,7 @@
             *headers,
         ]
         now = self.entry.loop.now()
-        request = CallerRequest(b"POST", b"/p/", all_headers, b"", now)
+        request = request or CallerRequest(b"POST", b"/p/", all_headers, b"", now)
         route = Route(
             name="r",
             host="h",
@@ -467,3 +474,60 @@
         self.relay(kind=WorkKind.IDEMPOTENT, deadline_ms=1_000).place()
         self.run_for(0.97)
         self.assertEqual(self.entry.pool.acquire.call_count, 1)
+
+
+class PipelinedRequestTests(RelayTestCase):
+    """Requests of one connection of which the second arrives before a response."""
+
+    def test_end_of_a_request_keeps_the_callbacks_of_the_next_one(self):
+        # Guards against a caller whose departure is not noticed.
+        self.entry.links.may_connect_soon.return_value = False
+        ours, theirs = socket.socketpair()
+        self.addCleanup(theirs.close)
+        ours.setblocking(False)
+
+        def on_request(caller, request):
+            self.caller = caller
+            self.relay(kind=WorkKind.IDEMPOTENT, request=request).place()
+
+        with mock.patch("fighitch.runtime.http_callers.set_stream_options"):
+            CallerConnection(
+                self.loop,
+                ours,
+                CallerLimits(),
+                on_request=on_request,
+                on_closed=mock.Mock(),
+            )
+        for name in (b"a", b"b"):
+            theirs.sendall(
+                b"GET /p/ HTTP/1.1\r\nHost: h\r\nAttempt-Id: " + name + b"\r\n\r\n"
+            )
+        self.run_for(0.1)
+        connection = self.entry.pool.acquire.return_value
+        receiver = connection.send.call_args.args[1]
+        receiver.on_head(ResponseHead(200, [(b"Response-Signature", b"s")]))
+        receiver.on_complete()
+        theirs.close()
+        self.run_for(0.1)
+        ends = self.entry.record_end.call_args_list
+        outcomes = [call.kwargs["outcome"] for call in ends]
+        self.assertEqual(outcomes, ["200", "caller_left"])
+
+
+class FailingSendTests(RelayTestCase):
+    """Exchanges that fail while the request is handed over."""
+
+    def test_request_that_ends_while_it_is_sent_gets_one_response(self):
+        # Guards against timers that are started after the end of the request.
+        self.entry.links.may_connect_soon.return_value = False
+        connection = self.entry.pool.acquire.return_value
+
+        def send(_data, receiver, **_options):
+            # A kept connection is reset between its check and the first byte.
+            self.entry.candidates.return_value = []
+            receiver.on_failure(ExchangeFailure(FailureKind.RESET, sent=False))
+
+        connection.send.side_effect = send
+        self.relay(caller_event_timeout=0.1).place()
+        self.run_for(1.0)
+        self.assertEqual(self.caller.send_head.call_count, 1)
