Keep the notice of a restore until the kind is listed again

What callers would see: after a reload of the settings between the notice of a restore and the list, harmful prompt parts are released, servers that the copy lacks go at once, and unknown routes get 404 instead of 503.

Cause: a new watcher took the epoch that any call had named for that of the objects that its predecessor had listed; and a copy counted as current until the list after the notice. Found in review.

Change: the epoch of the last list of each kind outlives its watcher; a notice makes the copy outdated at once.

Measured: both tests of RestoreNoticeTests fail before and pass now.

--- a/fighitch/gateway/store_calls.py
+++ b/fighitch/gateway/store_calls.py
@@ -25,12 +25,25 @@
         self._log = log
         self._epoch = StoreEpoch()
         self._listeners: list[Callable[[], None]] = []
+        # Epoch of the last complete list, by kind. It outlives the watcher of the kind.
+        self._listed_epochs: dict[str, int | None] = {}
 
     @property
     def epoch(self) -> int | None:
         """Epoch of the store; None if it is not known."""
         return self._epoch.current
 
+    def record_listed(self, kind: str) -> tuple[int | None, int | None]:
+        """Records a complete list of a kind.
+
+        Returns:
+            The epoch of the previous list of the kind, None if there was none or if it
+            was not known, and that of this list.
+        """
+        previous = self._listed_epochs.get(kind)
+        self._listed_epochs[kind] = self.epoch
+        return previous, self.epoch
+
     def add_listener(self, on_restored: Callable[[], None]) -> None:
         """Calls a function whenever the store has been restored."""
         self._listeners.append(on_restored)
--- a/fighitch/gateway/store_watch.py
+++ b/fighitch/gateway/store_watch.py
@@ -95,9 +95,6 @@
         # Number of the last call; responses to earlier ones are ignored.
         self._call_number = 0
         self._next_call: Timer | None = None
-        # Epoch of the known objects; at first, of those that the previous watcher of
-        # the kind has reported.
-        self._copy_epoch = self._calls.epoch
         self._restored_at: Seconds = float("-inf")
         self._revision = 0
         self._listed_objects: list[store.StoredObject] = []
@@ -125,6 +122,11 @@
         max_age = self._options.wait + self._options.pause + _WATCH_TIMEOUT_MARGIN
         return self._lost_since is None and now - self.last_contact < max_age
 
+    @property
+    def is_lost(self) -> bool:
+        """Whether the last call failed."""
+        return self._lost_since is not None
+
     def stop(self) -> None:
         """Closes the connection and makes no further calls."""
         self._stopped = True
@@ -133,6 +135,7 @@
 
     def _restart(self) -> None:
         """Lists again, as the known revisions are of an earlier epoch."""
+        self._restored_at = self._loop.now()
         self._call_number += 1
         self._client.close()
         if self._next_call is not None:
@@ -272,14 +275,14 @@
 
     def _record_epoch(self) -> None:
         """Records the epoch of a list, all pages of which are of the same epoch."""
-        previous, self._copy_epoch = self._copy_epoch, self._calls.epoch
-        if not is_restored_copy(previous, self._copy_epoch):
+        previous, epoch = self._calls.record_listed(self._options.kind)
+        if not is_restored_copy(previous, epoch):
             return
         self._restored_at = self._loop.now()
         self._log.event(
             "store_listed_again",
             kind=self._options.kind,
-            epoch=self._copy_epoch,
+            epoch=epoch,
             previous=previous,
             revision=self._revision,
         )
--- a/fighitch/tests/test_store_watch.py
+++ b/fighitch/tests/test_store_watch.py
@@ -5,6 +5,7 @@
 
 from fighitch.core.gateway.settings import Address
 from fighitch.gateway import store_watch
+from fighitch.gateway.store_calls import StoreCalls
 from fighitch.gateway.store_watch import KindWatcher, WatchOptions
 
 EMPTY_LIST = b'{"items": [], "HasMore": false, "At": 5}'
@@ -291,5 +292,50 @@
         )
 
 
+class RestoreNoticeTests(unittest.TestCase):
+    """The time between the notice of a restore and the list that follows it."""
+
+    def setUp(self):
+        self.loop = mock.Mock()
+        self.loop.now.return_value = 100.0
+        client = mock.patch.object(store_watch, "SerialClient").start()
+        self.addCleanup(mock.patch.stopall)
+        client.return_value.address = Address("10.0.0.1", 80)
+        self.calls = StoreCalls(self.loop, mock.Mock())
+        self.on_restored = mock.Mock()
+        self.calls._record(1, "config")
+        self.watcher = self.build_watcher()
+        self.watcher.start()
+        self.watcher._on_list_response(200, EMPTY_LIST)
+
+    def build_watcher(self) -> KindWatcher:
+        return KindWatcher(
+            self.loop,
+            Address("10.0.0.1", 80),
+            WatchOptions("servers"),
+            mock.Mock(),
+            on_change=mock.Mock(),
+            on_restored=self.on_restored,
+            calls=self.calls,
+        )
+
+    def test_restore_is_reported_by_a_watcher_that_replaces_the_one_that_noticed_it(
+        self,
+    ):
+        # Guards against a reload of the settings that hides a restore.
+        self.calls._record(2, "config")
+        self.watcher.stop()
+        watcher = self.build_watcher()
+        watcher.start()
+        watcher._on_list_response(200, EMPTY_LIST)
+        self.on_restored.assert_called_once()
+
+    def test_copy_is_not_current_until_it_is_listed_again(self):
+        # Guards against 404 for a route that the store is about to get again.
+        self.assertTrue(self.watcher.is_current(100.0))
+        self.calls._record(2, "config")
+        self.assertFalse(self.watcher.is_current(100.0))
+
+
 if __name__ == "__main__":
     unittest.main()
