Start the grace period of lapsed servers again after each return of the store

What callers saw: sound servers got no requests after two restores or outages in quick succession, as servers that lapsed in the first one were removed 2.2 s after it, while the store was away or had just come back.

Cause: a lapse kept its first deadline, which also passed while the store was away and nothing could be written.

Measured: test_second_restore_starts_the_grace_period_again fails before (['a'] instead of ['a', 'b']) and passes now.

--- a/fighitch/core/gateway/membership.py
+++ b/fighitch/core/gateway/membership.py
@@ -55,7 +55,7 @@
                 starts the grace period of servers whose list entry lapsed.
         """
         if after_outage:
-            self._outage_end = now
+            self._start_grace_period(now)
 
     def record_store_restored(self, now: Seconds) -> None:
         """Records that the next list comes from an older copy of the store.
@@ -63,9 +63,15 @@
         Servers that started since the copy are missing there until they write again,
         and servers that have left since are listed.
         """
-        self._outage_end = now
+        self._start_grace_period(now)
         self._is_list_restored = True
 
+    def _start_grace_period(self, now: Seconds) -> None:
+        self._outage_end = now
+        # Servers that lapsed before may not have had the time to be listed again.
+        for instance_id in self._lapse_deadlines:
+            self._lapse_deadlines[instance_id] = now + LAPSE_GRACE
+
     @property
     def servers(self) -> Iterable[BackendServer]:
         """All known servers, including draining ones."""
@@ -188,7 +194,10 @@
         return [MembershipChange(name, "left")]
 
     def expire(self, now: Seconds) -> list[MembershipChange]:
-        """Removes lapsed servers that did not return within the grace period."""
+        """Removes lapsed servers that did not return within the grace period.
+
+        Must not be called while the store is away, as no server can return then.
+        """
         expired = [name for name, end in self._lapse_deadlines.items() if now >= end]
         return [change for name in expired for change in self._drop(name)]
 
--- a/fighitch/tests/test_gateway_membership.py
+++ b/fighitch/tests/test_gateway_membership.py
@@ -161,3 +161,13 @@
         self.assertEqual(self.ready(), ["b"])
         self.membership.put(server("a"))
         self.assertEqual(self.ready(), ["b"])
+
+    def test_second_restore_starts_the_grace_period_again(self):
+        # Guards against the removal of sound servers that had no time to be listed.
+        self.restore("a")
+        self.membership.record_store_restored(12.1)
+        self.membership.replace_all([server("a")], 12.1)
+        self.membership.expire(12.3)
+        self.assertEqual(self.ready(), ["a", "b"])
+        self.membership.expire(12.1 + LAPSE_GRACE)
+        self.assertEqual(self.ready(), ["a"])
