Take an invalid address of a sidecar as a failed connection

What callers saw (the product's own path): a backend server whose address has a port out of range ended the core loop, and with it the process, of every entry that read the configuration.

Cause: the socket raises OverflowError for the port and TypeError for a host with a NUL; only OSError and ValueError were caught.

Before the change, test_invalid_address_of_a_peer_does_not_end_the_loop: OverflowError: connect(): port must be 0-65535, and no further input was handled (_queue.Empty).

--- a/fighitch/runtime/core_loop.py
+++ b/fighitch/runtime/core_loop.py
@@ -265,7 +265,7 @@
             sock.connect((host, int(port)))
         except BlockingIOError:
             pass
-        except (OSError, ValueError) as error:
+        except (OSError, ValueError, OverflowError, TypeError) as error:
             sock.close()
             self._inbox.append(ConnectionFailed(address, str(error)))
             return
--- a/fighitch/tests/test_runtime.py
+++ b/fighitch/tests/test_runtime.py
@@ -67,6 +67,23 @@
         self.addCleanup(loop.stop)
         return loop, core, effects
 
+    def test_invalid_address_of_a_peer_does_not_end_the_loop(self):
+        """Guards against a configuration that ends every process that reads it.
+
+        The socket raises OverflowError for a port out of range.
+        """
+        loop, core, _ = self.start(Role.ENTRY)
+        for address in (
+            "127.0.0.1:70000",
+            "127.0.0.1:-1",
+            "127.0.0.1:" + "9" * 5_000,
+            "a\0b:80",
+            "127.0.0.1",
+        ):
+            with self.subTest(address[:20]):
+                loop.post(Connect(address))
+                self.assertEqual(core.next_of(ConnectionFailed).address, address)
+
     def connect(self):
         sidecar, sidecar_core, _ = self.start(Role.SIDECAR, is_listening=True)
         entry, entry_core, _ = self.start(Role.ENTRY)
