Reject objects of the object API whose parts have another type

What callers saw (the product's own path): no configuration at a process after a list with an object whose kind or metadata is of another type; a watch ended with an exception.

Cause: the parts were used as objects and strings without a check, and int() raises TypeError for a version that is a list. Numbers beyond 64 bits were accepted although messages between processes can't hold them.

Change: such objects are rejected like other invalid ones, and the rest of the list is in force. A list that is nested too deeply as a whole is still unreadable; this is listed as open.

--- a/fighitch/core/object_api.py
+++ b/fighitch/core/object_api.py
@@ -183,10 +183,11 @@
     Invalid objects are skipped and reported, so that one of them does not leave a
     process without configuration.
     """
+    items = document.get("items")
     parsed = [
         parse_resource(item)
-        for item in document.get("items") or ()
-        if item.get("kind") in CONFIGURATION_KINDS
+        for item in (items if isinstance(items, list) else ())
+        if is_configuration(item)
     ]
     return ResourceList(
         resources=tuple(item.ok for item in parsed if item.is_ok()),
@@ -195,6 +196,14 @@
     )
 
 
+def is_configuration(item: object) -> bool:
+    """Returns whether a decoded value is an object of one of the kinds."""
+    if not isinstance(item, dict):
+        return False
+    kind = item.get("kind")
+    return isinstance(kind, str) and kind in CONFIGURATION_KINDS
+
+
 def labels_of(document: Document) -> dict[str, str]:
     """Returns the labels of an object."""
     return dict(document.get("metadata", {}).get("labels") or {})
--- a/fighitch/core/resources.py
+++ b/fighitch/core/resources.py
@@ -235,14 +235,18 @@
             f"apiVersion {document.get('apiVersion')!r} is not {API_VERSION!r}"
         )
     metadata = document.get("metadata") or {}
+    if not isinstance(metadata, dict):
+        return _invalid(f"{kind.value}: metadata must be an object")
     name = metadata.get("name")
     if not isinstance(name, str) or not name:
         return _invalid(f"metadata.name {name!r} must be a non-empty string")
     try:
         labels = msgspec.convert(metadata.get("labels") or {}, Labels)
         spec = msgspec.convert(document.get("spec"), SPEC_TYPES[kind])
+        # Raises for numbers that messages between processes can't hold.
+        msgspec.msgpack.encode(spec)
         revision = int(metadata.get("resourceVersion") or 0)
-    except (msgspec.ValidationError, ValueError) as error:
+    except (msgspec.ValidationError, ValueError, TypeError, OverflowError) as error:
         return _invalid(f"{kind.value} {name!r}: {error}")
     return _validate_spec(kind, name, spec).map(
         lambda validated: Resource(
--- a/fighitch/core/watch_events.py
+++ b/fighitch/core/watch_events.py
@@ -5,10 +5,10 @@
 
 from fighitch.core.http_calls import HttpResponse
 from fighitch.core.object_api import (
-    CONFIGURATION_KINDS,
     Document,
     decode_object,
     error_response_message,
+    is_configuration,
     revision_of,
 )
 from fighitch.core.resources import Kind, Resource, parse_resource
@@ -70,13 +70,9 @@
     match event.get("type"):
         case "ERROR":
             return _parse_error_event(document)
-        case "DELETED" if document.get("kind") in CONFIGURATION_KINDS:
-            name = document["metadata"]["name"]
-            kind = Kind(document["kind"])
-            return ResourceChanged(
-                Resource(kind=kind, name=name, revision=revision), revision
-            )
-        case "ADDED" | "MODIFIED" if document.get("kind") in CONFIGURATION_KINDS:
+        case "DELETED" if is_configuration(document):
+            return _parse_deletion(document, revision)
+        case "ADDED" | "MODIFIED" if is_configuration(document):
             parsed = parse_resource(document)
             if parsed.is_error():
                 return RevisionAdvanced(revision, rejected=parsed.error.detail)
@@ -84,6 +80,15 @@
     return RevisionAdvanced(revision)
 
 
+def _parse_deletion(document: Document, revision: Revision) -> WatchEvent:
+    metadata = document.get("metadata")
+    name = metadata.get("name") if isinstance(metadata, dict) else None
+    if not isinstance(name, str):
+        return RevisionAdvanced(revision, rejected="deleted object has no name")
+    kind = Kind(document["kind"])
+    return ResourceChanged(Resource(kind=kind, name=name, revision=revision), revision)
+
+
 def parse_watch_rejection(response: HttpResponse) -> WatchEvent:
     """Parses an error response to a watch call."""
     if response.status == 410:
