Close a connection after a message that is nested too deeply

Cause: msgspec raises RecursionError when it skips an unknown field of such a message. The bytes stayed in the buffer, and each further read of the connection failed with the same exception in the event loop (callback_failed).

Change: it counts as a message that can't be decoded, which closes the connection.

Before the change: RecursionError: maximum recursion depth exceeded while deserializing an object.

--- a/fighitch/gateway/peer_messages.py
+++ b/fighitch/gateway/peer_messages.py
@@ -266,7 +266,8 @@
                 break
             try:
                 messages.append(_decoder.decode(self._buffer[_LENGTH.size : end]))
-            except msgspec.DecodeError as error:
+            except (msgspec.DecodeError, RecursionError) as error:
+                # RecursionError: unknown fields are nested too deeply.
                 raise BadMessageError(str(error)) from error
             del self._buffer[:end]
         return messages
