Wait for the lease if the store is restored while an engine is claimed again

A second restore during the new claim of an agent started a check that ended the writing call. The check read the new record before its response had come, took it for an earlier claim of the same holder and skipped the wait for the lease of the other one. Checks wait for the claim now.

--- a/fighitch/gateway/engine_control.py
+++ b/fighitch/gateway/engine_control.py
@@ -219,6 +219,10 @@
             self._loop.call_later(random.uniform(0, _MAX_CHECK_DELAY), self._check)
 
     def _check(self) -> None:
+        if self._token == 0:
+            # A call now would end the one that writes the new claim.
+            self._loop.call_later(_CHECK_RETRY_DELAY, self._check)
+            return
         self._checked_epoch = self._claim_epoch
         target = store.object_target(_HOLDERS_KIND, self._record_name)
         self._call_store("GET", target, b"", self._on_checked_record)
--- a/fighitch/tests/test_restored_store.py
+++ b/fighitch/tests/test_restored_store.py
@@ -412,6 +412,22 @@
         self.assertTrue(self.run_until(claim.may_send_orders))
         self.assertGreater(claim.token, token + 7)
 
+    def test_restore_while_the_engine_is_claimed_again(self):
+        # The check read the new claim before its response, took it for an earlier claim
+        # of the same holder and skipped the wait for the lease of the other holder.
+        claim = self.claim()
+        self.store.restore_copy()
+        taken = {"holder": "side-2", "token": claim.token + 7}
+        self.store.put(HOLDERS_KIND, self.name, taken)
+        with mock.patch.object(engine_control.random, "uniform", return_value=0.0):
+            claim.record_store_epoch(2)
+            self.assertTrue(self.run_until(lambda: claim.token == 0))
+            claimed_at = self.loop.now()
+            claim.record_store_epoch(3)
+            self.assertTrue(self.run_until(claim.may_send_orders))
+        self.assertGreaterEqual(self.loop.now() - claimed_at, 0.5)
+        self.assertGreater(claim.token, taken["token"])
+
     def test_known_epoch_needs_no_calls(self):
         claim = self.claim()
         calls = self.store.calls
