--- a/fighitch/gateway/relay.py
+++ b/fighitch/gateway/relay.py
@@ -2,7 +2,7 @@
 
 from enum import Enum
 
-from fighitch.core.gateway.attempts import attempt_timeout, engine_priority
+from fighitch.core.gateway.attempts import engine_priority
 from fighitch.core.gateway.backend_choice import next_server
 from fighitch.core.gateway.event_stream import EventBuffer
 from fighitch.core.gateway.failures import FailureKind, reported_kind
@@ -10,8 +10,10 @@
 from fighitch.core.gateway.response_limits import LimitKind
 from fighitch.gateway.admission import Admission
 from fighitch.gateway.attempt_receiver import AttemptReceiver
-from fighitch.gateway.failure_response import send_failure_response
+from fighitch.gateway.attempt_timers import AttemptTimers
+from fighitch.gateway.caller_response import CallerResponse
 from fighitch.gateway.relay_host import RelayHost
+from fighitch.gateway.request_times import RequestTimes
 from fighitch.gateway.takeover import Takeover
 from fighitch.platform.requests import (
     RequestMetadata,
@@ -20,11 +22,9 @@
     is_from_another_instance,
     is_genuine,
     is_unsigned,
-    response_headers,
     stream_format,
     was_not_run,
 )
-from fighitch.runtime.event_loop import Timer
 from fighitch.runtime.http_callers import CallerConnection, CallerRequest
 from fighitch.runtime.http_exchange import (
     ExchangeFailure,
@@ -41,9 +41,6 @@
 _MAX_BUFFERED_BYTES = 262_144
 # Attempts that servers may reject without running the request.
 _MAX_REJECTIONS = 3
-# Margin after the time at which callers leave a stream without events, so that a caller
-# ends the request first.
-_EVENT_TIMEOUT_MARGIN: Seconds = 0.5
 # A stream that goes on for this long after its first event did not crash its server.
 _CRASH_DELAY: Seconds = 0.25
 # A request with less time left until its deadline is not sent to a server.
@@ -78,7 +75,9 @@
     ) -> None:
         self._entry = entry
         self._loop = entry.loop
-        self._caller: CallerConnection | None = caller
+        self._response = CallerResponse(
+            caller, on_gone=self._on_caller_gone, on_drained=self._on_caller_drained
+        )
         self._request = request
         self._metadata = metadata
         self._route = route
@@ -103,8 +102,6 @@
         self._event_buffer = EventBuffer(resume_after)
         self._head: ResponseHead | None = None
         self._buffered_body = bytearray()
-        # Head that the caller has; of an earlier attempt once a stream is continued.
-        self._sent_head: ResponseHead | None = None
         self._is_stream = False
         self._late = False
         self._sent_at: Seconds = 0.0
@@ -112,17 +109,18 @@
         # without harm to the server.
         self._begun_at: Seconds | None = None
         self._answered = False
-        self._first_byte_time: Seconds | None = None
-        self._placement_time: Seconds | None = None
+        self._times = RequestTimes(entry.metrics, route.name, request.received_at)
         # Changes when an attempt ends, so that data that arrives later is ignored.
         self._exchange_number = 0
         self._in_flight = False
-        self._attempt_timer: Timer | None = None
-        self._event_timer: Timer | None = None
+        self._timers = AttemptTimers(
+            entry.loop,
+            route,
+            on_silent=self._find_other_server,
+            on_event_timeout=self._on_event_timeout,
+        )
         delay = max(0.0, self._deadline - self._loop.now())
         self._deadline_timer = self._loop.call_later(delay, self._on_deadline)
-        caller.on_disconnected = self._on_caller_gone
-        caller.on_buffer_drained = self._on_caller_drained
 
     def _new_admission(self) -> Admission:
         return Admission(
@@ -137,12 +135,12 @@
 
     @property
     def _head_sent(self) -> bool:
-        return self._sent_head is not None
+        return self._response.head is not None
 
     @property
     def _is_continuation(self) -> bool:
         """Whether the caller has the head of an earlier attempt."""
-        return self._head_sent and self._sent_head is not self._head
+        return self._head_sent and self._response.head is not self._head
 
     # Placement.
 
@@ -304,9 +302,7 @@
         self._is_stream = False
         self._buffered_body.clear()
         self._event_buffer.start_run()
-        if self._placement_time is None:
-            self._placement_time = now - self._request.received_at
-            self._entry.metrics.observe_placement(self._placement_time)
+        self._times.record_placement(now)
         priority = None
         if self._service.engine is not None:
             priority = engine_priority(self._route.rank, late=late)
@@ -324,8 +320,7 @@
         receiver = AttemptReceiver(self, self._exchange_number)
         request_id = self._metadata.request_id.encode("latin-1")
         # The exchange may fail, and the request may end, before ``send`` returns.
-        self._start_attempt_timer(time_left)
-        self._start_event_timer()
+        self._timers.start(time_left, may_retry=self._may_retry())
         self._connection.send(data, receiver, expected_id=request_id)
 
     def _connect(self, server: BackendServer) -> HttpConnection:
@@ -335,35 +330,12 @@
             return pool.connect(server)
         return pool.acquire(server, repeatable=self._route.repeatable)
 
-    def _start_event_timer(self) -> None:
-        """Starts the time limit until the next event of a stream.
-
-        Load pattern: a stalled server keeps a stream open with comments and never sends
-        another event, and the caller does not leave.
-        """
-        timeout = self._route.caller_event_timeout
-        if self._route.kind is not WorkKind.STREAMING or timeout == float("inf"):
-            return
-        self._event_timer = self._loop.call_later(
-            timeout + _EVENT_TIMEOUT_MARGIN, self._on_event_timeout
-        )
-
     def _on_event_timeout(self) -> None:
-        self._event_timer = None
         self.on_failure(ExchangeFailure(ExchangeFailureKind.TIMEOUT, sent=True))
 
-    def _start_attempt_timer(self, time_left: Seconds) -> None:
-        if not self._may_retry():
-            return
-        self._attempt_timer = self._loop.call_later(
-            attempt_timeout(self._route, time_left), self._on_attempt_timeout
-        )
-
-    def _on_attempt_timeout(self) -> None:
-        self._attempt_timer = None
-        if self._state not in (RelayState.SENT, RelayState.STREAMING):
-            return
-        if not self._may_retry():
+    def _find_other_server(self) -> None:
+        """Looks for a server that takes the request over from a silent one."""
+        if not self._in_flight or not self._may_retry():
             return
         if not self._entry.has_retry(self._service.name):
             self._await_silent_server()
@@ -396,16 +368,16 @@
         self._send_request(server, late=late)
 
     def _await_silent_server(self) -> None:
-        time_left = self._deadline - self._loop.now()
-        # Another attempt needs as much time as this one still gets.
-        if time_left >= 2 * attempt_timeout(self._route, time_left):
-            self._start_attempt_timer(time_left)
+        if self._may_retry():
+            time_left = self._deadline - self._loop.now()
+            self._timers.restart_silence_timer(time_left)
 
     def _may_retry(self) -> bool:
         if self._entry.quarantine.is_suspect(self._metadata.shared_parts):
             # Another attempt could crash another engine.
             return False
-        if self._sent_head and not self._is_event_stream(self._sent_head):
+        sent_head = self._response.head
+        if sent_head is not None and not self._is_event_stream(sent_head):
             # The caller has a part of the first attempt's body.
             return False
         if not self._event_buffer.can_resume:
@@ -437,9 +409,10 @@
         self._head = head
         if self._server is not None:
             self._entry.record_head(self._server, head, sent_at=self._sent_at)
+        sent_head = self._response.head
         self._is_stream = self._is_event_stream(head) and (
-            self._sent_head is None
-            or stream_format(head).can_continue(stream_format(self._sent_head))
+            sent_head is None
+            or stream_format(head).can_continue(stream_format(sent_head))
         )
 
     def _is_event_stream(self, head: ResponseHead) -> bool:
@@ -511,17 +484,14 @@
         self._fail(FailureKind.SERVER_LOST)
 
     def _finish_response(self, head: ResponseHead) -> None:
-        caller = self._caller
-        if caller is None:
+        if self._response.is_caller_gone:
             self._end("caller_left")
             return
         if not self._head_sent:
             self._forward_head(
                 length=None if self._is_stream else len(self._buffered_body)
             )
-        # Any write may find that the caller disconnected; later writes have no effect.
-        caller.send_body(bytes(self._buffered_body))
-        caller.finish()
+        self._response.finish(bytes(self._buffered_body))
         self._end(str(head.status))
 
     def _on_events(self, events: bytes) -> None:
@@ -530,7 +500,7 @@
         if self._state is RelayState.SENT:
             self._state = RelayState.STREAMING
             self._begun_at = self._loop.now()
-            self._record_first_byte()
+            self._times.record_first_byte(self._loop.now())
             self._admission.report_first_event()
         if self._event_buffer.has_new_event:
             self._last_event_at = self._loop.now()
@@ -551,38 +521,24 @@
 
     def _restart_stream_timers(self) -> None:
         self._cancel_stream_timers()
-        self._start_event_timer()
-        self._start_attempt_timer(self._deadline - self._loop.now())
+        time_left = self._deadline - self._loop.now()
+        self._timers.start(time_left, may_retry=self._may_retry())
 
     def _cancel_stream_timers(self) -> None:
         if self._takeover is not None:
             self._takeover.cancel()
             self._takeover = None
-        for timer in (self._event_timer, self._attempt_timer):
-            if timer is not None:
-                timer.cancel()
-        self._event_timer = self._attempt_timer = None
-
-    def _record_first_byte(self) -> None:
-        if self._first_byte_time is None:
-            self._first_byte_time = self._loop.now() - self._request.received_at
-            self._entry.metrics.observe_first_byte(
-                self._route.name, self._first_byte_time
-            )
+        self._timers.cancel()
 
     def _forward_head(self, *, length: int | None) -> None:
-        if self._caller is None or self._head is None or self._head_sent:
+        if self._head is None or self._head_sent or self._response.is_caller_gone:
             return
-        self._sent_head = self._head
-        self._record_first_byte()
-        headers = response_headers(self._head)
-        self._caller.send_head(self._head.status, headers, length=length)
+        self._times.record_first_byte(self._loop.now())
+        self._response.send_head(self._head, length=length)
 
     def _forward_body(self, data: bytes) -> None:
-        if self._caller is None:
-            return
-        self._caller.send_body(data)
-        if self._caller is not None and self._caller.is_backlogged and self._connection:
+        is_backlogged = self._response.send_body(data)
+        if is_backlogged and self._connection is not None:
             self._connection.pause_reading()
             if self._is_stream:
                 # No event can arrive until the caller has read the earlier ones.
@@ -685,7 +641,6 @@
         self._fail(FailureKind.NOT_RUN_IN_TIME)
 
     def _on_caller_gone(self) -> None:
-        self._caller = None
         if self._state is RelayState.DONE:
             return
         sent = self._state in (RelayState.SENT, RelayState.STREAMING)
@@ -708,20 +663,16 @@
             self._abort(kind.value)
             return
         kind = reported_kind(kind, may_have_run=self._may_have_run)
-        if self._caller is not None:
-            time_until_room = self._entry.time_until_room(self._service)
-            retry_after = (
-                self._limit_delay or time_until_room or self._admission.retry_after
-            )
-            send_failure_response(
-                self._caller, kind, self._metadata.request_id, retry_after
-            )
+        retry_after = (
+            self._limit_delay
+            or self._entry.time_until_room(self._service)
+            or self._admission.retry_after
+        )
+        self._response.fail(kind, self._metadata.request_id, retry_after)
         self._end(kind.value)
 
     def _abort(self, outcome: str) -> None:
-        if self._caller is not None:
-            self._caller.on_disconnected = None
-            self._caller.close()
+        self._response.abort()
         self._end(f"broken_off_{outcome}")
 
     def _end(self, outcome: str) -> None:
@@ -730,13 +681,8 @@
         self._state = RelayState.DONE
         self._deadline_timer.cancel()
         self._admission.end()
-        caller = self._caller
-        # The connection may serve its next request already.
-        if caller is not None and caller.on_disconnected == self._on_caller_gone:
-            caller.on_disconnected = None
-            caller.on_buffer_drained = None
+        self._response.release()
         server = "" if self._server is None else self._server.instance_id
-        now = self._loop.now()
         self._entry.record_end(
             self,
             route=self._route.name,
@@ -750,13 +696,7 @@
             asks=self._admission.requests,
             rejected=self._rejections,
             runs=self._previous_runs + int(self._may_have_run or self._head_sent),
-            placed=""
-            if self._placement_time is None
-            else f"{self._placement_time:.3f}",
-            first=""
-            if self._first_byte_time is None
-            else f"{self._first_byte_time:.3f}",
-            took=f"{now - self._request.received_at:.3f}",
+            **self._times.fields(self._loop.now()),
         )
 
     def is_current(self, exchange: int) -> bool:
--- a/fighitch/tests/test_relay.py
+++ b/fighitch/tests/test_relay.py
@@ -393,7 +393,7 @@
     """A stream without events is ended after the time at which callers leave it."""
 
     def start_stream(self) -> Relay:
-        patch = mock.patch("fighitch.gateway.relay._EVENT_TIMEOUT_MARGIN", 0.1)
+        patch = mock.patch("fighitch.gateway.attempt_timers._EVENT_TIMEOUT_MARGIN", 0.1)
         patch.start()
         self.addCleanup(patch.stop)
         self.entry.links.may_connect_soon.return_value = False
--- a/fighitch/tests/test_stream_continuations.py
+++ b/fighitch/tests/test_stream_continuations.py
@@ -224,7 +224,8 @@
     """The first run ends without an end of its connection."""
 
     def test_partial_event_of_a_stalled_run_is_not_continued(self):
-        patch = mock.patch("fighitch.gateway.relay.attempt_timeout", return_value=0.1)
+        timeout = "fighitch.gateway.attempt_timers.attempt_timeout"
+        patch = mock.patch(timeout, return_value=0.1)
         patch.start()
         self.addCleanup(patch.stop)
         # The server keeps its connection open inside the third event.
