--- a/fighitch/tests/test_repeated_control_answers.py
+++ b/fighitch/tests/test_repeated_control_answers.py
@@ -275,6 +275,8 @@
             on_crash_report=mock.Mock(),
             all_crashes=lambda: None,
             named_limit=lambda _server: None,
+            is_leaving=lambda _server: False,
+            pause_left=lambda _server: 0.0,
         )
         self.links.update({"e1": (server("e1"), engine_spec())})
         self.addCleanup(self.links.update, {})
