--- a/fighitch/gateway/takeover.py
+++ b/fighitch/gateway/takeover.py
@@ -54,7 +54,7 @@
             return
         is_engine = self._service.engine is not None
         server = self._next_server()
-        while server is not None and not is_engine and self._is_limited(server):
+        while server is not None and not is_engine and not self._take_place(server):
             self._avoid.add(server.instance_id)
             server = self._next_server()
         if server is None:
@@ -79,9 +79,9 @@
             declined=self._admission.declined,
         )
 
-    def _is_limited(self, server: BackendServer) -> bool:
-        """Returns whether a server takes no request now; else takes a place there."""
-        return self._host.reserve(server, 0.0) > 0
+    def _take_place(self, server: BackendServer) -> bool:
+        """Takes a place within the limit of a server; returns whether one was free."""
+        return self._host.reserve(server, 0.0) <= 0
 
     def _may_take(self, server: BackendServer) -> bool:
         if server.instance_id in self._avoid:
