Give an entry of the stand-in fleet two different free ports

Two free ports were asked for one after the other, so that both could be the same. Whether they were is not shown by the log.

--- a/standins/platform_fleet.py
+++ b/standins/platform_fleet.py
@@ -1,5 +1,6 @@
 """A small fleet on loopback: stand-ins, and the real programs as processes."""
 
+import contextlib
 import http.client
 import json
 import os
@@ -110,10 +111,16 @@
 
 def find_free_port(host: str) -> int:
     """Returns a free TCP port, which another process may still take."""
-    with socket.socket() as sock:
-        sock.bind((host, 0))
-        port: int = sock.getsockname()[1]
-        return port
+    return find_free_ports(host, 1)[0]
+
+
+def find_free_ports(host: str, count: int) -> list[int]:
+    """Returns different free TCP ports, which other processes may still take."""
+    with contextlib.ExitStack() as stack:
+        socks = [stack.enter_context(socket.socket()) for _ in range(count)]
+        for sock in socks:
+            sock.bind((host, 0))
+        return [sock.getsockname()[1] for sock in socks]
 
 
 class FleetProcess:
@@ -245,9 +252,10 @@
         for number in range(self._entry_count):
             settings = self._build_settings(f"front-{number}", 50 + number)
             host = settings["Ip"]
+            front, readiness = find_free_ports(host, 2)
             settings["Listen"] = {
-                "Front": f"{host}:{find_free_port(host)}",
-                "ReadinessAddress": f"{host}:{find_free_port(host)}",
+                "Front": f"{host}:{front}",
+                "ReadinessAddress": f"{host}:{readiness}",
             }
             self.entries.append(FleetProcess("entry", settings, self._folder.name))
             if self._proxied:
