Tell watches that are cut off from outages of the store

Cause: the watch of a kind took the end of any one call for an outage, and its next response for the end of the outage. A removed server stays ready for 2.2 s after an outage, and each further cut started that time again. For the same reason requests without a route got 503 instead of 404 while watches were cut.

Ruled out by the log of the unchanged code: that the removal was seen late (change=lapsed follows store_regained at once).

Change: an outage is an interruption of two heartbeat intervals or more without a response to any call, as no list entry can lapse in a shorter one. After a failed watch the changes are requested without a wait, which proves that the store is available and brings the removal. The back-off counts from the start of the failed call.

--- a/fighitch/core/gateway/settings.py
+++ b/fighitch/core/gateway/settings.py
@@ -5,6 +5,9 @@
 from fighitch.core.gateway.retry_budget import BudgetLimits
 from fighitch.types import Seconds
 
+# Used if the settings do not state the interval.
+DEFAULT_HEARTBEAT_INTERVAL: Seconds = 1.2
+
 
 @dataclass(frozen=True, slots=True)
 class Address:
@@ -36,6 +39,7 @@
         lease: Minimum time between the orders of two different holders of an engine.
         drain_notice: Time after the announcement of a backend server's drain in which
             requests may still reach it.
+        heartbeat_interval: Time between the heartbeats of a backend server.
     """
 
     instance: str
@@ -50,3 +54,4 @@
     stop_grace: Seconds
     lease: Seconds
     drain_notice: Seconds = 2.0
+    heartbeat_interval: Seconds = DEFAULT_HEARTBEAT_INTERVAL
--- a/fighitch/gateway/entry.py
+++ b/fighitch/gateway/entry.py
@@ -70,6 +70,7 @@
 # engine changes its server object; the pause batches these changes into one call. The
 # rest of the notice leaves time for a slow or repeated call.
 _SERVER_WATCH_PAUSE_SHARE = 0.4
+_WATCH_WAIT: Seconds = 2.0
 # Batches configurations written in quick succession; they must apply within 2 s.
 _CONFIGURATION_WATCH_PAUSE: Seconds = 0.25
 _VERSION_WATCH_PAUSE: Seconds = 0.5
@@ -123,7 +124,7 @@
         self._callers: set[CallerConnection] = set()
         self._relays: set[RelayedRequest] = set()
         self._stopping_since: Seconds | None = None
-        self._store_calls = StoreCalls(loop, log)
+        self._store_calls = self._create_store_calls()
         self.quarantine = PartQuarantine(
             loop,
             settings.store,
@@ -181,10 +182,11 @@
             self._retry_budgets.clear()
         is_same_store = previous.store == settings.store
         if not is_same_store:
-            self._store_calls = StoreCalls(self.loop, self._log)
+            self._store_calls = self._create_store_calls()
             self.quarantine.connect(settings.store, self._store_calls)
             self._on_servers_restored()
-        if not is_same_store or previous.drain_notice != settings.drain_notice:
+        self._store_calls.contact.set_heartbeat_interval(settings.heartbeat_interval)
+        if not is_same_store or _watch_timing(previous) != _watch_timing(settings):
             self._restart_watchers()
 
     def stop(self) -> None:
@@ -221,15 +223,22 @@
         self._log.event("stopped", requests=len(self._relays))
         self.loop.stop()
 
+    def _create_store_calls(self) -> StoreCalls:
+        interval = self._settings.heartbeat_interval
+        return StoreCalls(self.loop, self._log, heartbeat_interval=interval)
+
     def _restart_watchers(self) -> None:
         for watcher in self._watchers:
             watcher.stop()
         address = self._settings.store
+        wait = min(_WATCH_WAIT, self._store_calls.contact.max_watch)
         servers_pause = _SERVER_WATCH_PAUSE_SHARE * self._settings.drain_notice
         configuration = KindWatcher(
             self.loop,
             address,
-            WatchOptions(CONFIGURATION_KIND, pause=_CONFIGURATION_WATCH_PAUSE),
+            WatchOptions(
+                CONFIGURATION_KIND, wait=wait, pause=_CONFIGURATION_WATCH_PAUSE
+            ),
             self._log,
             on_change=self._on_configuration,
             calls=self._store_calls,
@@ -237,7 +246,7 @@
         servers = KindWatcher(
             self.loop,
             address,
-            WatchOptions(SERVERS_KIND, pause=servers_pause),
+            WatchOptions(SERVERS_KIND, wait=wait, pause=servers_pause),
             self._log,
             on_list=self._on_server_list,
             on_change=self._on_server_change,
@@ -714,3 +723,8 @@
             if service is not None and service.engine is not None:
                 engines[server.instance_id] = (server, service.engine)
         self.links.update(engines)
+
+
+def _watch_timing(settings: InstanceSettings) -> tuple[Seconds, Seconds]:
+    """Returns the settings on which the timing of the watches depends."""
+    return settings.drain_notice, settings.heartbeat_interval
--- a/fighitch/gateway/store_calls.py
+++ b/fighitch/gateway/store_calls.py
@@ -1,7 +1,9 @@
-"""Calls to the platform's store, which compare the epoch of each response."""
+"""Calls to the platform's store, which record its epoch and its outages."""
 
 from collections.abc import Callable
 
+from fighitch.core.gateway.settings import DEFAULT_HEARTBEAT_INTERVAL
+from fighitch.core.gateway.store_contact import StoreContact
 from fighitch.core.gateway.store_epoch import EpochStatus, StoreEpoch
 from fighitch.observability.bounded_log import BoundedLog
 from fighitch.platform.store import decode_epoch
@@ -10,19 +12,30 @@
 from fighitch.runtime.http_exchange import ResponseHead
 from fighitch.types import Seconds
 
+# Responses of a store that is not available to this process: 429 and 503.
+_REJECTIONS = frozenset((429, 503))
+
 
 class StoreCalls:
-    """Epoch of one store, shared by all clients of a process."""
+    """Epoch and contact of one store, shared by all clients of a process."""
 
-    def __init__(self, loop: EventLoop, log: BoundedLog) -> None:
+    def __init__(
+        self,
+        loop: EventLoop,
+        log: BoundedLog,
+        *,
+        heartbeat_interval: Seconds = DEFAULT_HEARTBEAT_INTERVAL,
+    ) -> None:
         """Initializes the calls to a store whose epoch is not known yet.
 
         Args:
             loop: Event loop of the clients.
             log: Log for changes of the epoch.
+            heartbeat_interval: Time between the heartbeats of a server.
         """
         self._loop = loop
         self._log = log
+        self.contact = StoreContact(heartbeat_interval)
         self._epoch = StoreEpoch()
         self._listeners: list[Callable[[], None]] = []
         # Epoch of the last complete list, by kind. It outlives the watcher of the kind.
@@ -83,7 +96,12 @@
             epoch = decode_epoch(head)
 
         def on_end(status: int, body: bytes) -> None:
-            if self._record(epoch, subject) is EpochStatus.OUTDATED:
+            is_outdated = self._record(epoch, subject) is EpochStatus.OUTDATED
+            if is_outdated or status == NO_RESPONSE or status in _REJECTIONS:
+                self.contact.record_failure()
+            else:
+                self.contact.record_response(self._loop.now())
+            if is_outdated:
                 client.close()
                 on_response(NO_RESPONSE, b"")
                 return
--- a/fighitch/gateway/store_watch.py
+++ b/fighitch/gateway/store_watch.py
@@ -74,8 +74,8 @@
             on_change: Called with each changed object.
             on_list: Called with all objects after a list; if None, ``on_change`` is
                 called with each of them.
-            on_contact: Called after each valid response with whether contact had been
-                lost before.
+            on_contact: Called after each valid response with whether the store had an
+                outage since the one before.
             on_restored: Called before the first list after the store was restored from
                 an older copy, which may lack objects and hold removed ones.
             calls: Calls to the store, shared with its other clients; None for calls of
@@ -95,6 +95,7 @@
         # Number of the last call; responses to earlier ones are ignored.
         self._call_number = 0
         self._next_call: Timer | None = None
+        self._called_at: Seconds = float("-inf")
         self._restored_at: Seconds = float("-inf")
         self._revision = 0
         self._listed_objects: list[store.StoredObject] = []
@@ -155,6 +156,7 @@
         request = encode_call("GET", target, str(self._client.address))
         self._call_number += 1
         number = self._call_number
+        self._called_at = self._loop.now()
 
         def on_current_response(status: int, body: bytes) -> None:
             if number == self._call_number:
@@ -199,6 +201,7 @@
             item.name: item.revision for item in self._listed_objects
         }
         objects, self._listed_objects = self._listed_objects, []
+        self._retry_delay = _INITIAL_RETRY_DELAY
         self._record_contact()
         self._record_epoch()
         if self._on_list is not None:
@@ -212,20 +215,34 @@
         self._next_call = self._loop.call_later(pause, self._watch)
 
     def _watch(self) -> None:
-        options = self._options
-        target = store.watch_target(options.kind, self._revision, options.wait)
-        self._call(
-            target, self._on_watch_response, options.wait + _WATCH_TIMEOUT_MARGIN
-        )
+        self._request_changes(self._options.wait, self._on_watch_response)
+
+    def _check(self) -> None:
+        """Requests the changes without a wait.
+
+        The store may cut off watches that wait while it serves all other calls.
+        """
+        self._request_changes(0.0, self._on_changes)
+
+    def _request_changes(
+        self, wait: Seconds, on_response: Callable[[int, bytes], None]
+    ) -> None:
+        target = store.watch_target(self._options.kind, self._revision, wait)
+        self._call(target, on_response, wait + _WATCH_TIMEOUT_MARGIN)
 
     def _on_watch_response(self, status: int, body: bytes) -> None:
+        if status == _OK:
+            self._retry_delay = _INITIAL_RETRY_DELAY
+        self._on_changes(status, body)
+
+    def _on_changes(self, status: int, body: bytes) -> None:
         if status == _GONE:
             self._log.event("store_history_gone", kind=self._options.kind)
             self.start()
             return
         page = self._decode(status, body, store.decode_watch)
         if page is None:
-            self._retry_later(self._watch, status)
+            self._retry_later(self._check, status)
             return
         self._record_contact()
         self._revision = max(self._revision, page.revision)
@@ -291,23 +308,28 @@
 
     def _record_contact(self) -> None:
         now = self._loop.now()
+        had_outage = self._calls.contact.had_outage_since(self.last_contact)
         self.last_contact = now
-        self._retry_delay = _INITIAL_RETRY_DELAY
         lost_since, self._lost_since = self._lost_since, None
         if lost_since is not None:
             self._log.event(
                 "store_regained",
                 kind=self._options.kind,
                 after=f"{now - lost_since:.3f}",
+                outage=had_outage,
             )
         if self._on_contact is not None:
-            self._on_contact(lost_since is not None)
+            self._on_contact(had_outage)
 
     def _retry_later(self, call: Callable[[], None], status: int) -> None:
         if self._lost_since is None:
             self._lost_since = self._loop.now()
             self._log.event("store_lost", kind=self._options.kind, status=status)
-        self._next_call = self._loop.call_later(self._retry_delay, call)
+        # The back-off counts from the start of the call: a watch that was cut off after
+        # a long wait is repeated soon.
+        elapsed = self._loop.now() - self._called_at
+        delay = max(_INITIAL_RETRY_DELAY, self._retry_delay - elapsed)
+        self._next_call = self._loop.call_later(delay, call)
         has_copy = self.last_contact > float("-inf")
         max_delay = _MAX_RETRY_DELAY if has_copy else _MAX_RETRY_DELAY_WITHOUT_COPY
         self._retry_delay = min(max_delay, 2 * self._retry_delay)
--- a/fighitch/platform/settings.py
+++ b/fighitch/platform/settings.py
@@ -3,7 +3,11 @@
 import msgspec
 
 from fighitch.core.gateway.retry_budget import BudgetLimits
-from fighitch.core.gateway.settings import Address, InstanceSettings
+from fighitch.core.gateway.settings import (
+    DEFAULT_HEARTBEAT_INTERVAL,
+    Address,
+    InstanceSettings,
+)
 from fighitch.platform.decoding import Port, decode, parse_address
 
 SETTINGS_VARIABLE = "FIGHITCH_SETTINGS"
@@ -38,6 +42,8 @@
     platform: _Store
     listen: _Listen = msgspec.field(default_factory=_Listen)
     bounds: _Bounds = msgspec.field(default_factory=_Bounds)
+    # Interval of the heartbeats that servers write to the store.
+    heartbeat_ms: float = DEFAULT_HEARTBEAT_INTERVAL * _MS_PER_SECOND
     # Address of the engine beside an agent; the only lowercase key of the file.
     app: str = msgspec.field(default="", name="app")
 
@@ -73,6 +79,7 @@
         stop_grace=bounds.grace_s,
         lease=bounds.lease_ms / _MS_PER_SECOND,
         drain_notice=bounds.drain_ms / _MS_PER_SECOND,
+        heartbeat_interval=decoded.heartbeat_ms / _MS_PER_SECOND,
     )
 
 
--- a/standins/platform_store.py
+++ b/standins/platform_store.py
@@ -48,6 +48,9 @@
         self.down = False
         # Kinds whose calls are rejected while the others are served.
         self.rejected_kinds: set[str] = set()
+        # Seconds after which connections of waiting watches are closed; 0 for never.
+        self.cut_watches_after = 0.0
+        self.cut_watches = 0
         self.calls = 0
         # Write calls of clients, as method, kind and name.
         self.writes: list[tuple[str, str, str]] = []
@@ -176,6 +179,16 @@
             return
         self._watches.append(watch)
         self.loop.call_later(wait, lambda: self._end_watch(watch))
+        if self.cut_watches_after:
+            self.loop.call_later(self.cut_watches_after, lambda: self._cut(watch))
+
+    def _cut(self, watch: _Watch) -> None:
+        if watch.done:
+            return
+        watch.done = True
+        self._watches.remove(watch)
+        self.cut_watches += 1
+        watch.connection.close()
 
     def _end_watch(self, watch: _Watch) -> None:
         self._respond_to_watch(watch, timed_out=True)
