Answer all requests before a planned stop ends

Callers of an entry that got SIGTERM lost the answers to requests that were still in progress 7.3 s later, among them orders that must not be repeated and streams that waited for an engine (LOST; report of another operator).

Cause: the end of the grace stopped the event loop with all that was in progress. Requests kept the deadline of their route, which servers and agents were told too. Ruled out: requests on connections that the entry closes as idle; those are not read.

Change: SIGTERM brings the deadlines of requests forward. Before the entry ends, it answers 504 for what was sent to a server and 503 for what was not; what can no longer be expected to be answered in time is rejected earlier, so that its caller goes elsewhere.

The soak counts waiting requests that are cut off.

--- a/benchmarks/platform_soak_checks.py
+++ b/benchmarks/platform_soak_checks.py
@@ -34,6 +34,8 @@
 _LIMIT_SLACK = 5
 # DrainMs if the settings do not state it, and the longest pause of a process.
 _DRAIN_TIME = 2.0
+# A connection that ends later after its request was sent crosses no other message.
+_LOSS_SLACK = 0.2
 _MAX_FREEZE = 3.0
 
 
@@ -116,6 +118,7 @@
     overdue += _recovery_violations(record)
     if record.planned:
         overdue += _timeout_violations(record.sent)
+        overdue += _unanswered_violations(record.sent, runs)
 
 
 def _request_violations(sent: SentRequest, runs: int) -> list[str]:
@@ -192,6 +195,19 @@
     ]
 
 
+def _unanswered_violations(sent: list[SentRequest], runs: Counter[str]) -> list[str]:
+    """Returns requests that waited, never ran and were cut off without a response."""
+    return [
+        f"{item.request_id} at {item.at:.2f}: cut off without a response after"
+        f" {item.answered_at - item.at:.2f} s"
+        for item in sent
+        if not item.answer.complete
+        and not item.answer.timed_out
+        and not runs[item.request_id]
+        and item.answered_at - item.at > _LOSS_SLACK
+    ]
+
+
 def _engine_violations(fleet: PlatformFleet) -> list[str]:
     found = []
     for engine in fleet.engines:
--- a/benchmarks/tests/test_platform_soak_checks.py
+++ b/benchmarks/tests/test_platform_soak_checks.py
@@ -172,6 +172,18 @@
         self.assertIn("token decreased", found)
         self.assertIn("served", found)
 
+    def test_waiting_request_that_is_cut_off_is_detected_in_a_planned_run_only(self):
+        crossing = SentRequest("r1", "stream", 1.0, LOST, FIRST_INCARNATION, 1.1)
+        cut = SentRequest("r2", "stream", 1.0, LOST, FIRST_INCARNATION, 3.0)
+        self.record.sent = [crossing, cut]
+        check(self.record, self.fleet)
+        self.assertNotIn("cut off", " ".join(self.record.violations))
+        self.record.planned = True
+        check(self.record, self.fleet)
+        found = [item for item in self.record.violations if "cut off" in item]
+        self.assertEqual(len(found), 1)
+        self.assertIn("r2", found[0])
+
     def test_lost_response_is_detected_in_a_planned_run_only(self):
         self.violations("order", LOST, 1)
         self.assertNotIn("response was lost", " ".join(self.record.violations))
--- a/fighitch/gateway/entry.py
+++ b/fighitch/gateway/entry.py
@@ -81,8 +81,12 @@
 # The platform probes readiness every second and stops routing callers to an entry after
 # two failed probes.
 _LISTENER_CLOSE_DELAY: Seconds = 2.3
-# Time before SIGKILL at which the event loop stops, even if requests are in flight.
-_STOP_MARGIN: Seconds = 0.7
+# Time before SIGKILL at which the requests in flight are answered by the entry itself.
+_ANSWER_MARGIN: Seconds = 0.7
+# Time before SIGKILL at which the event loop stops, even if answers are still unsent.
+_STOP_MARGIN: Seconds = 0.5
+# Share of the time that a stopping entry has in which it sends requests to servers.
+_MIN_SEND_SHARE = 0.5
 # A server that is down refuses a connection within this time. A connection that times
 # out may fail because of the entry's own links.
 _REFUSAL_TIME: Seconds = 0.1
@@ -124,6 +128,7 @@
         self._callers: set[CallerConnection] = set()
         self._relays: set[RelayedRequest] = set()
         self._stopping_since: Seconds | None = None
+        self._answer_by: Seconds = float("inf")
         self._store_calls = self._create_store_calls()
         self.quarantine = PartQuarantine(
             loop,
@@ -200,8 +205,19 @@
         for caller in self._callers:
             caller.is_shutting_down = True
         self.loop.call_later(_LISTENER_CLOSE_DELAY, self._close_idle_callers)
-        drain_time = max(0.0, self._settings.stop_grace - _STOP_MARGIN)
-        self.loop.call_later(drain_time, self._finish_stop)
+        grace = self._settings.stop_grace
+        self._answer_by = self.loop.now() + max(0.0, grace - _ANSWER_MARGIN)
+        for relay in list(self._relays):
+            self._end_before_stop(relay)
+        self.loop.call_later(max(0.0, grace - _STOP_MARGIN), self._finish_stop)
+
+    def _end_before_stop(self, relay: RelayedRequest) -> None:
+        """Lets a request end before the entry does, so that its caller is answered."""
+        if self._stopping_since is None:
+            return
+        drain_time = self._answer_by - self._stopping_since
+        max_run_time = (1 - _MIN_SEND_SHARE) * drain_time
+        relay.end_by(self._answer_by, max_run_time=max_run_time)
 
     def _close_idle_callers(self) -> None:
         callers = list(self._callers)
@@ -343,6 +359,7 @@
         self._retry_budget(service_name).record_request(self.loop.now())
         relay = Relay(self, caller, request, metadata, route, service)
         self._relays.add(relay)
+        self._end_before_stop(relay)
         relay.place()
 
     def _send_failure_response(
--- a/fighitch/gateway/relay.py
+++ b/fighitch/gateway/relay.py
@@ -13,6 +13,7 @@
 from fighitch.gateway.attempt_timers import AttemptTimers
 from fighitch.gateway.caller_response import CallerResponse
 from fighitch.gateway.relay_host import RelayHost
+from fighitch.gateway.request_deadline import RequestDeadline
 from fighitch.gateway.request_times import RequestTimes
 from fighitch.gateway.takeover import Takeover
 from fighitch.platform.requests import (
@@ -86,7 +87,12 @@
         timeout = route.timeout
         if metadata.time_left is not None:
             timeout = min(timeout, metadata.time_left)
-        self._deadline = request.received_at + timeout
+        self._deadline = RequestDeadline(
+            entry.loop,
+            request.received_at + timeout,
+            on_send_due=self._on_send_due,
+            on_answer_due=self._on_deadline,
+        )
         self._server: BackendServer | None = None
         self._connection: HttpConnection | None = None
         self._last_event_at: Seconds | None = None
@@ -119,8 +125,6 @@
             on_silent=self._find_other_server,
             on_event_timeout=self._on_event_timeout,
         )
-        delay = max(0.0, self._deadline - self._loop.now())
-        self._deadline_timer = self._loop.call_later(delay, self._on_deadline)
 
     def _new_admission(self) -> Admission:
         return Admission(
@@ -129,7 +133,7 @@
             self._metadata,
             self._route,
             arrived=self._request.received_at,
-            deadline=self._deadline,
+            deadline=self._deadline.answer_by,
             waiting_since=self._last_event_at,
         )
 
@@ -168,7 +172,7 @@
         if self._state is RelayState.DONE:
             return
         self._state = RelayState.PLACING
-        if self._deadline - self._loop.now() < _MIN_TIME_LEFT:
+        if not self._may_send():
             self._fail(FailureKind.NOT_RUN_IN_TIME)
             return
         if self._is_quarantined():
@@ -189,6 +193,9 @@
             return
         self._send_within_limit(server)
 
+    def _may_send(self) -> bool:
+        return self._deadline.may_send and self._deadline.time_left >= _MIN_TIME_LEFT
+
     def _fail_without_server(self) -> None:
         all_pause = self._entry.time_until_room(self._service) is not None
         is_busy = all_pause or self._admission.requests > 0
@@ -196,7 +203,7 @@
 
     def _send_within_limit(self, server: BackendServer) -> None:
         """Sends a request without admission, once the limit of the server allows it."""
-        max_delay = _MAX_WAIT_SHARE * (self._deadline - self._loop.now())
+        max_delay = _MAX_WAIT_SHARE * self._deadline.time_left
         delay = self._entry.reserve(server, max_delay)
         if delay > max_delay:
             self._limit_delay = delay
@@ -285,8 +292,8 @@
 
     def _start_attempt(self, server: BackendServer, *, late: bool) -> None:
         now = self._loop.now()
-        time_left = self._deadline - now
-        if time_left < _MIN_TIME_LEFT:
+        time_left = self._deadline.time_left
+        if not self._may_send():
             self._fail(FailureKind.NOT_RUN_IN_TIME)
             return
         if self._is_quarantined():
@@ -369,10 +376,11 @@
 
     def _await_silent_server(self) -> None:
         if self._may_retry():
-            time_left = self._deadline - self._loop.now()
-            self._timers.restart_silence_timer(time_left)
+            self._timers.restart_silence_timer(self._deadline.time_left)
 
     def _may_retry(self) -> bool:
+        if not self._deadline.may_send:
+            return False
         if self._entry.quarantine.is_suspect(self._metadata.shared_parts):
             # Another attempt could crash another engine.
             return False
@@ -521,8 +529,7 @@
 
     def _restart_stream_timers(self) -> None:
         self._cancel_stream_timers()
-        time_left = self._deadline - self._loop.now()
-        self._timers.start(time_left, may_retry=self._may_retry())
+        self._timers.start(self._deadline.time_left, may_retry=self._may_retry())
 
     def _cancel_stream_timers(self) -> None:
         if self._takeover is not None:
@@ -630,6 +637,15 @@
             answered=self._answered,
         )
 
+    def end_by(self, time: Seconds, *, max_run_time: Seconds) -> None:
+        """Ends the request by a time, after which the entry doesn't run any more."""
+        run_time = min(self._route.target_latency, max_run_time)
+        self._deadline.bring_forward(time, run_time=run_time)
+
+    def _on_send_due(self) -> None:
+        if self._state in (RelayState.PLACING, RelayState.AWAITING_ADMISSION):
+            self._fail(FailureKind.NOT_RUN_IN_TIME)
+
     def _on_deadline(self) -> None:
         if self._state is RelayState.DONE:
             return
@@ -679,7 +695,7 @@
         if self._state is RelayState.DONE:
             return
         self._state = RelayState.DONE
-        self._deadline_timer.cancel()
+        self._deadline.cancel()
         self._admission.end()
         self._response.release()
         server = "" if self._server is None else self._server.instance_id
--- a/fighitch/gateway/relay_host.py
+++ b/fighitch/gateway/relay_host.py
@@ -31,6 +31,15 @@
             instance_ids: Servers that want no further requests.
         """
 
+    def end_by(self, time: Seconds, *, max_run_time: Seconds) -> None:
+        """Ends the request by a time, after which the entry doesn't run any more.
+
+        Args:
+            time: Time by which the caller has an answer.
+            max_run_time: Longest time before it for which the request is no longer sent
+                to a server.
+        """
+
 
 class RelayHost(Protocol):
     """The entry that relays belong to."""
