Keep the memory of an entry bounded over a faulty server

A faulty server that sends an event without end on all of its connections made an entry run out of memory, which ends the requests of all its callers (report of another operator).

Cause: the limits of single exchanges add up, 1 MB of an event and 256 KB of a whole response or of a slow caller's bytes. Ruled out: heads, interim responses and bytes that are no HTTP, which stayed below 61 MB.

Change: 64 KB each; a response that is being forwarded is not buffered again.

--- a/fighitch/core/gateway/event_stream.py
+++ b/fighitch/core/gateway/event_stream.py
@@ -3,8 +3,9 @@
 # Lines end with LF or CRLF, and a blank line ends an event.
 _SEPARATORS = (b"\n\n", b"\n\r\n")
 _MAX_SEPARATOR_BYTES = 3
-# A larger event is forwarded in parts.
-_MAX_EVENT_BYTES = 1_048_576
+# A larger event is forwarded in parts. Events hold a few tokens, but a faulty server
+# may send endless ones on all of its connections, which can be hundreds.
+_MAX_EVENT_BYTES = 65_536
 
 
 class EventBuffer:
--- a/fighitch/gateway/relay.py
+++ b/fighitch/gateway/relay.py
@@ -38,8 +38,9 @@
 _SERVER_ERROR = 500
 _FIRST_NON_SUCCESS = 300
 # Responses up to this size are buffered until they are complete, so that a request with
-# a truncated response can still be retried or get an error response.
-_MAX_BUFFERED_BYTES = 262_144
+# a truncated response can still be retried or get an error response. A faulty server
+# may send more on all of its connections, which can be hundreds.
+_MAX_BUFFERED_BYTES = 65_536
 # Attempts that servers may reject without running the request.
 _MAX_REJECTIONS = 3
 # A stream that goes on for this long after its first event did not crash its server.
@@ -442,7 +443,8 @@
                 self._on_events(events)
             return
         self._buffered_body += data
-        if len(self._buffered_body) <= _MAX_BUFFERED_BYTES:
+        is_forwarding = self._head_sent and not self._is_continuation
+        if len(self._buffered_body) <= _MAX_BUFFERED_BYTES and not is_forwarding:
             return
         if self._head is not None and was_not_run(self._head):
             self._on_rejected(self._head)
--- a/fighitch/runtime/http_callers.py
+++ b/fighitch/runtime/http_callers.py
@@ -14,7 +14,7 @@
 
 _RECEIVE_BYTES = 65_536
 # Size of the send buffer above which reading of the response from its source pauses.
-_HIGH_WATER_MARK = 262_144
+_HIGH_WATER_MARK = 65_536
 _BODY_TIMEOUT: Seconds = 10.0
 _IDLE_SLACK: Seconds = 1.0
 _MAX_PIPELINED = 2
