Fail transfers whose connection ends inside the head of the response

On the product's own path, a server that stopped in the middle of its head and closed gave callers a 200 with an empty body, framed as whole (report of another operator). The client of the object API took it for a success too.

Cause: libcurl reports such a transfer as successful, also if the head states a length or chunks. Ruled out: entries and agents of the platform path, whose parser reports a head with its last line only.

Change: a transfer is complete only if the empty line that ends a final head has arrived; the request may have run.

--- a/fighitch/clients/http_client.py
+++ b/fighitch/clients/http_client.py
@@ -8,6 +8,7 @@
 import pycurl
 
 from fighitch.core.http_calls import CallResult, HttpCall, HttpResponse, NoResponse
+from fighitch.core.response_heads import HeadLines
 from fighitch.types import Seconds
 
 # A short poll interval lets a stream check often whether its reader wants to stop.
@@ -25,6 +26,7 @@
     """Buffers the headers and body of one response."""
 
     headers: dict[str, str] = field(default_factory=dict)
+    head_lines: HeadLines = field(default_factory=HeadLines)
     body: BytesIO = field(default_factory=BytesIO)
 
     def add_body(self, data: bytes) -> int:
@@ -35,6 +37,7 @@
 
     def add_header(self, line: bytes) -> None:
         text = line.decode("latin-1")
+        self.head_lines.add(text)
         # A status line starts new headers; an interim response precedes the final one.
         if text.startswith("HTTP/"):
             self.headers.clear()
@@ -81,8 +84,7 @@
             self._curl.perform()
         except pycurl.error as error:
             return _no_response(self._curl, error.args[0], str(error.args[1]))
-        status = self._curl.getinfo(pycurl.RESPONSE_CODE)
-        return HttpResponse(status, received.body.getvalue(), received.headers)
+        return _response(self._curl, received, received.body.getvalue())
 
     def stream_lines(
         self,
@@ -189,8 +191,16 @@
     code, message = transfer_result
     if code:
         return _no_response(curl, code, message)
+    return _response(curl, received, remainder)
+
+
+def _response(curl: pycurl.Curl, received: _ResponseBuffer, body: bytes) -> CallResult:
+    """Returns the response of a transfer that libcurl reports as successful."""
+    if not received.head_lines.is_complete:
+        detail = "the connection ended inside the head of the response"
+        return NoResponse(sent=True, detail=detail)
     status = curl.getinfo(pycurl.RESPONSE_CODE)
-    return HttpResponse(status, remainder, received.headers)
+    return HttpResponse(status, body, received.headers)
 
 
 def _no_response(curl: pycurl.Curl, code: int, message: str) -> NoResponse:
--- a/fighitch/runtime/transfers.py
+++ b/fighitch/runtime/transfers.py
@@ -12,6 +12,7 @@
 
 import pycurl
 
+from fighitch.core.response_heads import HeadLines
 from fighitch.types import Seconds
 
 CONNECT_TIMEOUT: Seconds = 1.0
@@ -90,6 +91,7 @@
         self.handle = pycurl.Curl()
         self._headers: dict[str, str] = {}
         self._status = 0
+        self._head_lines = HeadLines()
         self._has_started = False
         handle = self.handle
         handle.setopt(pycurl.URL, transfer.url)
@@ -111,15 +113,21 @@
 
     def finish(self, error_code: int, detail: str) -> None:
         """Reports the end of the transfer."""
-        if error_code == pycurl.E_OK:
+        if error_code == pycurl.E_OK and self._head_lines.is_complete:
             self._start()
             self.on_event(TransferEnded())
             return
+        if error_code == pycurl.E_OK:
+            detail = "the connection ended inside the head of the response"
+            self.on_event(TransferFailed(sent=True, detail=detail))
+            return
         sent = self.handle.getinfo(pycurl.REQUEST_SIZE) > 0
         self.on_event(TransferFailed(sent, f"curl error {error_code}: {detail}"))
 
     def _on_header(self, line: bytes) -> None:
-        text = line.decode("latin-1").strip()
+        text = line.decode("latin-1")
+        self._head_lines.add(text)
+        text = text.strip()
         if text.startswith("HTTP/"):
             # getinfo must not be called on the handle while the transfer is running.
             self._status = int(text.split(" ", 2)[1])
