Keep requests from engines that hold an outdated adapter

Cause: only agents looked at versions. Without one, entries sent straight to the engine, ranked it by adapters of any version, and did not state the version that they need. The same on a related path: an agent that had been paused counted the grace of the old version from when it heard of the new one. Ruled out: requests that waited since before the announcement.

Change: entries keep the grace period. Admission requests name the oldest version that may serve, at once and not after another grace, which test_version_required_by_an_entry_outdates_the_loaded_one_at_once now checks in place of the earlier rule. Engines without an agent that hold an older version come last, and requests to them state Expect-Version.

--- a/fighitch/core/gateway/adapter_cache.py
+++ b/fighitch/core/gateway/adapter_cache.py
@@ -33,7 +33,7 @@
 # An outdated version may serve requests while its replacement waits until the adapter
 # is idle. The grace period is well below the limit of 5 s that users set for the
 # rollout of new versions.
-_OUTDATED_VERSION_GRACE: Seconds = 1.2
+OUTDATED_VERSION_GRACE: Seconds = 1.2
 
 
 @dataclass(frozen=True, slots=True)
@@ -257,12 +257,13 @@
         """Returns whether the engine can serve an adapter.
 
         An outdated version is accepted for a grace period after the newer version
-        became known.
+        became known, unless the request asks for the newer one.
 
         Args:
             adapter: Requested adapter; one without an adapter name stands for the base
                 model.
-            version: Oldest version that the request accepts; 0 for any.
+            version: Oldest version that the request accepts; 0 for any. The agent may
+                hear of a version long after the entry.
             now: Current time.
         """
         if self.report is None or adapter.model not in self.report.models:
@@ -277,7 +278,7 @@
             self._outdated_since.pop(adapter, None)
             return True
         since = self._outdated_since.setdefault(adapter, now)
-        return now < since + _OUTDATED_VERSION_GRACE
+        return loaded_version >= version and now < since + OUTDATED_VERSION_GRACE
 
     def next_order(
         self, demands: Sequence[AdapterDemand], now: Seconds
--- a/fighitch/core/gateway/backend_choice.py
+++ b/fighitch/core/gateway/backend_choice.py
@@ -28,6 +28,8 @@
 _PAUSED_PENALTY: Seconds = 5.0
 _FAILURE_PENALTY: Seconds = 1.0
 _DISCONNECTED_PENALTY: Seconds = 0.5
+# Without an agent, nobody orders an engine to replace an outdated adapter.
+_OUTDATED_PENALTY: Seconds = 5.0
 # Maximum number of engines that are asked to admit a request before it is accepted as
 # late or rejected.
 _MAX_ADMISSION_REQUESTS = 3
@@ -124,6 +126,7 @@
         views: dict[str, EngineView],
         penalty: Callable[[str], Seconds],
         *,
+        required_version: int = 0,
         avoid: Container[str] = (),
     ) -> list[Candidate]:
         """Returns the engines that may run a request, the cheapest first.
@@ -134,6 +137,8 @@
                 list changes: the hash ranking is rebuilt for each new object.
             views: Known state of the engines, by instance id.
             penalty: Returns the cost of a server's recent failures.
+            required_version: Oldest version of the adapter that may serve the request;
+                0 for any.
             avoid: Instance ids to leave out.
         """
         home_ranks = self._home_ranks(adapter, servers)
@@ -148,6 +153,8 @@
             cost += view.pause
             if not view.connected:
                 cost += _DISCONNECTED_PENALTY
+                if view.adapters.get(adapter, required_version) < required_version:
+                    cost += _OUTDATED_PENALTY
             if not view.serving:
                 cost += _PAUSED_PENALTY
             if server.zone != self._zone:
--- a/fighitch/gateway/admission.py
+++ b/fighitch/gateway/admission.py
@@ -57,6 +57,11 @@
         """Number of admission requests for the current attempt."""
         return self._requests
 
+    @property
+    def is_open(self) -> bool:
+        """Whether an agent was asked or has admitted the request."""
+        return self._server is not None
+
     @property
     def declined(self) -> dict[str, Seconds]:
         """Estimated time of the first event at the engines that declined.
@@ -95,7 +100,7 @@
             waiting_since=self._waiting_since,
             deadline=self._deadline,
             now=self._loop.now(),
-            version=self._links.version(self._metadata.adapter),
+            version=self._links.required_version(self._metadata.adapter),
             may_decline=may_decline,
         )
         if not message.may_decline:
--- a/fighitch/gateway/agent_links.py
+++ b/fighitch/gateway/agent_links.py
@@ -2,11 +2,13 @@
 
 import itertools
 import random
+from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
 import msgspec
 
+from fighitch.core.gateway.adapter_cache import OUTDATED_VERSION_GRACE
 from fighitch.core.gateway.backend_choice import EngineView
 from fighitch.core.gateway.model import AdapterName, BackendServer, EngineSpec
 from fighitch.gateway.peer_connection import PeerConnection
@@ -154,6 +156,9 @@
         # must not be taken for another one on the link that replaces it.
         self._numbers = itertools.count(1)
         self._versions: dict[AdapterName, int] = {}
+        # Versions before which an older one may still serve, the oldest first.
+        self._recent_versions: deque[tuple[Seconds, AdapterName, int]] = deque()
+        self._required_versions: dict[AdapterName, int] = {}
         self.views: dict[str, EngineView] = {}
         loop.call_every(_HEARTBEAT_INTERVAL, self._send_heartbeats)
 
@@ -181,14 +186,38 @@
         if version <= self._versions.get(adapter, 0):
             return
         self._versions[adapter] = version
+        self._recent_versions.append((self._loop.now(), adapter, version))
         message = AdapterVersions([(adapter.model, adapter.adapter, version)])
         for link in self._links.values():
             if link.peer is not None:
                 link.peer.send(message)
 
-    def version(self, adapter: AdapterName | None) -> int:
-        """Returns the newest announced version of an adapter; 0 if there is none."""
-        return 0 if adapter is None else self._versions.get(adapter, 0)
+    def required_version(self, adapter: AdapterName | None) -> int:
+        """Returns the oldest version of an adapter that may serve a request.
+
+        Older ones had a grace period in which to be replaced.
+
+        Returns:
+            The version; 0 if any may.
+        """
+        grace_began = self._loop.now() - OUTDATED_VERSION_GRACE
+        while self._recent_versions and self._recent_versions[0][0] <= grace_began:
+            _, outdated, version = self._recent_versions.popleft()
+            self._required_versions[outdated] = version
+        return 0 if adapter is None else self._required_versions.get(adapter, 0)
+
+    def expected_version(self, adapter: AdapterName | None) -> int:
+        """Returns the version that an engine without an agent must hold.
+
+        Engines compare for equality, so that it is the newest one even if that is in
+        its grace period.
+
+        Returns:
+            The version; 0 if any may serve a request.
+        """
+        if adapter is None or not self.required_version(adapter):
+            return 0
+        return self._versions[adapter]
 
     def is_connected(self, instance_id: str) -> bool:
         """Returns whether the agent of an engine can receive admission requests."""
--- a/fighitch/gateway/entry.py
+++ b/fighitch/gateway/entry.py
@@ -395,6 +395,7 @@
                 servers,
                 self.links.views,
                 penalty,
+                required_version=self.links.required_version(metadata.adapter),
                 avoid=avoid,
             )
         return rank_plain_servers(
--- a/fighitch/gateway/relay.py
+++ b/fighitch/gateway/relay.py
@@ -319,6 +319,7 @@
             time_left=time_left,
             instance_id=server.instance_id,
             priority=priority,
+            adapter_version=self._expected_version(),
             resume_after=self._event_buffer.last_id,
         )
         self._exchange_number += 1
@@ -331,6 +332,12 @@
         self._timers.start(time_left, may_retry=self._may_retry())
         self._connection.send(data, receiver, expected_id=request_id)
 
+    def _expected_version(self) -> int:
+        """Returns the version that the server must hold; 0 if its agent sees to it."""
+        if self._admission.is_open or self._service.engine is None:
+            return 0
+        return self._entry.links.expected_version(self._metadata.adapter)
+
     def _connect(self, server: BackendServer) -> HttpConnection:
         pool = self._entry.pool
         if server.instance_id in self._avoid:
--- a/fighitch/platform/requests.py
+++ b/fighitch/platform/requests.py
@@ -122,6 +122,7 @@
     time_left: Seconds,
     instance_id: str,
     priority: int | None = None,
+    adapter_version: int = 0,
     resume_after: str = "",
 ) -> bytes:
     """Encodes a caller's request for a backend server.
@@ -132,6 +133,8 @@
         instance_id: Instance id of the backend server that may run the request.
         priority: Priority on an engine, from 0 (first) to 9; None leaves the choice to
             the engine.
+        adapter_version: Version of the adapter without which the backend server must
+            not run the request; 0 for any.
         resume_after: Id of the last event that the caller received; empty for none.
     """
     dropped_headers = _connection_headers(request)
@@ -144,6 +147,8 @@
     lines.append(b"Expect-Instance: " + instance_id.encode("latin-1"))
     if priority is not None:
         lines.append(b"Request-Priority: %d" % priority)
+    if adapter_version:
+        lines.append(b"Expect-Version: %d" % adapter_version)
     if resume_after:
         lines.append(b"Last-Event-Id: " + resume_after.encode("latin-1"))
     if request.body or request.method in (b"POST", b"PUT", b"PATCH"):
--- a/fighitch/tests/test_adapter_cache.py
+++ b/fighitch/tests/test_adapter_cache.py
@@ -202,11 +202,15 @@
             cache.next_order([demand(A1, version=2)], 2.0), LoadAdapter(A1, 2)
         )
 
-    def test_version_requested_by_an_entry_outdates_the_loaded_one(self):
+    def test_version_required_by_an_entry_outdates_the_loaded_one_at_once(self):
+        # The entry has waited for the grace period; the agent may only now hear of it.
         cache = make_cache()
         cache.record_report(report(versions={A1: 1}), 0.0)
-        self.assertTrue(cache.serves(A1, 2, 0.0))
-        self.assertFalse(cache.serves(A1, 2, 5.0))
+        self.assertFalse(cache.serves(A1, 2, 0.0))
+        self.assertTrue(cache.serves(A1, 1, 0.0))
+        self.assertEqual(
+            cache.next_order([demand(A1, version=2)], 0.0), LoadAdapter(A1, 2)
+        )
 
 
 class RecentAdapterTests(unittest.TestCase):
--- a/fighitch/tests/test_agent_links.py
+++ b/fighitch/tests/test_agent_links.py
@@ -4,9 +4,10 @@
 from dataclasses import replace
 from unittest import mock
 
+from fighitch.core.gateway.adapter_cache import OUTDATED_VERSION_GRACE
 from fighitch.gateway.agent_links import AdmissionCallbacks, AgentLinks
 from fighitch.gateway.peer_messages import AdmissionRequest, Done, Grant
-from fighitch.tests.gateway_helpers import engine_spec, server
+from fighitch.tests.gateway_helpers import A1, engine_spec, server
 
 
 def build_links(loop: mock.Mock) -> AgentLinks:
@@ -45,6 +46,43 @@
                 self.links.update({})
 
 
+class RequiredVersionTests(unittest.TestCase):
+    """The version that engines must hold after a newer one was announced."""
+
+    def setUp(self):
+        self.loop = mock.Mock()
+        self.links = build_links(self.loop)
+
+    def announce(self, version: int, now: float) -> None:
+        self.loop.now.return_value = now
+        self.links.announce_version(A1, version)
+
+    def required(self, now: float) -> int:
+        self.loop.now.return_value = now
+        return self.links.required_version(A1)
+
+    def test_any_version_serves_within_the_grace_period(self):
+        self.assertEqual(self.required(0.0), 0)
+        self.announce(1, 0.0)
+        self.assertEqual(self.required(OUTDATED_VERSION_GRACE - 0.1), 0)
+        self.assertEqual(self.required(OUTDATED_VERSION_GRACE), 1)
+        self.announce(2, 10.0)
+        self.assertEqual(self.required(10.1), 1)
+        self.assertEqual(self.required(10.0 + OUTDATED_VERSION_GRACE), 2)
+
+    def test_versions_in_quick_succession_do_not_extend_the_grace_period(self):
+        # Else the first version could serve for as long as others are announced.
+        for number in range(1, 6):
+            self.announce(number, 0.5 * number)
+            required = self.required(0.5 * number)
+            self.assertEqual(required, max(0, number - 3))
+            expected = self.links.expected_version(A1)
+            self.assertEqual(expected, number if required else 0)
+
+    def test_requests_without_an_adapter_need_no_version(self):
+        self.assertEqual(self.links.required_version(None), 0)
+
+
 class ReplacedLinkTests(unittest.TestCase):
     """An engine that is removed and listed again while it runs a request."""
 
--- a/fighitch/tests/test_relay.py
+++ b/fighitch/tests/test_relay.py
@@ -33,6 +33,8 @@
         self.entry.candidates.return_value = [Candidate(server("e1"), 0.0)]
         self.entry.links.may_connect_soon.return_value = True
         self.entry.links.is_connected.return_value = False
+        self.entry.links.required_version.return_value = 0
+        self.entry.links.expected_version.return_value = 0
         self.entry.quarantine.blocks.return_value = False
         self.entry.quarantine.is_suspect.return_value = False
         self.entry.reserve.return_value = 0.0
@@ -212,7 +214,7 @@
         super().setUp()
         self.entry.links.may_connect_soon.return_value = False
         self.entry.links.is_connected.return_value = True
-        self.entry.links.version.return_value = 0
+        self.entry.links.required_version.return_value = 0
         self.engines = [Candidate(server(name), 0.0) for name in ("e1", "e2", "e3")]
         self.entry.candidates.side_effect = lambda _service, _metadata, avoid: [
             item for item in self.engines if item.server.instance_id not in avoid
@@ -270,7 +272,7 @@
         super().setUp()
         self.entry.links.may_connect_soon.return_value = False
         self.entry.links.is_connected.return_value = True
-        self.entry.links.version.return_value = 0
+        self.entry.links.required_version.return_value = 0
         self.entry.links.request_admission.return_value = 7
         self.engines = [Candidate(server(name), 0.0) for name in ("e1", "e2")]
         self.entry.candidates.side_effect = lambda _service, _metadata, avoid: [
--- a/standins/platform_backends.py
+++ b/standins/platform_backends.py
@@ -92,6 +92,16 @@
     at: float = field(default_factory=time.monotonic)
 
 
+@dataclass(frozen=True, slots=True)
+class BeginRecord:
+    """The version of its adapter with which a request began."""
+
+    request_id: str
+    adapter: str
+    version: int
+    at: float
+
+
 @dataclass(frozen=True, slots=True)
 class ReceivedRequest:
     """A request that reached a server, even if the server rejected it.
@@ -356,6 +366,8 @@
         # Part of a prompt that crashes the engine; empty for none.
         self.crashing_part = ""
         self.crashed_at: list[float] = []
+        # Adapter and its version with which each run began, with the time.
+        self.begins: list[BeginRecord] = []
         # Called with the earlier instance id after a restart that follows a crash.
         self.on_restarted: Callable[[str], None] = lambda _instance_id: None
         self._adapter_state = _AdapterState()
@@ -415,11 +427,15 @@
     ) -> None:
         """Streams events if the adapter is loaded; otherwise responds with 421."""
         adapter = headers.get("model", "").partition("/")[2]
-        if adapter and adapter not in self._adapter_state.loaded:
+        version = self._adapter_state.loaded.get(adapter, 0)
+        expected_version = int(headers.get("expect-version", version))
+        if adapter and (not version or version != expected_version):
             self.reject(connection, headers, 421)
             return
         self.record_run(request, headers)
         request_id = headers["attempt-id"]
+        begin = BeginRecord(request_id, adapter, version, time.monotonic())
+        self.begins.append(begin)
         first = int(headers.get("last-event-id") or 0) + 1
         connection.on_disconnected = lambda: self.cancelled.append(request_id)
         self.repeat_refusal(connection)
