Split pages of the store without a limit on their brackets

Cause: a page that msgspec can't decode is split at its brackets, and the splitter refused more than 300,000 groups of them. The error counted for the whole page, which was requested again for ever.

Change: the splitter has no limit of its own.

--- a/fighitch/platform/json_parts.py
+++ b/fighitch/platform/json_parts.py
@@ -15,9 +15,6 @@
 _MAX_SKIPPED_DEPTH = 4
 _QUOTE = ord('"')
 _COMMA = ord(",")
-_OPENING = b"[{"
-# Limits the time for nested input. A list of 1 MB has at most 170,000 nested objects.
-_MAX_TOKENS = 300_000
 
 
 def _skipped(stops: bytes, depth: int) -> bytes:
@@ -27,14 +24,18 @@
 
 
 def _next_token(stops: bytes, depth: int) -> re.Pattern[bytes]:
-    # Consecutive brackets are one token, which keeps deeply nested input fast. A quote
-    # begins a string without an end.
-    token = rb'([\[{]++|[\]}]++|["' + stops + rb"]|$)"
+    # Opening brackets with text between them are one token, and so are closing ones,
+    # which keeps deeply nested input fast. A quote begins a string without an end.
+    text = _skipped(b"", 0)
+    openings = rb"(?:[\[{]++" + text + rb")++"
+    closings = rb"[\]}]++(?:" + text + rb"[\]}]++)*+"
+    token = rb"(" + openings + rb"|" + closings + rb'|["' + stops + rb"]|$)"
     return re.compile(_skipped(stops, depth) + token, re.DOTALL)
 
 
 _NEXT_TOKEN = _next_token(b"", _MAX_SKIPPED_DEPTH)
 _NEXT_TOKEN_OR_COMMA = _next_token(b",", _MAX_SKIPPED_DEPTH + 1)
+_STRINGS = re.compile(_STRING, re.DOTALL)
 _KEY = re.compile(rb"\s*(" + _STRING + rb")\s*:", re.DOTALL)
 
 
@@ -70,7 +71,7 @@
     parts = []
     # Depth 0 is between the outermost brackets.
     depth, begin, position, end = 0, 1, 1, len(data) - 1
-    for _ in range(_MAX_TOKENS):
+    while True:
         pattern = _NEXT_TOKEN if depth else _NEXT_TOKEN_OR_COMMA
         found = pattern.match(data, position, end)
         token = b"" if found is None else found[1]
@@ -82,15 +83,18 @@
             begin = position
         elif token[0] == _QUOTE:
             raise msgspec.DecodeError("string does not end")
-        elif token[0] in _OPENING:
-            depth += len(token)
         else:
-            depth -= len(token)
+            depth += _count_opened(token)
             if depth < 0:
                 raise msgspec.DecodeError("closing bracket without an opening one")
-    else:
-        raise msgspec.DecodeError(f"input has more than {_MAX_TOKENS} parts")
     if depth:
         raise msgspec.DecodeError("opening bracket without a closing one")
     last = data[begin:end].strip()
     return [*parts, last] if parts or last else []
+
+
+def _count_opened(token: bytes) -> int:
+    """Returns the number of brackets that a token opens; negative if it closes them."""
+    text = _STRINGS.sub(b"", token) if b'"' in token else token
+    opened = text.count(b"[") + text.count(b"{")
+    return opened - text.count(b"]") - text.count(b"}")
--- a/fighitch/tests/test_gateway_processes.py
+++ b/fighitch/tests/test_gateway_processes.py
@@ -288,6 +288,16 @@
         self.assertTrue(wait_until(lambda: self.fleet.is_ready(self.fleet.entries[0])))
         self.assertEqual(self.fleet.send_request("lookup", "after").status, 200)
 
+    def test_list_with_a_large_entry_of_many_brackets_is_followed(self):
+        # Valid JSON below the store's limit of 1 MB for an object. Nothing was learned
+        # of any server any more, and a restarted entry never became ready.
+        nested = b"[ " * 340_000 + b"]" * 340_000
+        self.put_odd_entry(self.odd_spec(b'"Extra": %s' % nested))
+        self.assert_list_is_followed()
+        self.fleet.entries[0].kill_and_restart()
+        self.assertTrue(wait_until(lambda: self.fleet.is_ready(self.fleet.entries[0])))
+        self.assertEqual(self.fleet.send_request("lookup", "after").status, 200)
+
     def test_entry_with_a_port_out_of_range_gets_no_requests(self):
         # A caller whose request got there had no response before its deadline.
         host = self.fleet.plain_servers[0].host
--- a/fighitch/tests/test_json_parts.py
+++ b/fighitch/tests/test_json_parts.py
@@ -50,6 +50,27 @@
                         split_array(b"[1, %s ,2]" % deep), [b"1", deep, b"2"]
                     )
 
+    def test_number_of_brackets_has_no_limit(self):
+        # Guards against a list that nobody can read because of its largest entry.
+        for opening, closing in (
+            (b"[ ", b"]"),
+            (b"[1,", b"]"),
+            (b'{"a" : ', b"}"),
+            (b'{"]":[[]],"a":', b"}"),
+            (b"[[[[[[[]]]]]],", b"]"),
+        ):
+            depth = 1_020_000 // len(opening + closing)
+            deep = opening * depth + b"1" + closing * depth
+            with self.subTest(opening):
+                self.assertEqual(split_array(b"[1, %s ,2]" % deep), [b"1", deep, b"2"])
+
+    def test_brackets_in_strings_between_brackets_do_not_count(self):
+        deep = b'[{"[": "}", "a": [{"]": "\\"[", "b": [[[["{"]]]]}]}]'
+        for depth in (0, 7, 30):
+            item = b"[" * depth + deep + b', "]"]' * depth
+            with self.subTest(depth):
+                self.assertEqual(split_array(b"[%s,2]" % item), [item, b"2"])
+
     def test_items_that_are_no_json_are_kept_apart(self):
         self.assertEqual(
             split_array(b'[NaN, \xff, "]", 1e999]'), [b"NaN", b"\xff", b'"]"', b"1e999"]
