Let entries remember the fencing tokens of agents

Cause: only the store carried a token from one process to the next. Without it, an agent took the time of day. Weighed and left: no orders without the store, which leaves an engine that restarts in an outage without its model; a margin on the clock, which a larger step exceeds.

An agent that hears of a token as high as its own takes the next one. The new fields stand at the end of their messages, so that processes of an earlier build understand them.

--- a/fighitch/gateway/agent.py
+++ b/fighitch/gateway/agent.py
@@ -169,6 +169,7 @@
         if hello.limit is not None:
             start_time_ms = hello.engine_start_time_ms
             self._record_limit(hello.limit, start_time_ms, sent_at=self._loop.now())
+        self._claim.record_known_token(hello.token)
         if hello.leaving:
             self._record_leaving(hello.engine_start_time_ms, source=hello.entry)
         self._log.event("entry_connected", peer=peer.number, entry=hello.entry)
@@ -365,6 +366,9 @@
         order = self._adapter_cache.next_order(waiting, now)
         if order is None:
             return
+        if self._last_status is None or self._last_status.token != self._claim.token:
+            # Entries must know the token if this process ends after the order.
+            self._publish_current_status(now)
 
         def on_order_end(status: int) -> None:
             if status >= 400:
@@ -507,6 +511,7 @@
             entries=len(self._peers),
             protocol=PROTOCOL_VERSION,
             pause_ms=round(self._pause_left(now) * _MS_PER_SECOND),
+            token=self._claim.token,
         )
 
     def _pause_left(self, now: Seconds) -> Seconds:
--- a/fighitch/gateway/agent_links.py
+++ b/fighitch/gateway/agent_links.py
@@ -11,6 +11,7 @@
 from fighitch.core.gateway.adapter_cache import OUTDATED_VERSION_GRACE
 from fighitch.core.gateway.backend_choice import EngineView
 from fighitch.core.gateway.model import AdapterName, BackendServer, EngineSpec
+from fighitch.core.gateway.settings import Address
 from fighitch.gateway.peer_connection import PeerConnection
 from fighitch.gateway.peer_messages import (
     CRASH_REPORT_VERSION,
@@ -159,6 +160,9 @@
         # Versions before which an older one may still serve, the oldest first.
         self._recent_versions: deque[tuple[Seconds, AdapterName, int]] = deque()
         self._required_versions: dict[AdapterName, int] = {}
+        # Highest fencing token reported for the engine at each address. It outlives the
+        # agent, which may restart without the store and with its clock set back.
+        self._tokens: dict[Address, int] = {}
         self.views: dict[str, EngineView] = {}
         loop.call_every(_HEARTBEAT_INTERVAL, self._send_heartbeats)
 
@@ -344,6 +348,7 @@
             PROTOCOL_VERSION,
             self._named_limit(server),
             self._is_leaving(server),
+            self._tokens.get(_engine_address(server), 0),
         )
 
     def _on_closed(self, link: AgentLink, reason: str) -> None:
@@ -415,6 +420,8 @@
             self._on_down(link.server)
         view.pause = status.pause_ms / _MS_PER_SECOND if is_same_incarnation else 0.0
         view.entries = status.entries
+        address = _engine_address(link.server)
+        self._tokens[address] = max(status.token, self._tokens.get(address, 0))
         view.seconds_per_token = status.token_ns / _NS_PER_SECOND
         view.load_wait = status.load_wait_ms / _MS_PER_SECOND
         if status.draining and is_same_incarnation:
@@ -456,3 +463,7 @@
                 link.peer.close("silent")
                 continue
             link.peer.send(heartbeat)
+
+
+def _engine_address(server: BackendServer) -> Address:
+    return Address(server.host, server.port)
--- a/fighitch/gateway/engine_control.py
+++ b/fighitch/gateway/engine_control.py
@@ -162,6 +162,10 @@
             if status not in (_OK, _CREATED):
                 self._retry_claim(status)
                 return
+            if claim.record.token < self._lowest_token:
+                # An entry knew a higher token.
+                self._activate_claim(self._lowest_token, claim.wait, "entry")
+                return
             self._activate_claim(claim.record.token, claim.wait, "store")
 
         self._write_record(claim.record, revision, on_written)
@@ -197,10 +201,23 @@
         self._orders_allowed_at = self._loop.now() + wait
         self._log.event("engine_claimed", token=token, source=source, wait=wait)
         self._claim_epoch = self._calls.epoch
-        if source == "clock":
+        if source != "store":
             # The store has no record of this claim yet.
             self._schedule_check()
 
+    def record_known_token(self, token: int) -> None:
+        """Records a fencing token that an agent of the engine has used before.
+
+        Args:
+            token: Token that an entry has seen; 0 for none.
+        """
+        if token == 0 or token < self._lowest_token:
+            return
+        self._lowest_token = token + 1
+        if self._token > 0:
+            wait = max(0.0, self._orders_allowed_at - self._loop.now())
+            self._activate_claim(self._lowest_token, wait, "entry")
+
     # Claims that a restore of the store may have lost.
 
     def record_store_epoch(self, epoch: int | None) -> None:
--- a/fighitch/gateway/peer_messages.py
+++ b/fighitch/gateway/peer_messages.py
@@ -34,6 +34,8 @@
         protocol: ``PROTOCOL_VERSION`` of the entry.
         limit: Limit that the engine has named, in requests per second; None for none.
         leaving: Whether this start of the engine has said that it leaves.
+        token: Highest fencing token that an agent of the engine has reported; 0 for
+            none.
     """
 
     entry: str
@@ -43,6 +45,7 @@
     protocol: int = 0
     limit: float | None = None
     leaving: bool = False
+    token: int = 0
 
 
 class AdapterVersions(_Message, frozen=True, tag=2):
@@ -174,6 +177,7 @@
         protocol: ``PROTOCOL_VERSION`` of the agent.
         pause_ms: Time for which the engine wants no further request from one of the
             entries.
+        token: Fencing token of the agent's orders; 0 if it has none.
     """
 
     engine_start_time_ms: int
@@ -185,6 +189,7 @@
     entries: int
     protocol: int = 0
     pause_ms: int = 0
+    token: int = 0
 
 
 class HeldAdapters(_Message, frozen=True, tag=9):
--- a/fighitch/tests/test_restored_store.py
+++ b/fighitch/tests/test_restored_store.py
@@ -412,6 +412,30 @@
         self.assertTrue(self.run_until(claim.may_send_orders))
         self.assertGreater(claim.token, token + 7)
 
+    def test_token_that_an_entry_knows_is_exceeded(self):
+        # Guards against a lower token of a claim that the store never recorded.
+        claim = self.claim()
+        claim.record_known_token(claim.token)
+        self.assertEqual(claim.token, self.record()["token"])
+        known = claim.token + 5
+        claim.record_known_token(known)
+        self.assertEqual(claim.token, known + 1)
+        self.assertTrue(self.run_until(lambda: self.record()["token"] == known + 1))
+
+    def test_token_that_an_entry_tells_during_a_claim_keeps_the_wait(self):
+        # Another holder may still give orders until its lease ends.
+        self.claim("side-2")
+        settings = replace(SETTINGS, instance="side-1", store=self.address, lease=0.5)
+        claim = EngineClaim(self.loop, settings, ENGINE, self.log)
+        claim.start()
+        self.assertTrue(self.run_until(lambda: claim._lowest_token > 0))
+        known = claim._lowest_token + 100_000_000
+        claim.record_known_token(known)
+        self.assertTrue(self.run_until(lambda: claim.token > 0))
+        self.assertEqual(claim.token, known + 1)
+        self.assertFalse(claim.may_send_orders())
+        self.assertTrue(self.run_until(claim.may_send_orders))
+
     def test_restore_while_the_engine_is_claimed_again(self):
         # The check read the new claim before its response, took it for an earlier claim
         # of the same holder and skipped the wait for the lease of the other holder.
