Answer callers before they leave an engine that stands still

Cause: the time limit of a stream without events is longer than its caller's patience, and nothing else ends one that must not run elsewhere.

Change: a quarter of a second before its caller would leave, a stream ends with 504, or is broken off if it has begun, if the agent of its engine is lost too. The silence of an engine alone is no reason to end an answer sooner.

Evidence: the tests of StandingEngineTests failed before (no answer, no end).

--- a/fighitch/gateway/attempt_timers.py
+++ b/fighitch/gateway/attempt_timers.py
@@ -10,6 +10,8 @@
 # Margin after the time at which callers leave a stream without events, so that a caller
 # ends the request first.
 _EVENT_TIMEOUT_MARGIN: Seconds = 0.5
+# Time before that, in which an answer still reaches the caller.
+_ANSWER_TIME: Seconds = 0.25
 
 
 class AttemptTimers:
@@ -25,6 +27,7 @@
         route: Route,
         *,
         on_silent: Callable[[], None],
+        on_caller_leaving: Callable[[], None],
         on_event_timeout: Callable[[], None],
     ) -> None:
         """Starts no timer yet.
@@ -34,28 +37,38 @@
             route: Route of the request.
             on_silent: Called if the server makes no progress for as long as a
                 repeatable request waits before another server is looked for.
+            on_caller_leaving: Called shortly before the caller leaves a stream that has
+                no event.
             on_event_timeout: Called if a stream has no event for longer than callers
                 wait.
         """
         self._loop = loop
         self._route = route
         self._on_silent = on_silent
+        self._on_caller_leaving = on_caller_leaving
         self._on_event_timeout = on_event_timeout
         self._silence_timer: Timer | None = None
+        self._leaving_timer: Timer | None = None
         self._event_timer: Timer | None = None
 
-    def start(self, time_left: Seconds, *, may_retry: bool) -> None:
+    def start(
+        self, time_left: Seconds, *, may_retry: bool, waited: Seconds = 0.0
+    ) -> None:
         """Starts the timers of an attempt, or of its next event.
 
         Args:
             time_left: Time left until the deadline of the request.
             may_retry: Whether another server may run the request too.
+            waited: Time for which the caller has waited for the event.
         """
         self.cancel()
         if may_retry:
             self.start_silence_timer(time_left)
         timeout = self._route.caller_event_timeout
         if self._route.kind is WorkKind.STREAMING and timeout < float("inf"):
+            self._leaving_timer = self._loop.call_later(
+                max(0.0, timeout - waited - _ANSWER_TIME), self._on_caller_leaving
+            )
             self._event_timer = self._loop.call_later(
                 timeout + _EVENT_TIMEOUT_MARGIN, self._on_event_timeout
             )
@@ -74,7 +87,7 @@
 
     def cancel(self) -> None:
         """Cancels all timers."""
-        for timer in (self._silence_timer, self._event_timer):
+        for timer in (self._silence_timer, self._leaving_timer, self._event_timer):
             if timer is not None:
                 timer.cancel()
-        self._silence_timer = self._event_timer = None
+        self._silence_timer = self._leaving_timer = self._event_timer = None
--- a/fighitch/gateway/relay.py
+++ b/fighitch/gateway/relay.py
@@ -124,6 +124,7 @@
             entry.loop,
             route,
             on_silent=self._find_other_server,
+            on_caller_leaving=self._on_caller_leaving,
             on_event_timeout=self._on_event_timeout,
         )
 
@@ -329,7 +330,10 @@
         receiver = AttemptReceiver(self, self._exchange_number)
         request_id = self._metadata.request_id.encode("latin-1")
         # The exchange may fail, and the request may end, before ``send`` returns.
-        self._timers.start(time_left, may_retry=self._may_retry())
+        waiting_since = self._last_event_at or self._request.received_at
+        self._timers.start(
+            time_left, may_retry=self._may_retry(), waited=now - waiting_since
+        )
         self._connection.send(data, receiver, expected_id=request_id)
 
     def _expected_version(self) -> int:
@@ -345,6 +349,21 @@
             return pool.connect(server)
         return pool.acquire(server, repeatable=self._route.repeatable)
 
+    def _on_caller_leaving(self) -> None:
+        """Answers a caller that would leave an engine whose machine stands still.
+
+        Such an engine is silent, and so is its agent. It could not notice that the
+        caller leaves.
+        """
+        server = self._server
+        if server is None or self._service.engine is None or not self._in_flight:
+            return
+        if self._entry.links.is_connected(server.instance_id):
+            return
+        self._may_have_run = True
+        self._end_exchange(failed=False, outcome="stands_still")
+        self._fail(FailureKind.TIMED_OUT)
+
     def _on_event_timeout(self) -> None:
         self.on_failure(ExchangeFailure(ExchangeFailureKind.TIMEOUT, sent=True))
 
--- a/fighitch/tests/test_relay.py
+++ b/fighitch/tests/test_relay.py
@@ -395,9 +395,11 @@
     """A stream without events is ended after the time at which callers leave it."""
 
     def start_stream(self) -> Relay:
-        patch = mock.patch("fighitch.gateway.attempt_timers._EVENT_TIMEOUT_MARGIN", 0.1)
-        patch.start()
-        self.addCleanup(patch.stop)
+        margins = {"_EVENT_TIMEOUT_MARGIN": 0.1, "_ANSWER_TIME": 0.0}
+        for name, value in margins.items():
+            patch = mock.patch(f"fighitch.gateway.attempt_timers.{name}", value)
+            patch.start()
+            self.addCleanup(patch.stop)
         self.entry.links.may_connect_soon.return_value = False
         relay = self.relay(caller_event_timeout=0.2)
         relay.place()
@@ -439,6 +441,52 @@
         self.entry.record_end.assert_called_once()
 
 
+class StandingEngineTests(RelayTestCase):
+    """Streams at an engine whose machine stands still, with its agent.
+
+    Guards against callers that get no answer, and an engine that is still at work on
+    their streams because it can't notice that they have left.
+    """
+
+    PATIENCE = 0.6
+
+    def setUp(self):
+        super().setUp()
+        self.entry.links.may_connect_soon.return_value = False
+        self.caller.is_backlogged = False
+        self.is_connected = False
+
+    def start_stream(self) -> Relay:
+        relay = self.relay(caller_event_timeout=self.PATIENCE)
+        relay.place()
+        links = self.entry.links
+        links.is_connected.side_effect = lambda _name: self.is_connected
+        return relay
+
+    def test_caller_without_a_head_is_answered_before_it_leaves(self):
+        self.start_stream()
+        self.run_for(self.PATIENCE - 0.1)
+        self.assertEqual(self.caller.send_head.call_args.args[0], 504)
+        self.entry.record_end.assert_called_once()
+
+    def test_stream_that_has_begun_is_broken_off_before_its_caller_leaves(self):
+        relay = self.start_stream()
+        self.run_for(0.2)
+        relay.on_head(ResponseHead(200, [(b"Response-Signature", b"s")]))
+        relay.on_body(b"id: 1\ndata: a\n\n")
+        self.run_for(0.2)
+        self.entry.record_end.assert_not_called()
+        self.run_for(self.PATIENCE - 0.3)
+        self.caller.close.assert_called_once()
+
+    def test_stream_goes_on_while_the_agent_of_its_engine_is_there(self):
+        # The silence of an engine alone is no reason to end an answer sooner.
+        self.start_stream()
+        self.is_connected = True
+        self.run_for(self.PATIENCE)
+        self.entry.record_end.assert_not_called()
+
+
 class TakeoverTests(RelayTestCase):
     """Searches for another server while the server of a request is silent."""
 
