Allow a slow store to answer the check after a failed watch

A store that answers each call after 0.6 s to 2.6 s was taken for lost after one failed watch, as the check that replaced the next watch had 0.6 s.

Change: calls that don't wait have 2.0 s, as lists had before.

Evidence: test_check_after_a_failed_watch_allows_for_a_slow_store failed before (0.6) and passes now.

--- a/fighitch/gateway/store_watch.py
+++ b/fighitch/gateway/store_watch.py
@@ -20,7 +20,8 @@
 
 _OK = 200
 _GONE = 410
-_LIST_TIMEOUT: Seconds = 2.0
+# Time that a slow store has to answer a call that does not wait.
+_CALL_TIMEOUT: Seconds = 2.0
 _WATCH_TIMEOUT_MARGIN: Seconds = 0.6
 _INITIAL_RETRY_DELAY: Seconds = 0.1
 # Failed calls are billed too, hence the back-off. The delay stays shorter until the
@@ -178,7 +179,7 @@
         self._call(
             target,
             self._on_list_response,
-            _LIST_TIMEOUT,
+            _CALL_TIMEOUT,
             reuse_connection=bool(after),
         )
 
@@ -228,7 +229,9 @@
         self, wait: Seconds, on_response: Callable[[int, bytes], None]
     ) -> None:
         target = store.watch_target(self._options.kind, self._revision, wait)
-        self._call(target, on_response, wait + _WATCH_TIMEOUT_MARGIN)
+        self._call(
+            target, on_response, max(wait + _WATCH_TIMEOUT_MARGIN, _CALL_TIMEOUT)
+        )
 
     def _on_watch_response(self, status: int, body: bytes) -> None:
         if status == _OK:
--- a/fighitch/tests/test_store_watch.py
+++ b/fighitch/tests/test_store_watch.py
@@ -50,6 +50,17 @@
         with_copy = self.retry_delays(8)
         self.assertLess(max(without_copy), max(with_copy))
 
+    def test_check_after_a_failed_watch_allows_for_a_slow_store(self):
+        # A store that answers each call after a second must not be taken for lost.
+        self.watcher.start()
+        self.respond(200, EMPTY_LIST)
+        self.loop.call_later.call_args.args[1]()
+        self.respond(0)
+        self.loop.call_later.call_args.args[1]()
+        call = self.client.call.call_args
+        self.assertIn(b"WaitMs=0 ", call.args[0])
+        self.assertGreaterEqual(call.kwargs["timeout"], 2.0)
+
     def test_backoff_grows_and_resets_after_each_contact(self):
         self.watcher.start()
         first = self.retry_delays(5)
