--- a/fighitch/gateway/entry.py
+++ b/fighitch/gateway/entry.py
@@ -70,6 +70,7 @@
 # engine changes its server object; the pause batches these changes into one call. The
 # rest of the notice leaves time for a slow or repeated call.
 _SERVER_WATCH_PAUSE_SHARE = 0.4
+# Longest wait of a watch; each call is billed.
 _WATCH_WAIT: Seconds = 2.0
 # Batches configurations written in quick succession; they must apply within 2 s.
 _CONFIGURATION_WATCH_PAUSE: Seconds = 0.25
