Apply changed limits on callers to open connections

What callers saw: a configuration that made the idle timeout longer was not followed on connections that were open already. The entry closed them by the old limit, and a caller that reused one within the new limit found it closed. A body or head that the newest configuration allows was rejected with 413 or 431 on such a connection, and one that it no longer allows was accepted.

Cause: CallerConnection took the limits once, when it was accepted. Class of fault: state of an earlier configuration that outlives it in a long-lived object.

Ruled out: a late configuration; new connections had the new limits at once.

Change: connections ask for the limits in force. A request has those of its first byte; an idle timeout that has become longer is waited for, and a shorter one holds from the next response on, so that no connection ends earlier than its caller was told. Nothing is done per connection when a configuration is applied.

Whether this is what the users' report of LOST beside a configuration shows is not known.

--- a/fighitch/gateway/entry.py
+++ b/fighitch/gateway/entry.py
@@ -322,7 +322,7 @@
         caller = CallerConnection(
             self.loop,
             sock,
-            self._caller_limits(),
+            self._caller_limits,
             on_request=self._on_request,
             on_closed=self._callers.discard,
         )
--- a/fighitch/gateway/status_server.py
+++ b/fighitch/gateway/status_server.py
@@ -53,7 +53,7 @@
         caller = CallerConnection(
             self._loop,
             sock,
-            CallerLimits(),
+            CallerLimits,
             on_request=self._on_request,
             on_closed=self._callers.discard,
         )
--- a/fighitch/runtime/http_callers.py
+++ b/fighitch/runtime/http_callers.py
@@ -81,7 +81,7 @@
         self,
         loop: EventLoop,
         sock: socket.socket,
-        limits: CallerLimits,
+        limits: Callable[[], CallerLimits],
         *,
         on_request: Callable[["CallerConnection", CallerRequest], None],
         on_closed: Callable[["CallerConnection"], None],
@@ -91,7 +91,8 @@
         Args:
             loop: Event loop that drives this connection.
             sock: Accepted socket.
-            limits: Limits on the size and duration of a request.
+            limits: Returns the limits on requests and on idle time, which may change
+                while the connection is open. A request has those of its first byte.
             on_request: Called with each complete request.
             on_closed: Called once when the connection is closed.
         """
@@ -101,7 +102,9 @@
         self.is_shutting_down = False
         self._loop = loop
         self._sock = sock
-        self._limits = limits
+        self._current_limits = limits
+        self._limits = limits()
+        self._idle_since: Seconds = loop.now()
         self._on_request = on_request
         self._on_closed = on_closed
         self._requests: deque[CallerRequest] = deque()
@@ -118,7 +121,7 @@
         self._has_boundary = False
         self._bytes_without_boundary = 0
         self._new_parser()
-        self._start_timer(limits.idle_timeout + _IDLE_SLACK, self._on_idle_timeout)
+        self._start_idle_timer()
         self._watch()
 
     @property
@@ -140,6 +143,12 @@
         """Whether the send buffer is above the high-water mark."""
         return len(self._unsent) > _HIGH_WATER_MARK
 
+    @property
+    def _idle_time_left(self) -> Seconds:
+        """Time until an idle connection is closed, by the limits in force now."""
+        timeout = self._current_limits().idle_timeout + _IDLE_SLACK
+        return self._idle_since + timeout - self._loop.now()
+
     def send_head(self, status: int, headers: Headers, *, length: int | None) -> None:
         """Sends the head of a response.
 
@@ -184,9 +193,8 @@
         if self._close_after_response:
             self._close_when_flushed()
             return
-        self._start_timer(
-            self._limits.idle_timeout + _IDLE_SLACK, self._on_idle_timeout
-        )
+        self._idle_since = self._loop.now()
+        self._start_idle_timer()
         self._next_request()
 
     def close(self) -> None:
@@ -336,6 +344,7 @@
 
     def on_message_begin(self) -> None:
         """Starts a request."""
+        self._limits = self._current_limits()
         self._is_reading_request = True
         self._request_started_at = self._loop.now()
         self._target = b""
@@ -467,8 +476,15 @@
             self._timer.cancel()
             self._timer = None
 
+    def _start_idle_timer(self) -> None:
+        self._start_timer(max(0.0, self._idle_time_left), self._on_idle_timeout)
+
     def _on_idle_timeout(self) -> None:
         self._timer = None
+        if self._idle_time_left > 0:
+            # The timeout has become longer since the timer was started.
+            self._start_idle_timer()
+            return
         if self._has_unread_input():
             # The event loop was late; the input may be a request.
             self._start_timer(_IDLE_SLACK, self._on_idle_timeout)
--- a/fighitch/tests/test_http_callers.py
+++ b/fighitch/tests/test_http_callers.py
@@ -38,7 +38,7 @@
         CallerConnection(
             self.loop,
             sock,
-            self.limits,
+            lambda: self.limits,
             on_request=self.handle_request,
             on_closed=lambda _caller: None,
         )
--- a/fighitch/tests/test_relay.py
+++ b/fighitch/tests/test_relay.py
@@ -544,7 +544,7 @@
             CallerConnection(
                 self.loop,
                 ours,
-                CallerLimits(),
+                CallerLimits,
                 on_request=on_request,
                 on_closed=mock.Mock(),
             )
--- a/standins/platform_fleet.py
+++ b/standins/platform_fleet.py
@@ -323,10 +323,13 @@
         self.put_configuration()
         return name
 
-    def put_configuration(self, **routes: dict[str, Any]) -> None:
+    def put_configuration(
+        self, limits: dict[str, int] | None = None, **routes: dict[str, Any]
+    ) -> None:
         """Writes a new version of the configuration.
 
         Args:
+            limits: Changed limits on callers.
             **routes: Changed fields by route name.
         """
         self.version += 3
@@ -367,12 +370,11 @@
             {"Name": "models", "MaxConnections": 100, "Engine": engine},
             {"Name": "orders", "MaxConnections": 100},
         ]
-        limits = {"IdleTimeoutMs": 15_000}
         spec = {
             "Version": self.version,
             "Routes": route_specs,
             "Services": services,
-            "Limits": limits,
+            "Limits": {"IdleTimeoutMs": 15_000} | (limits or {}),
         }
         self.store.put("config", "main", spec)
 
--- a/standins/platform_http.py
+++ b/standins/platform_http.py
@@ -68,7 +68,7 @@
             CallerConnection(
                 self.loop,
                 sock,
-                _LIMITS,
+                lambda: _LIMITS,
                 on_request=self.handle,
                 on_closed=self._connections.discard,
             )
