Send agents the newest engine limits when they connect

Cause: a changed limit was only noted while the agent was connected. An agent that connected afterwards got the limits of the earlier configuration, until the next change of the list of servers made the entry compare again.

Ruled out as a cause of LOST: an agent with outdated limits admits too much or too little for less than a heartbeat interval; it ends no request.

Test: EngineSpecTests in test_agent_links, failed before (4 instead of 8 slots).

--- a/fighitch/gateway/agent_links.py
+++ b/fighitch/gateway/agent_links.py
@@ -180,10 +180,10 @@
             if link is None:
                 self._add(instance_id, server, spec)
                 continue
-            if link.spec != spec and link.peer is not None:
-                link.spec = spec
+            has_changed = link.spec != spec
+            link.server, link.spec = server, spec
+            if has_changed and link.peer is not None:
                 link.peer.send(self._hello_message(link))
-            link.server = server
 
     def announce_version(self, adapter: AdapterName, version: int) -> None:
         """Announces a version of an adapter to all agents unless it is outdated."""
--- a/fighitch/tests/test_agent_links.py
+++ b/fighitch/tests/test_agent_links.py
@@ -4,9 +4,12 @@
 from dataclasses import replace
 from unittest import mock
 
+import msgspec
+
 from fighitch.core.gateway.adapter_cache import OUTDATED_VERSION_GRACE
+from fighitch.gateway import agent_links
 from fighitch.gateway.agent_links import AdmissionCallbacks, AgentLinks
-from fighitch.gateway.peer_messages import AdmissionRequest, Done, Grant
+from fighitch.gateway.peer_messages import AdmissionRequest, Done, Grant, Hello
 from fighitch.tests.gateway_helpers import A1, engine_spec, server
 
 
@@ -117,3 +120,29 @@
 
 if __name__ == "__main__":
     unittest.main()
+
+
+class EngineSpecTests(unittest.TestCase):
+    """The limits of an engine that an agent is told when it connects."""
+
+    def test_spec_that_changes_without_a_connection_is_sent_on_the_next_one(self):
+        # Guards against an agent that gets limits of an earlier configuration.
+        links = build_links(mock.Mock())
+        self.addCleanup(links.update, {})
+        with (
+            mock.patch.object(agent_links, "open_stream"),
+            mock.patch.object(agent_links, "start_connecting"),
+            mock.patch.object(agent_links, "PeerConnection") as connection,
+        ):
+            links.update({"e1": (server("e1"), engine_spec(slots=4))})
+            callbacks = connection.call_args.kwargs
+            callbacks["on_closed"](mock.Mock(), "reset")
+            links.update({"e1": (server("e1"), engine_spec(slots=8))})
+            connection.reset_mock()
+            links._connect(links._links["e1"])
+        (hello,) = [
+            call.args[0]
+            for call in connection.return_value.send.call_args_list
+            if isinstance(call.args[0], Hello)
+        ]
+        self.assertEqual(msgspec.json.decode(hello.engine_spec)["batch_slots"], 8)
