Do not cut responses that a slow caller is still reading

What callers saw: a complete response that a caller read slowly was cut when its entry stopped (2.3 s after SIGTERM), or when the idle timeout passed.

Cause: a connection counted as idle as soon as its response was finished, even if a part of it was still in the entry's buffer; closing an idle connection drops that part. Class of fault: an end that is judged by what was produced and not by what was delivered.

Ruled out: the shutdown of the sending side, which waits for the buffer.

Change: a connection with unsent bytes is not idle. A caller that is gone is still noticed by the keep-alive probes and the user timeout of the socket.

Test: two tests in test_http_callers; both failed before (3,932,205 of 16,000,000 bytes arrived). It needs a response larger than the buffers of a connection; whether it is what the users saw is not known.

--- a/fighitch/runtime/http_callers.py
+++ b/fighitch/runtime/http_callers.py
@@ -131,11 +131,12 @@
 
     @property
     def idle(self) -> bool:
-        """Whether no request is being read, queued or handled."""
+        """Whether no request is read, queued or handled, and no response is sent."""
         return (
             self._current_request is None
             and not self._requests
             and not self._is_reading_request
+            and not self._unsent
         )
 
     @property
@@ -485,8 +486,9 @@
             # The timeout has become longer since the timer was started.
             self._start_idle_timer()
             return
-        if self._has_unread_input():
-            # The event loop was late; the input may be a request.
+        if self._unsent or self._has_unread_input():
+            # The caller is slow to read its response, or the event loop was late and
+            # the input may be a request.
             self._start_timer(_IDLE_SLACK, self._on_idle_timeout)
             return
         self.close()
--- a/fighitch/tests/test_http_callers.py
+++ b/fighitch/tests/test_http_callers.py
@@ -2,6 +2,7 @@
 import threading
 import time
 import unittest
+from dataclasses import replace
 
 from fighitch.core.gateway.model import CallerLimits
 from fighitch.runtime.event_loop import READ, EventLoop
@@ -11,6 +12,8 @@
 LIMITS = CallerLimits(
     header_bytes=2_000, body_bytes=10_000, header_timeout=0.3, idle_timeout=5.0
 )
+# More than the buffers of a connection on loopback hold.
+LARGE_BYTES = 16_000_000
 
 
 class CallerConnectionTests(unittest.TestCase):
@@ -21,6 +24,7 @@
         self.disconnected = threading.Event()
         self.hold_response = False
         self.held_connections: list[CallerConnection] = []
+        self.large_connections: list[CallerConnection] = []
         self.listener = listen("127.0.0.1", 0)
         self.loop.watch(self.listener, READ, self.accept)
         self.loop.call_every(0.01, lambda: None)
@@ -52,6 +56,11 @@
             self.held_connections.append(caller)
             return
         body = b"to " + request.target
+        if request.target == b"/large":
+            self.large_connections.append(caller)
+            body = b"x" * LARGE_BYTES
+        if request.target == b"/close-idle":
+            self.large_connections[0].close_if_idle()
         caller.send_head(200, [], length=len(body))
         caller.send_body(body)
         caller.finish()
@@ -245,3 +254,36 @@
             received = self.finish_during_shutdown(sock, requests=2)
         self.assertIn(b"Connection: close", received)
         self.assertTrue(received.endswith(b"to /2"), received)
+
+    def receive_slowly(self, act: str) -> bytes:
+        """Receives a large response only after its connection counts as idle.
+
+        Args:
+            act: Request whose handling has the effect that is tested.
+        """
+        address = self.listener.getsockname()
+        with (
+            socket.create_connection(address, timeout=5) as slow,
+            socket.create_connection(address, timeout=5) as other,
+        ):
+            slow.sendall(b"GET /large HTTP/1.1\r\nHost: h\r\n\r\n")
+            while not self.large_connections:
+                time.sleep(0.01)
+            other.sendall(b"GET /%s HTTP/1.1\r\nHost: h\r\n\r\n" % act.encode())
+            time.sleep(1.5)
+            slow.settimeout(1.0)
+            received = b""
+            while len(received) < LARGE_BYTES:
+                data = slow.recv(65_536)
+                if not data:
+                    break
+                received += data
+        return received
+
+    def test_response_that_is_still_being_sent_is_not_cut_by_the_idle_timeout(self):
+        self.limits = replace(LIMITS, idle_timeout=0.1)
+        self.assertGreater(len(self.receive_slowly("nothing")), LARGE_BYTES)
+
+    def test_response_that_is_still_being_sent_is_not_cut_by_a_shutdown(self):
+        # A stopping entry closes idle connections again and again.
+        self.assertGreater(len(self.receive_slowly("close-idle")), LARGE_BYTES)
