Judge the silence of a peer by what has been read

Cause: the timer that looks for silent peers compared the time of their last message with the present time. If it was due before a callback of over 0.65 s began, it ran after the callback and before the sockets were read, so that all agents counted as lost although their messages lay unread. All requests that waited for an engine were then placed again at the same time, and sent without admission until the agents were connected again. The rule of the event loop that late timers wait for the next poll does not cover a timer that was due before the poll.

Change: the event loop tells the time of its latest poll, and entries and agents judge silence by it.

Test: StalledLoopTests in test_agent_links; the first of its two tests failed before, the second guards that a silent agent is still lost.

--- a/fighitch/gateway/agent.py
+++ b/fighitch/gateway/agent.py
@@ -470,7 +470,7 @@
         for rejection in self._queue.reject_overdue(now):
             self._deny(rejection)
         for peer in list(self._peers.values()):
-            if now - peer.last_received_at > _ENTRY_TIMEOUT:
+            if self._loop.polled_at - peer.last_received_at > _ENTRY_TIMEOUT:
                 peer.close("silent")
         self._process_queue()
         self._publish_status_if_due(now)
--- a/fighitch/gateway/agent_links.py
+++ b/fighitch/gateway/agent_links.py
@@ -453,13 +453,13 @@
             link.view.recently_unloaded.add(name)
 
     def _send_heartbeats(self) -> None:
-        now = self._loop.now()
+        polled_at = self._loop.polled_at
         heartbeat = Heartbeat(self._store_epoch())
         for link in list(self._links.values()):
             if link.peer is None:
                 continue
             timeout = _AGENT_TIMEOUT if link.view.connected else _CONNECT_TIMEOUT
-            if now - link.peer.last_received_at > timeout:
+            if polled_at - link.peer.last_received_at > timeout:
                 link.peer.close("silent")
                 continue
             link.peer.send(heartbeat)
--- a/fighitch/runtime/event_loop.py
+++ b/fighitch/runtime/event_loop.py
@@ -39,8 +39,18 @@
         self._timers: list[tuple[Seconds, int, Timer]] = []
         self._sequence = itertools.count()
         self._running = False
+        self._polled_at: Seconds = clock()
         self.on_error: Callable[[BaseException], None] | None = None
 
+    @property
+    def polled_at(self) -> Seconds:
+        """Time until which input counts as read when timers run.
+
+        A peer is silent only if nothing arrived until then: what it sent during a long
+        callback is still unread.
+        """
+        return self._polled_at
+
     def now(self) -> Seconds:
         """Returns the monotonic time in seconds."""
         return self._clock()
@@ -92,13 +102,13 @@
     def run_once(self, max_wait: Seconds) -> None:
         """Waits for events once and runs the callbacks that are due."""
         ready = self._selector.select(self._wait_time(max_wait))
-        polled_at = self._clock()
+        self._polled_at = self._clock()
         for key, events in ready:
             self._call(key.data, events)
         now = self._clock()
-        if now - polled_at > _MAX_POLL_AGE:
+        if now - self._polled_at > _MAX_POLL_AGE:
             # A timeout must not expire while the input that ends it is unread.
-            now = polled_at
+            now = self._polled_at
         while self._timers and self._timers[0][0] <= now:
             timer = heapq.heappop(self._timers)[2]
             callback, timer.callback = timer.callback, None
--- a/fighitch/tests/test_agent_links.py
+++ b/fighitch/tests/test_agent_links.py
@@ -1,5 +1,8 @@
 """Tests of ``fighitch.gateway.agent_links``."""
 
+import itertools
+import socket
+import time
 import unittest
 from dataclasses import replace
 from unittest import mock
@@ -9,12 +12,25 @@
 from fighitch.core.gateway.adapter_cache import OUTDATED_VERSION_GRACE
 from fighitch.gateway import agent_links
 from fighitch.gateway.agent_links import AdmissionCallbacks, AgentLinks
-from fighitch.gateway.peer_messages import AdmissionRequest, Done, Grant, Hello
+from fighitch.gateway.peer_messages import (
+    AdmissionRequest,
+    Done,
+    Grant,
+    Hello,
+    Status,
+    encode,
+)
+from fighitch.runtime.event_loop import READ, EventLoop
 from fighitch.tests.gateway_helpers import A1, engine_spec, server
 
 
-def build_links(loop: mock.Mock) -> AgentLinks:
+def mock_loop() -> mock.Mock:
+    loop = mock.Mock()
     loop.now.return_value = 0.0
+    return loop
+
+
+def build_links(loop: EventLoop) -> AgentLinks:
     return AgentLinks(
         loop,
         entry="front-1",
@@ -34,7 +50,7 @@
     """An engine whose agent can't be reached must not keep the others from theirs."""
 
     def setUp(self):
-        self.loop = mock.Mock()
+        self.loop = mock_loop()
         self.links = build_links(self.loop)
         self.addCleanup(self.links.update, {})
 
@@ -53,7 +69,7 @@
     """The version that engines must hold after a newer one was announced."""
 
     def setUp(self):
-        self.loop = mock.Mock()
+        self.loop = mock_loop()
         self.links = build_links(self.loop)
 
     def announce(self, version: int, now: float) -> None:
@@ -97,7 +113,7 @@
             mock.patch("fighitch.gateway.agent_links.start_connecting"),
         ):
             peers.side_effect = lambda *_args, **_options: mock.Mock()
-            links = build_links(mock.Mock())
+            links = build_links(mock_loop())
             engines = {"e1": (server("e1"), engine_spec())}
             links.update(engines)
             earlier, earlier_number = self.request_admission(links)
@@ -127,7 +143,7 @@
 
     def test_spec_that_changes_without_a_connection_is_sent_on_the_next_one(self):
         # Guards against an agent that gets limits of an earlier configuration.
-        links = build_links(mock.Mock())
+        links = build_links(mock_loop())
         self.addCleanup(links.update, {})
         with (
             mock.patch.object(agent_links, "open_stream"),
@@ -146,3 +162,63 @@
             if isinstance(call.args[0], Hello)
         ]
         self.assertEqual(msgspec.json.decode(hello.engine_spec)["batch_slots"], 8)
+
+
+class StalledLoopTests(unittest.TestCase):
+    """Agents whose messages lie unread while a callback of the entry takes long."""
+
+    def setUp(self):
+        self.loop = EventLoop()
+        self.links = build_links(self.loop)
+        self.addCleanup(self.links.update, {})
+        ours, self.agent = socket.socketpair()
+        self.busy, self.busy_peer = socket.socketpair()
+        for sock in (self.agent, self.busy, self.busy_peer):
+            self.addCleanup(sock.close)
+        # The agent is reached once; later attempts to connect fail.
+        attempts = itertools.chain([None], itertools.repeat(OSError()))
+        for patch in (
+            mock.patch.object(agent_links, "open_stream", return_value=ours),
+            mock.patch.object(agent_links, "start_connecting", side_effect=attempts),
+            mock.patch("fighitch.gateway.peer_connection.set_stream_options"),
+        ):
+            patch.start()
+            self.addCleanup(patch.stop)
+        ours.setblocking(False)
+
+    def run_for(self, seconds: float) -> None:
+        end = time.monotonic() + seconds
+        while time.monotonic() < end:
+            self.loop.run_once(0.01)
+
+    def send_status(self) -> None:
+        self.agent.sendall(encode(Status(1, True, False, 0, 0, 0, 1)))
+
+    def stall(self, _events: int) -> None:
+        self.busy.recv(1)
+        time.sleep(1.0)
+        self.send_status()
+
+    def test_agent_is_not_lost_while_its_messages_are_unread(self):
+        # Guards against all waiting requests being rejected after a long callback, such
+        # as the decoding of a large configuration.
+        self.links.update({"e1": (server("e1"), engine_spec())})
+        self.run_for(0.1)
+        self.send_status()
+        self.run_for(0.1)
+        self.assertTrue(self.links.is_connected("e1"))
+        self.loop.watch(self.busy, READ, self.stall)
+        self.busy_peer.send(b"x")
+        # The next heartbeat is due before the callback begins.
+        time.sleep(0.5)
+        self.loop.run_once(0.01)
+        self.assertTrue(self.links.is_connected("e1"))
+        self.run_for(0.1)
+        self.assertTrue(self.links.is_connected("e1"))
+
+    def test_silent_agent_is_lost(self):
+        self.links.update({"e1": (server("e1"), engine_spec())})
+        self.run_for(0.1)
+        self.send_status()
+        self.run_for(2.0)
+        self.assertFalse(self.links.is_connected("e1"))
