Answer requests that are followed by invalid input

What callers saw: a complete request whose connection brought invalid input right behind it, in the same segment, got neither an answer nor a rejection, and the connection stayed open without any timeout. Invalid input is also a second request over a size limit that the configuration has lowered. A complete request that was queued behind one in progress was dropped when the connection closed.

Cause: the rejection of invalid input waited for the requests before it, but a request that had only been queued was not started, and the mark that ends the connection dropped the queue.

Ruled out: the timers of the request; that of the head ran, and its rejection took the same path.

Change: the requests before invalid input are started and answered in order; the last of them announces the end of the connection if its head is not sent yet. A rejection ends the timers of its request, which could have added a second rejection while the first one was unsent.

It needs a caller that sends more before its response has arrived; whether the users' callers do is not known.

--- a/fighitch/runtime/http_callers.py
+++ b/fighitch/runtime/http_callers.py
@@ -113,6 +113,8 @@
         self._chunked = False
         self._close_after_response = False
         self._is_rejecting = False
+        # Whether invalid input followed requests that are still to be answered.
+        self._has_invalid_input = False
         self._closed = False
         self._has_stopped_reading = False
         self._caller_requested_close = False
@@ -159,7 +161,7 @@
                 ``Connection``.
             length: Length of the body; None selects chunked transfer coding.
         """
-        self._close_if_shutting_down()
+        self._close_after_last_request()
         reason = _REASON_PHRASES.get(status, b"Status")
         lines = [b"HTTP/1.1 %d %s" % (status, reason)]
         lines += [b"%s: %s" % header for header in headers]
@@ -190,7 +192,7 @@
         self.on_buffer_drained = None
         if self._closed:
             return
-        self._close_if_shutting_down()
+        self._close_after_last_request()
         if self._close_after_response:
             self._close_when_flushed()
             return
@@ -318,11 +320,15 @@
 
         The bytes after an invalid request cannot be parsed reliably.
         """
+        self._is_reading_request = False
         if self._current_request is not None or self._requests:
-            # The response in progress is completed before the connection is closed.
-            self._close_after_response = True
+            # The requests before it are complete and get their responses before the
+            # connection is closed.
+            self._has_invalid_input = True
             self._has_stopped_reading = True
+            self._next_request()
             return
+        self._cancel_timer()
         self._close_after_response = True
         self._is_rejecting = True
         body = b'{"error":"bad_request"}'
@@ -443,9 +449,10 @@
             return
         self._watch()
 
-    def _close_if_shutting_down(self) -> None:
-        """Makes this the last response during shutdown, unless a request is queued."""
-        if self.is_shutting_down and not self._requests:
+    def _close_after_last_request(self) -> None:
+        """Makes this the last response if no other request is queued or can follow."""
+        is_ending = self.is_shutting_down or self._has_invalid_input
+        if is_ending and not self._requests:
             self._close_after_response = True
 
     def _close_when_flushed(self) -> None:
--- a/fighitch/tests/test_http_callers.py
+++ b/fighitch/tests/test_http_callers.py
@@ -8,6 +8,7 @@
 from fighitch.runtime.event_loop import READ, EventLoop
 from fighitch.runtime.http_callers import CallerConnection, CallerRequest
 from fighitch.runtime.sockets import listen
+from standins.platform_fleet import wait_until
 
 LIMITS = CallerLimits(
     header_bytes=2_000, body_bytes=10_000, header_timeout=0.3, idle_timeout=5.0
@@ -185,6 +186,51 @@
     def test_malformed_request_is_rejected(self):
         self.assertIn(b"400", self.send_and_receive(b"\0\1\2\3\r\n\r\n"))
 
+    def receive_all(self, sent: bytes) -> bytes:
+        """Sends bytes at once; returns what is received until the connection ends."""
+        with socket.create_connection(self.listener.getsockname(), timeout=5) as sock:
+            sock.sendall(sent)
+            received = b""
+            while data := sock.recv(65_536):
+                received += data
+        return received
+
+    def assert_answered_and_closed(self, received: bytes, *, requests: int):
+        """Expects one response to each request and the announcement of the close."""
+        self.assertEqual(received.count(b"HTTP/1.1 "), requests, received)
+        self.assertEqual(received.count(b" 200 OK"), requests, received)
+        self.assertEqual(received.count(b"Connection: close"), 1, received)
+        self.assertTrue(received.endswith(b"to /%d" % requests), received)
+
+    def test_request_with_a_malformed_one_behind_it_is_answered(self):
+        # Guards against a complete request that gets neither answer nor rejection
+        # because the bytes that arrive with it are invalid.
+        request = b"GET /1 HTTP/1.1\r\nHost: h\r\n\r\n"
+        received = self.receive_all(request + b"nonsense\r\n\r\n")
+        self.assert_answered_and_closed(received, requests=1)
+
+    def test_request_with_a_too_large_one_behind_it_is_answered(self):
+        request = b"GET /1 HTTP/1.1\r\nHost: h\r\n\r\n"
+        large = b"GET /2 HTTP/1.1\r\nHost: h\r\nX: " + b"x" * 3_000 + b"\r\n\r\n"
+        self.assert_answered_and_closed(self.receive_all(request + large), requests=1)
+
+    def test_queued_request_with_a_malformed_one_behind_it_is_answered(self):
+        self.hold_response = True
+        request = b"GET /%d HTTP/1.1\r\nHost: h\r\n\r\n"
+
+        def answer_held():
+            self.hold_response = False
+            self.handle_request(self.held_connections[0], self.requests[0])
+
+        with socket.create_connection(self.listener.getsockname(), timeout=5) as sock:
+            sock.sendall(request % 1 + request % 2 + b"nonsense\r\n\r\n")
+            self.assertTrue(wait_until(lambda: bool(self.held_connections)))
+            self.loop.call_later(0, answer_held)
+            received = b""
+            while data := sock.recv(65_536):
+                received += data
+        self.assert_answered_and_closed(received, requests=2)
+
     def test_disconnect_is_detected_while_the_response_is_pending(self):
         self.hold_response = True
         with socket.create_connection(self.listener.getsockname()) as sock:
