Keep the timeout of a request that began before a response

What callers saw: a request of which a part arrived before the response to an earlier one was not rejected with 408 if its rest was late. Its connection was closed by the idle timeout, within the request and without an answer; with a short idle timeout, also while its body was still arriving.

Cause: the end of a response started the idle timeout although a request was being read, and a running timer keeps that of the request from being started.

Ruled out: requests of which no byte arrived before the response.

Change: the end of a response starts the timeout of the head or body instead if a request is being read.

Test: one test in test_http_callers, failed before (closed without a 408). It needs a caller that sends before its response has arrived; whether the users' callers do is not known.

--- a/fighitch/runtime/http_callers.py
+++ b/fighitch/runtime/http_callers.py
@@ -197,7 +197,11 @@
             self._close_when_flushed()
             return
         self._idle_since = self._loop.now()
-        self._start_idle_timer()
+        if self._is_reading_request:
+            # A part of the next request arrived before this response.
+            self._start_request_timer()
+        else:
+            self._start_idle_timer()
         self._next_request()
 
     def close(self) -> None:
@@ -229,6 +233,7 @@
     def _new_parser(self) -> None:
         self._parser = httptools.HttpRequestParser(self)
         self._is_reading_request = False
+        self._is_reading_body = False
         self._target = b""
         self._headers: Headers = []
         self._head_bytes = 0
@@ -292,7 +297,7 @@
             and self._current_request is None
             and self._timer is None
         ):
-            self._start_timer(self._limits.header_timeout, self._on_request_timeout)
+            self._start_request_timer()
         self._next_request()
 
     def _check_header_size(self, received: int) -> None:
@@ -358,8 +363,9 @@
         self._headers = []
         self._head_bytes = 0
         self._body = bytearray()
+        self._is_reading_body = False
         if self._current_request is None:
-            self._start_timer(self._limits.header_timeout, self._on_request_timeout)
+            self._start_request_timer()
 
     def on_url(self, url: bytes) -> None:
         """Appends to the request target."""
@@ -378,8 +384,9 @@
             expects = name.lower() == b"expect" and value.lower() == b"100-continue"
             if expects and self._current_request is None:
                 self._write(b"HTTP/1.1 100 Continue\r\n\r\n")
+        self._is_reading_body = True
         if self._current_request is None:
-            self._start_timer(_BODY_TIMEOUT, self._on_request_timeout)
+            self._start_request_timer()
 
     def on_body(self, data: bytes) -> None:
         """Appends to the body and enforces its size limit."""
@@ -487,6 +494,12 @@
     def _start_idle_timer(self) -> None:
         self._start_timer(max(0.0, self._idle_time_left), self._on_idle_timeout)
 
+    def _start_request_timer(self) -> None:
+        """Limits the time until the head, or then the body, of a request is read."""
+        limits = self._limits
+        timeout = _BODY_TIMEOUT if self._is_reading_body else limits.header_timeout
+        self._start_timer(timeout, self._on_request_timeout)
+
     def _on_idle_timeout(self) -> None:
         self._timer = None
         if self._idle_time_left > 0:
--- a/fighitch/tests/test_http_callers.py
+++ b/fighitch/tests/test_http_callers.py
@@ -231,6 +231,25 @@
                 received += data
         self.assert_answered_and_closed(received, requests=2)
 
+    def test_part_of_a_request_that_came_before_a_response_is_rejected_in_time(self):
+        # Guards against an idle timeout that closes a connection within a request.
+        self.limits = replace(LIMITS, idle_timeout=0.1)
+        self.hold_response = True
+
+        def answer_held():
+            self.hold_response = False
+            self.handle_request(self.held_connections[0], self.requests[0])
+
+        request = b"GET /1 HTTP/1.1\r\nHost: h\r\n\r\n"
+        with socket.create_connection(self.listener.getsockname(), timeout=5) as sock:
+            sock.sendall(request + b"GET /2 HTTP/1.1\r\nHost:")
+            self.assertTrue(wait_until(lambda: bool(self.held_connections)))
+            self.loop.call_later(0, answer_held)
+            received = b""
+            while data := sock.recv(65_536):
+                received += data
+        self.assertLess(received.index(b"to /1"), received.index(b" 408 "))
+
     def test_disconnect_is_detected_while_the_response_is_pending(self):
         self.hold_response = True
         with socket.create_connection(self.listener.getsockname()) as sock:
