Let the tests of a stalled loop run on a clock of their own

The two tests slept and left 0.3 s to a busy machine: with a later wake-up the agent is rightly lost and the test fails. The event loop takes a clock, so that the stall, the silence and the heartbeats are now exact; the conditions are the same. The first test still fails without the fix that it was written for, the second guards that a silent agent is lost. The call that runs the file's tests is at its end again.

--- a/fighitch/tests/test_agent_links.py
+++ b/fighitch/tests/test_agent_links.py
@@ -2,7 +2,6 @@
 
 import itertools
 import socket
-import time
 import unittest
 from dataclasses import replace
 from unittest import mock
@@ -134,10 +133,6 @@
         return callbacks, links.request_admission("e1", message, callbacks)
 
 
-if __name__ == "__main__":
-    unittest.main()
-
-
 class EngineSpecTests(unittest.TestCase):
     """The limits of an engine that an agent is told when it connects."""
 
@@ -168,7 +163,8 @@
     """Agents whose messages lie unread while a callback of the entry takes long."""
 
     def setUp(self):
-        self.loop = EventLoop()
+        self.now = 0.0
+        self.loop = EventLoop(lambda: self.now)
         self.links = build_links(self.loop)
         self.addCleanup(self.links.update, {})
         ours, self.agent = socket.socketpair()
@@ -185,40 +181,42 @@
             patch.start()
             self.addCleanup(patch.stop)
         ours.setblocking(False)
+        self.links.update({"e1": (server("e1"), engine_spec())})
+        self.run_for(0.1)
+        self.send_status()
+        self.run_for(0.1)
+        self.assertTrue(self.links.is_connected("e1"))
 
     def run_for(self, seconds: float) -> None:
-        end = time.monotonic() + seconds
-        while time.monotonic() < end:
-            self.loop.run_once(0.01)
+        """Runs the loop on a clock of the test, so that a busy machine has no part."""
+        for _ in range(round(seconds / 0.01)):
+            self.now += 0.01
+            self.loop.run_once(0.0)
 
     def send_status(self) -> None:
         self.agent.sendall(encode(Status(1, True, False, 0, 0, 0, 1)))
 
     def stall(self, _events: int) -> None:
         self.busy.recv(1)
-        time.sleep(1.0)
+        self.now += 1.0
         self.send_status()
 
     def test_agent_is_not_lost_while_its_messages_are_unread(self):
         # Guards against all waiting requests being rejected after a long callback, such
         # as the decoding of a large configuration.
-        self.links.update({"e1": (server("e1"), engine_spec())})
-        self.run_for(0.1)
-        self.send_status()
-        self.run_for(0.1)
-        self.assertTrue(self.links.is_connected("e1"))
         self.loop.watch(self.busy, READ, self.stall)
         self.busy_peer.send(b"x")
         # The next heartbeat is due before the callback begins.
-        time.sleep(0.5)
-        self.loop.run_once(0.01)
+        self.now += 0.5
+        self.loop.run_once(0.0)
         self.assertTrue(self.links.is_connected("e1"))
         self.run_for(0.1)
         self.assertTrue(self.links.is_connected("e1"))
 
     def test_silent_agent_is_lost(self):
-        self.links.update({"e1": (server("e1"), engine_spec())})
-        self.run_for(0.1)
-        self.send_status()
         self.run_for(2.0)
         self.assertFalse(self.links.is_connected("e1"))
+
+
+if __name__ == "__main__":
+    unittest.main()
