Close a peer connection that overflows after the send

Cause: a connection with too many unsent bytes closed within the send of an admission request. The request was denied, and placed at another engine, before the caller of the send stored its number; the number of the second request was then overwritten by that of the first. The end of the request would have been reported under the wrong number, and a later grant of the second engine could have sent the request once more.

Ruled out as a likely cause of LOST: it takes 4 MiB of unsent messages to one agent within the 0.9 s after which the agent counts as lost.

Change: the connection closes in the next round of the event loop and takes no further messages until then.

Test: OverflowingPeerTests in test_agent_links, failed before.

--- a/fighitch/gateway/peer_connection.py
+++ b/fighitch/gateway/peer_connection.py
@@ -52,15 +52,21 @@
         self._send_buffer = bytearray()
         self._closed = False
         self._flush_scheduled = False
+        self._is_overflowing = False
         self._update_watch()
 
     def send(self, message: Message) -> None:
-        """Queues a message; messages of one loop iteration share a system call."""
-        if self._closed:
+        """Queues a message; messages of one loop iteration share a system call.
+
+        The connection does not close before the call returns, so that a sender is not
+        called back within it.
+        """
+        if self._closed or self._is_overflowing:
             return
         self._send_buffer += encode(message)
         if len(self._send_buffer) > _MAX_SEND_BUFFER_BYTES:
-            self.close("peer_reads_too_slowly")
+            self._is_overflowing = True
+            self._loop.call_later(0, lambda: self.close("peer_reads_too_slowly"))
             return
         if not self._flush_scheduled:
             self._flush_scheduled = True
--- a/fighitch/tests/test_agent_links.py
+++ b/fighitch/tests/test_agent_links.py
@@ -218,5 +218,47 @@
         self.assertFalse(self.links.is_connected("e1"))
 
 
+class OverflowingPeerTests(unittest.TestCase):
+    """An agent that reads too slowly while it is asked for admission."""
+
+    def test_request_is_denied_after_its_number_is_known(self):
+        # Guards against an admission that keeps the number of an earlier request, so
+        # that its end is reported for the wrong one.
+        loop = EventLoop()
+        links = build_links(loop)
+        self.addCleanup(links.update, {})
+        ours, theirs = socket.socketpair()
+        self.addCleanup(theirs.close)
+        ours.setblocking(False)
+        attempts = itertools.chain([None], itertools.repeat(OSError()))
+        with (
+            mock.patch.object(agent_links, "open_stream", return_value=ours),
+            mock.patch.object(agent_links, "start_connecting", side_effect=attempts),
+            mock.patch("fighitch.gateway.peer_connection.set_stream_options"),
+        ):
+            links.update({"e1": (server("e1"), engine_spec())})
+            on_deny = mock.Mock()
+            callbacks = AdmissionCallbacks(mock.Mock(), mock.Mock(), on_deny)
+            request = AdmissionRequest(
+                number=0,
+                model="m",
+                adapter="a1",
+                version=0,
+                rank=0,
+                prompt_tokens=1,
+                output_tokens=1,
+                target_ms=1,
+                deadline_ms=1,
+                may_decline=False,
+            )
+            limit = "fighitch.gateway.peer_connection._MAX_SEND_BUFFER_BYTES"
+            with mock.patch(limit, 1):
+                links.request_admission("e1", request, callbacks)
+            on_deny.assert_not_called()
+            for _ in range(3):
+                loop.run_once(0.0)
+            on_deny.assert_called_once_with(None)
+
+
 if __name__ == "__main__":
     unittest.main()
