Answer a request if an error keeps its relay from being created

What callers would see: no answer until they give up. Only the placement of a request was guarded against unexpected errors; an error between the reading of a request and its placement was logged by the event loop, and nothing was left that would answer. Within a pipelined connection it also kept the request before it from ending, whose deadline then closed the connection.

Ruled out: that such an error is known. None was found by reading what decodes a request and finds its route, nor by any log; this guards the class of fault.

Change: such an error is logged with the id of the request and answered with 503.

Test: InternalErrorTests in test_gateway_entry, failed before.

--- a/fighitch/gateway/entry.py
+++ b/fighitch/gateway/entry.py
@@ -335,6 +335,25 @@
         return self._configuration.limits
 
     def _on_request(self, caller: CallerConnection, request: CallerRequest) -> None:
+        """Answers a request or creates its relay.
+
+        An unexpected error ends the request at once; its caller would otherwise wait
+        until it gives up.
+        """
+        try:
+            relay = self._create_relay(caller, request)
+        except Exception as error:
+            request_id = (request.get(b"attempt-id") or b"").decode("latin-1")
+            self.record_internal_error(request_id, error)
+            send_failure_response(caller, FailureKind.NO_SERVER, request_id)
+            return
+        if relay is not None:
+            relay.place()
+
+    def _create_relay(
+        self, caller: CallerConnection, request: CallerRequest
+    ) -> Relay | None:
+        """Creates the relay of a request; returns None if the request is answered."""
         metadata = decode_request(request)
         if (
             not metadata.request_id
@@ -342,11 +361,11 @@
             or not metadata.path.startswith("/")
         ):
             self._send_failure_response(caller, metadata, FailureKind.BAD_REQUEST)
-            return
+            return None
         configuration = self._configuration
         if configuration is None:
             self._send_failure_response(caller, metadata, FailureKind.NOT_CONFIGURED)
-            return
+            return None
         route = self._routes.find(metadata.host, metadata.path)
         if route is None:
             # Without current contact with the store, the route may exist in a newer
@@ -354,14 +373,14 @@
             is_current = self._watchers[0].is_current(self.loop.now())
             kind = FailureKind.NO_ROUTE if is_current else FailureKind.NOT_CONFIGURED
             self._send_failure_response(caller, metadata, kind)
-            return
+            return None
         service_name = choose_service(route, metadata.request_id)
         service = configuration.services.get(service_name) or Service(service_name)
         self._retry_budget(service_name).record_request(self.loop.now())
         relay = Relay(self, caller, request, metadata, route, service)
         self._relays.add(relay)
         self._end_before_stop(relay)
-        relay.place()
+        return relay
 
     def _send_failure_response(
         self, caller: CallerConnection, metadata: RequestMetadata, kind: FailureKind
--- a/fighitch/tests/test_gateway_entry.py
+++ b/fighitch/tests/test_gateway_entry.py
@@ -84,6 +84,26 @@
         self.assertFalse(entry.is_ready(waiting_for))
 
 
+class InternalErrorTests(unittest.TestCase):
+    """Unexpected errors before a request has a relay."""
+
+    def test_request_is_rejected_at_once(self):
+        # Guards against a complete request that gets neither answer nor rejection.
+        with (
+            mock.patch.object(entry_module, "KindWatcher"),
+            mock.patch.object(entry_module, "listen", return_value=None),
+        ):
+            entry = GatewayEntry(mock.Mock(), SETTINGS, mock.Mock(), mock.Mock())
+        headers = [(b"Host", b"h"), (b"Attempt-Id", b"x")]
+        request = CallerRequest(b"GET", b"/p/", headers, b"", 0.0)
+        caller = mock.Mock()
+        with mock.patch.object(entry_module, "decode_request", side_effect=KeyError):
+            entry._on_request(caller, request)
+        self.assertEqual(caller.send_head.call_args.args[0], 503)
+        self.assertIn((b"Attempt-Id", b"x"), caller.send_head.call_args.args[1])
+        caller.finish.assert_called_once()
+
+
 HEARTBEAT = {
     "Service": "models",
     "Address": "10.0.0.9:8080",
