Count the idle time of a slow caller from the end of its response

What callers saw: a connection whose response was read after the idle timeout was closed within a second of its last byte, although its caller may reuse it for four fifths of the timeout.

Cause: the idle time began when the response was produced, not when it was sent. A connection with unsent bytes was only looked at again each second.

Ruled out: a close within a response; unsent bytes are waited for.

Change: the idle time begins anew as long as a part of the response is unsent.

Test: SlowCallerTests in test_http_callers, on a clock of its own; failed before (broken pipe).

--- a/fighitch/runtime/http_callers.py
+++ b/fighitch/runtime/http_callers.py
@@ -506,9 +506,13 @@
             # The timeout has become longer since the timer was started.
             self._start_idle_timer()
             return
-        if self._unsent or self._has_unread_input():
-            # The caller is slow to read its response, or the event loop was late and
-            # the input may be a request.
+        if self._unsent:
+            # The caller is slow to read its response; it is idle once it has it.
+            self._idle_since = self._loop.now()
+            self._start_idle_timer()
+            return
+        if self._has_unread_input():
+            # The event loop was late; the input may be a request.
             self._start_timer(_IDLE_SLACK, self._on_idle_timeout)
             return
         self.close()
--- a/fighitch/tests/test_http_callers.py
+++ b/fighitch/tests/test_http_callers.py
@@ -3,6 +3,7 @@
 import time
 import unittest
 from dataclasses import replace
+from unittest import mock
 
 from fighitch.core.gateway.model import CallerLimits
 from fighitch.runtime.event_loop import READ, EventLoop
@@ -352,3 +353,52 @@
     def test_response_that_is_still_being_sent_is_not_cut_by_a_shutdown(self):
         # A stopping entry closes idle connections again and again.
         self.assertGreater(len(self.receive_slowly("close-idle")), LARGE_BYTES)
+
+
+class SlowCallerTests(unittest.TestCase):
+    """A caller that reads a response after the idle timeout, on a clock of the test."""
+
+    def setUp(self):
+        self.now = 0.0
+        self.loop = EventLoop(lambda: self.now)
+        ours, self.caller = socket.socketpair()
+        self.addCleanup(self.caller.close)
+        ours.setblocking(False)
+        self.caller.setblocking(False)
+        with mock.patch("fighitch.runtime.http_callers.set_stream_options"):
+            connection = CallerConnection(
+                self.loop,
+                ours,
+                lambda: LIMITS,
+                on_request=self.answer,
+                on_closed=mock.Mock(),
+            )
+        self.addCleanup(connection.close)
+
+    def answer(self, caller: CallerConnection, _request: CallerRequest) -> None:
+        caller.send_head(200, [], length=LARGE_BYTES)
+        caller.send_body(b"x" * LARGE_BYTES)
+        caller.finish()
+
+    def read_response(self) -> None:
+        count = 0
+        while count < LARGE_BYTES:
+            try:
+                data = self.caller.recv(1_000_000)
+            except BlockingIOError:
+                self.loop.run_once(0.0)
+                continue
+            self.assertTrue(data, f"closed after {count} bytes")
+            count += len(data)
+
+    def test_idle_time_begins_when_the_response_is_sent(self):
+        request = b"GET / HTTP/1.1\r\nHost: h\r\n\r\n"
+        self.caller.sendall(request)
+        self.loop.run_once(0.0)
+        self.now += LIMITS.idle_timeout + 1.1
+        self.loop.run_once(0.0)
+        self.read_response()
+        self.now += 0.8 * LIMITS.idle_timeout
+        self.loop.run_once(0.0)
+        self.caller.sendall(request)
+        self.read_response()
