Give callers ten seconds to take a part of their response

What callers saw: a caller that read nothing for about 3 s lost its connection within its response (ConnectionResetError after 128,045 of 16,000,000 bytes, 3.28 s).

Cause: the user timeout of the socket, which detects peers that disappear, also ends a connection whose peer answers probes but takes nothing. 3 s suit servers and other processes of the system, not callers.

Ruled out: the timers of the connection; the same response arrives whole if the caller pauses for 1.5 s.

Change: 10 s for callers, as long as they may take to send a body. A caller that is gone holds its connection for up to 7 s longer.

--- a/fighitch/runtime/http_callers.py
+++ b/fighitch/runtime/http_callers.py
@@ -9,7 +9,7 @@
 
 from fighitch.core.gateway.model import CallerLimits
 from fighitch.runtime.event_loop import READ, WRITE, EventLoop, Timer
-from fighitch.runtime.sockets import set_stream_options
+from fighitch.runtime.sockets import CALLER_USER_TIMEOUT_MS, set_stream_options
 from fighitch.types import Headers, Seconds
 
 _RECEIVE_BYTES = 65_536
@@ -96,7 +96,7 @@
             on_request: Called with each complete request.
             on_closed: Called once when the connection is closed.
         """
-        set_stream_options(sock)
+        set_stream_options(sock, user_timeout_ms=CALLER_USER_TIMEOUT_MS)
         self.on_disconnected: Callable[[], None] | None = None
         self.on_buffer_drained: Callable[[], None] | None = None
         self.is_shutting_down = False
--- a/fighitch/runtime/sockets.py
+++ b/fighitch/runtime/sockets.py
@@ -5,6 +5,9 @@
 
 # A peer that disappears without a reset is detected after about this time.
 _USER_TIMEOUT_MS = 3_000
+# Callers may be slow to read; the timeout ends the connection of one that takes nothing
+# of a response, too, even if its host still acknowledges probes.
+CALLER_USER_TIMEOUT_MS = 10_000
 _KEEPALIVE_IDLE_SECONDS = 2
 _KEEPALIVE_INTERVAL_SECONDS = 1
 _KEEPALIVE_PROBES = 2
@@ -38,8 +41,16 @@
         raise OSError(f"cannot connect to port {port}: {error}") from error
 
 
-def set_stream_options(sock: socket.socket) -> None:
-    """Makes a socket non-blocking and enables the detection of an unresponsive peer."""
+def set_stream_options(
+    sock: socket.socket, *, user_timeout_ms: int = _USER_TIMEOUT_MS
+) -> None:
+    """Makes a socket non-blocking and enables the detection of an unresponsive peer.
+
+    Args:
+        sock: Socket of a TCP connection.
+        user_timeout_ms: Time after which a connection ends if its peer does not take
+            what was sent, in ms.
+    """
     sock.setblocking(False)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
@@ -48,7 +59,7 @@
         socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, _KEEPALIVE_INTERVAL_SECONDS
     )
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, _KEEPALIVE_PROBES)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, _USER_TIMEOUT_MS)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, user_timeout_ms)
 
 
 def listen(host: str, port: int) -> socket.socket:
