Log requests that are rejected before they are read as a whole

Requests that the connection itself rejects (400, 408, 413, 431) left no line in the log and no metric, and neither did a complete request that was dropped because invalid input followed it.

Change: event=request_invalid with the id and path, as far as they were read, and the status; counted as invalid_STATUS. The name of the id header is decoded in fighitch/platform only.

Tests: test_changed_limits and test_http_callers.

--- a/fighitch/gateway/entry.py
+++ b/fighitch/gateway/entry.py
@@ -55,6 +55,7 @@
     RequestMetadata,
     asked_pause,
     decode_request,
+    decode_request_id,
     is_from_another_instance,
     is_leaving,
     named_limit,
@@ -325,6 +326,7 @@
             self._caller_limits,
             on_request=self._on_request,
             on_closed=self._callers.discard,
+            on_invalid=self._record_invalid_request,
         )
         caller.is_shutting_down = self._stopping_since is not None
         self._callers.add(caller)
@@ -334,6 +336,16 @@
             return CallerLimits()
         return self._configuration.limits
 
+    def _record_invalid_request(self, status: int, request: CallerRequest) -> None:
+        """Records a request that was rejected before it was read as a whole."""
+        self.metrics.count_request("", f"invalid_{status}")
+        self._log.event(
+            "request_invalid",
+            request=decode_request_id(request),
+            path=request.target.partition(b"?")[0].decode("latin-1"),
+            status=status,
+        )
+
     def _on_request(self, caller: CallerConnection, request: CallerRequest) -> None:
         """Answers a request or creates its relay.
 
@@ -343,7 +355,7 @@
         try:
             relay = self._create_relay(caller, request)
         except Exception as error:
-            request_id = (request.get(b"attempt-id") or b"").decode("latin-1")
+            request_id = decode_request_id(request)
             self.record_internal_error(request_id, error)
             send_failure_response(caller, FailureKind.NO_SERVER, request_id)
             return
--- a/fighitch/platform/requests.py
+++ b/fighitch/platform/requests.py
@@ -105,7 +105,7 @@
     path = request.target.partition(b"?")[0].decode("latin-1")
     resume_after = request.get(_RESUME_AFTER) or b""
     return RequestMetadata(
-        request_id=_single_value(request.values(_REQUEST_ID)),
+        request_id=decode_request_id(request),
         host=_single_value(request.values(b"host")),
         path=path,
         time_left=_parse_milliseconds(request.get(_DEADLINE)),
@@ -116,6 +116,11 @@
     )
 
 
+def decode_request_id(request: CallerRequest) -> str:
+    """Returns the id of a request; empty if it is missing or duplicated."""
+    return _single_value(request.values(_REQUEST_ID))
+
+
 def encode_request(
     request: CallerRequest,
     *,
--- a/fighitch/runtime/http_callers.py
+++ b/fighitch/runtime/http_callers.py
@@ -85,6 +85,9 @@
         *,
         on_request: Callable[["CallerConnection", CallerRequest], None],
         on_closed: Callable[["CallerConnection"], None],
+        on_invalid: Callable[[int, CallerRequest], None] = lambda _status, _request: (
+            None
+        ),
     ) -> None:
         """Starts reading requests.
 
@@ -95,6 +98,9 @@
                 while the connection is open. A request has those of its first byte.
             on_request: Called with each complete request.
             on_closed: Called once when the connection is closed.
+            on_invalid: Called with the status that an invalid request gets, and with
+                what was read of it. Requests before it are answered first, and the
+                status is not sent then.
         """
         set_stream_options(sock, user_timeout_ms=CALLER_USER_TIMEOUT_MS)
         self.on_disconnected: Callable[[], None] | None = None
@@ -107,6 +113,7 @@
         self._idle_since: Seconds = loop.now()
         self._on_request = on_request
         self._on_closed = on_closed
+        self._on_invalid = on_invalid
         self._requests: deque[CallerRequest] = deque()
         self._current_request: CallerRequest | None = None
         self._unsent = bytearray()
@@ -326,6 +333,12 @@
         The bytes after an invalid request cannot be parsed reliably.
         """
         self._is_reading_request = False
+        self._on_invalid(
+            status,
+            CallerRequest(
+                b"", self._target, self._headers, b"", self._request_started_at
+            ),
+        )
         if self._current_request is not None or self._requests:
             # The requests before it are complete and get their responses before the
             # connection is closed.
--- a/fighitch/tests/test_changed_limits.py
+++ b/fighitch/tests/test_changed_limits.py
@@ -66,6 +66,9 @@
         self.connect()
         self.put_limits(MaxBodyBytes=1_000)
         self.assertEqual(self.send("second", b"x" * 50_000).status, 413)
+        line = "event=request_invalid instance=front-0 request=second path=/order/x"
+        log = self.fleet.entries[0].log
+        self.assertTrue(wait_until(lambda: f"{line} status=413" in log()))
 
     def test_larger_head_is_accepted_once_it_is_allowed(self):
         self.put_limits(MaxHeaderBytes=1_000)
--- a/fighitch/tests/test_http_callers.py
+++ b/fighitch/tests/test_http_callers.py
@@ -23,6 +23,7 @@
         self.loop = EventLoop()
         self.limits = LIMITS
         self.requests: list[CallerRequest] = []
+        self.invalid: list[tuple[int, CallerRequest]] = []
         self.disconnected = threading.Event()
         self.hold_response = False
         self.held_connections: list[CallerConnection] = []
@@ -47,6 +48,7 @@
             lambda: self.limits,
             on_request=self.handle_request,
             on_closed=lambda _caller: None,
+            on_invalid=lambda status, request: self.invalid.append((status, request)),
         )
 
     def handle_request(self, caller, request):
@@ -173,6 +175,8 @@
             b"GET / HTTP/1.1\r\nX: " + b"a" * 3_000 + b"\r\n\r\n"
         )
         self.assertIn(b"431", received)
+        ((status, request),) = self.invalid
+        self.assertEqual((status, request.target), (431, b"/"))
 
     def test_oversized_body_is_rejected(self):
         received = self.send_and_receive(
@@ -209,6 +213,7 @@
         request = b"GET /1 HTTP/1.1\r\nHost: h\r\n\r\n"
         received = self.receive_all(request + b"nonsense\r\n\r\n")
         self.assert_answered_and_closed(received, requests=1)
+        self.assertEqual([status for status, _ in self.invalid], [400])
 
     def test_request_with_a_too_large_one_behind_it_is_answered(self):
         request = b"GET /1 HTTP/1.1\r\nHost: h\r\n\r\n"
