Judge the end of the grace period of servers by what has been read

Cause: a server whose list entry lapsed was removed once the present time had passed its grace period. After a long callback that was the case although the store had listed it again in time, in a message that lay unread.

Ruled out as a cause of LOST: requests that wait for such a server are placed elsewhere, and what runs there goes on.

Test: LapsedServerTests in test_gateway_entry, failed before.

--- a/fighitch/gateway/entry.py
+++ b/fighitch/gateway/entry.py
@@ -299,7 +299,8 @@
     def _run_housekeeping(self) -> None:
         # The second watcher is that of the servers.
         if not self._watchers[1].is_lost:
-            self._on_membership_changes(self._membership.expire(self.loop.now()))
+            expired = self._membership.expire(self.loop.polled_at)
+            self._on_membership_changes(expired)
         self._pauses.drop_ended(self.loop.now())
         self.quarantine.run_housekeeping()
         self._limit_shares.set_entries(self._entry_count, self.loop.now())
--- a/fighitch/tests/test_gateway_entry.py
+++ b/fighitch/tests/test_gateway_entry.py
@@ -8,6 +8,7 @@
 
 from hypothesis import given, settings, strategies
 
+from fighitch.core.gateway.membership import LAPSE_GRACE
 from fighitch.core.gateway.model import Configuration, Service
 from fighitch.core.gateway.retry_budget import BudgetLimits
 from fighitch.core.gateway.settings import Address, InstanceSettings
@@ -84,6 +85,31 @@
         self.assertFalse(entry.is_ready(waiting_for))
 
 
+class LapsedServerTests(unittest.TestCase):
+    """Servers that are listed again while the entry stands still."""
+
+    def test_server_is_not_removed_while_its_new_entry_is_unread(self):
+        # Guards against a removal after a long callback, when the grace period has
+        # ended but what the store sent in time has not been read.
+        with (
+            mock.patch.object(entry_module, "KindWatcher"),
+            mock.patch.object(entry_module, "listen", return_value=None),
+        ):
+            entry = GatewayEntry(mock.Mock(), SETTINGS, mock.Mock(), mock.Mock())
+            entry.start()
+        entry._watchers[1].is_lost = False
+        entry._membership.put(server("e1"))
+        entry._membership.record_store_contact(0.0, after_outage=True)
+        entry._membership.remove("e1", 0.0)
+        entry.loop.now.return_value = LAPSE_GRACE + 1.0
+        entry.loop.polled_at = LAPSE_GRACE - 1.0
+        entry._run_housekeeping()
+        self.assertTrue(entry.is_ready(server("e1")))
+        entry.loop.polled_at = LAPSE_GRACE + 1.0
+        entry._run_housekeeping()
+        self.assertFalse(entry.is_ready(server("e1")))
+
+
 class InternalErrorTests(unittest.TestCase):
     """Unexpected errors before a request has a relay."""
 
