--- a/benchmarks/tests/test_platform_soak_checks.py
+++ b/benchmarks/tests/test_platform_soak_checks.py
@@ -190,6 +190,34 @@
         self.record.planned = True
         self.assertIn("response was lost", " ".join(self.violations("order", LOST, 1)))
 
+    def lost_after(self, seconds: float) -> bool:
+        """Returns whether a stream that is cut after a time counts as lost."""
+        cut = CallerResponse(200, SIGNED, EVENTS[:20], complete=False)
+        sent = SentRequest("r1", "stream", 1.0, cut, FIRST_INCARNATION, 1.0 + seconds)
+        self.record.planned, self.record.sent = True, [sent]
+        self.record.violations.clear()
+        self.fleet.engines[0].runs = [RunRecord("r1", {}, b"", "/")]
+        check(self.record, self.fleet)
+        return any("response was lost" in item for item in self.record.violations)
+
+    def test_stream_that_ends_before_its_time_limit_is_lost(self):
+        self.assertTrue(self.lost_after(3.8))
+        self.assertFalse(self.lost_after(4.0))
+        # A configuration with a shorter timeout came during the request.
+        self.record.timeouts = [(1.5, 3.0)]
+        self.assertTrue(self.lost_after(2.8))
+        self.assertFalse(self.lost_after(3.0))
+        # One that was replaced long before is not in force.
+        self.record.timeouts = [(-5.0, 3.0), (-3.0, 5.0)]
+        self.assertTrue(self.lost_after(3.8))
+
+    def test_long_stream_must_have_all_its_events(self):
+        answer = CallerResponse(200, SIGNED, EVENTS)
+        sent = SentRequest("r1", "stream", 1.0, answer, FIRST_INCARNATION, 2.0, 5)
+        self.record.sent = [sent]
+        check(self.record, self.fleet)
+        self.assertIn("r1: events", " ".join(self.record.violations))
+
     def test_overdue_response_is_detected_in_a_planned_run(self):
         self.record.planned = True
         overdue = CallerResponse(0, {}, b"", complete=False, timed_out=True)
