Let leaving engines of planned soak runs complete their streams

The entry logged outcome=closed for the attempt at engine-1, at the moment (11.14) at which the soak ended the leave of engine-1, which had begun at 10.36.

Cause: the soak. The end of a leave restarts the stand-in, which closes its connections, and the heal at the end of the load ends a leave early. With streams of a few hundredths of a second that never met one under way.

Change: in planned runs an engine restarts once its streams are complete, within 6 s. Mixed runs are as before. No check is changed.

--- a/benchmarks/platform_soak.py
+++ b/benchmarks/platform_soak.py
@@ -45,6 +45,7 @@
     RUN_TIME_HEADER,
     BackendFaults,
     PlatformBackend,
+    PlatformEngine,
 )
 from standins.platform_fleet import (
     FleetProcess,
@@ -78,6 +79,10 @@
 _IDLE_TIMEOUTS_MS = (300, 1_000, 3_000, 15_000)
 _ROUTE_TIMEOUTS_MS = (3_000, 5_000, 8_000)
 _USUAL_TIMEOUT = 5.0
+# A leaving engine is asked this often whether it still streams: for longer than any
+# stream may take.
+_CHECK_INTERVAL = 0.05
+_MAX_CHECKS = 120
 _RESPONSE_FAULTS = (
     "reset",
     "errors",
@@ -534,10 +539,27 @@
         length = self._random.uniform(3.0, 6.0)
         self._schedule_clear(length, lambda: self._end_leave(server, incarnation))
 
-    def _end_leave(self, server: PlatformBackend, incarnation: tuple[str, int]) -> None:
-        """Starts the next incarnation unless a crash or restart has done so."""
+    def _end_leave(
+        self,
+        server: PlatformBackend,
+        incarnation: tuple[str, int],
+        *,
+        checks: int = _MAX_CHECKS,
+    ) -> None:
+        """Starts the next incarnation unless a crash or restart has done so.
+
+        In a planned run an engine completes its streams first. A stream that it broke
+        off itself would count as lost by the programs.
+        """
         if server.incarnation != incarnation:
             return
+        is_streaming = isinstance(server, PlatformEngine) and server.is_streaming
+        if self._planned and is_streaming and checks > 0:
+            self._schedule_clear(
+                _CHECK_INTERVAL,
+                lambda: self._end_leave(server, incarnation, checks=checks - 1),
+            )
+            return
         old = server.instance_id
         # Engines that restart after a crash are numbered on their own.
         name = f"{old.partition('+')[0]}+left-{next(self._incarnations)}"
@@ -567,6 +589,7 @@
         self._log_fault("heal")
         while self._pending_clears:
             heapq.heappop(self._pending_clears)[2]()
+            time.sleep(_CHECK_INTERVAL)
         for link in self._fleet.links.values():
             link.heal()
         for name in _RESPONSE_FAULTS:
--- a/standins/platform_backends.py
+++ b/standins/platform_backends.py
@@ -400,12 +400,18 @@
         self._adapter_state = _AdapterState()
         self._sequence = 0
         self._event_numbers = itertools.count(1)
+        self._streams: set[_Stream] = set()
         # Taken in turn; None stands for the whole stream, without regard to
         # Last-Event-Id.
         self.wrong_continuations: Iterator[WrongContinuation | None] = itertools.cycle(
             (*WRONG_CONTINUATIONS, None)
         )
 
+    @property
+    def is_streaming(self) -> bool:
+        """Whether a stream is under way."""
+        return any(not stream.connection.closed for stream in list(self._streams))
+
     def restart(self, instance_id: str) -> None:
         """Restarts as a new incarnation without any state of the previous one."""
         super().restart(instance_id)
@@ -483,6 +489,7 @@
             int(headers.get(EVENTS_HEADER, self.events)),
             int(interval_ms) / 1_000 if interval_ms else self.event_interval,
         )
+        self._streams.add(stream)
         self._send_event(stream, first)
 
     def _send_wrong_continuation(
@@ -501,12 +508,15 @@
     def _send_event(self, stream: _Stream, number: int) -> None:
         connection = stream.connection
         if connection.closed:
+            self._streams.discard(stream)
             return
         if number > 2 and self.faults.consume("cut_streams"):
+            self._streams.discard(stream)
             connection.send_body(b"id: %d\nda" % number)
             connection.close()
             return
         if number > stream.events:
+            self._streams.discard(stream)
             connection.finish()
             return
         connection.send_body(
