Count requests passed on and let planned operations of the soak meet

The check of lost responses counted requests that ran. The rule counts those that were passed on, so requests that a server received and rejected count too. Its test is extended.

Planned runs inject an operation every 0.35 s on average instead of every 0.65 s, so that they meet each other and long requests. Configurations vary the slots of engines (1, 2 and 8), so that requests wait at agents.

--- a/benchmarks/platform_soak.py
+++ b/benchmarks/platform_soak.py
@@ -167,10 +167,12 @@
         with ThreadPoolExecutor(_CALLERS) as pool:
             for seed in seeds:
                 pool.submit(self._call_until, ending, random.Random(seed))
+            # Planned operations have to meet each other and long requests.
+            longest = 0.6 if self._planned else 1.2
             try:
                 while self._now() < self._seconds:
                     self._inject_fault()
-                    self._wait(self._random.uniform(0.1, 1.2))
+                    self._wait(self._random.uniform(0.1, longest))
                 self._clear_faults()
                 time.sleep(_RECOVERY_TIME)
                 self._log_fault("healed")
@@ -448,7 +450,7 @@
         for _ in range(self._random.randint(1, 5)):
             idle_ms = self._random.choice(_IDLE_TIMEOUTS_MS)
             timeout_ms = self._random.choice(_ROUTE_TIMEOUTS_MS)
-            names_engine = self._random.random() < 0.8
+            slots = self._random.choice((None, 1, 2, 8, 8))
             route: dict[str, Any] = {"TimeoutMs": timeout_ms}
             moved = self._random.choice(("", *_ROUTES))
             changes = dict.fromkeys(_ROUTES, route)
@@ -463,11 +465,11 @@
                 }
             self._log_fault(
                 f"configuration with idle {idle_ms} timeout {timeout_ms} "
-                f"moved {moved or 'none'} engine {names_engine}"
+                f"moved {moved or 'none'} slots {slots}"
             )
             self._record.timeouts.append((self._now(), timeout_ms / 1_000))
             self._fleet.put_configuration(
-                {"IdleTimeoutMs": idle_ms}, names_engine=names_engine, **changes
+                {"IdleTimeoutMs": idle_ms}, engine_slots=slots, **changes
             )
             self._wait(self._random.uniform(0.0, 0.2))
         if self._random.random() < 0.5:
--- a/benchmarks/platform_soak_checks.py
+++ b/benchmarks/platform_soak_checks.py
@@ -112,12 +112,14 @@
     record.longest_stall = max(stalls, default=0.0)
     servers: Sequence[PlatformBackend] = (*fleet.plain_servers, *fleet.engines)
     runs = Counter(run.request_id for server in servers for run in server.runs)
+    received = (item.request_id for server in servers for item in server.received)
+    passed_on = {*received, *runs}
     known = {sent.request_id for sent in record.sent}
     for sent in record.sent:
         record.violations += _request_violations(sent, runs[sent.request_id])
         if record.planned:
             record.violations += _loss_violations(
-                sent, runs[sent.request_id], record.timeouts
+                sent, sent.request_id in passed_on, record.timeouts
             )
     for request_id in runs.keys() - known:
         record.violations.append(f"{request_id}: ran, but no caller sent it")
@@ -197,14 +199,14 @@
 
 
 def _loss_violations(
-    sent: SentRequest, runs: int, timeouts: Sequence[tuple[float, float]]
+    sent: SentRequest, is_passed_on: bool, timeouts: Sequence[tuple[float, float]]
 ) -> list[str]:
-    """Returns a violation if a response was lost in a planned run.
+    """Returns a violation if a request that reached a server got no whole response.
 
     A response that ends at its deadline or at the timeout of its route is not lost.
     """
-    if sent.answer.complete or sent.answer.timed_out or not runs:
-        # A request sent while its connection is being closed is lost, but never runs.
+    if sent.answer.complete or sent.answer.timed_out or not is_passed_on:
+        # A request sent while its connection is being closed reaches no server.
         return []
     time_limit = min(
         (
@@ -218,8 +220,8 @@
     if took >= min(time_limit, _DEADLINE) - _DEADLINE_SLACK:
         return []
     return [
-        f"{sent.request_id} ({sent.route}) at {sent.at:.2f}: ran, but its response was "
-        f"lost after {took:.2f} s"
+        f"{sent.request_id} ({sent.route}) at {sent.at:.2f}: passed on, but its "
+        f"response was lost after {took:.2f} s"
     ]
 
 
--- a/benchmarks/tests/test_platform_soak_checks.py
+++ b/benchmarks/tests/test_platform_soak_checks.py
@@ -211,6 +211,11 @@
         self.record.timeouts = [(-5.0, 3.0), (-3.0, 5.0)]
         self.assertTrue(self.lost_after(3.8))
 
+    def test_request_that_a_server_rejected_needs_a_response_too(self):
+        self.record.planned = True
+        self.fleet.engines[0].received = [ReceivedRequest("r1", 1.0, ("e", 1))]
+        self.assertIn("response was lost", " ".join(self.violations("order", LOST, 0)))
+
     def test_long_stream_must_have_all_its_events(self):
         answer = CallerResponse(200, SIGNED, EVENTS)
         sent = SentRequest("r1", "stream", 1.0, answer, FIRST_INCARNATION, 2.0, 5)
--- a/standins/platform_fleet.py
+++ b/standins/platform_fleet.py
@@ -27,6 +27,7 @@
 _START_TIMEOUT = 20.0
 _STOP_TIMEOUT = 15.0
 _SLOW_READ_BYTES = 16_384
+_ENGINE_SLOTS = 8
 
 
 @dataclass(frozen=True, slots=True)
@@ -345,14 +346,15 @@
         self,
         limits: dict[str, int] | None = None,
         *,
-        names_engine: bool = True,
+        engine_slots: int | None = _ENGINE_SLOTS,
         **routes: dict[str, Any],
     ) -> None:
         """Writes a new version of the configuration.
 
         Args:
             limits: Changed limits on callers.
-            names_engine: Whether the service of the engines is one of engines.
+            engine_slots: Requests that an engine runs at once; None if the service is
+                not said to be one of engines.
             **routes: Changed fields by route name.
         """
         self.version += 3
@@ -382,7 +384,7 @@
             }
             route_specs.append(route | base.get(name, {}) | routes.get(name, {}))
         engine = {
-            "Slots": 8,
+            "Slots": engine_slots,
             "KvCapacity": 100_000,
             "WeightsMb": 200,
             "MaxAdapters": self.engines[0].adapter_slots if self.engines else 1,
@@ -393,7 +395,7 @@
             {"Name": "models", "MaxConnections": 100},
             {"Name": "orders", "MaxConnections": 100},
         ]
-        if names_engine:
+        if engine_slots is not None:
             services[0]["Engine"] = engine
         spec = {
             "Version": self.version,
