Ignore SIGHUP while the commands of daemons start

The same cause as in the gateway processes, in the commands of the command line: entry, sidecar, gateway-entry and engine-agent ended with -1 if SIGHUP came before their handler was installed. It is ignored from the start of the command on; the import of the command line itself comes before and stays as it was.

Test: test_commands_read_their_settings, all four subtests failed before (-1 instead of the exit code of unusable settings).

--- a/fighitch/cli/daemons.py
+++ b/fighitch/cli/daemons.py
@@ -4,6 +4,8 @@
 without loading modules that only daemons need.
 """
 
+import signal
+
 from cleo.commands.command import Command
 from cleo.helpers import option
 
@@ -19,6 +21,11 @@
     return str(path)
 
 
+def _ignore_reloads() -> None:
+    """Ignores SIGHUP, which would end the process, until its handler is installed."""
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+
+
 class EntryCommand(Command):
     """Runs an entry."""
 
@@ -34,6 +41,7 @@
 
     def handle(self) -> int:
         """Runs the command."""
+        _ignore_reloads()
         path = _settings_path(self)
         from fighitch.daemons.entry import run
 
@@ -55,6 +63,7 @@
 
     def handle(self) -> int:
         """Runs the command."""
+        _ignore_reloads()
         path = _settings_path(self)
         from fighitch.daemons.sidecar import run
 
@@ -77,6 +86,7 @@
 
     def handle(self) -> int:
         """Runs the command."""
+        _ignore_reloads()
         from fighitch.gateway.process import run_entry
 
         return run_entry(str(self.option("settings") or ""))
@@ -98,6 +108,7 @@
 
     def handle(self) -> int:
         """Runs the command."""
+        _ignore_reloads()
         from fighitch.gateway.process import run_agent
 
         return run_agent(str(self.option("settings") or ""))
--- a/fighitch/tests/test_reload_at_start.py
+++ b/fighitch/tests/test_reload_at_start.py
@@ -1,4 +1,4 @@
-"""SIGHUP to gateway processes that are starting."""
+"""SIGHUP to processes that are starting."""
 
 import os
 import signal
@@ -23,10 +23,10 @@
         self.path = Path(folder.name) / "settings"
         os.mkfifo(self.path)
 
-    def exit_code(self, role: str) -> int:
+    def exit_code(self, *arguments: str) -> int:
         """Sends SIGHUP to a process that waits for settings, then unusable settings."""
         process = subprocess.Popen(
-            [sys.executable, "-m", "fighitch.gateway", role],
+            [sys.executable, "-m", *arguments],
             cwd=ROOT,
             env=os.environ | {"FIGHITCH_SETTINGS": str(self.path)},
             stderr=subprocess.DEVNULL,
@@ -46,8 +46,13 @@
         os.close(writers[0])
         return process.wait(10.0)
 
-    def test_entry_reads_its_settings(self):
-        self.assertEqual(self.exit_code("entry"), BAD_SETTINGS)
+    def test_gateway_processes_read_their_settings(self):
+        for role in ("entry", "agent"):
+            with self.subTest(role):
+                self.assertEqual(self.exit_code("fighitch.gateway", role), BAD_SETTINGS)
 
-    def test_agent_reads_its_settings(self):
-        self.assertEqual(self.exit_code("agent"), BAD_SETTINGS)
+    def test_commands_read_their_settings(self):
+        for command in ("entry", "sidecar", "gateway-entry", "engine-agent"):
+            with self.subTest(command):
+                code = self.exit_code("fighitch", command, "--settings", str(self.path))
+                self.assertEqual(code, BAD_SETTINGS)
