Report and restart processes that end by themselves in the soak

At the heal, a process that ended is restarted and counts as a violation. One that SIGHUP ended counts as inconclusive, as a program can't handle the signal before its interpreter has started.

--- a/benchmarks/platform_soak.py
+++ b/benchmarks/platform_soak.py
@@ -583,6 +583,20 @@
         for server in chosen:
             server.pauses_until = time.monotonic() + length
 
+    def _restart_ended_processes(self) -> None:
+        """Reports and restarts processes that ended by themselves."""
+        for process in (*self._fleet.entries, *self._fleet.agents):
+            code = process.ended_with
+            if code is None:
+                continue
+            line = f"{process.settings['NodeName']} ended by itself with {code}"
+            self._log_fault(line)
+            # A program can't handle SIGHUP before its interpreter has started.
+            is_hangup = code == -signal.SIGHUP
+            record = self._record
+            (record.inconclusive if is_hangup else record.violations).append(line)
+            process.kill_and_restart()
+
     def _record_disturbance(self, length: float) -> None:
         now = time.monotonic()
         self._record.disturbances.append((now, now + length + _DISTURBANCE_MARGIN))
@@ -599,6 +613,7 @@
         self._faults.wrong_continuations = 0
         self._faults.lost_orders = 0
         self._restore_configuration()
+        self._restart_ended_processes()
         wait_until(lambda: all(map(self._fleet.is_ready, self._fleet.entries)))
 
 
--- a/standins/platform_fleet.py
+++ b/standins/platform_fleet.py
@@ -155,6 +155,11 @@
         self._restart_lock = threading.Lock()
         self.process = self._start()
 
+    @property
+    def ended_with(self) -> int | None:
+        """Exit code of a process that ended and is not being restarted, else None."""
+        return None if self._restart_lock.locked() else self.process.poll()
+
     def write_settings(self) -> None:
         """Writes the settings file."""
         self.path.write_text(json.dumps(self.settings))
