--- a/fighitch/runtime/http_callers.py
+++ b/fighitch/runtime/http_callers.py
@@ -85,9 +85,7 @@
         *,
         on_request: Callable[["CallerConnection", CallerRequest], None],
         on_closed: Callable[["CallerConnection"], None],
-        on_invalid: Callable[[int, CallerRequest], None] = lambda _status, _request: (
-            None
-        ),
+        on_invalid: Callable[[int, CallerRequest], None] | None = None,
     ) -> None:
         """Starts reading requests.
 
@@ -98,9 +96,9 @@
                 while the connection is open. A request has those of its first byte.
             on_request: Called with each complete request.
             on_closed: Called once when the connection is closed.
-            on_invalid: Called with the status that an invalid request gets, and with
-                what was read of it. Requests before it are answered first, and the
-                status is not sent then.
+            on_invalid: Called with the status for an invalid request and with what was
+                read of it. The status is not sent if requests before it are still to be
+                answered.
         """
         set_stream_options(sock, user_timeout_ms=CALLER_USER_TIMEOUT_MS)
         self.on_disconnected: Callable[[], None] | None = None
@@ -333,12 +331,8 @@
         The bytes after an invalid request cannot be parsed reliably.
         """
         self._is_reading_request = False
-        self._on_invalid(
-            status,
-            CallerRequest(
-                b"", self._target, self._headers, b"", self._request_started_at
-            ),
-        )
+        if self._on_invalid is not None:
+            self._on_invalid(status, self._build_request(b""))
         if self._current_request is not None or self._requests:
             # The requests before it are complete and get their responses before the
             # connection is closed.
@@ -413,17 +407,21 @@
         """Queues the complete request."""
         self._has_boundary = True
         self._is_reading_request = False
-        request = CallerRequest(
-            self._parser.get_method(),
+        request = self._build_request(self._parser.get_method())
+        self._body = bytearray()
+        if not self._parser.should_keep_alive():
+            self._caller_requested_close = True
+        self._requests.append(request)
+
+    def _build_request(self, method: bytes) -> CallerRequest:
+        """Returns what was read of the current request."""
+        return CallerRequest(
+            method,
             self._target,
             self._headers,
             bytes(self._body),
             self._request_started_at,
         )
-        self._body = bytearray()
-        if not self._parser.should_keep_alive():
-            self._caller_requested_close = True
-        self._requests.append(request)
 
     def _count_head(self, count: int) -> None:
         self._head_bytes += count
@@ -509,8 +507,9 @@
 
     def _start_request_timer(self) -> None:
         """Limits the time until the head, or then the body, of a request is read."""
-        limits = self._limits
-        timeout = _BODY_TIMEOUT if self._is_reading_body else limits.header_timeout
+        timeout = self._limits.header_timeout
+        if self._is_reading_body:
+            timeout = _BODY_TIMEOUT
         self._start_timer(timeout, self._on_request_timeout)
 
     def _on_idle_timeout(self) -> None:
