Take back the crash of an engine that goes on as the same incarnation

Callers saw: requests with a sound prompt part rejected with 503 (prompt_quarantined) on all entries, for up to an hour.

Cause: an agent reports an engine that is silent for about a second as not serving, and entries end its requests by a takeover (outcome slow). The entry took both together for a crash. Three such engines with a part that had no answer yet, or five with one that had, blocked the part. As no request with the part was sent any more, no answer could release it, and the stored object blocked it on entries that started later. A takeover that ended just after the silence counted as well.

Ruled out: requests that are only lost, without the report of the agent; and agents that are silent with their engine, as an agent that is not heard sends no status.

Change: an engine that serves again as the same incarnation refutes its crash, at once if its agent had reported it as lost on this connection, else 3 s after the crash, so that evidence that other entries or agents still send is refuted too. Stored groups that rested on it are not credible any more and are deleted. The remaining crashes still count.

--- a/fighitch/core/gateway/crash_evidence.py
+++ b/fighitch/core/gateway/crash_evidence.py
@@ -6,7 +6,8 @@
 
 The evidence is a set of crashes, each with the parts of the requests that were lost
 before their answer was under way, and the time at which a request with a part was last
-answered. Both only grow, so that instances can merge them in any order.
+answered. Both only grow, so that instances can merge them in any order. Only the crash
+of an engine that turns out to run is removed; each instance sees that for itself.
 """
 
 from collections import OrderedDict
@@ -66,6 +67,8 @@
         # Answers that the other instances know.
         self._shared_answers: dict[str, Seconds] = {}
         self._groups: tuple[PartGroup, ...] = ()
+        # Latest time at which engines are known to run that were taken for crashed.
+        self._refuted: dict[Incarnation, Seconds] = {}
 
     @property
     def crashes(self) -> Collection[Crash]:
@@ -88,6 +91,8 @@
         Returns:
             Whether this was new.
         """
+        if crash.at <= self._refuted.get(crash.engine, float("-inf")):
+            return False
         known = self._crashes.get(crash.engine)
         parts = crash.parts if known is None else known.parts | crash.parts
         if len(parts) > _MAX_PARTS_PER_CRASH:
@@ -106,6 +111,28 @@
         self._update()
         return True
 
+    def refute_crash(self, engine: Incarnation, at: Seconds) -> bool:
+        """Removes the crash of an incarnation that was seen to run after it.
+
+        An engine that is silent for a while loses requests to other engines and counts
+        as down, like one that has crashed, but goes on as the same incarnation.
+
+        Args:
+            engine: Incarnation that runs.
+            at: Time at which it ran.
+
+        Returns:
+            Whether a crash was removed.
+        """
+        crash = self._crashes.get(engine)
+        if crash is None or crash.at > at:
+            return False
+        del self._crashes[engine]
+        # Other instances may still report it.
+        self._refuted[engine] = at
+        self._update()
+        return True
+
     def record_answered(self, parts: Iterable[str], at: Seconds) -> None:
         """Records that a request with these parts was answered without a crash."""
         releases = False
@@ -177,6 +204,9 @@
     def expire(self, now: Seconds) -> None:
         """Drops evidence older than its lifetime."""
         oldest = now - EVIDENCE_LIFETIME
+        self._refuted = {
+            engine: at for engine, at in self._refuted.items() if at >= oldest
+        }
         expired = [item.engine for item in self._crashes.values() if item.at < oldest]
         if not expired:
             return
--- a/fighitch/core/gateway/lost_runs.py
+++ b/fighitch/core/gateway/lost_runs.py
@@ -50,6 +50,11 @@
         self._down[engine] = now
         return self._crash(engine)
 
+    def record_recovered(self, engine: Incarnation) -> None:
+        """Records that an engine was silent and goes on as the same incarnation."""
+        self._lost.pop(engine, None)
+        self._down.pop(engine, None)
+
     def _crash(self, engine: Incarnation) -> Crash | None:
         lost = self._lost.get(engine)
         if not lost or engine not in self._down:
--- a/fighitch/core/gateway/quarantine.py
+++ b/fighitch/core/gateway/quarantine.py
@@ -8,6 +8,7 @@
 from dataclasses import dataclass
 
 from fighitch.core.gateway.crash_evidence import CrashEvidence, PartGroup
+from fighitch.core.gateway.model import Incarnation
 from fighitch.types import Seconds
 
 # A group is stored once it has stood for this time: evidence from other instances may
@@ -45,6 +46,8 @@
         self._write_lost_at: Seconds = float("inf")
         # End of the groups whose objects were deleted. A restored copy may hold them.
         self._released: dict[str, int] = {}
+        # Groups that rested on a crash which turned out to be none.
+        self._refuted: set[PartGroup] = set()
 
     @property
     def groups(self) -> set[PartGroup]:
@@ -66,7 +69,31 @@
         An instance that was cut off takes its lost requests for crashes of engines, and
         has no answer that shows otherwise.
         """
-        return all(self.evidence.answered_at(part) is None for part in group)
+        return group not in self._refuted and all(
+            self.evidence.answered_at(part) is None for part in group
+        )
+
+    def refute_crash(self, engine: Incarnation, at: Seconds) -> bool:
+        """Removes the crash of an engine that was seen to run after it.
+
+        Returns:
+            Whether a crash was removed.
+        """
+        earlier_groups = self.evidence.groups
+        if not self.evidence.refute_crash(engine, at):
+            return False
+        remaining = frozenset[str]().union(*self.evidence.groups)
+        self._refuted.update(
+            group for group in earlier_groups if remaining.isdisjoint(group)
+        )
+        return True
+
+    @property
+    def refuted_names(self) -> list[str]:
+        """Names of the stored groups that rested on a crash which was none."""
+        return [
+            name for name, item in self._stored.items() if item.parts in self._refuted
+        ]
 
     def record_own_parts(self, parts: Collection[str]) -> None:
         """Records that this instance lost requests with these parts in a crash."""
@@ -116,6 +143,7 @@
             unix_ms: Current Unix time, in ms.
         """
         self.evidence.expire(now)
+        self._refuted.difference_update(self.evidence.groups)
         self._own_parts.intersection_update(self.evidence.involved_parts)
         self._stored = {
             name: item for name, item in self._stored.items() if item.until_ms > unix_ms
@@ -132,12 +160,14 @@
     def release(self, name: str, now: Seconds) -> None:
         """Ends the quarantine of a group whose object was deleted.
 
-        Earlier crashes count no longer, so that the parts get another chance.
+        Earlier crashes count no longer, so that the parts get another chance. After a
+        crash that was none, the others still count.
         """
         self._lost.pop(name, None)
         stored = self._stored.pop(name, None)
         if stored is not None:
             self._released[name] = stored.until_ms
+        if stored is not None and stored.parts not in self._refuted:
             self.evidence.record_answered(stored.parts, now)
 
     def lost_to_store(self, now: Seconds) -> list[StoredQuarantine]:
--- a/fighitch/gateway/agent_links.py
+++ b/fighitch/gateway/agent_links.py
@@ -115,6 +115,7 @@
         log: BoundedLog,
         on_draining: Callable[[str], None],
         on_down: Callable[[BackendServer], None],
+        on_serving: Callable[[BackendServer, bool], None],
         on_crash_report: Callable[[CrashReport], None],
         all_crashes: Callable[[], CrashReport | None],
         named_limit: Callable[[BackendServer], float | None],
@@ -132,6 +133,8 @@
             on_draining: Called with the instance id of an engine that is draining.
             on_down: Called with an engine that its agent can't reach any more, or that
                 has restarted.
+            on_serving: Called with an engine that responds to its agent, and with
+                whether the agent had reported on this connection that it did not.
             on_crash_report: Called with a crash report of another entry.
             all_crashes: Returns all known crashes, for an agent that has connected.
             named_limit: Returns the limit that an engine has named, in requests per
@@ -146,6 +149,7 @@
         self._log = log
         self._on_draining = on_draining
         self._on_down = on_down
+        self._on_serving = on_serving
         self._on_crash_report = on_crash_report
         self._all_crashes = all_crashes
         self._named_limit = named_limit
@@ -402,6 +406,7 @@
 
     def _on_status(self, link: AgentLink, status: Status) -> None:
         view = link.view
+        was_lost = view.connected and not view.serving
         if not view.connected:
             view.connected = link.was_connected = True
             link.retry_delay = _INITIAL_RETRY_DELAY
@@ -418,6 +423,8 @@
         view.serving = status.serving and is_same_incarnation
         if not view.serving and status.engine_start_time_ms:
             self._on_down(link.server)
+        if view.serving and status.engine_start_time_ms:
+            self._on_serving(link.server, was_lost)
         view.pause = status.pause_ms / _MS_PER_SECOND if is_same_incarnation else 0.0
         view.entries = status.entries
         address = _engine_address(link.server)
--- a/fighitch/gateway/entry.py
+++ b/fighitch/gateway/entry.py
@@ -147,6 +147,9 @@
             log=log,
             on_draining=self._on_engine_draining,
             on_down=self.quarantine.record_down,
+            on_serving=lambda server, was_lost: self.quarantine.record_serving(
+                server, recovered=was_lost
+            ),
             on_crash_report=self.quarantine.on_report,
             all_crashes=self.quarantine.all_crashes,
             named_limit=lambda server: self._server_limits.rate(server.incarnation),
--- a/fighitch/gateway/part_quarantine.py
+++ b/fighitch/gateway/part_quarantine.py
@@ -34,6 +34,7 @@
 
 _MS_PER_SECOND = 1_000
 _WRITTEN_STATUSES = (200, 201)
+_DELETED_STATUSES = (200, 404)
 _CONFLICT = 409
 _STORE_TIMEOUT: Seconds = 0.8
 _STORE_RETRY_DELAY: Seconds = 1.0
@@ -44,6 +45,9 @@
 # Crashes are reported again to other agents, in case the first ones were cut off.
 _REPORT_INTERVAL: Seconds = 0.7
 _REPORT_TIME: Seconds = 3.0
+# Agents may report an engine as serving for this time after its crash: they notice it
+# after two lost reports, and their messages can be late.
+_SERVING_REPORT_LAG: Seconds = 3.0
 
 
 class PartQuarantine:
@@ -114,6 +118,22 @@
             self._lost_runs.record_down(server.incarnation, self._loop.now())
         )
 
+    def record_serving(self, server: BackendServer, *, recovered: bool) -> None:
+        """Records that an engine responds to its agent.
+
+        Args:
+            server: The engine, as an incarnation.
+            recovered: Whether the agent has reported before that it did not respond.
+        """
+        if recovered:
+            self._lost_runs.record_recovered(server.incarnation)
+        at = self._loop.now() - (0.0 if recovered else _SERVING_REPORT_LAG)
+        if not self._quarantine.refute_crash(server.incarnation, at):
+            return
+        self._own_crashes.pop(server.incarnation, None)
+        self._log.event("engine_crash_refuted", server=server.instance_id)
+        self._check_groups()
+
     def record_answered(self, parts: tuple[str, ...]) -> None:
         """Records that a request with these parts was answered without a crash."""
         self._quarantine.evidence.record_answered(parts, self._loop.now())
@@ -195,6 +215,9 @@
         self._quarantine.record_restored(self._loop.now() + delay)
 
     def _store_next(self, now: Seconds) -> None:
+        for name in self._quarantine.refuted_names[:1]:
+            self._delete(name)
+            return
         for stored in self._quarantine.lost_to_store(now)[:1]:
             self._log.event("quarantine_restored", parts=",".join(sorted(stored.parts)))
             self._store(stored)
@@ -236,6 +259,28 @@
             reuse_connection=False,
         )
 
+    def _delete(self, name: str) -> None:
+        self._writing = True
+        target = store.object_target(QUARANTINE_KIND, name)
+        request = encode_call("DELETE", target, str(self._client.address))
+
+        def on_response(status: int, _body: bytes) -> None:
+            self._writing = False
+            if status in _DELETED_STATUSES:
+                self._quarantine.release(name, self._loop.now())
+                return
+            self._write_not_before = self._loop.now() + _STORE_RETRY_DELAY
+            self._log.event("quarantine_not_deleted", entry=name, status=status)
+
+        self._calls.call(
+            self._client,
+            request,
+            on_response,
+            timeout=_STORE_TIMEOUT,
+            subject=QUARANTINE_KIND,
+            reuse_connection=False,
+        )
+
     def on_stored_list(self, objects: Iterable[store.StoredObject]) -> None:
         """Applies the list of the stored quarantines."""
         decoded = {item.name: self._decode(item) for item in objects}
--- a/fighitch/tests/test_agent_links.py
+++ b/fighitch/tests/test_agent_links.py
@@ -37,6 +37,7 @@
         log=mock.Mock(),
         on_draining=mock.Mock(),
         on_down=mock.Mock(),
+        on_serving=mock.Mock(),
         on_crash_report=mock.Mock(),
         all_crashes=mock.Mock(return_value=None),
         named_limit=mock.Mock(return_value=None),
--- a/fighitch/tests/test_crash_evidence.py
+++ b/fighitch/tests/test_crash_evidence.py
@@ -93,6 +93,29 @@
         self.assertEqual(self.evidence.groups, ())
 
 
+class RefutedCrashTests(EvidenceTestCase):
+    """Crashes of engines that were only silent."""
+
+    def test_crash_of_an_engine_that_runs_on_counts_no_longer(self):
+        self.record(*(crash(at, "part", engine=f"e{at}") for at in (1.0, 2.0, 3.0)))
+        self.assertFalse(self.evidence.refute_crash(Incarnation("e3.0", 1), 2.9))
+        self.assertTrue(self.evidence.blocks(("part",)))
+        self.assertTrue(self.evidence.refute_crash(Incarnation("e3.0", 1), 3.5))
+        self.assertFalse(self.evidence.blocks(("part",)))
+
+    def test_late_report_of_a_refuted_crash_is_ignored(self):
+        self.record(crash(1.0, "part", engine="e1"))
+        self.evidence.refute_crash(Incarnation("e1", 1), 2.0)
+        self.record(crash(1.1, "part", engine="e1"))
+        self.assertFalse(self.evidence.is_suspect(("part",)))
+
+    def test_later_crash_of_the_same_engine_counts(self):
+        self.record(crash(1.0, "part", engine="e1"))
+        self.evidence.refute_crash(Incarnation("e1", 1), 2.0)
+        self.record(crash(2.5, "part", engine="e1"))
+        self.assertTrue(self.evidence.is_suspect(("part",)))
+
+
 class MergeTests(EvidenceTestCase):
     def test_reports_of_one_crash_count_once(self):
         # Each entry reports its own lost requests for the same engine.
--- a/fighitch/tests/test_part_quarantine.py
+++ b/fighitch/tests/test_part_quarantine.py
@@ -17,12 +17,14 @@
         self.loop = EventLoop(clock=lambda: self.now)
         self.on_change = mock.Mock()
         self.spread = mock.Mock()
+        self.calls = mock.Mock()
         self.quarantine = PartQuarantine(
             self.loop,
             Address("127.0.0.1", 1),
             mock.Mock(),
             spread=self.spread,
             on_change=self.on_change,
+            calls=self.calls,
         )
 
     def crash(self, name: str) -> None:
@@ -53,6 +55,29 @@
             self.quarantine.run_housekeeping()
         self.assertTrue(3 <= self.spread.call_count <= 6, self.spread.call_count)
 
+    def test_stored_group_is_deleted_once_its_engines_prove_to_run(self):
+        # A later start of an entry would block the parts by the stored object.
+        for name in ("e1", "e2", "e3"):
+            self.crash(name)
+        self.write_due()
+        (_, request, on_response), _ = self.calls.call.call_args
+        self.assertTrue(request.startswith(b"POST "))
+        on_response(201, b"")
+        self.quarantine.record_serving(server("e3"), recovered=True)
+        for status in (503, 200):
+            self.calls.call.reset_mock()
+            self.write_due()
+            (_, request, on_response), _ = self.calls.call.call_args
+            self.assertTrue(request.startswith(b"DELETE "))
+            on_response(status, b"")
+        self.calls.call.reset_mock()
+        self.write_due()
+        self.calls.call.assert_not_called()
+
+    def write_due(self) -> None:
+        self.now += 2.0
+        self.quarantine.run_housekeeping()
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/fighitch/tests/test_quarantine.py
+++ b/fighitch/tests/test_quarantine.py
@@ -70,6 +70,28 @@
         self.quarantine.release("n", 5.0)
         self.assertFalse(self.quarantine.blocks(("bad",)))
 
+    def test_stored_group_without_its_crashes_is_not_blocked(self):
+        # An engine that counted as crashed was only silent. The stored group would
+        # outlast the evidence for an hour.
+        self.crash_engines()
+        self.quarantine.put_stored("n", StoredQuarantine(BAD, FOREVER))
+        self.assertEqual(self.quarantine.refuted_names, [])
+        self.assertTrue(self.quarantine.refute_crash(Incarnation("e3.0", 1), 4.0))
+        self.assertFalse(self.quarantine.blocks(("bad",)))
+        self.assertEqual(self.quarantine.refuted_names, ["n"])
+
+    def test_remaining_crashes_count_after_one_was_refuted(self):
+        self.crash_engines()
+        self.quarantine.put_stored("n", StoredQuarantine(BAD, FOREVER))
+        self.quarantine.refute_crash(Incarnation("e3.0", 1), 4.0)
+        self.quarantine.release("n", 4.5)
+        crash = Crash(Incarnation("e4", 1), 5.0, BAD)
+        self.quarantine.evidence.record_crash(crash)
+        self.assertTrue(self.quarantine.blocks(("bad",)))
+        self.quarantine.expire(5.0, 0.0)
+        self.quarantine.groups_to_store(5.0)
+        self.assertEqual(self.quarantine.groups_to_store(9.0), [BAD])
+
     def test_object_missing_from_a_new_list_releases_its_parts(self):
         # The object was deleted while the store could not be watched.
         self.crash_engines()
--- a/fighitch/tests/test_repeated_control_answers.py
+++ b/fighitch/tests/test_repeated_control_answers.py
@@ -272,6 +272,7 @@
             log=mock.Mock(),
             on_draining=mock.Mock(),
             on_down=mock.Mock(),
+            on_serving=mock.Mock(),
             on_crash_report=mock.Mock(),
             all_crashes=lambda: None,
             named_limit=lambda _server: None,
