Do not blame the common part for a crash with another reason

Callers saw: in the failing tests, all requests with the first part of the prompt would be rejected with 503, and the part that crashes engines would reach them with another first part.

Cause: among parts that were answered before, the part in most crashes was held responsible. While no request is answered because all engines are down, the common part is in each crash, also in one with another reason or in one whose harmful request another entry has not reported yet. With one crash more than the harmful part it was blocked alone; no answer could release it.

Ruled out: parts with equal evidence (blocked only together), and harmful parts that were never answered (tried first).

Change: an answered part is not held responsible if a part with an older last answer is in nearly all of its crashes, and the rest proves nothing.

--- a/fighitch/core/gateway/crash_evidence.py
+++ b/fighitch/core/gateway/crash_evidence.py
@@ -250,6 +250,11 @@
     candidates: dict[tuple[bool, frozenset[Incarnation]], set[str]] = {}
     for part, times in crash_times.items():
         candidates.setdefault((part in answered, frozenset(times)), set()).add(part)
+    last_answers = {
+        engines: max(answered[part] for part in parts)
+        for (was_answered, engines), parts in candidates.items()
+        if was_answered
+    }
     explained: set[Incarnation] = set()
     groups = []
     for (was_answered, engines), parts in sorted(
@@ -257,12 +262,41 @@
     ):
         times = crash_times[next(iter(parts))]
         unexplained = [times[engine] for engine in engines - explained]
-        if _is_conclusive(unexplained, was_answered=was_answered):
+        if not _is_conclusive(unexplained, was_answered=was_answered):
+            continue
+        if not (was_answered and _has_narrower_cause(engines, times, last_answers)):
             groups.append(frozenset(parts))
             explained |= engines
     return tuple(groups)
 
 
+def _has_narrower_cause(
+    engines: frozenset[Incarnation],
+    times: Mapping[Incarnation, Seconds],
+    last_answers: Mapping[frozenset[Incarnation], Seconds],
+) -> bool:
+    """Returns whether a less common part explains the crashes of an answered part.
+
+    The most common part is in each crash, also in one with another reason. A part that
+    turned harmful was last answered before it.
+
+    Args:
+        engines: Engines that crashed since the last answer of the part.
+        times: Times of these crashes.
+        last_answers: Last answers of all parts that were answered, by the engines that
+            crashed since then.
+    """
+    return any(
+        other < engines
+        and last_answers[other] < last_answers[engines]
+        and _is_conclusive([times[engine] for engine in other], was_answered=True)
+        and not _is_conclusive(
+            [times[engine] for engine in engines - other], was_answered=True
+        )
+        for other in last_answers
+    )
+
+
 def _is_conclusive(times: Collection[Seconds], *, was_answered: bool) -> bool:
     moments = _count_moments(times)
     if was_answered:
--- a/fighitch/tests/test_crash_evidence.py
+++ b/fighitch/tests/test_crash_evidence.py
@@ -93,6 +93,37 @@
         self.assertEqual(self.evidence.groups, ())
 
 
+class CommonPartTests(EvidenceTestCase):
+    """A part that turns harmful, beside a crash that has another reason."""
+
+    def setUp(self):
+        super().setUp()
+        self.evidence.record_answered(("first", "bad"), 0.1)
+        self.evidence.record_answered(("first",), 0.9)
+
+    def test_one_other_crash_does_not_move_the_blame_to_the_common_part(self):
+        # The common part is in one more crash. It was blocked alone, with all sound
+        # requests, and nothing could be answered any more.
+        self.record(*(crash(float(at), "first", "bad") for at in range(1, 6)))
+        self.record(crash(5.5, "first", "other"))
+        self.assertTrue(self.evidence.blocks(("first", "bad")))
+        self.assertFalse(self.evidence.blocks(("first", "other")))
+
+    def test_late_report_of_the_harmful_part_does_not_block_the_common_part(self):
+        # One entry lost sound requests with the engine, another one the harmful one.
+        self.record(*(crash(float(at), "first", "bad") for at in range(1, 6)))
+        self.record(crash(6.0, "first", "sound", engine="e"))
+        self.assertFalse(self.evidence.blocks(("first", "sound")))
+        self.record(crash(6.0, "first", "bad", engine="e"))
+        self.assertTrue(self.evidence.blocks(("first", "bad")))
+        self.assertFalse(self.evidence.blocks(("first", "sound")))
+
+    def test_common_part_is_blocked_if_its_other_crashes_are_conclusive(self):
+        self.record(*(crash(float(at), "first", "bad") for at in range(1, 6)))
+        self.record(*(crash(at + 0.5, "first", f"x{at}") for at in range(1, 6)))
+        self.assertTrue(self.evidence.blocks(("first", "other")))
+
+
 class RefutedCrashTests(EvidenceTestCase):
     """Crashes of engines that were only silent."""
 
