Go on after a call for which no socket could be opened

Callers saw nothing known; found by reading. A process that has no file descriptor left for a moment kept its configuration, its list of servers or the state of its engine as they were until it was restarted.

Cause: HttpConnection and the link to an agent open their socket outside the guarded part. The exception ended the timer callback that makes the next call, so that a watch, a claim or the reports of an engine stopped, and the agent of an engine was never connected again.

Ruled out: connections that fail later, which are reported to the callback, and attempts of requests, whose start is guarded.

Change: such a call has no response, and the link is tried again. Both tests failed before.

--- a/fighitch/gateway/agent_links.py
+++ b/fighitch/gateway/agent_links.py
@@ -319,7 +319,12 @@
     def _connect(self, link: AgentLink) -> None:
         if link.removed or link.peer is not None:
             return
-        sock = open_stream()
+        try:
+            sock = open_stream()
+        except OSError:
+            # No file descriptor is free.
+            self._schedule_reconnect(link)
+            return
         try:
             start_connecting(sock, link.server.host, self._peer_port)
         except OSError:
--- a/fighitch/runtime/http_client.py
+++ b/fighitch/runtime/http_client.py
@@ -114,9 +114,15 @@
         if connection is None or not reuse_connection or not connection.usable():
             if connection is not None:
                 connection.close()
-            connection = HttpConnection(
-                self._loop, self._address.host, self._address.port
-            )
+            self._connection = None
+            try:
+                connection = HttpConnection(
+                    self._loop, self._address.host, self._address.port
+                )
+            except OSError:
+                # No file descriptor is free. The caller goes on from its callback only.
+                self._loop.call_later(0, lambda: on_response(NO_RESPONSE, b""))
+                return
             self._connection = connection
         collector = _ResponseCollector(self._loop, timeout, on_response, on_head)
         collector.connection = connection
--- a/fighitch/tests/test_agent_links.py
+++ b/fighitch/tests/test_agent_links.py
@@ -1,5 +1,6 @@
 """Tests of ``fighitch.gateway.agent_links``."""
 
+import errno
 import itertools
 import socket
 import unittest
@@ -65,6 +66,21 @@
                 self.links.update({})
 
 
+class NoDescriptorTests(unittest.TestCase):
+    """A process that has no file descriptor left for a while."""
+
+    def test_agent_is_tried_again_after_no_socket_could_be_opened(self):
+        # The exception ended the attempt without another one, and the engine was used
+        # without its agent until the process was restarted.
+        loop = mock_loop()
+        links = build_links(loop)
+        error = OSError(errno.EMFILE, "Too many open files")
+        with mock.patch.object(agent_links, "open_stream", side_effect=error):
+            links.update({"e1": (server("e1"), engine_spec())})
+        loop.call_later.assert_called()
+        links.update({})
+
+
 class RequiredVersionTests(unittest.TestCase):
     """The version that engines must hold after a newer one was announced."""
 
--- a/fighitch/tests/test_http_exchange.py
+++ b/fighitch/tests/test_http_exchange.py
@@ -1,10 +1,13 @@
+import errno
 import itertools
 import socket
 import threading
 import unittest
+from unittest import mock
 
 from fighitch.core.gateway.response_limits import LimitKind, ResponseLimits
 from fighitch.core.gateway.settings import Address
+from fighitch.runtime import http_exchange
 from fighitch.runtime.event_loop import EventLoop
 from fighitch.runtime.http_client import NO_RESPONSE, SerialClient
 from fighitch.runtime.http_exchange import (
@@ -267,6 +270,27 @@
         self.assertEqual(bodies, [b"first", b"second"])
 
 
+class NoDescriptorTests(unittest.TestCase):
+    """Calls of a process that has no file descriptor left for a while."""
+
+    def test_call_without_a_socket_has_no_response(self):
+        # The exception ended the callback that makes the calls: a watch of the store
+        # or the reports of an engine stopped until the process was restarted.
+        loop = EventLoop()
+        client = SerialClient(loop, Address("127.0.0.1", 1))
+        error = OSError(errno.EMFILE, "Too many open files")
+        responses = []
+        with mock.patch.object(http_exchange, "open_stream", side_effect=error):
+            client.call(
+                b"GET / HTTP/1.1\r\n\r\n",
+                lambda status, _body: responses.append(status),
+                timeout=1.0,
+            )
+        self.assertEqual(responses, [])
+        loop.run_once(0)
+        self.assertEqual(responses, [NO_RESPONSE])
+
+
 class EndlessServer:
     """Sends a prefix and then a block again and again until the connection closes."""
 
