Take only refused connections for a sign that an engine is down

Callers saw: nothing known; found by reading. It is one of two signs that together count as a crash of an engine, and crashes block prompt parts.

Cause: each attempt that failed within 0.1 s before a byte was sent marked its engine as down. That includes new connections that a sound engine resets because it has too many, and errors of the entry's own network. Beside a single lost request, this made a crash of a sound engine.

Ruled out: connections that time out, which never counted.

Change: failures of exchanges say whether the host refused the connection, and only that counts.

The test on resets failed with the earlier condition. The test of a refused connection in test_http_exchange compares one more attribute.

--- a/fighitch/gateway/entry.py
+++ b/fighitch/gateway/entry.py
@@ -89,9 +89,6 @@
 _STOP_MARGIN: Seconds = 0.5
 # Share of the time that a stopping entry has in which it sends requests to servers.
 _MIN_SEND_SHARE = 0.5
-# A server that is down refuses a connection within this time. A connection that times
-# out may fail because of the entry's own links.
-_REFUSAL_TIME: Seconds = 0.1
 # Changes after which a server gets no new requests.
 _LEAVE_CHANGES = frozenset(("draining", "left"))
 # Below the file descriptor limit, to leave descriptors for connections to servers.
@@ -576,6 +573,7 @@
         *,
         failed: bool,
         unreachable: bool,
+        refused: bool,
         outcome: str,
         elapsed: Seconds,
         metadata: RequestMetadata,
@@ -588,6 +586,7 @@
             server: Backend server that received the request.
             failed: Whether the attempt failed because of the server.
             unreachable: Whether the server did not receive the request.
+            refused: Whether its host refused the connection.
             outcome: Outcome for the log and the metrics.
             elapsed: Time since the request was sent.
             metadata: Metadata of the request.
@@ -618,7 +617,9 @@
                 elapsed=f"{elapsed:.3f}",
             )
         if unreachable:
-            if elapsed < _REFUSAL_TIME:
+            # A sound server resets connections when it has too many, and others may
+            # fail because of the entry's own links.
+            if refused:
                 self.quarantine.record_down(server)
             self._outliers.record_unreachable(server.instance_id, now)
             self._log.event("server_unreachable", server=server.instance_id)
--- a/fighitch/gateway/relay.py
+++ b/fighitch/gateway/relay.py
@@ -621,7 +621,12 @@
             self._entry.record_limit_exceeded(
                 self._server, self._metadata.request_id, failure.limit
             )
-        self._end_exchange(failed=True, outcome=outcome, unreachable=unreachable)
+        self._end_exchange(
+            failed=True,
+            outcome=outcome,
+            unreachable=unreachable,
+            refused=failure.refused,
+        )
         if not failure.sent:
             self._avoid_current()
             self._rejections += 1
@@ -639,7 +644,12 @@
     # End of attempts and of the request.
 
     def _end_exchange(
-        self, *, failed: bool, outcome: str, unreachable: bool = False
+        self,
+        *,
+        failed: bool,
+        outcome: str,
+        unreachable: bool = False,
+        refused: bool = False,
     ) -> None:
         """Ends an attempt: releases admission and connection, records the outcome."""
         if not self._in_flight:
@@ -659,6 +669,7 @@
             server,
             failed=failed,
             unreachable=unreachable,
+            refused=refused,
             outcome=outcome,
             elapsed=self._loop.now() - self._sent_at,
             metadata=self._metadata,
--- a/fighitch/gateway/relay_host.py
+++ b/fighitch/gateway/relay_host.py
@@ -85,6 +85,7 @@
         *,
         failed: bool,
         unreachable: bool,
+        refused: bool,
         outcome: str,
         elapsed: Seconds,
         metadata: RequestMetadata,
--- a/fighitch/runtime/http_exchange.py
+++ b/fighitch/runtime/http_exchange.py
@@ -5,6 +5,7 @@
 An error without an id is accepted only for the first request on a connection.
 """
 
+import errno
 import socket
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -51,11 +52,13 @@
         kind: Why there is no complete response.
         sent: Whether any byte of the request may have reached the server.
         limit: Limit that the response exceeded; None for another cause.
+        refused: Whether the host refused the connection, as nothing listens there.
     """
 
     kind: FailureKind
     sent: bool
     limit: LimitKind | None = None
+    refused: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -148,8 +151,11 @@
         self._reset_parser()
         try:
             start_connecting(self._sock, host, port)
-        except OSError:
-            loop.call_later(0, lambda: self._fail(FailureKind.UNREACHABLE))
+        except OSError as error:
+            refused = isinstance(error, ConnectionRefusedError)
+            loop.call_later(
+                0, lambda: self._fail(FailureKind.UNREACHABLE, refused=refused)
+            )
             return
         self._watch()
 
@@ -249,7 +255,8 @@
     def _on_connected(self, _events: int) -> None:
         error = self._sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
         if error:
-            self._fail(FailureKind.UNREACHABLE)
+            refused = error == errno.ECONNREFUSED
+            self._fail(FailureKind.UNREACHABLE, refused=refused)
             return
         self._connected = True
         self._cancel_timer()
@@ -350,12 +357,18 @@
         if keep_open and not self._closed and self._on_idle is not None:
             self._on_idle(self)
 
-    def _fail(self, kind: FailureKind, limit: LimitKind | None = None) -> None:
+    def _fail(
+        self,
+        kind: FailureKind,
+        limit: LimitKind | None = None,
+        *,
+        refused: bool = False,
+    ) -> None:
         response_handler = self._response_handler
         sent = self._has_sent
         self.close()
         if response_handler is not None:
-            response_handler.on_failure(ExchangeFailure(kind, sent, limit))
+            response_handler.on_failure(ExchangeFailure(kind, sent, limit, refused))
 
     # Parser callbacks, called by httptools.
 
--- a/fighitch/tests/test_http_exchange.py
+++ b/fighitch/tests/test_http_exchange.py
@@ -1,6 +1,7 @@
 import errno
 import itertools
 import socket
+import struct
 import threading
 import unittest
 from unittest import mock
@@ -187,7 +188,8 @@
         connection = HttpConnection(self.loop, "127.0.0.1", port)
         handler = self.exchange(connection, "a")
         self.assertEqual(
-            handler.failure, ExchangeFailure(FailureKind.UNREACHABLE, False)
+            handler.failure,
+            ExchangeFailure(FailureKind.UNREACHABLE, False, refused=True),
         )
 
     def test_persistent_connection_is_usable_again(self):
@@ -270,6 +272,28 @@
         self.assertEqual(bodies, [b"first", b"second"])
 
 
+class ResetServerTests(unittest.TestCase):
+    """Servers that reset new connections while they have too many."""
+
+    def test_reset_connection_is_not_refused(self):
+        listener = socket.create_server(("127.0.0.1", 0))
+        self.addCleanup(listener.close)
+        loop = EventLoop()
+        connection = HttpConnection(loop, *listener.getsockname())
+        self.addCleanup(connection.close)
+        accepted, _ = listener.accept()
+        accepted.setsockopt(
+            socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0)
+        )
+        accepted.close()
+        handler = RecordingHandler()
+        connection.send(b"GET / HTTP/1.1\r\n\r\n", handler)
+        while handler.failure is None:
+            loop.run_once(0.01)
+        self.assertFalse(handler.failure.sent)
+        self.assertFalse(handler.failure.refused)
+
+
 class NoDescriptorTests(unittest.TestCase):
     """Calls of a process that has no file descriptor left for a while."""
 
--- a/fighitch/tests/test_silent_engines.py
+++ b/fighitch/tests/test_silent_engines.py
@@ -5,17 +5,19 @@
 from dataclasses import replace
 from unittest import mock
 
-from fighitch.core.gateway.model import BackendServer
+from fighitch.core.gateway.model import BackendServer, RequestSize, Service
 from fighitch.core.gateway.settings import Address
 from fighitch.gateway import agent_links
 from fighitch.gateway.agent_links import AgentLinks
 from fighitch.gateway.entry import GatewayEntry
 from fighitch.gateway.peer_messages import CrashReport, Status, encode
+from fighitch.platform.requests import RequestMetadata
 from fighitch.runtime.event_loop import EventLoop
-from fighitch.tests.gateway_helpers import engine_spec, server
+from fighitch.tests.gateway_helpers import A1, engine_spec, server
 from fighitch.tests.test_gateway_entry import SETTINGS
 
 PARTS = ("first", "rare")
+METADATA = RequestMetadata("r1", "h", "/", 5.0, A1, RequestSize(), "", PARTS)
 ENGINES = ("e1", "e2", "e3")
 
 
@@ -128,5 +130,34 @@
         self.assertFalse(self.entry.quarantine.blocks(PARTS))
 
 
+class ResetConnectionTests(SilentEngineTestCase):
+    """An engine with too many connections resets new ones, and goes on."""
+
+    def fail_attempt(self, name: str, *, sent: bool, refused: bool = False) -> None:
+        self.entry.record_outcome(
+            Service("models", engine=engine_spec()),
+            server(name),
+            failed=True,
+            unreachable=not sent,
+            refused=refused,
+            outcome="reset",
+            elapsed=0.01,
+            metadata=METADATA,
+            answered=False,
+        )
+
+    def test_reset_of_a_new_connection_does_not_show_a_crash(self):
+        # Beside a response that broke off, it made a crash of a sound engine.
+        for name in ENGINES:
+            self.fail_attempt(name, sent=False)
+            self.fail_attempt(name, sent=True)
+        self.assertFalse(self.entry.quarantine.is_suspect(PARTS))
+
+    def test_refused_connection_shows_a_crash(self):
+        self.fail_attempt("e1", sent=False, refused=True)
+        self.fail_attempt("e1", sent=True)
+        self.assertTrue(self.entry.quarantine.is_suspect(PARTS))
+
+
 if __name__ == "__main__":
     unittest.main()
