--- a/fighitch/tests/test_crash_evidence.py
+++ b/fighitch/tests/test_crash_evidence.py
@@ -93,6 +93,60 @@
         self.assertEqual(self.evidence.groups, ())
 
 
+class CommonPartTests(EvidenceTestCase):
+    """A part that turns harmful, beside a crash that has another reason."""
+
+    def setUp(self):
+        super().setUp()
+        self.evidence.record_answered(("first", "bad"), 0.1)
+        self.evidence.record_answered(("first",), 0.9)
+
+    def test_one_other_crash_does_not_move_the_blame_to_the_common_part(self):
+        # The common part is in one more crash. It was blocked alone, with all sound
+        # requests, and nothing could be answered any more.
+        self.record(*(crash(float(at), "first", "bad") for at in range(1, 6)))
+        self.record(crash(5.5, "first", "other"))
+        self.assertTrue(self.evidence.blocks(("first", "bad")))
+        self.assertFalse(self.evidence.blocks(("first", "other")))
+
+    def test_late_report_of_the_harmful_part_does_not_block_the_common_part(self):
+        # One entry lost sound requests with the engine, another one the harmful one.
+        self.record(*(crash(float(at), "first", "bad") for at in range(1, 6)))
+        self.record(crash(6.0, "first", "sound", engine="e"))
+        self.assertFalse(self.evidence.blocks(("first", "sound")))
+        self.record(crash(6.0, "first", "bad", engine="e"))
+        self.assertTrue(self.evidence.blocks(("first", "bad")))
+        self.assertFalse(self.evidence.blocks(("first", "sound")))
+
+    def test_common_part_is_blocked_if_its_other_crashes_are_conclusive(self):
+        self.record(*(crash(float(at), "first", "bad") for at in range(1, 6)))
+        self.record(*(crash(at + 0.5, "first", f"x{at}") for at in range(1, 6)))
+        self.assertTrue(self.evidence.blocks(("first", "other")))
+
+
+class RefutedCrashTests(EvidenceTestCase):
+    """Crashes of engines that were only silent."""
+
+    def test_crash_of_an_engine_that_runs_on_counts_no_longer(self):
+        self.record(*(crash(at, "part", engine=f"e{at}") for at in (1.0, 2.0, 3.0)))
+        self.assertFalse(self.evidence.refute_crash(Incarnation("e3.0", 1), 2.9))
+        self.assertTrue(self.evidence.blocks(("part",)))
+        self.assertTrue(self.evidence.refute_crash(Incarnation("e3.0", 1), 3.5))
+        self.assertFalse(self.evidence.blocks(("part",)))
+
+    def test_late_report_of_a_refuted_crash_is_ignored(self):
+        self.record(crash(1.0, "part", engine="e1"))
+        self.evidence.refute_crash(Incarnation("e1", 1), 2.0)
+        self.record(crash(1.1, "part", engine="e1"))
+        self.assertFalse(self.evidence.is_suspect(("part",)))
+
+    def test_later_crash_of_the_same_engine_counts(self):
+        self.record(crash(1.0, "part", engine="e1"))
+        self.evidence.refute_crash(Incarnation("e1", 1), 2.0)
+        self.record(crash(2.5, "part", engine="e1"))
+        self.assertTrue(self.evidence.is_suspect(("part",)))
+
+
 class MergeTests(EvidenceTestCase):
     def test_reports_of_one_crash_count_once(self):
         # Each entry reports its own lost requests for the same engine.
--- a/fighitch/tests/test_http_exchange.py
+++ b/fighitch/tests/test_http_exchange.py
@@ -1,10 +1,14 @@
+import errno
 import itertools
 import socket
+import struct
 import threading
 import unittest
+from unittest import mock
 
 from fighitch.core.gateway.response_limits import LimitKind, ResponseLimits
 from fighitch.core.gateway.settings import Address
+from fighitch.runtime import http_exchange
 from fighitch.runtime.event_loop import EventLoop
 from fighitch.runtime.http_client import NO_RESPONSE, SerialClient
 from fighitch.runtime.http_exchange import (
@@ -184,7 +188,8 @@
         connection = HttpConnection(self.loop, "127.0.0.1", port)
         handler = self.exchange(connection, "a")
         self.assertEqual(
-            handler.failure, ExchangeFailure(FailureKind.UNREACHABLE, False)
+            handler.failure,
+            ExchangeFailure(FailureKind.UNREACHABLE, False, refused=True),
         )
 
     def test_persistent_connection_is_usable_again(self):
@@ -267,6 +272,49 @@
         self.assertEqual(bodies, [b"first", b"second"])
 
 
+class ResetServerTests(unittest.TestCase):
+    """Servers that reset new connections while they have too many."""
+
+    def test_reset_connection_is_not_refused(self):
+        listener = socket.create_server(("127.0.0.1", 0))
+        self.addCleanup(listener.close)
+        loop = EventLoop()
+        connection = HttpConnection(loop, *listener.getsockname())
+        self.addCleanup(connection.close)
+        accepted, _ = listener.accept()
+        accepted.setsockopt(
+            socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0)
+        )
+        accepted.close()
+        handler = RecordingHandler()
+        connection.send(b"GET / HTTP/1.1\r\n\r\n", handler)
+        while handler.failure is None:
+            loop.run_once(0.01)
+        self.assertFalse(handler.failure.sent)
+        self.assertFalse(handler.failure.refused)
+
+
+class NoDescriptorTests(unittest.TestCase):
+    """Calls of a process that has no file descriptor left for a while."""
+
+    def test_call_without_a_socket_has_no_response(self):
+        # The exception ended the callback that makes the calls: a watch of the store
+        # or the reports of an engine stopped until the process was restarted.
+        loop = EventLoop()
+        client = SerialClient(loop, Address("127.0.0.1", 1))
+        error = OSError(errno.EMFILE, "Too many open files")
+        responses = []
+        with mock.patch.object(http_exchange, "open_stream", side_effect=error):
+            client.call(
+                b"GET / HTTP/1.1\r\n\r\n",
+                lambda status, _body: responses.append(status),
+                timeout=1.0,
+            )
+        self.assertEqual(responses, [])
+        loop.run_once(0)
+        self.assertEqual(responses, [NO_RESPONSE])
+
+
 class EndlessServer:
     """Sends a prefix and then a block again and again until the connection closes."""
 
