Share the call to the store of the quarantine

No change of behaviour: writing and deleting use one function, the property stands with the others, and the refuted groups have a name of their own.

--- a/fighitch/core/gateway/quarantine.py
+++ b/fighitch/core/gateway/quarantine.py
@@ -47,13 +47,22 @@
         # End of the groups whose objects were deleted. A restored copy may hold them.
         self._released: dict[str, int] = {}
         # Groups that rested on a crash which turned out to be none.
-        self._refuted: set[PartGroup] = set()
+        self._refuted_groups: set[PartGroup] = set()
 
     @property
     def groups(self) -> set[PartGroup]:
         """All quarantined groups."""
         return {*self.evidence.groups, *filter(self._is_credible, self._stored_groups)}
 
+    @property
+    def refuted_names(self) -> list[str]:
+        """Names of the stored groups that rested on a crash which was none."""
+        return [
+            name
+            for name, item in self._stored.items()
+            if item.parts in self._refuted_groups
+        ]
+
     def blocks(self, parts: Collection[str]) -> bool:
         """Returns whether a request with these parts must not reach an engine."""
         if self.evidence.blocks(parts):
@@ -64,12 +73,12 @@
         )
 
     def _is_credible(self, group: PartGroup) -> bool:
-        """Returns whether no request with a part of a group is known to be answered.
+        """Returns whether nothing is known that speaks against a stored group.
 
         An instance that was cut off takes its lost requests for crashes of engines, and
-        has no answer that shows otherwise.
+        has no answer that shows otherwise. A crash may also turn out to be none.
         """
-        return group not in self._refuted and all(
+        return group not in self._refuted_groups and all(
             self.evidence.answered_at(part) is None for part in group
         )
 
@@ -83,18 +92,11 @@
         if not self.evidence.refute_crash(engine, at):
             return False
         remaining = frozenset[str]().union(*self.evidence.groups)
-        self._refuted.update(
+        self._refuted_groups.update(
             group for group in earlier_groups if remaining.isdisjoint(group)
         )
         return True
 
-    @property
-    def refuted_names(self) -> list[str]:
-        """Names of the stored groups that rested on a crash which was none."""
-        return [
-            name for name, item in self._stored.items() if item.parts in self._refuted
-        ]
-
     def record_own_parts(self, parts: Collection[str]) -> None:
         """Records that this instance lost requests with these parts in a crash."""
         self._own_parts.update(parts)
@@ -143,7 +145,7 @@
             unix_ms: Current Unix time, in ms.
         """
         self.evidence.expire(now)
-        self._refuted.difference_update(self.evidence.groups)
+        self._refuted_groups.difference_update(self.evidence.groups)
         self._own_parts.intersection_update(self.evidence.involved_parts)
         self._stored = {
             name: item for name, item in self._stored.items() if item.until_ms > unix_ms
@@ -167,7 +169,7 @@
         stored = self._stored.pop(name, None)
         if stored is not None:
             self._released[name] = stored.until_ms
-        if stored is not None and stored.parts not in self._refuted:
+        if stored is not None and stored.parts not in self._refuted_groups:
             self.evidence.record_answered(stored.parts, now)
 
     def lost_to_store(self, now: Seconds) -> list[StoredQuarantine]:
--- a/fighitch/gateway/part_quarantine.py
+++ b/fighitch/gateway/part_quarantine.py
@@ -250,14 +250,7 @@
             self._write_not_before = self._loop.now() + _STORE_RETRY_DELAY
             self._log.event("quarantine_not_stored", entry=name, status=status)
 
-        self._calls.call(
-            self._client,
-            request,
-            on_response,
-            timeout=_STORE_TIMEOUT,
-            subject=QUARANTINE_KIND,
-            reuse_connection=False,
-        )
+        self._call_store(request, on_response)
 
     def _delete(self, name: str) -> None:
         self._writing = True
@@ -272,6 +265,11 @@
             self._write_not_before = self._loop.now() + _STORE_RETRY_DELAY
             self._log.event("quarantine_not_deleted", entry=name, status=status)
 
+        self._call_store(request, on_response)
+
+    def _call_store(
+        self, request: bytes, on_response: Callable[[int, bytes], None]
+    ) -> None:
         self._calls.call(
             self._client,
             request,
