Delete objects in the stand-in of the store

The stand-in answered no DELETE, with which an entry now removes a stored quarantine that rested on an engine which was only silent; the call ended in an exception there. A test writes and removes such an object over the protocol. A process test of the whole way, with entries, is still missing.

--- a/fighitch/tests/test_part_quarantine.py
+++ b/fighitch/tests/test_part_quarantine.py
@@ -1,12 +1,16 @@
 """Tests of ``fighitch.gateway.part_quarantine``."""
 
+import time
 import unittest
 from unittest import mock
 
 from fighitch.core.gateway.settings import Address
 from fighitch.gateway.part_quarantine import PartQuarantine
+from fighitch.platform.quarantine import QUARANTINE_KIND
 from fighitch.runtime.event_loop import EventLoop
 from fighitch.tests.gateway_helpers import server
+from standins.platform_fleet import wait_until
+from standins.platform_store import PlatformStore
 
 PARTS = ("first", "bad")
 
@@ -79,5 +83,38 @@
         self.quarantine.run_housekeeping()
 
 
+class StoredGroupTests(unittest.TestCase):
+    """The object of a quarantined group in a store."""
+
+    def setUp(self):
+        self.store = PlatformStore()
+        self.store.start()
+        self.addCleanup(self.store.stop)
+        self.loop = EventLoop()
+        self.quarantine = PartQuarantine(
+            self.loop,
+            Address(self.store.host, self.store.port),
+            mock.Mock(),
+            spread=mock.Mock(),
+            on_change=mock.Mock(),
+        )
+
+    def is_stored(self) -> bool:
+        self.quarantine.run_housekeeping()
+        self.loop.run_once(0.05)
+        return bool(self.store.names(QUARANTINE_KIND))
+
+    def test_object_is_removed_once_an_engine_proves_to_run(self):
+        for name in ("e1", "e2", "e3"):
+            self.quarantine.record_lost(server(name), PARTS)
+            self.quarantine.record_down(server(name))
+            # Crashes that are closer together count as one moment.
+            time.sleep(0.3)
+        self.assertTrue(wait_until(self.is_stored))
+        self.quarantine.record_serving(server("e3"), recovered=True)
+        self.assertTrue(wait_until(lambda: not self.is_stored()))
+        self.assertFalse(self.quarantine.blocks(PARTS))
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/standins/platform_store.py
+++ b/standins/platform_store.py
@@ -140,6 +140,7 @@
             b"GET": lambda: self._get(connection, kind, name, query),
             b"POST": lambda: self._create(connection, kind, request),
             b"PUT": lambda: self._replace(connection, kind, name, request),
+            b"DELETE": lambda: self._delete(connection, kind, name),
         }
         if request.method != b"GET":
             self.writes.append((request.method.decode(), kind, name))
@@ -240,6 +241,11 @@
             return
         self._send(connection, 200, written)
 
+    def _delete(self, connection: CallerConnection, kind: str, name: str) -> None:
+        existing = self._objects.get(kind, {}).get(name)
+        self._remove(kind, name)
+        self._send(connection, 404 if existing is None else 200, existing or {})
+
     def _write(self, kind: str, name: str, spec: Any) -> dict[str, Any]:
         self._revision += 1
         item = {"Metadata": {"Name": name, "Revision": self._revision}, "Spec": spec}
