Decode client accounts, quotas and limits of the instance

Cause: two deployments need client accounts with keys, ranks and quotas, and bounds from the memory of the instance. Nothing of this was decoded.

Nothing reads the new values yet.

--- a/fighitch/core/gateway/engine_queue.py
+++ b/fighitch/core/gateway/engine_queue.py
@@ -61,6 +61,7 @@
         deadline: Time after which a response is useless to the caller.
         request_id: Id of the request, for the log.
         gap_target: Longest pause between events with which a stream is on time.
+        account: Client account of the request; empty for none.
     """
 
     key: RequestKey
@@ -73,6 +74,7 @@
     deadline: Seconds
     request_id: str = ""
     gap_target: Seconds = float("inf")
+    account: str = ""
 
     @property
     def tokens(self) -> int:
--- a/fighitch/core/gateway/model.py
+++ b/fighitch/core/gateway/model.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass, field
 from enum import Enum
 
+from fighitch.core.gateway.accounts import AccountTable
 from fighitch.types import Seconds
 
 
@@ -57,6 +58,8 @@
             stream.
         gap_target: Longest pause between events with which a stream is on time; 0 for
             no limit.
+        allows_anonymous: Whether requests need no key where the configuration has
+            client accounts.
     """
 
     name: str
@@ -71,6 +74,7 @@
     resumable: bool = False
     caller_event_timeout: Seconds = float("inf")
     gap_target: Seconds = 0.0
+    allows_anonymous: bool = False
 
     @property
     def repeatable(self) -> bool:
@@ -161,12 +165,14 @@
         routes: All routes.
         services: Services, by name.
         limits: Limits on callers.
+        accounts: Client accounts; None if requests need no keys.
     """
 
     version: int
     routes: tuple[Route, ...]
     services: dict[str, Service]
     limits: CallerLimits = CallerLimits()
+    accounts: AccountTable | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/fighitch/core/gateway/settings.py
+++ b/fighitch/core/gateway/settings.py
@@ -20,6 +20,21 @@
         return f"{self.host}:{self.port}"
 
 
+@dataclass(frozen=True, slots=True)
+class QuotaWindow:
+    """How closely the quotas of client accounts hold.
+
+    Attributes:
+        length: Length of any window over which the work of an account is summed.
+        overage: Share by which the sum may exceed the quota.
+        slack: Units by which the sum may exceed the quota beside that share.
+    """
+
+    length: Seconds = 8.0
+    overage: float = 0.1
+    slack: float = 0.0
+
+
 @dataclass(frozen=True, slots=True)
 class InstanceSettings:
     """Settings of one instance.
@@ -40,6 +55,12 @@
         drain_notice: Time after the announcement of a backend server's drain in which
             requests may still reach it.
         heartbeat_interval: Time between the heartbeats of a backend server.
+        revoke_within: Time after the removal of a client account's key from which no
+            instance may accept it, in contact with the store or not; None if an
+            instance without contact may go on.
+        quota_window: How closely the quotas of client accounts hold.
+        memory_limit: Memory of the instance's process, in bytes; 0 if not stated.
+        descriptor_limit: File descriptors of the process; 0 if not stated.
     """
 
     instance: str
@@ -55,3 +76,7 @@
     lease: Seconds
     drain_notice: Seconds = 2.0
     heartbeat_interval: Seconds = DEFAULT_HEARTBEAT_INTERVAL
+    revoke_within: Seconds | None = None
+    quota_window: QuotaWindow = QuotaWindow()
+    memory_limit: int = 0
+    descriptor_limit: int = 0
--- a/fighitch/gateway/admission_requests.py
+++ b/fighitch/gateway/admission_requests.py
@@ -48,4 +48,5 @@
         may_decline=may_decline and now < target_time,
         request_id=metadata.request_id,
         gap_ms=round(route.gap_target * _MS_PER_SECOND),
+        account=metadata.account,
     )
--- a/fighitch/gateway/agent.py
+++ b/fighitch/gateway/agent.py
@@ -198,6 +198,7 @@
             deadline=now + admission_request.deadline_ms / _MS_PER_SECOND,
             request_id=admission_request.request_id,
             gap_target=admission_request.gap_ms / _MS_PER_SECOND or float("inf"),
+            account=admission_request.account,
         )
         if self._draining or not self._serving:
             reason = "draining" if self._draining else "engine_not_answering"
--- a/fighitch/gateway/peer_messages.py
+++ b/fighitch/gateway/peer_messages.py
@@ -76,6 +76,7 @@
         request_id: Id of the request, for the agent's log.
         gap_ms: Longest pause between events with which the stream is on time; 0 for
             no limit.
+        account: Client account of the request; empty for none.
     """
 
     number: int
@@ -90,6 +91,7 @@
     may_decline: bool = False
     request_id: str = ""
     gap_ms: int = 0
+    account: str = ""
 
 
 class Grant(_Message, frozen=True, tag=4):
--- a/fighitch/platform/configuration.py
+++ b/fighitch/platform/configuration.py
@@ -2,6 +2,12 @@
 
 import msgspec
 
+from fighitch.core.gateway.accounts import (
+    Account,
+    AccountTable,
+    Quota,
+    QuotaUnit,
+)
 from fighitch.core.gateway.model import (
     AdapterName,
     CallerLimits,
@@ -21,6 +27,8 @@
 VERSIONS_KIND = "versions"
 _MS_PER_SECOND = 1_000
 _LOWEST_RANK = 9
+# Unit of quotas that count the prompt and output tokens of requests.
+_TOKEN_UNIT = "token_stream"
 # Callers cancel a stream if they wait for an event longer than the maximum of this
 # minimum, the latency target times its factor, and the gap target times its factor.
 _MIN_CALLER_EVENT_TIMEOUT_MS = 2_000
@@ -47,6 +55,7 @@
     resumable: bool = False
     # Gap target: target for the longest time between two events of a stream.
     gap_aim_ms: Amount = 0
+    allow_anonymous: bool = False
 
 
 class _Model(msgspec.Struct, rename="pascal"):
@@ -79,11 +88,23 @@
     idle_timeout_ms: Amount = 15_000
 
 
+class _Tenant(msgspec.Struct, rename="pascal"):
+    name: str
+    api_keys: list[str] = []
+    priority: WholeNumber | None = None
+    # 0 stands for no limit.
+    rate_per_s: Amount = msgspec.field(default=0.0, name="RatePerS")
+    burst: Amount = 0.0
+    unit: str = ""
+    plain_tokens: Amount = 1.0
+
+
 class _Configuration(msgspec.Struct, rename="pascal"):
     version: WholeNumber
     routes: list[_Route]
     services: list[_Service]
     limits: _Limits = msgspec.field(default_factory=_Limits)
+    tenants: list[_Tenant] | None = None
 
 
 class _AdapterVersion(msgspec.Struct, rename="pascal"):
@@ -110,6 +131,7 @@
             header_timeout=limits.header_timeout_ms / _MS_PER_SECOND,
             idle_timeout=limits.idle_timeout_ms / _MS_PER_SECOND,
         ),
+        accounts=_build_accounts(decoded.tenants),
     )
 
 
@@ -140,6 +162,33 @@
         resumable=decoded.resumable,
         caller_event_timeout=_caller_event_timeout(decoded),
         gap_target=decoded.gap_aim_ms / _MS_PER_SECOND,
+        allows_anonymous=decoded.allow_anonymous,
+    )
+
+
+def _build_accounts(decoded: list[_Tenant] | None) -> AccountTable | None:
+    if decoded is None:
+        return None
+    return AccountTable(
+        Account(
+            name=item.name,
+            keys=frozenset(item.api_keys),
+            rank=item.priority,
+            quota=_build_quota(item),
+        )
+        for item in decoded
+    )
+
+
+def _build_quota(decoded: _Tenant) -> Quota | None:
+    if not decoded.rate_per_s:
+        return None
+    is_by_tokens = decoded.unit == _TOKEN_UNIT
+    return Quota(
+        rate=decoded.rate_per_s,
+        burst=decoded.burst,
+        unit=QuotaUnit.TOKENS if is_by_tokens else QuotaUnit.REQUESTS,
+        plain_cost=decoded.plain_tokens,
     )
 
 
--- a/fighitch/platform/requests.py
+++ b/fighitch/platform/requests.py
@@ -1,7 +1,7 @@
 """Headers of requests and responses between callers, entries and backend servers."""
 
 import math
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from fighitch.core.gateway.model import AdapterName, RequestSize
 from fighitch.core.gateway.stream_format import StreamFormat
@@ -11,6 +11,7 @@
 
 _MS_PER_SECOND = 1_000
 _REQUEST_ID = b"attempt-id"
+_KEY_SCHEME = b"token"
 _DEADLINE = b"deadline-ms"
 _RESUME_AFTER = b"last-event-id"
 # Hop-by-hop headers, and internal headers that callers must not set on backend servers.
@@ -88,6 +89,10 @@
         resume_after: Id of the last event that the caller received; empty for none.
         shared_parts: Ids of the prompt parts that other requests may share, in order;
             the last part of a prompt belongs to the request itself.
+        key: Key of a client account; None if the request has none, or several.
+        states_tokens: Whether the request states its size.
+        account: Name of the client account; empty if there is none. It is not decoded,
+            but set once the key was checked.
     """
 
     request_id: str
@@ -98,6 +103,9 @@
     size: RequestSize
     resume_after: str
     shared_parts: tuple[str, ...] = ()
+    key: str | None = field(default=None, repr=False)
+    states_tokens: bool = False
+    account: str = ""
 
 
 def decode_request(request: CallerRequest) -> RequestMetadata:
@@ -113,6 +121,8 @@
         size=_parse_request_size(request.get(b"token-counts")),
         resume_after=resume_after.decode("latin-1"),
         shared_parts=_parse_shared_parts(request.get(b"prompt-prefix")),
+        key=_parse_key(request.values(b"authorization")),
+        states_tokens=request.get(b"token-counts") is not None,
     )
 
 
@@ -298,5 +308,15 @@
         return RequestSize()
 
 
+def _parse_key(values: list[bytes]) -> str | None:
+    if len(values) != 1:
+        return None
+    scheme, _, key = values[0].strip().partition(b" ")
+    key = key.strip()
+    if scheme.lower() != _KEY_SCHEME or not key:
+        return None
+    return key.decode("latin-1")
+
+
 def _clamp_tokens(count: int) -> int:
     return min(max(0, count), _MAX_TOKENS)
--- a/fighitch/platform/settings.py
+++ b/fighitch/platform/settings.py
@@ -7,11 +7,13 @@
     DEFAULT_HEARTBEAT_INTERVAL,
     Address,
     InstanceSettings,
+    QuotaWindow,
 )
 from fighitch.platform.decoding import Port, decode, parse_address
 
 SETTINGS_VARIABLE = "FIGHITCH_SETTINGS"
 _MS_PER_SECOND = 1_000
+_BYTES_PER_MB = 1_000_000
 
 
 class _Listen(msgspec.Struct, rename="pascal"):
@@ -27,6 +29,17 @@
     lease_ms: float = 3_000
     # Time after a server announces its drain in which requests may still reach it.
     drain_ms: float = 2_000
+    # Whether instances without contact to the store refuse keys after ``RevokeMs``.
+    revoke_fail_closed: bool = False
+    revoke_ms: float = 5_000
+    quota_window_s: float = 8
+    quota_overage: float = 0.1
+    quota_slack: float = 0
+
+
+class _Limits(msgspec.Struct, rename="pascal"):
+    memory_mb: float = 0
+    max_fds: int = 0
 
 
 class _Store(msgspec.Struct, rename="pascal"):
@@ -42,6 +55,7 @@
     platform: _Store
     listen: _Listen = msgspec.field(default_factory=_Listen)
     bounds: _Bounds = msgspec.field(default_factory=_Bounds)
+    limits: _Limits = msgspec.field(default_factory=_Limits)
     # Interval of the heartbeats that servers write to the store.
     heartbeat_ms: float = DEFAULT_HEARTBEAT_INTERVAL * _MS_PER_SECOND
     # Address of the engine beside an agent; the only lowercase key of the file.
@@ -80,6 +94,16 @@
         lease=bounds.lease_ms / _MS_PER_SECOND,
         drain_notice=bounds.drain_ms / _MS_PER_SECOND,
         heartbeat_interval=decoded.heartbeat_ms / _MS_PER_SECOND,
+        revoke_within=(
+            bounds.revoke_ms / _MS_PER_SECOND if bounds.revoke_fail_closed else None
+        ),
+        quota_window=QuotaWindow(
+            length=bounds.quota_window_s,
+            overage=bounds.quota_overage,
+            slack=bounds.quota_slack,
+        ),
+        memory_limit=int(decoded.limits.memory_mb * _BYTES_PER_MB),
+        descriptor_limit=decoded.limits.max_fds,
     )
 
 
