Fail responses that end before their request and invalid statuses

Cause: an unframed response was complete at the end of its connection even if the upload was still being written, so that a caller got a part of a body with status 200. Statuses under 100 were skipped as interim responses, those from 600 passed on, and 101 with Upgrade raised an exception that left the exchange without an end.

Ruled out: resets and closes with unread bytes failed before; framed early responses are whole.

Change: an unframed response counts only if the server's host has acknowledged the request; a status outside 100 to 599, and 101, fails the exchange. The same holds for transfers by libcurl.

--- a/benchmarks/platform_soak.py
+++ b/benchmarks/platform_soak.py
@@ -91,6 +91,7 @@
     "cut_streams",
     "repeated_refusals",
     "unnamed_refusals",
+    "invalid_statuses",
 )
 # Faults end late when the soak test itself is slow.
 _DISTURBANCE_MARGIN = 0.5
@@ -403,7 +404,7 @@
     def _lose_responses(self) -> None:
         self._log_fault(
             "lost responses, errors, rejections, repeated refusals, second responses, "
-            "cut streams"
+            "cut streams, invalid statuses"
         )
         for name in _RESPONSE_FAULTS:
             setattr(self._faults, name, self._random.randrange(4))
--- a/fighitch/clients/http_client.py
+++ b/fighitch/clients/http_client.py
@@ -23,11 +23,19 @@
 
 @dataclass(slots=True)
 class _ResponseBuffer:
-    """Buffers the headers and body of one response."""
+    """Buffers the headers and body of one response.
+
+    Attributes:
+        headers: Headers by name, in lowercase.
+        head_lines: Follows the heads of the response.
+        body: Body.
+        body_bytes: Length of the body of the request.
+    """
 
     headers: dict[str, str] = field(default_factory=dict)
     head_lines: HeadLines = field(default_factory=HeadLines)
     body: BytesIO = field(default_factory=BytesIO)
+    body_bytes: int = 0
 
     def add_body(self, data: bytes) -> int:
         """Appends a part of the body; a body above the limit ends the transfer."""
@@ -162,6 +170,7 @@
         if call.body is not None:
             headers.append("Content-Type: application/json")
             curl.setopt(pycurl.POSTFIELDS, call.body)
+            received.body_bytes = len(call.body)
         curl.setopt(pycurl.HTTPHEADER, headers)
 
 
@@ -196,9 +205,11 @@
 
 def _response(curl: pycurl.Curl, received: _ResponseBuffer, body: bytes) -> CallResult:
     """Returns the response of a transfer that libcurl reports as successful."""
-    if not received.head_lines.is_complete:
-        detail = "the connection ended inside the head of the response"
-        return NoResponse(sent=True, detail=detail)
+    fault = received.head_lines.fault(
+        sent_bytes=curl.getinfo(pycurl.SIZE_UPLOAD_T), body_bytes=received.body_bytes
+    )
+    if fault is not None:
+        return NoResponse(sent=True, detail=fault)
     status = curl.getinfo(pycurl.RESPONSE_CODE)
     return HttpResponse(status, body, received.headers)
 
--- a/fighitch/runtime/http_exchange.py
+++ b/fighitch/runtime/http_exchange.py
@@ -20,8 +20,13 @@
     ResponseLimits,
     ResponseMeter,
 )
+from fighitch.core.response_heads import is_valid_status
 from fighitch.runtime.event_loop import READ, WRITE, EventLoop, Timer
-from fighitch.runtime.sockets import open_stream, start_connecting
+from fighitch.runtime.sockets import (
+    count_unacknowledged,
+    open_stream,
+    start_connecting,
+)
 from fighitch.types import Headers, Seconds
 
 _RECEIVE_BYTES = 65_536
@@ -309,7 +314,7 @@
         self._has_expected = self._has_boundary = False
         try:
             self._parser.feed_data(data)
-        except httptools.HttpParserError:
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
             if not self._is_complete:
                 self._fail(FailureKind.BAD_ANSWER)
                 return
@@ -325,13 +330,26 @@
         self._process_parsed()
 
     def _on_eof(self) -> None:
-        if self._body_ends_at_close and self._response_handler is not None:
+        if (
+            self._body_ends_at_close
+            and self._response_handler is not None
+            and self._is_request_received
+        ):
             response_handler = self._response_handler
             self.close()
             response_handler.on_complete()
             return
         self._fail(FailureKind.CLOSED)
 
+    @property
+    def _is_request_received(self) -> bool:
+        """Whether the host of the server has the whole request.
+
+        A server that ends its connection before that breaks off, so that an unframed
+        response is not known to be whole (RFC 9112, 6.3 and 9.5).
+        """
+        return not self._unsent and count_unacknowledged(self._sock) == 0
+
     def _process_parsed(self) -> None:
         if self._is_invalid and self._response_handler is not None:
             self._fail(FailureKind.BAD_ANSWER)
@@ -404,6 +422,9 @@
         if self._is_complete or self._is_invalid or self._response_handler is None:
             return
         status = self._parser.get_status_code()
+        if not is_valid_status(status):
+            self._is_invalid = True
+            return
         if status < _FIRST_FINAL_STATUS:
             self._is_skipping = True
             return
--- a/fighitch/runtime/sockets.py
+++ b/fighitch/runtime/sockets.py
@@ -1,6 +1,9 @@
 """Creates, configures and accepts the TCP sockets of the event loop."""
 
+import fcntl
 import socket
+import struct
+import termios
 from collections.abc import Callable
 
 # A peer that disappears without a reset is detected after about this time.
@@ -62,6 +65,21 @@
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, user_timeout_ms)
 
 
+def count_unacknowledged(sock: socket.socket) -> int:
+    """Returns how many sent bytes the host of the peer has not acknowledged.
+
+    Returns:
+        The bytes in the send queue of the kernel; 0 if it does not tell.
+    """
+    answer = struct.pack("i", 0)
+    try:
+        answer = fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, answer)
+    except OSError:
+        return 0
+    count: int = struct.unpack("i", answer)[0]
+    return count
+
+
 def listen(host: str, port: int) -> socket.socket:
     """Returns a non-blocking listening socket."""
     sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
--- a/fighitch/runtime/transfers.py
+++ b/fighitch/runtime/transfers.py
@@ -92,6 +92,7 @@
         self._headers: dict[str, str] = {}
         self._status = 0
         self._head_lines = HeadLines()
+        self._request_bytes = 0 if transfer.body is None else len(transfer.body)
         self._has_started = False
         handle = self.handle
         handle.setopt(pycurl.URL, transfer.url)
@@ -113,17 +114,23 @@
 
     def finish(self, error_code: int, detail: str) -> None:
         """Reports the end of the transfer."""
-        if error_code == pycurl.E_OK and self._head_lines.is_complete:
-            self._start()
-            self.on_event(TransferEnded())
-            return
         if error_code == pycurl.E_OK:
-            detail = "the connection ended inside the head of the response"
-            self.on_event(TransferFailed(sent=True, detail=detail))
+            self._finish_received()
             return
         sent = self.handle.getinfo(pycurl.REQUEST_SIZE) > 0
         self.on_event(TransferFailed(sent, f"curl error {error_code}: {detail}"))
 
+    def _finish_received(self) -> None:
+        fault = self._head_lines.fault(
+            sent_bytes=self.handle.getinfo(pycurl.SIZE_UPLOAD_T),
+            body_bytes=self._request_bytes,
+        )
+        if fault is not None:
+            self.on_event(TransferFailed(sent=True, detail=fault))
+            return
+        self._start()
+        self.on_event(TransferEnded())
+
     def _on_header(self, line: bytes) -> None:
         text = line.decode("latin-1")
         self._head_lines.add(text)
--- a/standins/platform_backends.py
+++ b/standins/platform_backends.py
@@ -51,6 +51,10 @@
 )
 
 
+# RFC 9110 defines the statuses 100 to 599.
+_INVALID_STATUS = 600
+
+
 @dataclass(slots=True)
 class BackendFaults:
     """Numbers of faults to inject; each occurrence decrements its field.
@@ -67,6 +71,7 @@
         unnamed_refusals: The same, with a refusal that does not name its request.
         wrong_continuations: Requests to continue a stream that are answered with an
             error, with another kind of body or with the whole stream.
+        invalid_statuses: Requests that run and get a status outside the range.
     """
 
     reset: int = 0
@@ -78,6 +83,7 @@
     repeated_refusals: int = 0
     unnamed_refusals: int = 0
     wrong_continuations: int = 0
+    invalid_statuses: int = 0
 
     def consume(self, name: str) -> bool:
         """Consumes one occurrence of a fault; returns whether there was one."""
@@ -287,6 +293,8 @@
             return
         self.repeat_refusal(connection)
         status = 500 if self.faults.consume("errors") else 200
+        if self.faults.consume("invalid_statuses"):
+            status = _INVALID_STATUS
         padding = b" x" * int(headers.get(RESPONSE_PAIRS_HEADER, 0))
         delay = int(headers.get(RUN_TIME_HEADER, 0)) / 1_000 or self.response_delay
         if delay:
