Check the keys of client accounts at the entry

Cause: where the configuration has client accounts, requests must carry a key, and a removed key must not run later than the revocation bound, in contact with the store or not.

Ruled out: counting contact from the response, which lets an entry miss a removal during a long watch; deriving contact from the general contact of all store calls, which says nothing of the configuration.

Change: a pure decision module, its use before a relay is created, 401 and 503 in the closed list of failures, the Tenant header, the account's rank, contact by the sending time of the configuration call, and a shorter wait of that watch where keys must be refused without contact. Reading a configuration moves out of the entry. The request's headers are left out of its representation.

--- a/fighitch/core/gateway/failures.py
+++ b/fighitch/core/gateway/failures.py
@@ -10,8 +10,10 @@
     """Reason why an entry does not return the response of a backend server."""
 
     BAD_REQUEST = "bad_request"
+    UNAUTHENTICATED = "unauthenticated"
     NO_ROUTE = "no_route"
     NOT_CONFIGURED = "not_configured"
+    KEYS_NOT_CURRENT = "keys_not_current"
     NO_SERVER = "no_server"
     OVERLOADED = "overloaded"
     NOT_RUN_IN_TIME = "not_run_in_time"
@@ -28,16 +30,20 @@
     Attributes:
         status: HTTP status; 503 guarantees that the request has not run and never will.
         retry_after: Minimum delay before a retry; None if a retry doesn't help.
+        challenge: Authentication scheme that the request lacks; empty for none.
     """
 
     status: int
     retry_after: Seconds | None = None
+    challenge: str = ""
 
 
 FAILURE_RESPONSES: dict[FailureKind, FailureResponse] = {
     FailureKind.BAD_REQUEST: FailureResponse(400),
+    FailureKind.UNAUTHENTICATED: FailureResponse(401, challenge="Token"),
     FailureKind.NO_ROUTE: FailureResponse(404),
     FailureKind.NOT_CONFIGURED: FailureResponse(503, 0.5),
+    FailureKind.KEYS_NOT_CURRENT: FailureResponse(503, 0.5),
     FailureKind.NO_SERVER: FailureResponse(503, 0.5),
     FailureKind.OVERLOADED: FailureResponse(503, 0.3),
     FailureKind.NOT_RUN_IN_TIME: FailureResponse(503, 0.3),
--- a/fighitch/gateway/entry.py
+++ b/fighitch/gateway/entry.py
@@ -33,21 +33,21 @@
 from fighitch.core.gateway.settings import InstanceSettings
 from fighitch.gateway.agent_links import AgentLinks
 from fighitch.gateway.backend_pool import BackendPool
+from fighitch.gateway.configuration_reader import read_configuration
 from fighitch.gateway.failure_response import send_failure_response
 from fighitch.gateway.metrics import EntryMetrics
 from fighitch.gateway.part_quarantine import PartQuarantine
 from fighitch.gateway.relay import Relay
 from fighitch.gateway.relay_host import RelayedRequest
+from fighitch.gateway.request_keys import RequestKeys
 from fighitch.gateway.store_calls import StoreCalls
 from fighitch.gateway.store_watch import KindWatcher, WatchOptions
 from fighitch.gateway.unreadable_objects import UnreadableObjects
 from fighitch.observability.bounded_log import BoundedLog
 from fighitch.platform.configuration import (
     CONFIGURATION_KIND,
-    CONFIGURATION_NAME,
     VERSIONS_KIND,
     decode_adapter_version,
-    decode_configuration,
 )
 from fighitch.platform.engine import SERVERS_KIND, decode_heartbeat
 from fighitch.platform.quarantine import QUARANTINE_KIND
@@ -118,6 +118,9 @@
         self._configuration: Configuration | None = None
         self._routes = RouteTable(())
         self._has_server_list = False
+        self._keys = RequestKeys(
+            loop, log, metrics, revoke_within=settings.revoke_within
+        )
         self._engine_ranker = EngineRanker(settings.zone)
         self._outliers = OutlierDetector()
         self._server_limits = ServerLimits()
@@ -180,6 +183,7 @@
             self._stopping_since is None
             and self._configuration is not None
             and self._has_server_list
+            and not self._keys.refuses_all
         )
 
     def reload(self, settings: InstanceSettings) -> None:
@@ -187,6 +191,7 @@
         previous, self._settings = self._settings, settings
         if previous.retry_limits != settings.retry_limits:
             self._retry_budgets.clear()
+        self._keys.set_bound(settings.revoke_within)
         is_same_store = previous.store == settings.store
         if not is_same_store:
             self._store_calls = self._create_store_calls()
@@ -255,10 +260,13 @@
             self.loop,
             address,
             WatchOptions(
-                CONFIGURATION_KIND, wait=wait, pause=_CONFIGURATION_WATCH_PAUSE
+                CONFIGURATION_KIND,
+                wait=min(wait, self._keys.max_watch),
+                pause=_CONFIGURATION_WATCH_PAUSE,
             ),
             self._log,
             on_change=self._on_configuration,
+            on_read=self._keys.record_contact,
             calls=self._store_calls,
         )
         servers = KindWatcher(
@@ -304,6 +312,7 @@
         self._pauses.drop_ended(self.loop.now())
         self.quarantine.run_housekeeping()
         self._limit_shares.set_entries(self._entry_count, self.loop.now())
+        self._keys.update_state()
         self.metrics.set_open_requests(len(self._relays))
 
     def _reject_quarantined(self) -> None:
@@ -380,13 +389,18 @@
             self._send_failure_response(caller, metadata, FailureKind.NOT_CONFIGURED)
             return None
         route = self._routes.find(metadata.host, metadata.path)
+        # Without current contact with the store, the route or the key may exist in a
+        # newer configuration. The first watcher is that of the configuration.
+        is_current = self._watchers[0].is_current(self.loop.now())
         if route is None:
-            # Without current contact with the store, the route may exist in a newer
-            # configuration. The first watcher is that of the configuration.
-            is_current = self._watchers[0].is_current(self.loop.now())
             kind = FailureKind.NO_ROUTE if is_current else FailureKind.NOT_CONFIGURED
             self._send_failure_response(caller, metadata, kind)
             return None
+        checked = self._keys.check(metadata, route, is_current=is_current)
+        if isinstance(checked, FailureKind):
+            self._send_failure_response(caller, metadata, checked)
+            return None
+        metadata, route = checked
         service_name = choose_service(route, metadata.request_id)
         service = configuration.services.get(service_name) or Service(service_name)
         self._retry_budget(service_name).record_request(self.loop.now())
@@ -677,31 +691,12 @@
     # Changes in the store.
 
     def _on_configuration(self, item: StoredObject) -> None:
-        if item.name != CONFIGURATION_NAME or item.removed:
-            return
-        try:
-            configuration = decode_configuration(item.content)
-        except msgspec.DecodeError as error:
-            self._log.event("configuration_unreadable", detail=error)
-            return
-        current = self._configuration
-        if current is not None and configuration.version <= current.version:
-            if configuration.version < current.version:
-                self._log.event(
-                    "configuration_outdated",
-                    version=configuration.version,
-                    current=current.version,
-                    revision=item.revision,
-                )
+        configuration = read_configuration(item, self._configuration, self._log)
+        if configuration is None:
             return
         self._configuration = configuration
         self._routes = RouteTable(configuration.routes)
-        self._log.event(
-            "configuration_applied",
-            version=configuration.version,
-            revision=item.revision,
-            routes=len(configuration.routes),
-        )
+        self._keys.configure(configuration)
         self._update_links()
 
     def _on_version(self, item: StoredObject) -> None:
@@ -780,6 +775,6 @@
         self.links.update(engines)
 
 
-def _watch_timing(settings: InstanceSettings) -> tuple[Seconds, Seconds]:
+def _watch_timing(settings: InstanceSettings) -> tuple[Seconds | None, ...]:
     """Returns the settings on which the timing of the watches depends."""
-    return settings.drain_notice, settings.heartbeat_interval
+    return settings.drain_notice, settings.heartbeat_interval, settings.revoke_within
--- a/fighitch/gateway/failure_response.py
+++ b/fighitch/gateway/failure_response.py
@@ -24,6 +24,8 @@
     headers = [(b"Content-Type", b"application/json")]
     if request_id:
         headers.append((b"Attempt-Id", request_id.encode("latin-1")))
+    if response.challenge:
+        headers.append((b"WWW-Authenticate", response.challenge.encode()))
     if response.retry_after is not None:
         wait = max(response.retry_after, retry_after or 0.0)
         headers.append((b"Retry-After", b"%.3f" % wait))
--- a/fighitch/gateway/metrics.py
+++ b/fighitch/gateway/metrics.py
@@ -41,6 +41,17 @@
         self._open_requests = Gauge(
             "fighitch_open_requests", "Requests under way.", registry=self.registry
         )
+        self._key_checks = Counter(
+            "fighitch_key_checks",
+            "Requests on routes that need a key of a client account, by outcome.",
+            ("outcome",),
+            registry=self.registry,
+        )
+        self._refuses_keys = Gauge(
+            "fighitch_refuses_keys",
+            "Whether keys are refused for lack of contact with the store (1 or 0).",
+            registry=self.registry,
+        )
 
     def count_request(self, route: str, outcome: str) -> None:
         """Counts a finished request by route and outcome."""
@@ -62,6 +73,14 @@
         """Sets the number of requests in flight."""
         self._open_requests.set(count)
 
+    def count_key_check(self, outcome: str) -> None:
+        """Counts the check of a key by outcome."""
+        self._key_checks.labels(outcome).inc()
+
+    def set_refuses_keys(self, refuses: bool) -> None:
+        """Sets whether keys are refused for lack of contact with the store."""
+        self._refuses_keys.set(int(refuses))
+
     def render(self) -> bytes:
         """Returns all metrics in the Prometheus text format."""
         return generate_latest(self.registry)
--- a/fighitch/gateway/relay.py
+++ b/fighitch/gateway/relay.py
@@ -322,6 +322,7 @@
             priority=priority,
             adapter_version=self._expected_version(),
             resume_after=self._event_buffer.last_id,
+            account=self._metadata.forwarded_account,
         )
         self._exchange_number += 1
         self._in_flight = True
--- a/fighitch/gateway/store_watch.py
+++ b/fighitch/gateway/store_watch.py
@@ -18,6 +18,11 @@
 
 _T = TypeVar("_T")
 
+
+class UnreadableObjectError(Exception):
+    """Raised by a callback that can't read an object and has logged it."""
+
+
 _OK = 200
 _GONE = 410
 # Time that a slow store has to answer a call that does not wait.
@@ -30,6 +35,9 @@
 _MAX_RETRY_DELAY_WITHOUT_COPY: Seconds = 0.4
 # Time after a restore within which other writers write again what the copy lacks.
 _REWRITE_TIME: Seconds = 2.2
+# Share of its wait after which a watch may end without news. An earlier empty response
+# on a persistent connection may be a second copy of the one before.
+_MIN_WAIT_SHARE = 0.5
 
 
 @dataclass(frozen=True, slots=True)
@@ -63,6 +71,7 @@
         on_list: Callable[[Iterable[store.StoredObject]], None] | None = None,
         on_contact: Callable[[bool], None] | None = None,
         on_restored: Callable[[], None] | None = None,
+        on_read: Callable[[Seconds], None] | None = None,
         calls: StoreCalls | None = None,
     ) -> None:
         """Initializes the watcher; ``start`` makes the first call.
@@ -79,6 +88,9 @@
                 outage since the one before.
             on_restored: Called before the first list after the store was restored from
                 an older copy, which may lack objects and hold removed ones.
+            on_read: Called after each successful call with the time at which it was
+                sent, once the objects are passed on. They reflect the store at that
+                time or later. It is not called while an object could not be read.
             calls: Calls to the store, shared with its other clients; None for calls of
                 this watcher alone.
         """
@@ -93,10 +105,16 @@
         self._on_change = on_change
         self._on_contact = on_contact
         self._on_restored = on_restored
+        self._on_read = on_read
         # Number of the last call; responses to earlier ones are ignored.
         self._call_number = 0
         self._next_call: Timer | None = None
         self._called_at: Seconds = float("-inf")
+        self._listed_at: Seconds = float("-inf")
+        # Whether an object that could not be read may have changed since the last list.
+        self._has_unread = False
+        self._wait: Seconds = 0.0
+        self._may_reuse_connection = True
         self._restored_at: Seconds = float("-inf")
         self._revision = 0
         self._listed_objects: list[store.StoredObject] = []
@@ -174,6 +192,9 @@
 
     def _list(self, after: str) -> None:
         self._listed_after = after
+        if not after:
+            self._listed_at = self._loop.now()
+            self._has_unread = False
         target = store.list_target(self._options.kind, after)
         # The last page of an earlier list would count as the whole list.
         self._call(
@@ -191,6 +212,7 @@
         if not self._listed_objects:
             self._first_page_revision = page.revision
         self._listed_objects += page.objects
+        self._has_unread |= page.unreadable > 0
         last_name = page.objects[-1].name if page.objects else self._listed_after
         if page.has_more and last_name != self._listed_after:
             self._list(last_name)
@@ -210,27 +232,41 @@
         else:
             for item in objects:
                 self._deliver(self._on_change, item, item.name)
+        # A page that says that others follow, but from which none can be requested.
+        self._has_unread |= page.has_more
+        self._record_read(self._listed_at)
         self._schedule_watch(0.0)
 
     def _schedule_watch(self, pause: Seconds) -> None:
         self._next_call = self._loop.call_later(pause, self._watch)
 
     def _watch(self) -> None:
-        self._request_changes(self._options.wait, self._on_watch_response)
+        may_reuse, self._may_reuse_connection = self._may_reuse_connection, True
+        self._request_changes(
+            self._options.wait, self._on_watch_response, reuse_connection=may_reuse
+        )
 
     def _check(self) -> None:
         """Requests the changes without a wait.
 
         The store may cut off watches that wait while it serves all other calls.
         """
-        self._request_changes(0.0, self._on_changes)
+        self._request_changes(0.0, self._on_changes, reuse_connection=False)
 
     def _request_changes(
-        self, wait: Seconds, on_response: Callable[[int, bytes], None]
+        self,
+        wait: Seconds,
+        on_response: Callable[[int, bytes], None],
+        *,
+        reuse_connection: bool,
     ) -> None:
+        self._wait = wait if reuse_connection else 0.0
         target = store.watch_target(self._options.kind, self._revision, wait)
         self._call(
-            target, on_response, max(wait + _WATCH_TIMEOUT_MARGIN, _CALL_TIMEOUT)
+            target,
+            on_response,
+            max(wait + _WATCH_TIMEOUT_MARGIN, _CALL_TIMEOUT),
+            reuse_connection=reuse_connection,
         )
 
     def _on_watch_response(self, status: int, body: bytes) -> None:
@@ -248,18 +284,31 @@
             self._retry_later(self._check, status)
             return
         self._record_contact()
+        had_unread = self._has_unread
+        is_repeated = self._is_repeated(page)
+        self._has_unread |= page.unreadable > 0
         self._revision = max(self._revision, page.revision)
         for item in page.objects:
             if item.revision < self._object_revisions.get(item.name, 0):
                 continue
             self._object_revisions[item.name] = item.revision
             self._deliver(self._on_change, item, item.name)
+        if had_unread and page.objects and self._on_read is not None:
+            # Only a list shows whether all objects can be read again.
+            self.start()
+            return
+        if is_repeated:
+            self._may_reuse_connection = False
+        else:
+            self._record_read(self._called_at)
         self._schedule_watch(self._options.pause if page.objects else 0.0)
 
     def _deliver(self, callback: Callable[[_T], None], content: _T, name: str) -> None:
         """Passes on objects; an unexpected error must not end the watch."""
         try:
             callback(content)
+        except UnreadableObjectError:
+            self._has_unread = True
         except Exception as error:
             self._log.event(
                 "store_object_failed",
@@ -268,6 +317,18 @@
                 entry=name,
                 detail=repr(error),
             )
+            self._has_unread = True
+
+    def _is_repeated(self, page: store.ObjectPage) -> bool:
+        """Returns whether a response may be a second copy of the one before."""
+        if self._loop.now() - self._called_at >= _MIN_WAIT_SHARE * self._wait:
+            return False
+        known = self._object_revisions
+        return all(item.revision <= known.get(item.name, 0) for item in page.objects)
+
+    def _record_read(self, sent_at: Seconds) -> None:
+        if self._on_read is not None and not self._has_unread:
+            self._on_read(sent_at)
 
     def _decode(
         self,
--- a/fighitch/platform/requests.py
+++ b/fighitch/platform/requests.py
@@ -14,6 +14,8 @@
 _KEY_SCHEME = b"token"
 _DEADLINE = b"deadline-ms"
 _RESUME_AFTER = b"last-event-id"
+# Headers that only the entry reads or sets where client accounts exist.
+_ACCOUNT_HEADERS = frozenset((b"authorization", b"tenant"))
 # Hop-by-hop headers, and internal headers that callers must not set on backend servers.
 _NOT_FORWARDED = frozenset(
     (
@@ -93,6 +95,8 @@
         states_tokens: Whether the request states its size.
         account: Name of the client account; empty if there is none. It is not decoded,
             but set once the key was checked.
+        has_accounts: Whether the configuration has client accounts, so that callers'
+            ``Authorization`` and ``Tenant`` headers are not forwarded.
     """
 
     request_id: str
@@ -106,6 +110,12 @@
     key: str | None = field(default=None, repr=False)
     states_tokens: bool = False
     account: str = ""
+    has_accounts: bool = False
+
+    @property
+    def forwarded_account(self) -> str | None:
+        """Account that the server sees, empty for none; None without accounts."""
+        return self.account if self.has_accounts else None
 
 
 def decode_request(request: CallerRequest) -> RequestMetadata:
@@ -139,6 +149,7 @@
     priority: int | None = None,
     adapter_version: int = 0,
     resume_after: str = "",
+    account: str | None = None,
 ) -> bytes:
     """Encodes a caller's request for a backend server.
 
@@ -151,8 +162,13 @@
         adapter_version: Version of the adapter without which the backend server must
             not run the request; 0 for any.
         resume_after: Id of the last event that the caller received; empty for none.
+        account: Name of the client account for the ``Tenant`` header, empty for none;
+            the caller's ``Tenant`` and ``Authorization`` are dropped. None if there are
+            no accounts; both headers are then forwarded like any other.
     """
     dropped_headers = _connection_headers(request)
+    if account is not None:
+        dropped_headers |= _ACCOUNT_HEADERS
     lines = [request.method + b" " + request.target + b" HTTP/1.1"]
     for name, value in request.headers:
         lower_name = name.lower()
@@ -164,6 +180,8 @@
         lines.append(b"Request-Priority: %d" % priority)
     if adapter_version:
         lines.append(b"Expect-Version: %d" % adapter_version)
+    if account:
+        lines.append(b"Tenant: " + _encode_account(account))
     if resume_after:
         lines.append(b"Last-Event-Id: " + resume_after.encode("latin-1"))
     if request.body or request.method in (b"POST", b"PUT", b"PATCH"):
@@ -262,6 +280,12 @@
     return values[0].decode("latin-1") if len(values) == 1 else ""
 
 
+def _encode_account(name: str) -> bytes:
+    """Encodes an account's name, which must not end its header line."""
+    text = "".join(item if item.isprintable() else "?" for item in name)
+    return text.encode(errors="replace")
+
+
 def _connection_headers(request: CallerRequest) -> frozenset[bytes]:
     """Returns the lowercase names listed in Connection, except end-to-end headers."""
     listed_headers = b",".join(request.values(b"connection"))
--- a/fighitch/runtime/http_callers.py
+++ b/fighitch/runtime/http_callers.py
@@ -23,6 +23,7 @@
 _REASON_PHRASES = {
     200: b"OK",
     400: b"Bad Request",
+    401: b"Unauthorized",
     404: b"Not Found",
     408: b"Request Timeout",
     413: b"Content Too Large",
@@ -54,8 +55,9 @@
 
     method: bytes
     target: bytes
-    headers: Headers
-    body: bytes
+    # Not shown, as they may hold keys of client accounts.
+    headers: Headers = field(repr=False)
+    body: bytes = field(repr=False)
     received_at: Seconds
     _index: dict[bytes, list[bytes]] | None = field(default=None, repr=False)
 
