--- a/standins/platform_fleet.py
+++ b/standins/platform_fleet.py
@@ -220,6 +220,7 @@
         entries: int = 2,
         adapter_slots: int = 3,
         proxied: bool = False,
+        bounds: dict[str, Any] | None = None,
     ) -> None:
         """Creates the stand-ins without starting them.
 
@@ -228,6 +229,7 @@
             entries: Number of entries.
             adapter_slots: Adapter slots of each engine.
             proxied: Whether connections between processes pass through a fault proxy.
+            bounds: Further bounds in the settings of all processes.
         """
         # Derived from the process id, so that concurrent runs use different addresses.
         self._network = f"127.{os.getpid() % 200 + 20}.{os.getpid() // 200 % 250}"
@@ -252,6 +254,7 @@
         self.agents: list[FleetProcess] = []
         self._entry_count = entries
         self._proxied = proxied
+        self._bounds = bounds or {}
         # Fault proxies by link name.
         self.links: dict[str, FaultProxy] = {}
         self._added_routes: list[str] = []
@@ -352,6 +355,7 @@
         limits: dict[str, int] | None = None,
         *,
         engine_slots: int | None = _ENGINE_SLOTS,
+        tenants: list[dict[str, Any]] | None = None,
         **routes: dict[str, Any],
     ) -> None:
         """Writes a new version of the configuration.
@@ -360,6 +364,7 @@
             limits: Changed limits on callers.
             engine_slots: Requests that an engine runs at once; None if the service is
                 not said to be one of engines.
+            tenants: Client accounts; None if requests need no keys.
             **routes: Changed fields by route name.
         """
         self.version += 3
@@ -408,6 +413,8 @@
             "Services": services,
             "Limits": {"IdleTimeoutMs": 15_000} | (limits or {}),
         }
+        if tenants is not None:
+            spec["Tenants"] = tenants
         self.store.put("config", "main", spec)
 
     def is_ready(self, entry: FleetProcess) -> bool:
@@ -466,7 +473,8 @@
             "Zone": "z1",
             "InternalPorts": [self._peer_port, self._peer_port + 1],
             "Limits": {"MemoryMb": 256},
-            "Bounds": {"GraceS": 8, "RetryBudgetRatio": 0.2, "BudgetSlack": 60},
+            "Bounds": {"GraceS": 8, "RetryBudgetRatio": 0.2, "BudgetSlack": 60}
+            | self._bounds,
             "Platform": {"Address": self._store_address(name, number)},
         }
 
