--- a/standins/platform_fleet.py
+++ b/standins/platform_fleet.py
@@ -258,6 +258,8 @@
         # Fault proxies by link name.
         self.links: dict[str, FaultProxy] = {}
         self._added_routes: list[str] = []
+        # Client accounts of the next configurations; None if requests need no keys.
+        self.tenants: list[dict[str, Any]] | None = None
         self.version = 1
 
     def start(self) -> None:
@@ -355,7 +357,6 @@
         limits: dict[str, int] | None = None,
         *,
         engine_slots: int | None = _ENGINE_SLOTS,
-        tenants: list[dict[str, Any]] | None = None,
         **routes: dict[str, Any],
     ) -> None:
         """Writes a new version of the configuration.
@@ -364,7 +365,6 @@
             limits: Changed limits on callers.
             engine_slots: Requests that an engine runs at once; None if the service is
                 not said to be one of engines.
-            tenants: Client accounts; None if requests need no keys.
             **routes: Changed fields by route name.
         """
         self.version += 3
@@ -413,8 +413,8 @@
             "Services": services,
             "Limits": {"IdleTimeoutMs": 15_000} | (limits or {}),
         }
-        if tenants is not None:
-            spec["Tenants"] = tenants
+        if self.tenants is not None:
+            spec["Tenants"] = self.tenants
         self.store.put("config", "main", spec)
 
     def is_ready(self, entry: FleetProcess) -> bool:
