--- a/fighitch/tests/test_accounts.py
+++ b/fighitch/tests/test_accounts.py
@@ -3,6 +3,7 @@
 import json
 import signal
 import socket
+import threading
 import time
 import unittest
 from dataclasses import replace
@@ -591,6 +592,20 @@
         self.assertTrue(wait_until(lambda: send("k2") == 401))
         self.assertEqual(self.send(SECOND_KEY).status, 200)
 
+    def test_accepted_request_outlives_its_key(self):
+        # Guards against requests that are cut off when their key is removed.
+        responses: list[CallerResponse] = []
+        thread = threading.Thread(
+            target=lambda: responses.append(self.send(KEY, Work_Ms="1500"))
+        )
+        count = self.run_count()
+        thread.start()
+        self.assertTrue(wait_until(lambda: self.run_count() > count))
+        self.put_tenants([{"Name": "small", "ApiKeys": [SECOND_KEY]}])
+        self.assertTrue(wait_until(lambda: self.send(KEY).status == 401))
+        thread.join()
+        self.assertEqual(responses[0].status, 200)
+
     def test_key_that_moves_belongs_to_its_new_account(self):
         moved = [{"Name": "small"}, {"Name": "new", "ApiKeys": [KEY]}]
         self.put_tenants(moved)
