Name the account of a known key on an anonymous route

Cause: a key was ignored on a route that needs none, so that a server ran the request of an account without its name.

Change: a known key names its account there too, as long as the entry may accept keys; the route stays open without one.

Result: test_key_check and test_accounts pass.

--- a/fighitch/core/gateway/key_check.py
+++ b/fighitch/core/gateway/key_check.py
@@ -102,14 +102,17 @@
         Args:
             accounts: Accounts of the configuration in force; None if it has none.
             key: Key of the request; None if it has none, or more than one.
-            allows_anonymous: Whether the route needs no key. A key is ignored then.
+            allows_anonymous: Whether the route needs no key. A known one still names
+                the account then.
             is_current: Whether the configuration in force is up to date.
             now: Present time. A process that stood still must not use an earlier one.
         """
-        if accounts is None or allows_anonymous:
+        if accounts is None:
             return Acceptance(None)
         may_accept = self.may_accept(now)
         account = None if key is None else accounts.find(key)
+        if allows_anonymous:
+            return Acceptance(account if may_accept else None)
         if account is not None and may_accept:
             return Acceptance(account)
         if account is None and is_current and may_accept:
--- a/fighitch/tests/test_key_check.py
+++ b/fighitch/tests/test_key_check.py
@@ -86,6 +86,13 @@
             )
             self.assertEqual(decision, Acceptance(None))
 
+    def test_known_key_names_its_account_on_an_anonymous_route(self):
+        # The server would run the request for another account than that of the key.
+        decision = decide(in_contact(), "s1", allows_anonymous=True)
+        self.assertEqual(decision, Acceptance(SMALL))
+        decision = decide(in_contact(), "unknown", allows_anonymous=True)
+        self.assertEqual(decision, Acceptance(None))
+
 
 class ContactTests(unittest.TestCase):
     """Contact with the store, on which removed keys depend."""
