Log and count refused keys before the first refusal

Cause: the gauge and the log line of refused keys were set up to 0.2 s after the first refused request; the process test of an outage read the gauge in between and failed in two of three runs.

Ruled out: a wait in the test, as the log would still explain a refusal late.

Change: the state is updated at each check. After an object that can't be read, the list that follows a change waits for the pause of the watch, so that a busy writer causes no list for each change.

--- a/fighitch/gateway/request_keys.py
+++ b/fighitch/gateway/request_keys.py
@@ -89,6 +89,8 @@
         accounts = None if self._configuration is None else self._configuration.accounts
         if accounts is None:
             return metadata, route
+        # A refused request must not come before the line that tells why.
+        self.update_state()
         decision = self._check.check(
             accounts,
             metadata.key,
--- a/fighitch/gateway/store_watch.py
+++ b/fighitch/gateway/store_watch.py
@@ -295,7 +295,7 @@
             self._deliver(self._on_change, item, item.name)
         if had_unread and page.objects and self._on_read is not None:
             # Only a list shows whether all objects can be read again.
-            self.start()
+            self._next_call = self._loop.call_later(self._options.pause, self.start)
             return
         if is_repeated:
             self._may_reuse_connection = False
