Order the requests of an engine by fair shares of client accounts

Cause: requests of all accounts were ordered by target time, so that a flood of one account made the requests of all others late. Ruled out: tags that are set on arrival, as in the original start-time fair queueing: rejected and cancelled requests would be charged, and the order within an account could not follow lateness. Change: fair_order.py keeps a virtual time per account, charged on admission. EngineQueue uses it for the order, for estimates, for rejections under a rate limit and for the published backlog.

--- a/fighitch/core/gateway/engine_queue.py
+++ b/fighitch/core/gateway/engine_queue.py
@@ -6,15 +6,17 @@
 ``PREFILL_WINDOW``, starting with requests that can still meet their latency target, and
 rejects a request as soon as it is known to miss its deadline. Within the window, a
 prompt joins others only if the running streams keep their gap target (``event_gaps``).
-An engine that limits its requests gets them spaced (``request_pacer``).
+An engine that limits its requests gets them spaced (``request_pacer``). Requests of
+several client accounts are ordered by fair shares (``fair_order``).
 """
 
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping, Sequence
 from dataclasses import dataclass, field
 from typing import Protocol
 
 from fighitch.core.gateway.adapter_demand import AdapterDemand
 from fighitch.core.gateway.event_gaps import EventPace, GapLimits
+from fighitch.core.gateway.fair_order import AccountLoad, FairOrder, Work
 from fighitch.core.gateway.model import AdapterName, EngineSpec, RequestSize
 from fighitch.core.gateway.request_pacer import RequestPacer
 from fighitch.types import Seconds
@@ -166,6 +168,7 @@
     pacer: RequestPacer | None = None
     _waiting: dict[RequestKey, EngineRequest] = field(default_factory=dict)
     _running: dict[RequestKey, _RunningRequest] = field(default_factory=dict)
+    _fair_order: FairOrder = field(default_factory=FairOrder)
     _pending_prefill_tokens: int = 0
     _reserved_kv_tokens: int = 0
     _waiting_prompt_tokens: int = 0
@@ -225,10 +228,11 @@
 
         These loads precede a load for a new request; loads for late requests do not.
         """
+        first_event = self._earliest_first_event(now)
         missing = {
             request.adapter
             for request in self._waiting.values()
-            if not self._is_late(request, now)
+            if not self._sort_key(request, first_event)[0]
             and not loaded.serves(request.adapter, request.version, now)
         }
         return len(missing)
@@ -245,17 +249,66 @@
 
         Late requests are not counted, as new requests that can meet their latency
         target precede them. Counting them would send callers to engines that have to
-        load the adapter first.
+        load the adapter first. With named accounts, the new request is one of an
+        account that has no others waiting; ``account_backlogs`` adds to this.
         """
+        if self._fair_order.has_named_accounts:
+            loads = self._account_loads(now)
+            return self._backlog_of(None, AccountLoad(), loads, now)
+        first_event = self._earliest_first_event(now)
         ahead = [
             request.size.prompt_tokens
             for request in self._waiting.values()
-            if not self._is_late(request, now)
+            if not self._sort_key(request, first_event)[0]
         ]
-        prefill = self._pending_prefill_tokens + sum(ahead)
+        return self._start_delay(sum(ahead), len(ahead), now)
+
+    def account_backlogs(self, now: Seconds) -> dict[str, Seconds]:
+        """Estimates the backlog for new requests of the accounts with waiting ones.
+
+        Returns:
+            The estimates by account, the longest first; empty without named accounts.
+        """
+        if not self._fair_order.has_named_accounts:
+            return {}
+        loads = self._account_loads(now)
+        backlogs = {
+            account: self._backlog_of(account, load, loads, now)
+            for account, load in loads.items()
+        }
+        return dict(sorted(backlogs.items(), key=lambda item: item[1], reverse=True))
+
+    def _account_loads(self, now: Seconds) -> dict[str, AccountLoad]:
+        """Returns the waiting requests that are not late, by account."""
+        first_event = self._earliest_first_event(now)
+        loads: dict[str, AccountLoad] = {}
+        for request in self._waiting.values():
+            if not self._sort_key(request, first_event)[0]:
+                load = loads.setdefault(request.account, AccountLoad())
+                load.requests += 1
+                load.prompt_tokens += request.size.prompt_tokens
+                load.cost += self._cost(request)
+        return loads
+
+    def _backlog_of(
+        self,
+        account: str | None,
+        own: AccountLoad,
+        loads: Mapping[str, AccountLoad],
+        now: Seconds,
+    ) -> Seconds:
+        """Returns the backlog for a new request of one account."""
+        shares = self._fair_order.shares_ahead(account, own.cost, loads)
+        tokens = sum(share * loads[name].prompt_tokens for name, share in shares)
+        requests = sum(share * loads[name].requests for name, share in shares)
+        return self._start_delay(tokens, round(requests), now)
+
+    def _start_delay(self, tokens: float, requests: int, now: Seconds) -> Seconds:
+        """Returns the time until a prefill starts with waiting requests ahead."""
+        prefill = self._pending_prefill_tokens + tokens
         return max(
             prefill * self.prefill_speed.seconds_per_token,
-            self._pacing_delay(now, len(ahead)),
+            self._pacing_delay(now, requests),
         )
 
     def expected_first_event_delay(
@@ -292,8 +345,10 @@
         if self._misses_deadline(request, start):
             retry_after = self.retry_after(request.arrived)
             return Rejection(request, retry_after, "deadline_out_of_reach")
+        self._remove_waiting(request.key)
         self._waiting[request.key] = request
         self._waiting_prompt_tokens += request.size.prompt_tokens
+        self._fair_order.add(request.account)
         return None
 
     def admit_ready(
@@ -302,7 +357,8 @@
         """Admits waiting requests while the engine has capacity.
 
         Requests whose adapter is not loaded are skipped. Requests that can still meet
-        their latency target go first, then those of the most urgent rank.
+        their latency target go first, then those of the most urgent rank, then those of
+        the account that has had the smallest share.
 
         Args:
             now: Current time.
@@ -319,8 +375,9 @@
             for request in self._waiting.values()
             if loaded.serves(request.adapter, request.version, now)
         ]
-        eligible.sort(key=lambda request: self._sort_key(request, now))
-        for request in eligible:
+        if not eligible or self._is_full(now):
+            return admitted
+        for request in self._arrange(eligible, now):
             if not self._has_capacity(request, now):
                 break
             self._admit(request, now)
@@ -346,9 +403,49 @@
         """Returns the waiting requests in the order of admission."""
         if self.pacer is None:
             return list(self._waiting.values())
-        return sorted(
-            self._waiting.values(), key=lambda request: self._sort_key(request, now)
-        )
+        return self._arrange(self._waiting.values(), now)
+
+    def _arrange(
+        self, requests: Iterable[EngineRequest], now: Seconds
+    ) -> list[EngineRequest]:
+        """Returns requests in the order of admission.
+
+        Without named accounts, the order within a rank is that of the target times.
+        """
+        if not self._fair_order.has_named_accounts:
+            first_event = self._earliest_first_event(now)
+            return sorted(requests, key=lambda item: self._sort_key(item, first_event))
+        listed = list(requests)
+        order = self._fair_order.arrange(self._work(listed, now))
+        return [listed[index] for index in order]
+
+    def _work(self, requests: Sequence[EngineRequest], now: Seconds) -> list[Work]:
+        """Returns what the fair order needs to know of requests."""
+        first_event = self._earliest_first_event(now)
+        speed = self.prefill_speed.seconds_per_token
+        work = []
+        for request in requests:
+            prefill = request.size.prompt_tokens * speed
+            target = request.target_time
+            work.append(
+                Work(
+                    first_event + prefill > target,
+                    request.rank,
+                    target - prefill,
+                    request.account,
+                    self._cost(request),
+                )
+            )
+        return work
+
+    def _cost(self, request: EngineRequest) -> Seconds:
+        """Returns the time for which a request counts against its account's share.
+
+        Output tokens count as much as prompt tokens: both occupy the KV cache. If the
+        engine limits its requests, each also takes the time until the next one.
+        """
+        cost = request.tokens * self.prefill_speed.seconds_per_token
+        return cost if self.pacer is None else max(cost, self.pacer.interval)
 
     def _pacing_delay(self, now: Seconds, ahead: int) -> Seconds:
         """Returns the time until a request with others ahead may be sent."""
@@ -413,15 +510,28 @@
         return min(_MAX_RETRY_AFTER, max(_MIN_RETRY_AFTER, drain_time))
 
     def _sort_key(
-        self, request: EngineRequest, now: Seconds
+        self, request: EngineRequest, first_event: Seconds
     ) -> tuple[bool, int, Seconds]:
-        return self._is_late(request, now), request.rank, request.target_time
+        """Returns the sort key of a request without a named account.
+
+        Args:
+            request: Waiting request.
+            first_event: Result of ``_earliest_first_event``.
+        """
+        prefill = request.size.prompt_tokens * self.prefill_speed.seconds_per_token
+        is_late = first_event + prefill > request.target_time
+        return is_late, request.rank, request.target_time
 
     def _is_late(self, request: EngineRequest, now: Seconds) -> bool:
+        prefill = request.size.prompt_tokens * self.prefill_speed.seconds_per_token
+        return self._earliest_first_event(now) + prefill > request.target_time
+
+    def _earliest_first_event(self, now: Seconds) -> Seconds:
+        """Returns when a prompt without tokens would get its first event."""
         start = (
             now + self._pending_prefill_tokens * self.prefill_speed.seconds_per_token
         )
-        return self._expected_first_event(request, start) > request.target_time
+        return start + self.prefill_speed.overhead
 
     def _expected_first_event(self, request: EngineRequest, start: Seconds) -> Seconds:
         """Estimates the time of the first event if the prefill begins at ``start``."""
@@ -434,17 +544,21 @@
             > request.deadline
         )
 
-    def _has_capacity(self, request: EngineRequest, now: Seconds) -> bool:
+    def _is_full(self, now: Seconds) -> bool:
+        """Returns whether the engine has no capacity for a request of any size."""
         if len(self._running) >= self.slots or self._pacing_delay(now, 0) > 0:
+            return True
+        pending = self._pending_prefill_tokens * self.prefill_speed.seconds_per_token
+        return bool(self._running) and pending >= PREFILL_WINDOW
+
+    def _has_capacity(self, request: EngineRequest, now: Seconds) -> bool:
+        if self._is_full(now):
             return False
         if not self._running:
             # An idle engine also runs a request that exceeds _MAX_KV_SHARE on its own.
             return True
         if self._reserved_kv_tokens + request.tokens > _MAX_KV_SHARE * self.kv_tokens:
             return False
-        pending = self._pending_prefill_tokens * self.prefill_speed.seconds_per_token
-        if pending >= PREFILL_WINDOW:
-            return False
         return self._keeps_gap_targets(request, now) or self._is_urgent(request, now)
 
     def _keeps_gap_targets(self, request: EngineRequest, now: Seconds) -> bool:
@@ -497,6 +611,8 @@
         return self._expected_first_event(request, start) > request.target_time
 
     def _admit(self, request: EngineRequest, now: Seconds) -> None:
+        is_late = self._is_late(request, now)
+        self._fair_order.charge(request.account, self._cost(request), late=is_late)
         self._remove_waiting(request.key)
         if self.pacer is not None:
             self.pacer.take(now)
@@ -510,20 +626,31 @@
         request = self._waiting.pop(key, None)
         if request is not None:
             self._waiting_prompt_tokens -= request.size.prompt_tokens
+            self._fair_order.remove(request.account)
 
     def _expected_start(self, request: EngineRequest, load_wait: Seconds) -> Seconds:
         """Estimates when the prefill of a new request starts."""
         now = request.arrived
-        sort_key = self._sort_key(request, now)
-        ahead = [
-            other.size.prompt_tokens
-            for other in self._waiting.values()
-            if self._sort_key(other, now) <= sort_key
-        ]
+        ahead = self._prompts_ahead(request, now)
         tokens = self._pending_prefill_tokens + sum(ahead)
         prefill = tokens * self.prefill_speed.seconds_per_token
         return now + max(load_wait, prefill, self._pacing_delay(now, len(ahead)))
 
+    def _prompts_ahead(self, request: EngineRequest, now: Seconds) -> list[int]:
+        """Returns the prompt tokens of the requests that precede a new one."""
+        if not (request.account or self._fair_order.has_named_accounts):
+            first_event = self._earliest_first_event(now)
+            sort_key = self._sort_key(request, first_event)
+            return [
+                other.size.prompt_tokens
+                for other in self._waiting.values()
+                if self._sort_key(other, first_event) <= sort_key
+            ]
+        requests = [*self._waiting.values(), request]
+        order = self._fair_order.arrange(self._work(requests, now))
+        position = order.index(len(requests) - 1)
+        return [requests[index].size.prompt_tokens for index in order[:position]]
+
 
 class LoadedAdapters(Protocol):
     """Adapters that an engine can serve now."""
--- /dev/null
+++ b/fighitch/core/gateway/fair_order.py
@@ -0,0 +1,243 @@
+"""Orders the waiting requests of one engine by fair shares of client accounts.
+
+Load pattern: one account sends several times its usual load while the others send
+theirs. In order of target times, the requests of all accounts would wait behind the
+backlog of this one. Start-time fair queueing gives each account a virtual time that
+advances by the cost of its admitted requests, and the account with the lowest one goes
+next. An account that was idle starts at the virtual time of the engine, so that its
+first request does not wait behind a backlog, and the share of an idle account is lent.
+"""
+
+from collections.abc import Mapping, Sequence
+from dataclasses import dataclass, field
+from typing import NamedTuple
+
+from fighitch.types import Seconds
+
+# An account that is further behind than this is treated as if it were this far behind.
+# Otherwise, an account that waited for an adapter load or behind urgent ranks could
+# claim the engine for as long as it waited.
+_MAX_LAG: Seconds = 1.0
+# A late request goes before requests that are on time once its account is this far
+# behind: it is not served before those of accounts that are level with its own.
+_LATE_REQUEST_LAG: Seconds = 0.15
+# A late request goes before its account's own requests that are on time once they have
+# cost this many times as much as the request. Long prompts become late first, and a
+# stream of short ones would keep them waiting until their deadlines.
+_ON_TIME_COST_PER_LATE_COST = 4.0
+# Idle accounts that are remembered because they are ahead of the virtual time.
+_MAX_IDLE_ACCOUNTS = 256
+
+
+# Rank, virtual start time, position among equals and index of a request.
+_Key = tuple[int, Seconds, int, int]
+
+
+class Work(NamedTuple):
+    """Waiting request, as far as its order is concerned.
+
+    Attributes:
+        late: Whether it can no longer meet its latency target.
+        rank: Priority rank; 0 is the most urgent.
+        latest_start: Time by which its prefill must start to meet its latency target.
+        account: Client account; empty for none.
+        cost: Time for which it occupies the engine.
+    """
+
+    late: bool
+    rank: int
+    latest_start: Seconds
+    account: str
+    cost: Seconds
+
+
+@dataclass(slots=True)
+class AccountLoad:
+    """Waiting requests of one account.
+
+    Attributes:
+        requests: Number of requests.
+        prompt_tokens: Tokens of their prompts.
+        cost: Time for which they occupy the engine.
+    """
+
+    requests: int = 0
+    prompt_tokens: int = 0
+    cost: Seconds = 0.0
+
+
+@dataclass(slots=True)
+class _AccountState:
+    """Service of one account.
+
+    Attributes:
+        virtual_time: Virtual start time of its next request.
+        waiting: Number of its waiting requests.
+        on_time_cost: Cost of its requests that were admitted on time since its latest
+            late one.
+    """
+
+    virtual_time: Seconds
+    waiting: int = 0
+    on_time_cost: Seconds = 0.0
+
+
+@dataclass(slots=True)
+class FairOrder:
+    """Virtual times of the accounts whose requests one engine serves."""
+
+    _virtual_time: Seconds = 0.0
+    _accounts: dict[str, _AccountState] = field(default_factory=dict)
+    _waiting_accounts: set[str] = field(default_factory=set)
+
+    def __len__(self) -> int:
+        return len(self._accounts)
+
+    @property
+    def has_named_accounts(self) -> bool:
+        """Whether requests of a named account wait."""
+        return len(self._waiting_accounts) > ("" in self._waiting_accounts)
+
+    def add(self, account: str) -> None:
+        """Records that a request of an account waits."""
+        state = self._accounts.get(account)
+        if state is None:
+            state = self._accounts[account] = _AccountState(self._virtual_time)
+        if not state.waiting:
+            state.virtual_time = max(state.virtual_time, self._virtual_time)
+            self._waiting_accounts.add(account)
+        state.waiting += 1
+
+    def remove(self, account: str) -> None:
+        """Records that a request of an account no longer waits."""
+        state = self._accounts[account]
+        state.waiting -= 1
+        if state.waiting:
+            return
+        self._waiting_accounts.discard(account)
+        if state.virtual_time <= self._virtual_time:
+            del self._accounts[account]
+        elif len(self._accounts) > len(self._waiting_accounts) + _MAX_IDLE_ACCOUNTS:
+            self._forget_idle_accounts()
+
+    def charge(self, account: str, cost: Seconds, *, late: bool) -> None:
+        """Advances the virtual time of an account by the cost of an admitted request.
+
+        Args:
+            account: Account of the request, which still counts as waiting.
+            cost: Time for which the request occupies the engine.
+            late: Whether it can no longer meet its latency target.
+        """
+        state = self._accounts[account]
+        start = self.virtual_start(account)
+        state.virtual_time = start + cost
+        state.on_time_cost = 0.0 if late else state.on_time_cost + cost
+        self._virtual_time = max(self._virtual_time, start)
+
+    def virtual_start(self, account: str) -> Seconds:
+        """Returns the virtual start time of the next request of an account."""
+        state = self._accounts.get(account)
+        if state is None:
+            return self._virtual_time
+        if not state.waiting:
+            return max(state.virtual_time, self._virtual_time)
+        return max(state.virtual_time, self._virtual_time - _MAX_LAG)
+
+    def arrange(self, work: Sequence[Work]) -> list[int]:
+        """Returns the order of admission of waiting requests, as indices.
+
+        Requests that are on time go first, then those of the most urgent rank, then
+        those with the lowest virtual start time. Each account's own requests follow
+        each other in the order in which they would become late. This keeps long prompts
+        from being late more often than short ones.
+
+        Args:
+            work: Waiting requests; those that compare equal keep their order.
+        """
+        starts: dict[str, Seconds] = {}
+        accounts_with_late: set[str] = set()
+        on_time_keys: list[_Key] = []
+        late_keys: list[_Key] = []
+        by_urgency = sorted(range(len(work)), key=work.__getitem__)
+        for position, index in enumerate(by_urgency):
+            late, rank, _, account, cost = work[index]
+            start = starts.get(account)
+            if start is None:
+                start = self.virtual_start(account)
+            starts[account] = start + cost
+            if late and account not in accounts_with_late:
+                accounts_with_late.add(account)
+                if self._is_overtaken(account, cost):
+                    # Its own account's requests go after it.
+                    start, position, late = self.virtual_start(account), -1, False
+            keys = late_keys if late else on_time_keys
+            keys.append((rank, start, position, index))
+        on_time_keys.sort()
+        late_keys.sort()
+        return self._merge(on_time_keys, late_keys)
+
+    def _merge(self, on_time_keys: list[_Key], late_keys: list[_Key]) -> list[int]:
+        """Returns the indices of all keys in the order of admission.
+
+        A late request goes before others of its rank that are on time as soon as the
+        requests ahead leave its account too far behind.
+        """
+        virtual_time = self._virtual_time
+        order: list[int] = []
+        next_late = 0
+        for rank, start, _, index in on_time_keys:
+            while next_late < len(late_keys):
+                late_rank, late_start, _, late_index = late_keys[next_late]
+                is_behind = virtual_time - late_start >= _LATE_REQUEST_LAG
+                if late_rank > rank or not is_behind:
+                    break
+                order.append(late_index)
+                next_late += 1
+            virtual_time = max(virtual_time, start)
+            order.append(index)
+        return order + [key[-1] for key in late_keys[next_late:]]
+
+    def shares_ahead(
+        self, account: str | None, cost: Seconds, loads: Mapping[str, AccountLoad]
+    ) -> list[tuple[str, float]]:
+        """Returns which share of each account's waiting work precedes a new request.
+
+        This takes one pass over the accounts and ignores ranks: it serves estimates
+        that are published several times a second.
+
+        Args:
+            account: Account of the new request; None for one without other requests.
+            cost: Cost of the requests that wait for this account.
+            loads: Waiting requests by account.
+
+        Returns:
+            Pairs of an account and a share from 0 to 1.
+        """
+        start = self._virtual_time
+        if account is not None:
+            start = self.virtual_start(account) + cost
+        shares = []
+        for name, load in loads.items():
+            if name == account and cost:
+                shares.append((name, 1.0))
+            elif load.cost:
+                ahead = start - self.virtual_start(name)
+                shares.append((name, min(1.0, max(0.0, ahead / load.cost))))
+        return shares
+
+    def _is_overtaken(self, account: str, cost: Seconds) -> bool:
+        """Returns whether an account's late request goes before those on time."""
+        state = self._accounts.get(account)
+        return (
+            state is not None
+            and state.on_time_cost >= _ON_TIME_COST_PER_LATE_COST * cost
+        )
+
+    def _forget_idle_accounts(self) -> None:
+        """Forgets half of the idle accounts, starting with those least ahead."""
+        idle = [name for name, state in self._accounts.items() if not state.waiting]
+        idle.sort(key=lambda name: self._accounts[name].virtual_time)
+        for position, name in enumerate(idle):
+            is_ahead = self._accounts[name].virtual_time > self._virtual_time
+            if not is_ahead or position < len(idle) - _MAX_IDLE_ACCOUNTS // 2:
+                del self._accounts[name]
--- a/fighitch/tests/gateway_helpers.py
+++ b/fighitch/tests/gateway_helpers.py
@@ -81,6 +81,7 @@
     timeout: float = 10.0,
     connection: int = 1,
     gap_target: float = float("inf"),
+    account: str = "",
 ) -> EngineRequest:
     return EngineRequest(
         key=(connection, number),
@@ -92,6 +93,7 @@
         target_time=arrived + target_latency,
         deadline=arrived + timeout,
         gap_target=gap_target,
+        account=account,
     )
 
 
