Publish backlogs by account and count admitted work by account

Cause: entries send requests by one published backlog. With the sum of all accounts, a flood of one account moves the others' requests away from the engines that hold their adapters; with a small account's view alone, the flooding account would not find idle engines. Change: Status carries backlogs of at most eight accounts in a new last field; EngineRanker uses the one of the request's account. Log field account, three metrics by account with at most 65 label values.

--- a/fighitch/core/gateway/backend_choice.py
+++ b/fighitch/core/gateway/backend_choice.py
@@ -52,6 +52,7 @@
         seconds_per_token: Prefill time of one prompt token.
         load_wait: Time until a load requested now would start.
         pause: Time for which the engine has asked another entry for no request.
+        account_backlogs: Backlogs of the client accounts with most waiting work there.
     """
 
     instance_id: str
@@ -65,6 +66,11 @@
     seconds_per_token: Seconds = 5e-5
     load_wait: Seconds = 0.0
     pause: Seconds = 0.0
+    account_backlogs: dict[str, Seconds] = field(default_factory=dict)
+
+    def backlog_for(self, account: str) -> Seconds:
+        """Returns the backlog for a request of a client account."""
+        return max(self.backlog, self.account_backlogs.get(account, 0.0))
 
 
 @dataclass(frozen=True, slots=True)
@@ -128,6 +134,7 @@
         *,
         required_version: int = 0,
         avoid: Container[str] = (),
+        account: str = "",
     ) -> list[Candidate]:
         """Returns the engines that may run a request, the cheapest first.
 
@@ -140,6 +147,7 @@
             required_version: Oldest version of the adapter that may serve the request;
                 0 for any.
             avoid: Instance ids to leave out.
+            account: Client account of the request; empty for none.
         """
         home_ranks = self._home_ranks(adapter, servers)
         model = AdapterName(adapter.model)
@@ -148,7 +156,11 @@
             if server.instance_id in avoid:
                 continue
             view = views.get(server.instance_id) or EngineView(server.instance_id)
-            cost = view.backlog + view.pending_prefill + penalty(server.instance_id)
+            cost = (
+                view.backlog_for(account)
+                + view.pending_prefill
+                + penalty(server.instance_id)
+            )
             # The engine may still take requests of this entry.
             cost += view.pause
             if not view.connected:
--- a/fighitch/core/gateway/engine_queue.py
+++ b/fighitch/core/gateway/engine_queue.py
@@ -10,13 +10,14 @@
 several client accounts are ordered by fair shares (``fair_order``).
 """
 
+import heapq
 from collections.abc import Iterable, Mapping, Sequence
 from dataclasses import dataclass, field
 from typing import Protocol
 
 from fighitch.core.gateway.adapter_demand import AdapterDemand
 from fighitch.core.gateway.event_gaps import EventPace, GapLimits
-from fighitch.core.gateway.fair_order import AccountLoad, FairOrder, Work
+from fighitch.core.gateway.fair_order import AccountLoad, FairOrder, LoadAhead, Work
 from fighitch.core.gateway.model import AdapterName, EngineSpec, RequestSize
 from fighitch.core.gateway.request_pacer import RequestPacer
 from fighitch.types import Seconds
@@ -44,6 +45,10 @@
 _MIN_RETRY_AFTER: Seconds = 0.3
 _MAX_RETRY_AFTER: Seconds = 3.0
 
+# Accounts whose backlogs are published. Only accounts with far more waiting work than
+# others differ from the common estimate, and there are few of these at a time.
+_MAX_ACCOUNT_BACKLOGS = 8
+
 # Number of the entry's connection, and number of the request on this connection.
 RequestKey = tuple[int, int]
 
@@ -197,6 +202,11 @@
         """Number of waiting requests."""
         return len(self._waiting)
 
+    @property
+    def waiting_by_account(self) -> dict[str, int]:
+        """Number of waiting requests by account, of those that have any."""
+        return self._fair_order.waiting
+
     @property
     def waiting_requests(self) -> list[EngineRequest]:
         """Waiting requests, the most urgent first."""
@@ -264,30 +274,33 @@
         return self._start_delay(sum(ahead), len(ahead), now)
 
     def account_backlogs(self, now: Seconds) -> dict[str, Seconds]:
-        """Estimates the backlog for new requests of the accounts with waiting ones.
+        """Estimates the backlog for new requests of the accounts with most to wait for.
 
         Returns:
-            The estimates by account, the longest first; empty without named accounts.
+            The estimates by account; empty without named accounts.
         """
         if not self._fair_order.has_named_accounts:
             return {}
         loads = self._account_loads(now)
-        backlogs = {
+        largest = heapq.nlargest(
+            _MAX_ACCOUNT_BACKLOGS, loads.items(), key=lambda item: item[1].cost
+        )
+        return {
             account: self._backlog_of(account, load, loads, now)
-            for account, load in loads.items()
+            for account, load in largest
         }
-        return dict(sorted(backlogs.items(), key=lambda item: item[1], reverse=True))
 
     def _account_loads(self, now: Seconds) -> dict[str, AccountLoad]:
         """Returns the waiting requests that are not late, by account."""
-        first_event = self._earliest_first_event(now)
+        requests = list(self._waiting.values())
         loads: dict[str, AccountLoad] = {}
-        for request in self._waiting.values():
-            if not self._sort_key(request, first_event)[0]:
-                load = loads.setdefault(request.account, AccountLoad())
-                load.requests += 1
-                load.prompt_tokens += request.size.prompt_tokens
-                load.cost += self._cost(request)
+        work = self._work(requests, now)
+        for request, (late, _, _, account, cost) in zip(requests, work, strict=True):
+            if not late:
+                load = loads.get(account)
+                if load is None:
+                    load = loads[account] = AccountLoad()
+                load.add(request.size.prompt_tokens, cost)
         return loads
 
     def _backlog_of(
@@ -298,10 +311,14 @@
         now: Seconds,
     ) -> Seconds:
         """Returns the backlog for a new request of one account."""
-        shares = self._fair_order.shares_ahead(account, own.cost, loads)
-        tokens = sum(share * loads[name].prompt_tokens for name, share in shares)
-        requests = sum(share * loads[name].requests for name, share in shares)
-        return self._start_delay(tokens, round(requests), now)
+        start = self._fair_order.virtual_start(account) + own.cost
+        ahead = AccountLoad()
+        for name, load in loads.items():
+            share = 1.0
+            if name != account:
+                share = self._fair_order.share_ahead(start, name, load)
+            ahead.add_share(load, share)
+        return self._start_delay(ahead.prompt_tokens, round(ahead.requests), now)
 
     def _start_delay(self, tokens: float, requests: int, now: Seconds) -> Seconds:
         """Returns the time until a prefill starts with waiting requests ahead."""
@@ -420,33 +437,27 @@
         return [listed[index] for index in order]
 
     def _work(self, requests: Sequence[EngineRequest], now: Seconds) -> list[Work]:
-        """Returns what the fair order needs to know of requests."""
+        """Returns what the fair order needs to know of requests.
+
+        A request costs its account the time to prefill its tokens. Output tokens count
+        as much as prompt tokens: both occupy the KV cache. If the engine limits its
+        requests, each costs at least the time until the next one.
+        """
         first_event = self._earliest_first_event(now)
         speed = self.prefill_speed.seconds_per_token
+        min_cost = 0.0 if self.pacer is None else self.pacer.interval
         work = []
+        # This loop runs for every decision, so that calls in it would add up.
         for request in requests:
-            prefill = request.size.prompt_tokens * speed
-            target = request.target_time
-            work.append(
-                Work(
-                    first_event + prefill > target,
-                    request.rank,
-                    target - prefill,
-                    request.account,
-                    self._cost(request),
-                )
-            )
+            size, target = request.size, request.target_time
+            prefill = size.prompt_tokens * speed
+            late = first_event + prefill > target
+            cost = prefill + size.output_tokens * speed
+            if cost < min_cost:
+                cost = min_cost
+            work.append((late, request.rank, target - prefill, request.account, cost))
         return work
 
-    def _cost(self, request: EngineRequest) -> Seconds:
-        """Returns the time for which a request counts against its account's share.
-
-        Output tokens count as much as prompt tokens: both occupy the KV cache. If the
-        engine limits its requests, each also takes the time until the next one.
-        """
-        cost = request.tokens * self.prefill_speed.seconds_per_token
-        return cost if self.pacer is None else max(cost, self.pacer.interval)
-
     def _pacing_delay(self, now: Seconds, ahead: int) -> Seconds:
         """Returns the time until a request with others ahead may be sent."""
         return 0.0 if self.pacer is None else self.pacer.delay(now, ahead=ahead)
@@ -611,8 +622,7 @@
         return self._expected_first_event(request, start) > request.target_time
 
     def _admit(self, request: EngineRequest, now: Seconds) -> None:
-        is_late = self._is_late(request, now)
-        self._fair_order.charge(request.account, self._cost(request), late=is_late)
+        self._charge(request, now)
         self._remove_waiting(request.key)
         if self.pacer is not None:
             self.pacer.take(now)
@@ -628,28 +638,40 @@
             self._waiting_prompt_tokens -= request.size.prompt_tokens
             self._fair_order.remove(request.account)
 
+    def _charge(self, request: EngineRequest, now: Seconds) -> None:
+        """Charges an admitted request to its account."""
+        ((late, *_, cost),) = self._work([request], now)
+        self._fair_order.charge(request.account, cost, late=late)
+
     def _expected_start(self, request: EngineRequest, load_wait: Seconds) -> Seconds:
         """Estimates when the prefill of a new request starts."""
         now = request.arrived
-        ahead = self._prompts_ahead(request, now)
-        tokens = self._pending_prefill_tokens + sum(ahead)
-        prefill = tokens * self.prefill_speed.seconds_per_token
-        return now + max(load_wait, prefill, self._pacing_delay(now, len(ahead)))
+        if request.account or self._fair_order.has_named_accounts:
+            ahead = self._load_ahead(request, now)
+            prompt_tokens, requests = ahead.prompt_tokens, round(ahead.requests)
+        else:
+            prompts = self._prompts_ahead(request, now)
+            prompt_tokens, requests = sum(prompts), len(prompts)
+        return now + max(load_wait, self._start_delay(prompt_tokens, requests, now))
 
     def _prompts_ahead(self, request: EngineRequest, now: Seconds) -> list[int]:
-        """Returns the prompt tokens of the requests that precede a new one."""
-        if not (request.account or self._fair_order.has_named_accounts):
-            first_event = self._earliest_first_event(now)
-            sort_key = self._sort_key(request, first_event)
-            return [
-                other.size.prompt_tokens
-                for other in self._waiting.values()
-                if self._sort_key(other, first_event) <= sort_key
-            ]
-        requests = [*self._waiting.values(), request]
-        order = self._fair_order.arrange(self._work(requests, now))
-        position = order.index(len(requests) - 1)
-        return [requests[index].size.prompt_tokens for index in order[:position]]
+        """Returns the prompts that precede a new request, without named accounts."""
+        first_event = self._earliest_first_event(now)
+        sort_key = self._sort_key(request, first_event)
+        return [
+            other.size.prompt_tokens
+            for other in self._waiting.values()
+            if self._sort_key(other, first_event) <= sort_key
+        ]
+
+    def _load_ahead(self, request: EngineRequest, now: Seconds) -> AccountLoad:
+        """Estimates the requests that precede a new one in the fair order."""
+        requests = list(self._waiting.values())
+        (new,) = self._work([request], now)
+        comparison = LoadAhead(new)
+        for other, work in zip(requests, self._work(requests, now), strict=True):
+            comparison.add(work, other.size.prompt_tokens)
+        return comparison.total(self._fair_order)
 
 
 class LoadedAdapters(Protocol):
--- a/fighitch/core/gateway/fair_order.py
+++ b/fighitch/core/gateway/fair_order.py
@@ -8,9 +8,8 @@
 first request does not wait behind a backlog, and the share of an idle account is lent.
 """
 
-from collections.abc import Mapping, Sequence
+from collections.abc import Sequence
 from dataclasses import dataclass, field
-from typing import NamedTuple
 
 from fighitch.types import Seconds
 
@@ -33,38 +32,40 @@
 _Key = tuple[int, Seconds, int, int]
 
 
-class Work(NamedTuple):
-    """Waiting request, as far as its order is concerned.
-
-    Attributes:
-        late: Whether it can no longer meet its latency target.
-        rank: Priority rank; 0 is the most urgent.
-        latest_start: Time by which its prefill must start to meet its latency target.
-        account: Client account; empty for none.
-        cost: Time for which it occupies the engine.
-    """
-
-    late: bool
-    rank: int
-    latest_start: Seconds
-    account: str
-    cost: Seconds
+# Waiting request, as far as its order is concerned: whether it can no longer meet its
+# latency target, priority rank, time by which its prefill must start to meet the
+# target, account, and the time for which it occupies the engine. A plain tuple is
+# created and compared faster than a class, and a queue orders some hundred for each
+# decision.
+Work = tuple[bool, int, Seconds, str, Seconds]
 
 
 @dataclass(slots=True)
 class AccountLoad:
-    """Waiting requests of one account.
+    """Waiting requests of one account, or of several.
 
     Attributes:
-        requests: Number of requests.
+        requests: Number of requests; a part of a request is possible in estimates.
         prompt_tokens: Tokens of their prompts.
         cost: Time for which they occupy the engine.
     """
 
-    requests: int = 0
-    prompt_tokens: int = 0
+    requests: float = 0
+    prompt_tokens: float = 0
     cost: Seconds = 0.0
 
+    def add(self, prompt_tokens: int, cost: Seconds) -> None:
+        """Adds a request."""
+        self.requests += 1
+        self.prompt_tokens += prompt_tokens
+        self.cost += cost
+
+    def add_share(self, load: "AccountLoad", share: float) -> None:
+        """Adds a share, from 0 to 1, of the requests of another load."""
+        self.requests += share * load.requests
+        self.prompt_tokens += share * load.prompt_tokens
+        self.cost += share * load.cost
+
 
 @dataclass(slots=True)
 class _AccountState:
@@ -93,6 +94,11 @@
     def __len__(self) -> int:
         return len(self._accounts)
 
+    @property
+    def waiting(self) -> dict[str, int]:
+        """Number of waiting requests by account, of those that have any."""
+        return {name: self._accounts[name].waiting for name in self._waiting_accounts}
+
     @property
     def has_named_accounts(self) -> bool:
         """Whether requests of a named account wait."""
@@ -134,9 +140,13 @@
         state.on_time_cost = 0.0 if late else state.on_time_cost + cost
         self._virtual_time = max(self._virtual_time, start)
 
-    def virtual_start(self, account: str) -> Seconds:
-        """Returns the virtual start time of the next request of an account."""
-        state = self._accounts.get(account)
+    def virtual_start(self, account: str | None) -> Seconds:
+        """Returns the virtual start time of the next request of an account.
+
+        Args:
+            account: The account; None for one without waiting requests.
+        """
+        state = None if account is None else self._accounts.get(account)
         if state is None:
             return self._virtual_time
         if not state.waiting:
@@ -197,33 +207,23 @@
             order.append(index)
         return order + [key[-1] for key in late_keys[next_late:]]
 
-    def shares_ahead(
-        self, account: str | None, cost: Seconds, loads: Mapping[str, AccountLoad]
-    ) -> list[tuple[str, float]]:
-        """Returns which share of each account's waiting work precedes a new request.
-
-        This takes one pass over the accounts and ignores ranks: it serves estimates
-        that are published several times a second.
+    def share_ahead(
+        self, start: Seconds, account: str, load: AccountLoad, *, before: Seconds = 0.0
+    ) -> float:
+        """Returns which share of an account's requests precedes a virtual start time.
 
         Args:
-            account: Account of the new request; None for one without other requests.
-            cost: Cost of the requests that wait for this account.
-            loads: Waiting requests by account.
-
-        Returns:
-            Pairs of an account and a share from 0 to 1.
+            start: Virtual start time of a request of another account.
+            account: Account of the load.
+            load: Waiting requests of this account.
+            before: Cost of requests that this account has ahead of the load.
         """
-        start = self._virtual_time
-        if account is not None:
-            start = self.virtual_start(account) + cost
-        shares = []
-        for name, load in loads.items():
-            if name == account and cost:
-                shares.append((name, 1.0))
-            elif load.cost:
-                ahead = start - self.virtual_start(name)
-                shares.append((name, min(1.0, max(0.0, ahead / load.cost))))
-        return shares
+        ahead = start - self.virtual_start(account) - before
+        if ahead < 0 or not load.requests:
+            return 0.0
+        # On average, the last request that starts before is counted by half.
+        ahead += load.cost / load.requests / 2
+        return min(1.0, ahead / load.cost) if load.cost else 1.0
 
     def _is_overtaken(self, account: str, cost: Seconds) -> bool:
         """Returns whether an account's late request goes before those on time."""
@@ -241,3 +241,58 @@
             is_ahead = self._accounts[name].virtual_time > self._virtual_time
             if not is_ahead or position < len(idle) - _MAX_IDLE_ACCOUNTS // 2:
                 del self._accounts[name]
+
+
+class LoadAhead:
+    """Estimates the requests that precede a new one, in one pass over the queue.
+
+    The order itself takes two sorts, which is too much for each request for admission.
+    """
+
+    def __init__(self, new: Work) -> None:
+        self._late, self._rank, self._latest_start, self._account, _ = new
+        self._ahead = AccountLoad()
+        self._own_cost: Seconds = 0.0
+        # Requests of other accounts ahead in any case, and those that share the engine
+        # with the new request.
+        self._before: dict[str, Seconds] = {}
+        self._sharing: dict[str, AccountLoad] = {}
+
+    def add(self, work: Work, prompt_tokens: int) -> None:
+        """Adds a waiting request.
+
+        Args:
+            work: The request.
+            prompt_tokens: Tokens of its prompt.
+        """
+        late, rank, latest_start, account, cost = work
+        if late > self._late or (late == self._late and rank > self._rank):
+            return
+        if account == self._account:
+            is_ahead = (late, rank, latest_start) <= (
+                self._late,
+                self._rank,
+                self._latest_start,
+            )
+            if is_ahead:
+                self._own_cost += cost
+                self._ahead.add(prompt_tokens, cost)
+        elif rank < self._rank:
+            self._before[account] = self._before.get(account, 0.0) + cost
+            self._ahead.add(prompt_tokens, cost)
+        else:
+            load = self._sharing.get(account)
+            if load is None:
+                load = self._sharing[account] = AccountLoad()
+            load.add(prompt_tokens, cost)
+
+    def total(self, order: FairOrder) -> AccountLoad:
+        """Returns the requests ahead under the present virtual times."""
+        start = order.virtual_start(self._account) + self._own_cost
+        if self._late:
+            start += _LATE_REQUEST_LAG
+        for account, load in self._sharing.items():
+            before = self._before.get(account, 0.0)
+            share = order.share_ahead(start, account, load, before=before)
+            self._ahead.add_share(load, share)
+        return self._ahead
--- a/fighitch/gateway/agent.py
+++ b/fighitch/gateway/agent.py
@@ -293,6 +293,7 @@
             first_event=f"{first_event:.3f}",
             load_wait=f"{load_wait:.3f}",
             waiting=self._queue.waiting,
+            **_account_field(admission_request.account),
         )
         peer.send(
             Decline(admission_request.number, round(first_event * _MS_PER_SECOND))
@@ -311,6 +312,7 @@
             reason=rejection.reason,
             backlog=f"{self._queue.backlog(self._loop.now()):.3f}",
             waiting=self._queue.waiting,
+            **_account_field(rejection.request.account),
         )
         if peer is not None:
             peer.send(
@@ -333,7 +335,9 @@
     def _grant(self, request: EngineRequest, now: Seconds) -> None:
         self._adapter_cache.record_admission(request.adapter, now)
         connection, number = request.key
-        self._metrics.observe_admission(now - request.arrived)
+        self._metrics.observe_admission(
+            now - request.arrived, request.account, request.tokens
+        )
         peer = self._peers.get(connection)
         backlog = self._queue.backlog(now)
         self._log.event(
@@ -345,6 +349,7 @@
             backlog=f"{backlog:.3f}",
             running=self._queue.running,
             late=int(now > request.target_time),
+            **_account_field(request.account),
         )
         if peer is not None:
             peer.send(
@@ -497,6 +502,7 @@
         self._metrics.set_state(
             self._queue.running, self._queue.waiting, status.backlog_ms / _MS_PER_SECOND
         )
+        self._metrics.set_account_waiting(self._queue.waiting_by_account)
         self._broadcast(status)
 
     def _build_status(self, now: Seconds) -> Status:
@@ -513,6 +519,10 @@
             protocol=PROTOCOL_VERSION,
             pause_ms=round(self._pause_left(now) * _MS_PER_SECOND),
             token=self._claim.token,
+            account_backlogs_ms={
+                account: round(backlog * _MS_PER_SECOND)
+                for account, backlog in self._queue.account_backlogs(now).items()
+            },
         )
 
     def _pause_left(self, now: Seconds) -> Seconds:
@@ -563,3 +573,8 @@
     def _broadcast(self, message: Message) -> None:
         for peer in list(self._peers.values()):
             peer.send(message)
+
+
+def _account_field(account: str) -> dict[str, str]:
+    """Returns the log field for a client account; empty for none."""
+    return {"account": account} if account else {}
--- a/fighitch/gateway/agent_links.py
+++ b/fighitch/gateway/agent_links.py
@@ -365,6 +365,7 @@
         link.has_all_crashes = False
         was_connected, link.view.connected = link.view.connected, False
         link.view.backlog = link.view.pending_prefill = link.view.pause = 0.0
+        link.view.account_backlogs = {}
         if was_connected:
             self._log.event(
                 "agent_lost",
@@ -419,6 +420,10 @@
             link.protocol = status.protocol
             self._send_all_crashes(link)
         view.backlog = status.backlog_ms / _MS_PER_SECOND
+        view.account_backlogs = {
+            account: backlog_ms / _MS_PER_SECOND
+            for account, backlog_ms in status.account_backlogs_ms.items()
+        }
         view.pending_prefill = 0.0
         # The agent may serve a later incarnation than the one in the instance list.
         is_same_incarnation = status.engine_start_time_ms in (
--- a/fighitch/gateway/entry.py
+++ b/fighitch/gateway/entry.py
@@ -419,9 +419,8 @@
         servers = self._membership.ready(service.name)
         if self._pauses.is_active:
             avoid = avoid | self._pausing(servers)
-        penalty: Callable[[str], Seconds] = self._failure_penalty
-        if self._limit_shares.is_active:
-            penalty = self._limit_penalty(servers)
+        is_limited = self._limit_shares.is_active
+        penalty = self._limit_penalty(servers) if is_limited else self._failure_penalty
         if service.engine is not None and metadata.adapter is not None:
             return self._engine_ranker.rank(
                 metadata.adapter,
@@ -430,6 +429,7 @@
                 penalty,
                 required_version=self.links.required_version(metadata.adapter),
                 avoid=avoid,
+                account=metadata.account,
             )
         return rank_plain_servers(
             servers,
--- a/fighitch/gateway/metrics.py
+++ b/fighitch/gateway/metrics.py
@@ -1,10 +1,15 @@
 """Metrics of gateway entries and engine agents."""
 
+from collections.abc import Mapping
+
 from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
 from prometheus_client.exposition import generate_latest
 
 from fighitch.types import Seconds
 
+# Account names with their own label value; further ones are counted together.
+_MAX_ACCOUNT_LABELS = 64
+_OTHER_ACCOUNTS = "(other)"
 _LATENCY_BUCKETS = (0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.5, 3, 6, 12)
 
 
@@ -106,10 +111,39 @@
             "Time until the prompt of new work that can be on time is read.",
             registry=self.registry,
         )
+        self._account_waiting = Gauge(
+            "fighitch_account_waiting",
+            "Requests that wait, by client account.",
+            ("account",),
+            registry=self.registry,
+        )
+        self._account_admitted = Counter(
+            "fighitch_account_admitted",
+            "Requests admitted to the engine, by client account.",
+            ("account",),
+            registry=self.registry,
+        )
+        self._account_tokens = Counter(
+            "fighitch_account_admitted_tokens",
+            "Prompt and output tokens of admitted requests, by client account.",
+            ("account",),
+            registry=self.registry,
+        )
+        self._account_labels: set[str] = set()
 
-    def observe_admission(self, waited: Seconds) -> None:
-        """Observes the time that an admitted request waited in the queue."""
+    def observe_admission(self, waited: Seconds, account: str, tokens: int) -> None:
+        """Observes an admitted request.
+
+        Args:
+            waited: Time that it waited in the queue.
+            account: Its client account; empty for none.
+            tokens: Its prompt and output tokens.
+        """
         self._admission_wait.observe(waited)
+        if account:
+            label = self._account_label(account)
+            self._account_admitted.labels(label).inc()
+            self._account_tokens.labels(label).inc(tokens)
 
     def count_denied(self, reason: str) -> None:
         """Counts a denied request by reason."""
@@ -129,6 +163,24 @@
         self._waiting.set(waiting)
         self._backlog.set(backlog)
 
+    def set_account_waiting(self, waiting: Mapping[str, int]) -> None:
+        """Sets the waiting requests by account; those of other accounts become 0."""
+        counts = dict.fromkeys(self._account_labels, 0)
+        for account, count in waiting.items():
+            if account:
+                label = self._account_label(account)
+                counts[label] = counts.get(label, 0) + count
+        for label, count in counts.items():
+            self._account_waiting.labels(label).set(count)
+
+    def _account_label(self, account: str) -> str:
+        """Returns the label value of an account; the number of values is bounded."""
+        if account not in self._account_labels:
+            if len(self._account_labels) >= _MAX_ACCOUNT_LABELS:
+                account = _OTHER_ACCOUNTS
+            self._account_labels.add(account)
+        return account
+
     def render(self) -> bytes:
         """Returns all metrics in the Prometheus text format."""
         return generate_latest(self.registry)
--- a/fighitch/gateway/peer_messages.py
+++ b/fighitch/gateway/peer_messages.py
@@ -180,6 +180,8 @@
         pause_ms: Time for which the engine wants no further request from one of the
             entries.
         token: Fencing token of the agent's orders; 0 if it has none.
+        account_backlogs_ms: Backlogs for new requests of the client accounts with most
+            waiting work; others expect ``backlog_ms``.
     """
 
     engine_start_time_ms: int
@@ -192,6 +194,7 @@
     protocol: int = 0
     pause_ms: int = 0
     token: int = 0
+    account_backlogs_ms: dict[str, int] = {}
 
 
 class HeldAdapters(_Message, frozen=True, tag=9):
--- a/fighitch/tests/test_fair_order.py
+++ b/fighitch/tests/test_fair_order.py
@@ -15,7 +15,7 @@
 
 
 def work(account, *, late=False, rank=0, latest_start=1.0, cost=0.1):
-    return Work(late, rank, latest_start, account, cost)
+    return late, rank, latest_start, account, cost
 
 
 class OrderTests(unittest.TestCase):
@@ -30,7 +30,7 @@
         return [waiting[index] for index in self.order.arrange(waiting)]
 
     def accounts(self, *waiting: Work) -> str:
-        return "".join(item.account for item in self.arrange(*waiting))
+        return "".join(item[3] for item in self.arrange(*waiting))
 
     def test_first_request_goes_before_the_backlog_of_a_large_account(self):
         # Guards against small accounts that wait behind an earlier backlog.
@@ -146,15 +146,14 @@
     def test_order_is_complete_and_ranks_keep_their_order(self, rows):
         # Guards against lost requests and against urgent requests that are on time but
         # go after less urgent ones.
-        waiting = [Work(*row) for row in rows]
         order = FairOrder()
-        for item in waiting:
-            order.add(item.account)
-        for item in waiting[::3]:
-            order.charge(item.account, item.cost, late=item.late)
-        arranged = order.arrange(waiting)
-        self.assertEqual(sorted(arranged), list(range(len(waiting))))
-        on_time = [waiting[i].rank for i in arranged if not waiting[i].late]
+        for _, _, _, account, _ in rows:
+            order.add(account)
+        for late, _, _, account, cost in rows[::3]:
+            order.charge(account, cost, late=late)
+        arranged = order.arrange(rows)
+        self.assertEqual(sorted(arranged), list(range(len(rows))))
+        on_time = [rows[index][1] for index in arranged if not rows[index][0]]
         self.assertEqual(on_time, sorted(on_time))
 
 
