--- a/fighitch/core/gateway/adapter_cache.py
+++ b/fighitch/core/gateway/adapter_cache.py
@@ -4,7 +4,8 @@
 requested adapters shifts during the day. The idle adapter with the least demand is
 evicted first. During a flood, more adapters are requested than fit: a loaded adapter is
 not evicted while requests wait for it. Otherwise the engine would thrash, loading
-adapters in turn without serving any of them.
+adapters in turn without serving any of them. With several client accounts, places are
+shared between them (``place_shares``).
 """
 
 from collections.abc import Iterable, Mapping, Sequence
@@ -13,6 +14,7 @@
 from fighitch.core.demand import DemandEstimator
 from fighitch.core.gateway.adapter_demand import AdapterDemand
 from fighitch.core.gateway.model import AdapterName, EngineSpec
+from fighitch.core.gateway.place_shares import PlaceShares
 from fighitch.core.gateway.recent_adapters import RecentAdapters
 from fighitch.types import Seconds
 
@@ -30,6 +32,9 @@
 _INITIAL_RELOAD_TIME: Seconds = 0.03
 # Initial estimate of the time for which requests keep an adapter in use.
 _INITIAL_USE_TIME: Seconds = 0.8
+# An adapter that has to become idle for another account takes no requests for this many
+# times the usual time of use. It covers requests that run for longer than usual.
+_DRAIN_USE_TIMES = 3.0
 # An outdated version may serve requests while its replacement waits until the adapter
 # is idle. The grace period is well below the limit of 5 s that users set for the
 # rollout of new versions.
@@ -133,6 +138,9 @@
     _reload_time: Seconds = _INITIAL_RELOAD_TIME
     _uses: dict[AdapterName, _UsePeriod] = field(default_factory=dict)
     _use_time: Seconds = _INITIAL_USE_TIME
+    _shares: PlaceShares = field(default_factory=PlaceShares)
+    _draining: AdapterName | None = None
+    _draining_until: Seconds = 0.0
 
     def configure(self, engine: EngineSpec) -> None:
         """Sets the limits of the engine."""
@@ -207,6 +215,8 @@
                 self._recent.add(adapter)
         for adapter in report.adapters:
             self._recent.discard(adapter)
+        if self._draining not in report.adapters:
+            self._draining = None
 
     def _update_load_times(self, report: EngineReport, now: Seconds) -> None:
         """Updates the estimated load times with the loads that ended."""
@@ -231,9 +241,13 @@
         self._newest_versions[adapter] = version
         self._outdated_since.setdefault(adapter, now)
 
-    def record_demand(self, adapter: AdapterName, now: Seconds) -> None:
-        """Counts a request for an adapter in the demand estimate."""
+    def record_demand(
+        self, adapter: AdapterName, now: Seconds, account: str = ""
+    ) -> None:
+        """Counts a request of an account for an adapter in the demand estimate."""
         self._demand.record(adapter, now)
+        if adapter.adapter:
+            self._shares.record_use(adapter, account, now)
 
     def record_admission(self, adapter: AdapterName, now: Seconds) -> None:
         """Records that an admitted request uses an adapter."""
@@ -273,6 +287,8 @@
         loaded_version = self.report.adapters.get(adapter)
         if loaded_version is None:
             return False
+        if adapter == self._draining and now < self._draining_until:
+            return False
         newest = max(version, self._newest_versions.get(adapter, 0))
         if loaded_version >= newest:
             self._outdated_since.pop(adapter, None)
@@ -301,6 +317,9 @@
         missing_model = self._missing_model(report, engine, demands)
         if missing_model is not None:
             return LoadModel(missing_model)
+        if self._shares.is_active(now):
+            present = {*report.adapters, *report.loading}
+            demands = self._shares.order_loads(demands, present, now)
         for candidate in (*demands, *self._outdated_adapters(report)):
             order = self._order_for(candidate, demands, now)
             if order is not None:
@@ -341,7 +360,10 @@
             for other in demands
             if other.on_time_requests or not candidate.on_time_requests
         }
-        victim = self._select_victim(report, protected, now)
+        if self._shares.is_active(now):
+            victim = self._select_victim_by_shares(candidate, report, protected, now)
+        else:
+            victim = self._select_victim(report, protected, now)
         return None if victim is None else UnloadAdapter(victim)
 
     def _load_order(
@@ -392,6 +414,41 @@
             return None
         return min(idle, key=lambda adapter: self._demand.rate(adapter, now))
 
+    def _select_victim_by_shares(
+        self,
+        candidate: AdapterDemand,
+        report: EngineReport,
+        protected: set[AdapterName],
+        now: Seconds,
+    ) -> AdapterName | None:
+        """Returns the adapter to evict for one of another account, or None.
+
+        If the adapters of accounts above their share are all in use, one of them takes
+        no further requests until it is idle. Otherwise, a flood of requests for it
+        would keep its place for as long as the flood lasts.
+        """
+        present = {*report.adapters, *report.loading}
+        over_share, unclaimed = self._shares.evictable(
+            report.adapters, candidate, present, now
+        )
+        allowed = {*over_share, *unclaimed}
+        # Requests that wait for an adapter protect it only within the account's share.
+        kept = {adapter for adapter in report.adapters if adapter not in allowed}
+        victim = self._select_victim(report, kept | protected, now)
+        if victim is None and over_share:
+            kept = {adapter for adapter in report.adapters if adapter not in over_share}
+            victim = self._select_victim(report, kept, now)
+            if victim is None:
+                self._drain_one(over_share, now)
+        return victim
+
+    def _drain_one(self, adapters: Iterable[AdapterName], now: Seconds) -> None:
+        """Admits no requests for one of several adapters in use for a while."""
+        if self._draining is not None and now < self._draining_until:
+            return
+        self._draining = min(adapters, key=lambda adapter: self._uses[adapter].running)
+        self._draining_until = now + _DRAIN_USE_TIMES * self._use_time
+
     def _missing_model(
         self,
         report: EngineReport,
--- a/fighitch/core/gateway/engine_queue.py
+++ b/fighitch/core/gateway/engine_queue.py
@@ -11,6 +11,7 @@
 """
 
 import heapq
+from collections import Counter
 from collections.abc import Iterable, Mapping, Sequence
 from dataclasses import dataclass, field
 from typing import Protocol
@@ -230,22 +231,39 @@
                 rank=request.rank,
                 target_time=request.target_time,
                 on_time=now + _EXPECTED_LOAD_TIME < request.target_time,
+                account=request.account,
             )
         return sorted(demands.values(), key=AdapterDemand.sort_key)
 
-    def count_missing_adapters(self, loaded: "LoadedAdapters", now: Seconds) -> int:
-        """Returns how many adapters are missing for waiting requests that are not late.
+    def count_missing_adapters(
+        self, loaded: "LoadedAdapters", now: Seconds, account: str | None = None
+    ) -> int:
+        """Returns how many loads precede a load for a new request.
 
-        These loads precede a load for a new request; loads for late requests do not.
+        These are the adapters that are missing for waiting requests that are not late.
+        With named accounts, each other account precedes with as many of them as the
+        account of the request has, and one more.
+
+        Args:
+            loaded: Adapters that the engine can serve.
+            now: Current time.
+            account: Account of the new request; None for one without other requests.
         """
         first_event = self._earliest_first_event(now)
-        missing = {
-            request.adapter
+        missing = [
+            request
             for request in self._waiting.values()
             if not self._sort_key(request, first_event)[0]
             and not loaded.serves(request.adapter, request.version, now)
-        }
-        return len(missing)
+        ]
+        if not self._fair_order.has_named_accounts:
+            return len({request.adapter for request in missing})
+        # An adapter that several accounts wait for is loaded once.
+        loads = Counter(
+            {request.adapter: request.account for request in missing}.values()
+        )
+        own = 0 if account is None else loads.pop(account, 0)
+        return own + sum(min(count, own + 1) for count in loads.values())
 
     @property
     def drain_time(self) -> Seconds:
--- a/fighitch/gateway/agent.py
+++ b/fighitch/gateway/agent.py
@@ -204,7 +204,7 @@
             reason = "draining" if self._draining else "engine_not_answering"
             self._deny(Rejection(request, self._queue.retry_after(now), reason))
             return
-        loads_ahead = self._count_missing_adapters(now)
+        loads_ahead = self._count_missing_adapters(now, request.account)
         load_wait = self._adapter_cache.load_wait(adapter, loads_ahead, now)
         if admission_request.may_decline:
             first_event = self._queue.expected_first_event_delay(request, load_wait)
@@ -216,7 +216,7 @@
                     load_wait=load_wait,
                 )
                 return
-        self._adapter_cache.record_demand(adapter, now)
+        self._adapter_cache.record_demand(adapter, now, request.account)
         rejection = self._queue.enqueue(request, load_wait)
         if rejection is not None:
             self._deny(rejection)
@@ -402,8 +402,8 @@
             on_end=on_order_end,
         )
 
-    def _count_missing_adapters(self, now: Seconds) -> int:
-        return self._queue.count_missing_adapters(self._adapter_cache, now)
+    def _count_missing_adapters(self, now: Seconds, account: str | None = None) -> int:
+        return self._queue.count_missing_adapters(self._adapter_cache, now, account)
 
     # Engine reports.
 
--- /dev/null
+++ b/fighitch/tests/test_account_floods.py
@@ -0,0 +1,226 @@
+"""Replays a flood of one client account against the queues of engines.
+
+The engines are counted forward on a virtual clock: each prefills one prompt after the
+other and then streams the response.
+"""
+
+import heapq
+import random
+import unittest
+from collections import Counter
+from dataclasses import dataclass, field
+
+from fighitch.core.gateway.adapter_cache import (
+    AdapterCache,
+    LoadAdapter,
+    UnloadAdapter,
+)
+from fighitch.core.gateway.engine_queue import EngineQueue
+from fighitch.core.gateway.model import AdapterName
+from fighitch.tests.gateway_helpers import MODEL, engine_spec, report, request
+
+TOKENS_PER_SECOND = 20_000
+OUTPUT_TOKENS = 60
+RESPONSE_TIME = 0.6
+LOAD_TIME = 0.25
+PLACES = 14
+LARGE = "a0"
+
+
+@dataclass
+class Engine:
+    """Queue and adapter cache of one engine, with the engine that they control."""
+
+    adapters: set[AdapterName] = field(default_factory=set)
+    queue: EngineQueue = field(default_factory=EngineQueue)
+    cache: AdapterCache = field(default_factory=AdapterCache)
+    loading: dict[AdapterName, float] = field(default_factory=dict)
+    prefilled_at: float = 0.0
+    due: list[tuple[float, int, str]] = field(default_factory=list)
+
+    def __post_init__(self):
+        self.queue.configure(engine_spec(slots=24, capacity=PLACES))
+        self.cache.configure(engine_spec(slots=24, capacity=PLACES))
+        self.report(0.0)
+
+    def report(self, now: float) -> None:
+        loaded = report(*self.adapters, loading=tuple(self.loading))
+        self.cache.record_report(loaded, now)
+
+    def load_wait(self, item) -> float:
+        ahead = self.queue.count_missing_adapters(
+            self.cache, item.arrived, item.account
+        )
+        return self.cache.load_wait(item.adapter, ahead, item.arrived)
+
+    def declines(self, item) -> bool:
+        delay = self.queue.expected_first_event_delay(item, self.load_wait(item))
+        return item.arrived + delay > item.target_time
+
+    def accept(self, item) -> bool:
+        self.cache.record_demand(item.adapter, item.arrived, item.account)
+        return self.queue.enqueue(item, self.load_wait(item)) is None
+
+    def advance(self, now: float) -> list[tuple[float, object]]:
+        """Moves the engine on and returns the first events with their times."""
+        events = []
+        while self.due and self.due[0][0] <= now:
+            at, number, kind = heapq.heappop(self.due)
+            item = self.queue.request((1, number))
+            if kind == "event":
+                self.queue.record_first_event((1, number), at)
+                events.append((at, item))
+            else:
+                self.queue.record_end((1, number))
+                self.cache.record_end(item.adapter, at)
+        for adapter in [name for name, at in self.loading.items() if at <= now]:
+            del self.loading[adapter]
+            self.adapters.add(adapter)
+        self.report(now)
+        self.queue.reject_overdue(now)
+        for item in self.queue.admit_ready(now, self.cache):
+            self.cache.record_admission(item.adapter, now)
+            start = max(now + 0.02, self.prefilled_at)
+            prefill = item.size.prompt_tokens / TOKENS_PER_SECOND
+            self.prefilled_at = start + prefill
+            number = item.key[1]
+            heapq.heappush(self.due, (self.prefilled_at + 0.04, number, "event"))
+            ends_at = self.prefilled_at + RESPONSE_TIME
+            heapq.heappush(self.due, (ends_at, number, "end"))
+        match self.cache.next_order(self.queue.adapter_demands(now), now):
+            case LoadAdapter(adapter):
+                self.loading[adapter] = now + LOAD_TIME
+                self.report(now)
+            case UnloadAdapter(adapter):
+                self.adapters.discard(adapter)
+                self.report(now)
+        return events
+
+
+@dataclass(frozen=True)
+class Load:
+    """Requests of 16 accounts; one sends seven times its usual from 2 s to 8 s.
+
+    Attributes:
+        engines: Number of engines.
+        rate: Usual requests per second of each account.
+        adapters: Adapters of each account.
+        factor: Rate of the flood relative to the usual one.
+        named: Whether the requests carry the accounts' names.
+        large_adapters: Adapters of the account that sends the flood.
+    """
+
+    engines: int = 1
+    rate: float = 1.2
+    adapters: int = 1
+    factor: float = 7.0
+    named: bool = True
+    large_adapters: int = 1
+
+    def requests(self):
+        """Returns the requests, ordered by arrival, with their account."""
+        source = random.Random(7)
+        arrivals = []
+        for account in range(16):
+            now = 0.0
+            while now < 9.0:
+                in_flood = f"a{account}" == LARGE and 2.0 <= now < 8.0
+                rate = self.rate * (self.factor if in_flood else 1.0)
+                now += source.expovariate(rate)
+                count = self.large_adapters if account == 0 else self.adapters
+                adapter = f"{account}-{source.randrange(count)}"
+                prompt = 4_000 if source.random() < 0.1 else 500
+                arrivals.append((now, f"a{account}", adapter, prompt))
+        for number, (now, account, adapter, prompt) in enumerate(sorted(arrivals)):
+            item = request(
+                number,
+                adapter=AdapterName(MODEL, adapter),
+                prompt=prompt,
+                output=OUTPUT_TOKENS,
+                arrived=now,
+                target_latency=1.0,
+                timeout=5.0,
+                account=account if self.named else "",
+            )
+            yield item, account
+
+
+@dataclass
+class Outcome:
+    """Requests of the flood's time by account, and by size within the large one."""
+
+    sent: Counter = field(default_factory=Counter)
+    on_time: Counter = field(default_factory=Counter)
+    served: Counter = field(default_factory=Counter)
+
+    def share(self, key) -> float:
+        return self.on_time[key] / self.sent[key]
+
+    def served_share(self, key) -> float:
+        return self.served[key] / self.sent[key]
+
+    @property
+    def others(self) -> float:
+        """Share on time of all requests but those of the large account."""
+        keys = [key for key in self.sent if isinstance(key, str) and key != LARGE]
+        return sum(self.on_time[key] for key in keys) / sum(
+            self.sent[key] for key in keys
+        )
+
+    @property
+    def worst_other(self) -> float:
+        keys = [key for key in self.sent if isinstance(key, str) and key != LARGE]
+        return min(self.share(key) for key in keys)
+
+
+def replay(load: Load, *, loaded: bool = True) -> Outcome:
+    """Returns what became of the requests.
+
+    Args:
+        load: The requests.
+        loaded: Whether all adapters are loaded from the start.
+    """
+    outcome = Outcome()
+    items = list(load.requests())
+    names = {item.adapter for item, _ in items}
+    engines = [Engine(set(names) if loaded else set()) for _ in range(load.engines)]
+    keys = {item.key: (account, is_long(item)) for item, account in items}
+    upcoming = iter(items)
+    item, account = next(upcoming)
+    for step in range(1_400):
+        now = step * 0.01
+        while item is not None and item.arrived <= now:
+            if 2.0 <= item.arrived < 8.0:
+                outcome.sent.update((account, (account, is_long(item))))
+            home = sum(map(ord, item.adapter.adapter)) % len(engines)
+            asked = [engines[(home + offset) % len(engines)] for offset in range(3)]
+            takers = [engine for engine in asked if not engine.declines(item)]
+            (takers or asked)[0].accept(item)
+            item, account = next(upcoming, (None, ""))
+        for engine in engines:
+            for at, done in engine.advance(now):
+                if 2.0 <= done.arrived < 8.0:
+                    outcome.served.update((keys[done.key][0], keys[done.key]))
+                    if at <= done.target_time:
+                        outcome.on_time.update((keys[done.key][0], keys[done.key]))
+    return outcome
+
+
+def is_long(item) -> bool:
+    return item.size.prompt_tokens > 1_000
+
+
+def show(label, o):
+    print(label, "others", round(o.others, 3), "worst", round(o.worst_other, 3),
+          "large", round(o.share(LARGE), 3), "served", round(o.served_share(LARGE), 3),
+          "long", round(o.served_share((LARGE, True)), 3), "short", round(o.served_share((LARGE, False)), 3))
+
+
+if __name__ == "__main__":
+    for named in (False, True):
+        show(f"one {named}", replay(Load(named=named)))
+        show(f"alone-usual {named}", replay(Load(named=named, factor=1)))
+        show(f"three {named}", replay(Load(named=named, engines=3, rate=3.6)))
+        show(f"three loads {named}", replay(Load(named=named, engines=3, rate=2.4, adapters=2, large_adapters=40), loaded=False))
+        show(f"three loads usual {named}", replay(Load(named=named, engines=3, rate=2.4, adapters=2, large_adapters=40, factor=1), loaded=False))
+        show(f"one loads {named}", replay(Load(named=named, rate=.8, adapters=1, large_adapters=30), loaded=False))
