Share adapter places between accounts and replay floods

Cause: a flood of one account's adapters evicted those of the others, as only demand counted, and adapters with waiting requests could not be evicted. Change: place_shares.py; an account loses a place only to one with at least two fewer; adapters in constant use drain for an account below its share.

--- a/fighitch/core/gateway/fair_order.py
+++ b/fighitch/core/gateway/fair_order.py
@@ -13,9 +13,9 @@
 
 from fighitch.types import Seconds
 
-# Accounts whose virtual times differ by less than this are served in the order of target
-# times. Exact order by virtual time made a third of all requests
-# late on an engine with 82% load and no flood, because it ignores their targets.
+# Accounts whose virtual times differ by less than this are served in the order of
+# target times. Exact order by virtual time ignores the targets: in the replay of
+# test_account_floods without a flood, it made 7% of the requests late instead of 5%.
 _TOLERANCE: Seconds = 0.15
 # An account that is further behind than this is treated as if it were this far behind.
 # Otherwise, an account that waited for an adapter load or behind urgent ranks could
@@ -37,9 +37,9 @@
 
 
 # Waiting request, as far as its order is concerned: whether it can no longer meet its
-# latency target, priority rank, target time, account, and the time for which it occupies
-# the engine. A plain tuple is created and compared faster than a class, and a queue
-# orders some hundred for each decision.
+# latency target, priority rank, target time, account, and the time for which it
+# occupies the engine. A plain tuple is created and compared faster than a class, and a
+# queue orders some hundred for each decision.
 Work = tuple[bool, int, Seconds, str, Seconds]
 
 
--- a/fighitch/core/gateway/place_shares.py
+++ b/fighitch/core/gateway/place_shares.py
@@ -14,11 +14,11 @@
 from fighitch.core.gateway.model import AdapterName
 from fighitch.types import Seconds
 
-# An adapter belongs to the accounts that have requested it within this time. A longer
-# time would reserve most places for adapters that are requested once; a shorter one
-# would leave those of small accounts, which send about one request per second to an
-# engine, without protection.
-USE_RETENTION: Seconds = 4.0
+# An adapter belongs to the accounts that have requested it within this time. In the
+# replay of test_account_floods with 300 adapters of the large account, 2 s and 4 s
+# served fewer of its requests (0.72 and 0.65, against 0.84) and no more of the others'
+# on time.
+USE_RETENTION: Seconds = 1.0
 # An account loses a place only to one that has at least this many fewer. With a smaller
 # difference, the two would take the place from each other in turn.
 _MIN_DIFFERENCE = 2
--- a/fighitch/tests/test_account_floods.py
+++ b/fighitch/tests/test_account_floods.py
@@ -159,7 +159,7 @@
         return self.on_time[key] / self.sent[key]
 
     def served_share(self, key) -> float:
-        return self.served[key] / self.sent[key]
+        return self.served[key] / max(1, self.sent[key])
 
     @property
     def others(self) -> float:
@@ -212,53 +212,73 @@
     return item.size.prompt_tokens > 1_000
 
 
-def show(label, o):
-    print(
-        label,
-        "others",
-        round(o.others, 3),
-        "worst",
-        round(o.worst_other, 3),
-        "large",
-        round(o.share(LARGE), 3),
-        "served",
-        round(o.served_share(LARGE), 3),
-        "long",
-        round(o.served_share((LARGE, True)), 3),
-        "short",
-        round(o.served_share((LARGE, False)), 3),
-    )
+def total(*, seeds=range(3), loaded=True, **options) -> Outcome:
+    """Returns the sum of several replays."""
+    outcome = Outcome()
+    for seed in seeds:
+        part = replay(Load(seed=seed, **options), loaded=loaded)
+        outcome.sent += part.sent
+        outcome.on_time += part.on_time
+        outcome.served += part.served
+    return outcome
 
 
-if __name__ == "__main__":
-    for named in (False, True):
-        show(f"one {named}", replay(Load(named=named)))
-        show(f"alone-usual {named}", replay(Load(named=named, factor=1)))
-        show(f"three {named}", replay(Load(named=named, engines=3, rate=3.6)))
-        show(
-            f"three loads {named}",
-            replay(
-                Load(named=named, engines=3, rate=2.4, adapters=2, large_adapters=40),
-                loaded=False,
-            ),
-        )
-        show(
-            f"three loads usual {named}",
-            replay(
-                Load(
-                    named=named,
-                    engines=3,
-                    rate=2.4,
-                    adapters=2,
-                    large_adapters=40,
-                    factor=1,
-                ),
-                loaded=False,
-            ),
-        )
-        show(
-            f"one loads {named}",
-            replay(
-                Load(named=named, rate=0.8, adapters=1, large_adapters=30), loaded=False
-            ),
+class FloodTests(unittest.TestCase):
+    """One account sends seven times its usual.
+
+    Guards against floods that make the requests of other accounts late, and against an
+    order that serves these by starving the large account or its long prompts.
+    """
+
+    def check(
+        self, *, max_loss: float, min_gain: float, loaded: bool = True, **options
+    ) -> None:
+        """Compares a flood with the usual load, and with a flood without accounts.
+
+        Args:
+            max_loss: Limit of what the others lose against the usual load.
+            min_gain: What they gain at least against the flood without accounts.
+            loaded: Whether all adapters are loaded from the start.
+            options: Options of the load.
+        """
+        usual = total(factor=1.0, loaded=loaded, **options)
+        unnamed = total(named=False, loaded=loaded, **options)
+        flood = total(loaded=loaded, **options)
+        self.assertGreater(flood.others, usual.others - max_loss)
+        self.assertGreater(flood.others, unnamed.others + min_gain)
+        accounts = [f"a{number}" for number in range(16)]
+        served = sum(flood.served[name] for name in accounts)
+        sent = sum(flood.sent[name] for name in accounts)
+        for name in accounts:
+            self.assertGreater(flood.served_share(name), 0.25 * served / sent)
+        short_share = flood.served_share((LARGE, False))
+        self.assertGreater(flood.served_share((LARGE, True)), 0.5 * short_share)
+
+    def test_others_stay_on_time_at_one_engine(self):
+        self.check(max_loss=0.03, min_gain=0.02)
+
+    def test_others_stay_on_time_at_several_engines(self):
+        self.check(max_loss=0.05, min_gain=0.04, engines=3, rate=3.6)
+
+    def test_others_stay_on_time_with_adapter_loads(self):
+        # Without shares of the places, each load evicts an adapter of another account.
+        self.check(
+            max_loss=0.04,
+            min_gain=0.02,
+            loaded=False,
+            engines=3,
+            rate=3.0,
+            adapters=2,
+            large_adapters=300,
         )
+
+    def test_load_without_a_flood_is_served_as_without_accounts(self):
+        # Guards against shares that cost more than they protect.
+        for options in ({}, {"engines": 3, "rate": 3.6}):
+            named = total(factor=1.0, **options)
+            unnamed = total(factor=1.0, named=False, **options)
+            self.assertGreater(named.others, unnamed.others - 0.02)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/fighitch/tests/test_fair_order.py
+++ b/fighitch/tests/test_fair_order.py
@@ -1,19 +1,29 @@
+import random
 import unittest
 
+import msgspec
 from hypothesis import given, settings, strategies as st
 
+from fighitch.core.gateway.adapter_cache import AdapterCache, UnloadAdapter
+from fighitch.core.gateway.adapter_demand import AdapterDemand
+from fighitch.core.gateway.backend_choice import EngineView
 from fighitch.core.gateway.engine_queue import EngineQueue
 from fighitch.core.gateway.fair_order import FairOrder, Work
+from fighitch.core.gateway.model import AdapterName
+from fighitch.core.gateway.place_shares import USE_RETENTION, PlaceShares
+from fighitch.gateway.metrics import AgentMetrics
+from fighitch.gateway.peer_messages import Status
 from fighitch.tests.gateway_helpers import (
     A1,
     A2,
     A3,
+    MODEL,
     AllAdaptersLoaded,
     engine_spec,
+    report,
     request,
 )
 
-
 # Above the tolerance, so that two requests differ in level.
 COST = 0.2
 
@@ -348,6 +358,197 @@
             admitted.append([item.key for item in items])
         self.assertEqual(admitted[0], admitted[1])
 
+    def test_estimate_agrees_with_the_order_of_admission(self):
+        # Guards against an estimate in one pass that leaves the order itself: requests
+        # would be declined that are served in time, or accepted that are not.
+        source = random.Random(3)
+        for _ in range(60):
+            queue = self.make_queue()
+            for number in range(60):
+                account = source.choice(["a", "a", "a", "b", "c", ""])
+                self.add_request(queue, number, account, source)
+            new = self.random_request(100, source.choice("abcd"), source)
+            delay = queue.expected_first_event_delay(new)
+            queue.enqueue(new)
+            order = [item.key for item in queue._arrange(queue._waiting.values(), 0.0)]
+            keys = order[: order.index(new.key)]
+            tokens = sum(queue.request(key).size.prompt_tokens for key in keys)
+            speed = queue.prefill_speed
+            tokens += new.size.prompt_tokens
+            exact = speed.overhead + tokens * speed.seconds_per_token
+            self.assertAlmostEqual(delay, exact, delta=0.15 + 0.25 * exact)
+
+    def random_request(self, number: int, account: str, source: random.Random):
+        return request(
+            number,
+            account=account,
+            rank=source.randrange(2),
+            prompt=source.choice([300, 500, 800]),
+            target_latency=source.uniform(2.0, 9.0),
+            timeout=100.0,
+        )
+
+    def add_request(self, queue, number, account, source) -> None:
+        self.assertIsNone(queue.enqueue(self.random_request(number, account, source)))
+
+
+class PlaceSharesTests(unittest.TestCase):
+    def setUp(self):
+        self.shares = PlaceShares()
+        self.large = [AdapterName(MODEL, f"large{number}") for number in range(20)]
+        self.small = [AdapterName(MODEL, f"small{number}") for number in range(20)]
+
+    def use(self, account: str, adapters, now: float = 0.0) -> None:
+        for adapter in adapters:
+            self.shares.record_use(adapter, account, now)
+
+    def evictable(self, account: str, present, now: float = 0.0):
+        """Returns the adapters evictable above a share, and the others."""
+        wanted = AdapterDemand(
+            AdapterName(MODEL, "new"), on_time_requests=1, accounts={account}
+        )
+        return self.shares.evictable(present, wanted, present, now)
+
+    def test_flood_evicts_only_its_own_adapters(self):
+        present = [*self.large[:7], *self.small[:7]]
+        self.use("large", self.large)
+        self.use("small", self.small[:7])
+        self.assertEqual(self.evictable("large", present), ([], self.large[:7]))
+
+    def test_lent_places_are_taken_back(self):
+        # Guards against a flood that keeps the places that it took while they were
+        # idle.
+        present = [*self.large[:12], *self.small[:2]]
+        self.use("large", self.large)
+        self.use("small", self.small[:3])
+        over_share, others = self.evictable("small", present)
+        self.assertEqual(over_share, self.large[:12])
+        self.assertEqual(others, self.small[:2])
+
+    def test_idle_places_are_lent(self):
+        present = [*self.large[:7], *self.small[:7]]
+        self.use("small", self.small[:7])
+        later = USE_RETENTION + 0.5
+        self.use("large", self.large, later)
+        self.assertCountEqual(self.evictable("large", present, later)[1], present)
+
+    def test_adapter_that_a_small_account_shares_is_kept(self):
+        # Guards against an account that makes the adapters of others its own by
+        # requesting them.
+        present = [*self.large[:7], *self.small[:7]]
+        self.use("large", present)
+        self.use("small", self.small[:7])
+        self.assertEqual(self.evictable("large", present)[1], self.large[:7])
+
+    def test_account_without_places_gets_one_from_many_small_ones(self):
+        # With more accounts than places, an account would otherwise wait for as long as
+        # the others use theirs.
+        present = self.small[:14]
+        for number, adapter in enumerate(present):
+            self.use(f"a{number}", [adapter])
+        self.assertEqual(self.evictable("late", present), ([], present))
+
+    def test_account_with_fewest_places_loads_first(self):
+        self.use("large", self.large)
+        demands = [
+            AdapterDemand(adapter, on_time_requests=1, accounts={account})
+            for account, adapter in [
+                ("large", self.large[6]),
+                ("large", self.large[7]),
+                ("small", self.small[0]),
+            ]
+        ]
+        ordered = self.shares.order_loads(demands, set(self.large[:6]), 0.0)
+        self.assertEqual(ordered[0].adapter, self.small[0])
+
+    def test_memory_is_bounded(self):
+        for number in range(5_000):
+            self.use("a", [AdapterName(MODEL, f"{number}")])
+        self.assertLess(len(self.shares), 2_000)
+
+    def test_requests_without_accounts_leave_no_trace(self):
+        self.use("", self.large)
+        self.assertEqual(len(self.shares), 0)
+        self.assertFalse(self.shares.is_active(0.0))
+
+
+class PlacesOfAnEngineTests(unittest.TestCase):
+    def setUp(self):
+        self.cache = AdapterCache()
+        self.cache.configure(engine_spec(capacity=4))
+        self.hot = [AdapterName(MODEL, f"hot{number}") for number in range(4)]
+        self.cache.record_report(report(*self.hot), 0.0)
+        for adapter in self.hot:
+            self.cache.record_demand(adapter, 0.0, "large")
+
+    def demands(self) -> list[AdapterDemand]:
+        return [
+            AdapterDemand(adapter, on_time_requests=1, accounts={"large"})
+            for adapter in self.hot
+        ] + [AdapterDemand(A1, on_time_requests=1, accounts={"small"})]
+
+    def test_waiting_requests_of_a_flood_do_not_keep_its_places(self):
+        order = self.cache.next_order(self.demands(), 0.1)
+        self.assertIn(order, [UnloadAdapter(adapter) for adapter in self.hot])
+
+    def test_adapter_in_constant_use_is_drained_for_a_small_account(self):
+        # Guards against a flood that keeps its adapters in use without a break.
+        for adapter in self.hot:
+            self.cache.record_admission(adapter, 0.1)
+        self.assertIsNone(self.cache.next_order(self.demands(), 0.2))
+        drained = [name for name in self.hot if not self.cache.serves(name, 0, 0.2)]
+        self.assertEqual(len(drained), 1)
+        self.cache.record_end(drained[0], 0.5)
+        order = self.cache.next_order(self.demands(), 0.5)
+        self.assertEqual(order, UnloadAdapter(drained[0]))
+
+    def test_drain_ends_if_requests_do_not(self):
+        for adapter in self.hot:
+            self.cache.record_admission(adapter, 0.1)
+        self.cache.next_order(self.demands(), 0.2)
+        self.assertTrue(all(self.cache.serves(name, 0, 9.0) for name in self.hot))
+
+
+class AccountMetricsTests(unittest.TestCase):
+    def test_number_of_label_values_is_bounded(self):
+        metrics = AgentMetrics()
+        for number in range(500):
+            metrics.observe_admission(0.1, f"a{number}", 100)
+        metrics.set_account_waiting({f"b{number}": 1 for number in range(500)})
+        lines = metrics.render().decode().splitlines()
+        admitted = [
+            line for line in lines if line.startswith("fighitch_account_admitted_total")
+        ]
+        self.assertLess(len(admitted), 70)
+        self.assertIn('fighitch_account_waiting{account="(other)"} 500.0', lines)
+
+    def test_account_without_waiting_requests_goes_back_to_0(self):
+        metrics = AgentMetrics()
+        metrics.set_account_waiting({"a": 3})
+        metrics.set_account_waiting({})
+        self.assertIn(b'fighitch_account_waiting{account="a"} 0.0', metrics.render())
+
+    def test_requests_without_accounts_have_no_label(self):
+        metrics = AgentMetrics()
+        metrics.observe_admission(0.1, "", 100)
+        metrics.set_account_waiting({"": 3})
+        self.assertNotIn(b"account=", metrics.render())
+
+
+class StatusTests(unittest.TestCase):
+    def test_status_of_an_earlier_build_is_read(self):
+        body = [8, 1, True, False, 20, 50_000, 0, 3, 1, 0, 7]
+        status = msgspec.msgpack.decode(msgspec.msgpack.encode(body), type=Status)
+        self.assertEqual((status.token, status.account_backlogs_ms), (7, {}))
+
+    def test_engine_is_ranked_by_the_backlog_of_the_account(self):
+        # Guards against a flood that stays at the engines with its adapters while
+        # others are idle.
+        view = EngineView("e", backlog=0.1, account_backlogs={"large": 2.0})
+        self.assertEqual(view.backlog_for("large"), 2.0)
+        self.assertEqual(view.backlog_for("small"), 0.1)
+        self.assertEqual(view.backlog_for(""), 0.1)
+
 
 if __name__ == "__main__":
     unittest.main()
