Reject displaced requests that will miss their deadlines

Cause: requests of a flooding account were accepted, then displaced by those of other accounts, and waited until their deadlines instead of being retried. Ruled out: counting all prompts ahead; some of them end or are rejected first, and a request that can still be served must not be rejected. Change: reject_overdue follows the fair order where named accounts wait, and counts half of the prompts ahead whose adapters are loaded. AdapterDemand is created once per adapter instead of once per request.

--- a/fighitch/core/gateway/engine_queue.py
+++ b/fighitch/core/gateway/engine_queue.py
@@ -46,6 +46,10 @@
 _MIN_RETRY_AFTER: Seconds = 0.3
 _MAX_RETRY_AFTER: Seconds = 3.0
 
+# Share of the prompts ahead that a waiting request certainly waits for: some are
+# cancelled or rejected first, and the measured prefill speed may be too low. A request
+# that can still be served must not be rejected.
+_CERTAIN_SHARE_AHEAD = 0.5
 # Accounts whose backlogs are published. Only accounts with far more waiting work than
 # others differ from the common estimate, and there are few of these at a time.
 _MAX_ACCOUNT_BACKLOGS = 8
@@ -225,7 +229,9 @@
         """
         demands: dict[AdapterName, AdapterDemand] = {}
         for request in self._waiting.values():
-            demand = demands.setdefault(request.adapter, AdapterDemand(request.adapter))
+            demand = demands.get(request.adapter)
+            if demand is None:
+                demand = demands[request.adapter] = AdapterDemand(request.adapter)
             demand.add_request(
                 version=request.version,
                 rank=request.rank,
@@ -423,24 +429,43 @@
             admitted.append(request)
         return admitted
 
-    def reject_overdue(self, now: Seconds) -> list[Rejection]:
-        """Rejects waiting requests that can no longer meet their deadline."""
+    def reject_overdue(
+        self, now: Seconds, loaded: "LoadedAdapters | None" = None
+    ) -> list[Rejection]:
+        """Rejects waiting requests that can no longer meet their deadline.
+
+        With named accounts, requests of other accounts may have gone ahead since a
+        request was accepted. Those whose turn comes too late are rejected as well.
+
+        Args:
+            now: Current time.
+            loaded: Adapters that the engine can serve. Only requests for these count
+                as ahead; None if none are known.
+        """
         rejections = []
-        kept = 0
+        kept = prompt_tokens = 0
+        is_shared = loaded is not None and self._fair_order.has_named_accounts
         for request in self._by_urgency(now):
             # Requests without a chance must not wait for their turn.
-            if self._misses_deadline(request, now + self._pacing_delay(now, kept)):
+            delay = self._pacing_delay(now, kept)
+            if is_shared:
+                certain = _CERTAIN_SHARE_AHEAD * prompt_tokens
+                delay = self._start_delay(certain, kept, now)
+            if self._misses_deadline(request, now + delay):
                 self._remove_waiting(request.key)
                 rejections.append(
                     Rejection(request, self.retry_after(now), "waited_too_long")
                 )
-            else:
-                kept += 1
+                continue
+            kept += 1
+            if loaded is not None and is_shared:
+                is_loaded = loaded.serves(request.adapter, request.version, now)
+                prompt_tokens += is_loaded * request.size.prompt_tokens
         return rejections
 
     def _by_urgency(self, now: Seconds) -> list[EngineRequest]:
         """Returns the waiting requests in the order of admission."""
-        if self.pacer is None:
+        if self.pacer is None and not self._fair_order.has_named_accounts:
             return list(self._waiting.values())
         return self._arrange(self._waiting.values(), now)
 
--- a/fighitch/gateway/agent.py
+++ b/fighitch/gateway/agent.py
@@ -473,7 +473,7 @@
         )
         if now - self._last_report_at >= interval:
             self._engine_control.request_report()
-        for rejection in self._queue.reject_overdue(now):
+        for rejection in self._queue.reject_overdue(now, self._adapter_cache):
             self._deny(rejection)
         for peer in list(self._peers.values()):
             if self._loop.polled_at - peer.last_received_at > _ENTRY_TIMEOUT:
--- a/fighitch/tests/test_account_floods.py
+++ b/fighitch/tests/test_account_floods.py
@@ -77,7 +77,7 @@
             del self.loading[adapter]
             self.adapters.add(adapter)
         self.report(now)
-        self.queue.reject_overdue(now)
+        self.queue.reject_overdue(now, self.cache)
         for item in self.queue.admit_ready(now, self.cache):
             self.cache.record_admission(item.adapter, now)
             start = max(now + 0.02, self.prefilled_at)
--- a/fighitch/tests/test_fair_order.py
+++ b/fighitch/tests/test_fair_order.py
@@ -7,7 +7,7 @@
 from fighitch.core.gateway.adapter_cache import AdapterCache, UnloadAdapter
 from fighitch.core.gateway.adapter_demand import AdapterDemand
 from fighitch.core.gateway.backend_choice import EngineView
-from fighitch.core.gateway.engine_queue import EngineQueue
+from fighitch.core.gateway.engine_queue import EngineQueue, Rejection
 from fighitch.core.gateway.fair_order import FairOrder, Work
 from fighitch.core.gateway.model import AdapterName
 from fighitch.core.gateway.place_shares import USE_RETENTION, PlaceShares
@@ -19,6 +19,7 @@
     A3,
     MODEL,
     AllAdaptersLoaded,
+    NoAdaptersLoaded,
     engine_spec,
     report,
     request,
@@ -221,6 +222,20 @@
             self._pacing_delay(now, len(ahead)),
         )
 
+    def reject_overdue(self, now, loaded=None):
+        waiting = list(self._waiting.values())
+        if self.pacer is not None:
+            waiting = self._arrange(waiting, now)
+        rejections, kept = [], 0
+        for item in waiting:
+            if self._misses_deadline(item, now + self._pacing_delay(now, kept)):
+                self._remove_waiting(item.key)
+                retry_after = self.retry_after(now)
+                rejections.append(Rejection(item, retry_after, "waited_too_long"))
+            else:
+                kept += 1
+        return rejections
+
     def count_missing_adapters(self, loaded, now):
         return len(
             {
@@ -283,7 +298,7 @@
             case "limit", rate:
                 queue.set_rate_limit(rate, now)
         results.append([item.key for item in queue.admit_ready(now, loaded)])
-        results.append(queue.reject_overdue(now))
+        results.append(queue.reject_overdue(now, loaded))
         results.append((queue.backlog(now), queue.retry_after(now)))
         results.append(queue.count_missing_adapters(loaded, now))
         results.append([vars_of(demand) for demand in queue.adapter_demands(now)])
@@ -295,6 +310,21 @@
 
 
 class WithoutAccountsTests(unittest.TestCase):
+    def test_cache_is_not_shared_without_accounts(self):
+        # Guards deployments without accounts against any change of loads and evictions.
+        cache = AdapterCache()
+        cache.configure(engine_spec(capacity=2))
+        cache.record_report(report(A2, A3), 0.0)
+        for adapter in (A2, A3, A3):
+            cache.record_demand(adapter, 0.0, "")
+        demands = [AdapterDemand(A1, on_time_requests=1, accounts={""})]
+        self.assertEqual(cache.next_order(demands, 0.1), UnloadAdapter(A2))
+        demands += [
+            AdapterDemand(adapter, on_time_requests=1, accounts={""})
+            for adapter in (A2, A3)
+        ]
+        self.assertIsNone(cache.next_order(demands, 0.1))
+
     @given(_STEPS)
     @settings(max_examples=300, deadline=None)
     def test_decisions_are_those_of_the_queue_without_accounts(self, steps):
@@ -349,6 +379,21 @@
                 queue.record_first_event(item.key, now + 0.01)
         self.assertEqual({item.request.account for item in rejected}, {"large"})
 
+    def test_displaced_request_without_a_chance_is_rejected_at_once(self):
+        # Guards against a large account's requests that wait until their deadlines
+        # although requests of others have gone ahead of them.
+        queue = self.make_queue()
+        self.fill(queue, count=80, timeout=3.0)
+        self.assertEqual(queue.reject_overdue(0.0, AllAdaptersLoaded()), [])
+        for account in range(16):
+            for number in range(12):
+                key = 100 + 12 * account + number
+                queue.enqueue(request(key, account=f"a{account}", target_latency=9.0))
+        rejected = queue.reject_overdue(0.0, AllAdaptersLoaded())
+        self.assertEqual({item.request.account for item in rejected}, {"large"})
+        self.assertGreater(queue.waiting_by_account["large"], 0)
+        self.assertEqual(queue.reject_overdue(0.0, NoAdaptersLoaded()), [])
+
     def test_one_account_alone_gets_the_whole_engine(self):
         queues = [self.make_queue(slots=4) for _ in range(2)]
         admitted = []
