Bound what shares that move between holders may spend twice

A share that is lent to a new holder while the previous one may still count it doubled a part of the rate for up to a second at each cut of a link (11 cuts in 9 s: 2.5 s of the rate too much). The overage covers one such move in a window; further ones wait until the share has lapsed. Shares of ended connections are released at once.

--- a/fighitch/core/gateway/quota_allowances.py
+++ b/fighitch/core/gateway/quota_allowances.py
@@ -9,7 +9,7 @@
 
 import math
 from collections import deque
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Collection, Iterable
 from dataclasses import dataclass, field
 from enum import Enum
 
@@ -40,6 +40,12 @@
 # Least interval of requests for more units of one account; bounds the messages of a
 # burst.
 _MIN_ASK_INTERVAL: Seconds = 0.02
+# The same if no request waits for them.
+_AHEAD_INTERVAL: Seconds = 0.1
+# The same for requests that wait, for some time after a short answer; a request still
+# gets its answer within its longest wait.
+_SHORT_ASK_INTERVAL: Seconds = 0.08
+_SHORT_MEMORY: Seconds = 1.0
 # Time after a short answer for which nothing more is asked; doubles up to the limit.
 _MIN_SHORT_TIME: Seconds = 0.025
 _MAX_SHORT_TIME: Seconds = 0.2
@@ -153,6 +159,9 @@
             holder may still count the share.
         holder: Agent that the share is lent to; None if the entry spends it itself.
         is_lent: Whether the holder was told.
+        lend_after: Time before which the share is not lent again.
+        moved_at: Latest time at which it was lent to another holder while the previous
+            one could still count it.
         pool: Units lent by the holder.
         expires_at: Time at which they expire.
         carried: Units lent by the previous holder.
@@ -178,6 +187,8 @@
     used_at: Seconds
     holder: str | None = None
     is_lent: bool = False
+    lend_after: Seconds = float("-inf")
+    moved_at: Seconds = float("-inf")
     pool: float = 0.0
     expires_at: Seconds = 0.0
     carried: float = 0.0
@@ -187,7 +198,7 @@
     refunded: float = 0.0
     sent_at: Seconds = float("-inf")
     asked_at: Seconds | None = None
-    short_until: Seconds = 0.0
+    short_until: Seconds = float("-inf")
     short_time: Seconds = 0.0
     inflow: float = 0.0
     debt: float = 0.0
@@ -228,11 +239,25 @@
         self.own -= min(max(0.0, cost - from_carried - from_pool), own)
         return True
 
-    def move(self, holder: str | None, now: Seconds, *, is_graceful: bool) -> None:
+    def move(
+        self,
+        holder: str | None,
+        now: Seconds,
+        *,
+        is_released: bool,
+        window: Seconds,
+    ) -> None:
         """Lends the share to another holder, or to none.
 
         Units of the previous holder stay valid until they expire: it takes them for
-        used.
+        used. If it may still count the share, the share counts twice for up to a lease;
+        the permitted overage covers this once in a window.
+
+        Args:
+            holder: The other holder, if any.
+            now: Current time.
+            is_released: Whether the previous holder knows that the share is gone.
+            window: Length of the windows over which quotas hold.
         """
         self.expire(now)
         if self.pool > 0:
@@ -245,10 +270,15 @@
         if self.is_lent:
             self.is_lent = False
             self.own = 0.0
-            self.own_at = now if is_graceful else max(now, self.sent_at + LEASE)
+            lapse = now if is_released else max(now, self.sent_at + LEASE)
+            self.own_at = lapse
+            if now - self.moved_at < window:
+                self.lend_after = lapse
+            elif not is_released:
+                self.moved_at = now
         self.holder = holder
         self.sent_at, self.asked_at = float("-inf"), None
-        self.short_until = self.short_time = 0.0
+        self.short_until, self.short_time = float("-inf"), 0.0
 
     def target(self, now: Seconds) -> float:
         """Returns the units to hold ahead of demand."""
@@ -266,16 +296,20 @@
         if self.holder is None:
             return False
         if not self.is_lent:
-            return True
+            return now >= self.lend_after
         if self.asked_at is not None or now < self.short_until:
             return False
-        if now - self.sent_at < _MIN_ASK_INTERVAL:
-            return False
-        return self.needed > 0 or self.pool + self.carried < self.target(now) / 2
+        elapsed = now - self.sent_at + _EPSILON
+        if elapsed >= _AHEAD_INTERVAL:
+            is_low = self.pool + self.carried < self.target(now) / 2
+            return is_low or self.needed > 0
+        was_short = now - self.short_until < _SHORT_MEMORY
+        interval = _SHORT_ASK_INTERVAL if was_short else _MIN_ASK_INTERVAL
+        return elapsed >= interval and self.needed > 0
 
     def is_due(self, now: Seconds) -> bool:
         """Whether the holder should be told something now."""
-        if self.holder is None:
+        if self.holder is None or now < self.lend_after:
             return False
         elapsed = now - self.sent_at + _EPSILON
         if elapsed >= _LEND_INTERVAL or self.is_urgent(now):
@@ -402,6 +436,7 @@
         rank: Callable[[str], Iterable[str]],
         now: Seconds,
         *,
+        released: Collection[str] = (),
         may_connect_until: Seconds = float("-inf"),
     ) -> None:
         """Applies changed connections to agents.
@@ -410,12 +445,13 @@
             agents: Agents that are connected and understand quotas.
             rank: Returns the agents for an account, the best first.
             now: Current time.
+            released: Lost agents that know of the loss, or have ended.
             may_connect_until: Time until which an entry without agents waits for one.
         """
         self._agents, self._rank = frozenset(agents), rank
         self._may_connect_until = may_connect_until
         for allowance in self._allowances.values():
-            self._assign(allowance, now)
+            self._assign(allowance, now, released)
 
     # Requests.
 
@@ -565,7 +601,9 @@
             self._assign(allowance, now)
         return allowance
 
-    def _assign(self, allowance: _Allowance, now: Seconds) -> None:
+    def _assign(
+        self, allowance: _Allowance, now: Seconds, released: Collection[str] = ()
+    ) -> None:
         """Lends a share to the best agent that is connected and answers."""
         best = None
         for agent in self._rank(allowance.name):
@@ -579,8 +617,13 @@
         if previous is not None and is_connected and allowance.is_lent:
             self._left.setdefault(previous, []).append(allowance.name)
         # A holder that does not answer may go on counting the share for a while.
-        is_graceful = is_connected and previous not in self._avoided
-        allowance.move(best, now, is_graceful=is_graceful)
+        is_released = is_connected and previous not in self._avoided
+        allowance.move(
+            best,
+            now,
+            is_released=is_released or previous in released,
+            window=self._window.length,
+        )
 
     def _spend(self, allowance: _Allowance, cost: float, now: Seconds) -> bool:
         return allowance.spend(cost, now, self._own_entries)
@@ -598,8 +641,8 @@
 
     def _serve(self, allowance: _Allowance, now: Seconds, *, is_short: bool) -> None:
         """Gives units to waiting requests; rejects the rest if there are no more."""
-        if not is_short:
-            allowance.short_until = allowance.short_time = 0.0
+        if now - allowance.short_until >= _SHORT_MEMORY:
+            allowance.short_time = 0.0
         waiters = allowance.waiters
         refused = []
         while waiters:
@@ -624,7 +667,7 @@
         self._serve_unlent(allowance, now)
         waiters = allowance.waiters
         while waiters and (
-            waiters[0].is_cancelled or now - waiters[0].since >= MAX_WAIT
+            waiters[0].is_cancelled or now - waiters[0].since >= MAX_WAIT - _EPSILON
         ):
             waiter = waiters.popleft()
             if waiter.is_cancelled:
--- a/fighitch/core/gateway/quota_holder.py
+++ b/fighitch/core/gateway/quota_holder.py
@@ -268,6 +268,10 @@
                 bucket.advance(now)
                 bucket.remove(entry)
 
+    def disconnect(self, entry: str, now: Seconds) -> None:
+        """Removes all shares of an entry whose connection was closed."""
+        self.leave(entry, self.accounts, now)
+
     def poll(self, now: Seconds) -> list[Grant]:
         """Returns the answers to requests that have waited long enough."""
         grants = []
--- a/fighitch/tests/test_quotas.py
+++ b/fighitch/tests/test_quotas.py
@@ -4,6 +4,7 @@
 over every request of a run.
 """
 
+import functools
 import heapq
 import itertools
 import random
@@ -27,6 +28,8 @@
 COST = 700.0
 LATENCY = 0.001
 TICK = 0.05
+# As in ``fighitch.gateway.agent_links``.
+AGENT_TIMEOUT = 0.9
 
 
 class Entry:
@@ -39,22 +42,37 @@
         self.allowances.configure([self.fleet.account], self.fleet.version)
         self.is_alive = True
         self.frozen_until = 0.0
+        self.heard_at: dict[str, float] = {}
         self.connect()
 
+    def kill(self) -> None:
+        self.is_alive = False
+        for agent in self.agents:
+            if (self.name, agent.name) not in self.fleet.cut:
+                agent.holder.disconnect(self.name, self.fleet.now)
+
     def connect(self) -> None:
+        """Notices ended agents at once and silent ones after a while."""
+        now = self.fleet.now
+        for agent in self.fleet.agents:
+            if self.fleet.is_linked(self, agent) and now >= agent.frozen_until:
+                self.heard_at[agent.name] = now
         self.agents = [
-            agent for agent in self.fleet.agents if self.fleet.is_linked(self, agent)
+            agent
+            for agent in self.fleet.agents
+            if agent.is_alive
+            and now - self.heard_at.get(agent.name, 0.0) < AGENT_TIMEOUT
         ]
+        released = {agent.name for agent in self.fleet.agents if not agent.is_alive}
         counts = [
             sum(self.fleet.is_linked(entry, agent) for entry in self.fleet.entries)
             for agent in self.agents
         ]
-        now = self.fleet.now
         self.allowances.entries.record(max(counts, default=1), now)
         names = {agent.name: 1.0 for agent in self.agents}
         # Changed connections only: an unchanged set keeps its holders.
         self.allowances.set_agents(
-            names, lambda account: rank_nodes(account, names), now
+            names, lambda account: rank_nodes(account, names), now, released=released
         )
 
     def flush(self) -> None:
@@ -64,8 +82,10 @@
         for holder, (lines, left) in self.allowances.requests(now).items():
             agent = next(item for item in self.agents if item.name == holder)
             count = self.allowances.entries.value
-            arguments = (self, lines, left, int(now * 1e6), count, self.fleet.version)
-            self.fleet.send(self, agent, lambda: agent.handle(*arguments))
+            deliver = functools.partial(
+                agent.handle, self, lines, left, int(now * 1e6), count
+            )
+            self.fleet.send(self, agent, deliver)
             self.fleet.messages += 1
         self.schedule_urgent()
 
@@ -99,7 +119,7 @@
         self.is_alive = True
         self.frozen_until = 0.0
 
-    def handle(self, entry, lines, left, sent_at, entries, version) -> None:
+    def handle(self, entry, lines, left, sent_at, entries) -> None:
         now = self.fleet.now
         self.holder.leave(entry.name, left, now)
         self.answer(
@@ -108,7 +128,7 @@
                 lines,
                 sent_at=sent_at,
                 entries=entries,
-                version=version,
+                version=entry.allowances.version,
                 now=now,
             )
         )
@@ -420,7 +440,7 @@
     def setUp(self):
         self.fleet = Fleet()
         self.fleet.run(3.0)
-        self.fleet.load(24.0, 7 * QUOTA.rate)
+        self.fleet.load(40.0, 7 * QUOTA.rate)
         self.fleet.run(4.0)
 
     def finish(self) -> None:
@@ -477,7 +497,7 @@
 
     def test_restart_of_all_entries(self):
         for entry in self.fleet.entries:
-            entry.is_alive = False
+            entry.kill()
         self.fleet.run(0.5)
         for entry in self.fleet.entries:
             entry.start()
@@ -486,7 +506,7 @@
 
     def test_restart_of_everything(self):
         for entry in self.fleet.entries:
-            entry.is_alive = False
+            entry.kill()
         for agent in self.fleet.agents:
             agent.holder = QuotaHolder()
         self.fleet.run(0.2)
@@ -532,6 +552,7 @@
         entry = fleet.random.choice(fleet.entries)
         agent = fleet.random.choice([fleet.holder, *fleet.agents])
         if choice == 0:
+            entry.kill()
             entry.start()
         elif choice == 1:
             entry.frozen_until = fleet.now + 2 * fleet.random.random()
