Enforce quotas of client accounts over all entries

Entries take the units of each request before it is placed, from units that agents lend them (QuotaRequest and QuotaGrant, protocol 2). A request beyond the quota gets 429 with the time until units for it are expected; one whose holder does not answer gets 503. Units of sends that were not run are given back, and retries take units of their own. Without a quota in the configuration no message is sent.

--- a/fighitch/core/gateway/quota_allowances.py
+++ b/fighitch/core/gateway/quota_allowances.py
@@ -395,6 +395,11 @@
         """Version of the configuration that the quotas are from."""
         return self._version
 
+    @property
+    def has_waiting(self) -> bool:
+        """Whether any request waits for units."""
+        return any(item.waiters for item in self._allowances.values())
+
     def held(self) -> dict[str, float]:
         """Returns the units held, by account with traffic."""
         return {
@@ -513,9 +518,10 @@
 
     # Messages.
 
-    def has_urgent(self, now: Seconds) -> bool:
-        """Whether a holder must be asked now."""
-        return any(item.is_urgent(now) for item in self._allowances.values())
+    def is_urgent(self, account: str, now: Seconds) -> bool:
+        """Whether the holder of an account must be asked now."""
+        allowance = self._allowances.get(account)
+        return allowance is not None and allowance.is_urgent(now)
 
     def requests(self, now: Seconds) -> dict[str, tuple[list[QuotaLine], list[str]]]:
         """Returns what to send now.
@@ -635,9 +641,7 @@
 
     def _exceeded(self, allowance: _Allowance, cost: float, now: Seconds) -> Refusal:
         retry_after = allowance.retry_after(cost, now, self._own_entries)
-        return Refusal(
-            RefusalReason.EXCEEDED, min(retry_after, self._window.length)
-        )
+        return Refusal(RefusalReason.EXCEEDED, min(retry_after, self._window.length))
 
     def _serve(self, allowance: _Allowance, now: Seconds, *, is_short: bool) -> None:
         """Gives units to waiting requests; rejects the rest if there are no more."""
--- a/fighitch/core/gateway/quota_holder.py
+++ b/fighitch/core/gateway/quota_holder.py
@@ -216,10 +216,23 @@
         """Names of the accounts with an open bucket."""
         return tuple(self._buckets)
 
-    def state(self, account: str) -> tuple[float, float]:
-        """Returns the units in the bucket of an open account, and those lent."""
+    @property
+    def has_parked(self) -> bool:
+        """Whether a request waits for other entries to lend their shares."""
+        return any(
+            share.parked is not None
+            for bucket in self._buckets.values()
+            for share in bucket.shares.values()
+        )
+
+    def state(self, account: str) -> tuple[float, float, int]:
+        """Returns the state of an open account.
+
+        Returns:
+            Units in the bucket, units lent, and number of shares.
+        """
         bucket = self._buckets[account]
-        return bucket.level, bucket.reserved
+        return bucket.level, bucket.reserved, len(bucket.shares)
 
     def handle(
         self,
@@ -347,7 +360,7 @@
         granted = min(line.needed, free)
         is_short = granted < line.needed - _EPSILON
         is_opening = now - bucket.opened_at < OPENING_TIME - _EPSILON
-        if is_short and is_opening:
+        if is_short and is_opening and bucket.fraction < 1:
             share.parked = line
             return []
         share.parked = None
--- a/fighitch/gateway/agent.py
+++ b/fighitch/gateway/agent.py
@@ -35,8 +35,10 @@
     HeldAdapters,
     Hello,
     Message,
+    QuotaRequest,
     Status,
 )
+from fighitch.gateway.quota_lender import QuotaLender
 from fighitch.observability.bounded_log import BoundedLog
 from fighitch.runtime.event_loop import READ, EventLoop
 from fighitch.runtime.sockets import accept_pending, listen
@@ -81,6 +83,7 @@
         self._peers: dict[int, PeerConnection] = {}
         self._next_peer_number = 1
         self._crash_reports = CrashReportRelay()
+        self._quotas = QuotaLender(loop, log, metrics)
         self._failed_reports = 0
         self._serving = False
         self._draining = False
@@ -129,6 +132,7 @@
     def _on_closed(self, peer: PeerConnection, reason: str) -> None:
         self._peers.pop(peer.number, None)
         self._crash_reports.remove_peer(peer)
+        self._quotas.remove_peer(peer)
         admitted = self._queue.drop_connection(peer.number)
         for request in admitted:
             self._adapter_cache.record_end(request.adapter, self._loop.now())
@@ -156,6 +160,8 @@
                 self._process_queue()
             case CrashReport():
                 self._crash_reports.on_report(peer, message, self._loop.now())
+            case QuotaRequest():
+                self._quotas.on_request(peer, message)
             case Heartbeat():
                 self._claim.record_store_epoch(message.store_epoch)
             case _:
@@ -166,6 +172,7 @@
         self._instance_ids[hello.engine_start_time_ms] = hello.engine_id
         if hello.protocol >= CRASH_REPORT_VERSION:
             self._crash_reports.add_peer(peer, self._loop.now())
+        self._quotas.add_peer(peer, hello)
         if hello.limit is not None:
             start_time_ms = hello.engine_start_time_ms
             self._record_limit(hello.limit, start_time_ms, sent_at=self._loop.now())
--- a/fighitch/gateway/agent_links.py
+++ b/fighitch/gateway/agent_links.py
@@ -16,6 +16,7 @@
 from fighitch.gateway.peer_messages import (
     CRASH_REPORT_VERSION,
     PROTOCOL_VERSION,
+    QUOTA_VERSION,
     AdapterVersions,
     AdmissionRequest,
     CrashReport,
@@ -28,6 +29,7 @@
     HeldAdapters,
     Hello,
     Message,
+    QuotaGrant,
     Status,
 )
 from fighitch.observability.bounded_log import BoundedLog
@@ -168,6 +170,11 @@
         # agent, which may restart without the store and with its clock set back.
         self._tokens: dict[Address, int] = {}
         self.views: dict[str, EngineView] = {}
+        # Connections to the agents that understand quotas, by instance id.
+        self.quota_peers: dict[str, PeerConnection] = {}
+        self.on_quota_agent: Callable[[str], None] = lambda _engine: None
+        self.on_quota_agent_lost: Callable[[str, str], None] = lambda *_lost: None
+        self.on_quota_grant: Callable[[str, QuotaGrant], None] = lambda *_grant: None
         loop.call_every(_HEARTBEAT_INTERVAL, self._send_heartbeats)
 
     @property
@@ -362,6 +369,8 @@
 
     def _on_closed(self, link: AgentLink, reason: str) -> None:
         link.peer = None
+        if self.quota_peers.pop(link.server.instance_id, None) is not None:
+            self.on_quota_agent_lost(link.server.instance_id, reason)
         link.has_all_crashes = False
         was_connected, link.view.connected = link.view.connected, False
         link.view.backlog = link.view.pending_prefill = link.view.pause = 0.0
@@ -403,6 +412,8 @@
                 self._on_status(link, message)
             case CrashReport():
                 self._on_crash_report(message)
+            case QuotaGrant():
+                self.on_quota_grant(link.server.instance_id, message)
             case HeldAdapters():
                 self._on_held_adapters(link, message)
             case _:
@@ -432,6 +443,7 @@
             self._on_serving(link.server, was_lost)
         view.pause = status.pause_ms / _MS_PER_SECOND if is_same_incarnation else 0.0
         view.entries = status.entries
+        self._add_quota_peer(link)
         address = _engine_address(link.server)
         self._tokens[address] = max(status.token, self._tokens.get(address, 0))
         view.seconds_per_token = status.token_ns / _NS_PER_SECOND
@@ -439,6 +451,14 @@
         if status.draining and is_same_incarnation:
             self._on_draining(link.server.instance_id)
 
+    def _add_quota_peer(self, link: AgentLink) -> None:
+        instance_id = link.server.instance_id
+        if link.protocol < QUOTA_VERSION or link.peer is None:
+            return
+        if instance_id not in self.quota_peers:
+            self.quota_peers[instance_id] = link.peer
+            self.on_quota_agent(instance_id)
+
     def _send_all_crashes(self, link: AgentLink) -> None:
         """Sends all known crashes to an agent, unless enough agents have them."""
         if link.peer is None or link.protocol < CRASH_REPORT_VERSION:
--- a/fighitch/gateway/entry.py
+++ b/fighitch/gateway/entry.py
@@ -36,6 +36,7 @@
 from fighitch.gateway.failure_response import send_failure_response
 from fighitch.gateway.metrics import EntryMetrics
 from fighitch.gateway.part_quarantine import PartQuarantine
+from fighitch.gateway.quotas import Quotas
 from fighitch.gateway.relay import Relay
 from fighitch.gateway.relay_host import RelayedRequest
 from fighitch.gateway.store_calls import StoreCalls
@@ -154,6 +155,7 @@
             is_leaving=lambda server: server.incarnation in self._leaving,
             pause_left=self._pause_left,
         )
+        self.quotas = Quotas(loop, settings, self.links, log, metrics)
         self._listener: socket.socket | None = listen(
             settings.callers.host, settings.callers.port
         )
@@ -361,7 +363,7 @@
             send_failure_response(caller, FailureKind.NO_SERVER, request_id)
             return
         if relay is not None:
-            relay.place()
+            relay.begin()
 
     def _create_relay(
         self, caller: CallerConnection, request: CallerRequest
@@ -696,6 +698,7 @@
             return
         self._configuration = configuration
         self._routes = RouteTable(configuration.routes)
+        self.quotas.configure(configuration)
         self._log.event(
             "configuration_applied",
             version=configuration.version,
--- a/fighitch/gateway/peer_messages.py
+++ b/fighitch/gateway/peer_messages.py
@@ -8,8 +8,9 @@
 MAX_MESSAGE_BYTES = 1_048_576
 # Optional messages that this build understands, as announced to its peers. A peer of an
 # earlier build announces 0 and closes the connection at a message that it can't decode.
-PROTOCOL_VERSION = 1
+PROTOCOL_VERSION = 2
 CRASH_REPORT_VERSION = 1
+QUOTA_VERSION = 2
 
 
 class _Message(msgspec.Struct, array_like=True, tag=True, frozen=True):
@@ -235,6 +236,48 @@
     store_epoch: int | None = None
 
 
+class QuotaRequest(_Message, frozen=True, tag=13):
+    """Lends an entry's shares of accounts' quotas to an agent and asks for units.
+
+    Attributes:
+        entry: Name of the entry's instance.
+        sent_at_us: Time of sending by the entry's clock, in us.
+        entries: Number of entries that the entry knows.
+        version: Version of the configuration that the limits are from.
+        lines: By account, its name; rate, capacity and headroom of its bucket; units
+            used, returned, refunded, needed and wanted; and the entry's own units.
+            Their meaning is that of ``QuotaLine``.
+        left: Accounts whose shares the entry no longer lends to the agent.
+    """
+
+    entry: str
+    sent_at_us: int
+    entries: int
+    version: int
+    lines: list[
+        tuple[str, float, float, float, float, float, float, float, float, float]
+    ]
+    left: list[str] = []
+
+
+class QuotaGrant(_Message, frozen=True, tag=14):
+    """Lends units of accounts' quotas to an entry, or tells of accounts with traffic.
+
+    Attributes:
+        sent_at_us: ``sent_at_us`` of the request that is answered; 0 for none.
+        lines: By account, its name, units lent, whether they are less than needed,
+            units that the agent owes, and units per second that flow in. Their meaning
+            is that of ``GrantLine``.
+        opened: Accounts with traffic, for entries that lend no share of them yet.
+        closed: Accounts without traffic, whose shares the entries get back.
+    """
+
+    sent_at_us: int
+    lines: list[tuple[str, float, bool, float, float]]
+    opened: list[str] = []
+    closed: list[str] = []
+
+
 Message = (
     Hello
     | AdapterVersions
@@ -248,6 +291,8 @@
     | HeldAdapters
     | CrashReport
     | Heartbeat
+    | QuotaRequest
+    | QuotaGrant
 )
 
 _encoder = msgspec.msgpack.Encoder()
--- a/fighitch/gateway/relay.py
+++ b/fighitch/gateway/relay.py
@@ -12,6 +12,7 @@
 from fighitch.gateway.attempt_receiver import AttemptReceiver
 from fighitch.gateway.attempt_timers import AttemptTimers
 from fighitch.gateway.caller_response import CallerResponse
+from fighitch.gateway.quotas import RequestUnits
 from fighitch.gateway.relay_host import RelayHost
 from fighitch.gateway.request_deadline import RequestDeadline
 from fighitch.gateway.request_times import RequestTimes
@@ -22,6 +23,7 @@
     encode_request,
     is_from_another_instance,
     is_genuine,
+    is_success,
     is_unsigned,
     stream_format,
     was_not_run,
@@ -36,7 +38,6 @@
 from fighitch.types import Seconds
 
 _SERVER_ERROR = 500
-_FIRST_NON_SUCCESS = 300
 # Responses up to this size are buffered until they are complete, so that a request with
 # a truncated response can still be retried or get an error response. A faulty server
 # may send more on all of its connections, which can be hundreds.
@@ -45,8 +46,6 @@
 _MAX_REJECTIONS = 3
 # A stream that goes on for this long after its first event did not crash its server.
 _CRASH_DELAY: Seconds = 0.25
-# A request with less time left until its deadline is not sent to a server.
-_MIN_TIME_LEFT: Seconds = 0.02
 # Share of its remaining time that a request waits for a server that limits requests.
 _MAX_WAIT_SHARE = 0.5
 # Interval at which a request checks whether a starting agent has connected.
@@ -98,6 +97,7 @@
         self._connection: HttpConnection | None = None
         self._last_event_at: Seconds | None = None
         self._admission = self._new_admission()
+        self._units = RequestUnits(entry.quotas, metadata)
         self._takeover: Takeover | None = None
         self._rejections = 0
         # Earlier attempts that may have run; the current one is not included.
@@ -150,6 +150,14 @@
 
     # Placement.
 
+    def begin(self) -> None:
+        """Takes units of the account's quota for a send, then places the request."""
+        self._units.take(on_taken=self.place, on_refused=self._on_no_units)
+
+    def _on_no_units(self, kind: FailureKind, retry_after: Seconds) -> None:
+        self._limit_delay = retry_after
+        self._fail(kind)
+
     def place(self) -> None:
         """Chooses a backend server, then requests admission or sends the request.
 
@@ -174,7 +182,7 @@
         if self._state is RelayState.DONE:
             return
         self._state = RelayState.PLACING
-        if not self._may_send():
+        if not self._deadline.has_time_to_send:
             self._fail(FailureKind.NOT_RUN_IN_TIME)
             return
         if self._is_quarantined():
@@ -195,9 +203,6 @@
             return
         self._send_within_limit(server)
 
-    def _may_send(self) -> bool:
-        return self._deadline.may_send and self._deadline.time_left >= _MIN_TIME_LEFT
-
     def _fail_without_server(self) -> None:
         all_pause = self._entry.time_until_room(self._service) is not None
         is_busy = all_pause or self._admission.requests > 0
@@ -272,6 +277,7 @@
             self._place_elsewhere()
         elif connection is not None and connection.busy and not connection.has_sent:
             self._end_exchange(failed=False, outcome="withdrawn")
+            self._units.record_not_run()
             self._place_elsewhere()
 
     def _place_elsewhere(self) -> None:
@@ -295,7 +301,7 @@
     def _start_attempt(self, server: BackendServer, *, late: bool) -> None:
         now = self._loop.now()
         time_left = self._deadline.time_left
-        if not self._may_send():
+        if not self._deadline.has_time_to_send:
             self._fail(FailureKind.NOT_RUN_IN_TIME)
             return
         if self._is_quarantined():
@@ -325,6 +331,7 @@
         )
         self._exchange_number += 1
         self._in_flight = True
+        self._units.record_sent()
         self._entry.record_sent(server)
         self._connection = self._connect(server)
         receiver = AttemptReceiver(self, self._exchange_number)
@@ -374,15 +381,13 @@
         if not self._entry.has_retry(self._service.name):
             self._await_silent_server()
             return
-        avoid = set(self._avoid)
-        if self._server is not None:
-            avoid.add(self._server.instance_id)
         self._takeover = Takeover(
             self._entry,
             self._service,
             self._metadata,
             self._new_admission(),
-            avoid=avoid,
+            avoid=self._avoid,
+            silent=self._server,
             on_found=self._take_over,
             on_none=self._await_silent_server,
         )
@@ -392,7 +397,8 @@
         self, server: BackendServer, admission: Admission, late: bool
     ) -> None:
         """Ends the attempt at a silent server and sends the request to another."""
-        if not self._may_retry() or not self._entry.take_retry(self._service.name):
+        may_retry = self._may_retry() and self._units.take_held()
+        if not may_retry or not self._entry.take_retry(self._service.name):
             admission.end()
             self._await_silent_server()
             return
@@ -426,7 +432,8 @@
         """Retries a request on another server after an attempt that may have run."""
         self._prepare_retry()
         self._admission = self._new_admission()
-        self.place()
+        self._state = RelayState.PLACING
+        self.begin()
 
     def _prepare_retry(self) -> None:
         self._may_have_run = True
@@ -451,12 +458,7 @@
         )
 
     def _is_event_stream(self, head: ResponseHead) -> bool:
-        return (
-            self._route.kind is WorkKind.STREAMING
-            and head.status < _FIRST_NON_SUCCESS
-            and is_genuine(head)
-            and not was_not_run(head)
-        )
+        return self._route.kind is WorkKind.STREAMING and is_success(head)
 
     def on_body(self, data: bytes) -> None:
         """Handles a chunk of the response body."""
@@ -602,6 +604,7 @@
 
     def _on_rejected(self, head: ResponseHead) -> None:
         self._end_exchange(failed=False, outcome=f"rejected_{head.status}")
+        self._units.record_not_run()
         server = self._server
         if server is not None and is_from_another_instance(head, server.instance_id):
             self._entry.record_replaced(server)
@@ -628,6 +631,7 @@
             refused=failure.refused,
         )
         if not failure.sent:
+            self._units.record_not_run()
             self._avoid_current()
             self._rejections += 1
             if self._rejections <= _MAX_REJECTIONS:
@@ -735,6 +739,7 @@
             return
         self._state = RelayState.DONE
         self._deadline.cancel()
+        self._units.end()
         self._admission.end()
         self._response.release()
         server = "" if self._server is None else self._server.instance_id
--- a/fighitch/gateway/relay_host.py
+++ b/fighitch/gateway/relay_host.py
@@ -9,6 +9,7 @@
 from fighitch.gateway.backend_pool import BackendPool
 from fighitch.gateway.metrics import EntryMetrics
 from fighitch.gateway.part_quarantine import PartQuarantine
+from fighitch.gateway.quotas import Quotas
 from fighitch.platform.requests import RequestMetadata
 from fighitch.runtime.event_loop import EventLoop
 from fighitch.runtime.http_exchange import ResponseHead
@@ -18,6 +19,9 @@
 class RelayedRequest(Protocol):
     """A request in progress, as the entry sees it."""
 
+    def begin(self) -> None:
+        """Takes units of the account's quota for a send, then places the request."""
+
     def place(self) -> None:
         """Chooses a backend server, then requests admission or sends the request."""
 
@@ -49,6 +53,7 @@
     pool: BackendPool
     quarantine: PartQuarantine
     links: AgentLinks
+    quotas: Quotas
 
     def candidates(
         self, service: Service, metadata: RequestMetadata, avoid: set[str]
--- a/fighitch/gateway/request_deadline.py
+++ b/fighitch/gateway/request_deadline.py
@@ -5,6 +5,9 @@
 from fighitch.runtime.event_loop import EventLoop, Timer
 from fighitch.types import Seconds
 
+# A request with less time left until its deadline is not sent to a server.
+_MIN_TIME_LEFT: Seconds = 0.02
+
 
 class RequestDeadline:
     """Ends a request in time, also if its entry stops before.
@@ -52,6 +55,11 @@
         """Whether a server that gets the request now is expected to answer in time."""
         return self._loop.now() < self._send_by
 
+    @property
+    def has_time_to_send(self) -> bool:
+        """Whether the request may still be sent to a server."""
+        return self.may_send and self.time_left >= _MIN_TIME_LEFT
+
     def bring_forward(self, answer_by: Seconds, *, run_time: Seconds) -> None:
         """Makes an earlier time the deadline; a later one changes nothing.
 
--- a/fighitch/gateway/takeover.py
+++ b/fighitch/gateway/takeover.py
@@ -24,6 +24,7 @@
         admission: Admission,
         *,
         avoid: set[str],
+        silent: BackendServer | None,
         on_found: Callable[[BackendServer, Admission, bool], None],
         on_none: Callable[[], None],
     ) -> None:
@@ -35,6 +36,7 @@
             metadata: Metadata of the request.
             admission: Admission of the next attempt; it has requested nothing yet.
             avoid: Instance ids of the servers that must not be chosen.
+            silent: Server from which the request is taken over.
             on_found: Called once with the server, its admission, and whether the
                 request is late there.
             on_none: Called once if no server takes the request.
@@ -43,7 +45,7 @@
         self._service = service
         self._metadata = metadata
         self._admission = admission
-        self._avoid = set(avoid)
+        self._avoid = avoid | ({silent.instance_id} if silent else set())
         self._on_found = on_found
         self._on_none = on_none
         self._is_over = False
--- a/fighitch/platform/requests.py
+++ b/fighitch/platform/requests.py
@@ -234,6 +234,11 @@
     return head.status >= 300 or head.get(b"response-signature") is not None
 
 
+def is_success(head: ResponseHead) -> bool:
+    """Returns whether a response is a genuine one of a request that has run."""
+    return head.status < 300 and is_genuine(head) and not was_not_run(head)
+
+
 def is_unsigned(head: ResponseHead) -> bool:
     """Returns whether a response lacks the signature of a backend server."""
     return head.get(b"response-signature") is None
--- a/fighitch/tests/test_relay.py
+++ b/fighitch/tests/test_relay.py
@@ -35,6 +35,7 @@
         self.entry.links.is_connected.return_value = False
         self.entry.links.required_version.return_value = 0
         self.entry.links.expected_version.return_value = 0
+        self.entry.quotas.is_active = False
         self.entry.quarantine.blocks.return_value = False
         self.entry.quarantine.is_suspect.return_value = False
         self.entry.reserve.return_value = 0.0
