--- a/fighitch/core/gateway/quota_allowances.py
+++ b/fighitch/core/gateway/quota_allowances.py
@@ -167,6 +167,7 @@
         carried: Units lent by the previous holder.
         carried_until: Time at which those expire.
         used, returned, refunded: Units not yet reported to the holder.
+        largest: Units of the largest request so far.
         sent_at: Time of the latest request to the holder.
         asked_at: Time of the first request without an answer; None if there is none.
         short_until: Time until which nothing more is asked.
@@ -196,6 +197,7 @@
     used: float = 0.0
     returned: float = 0.0
     refunded: float = 0.0
+    largest: float = 0.0
     sent_at: Seconds = float("-inf")
     asked_at: Seconds | None = None
     short_until: Seconds = float("-inf")
@@ -215,12 +217,16 @@
         if now >= self.carried_until:
             self.carried = 0.0
 
+    def own_capacity(self, entries: int) -> float:
+        """Returns the units that the own share holds, at least one request's."""
+        return max(self.limit.capacity / entries, self.largest)
+
     def refill(self, now: Seconds, entries: int) -> None:
         """Fills the own share while it is not lent."""
         if self.is_lent or now <= self.own_at:
             return
         inflow = self.limit.rate / entries * (now - self.own_at)
-        self.own = min(self.limit.capacity / entries, self.own + inflow)
+        self.own = min(self.own_capacity(entries), self.own + inflow)
         self.own_at = now
 
     def spend(self, cost: float, now: Seconds, entries: int) -> bool:
@@ -478,7 +484,7 @@
         if quota is None:
             on_result(None)
             return None
-        allowance = self._open(account, now)
+        allowance = self._open(account, now, cost)
         allowance.used_at = now
         allowance.demand.add(cost, now)
         if cost > allowance.limit.capacity:
@@ -498,7 +504,7 @@
         """Takes units only if they are held; returns whether they were."""
         if account not in self._quotas:
             return True
-        allowance = self._open(account, now)
+        allowance = self._open(account, now, cost)
         allowance.used_at = now
         allowance.demand.add(cost, now)
         return not allowance.waiters and self._spend(allowance, cost, now)
@@ -513,7 +519,7 @@
         else:
             count = self._own_entries
             allowance.refill(now, count)
-            capacity = allowance.limit.capacity / count
+            capacity = allowance.own_capacity(count)
             allowance.own = min(capacity, allowance.own + cost)
 
     # Messages.
@@ -597,14 +603,16 @@
     def _own_entries(self) -> int:
         return max(_MIN_ENTRIES, self.entries.value)
 
-    def _open(self, account: str, now: Seconds) -> _Allowance:
+    def _open(self, account: str, now: Seconds, cost: float = 0.0) -> _Allowance:
         allowance = self._allowances.get(account)
         if allowance is None:
             limit = quota_limit(self._quotas[account], self._window)
             allowance = _Allowance(account, limit, 0.0, self._started_at, now)
+            allowance.largest = min(cost, limit.capacity)
             allowance.refill(now, self._own_entries)
             self._allowances[account] = allowance
             self._assign(allowance, now)
+        allowance.largest = max(allowance.largest, min(cost, allowance.limit.capacity))
         return allowance
 
     def _assign(
@@ -691,6 +699,6 @@
         if allowance.holder is not None or allowance.waiters:
             return
         allowance.refill(now, self._own_entries)
-        is_full = allowance.own >= allowance.limit.capacity / self._own_entries
+        is_full = allowance.own >= allowance.own_capacity(self._own_entries)
         if is_full and now - allowance.used_at >= CLOSE_DELAY:
             del self._allowances[allowance.name]
--- a/fighitch/core/gateway/quota_holder.py
+++ b/fighitch/core/gateway/quota_holder.py
@@ -61,7 +61,9 @@
     headroom = _OVERAGE_SHARE * overage
     if quota.unit is QuotaUnit.TOKENS:
         headroom += _SLACK_SHARE * window.slack
-    return QuotaLimit(quota.rate, quota.burst + headroom, headroom)
+        return QuotaLimit(quota.rate, quota.burst + headroom, headroom)
+    # A bucket that holds less than one request would never let one pass.
+    return QuotaLimit(quota.rate, max(1.0, quota.burst + headroom), headroom)
 
 
 @dataclass(frozen=True, slots=True)
--- a/fighitch/tests/test_quotas.py
+++ b/fighitch/tests/test_quotas.py
@@ -644,6 +644,34 @@
         self.assertLessEqual(holder.state("a")[0], limit.capacity)
 
 
+class EqualShareTests(QuotaTestCase):
+    """A deployment without agents."""
+
+    def test_usual_load_that_is_spread_evenly(self):
+        fleet = Fleet(agents=0)
+        fleet.run(5.0)
+        for step in range(4_000):
+            time = fleet.now + step * COST / (0.6 * QUOTA.rate) * 12 / 4
+            entry = fleet.entries[step % 12]
+            fleet.at(time, lambda entry=entry: entry.request(COST))
+        fleet.run(20.0)
+        self.assertEqual(fleet.refused, [])
+
+    def test_small_quota_still_lets_requests_pass(self):
+        # Guards against shares that never hold the units of one request.
+        fleet = Fleet(agents=0, quota=Quota(rate=4.0, burst=2.0))
+        fleet.run(10.0)
+        fleet.entries[0].request(1.0)
+        self.assertEqual((len(fleet.allowed), fleet.refused), (1, []))
+
+    def test_request_as_large_as_a_small_quota(self):
+        fleet = Fleet(quota=Quota(rate=1.0, burst=0.0))
+        fleet.run(10.0)
+        fleet.entries[0].request(1.0)
+        fleet.run(0.1)
+        self.assertEqual((len(fleet.allowed), fleet.refused), (1, []))
+
+
 class RefusalTests(unittest.TestCase):
     def setUp(self):
         self.results: list[Refusal | None] = []
