Shorten messages of quotas and keep waiting retries cancellable

Numbers that are whole take one to five bytes instead of nine. A retry that began to wait within the first take was forgotten and could not be cancelled.

--- a/fighitch/gateway/quotas.py
+++ b/fighitch/gateway/quotas.py
@@ -215,15 +215,15 @@
                 [
                     (
                         line.account,
-                        line.limit.rate,
-                        line.limit.capacity,
-                        line.limit.headroom,
-                        line.used,
-                        line.returned,
-                        line.refunded,
-                        line.needed,
-                        line.wanted,
-                        line.credit,
+                        _compact(line.limit.rate),
+                        _compact(line.limit.capacity),
+                        _compact(line.limit.headroom),
+                        _compact(line.used),
+                        _compact(line.returned),
+                        _compact(line.refunded),
+                        _compact(line.needed),
+                        _compact(line.wanted),
+                        _compact(line.credit),
                     )
                     for line in lines
                 ],
@@ -265,6 +265,12 @@
         self._refused.clear()
 
 
+def _compact(units: float) -> float:
+    """Returns whole numbers, most of them 0, in a type that takes fewer bytes."""
+    whole = int(units)
+    return whole if whole == units else units
+
+
 class RequestUnits:
     """Units of one request: one set for each send that may run."""
 
@@ -310,7 +316,10 @@
             else:
                 on_refused(_FAILURE_KINDS[refusal.reason], refusal.retry_after)
 
-        self._waiter = self._quotas.take(self._account, self._cost, on_result)
+        waiter = self._quotas.take(self._account, self._cost, on_result)
+        if waiter is not None:
+            # Otherwise a retry within the call may wait already.
+            self._waiter = waiter
 
     def take_held(self) -> bool:
         """Takes the units of one send without waiting; returns whether it may begin."""
--- a/fighitch/tests/test_quota_exchange.py
+++ b/fighitch/tests/test_quota_exchange.py
@@ -303,6 +303,22 @@
         self.assertEqual(self.kinds, [None, None])
         self.assertEqual(self.quotas.take.call_count, 2)
 
+    def test_retry_that_waits_within_the_first_take_can_be_cancelled(self):
+        # Guards against a waiting retry that is forgotten when the first take returns.
+        self.take(self.units())
+        units = self.units()
+        waiter = mock.Mock(is_cancelled=False)
+
+        def retry() -> None:
+            units.record_sent()
+            self.quotas.take = mock.Mock(return_value=waiter)
+            units.take(on_taken=self.fail, on_refused=self.fail)
+
+        units.take(on_taken=retry, on_refused=self.fail)
+        self.loop.run(0.1)
+        units.end()
+        self.assertTrue(waiter.is_cancelled)
+
     def test_request_that_ends_while_it_waits_is_not_placed(self):
         units = self.units()
         units.take(on_taken=self.fail, on_refused=self.fail)
