--- a/fighitch/gateway/entry.py
+++ b/fighitch/gateway/entry.py
@@ -37,6 +37,7 @@
 from fighitch.gateway.failure_response import send_failure_response
 from fighitch.gateway.metrics import EntryMetrics
 from fighitch.gateway.part_quarantine import PartQuarantine
+from fighitch.gateway.quotas import Quotas
 from fighitch.gateway.relay import Relay
 from fighitch.gateway.relay_host import RelayedRequest
 from fighitch.gateway.request_keys import RequestKeys
@@ -157,6 +158,7 @@
             is_leaving=lambda server: server.incarnation in self._leaving,
             pause_left=self._pause_left,
         )
+        self.quotas = Quotas(loop, settings, self.links, log, metrics)
         self._listener: socket.socket | None = listen(
             settings.callers.host, settings.callers.port
         )
@@ -370,7 +372,7 @@
             send_failure_response(caller, FailureKind.NO_SERVER, request_id)
             return
         if relay is not None:
-            relay.place()
+            relay.begin()
 
     def _create_relay(
         self, caller: CallerConnection, request: CallerRequest
@@ -697,6 +699,7 @@
         self._configuration = configuration
         self._routes = RouteTable(configuration.routes)
         self._keys.configure(configuration)
+        self.quotas.configure(configuration)
         self._update_links()
 
     def _on_version(self, item: StoredObject) -> None:
