--- a/fighitch/tests/test_quotas.py
+++ b/fighitch/tests/test_quotas.py
@@ -19,7 +19,13 @@
     Refusal,
     RefusalReason,
 )
-from fighitch.core.gateway.quota_holder import QuotaHolder, QuotaLine, quota_limit
+from fighitch.core.gateway.quota_holder import (
+    LEASE,
+    GrantLine,
+    QuotaHolder,
+    QuotaLine,
+    quota_limit,
+)
 from fighitch.core.gateway.settings import QuotaWindow
 from fighitch.core.rendezvous import rank_nodes
 
@@ -681,6 +687,80 @@
         self.assertLessEqual(holder.state("a")[0], limit.capacity)
 
 
+class LeaseTests(unittest.TestCase):
+    """Units between the grant of a holder and their expiry."""
+
+    def setUp(self):
+        self.limit = quota_limit(QUOTA, WINDOW)
+        self.holder = QuotaHolder()
+        self.allowances = QuotaAllowances(WINDOW, 0.0)
+        self.allowances.configure([Account("a", frozenset(), quota=QUOTA)], 1)
+        self.allowances.set_agents(["g"], lambda _account: ["g"], 100.0)
+        self.results: list[Refusal | None] = []
+
+    def ask(self, entry: str, now: float, **units: float) -> float:
+        """Sends a request to the holder; returns the units that it grants."""
+        grants = self.holder.handle(
+            entry,
+            [QuotaLine("a", self.limit, **units)],
+            sent_at=0,
+            entries=2,
+            version=1,
+            now=now,
+        )
+        return sum(grant.line.granted for grant in grants if grant.entry == entry)
+
+    def receive(self, units: float, *, sent: float, now: float) -> None:
+        line = GrantLine("a", units)
+        self.allowances.handle_grants("g", int(sent * 1e6), [line], now)
+
+    def take(self, now: float) -> None:
+        self.allowances.take("a", COST, now, self.results.append)
+
+    def test_units_of_a_silent_entry_count_as_used(self):
+        # Guards against units that the holder lends again while the entry uses them.
+        half = self.limit.capacity / 2
+        self.ask("e1", 0.0, credit=half)
+        self.ask("e2", 0.0, credit=half)
+        granted = self.ask("e1", 0.1, needed=0.8 * self.limit.capacity)
+        self.assertGreater(granted, 0)
+        self.ask("e2", 0.9)
+        before = self.holder.state("a")[0]
+        self.ask("e2", 0.1 + LEASE + 0.01)
+        level, reserved, shares = self.holder.state("a")
+        self.assertEqual((reserved, shares), (0.0, 1))
+        self.assertLessEqual(level, before - granted + self.limit.rate * 0.3)
+
+    def test_units_ahead_of_demand_stay_within_the_headroom(self):
+        # Guards against entries that hold ahead what a burst elsewhere may need.
+        half = self.limit.capacity / 2
+        lent = 0.0
+        for step in range(20):
+            for entry in ("e1", "e2"):
+                lent += self.ask(entry, 0.01 * step, credit=half, wanted=half)
+        self.assertGreater(lent, 0.9 * self.limit.headroom)
+        self.assertLessEqual(lent, self.limit.headroom)
+
+    def test_units_expire_by_the_time_of_the_request(self):
+        # Guards against units that an entry uses after it was frozen.
+        self.take(100.0)
+        self.allowances.requests(100.0)
+        self.receive(10 * COST, sent=100.0, now=100.05)
+        self.assertEqual(self.results, [None])
+        self.take(100.0 + 0.9 * LEASE)
+        self.assertEqual(self.results, [None, None])
+        self.take(100.0 + LEASE)
+        self.assertEqual(self.results, [None, None])
+
+    def test_units_that_arrive_too_late_are_given_back(self):
+        self.take(100.0)
+        self.allowances.requests(100.0)
+        self.receive(COST, sent=100.0, now=100.0 + LEASE)
+        self.assertEqual(self.results, [])
+        lines, _left = self.allowances.requests(100.0 + LEASE)["g"]
+        self.assertEqual(lines[0].returned, COST)
+
+
 class EqualShareTests(QuotaTestCase):
     """A deployment without agents."""
 
