Test the memory of processes under crowds of clients

Cause: one request is bounded, but nothing bounds what a process holds for all clients together.

Peak resident memory of the entry in MB: announced bodies 211.5, with a 4 MiB body served beside them 287.7, one large chunk 179.8, chunks of 16 bytes 166.1, complete bodies at slow servers 243.5, bodies over the limit 291.1 announced and 290.2 in chunks; at its metrics 160.5. Behind pipelined requests no ordinary request was answered within 20 s. The error was the test's: the agent did not listen yet; setUp now waits for it.

--- /dev/null
+++ b/fighitch/tests/test_bounded_memory.py
@@ -0,0 +1,230 @@
+"""Crowds of misbehaving clients at the listeners of real gateway processes."""
+
+import itertools
+import socket
+import struct
+import unittest
+
+from fighitch.gateway.process import METRICS_PORT
+from fighitch.tests.crowd_helpers import (
+    BLOCK,
+    BODY_BYTES,
+    CHUNKED,
+    CROWD,
+    HEAD,
+    Crowd,
+    body_blocks,
+    open_descriptors,
+    peak_memory,
+    repeat,
+)
+from standins.platform_fleet import FleetProcess, PlatformFleet, wait_until
+
+# Memory of the smallest machines, in MB.
+MEMORY_MB = 152
+MB = 1_000_000
+ANNOUNCED = HEAD + b"Content-Length: %d\r\n\r\n"
+GET_METRICS = b"GET /metrics HTTP/1.1\r\nHost: h\r\n\r\n"
+
+
+class CrowdTestCase(unittest.TestCase):
+    """Runs one entry and one agent with the memory of the smallest machine."""
+
+    def setUp(self):
+        self.fleet = PlatformFleet(engines=1, entries=1, memory_mb=MEMORY_MB)
+        self.addCleanup(self.fleet.stop)
+        self.fleet.start()
+        self.entry, self.agent = self.fleet.entries[0], self.fleet.agents[0]
+        self.front = self.fleet.front_address(0)
+        self.assertTrue(wait_until(lambda: "agent_connected" in self.entry.log()))
+
+    def assert_within_limits(self, process: FleetProcess):
+        """Expects a live process within the memory and descriptors of its settings."""
+        self.assertIsNone(process.process.poll(), "the process ended")
+        limits = process.settings["Limits"]
+        pid = process.process.pid
+        self.assertLess(peak_memory(pid) / MB, limits["MemoryMb"])
+        self.assertLess(open_descriptors(pid), limits["MaxFds"])
+
+    def assert_serves(self, body: bytes = b"body"):
+        """Expects that an ordinary client is answered, if need be after retries."""
+        numbers = itertools.count()
+
+        def is_served() -> bool:
+            name = f"ordinary-{next(numbers)}"
+            return self.fleet.send_request("lookup", name, body=body).status == 200
+
+        self.assertTrue(wait_until(is_served))
+
+    def check(self, *payloads, body: bytes = b"body", reads: bool = False):
+        """Sends payloads of a crowd to the entry, which serves others meanwhile."""
+        with Crowd(self.front, reads=reads) as crowd:
+            crowd.send(*payloads)
+            self.assert_within_limits(self.entry)
+            self.assert_serves(body)
+            self.assert_within_limits(self.entry)
+        self.assert_serves()
+
+
+class EntryBodyTests(CrowdTestCase):
+    """Guards against a crowd of bodies that exhausts the memory of an entry."""
+
+    def test_announced_bodies_that_stop_short_of_their_end(self):
+        head = ANNOUNCED % BODY_BYTES
+        self.check(*([head, *body_blocks(BODY_BYTES - 1)] for _ in range(CROWD)))
+
+    def test_large_body_is_served_beside_bodies_that_stop_short(self):
+        head = ANNOUNCED % BODY_BYTES
+        crowd = ([head, *body_blocks(BODY_BYTES - 1)] for _ in range(CROWD - 1))
+        self.check(*crowd, body=b"x" * BODY_BYTES)
+
+    def test_bodies_in_one_large_chunk(self):
+        head = CHUNKED + b"%x\r\n" % BODY_BYTES
+        self.check(*([head, *body_blocks(BODY_BYTES - 1)] for _ in range(CROWD)))
+
+    def test_bodies_in_very_small_chunks(self):
+        chunks = b"10\r\nxxxxxxxxxxxxxxxx\r\n" * 2_048
+        count = BODY_BYTES // (16 * 2_048) - 1
+        payload = [CHUNKED, *itertools.repeat(chunks, count)]
+        self.check(*(payload for _ in range(CROWD)))
+
+    def test_bodies_in_chunks_of_one_byte(self):
+        self.check(*(repeat(CHUNKED, b"1\r\nx\r\n" * 8_192) for _ in range(CROWD)))
+
+    def test_complete_bodies_that_wait_for_slow_servers(self):
+        for server in self.fleet.plain_servers:
+            server.response_delay = 3.0
+        size = BODY_BYTES // 2
+        self.check(*([ANNOUNCED % size, *body_blocks(size)] for _ in range(CROWD)))
+
+    def test_announced_bodies_far_over_the_limit(self):
+        head = ANNOUNCED % 1_000_000_000
+        self.check(*(repeat(head, BLOCK) for _ in range(CROWD)))
+
+    def test_chunked_bodies_far_over_the_limit(self):
+        chunk = b"%x\r\n%s\r\n" % (len(BLOCK), BLOCK)
+        self.check(*(repeat(CHUNKED, chunk) for _ in range(CROWD)))
+
+
+class EntryHeadTests(CrowdTestCase):
+    """Guards against heads, trailers and requests without end at an entry."""
+
+    def test_heads_without_end(self):
+        half = CROWD // 2
+        self.check(
+            *(repeat(HEAD, b"a:b\r\n" * 1_024) for _ in range(half)),
+            *(repeat(HEAD + b"X: ", BLOCK) for _ in range(half)),
+        )
+
+    def test_heads_of_many_short_lines_that_stop_short_of_their_end(self):
+        self.check(*([HEAD + b"a:b\r\n" * 2_000] for _ in range(CROWD)))
+
+    def test_trailers_and_chunk_extensions_without_end(self):
+        half = CROWD // 2
+        trailer = CHUNKED + b"1\r\nx\r\n0\r\n"
+        self.check(
+            *(repeat(trailer, b"a:b\r\n" * 1_024) for _ in range(half)),
+            *(repeat(CHUNKED + b"1;", BLOCK) for _ in range(half)),
+        )
+
+    def test_pipelined_requests_without_reading(self):
+        request = b"GET /none HTTP/1.1\r\nHost: h\r\nAttempt-Id: p\r\n\r\n"
+        self.check(*(repeat(b"", request * 1_024) for _ in range(CROWD)))
+
+    def test_pipelined_requests_behind_one_that_runs(self):
+        for server in self.fleet.plain_servers:
+            server.response_delay = 3.0
+        first = HEAD + b"Content-Length: 0\r\n\r\n"
+        short = b"GET / HTTP/1.1\r\n\r\n" * 3_500
+        self.check(*([first, short] for _ in range(CROWD)))
+
+
+class EntryConnectionTests(CrowdTestCase):
+    """Guards against connections that take all room of an entry."""
+
+    def test_connections_that_send_nothing(self):
+        self.entry.settings["Limits"]["MaxFds"] = 200
+        self.entry.write_settings()
+        self.entry.kill_and_restart()
+        self.assertTrue(wait_until(lambda: self.fleet.is_ready(self.entry)))
+        self.check(*([] for _ in range(CROWD)))
+
+    def test_readers_that_never_read(self):
+        request = (
+            b"GET /lookup/x HTTP/1.1\r\nHost: fleet.example\r\n"
+            b"Attempt-Id: crowd-%d\r\nDeadline-Ms: 20000\r\nWork-Pairs: 1000000\r\n\r\n"
+        )
+        self.check(*([request % number] for number in range(CROWD)))
+
+
+class StatusCrowdTests(CrowdTestCase):
+    """Guards against crowds at the listeners for probes and metrics."""
+
+    def check_status(self, address: tuple[str, int], process: FleetProcess, payload):
+        with Crowd(address) as crowd:
+            crowd.send(*(payload() for _ in range(CROWD)))
+            self.assert_within_limits(process)
+            self.assert_serves()
+            self.assertTrue(wait_until(lambda: self.is_answered(address)))
+        self.assert_within_limits(process)
+
+    def is_answered(self, address: tuple[str, int]) -> bool:
+        try:
+            with socket.create_connection(address, timeout=5) as sock:
+                sock.sendall(GET_METRICS)
+                return sock.recv(100).startswith(b"HTTP/1.1 200 OK")
+        except OSError:
+            return False
+
+    def test_bodies_at_the_metrics(self):
+        head = ANNOUNCED % BODY_BYTES
+        for process in (self.entry, self.agent):
+            self.check_status(
+                (process.settings["Ip"], METRICS_PORT),
+                process,
+                lambda: [head, *body_blocks(BODY_BYTES - 1)],
+            )
+
+    def test_pipelined_requests_without_reading_at_the_metrics(self):
+        for process in (self.entry, self.agent):
+            self.check_status(
+                (process.settings["Ip"], METRICS_PORT),
+                process,
+                lambda: repeat(b"", GET_METRICS * 100),
+            )
+
+    def test_bodies_at_the_readiness_probe(self):
+        host, port = self.entry.settings["Listen"]["ReadinessAddress"].split(":")
+        self.check_status(
+            (host, int(port)),
+            self.entry,
+            lambda: [CHUNKED + b"%x\r\n" % BODY_BYTES, *body_blocks(BODY_BYTES - 1)],
+        )
+
+
+class PeerCrowdTests(CrowdTestCase):
+    """Guards against crowds at the listener of an agent for entries."""
+
+    def check_peers(self, payload):
+        address = (self.agent.settings["Ip"], self.agent.settings["InternalPorts"][0])
+        with Crowd(address) as crowd:
+            crowd.send(*(payload() for _ in range(CROWD)))
+            self.assert_within_limits(self.agent)
+            self.assert_serves()
+        self.assert_within_limits(self.agent)
+        response = self.fleet.send_request("stream", "s1", adapter="a1")
+        self.assertEqual((response.status, response.complete), (200, True))
+
+    def test_messages_that_stop_short_of_their_end(self):
+        size = 1_048_576
+        self.check_peers(lambda: [struct.pack(">I", size), *body_blocks(size - 1)])
+
+    def test_announced_messages_far_over_the_limit(self):
+        self.check_peers(lambda: repeat(struct.pack(">I", 1_000_000_000), BLOCK))
+
+    def test_connections_that_send_nothing(self):
+        self.check_peers(list)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/standins/platform_fleet.py
+++ b/standins/platform_fleet.py
@@ -28,6 +28,8 @@
 _STOP_TIMEOUT = 15.0
 _SLOW_READ_BYTES = 16_384
 _ENGINE_SLOTS = 8
+# Descriptors in the settings of each process; those of the smallest machines.
+_MAX_FDS = 1_535
 
 
 @dataclass(frozen=True, slots=True)
@@ -220,6 +222,7 @@
         entries: int = 2,
         adapter_slots: int = 3,
         proxied: bool = False,
+        memory_mb: int = 256,
     ) -> None:
         """Creates the stand-ins without starting them.
 
@@ -228,6 +231,7 @@
             entries: Number of entries.
             adapter_slots: Adapter slots of each engine.
             proxied: Whether connections between processes pass through a fault proxy.
+            memory_mb: Memory limit in the settings of each process, in MB.
         """
         # Derived from the process id, so that concurrent runs use different addresses.
         self._network = f"127.{os.getpid() % 200 + 20}.{os.getpid() // 200 % 250}"
@@ -252,6 +256,7 @@
         self.agents: list[FleetProcess] = []
         self._entry_count = entries
         self._proxied = proxied
+        self._memory_mb = memory_mb
         # Fault proxies by link name.
         self.links: dict[str, FaultProxy] = {}
         self._added_routes: list[str] = []
@@ -465,7 +470,7 @@
             "Ip": self._ip(number),
             "Zone": "z1",
             "InternalPorts": [self._peer_port, self._peer_port + 1],
-            "Limits": {"MemoryMb": 256},
+            "Limits": {"MemoryMb": self._memory_mb, "MaxFds": _MAX_FDS},
             "Bounds": {"GraceS": 8, "RetryBudgetRatio": 0.2, "BudgetSlack": 60},
             "Platform": {"Address": self._store_address(name, number)},
         }
