Bound the memory of an entry's callers by one budget

Cause: the limits bound one request and the number of connections; their product is many times the memory of a machine.

Change: MemoryBudget (pure) counts what is held for each connection. A body of more than 16 KiB gets room for all of it before it is read, or waits for room with its reading stopped; who makes no progress meanwhile is refused with 503 and Retry-After. An announced length over the limit gets 413 before the body is read. Bodies are collected in parts and sent to servers without a copy. Pipelined requests are parsed and answered within bounds, without recursion; a caller that does not read its responses gets no further ones. Connections are bounded by MaxFds, the longest idle one makes room. The listeners of probes and metrics have small limits of their own.

--- a/fighitch/gateway/entry.py
+++ b/fighitch/gateway/entry.py
@@ -33,6 +33,11 @@
 from fighitch.core.gateway.settings import InstanceSettings
 from fighitch.gateway.agent_links import AgentLinks
 from fighitch.gateway.backend_pool import BackendPool
+from fighitch.gateway.caller_bounds import (
+    create_caller_memory,
+    make_room,
+    max_callers,
+)
 from fighitch.gateway.failure_response import send_failure_response
 from fighitch.gateway.metrics import EntryMetrics
 from fighitch.gateway.part_quarantine import PartQuarantine
@@ -91,8 +96,6 @@
 _MIN_SEND_SHARE = 0.5
 # Changes after which a server gets no new requests.
 _LEAVE_CHANGES = frozenset(("draining", "left"))
-# Below the file descriptor limit, to leave descriptors for connections to servers.
-_MAX_CALLER_CONNECTIONS = 1_500
 
 
 class GatewayEntry:
@@ -125,6 +128,7 @@
         self._plain_loads: dict[str, PlainServerLoad] = {}
         self._retry_budgets: dict[str, RetryBudget] = {}
         self._callers: set[CallerConnection] = set()
+        self._memory = create_caller_memory(loop, settings, log, metrics.memory)
         self._relays: set[RelayedRequest] = set()
         self._stopping_since: Seconds | None = None
         self._answer_by: Seconds = float("inf")
@@ -317,7 +321,7 @@
             accept_pending(self._listener, self._add_caller, self._log.accept_failed)
 
     def _add_caller(self, sock: socket.socket) -> None:
-        if len(self._callers) >= _MAX_CALLER_CONNECTIONS:
+        if not make_room(self._callers, max_callers(self._settings.descriptor_limit)):
             self._log.event("caller_refused", callers=len(self._callers))
             sock.close()
             return
@@ -328,6 +332,7 @@
             on_request=self._on_request,
             on_closed=self._callers.discard,
             on_invalid=self._record_invalid_request,
+            memory=self._memory,
         )
         caller.is_shutting_down = self._stopping_since is not None
         self._callers.add(caller)
--- a/fighitch/gateway/metrics.py
+++ b/fighitch/gateway/metrics.py
@@ -1,5 +1,7 @@
 """Metrics of gateway entries and engine agents."""
 
+from collections.abc import Callable
+
 from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
 from prometheus_client.exposition import generate_latest
 
@@ -8,6 +10,31 @@
 _LATENCY_BUCKETS = (0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.5, 3, 6, 12)
 
 
+class MemoryMetrics:
+    """Metrics of the memory that a process holds for its callers."""
+
+    def __init__(self, registry: CollectorRegistry) -> None:
+        self._held = Gauge(
+            "fighitch_held_bytes",
+            "Bytes held or reserved for requests and unread responses.",
+            registry=registry,
+        )
+        self._refused = Counter(
+            "fighitch_memory_refused",
+            "Connections refused as the memory budget was short, by reason.",
+            ("reason",),
+            registry=registry,
+        )
+
+    def follow(self, held: Callable[[], int]) -> None:
+        """Makes the gauge report what a function returns."""
+        self._held.set_function(held)
+
+    def count_refused(self, reason: str) -> None:
+        """Counts a refused connection by reason."""
+        self._refused.labels(reason).inc()
+
+
 class EntryMetrics:
     """Metrics of a gateway entry."""
 
@@ -41,6 +68,7 @@
         self._open_requests = Gauge(
             "fighitch_open_requests", "Requests under way.", registry=self.registry
         )
+        self.memory = MemoryMetrics(self.registry)
 
     def count_request(self, route: str, outcome: str) -> None:
         """Counts a finished request by route and outcome."""
--- a/fighitch/gateway/relay.py
+++ b/fighitch/gateway/relay.py
@@ -315,7 +315,7 @@
         priority = None
         if self._service.engine is not None:
             priority = engine_priority(self._route.rank, late=late)
-        data = encode_request(
+        head = encode_request(
             self._request,
             time_left=time_left,
             instance_id=server.instance_id,
@@ -334,7 +334,9 @@
         self._timers.start(
             time_left, may_retry=self._may_retry(), waited=now - waiting_since
         )
-        self._connection.send(data, receiver, expected_id=request_id)
+        self._connection.send(
+            head, receiver, expected_id=request_id, body=self._request.body
+        )
 
     def _expected_version(self) -> int:
         """Returns the version that the server must hold; 0 if its agent sees to it."""
@@ -737,6 +739,7 @@
         self._deadline.cancel()
         self._admission.end()
         self._response.release()
+        self._request.discard()
         server = "" if self._server is None else self._server.instance_id
         self._entry.record_end(
             self,
--- a/fighitch/gateway/status_server.py
+++ b/fighitch/gateway/status_server.py
@@ -3,9 +3,12 @@
 import socket
 from collections.abc import Callable
 
+from fighitch.core.gateway.memory_budget import MemoryBudget
 from fighitch.core.gateway.model import CallerLimits
 from fighitch.core.gateway.settings import Address
+from fighitch.gateway.caller_bounds import make_room
 from fighitch.observability.bounded_log import BoundedLog
+from fighitch.runtime.caller_memory import CallerMemory
 from fighitch.runtime.event_loop import READ, EventLoop
 from fighitch.runtime.http_callers import CallerConnection, CallerRequest
 from fighitch.runtime.sockets import accept_pending, listen
@@ -15,6 +18,13 @@
 _NOT_FOUND = 404
 _METRICS_PATH = b"/metrics"
 _READY_PATH = b"/readyz"
+# Probes and scrapers are few and send no body.
+_MAX_CONNECTIONS = 32
+_LIMITS = CallerLimits(
+    header_bytes=8_192, body_bytes=1_024, header_timeout=3.0, idle_timeout=5.0
+)
+# Room for the metrics of each connection that reads them slowly, at up to 64 KB.
+_BUDGET_BYTES = 2_097_152
 
 
 class StatusServer:
@@ -43,6 +53,7 @@
         self._is_ready = is_ready
         self._metrics = metrics
         self._callers: set[CallerConnection] = set()
+        self._memory = CallerMemory(loop, MemoryBudget(_BUDGET_BYTES))
         self._listener = listen(address.host, address.port)
         loop.watch(self._listener, READ, self._accept)
 
@@ -50,12 +61,17 @@
         accept_pending(self._listener, self._add_caller, self._log.accept_failed)
 
     def _add_caller(self, sock: socket.socket) -> None:
+        if not make_room(self._callers, _MAX_CONNECTIONS):
+            self._log.event("caller_refused", callers=len(self._callers))
+            sock.close()
+            return
         caller = CallerConnection(
             self._loop,
             sock,
-            CallerLimits,
+            lambda: _LIMITS,
             on_request=self._on_request,
             on_closed=self._callers.discard,
+            memory=self._memory,
         )
         self._callers.add(caller)
 
--- a/fighitch/platform/requests.py
+++ b/fighitch/platform/requests.py
@@ -140,7 +140,7 @@
     adapter_version: int = 0,
     resume_after: str = "",
 ) -> bytes:
-    """Encodes a caller's request for a backend server.
+    """Encodes the head of a caller's request for a backend server.
 
     Args:
         request: Request as received from the caller.
@@ -168,7 +168,7 @@
         lines.append(b"Last-Event-Id: " + resume_after.encode("latin-1"))
     if request.body or request.method in (b"POST", b"PUT", b"PATCH"):
         lines.append(b"Content-Length: %d" % len(request.body))
-    return b"\r\n".join(lines) + b"\r\n\r\n" + request.body
+    return b"\r\n".join(lines) + b"\r\n\r\n"
 
 
 def response_headers(head: ResponseHead) -> Headers:
--- a/fighitch/runtime/http_callers.py
+++ b/fighitch/runtime/http_callers.py
@@ -1,25 +1,47 @@
 """HTTP/1.1 server connection on the event loop: requests of callers and responses."""
 
+import random
 import socket
+import sys
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
 import httptools
 
+from fighitch.core.gateway.memory_budget import (
+    SMALL_BYTES,
+    MemoryBudget,
+    RefusalReason,
+)
 from fighitch.core.gateway.model import CallerLimits
+from fighitch.runtime.body_buffer import BodyBuffer
+from fighitch.runtime.caller_memory import CallerMemory
 from fighitch.runtime.event_loop import READ, WRITE, EventLoop, Timer
 from fighitch.runtime.sockets import CALLER_USER_TIMEOUT_MS, set_stream_options
 from fighitch.types import Headers, Seconds
 
 _RECEIVE_BYTES = 65_536
+# Read at once if the end of a body with an announced length is not far ahead. It bounds
+# the work on very small chunks in a turn of the event loop (2.6 ms for 64 KB of chunks
+# of one byte), and what is read before the budget decides on a body.
+_SMALL_RECEIVE_BYTES = 16_384
+# Bytes parsed before it is checked how many requests they completed; a request has at
+# least 18 bytes.
+_PARSE_BYTES = 4_096
 # Size of the send buffer above which reading of the response from its source pauses.
 _HIGH_WATER_MARK = 65_536
 _BODY_TIMEOUT: Seconds = 10.0
 _IDLE_SLACK: Seconds = 1.0
 _MAX_PIPELINED = 2
+_UNAVAILABLE = 503
 # Bytes of a head that its size limit leaves out, such as method and line ends.
 _HEAD_OVERHEAD_BYTES = 1_024
+# Memory of the objects of a header and of a request, beside their text.
+_HEADER_OBJECT_BYTES = 200
+_REQUEST_OBJECT_BYTES = 1_000
+# Limits of the delay in Retry-After, which spreads out the retries of refused clients.
+_RETRY_DELAYS: tuple[Seconds, Seconds] = (0.5, 1.5)
 _REASON_PHRASES = {
     200: b"OK",
     400: b"Bad Request",
@@ -50,6 +72,7 @@
         headers: Headers as sent, in order.
         body: Complete body, with the transfer coding removed.
         received_at: Time at which its first byte was read.
+        on_released: Called once when the memory of the request is released.
     """
 
     method: bytes
@@ -57,6 +80,9 @@
     headers: Headers
     body: bytes
     received_at: Seconds
+    on_released: Callable[[], None] | None = field(
+        default=None, repr=False, compare=False
+    )
     _index: dict[bytes, list[bytes]] | None = field(default=None, repr=False)
 
     def values(self, name: bytes) -> list[bytes]:
@@ -73,6 +99,17 @@
         values = self.values(name)
         return values[0] if values else None
 
+    def release(self) -> None:
+        """Reports that the request counts no longer against the memory budget."""
+        on_released, self.on_released = self.on_released, None
+        if on_released is not None:
+            on_released()
+
+    def discard(self) -> None:
+        """Drops the body of a request that is not sent again, and releases it."""
+        self.body = b""
+        self.release()
+
 
 class CallerConnection:
     """A connection of a caller; handles one request at a time, in order."""
@@ -86,6 +123,7 @@
         on_request: Callable[["CallerConnection", CallerRequest], None],
         on_closed: Callable[["CallerConnection"], None],
         on_invalid: Callable[[int, CallerRequest], None] | None = None,
+        memory: CallerMemory | None = None,
     ) -> None:
         """Starts reading requests.
 
@@ -99,6 +137,7 @@
             on_invalid: Called with the status for an invalid request and with what was
                 read of it. The status is not sent if requests before it are still to be
                 answered.
+            memory: Memory of all callers of the process; None for no common bound.
         """
         set_stream_options(sock, user_timeout_ms=CALLER_USER_TIMEOUT_MS)
         self.on_disconnected: Callable[[], None] | None = None
@@ -127,6 +166,11 @@
         self._timer: Timer | None = None
         self._has_boundary = False
         self._bytes_without_boundary = 0
+        self._is_dispatching = False
+        # Input that is parsed once fewer complete requests wait.
+        self._unparsed = b""
+        self._memory = memory or CallerMemory(loop, MemoryBudget(sys.maxsize))
+        self._holding = self._memory.open(self)
         self._new_parser()
         self._start_idle_timer()
         self._watch()
@@ -143,9 +187,15 @@
             self._current_request is None
             and not self._requests
             and not self._is_reading_request
+            and not self._unparsed
             and not self._unsent
         )
 
+    @property
+    def idle_since(self) -> Seconds:
+        """Time of the end of the latest response, or else of the connection."""
+        return self._idle_since
+
     @property
     def is_backlogged(self) -> bool:
         """Whether the send buffer is above the high-water mark."""
@@ -187,6 +237,8 @@
 
     def finish(self) -> None:
         """Completes the response and starts the next request on the connection."""
+        if self._current_request is not None:
+            self._current_request.release()
         if self._closed:
             return
         if self._chunked:
@@ -217,6 +269,12 @@
         self._cancel_timer()
         self._loop.forget(self._sock)
         self._sock.close()
+        self._memory.close(self._holding)
+        for request in self._requests:
+            request.release()
+        self._body.clear()
+        self._unparsed = b""
+        self._unsent.clear()
         self._on_closed(self)
 
     def close_if_idle(self) -> None:
@@ -227,6 +285,44 @@
         if not self._closed and self.idle and not self._has_unread_input():
             self.close()
 
+    # Memory, called by ``CallerMemory``.
+
+    def on_room(self) -> None:
+        """Resumes the reading of a request that waited for room."""
+        if self._closed:
+            return
+        self._send_continue()
+        if self._current_request is None:
+            self._start_request_timer()
+        self._watch()
+
+    def refuse(self, reason: RefusalReason) -> None:
+        """Frees memory: refuses the request that is read, or ends the connection."""
+        if self._closed:
+            return
+        if self._is_reading_request and self._holding.response <= SMALL_BYTES:
+            self._reject(503)
+        else:
+            self._handle_disconnect()
+
+    def _reserve_memory(self, size: int) -> None:
+        """Requests memory for a large request; without it, reading pauses."""
+        self._has_reserved = True
+        self._memory.budget.reserve(self._holding, size, self._loop.now())
+
+    def _record_request(self) -> int:
+        """Records what was read of the current request; returns its bytes."""
+        size = self._head_bytes + len(self._body) + _REQUEST_OBJECT_BYTES
+        size += len(self._headers) * _HEADER_OBJECT_BYTES
+        self._memory.budget.record_request(self._holding, size, self._loop.now())
+        return size
+
+    def _record_response(self, taken: int = 0) -> None:
+        self._memory.budget.record_response(
+            self._holding, len(self._unsent), self._loop.now(), taken=taken
+        )
+        self._memory.watch()
+
     def _has_unread_input(self) -> bool:
         try:
             return bool(self._sock.recv(1, socket.MSG_PEEK))
@@ -242,7 +338,10 @@
         self._target = b""
         self._headers: Headers = []
         self._head_bytes = 0
-        self._body = bytearray()
+        self._body = BodyBuffer()
+        self._announced: int | None = None
+        self._expects_continue = False
+        self._has_reserved = False
         self._error_status = 0
         self._request_started_at: Seconds = 0.0
 
@@ -250,7 +349,10 @@
         if self._closed:
             return
         wants_input = (
-            len(self._requests) < _MAX_PIPELINED and not self._has_stopped_reading
+            len(self._requests) < _MAX_PIPELINED
+            and not self._has_stopped_reading
+            and not self._unparsed
+            and not self._holding.awaited
         )
         events = (READ if wants_input else 0) | (WRITE if self._unsent else 0)
         if events != self._watched_events:
@@ -265,7 +367,7 @@
 
     def _read(self) -> None:
         try:
-            data = self._sock.recv(_RECEIVE_BYTES)
+            data = self._sock.recv(self._receive_size())
         except BlockingIOError:
             return
         except OSError:
@@ -275,10 +377,35 @@
             return
         if self._close_after_response:
             return
-        self._feed(data)
+        self._process_input(data)
+
+    def _receive_size(self) -> int:
+        """Returns how many bytes to read at once."""
+        if not self._is_reading_body or self._announced is None:
+            return _SMALL_RECEIVE_BYTES
+        rest = self._announced - len(self._body)
+        return min(_RECEIVE_BYTES, max(_SMALL_RECEIVE_BYTES, rest))
+
+    def _process_input(self, data: bytes) -> None:
+        """Parses input until it is used up or enough complete requests wait."""
+        self._unparsed = data
+        while self._unparsed and len(self._requests) < _MAX_PIPELINED:
+            size = _PARSE_BYTES
+            if self._is_reading_body and self._announced is not None:
+                size = max(size, self._announced - len(self._body))
+            part, self._unparsed = self._unparsed[:size], self._unparsed[size:]
+            self._feed(part)
+            if self._closed or self._close_after_response or self._has_stopped_reading:
+                self._unparsed = b""
+                break
+        self._memory.relieve()
         if not self._closed:
             self._watch()
 
+    def _parse_rest(self) -> None:
+        if not self._closed and self._unparsed:
+            self._process_input(self._unparsed)
+
     def _feed(self, data: bytes) -> None:
         self._has_boundary = False
         try:
@@ -286,17 +413,16 @@
             self._check_header_size(len(data))
         except httptools.HttpParserUpgrade as upgrade:
             # Upgrades are not supported; the bytes that follow are the next request.
-            rest = data[upgrade.args[0] :]
+            self._unparsed = data[upgrade.args[0] :] + self._unparsed
             self._new_parser()
-            if rest:
-                self._feed(rest)
-                return
         except (httptools.HttpParserError, _RequestTooLargeError):
             self._reject(self._error_status or 400)
             return
         if self._error_status:
             self._reject(self._error_status)
             return
+        if self._is_reading_request:
+            self._record_request()
         if (
             self._is_reading_request
             and self._current_request is None
@@ -331,6 +457,9 @@
         The bytes after an invalid request cannot be parsed reliably.
         """
         self._is_reading_request = False
+        self._body.clear()
+        self._unparsed = b""
+        self._memory.budget.end_request(self._holding)
         if self._on_invalid is not None:
             self._on_invalid(status, self._build_request(b""))
         if self._current_request is not None or self._requests:
@@ -343,21 +472,39 @@
         self._cancel_timer()
         self._close_after_response = True
         self._is_rejecting = True
+        headers = [(b"Content-Type", b"application/json")]
         body = b'{"error":"bad_request"}'
-        self.send_head(
-            status, [(b"Content-Type", b"application/json")], length=len(body)
-        )
+        if status == _UNAVAILABLE:
+            body = b'{"error":"overloaded"}'
+            headers.append((b"Retry-After", b"%.3f" % random.uniform(*_RETRY_DELAYS)))
+        self.send_head(status, headers, length=len(body))
         self.send_body(body)
         self._is_rejecting = False
         self.finish()
 
     def _next_request(self) -> None:
-        if self._current_request is not None or self._closed or not self._requests:
+        """Starts requests until one is not answered at once.
+
+        A response that is not read for the most part delays the requests behind it.
+        """
+        if self._is_dispatching:
             return
-        self._cancel_timer()
-        self._current_request = self._requests.popleft()
-        self._watch()
-        self._on_request(self, self._current_request)
+        self._is_dispatching = True
+        try:
+            while (
+                self._requests
+                and self._current_request is None
+                and not self._closed
+                and not self.is_backlogged
+            ):
+                self._cancel_timer()
+                self._current_request = self._requests.popleft()
+                self._watch()
+                self._on_request(self, self._current_request)
+        finally:
+            self._is_dispatching = False
+        if self._unparsed and len(self._requests) < _MAX_PIPELINED:
+            self._loop.call_later(0, self._parse_rest)
 
     # Parser callbacks, called by httptools.
 
@@ -369,7 +516,10 @@
         self._target = b""
         self._headers = []
         self._head_bytes = 0
-        self._body = bytearray()
+        self._body.clear()
+        self._announced = None
+        self._expects_continue = False
+        self._has_reserved = False
         self._is_reading_body = False
         if self._current_request is None:
             self._start_request_timer()
@@ -385,12 +535,22 @@
         self._count_head(len(name) + len(value) + 4)
 
     def on_headers_complete(self) -> None:
-        """Sends ``100 Continue`` if requested and starts the timeout of the body."""
+        """Decides on the body and starts its timeout."""
         self._has_boundary = True
         for name, value in self._headers:
-            expects = name.lower() == b"expect" and value.lower() == b"100-continue"
-            if expects and self._current_request is None:
-                self._write(b"HTTP/1.1 100 Continue\r\n\r\n")
+            lower_name = name.lower()
+            if lower_name == b"expect" and value.lower() == b"100-continue":
+                self._expects_continue = True
+            elif lower_name == b"content-length":
+                self._announced = int(value)
+        announced = self._announced or 0
+        if announced > self._limits.body_bytes:
+            self._error_status = 413
+            raise _RequestTooLargeError("request body is too large")
+        if announced > SMALL_BYTES:
+            self._reserve_memory(self._record_request() + announced)
+        if not self._holding.awaited:
+            self._send_continue()
         self._is_reading_body = True
         if self._current_request is None:
             self._start_request_timer()
@@ -398,17 +558,23 @@
     def on_body(self, data: bytes) -> None:
         """Appends to the body and enforces its size limit."""
         self._has_boundary = True
-        self._body += data
+        self._body.append(data)
         if len(self._body) > self._limits.body_bytes:
             self._error_status = 413
             raise _RequestTooLargeError("request body is too large")
+        if len(self._body) > SMALL_BYTES and not self._has_reserved:
+            # The length of a chunked body is not known.
+            self._reserve_memory(self._limits.body_bytes + self._record_request())
 
     def on_message_complete(self) -> None:
         """Queues the complete request."""
         self._has_boundary = True
         self._is_reading_request = False
+        budget, size = self._memory.budget, self._record_request()
+        budget.end_request(self._holding)
         request = self._build_request(self._parser.get_method())
-        self._body = bytearray()
+        budget.hold(size)
+        request.on_released = lambda: budget.release(size)
         if not self._parser.should_keep_alive():
             self._caller_requested_close = True
         self._requests.append(request)
@@ -419,10 +585,15 @@
             method,
             self._target,
             self._headers,
-            bytes(self._body),
+            self._body.take(),
             self._request_started_at,
         )
 
+    def _send_continue(self) -> None:
+        if self._expects_continue and self._current_request is None:
+            self._write(b"HTTP/1.1 100 Continue\r\n\r\n")
+        self._expects_continue = False
+
     def _count_head(self, count: int) -> None:
         self._head_bytes += count
         if self._head_bytes > self._limits.header_bytes:
@@ -440,6 +611,8 @@
         self._unsent += data
         if was_empty:
             self._flush()
+        else:
+            self._record_response()
 
     def _flush(self) -> None:
         was_backlogged = self.is_backlogged
@@ -451,12 +624,11 @@
             self._handle_disconnect()
             return
         del self._unsent[:count]
-        if (
-            was_backlogged
-            and not self.is_backlogged
-            and self.on_buffer_drained is not None
-        ):
-            self.on_buffer_drained()
+        self._record_response(count)
+        if was_backlogged and not self.is_backlogged:
+            if self.on_buffer_drained is not None:
+                self.on_buffer_drained()
+            self._next_request()
         if (
             not self._unsent
             and self._close_after_response
--- a/fighitch/runtime/http_exchange.py
+++ b/fighitch/runtime/http_exchange.py
@@ -135,7 +135,9 @@
         self._on_closed = on_closed
         self._response_handler: ResponseHandler | None = None
         self._expected_id: bytes | None = None
-        self._unsent = b""
+        # Parts of the request that are still to be sent; views, as a copy of a large
+        # body would be held as long as the server reads slowly.
+        self._unsent: list[memoryview] = []
         self._has_sent = False
         self._exchanges = 0
         self._connected = False
@@ -197,21 +199,23 @@
         response_handler: ResponseHandler,
         *,
         expected_id: bytes | None = None,
+        body: bytes = b"",
     ) -> None:
         """Starts an exchange.
 
         Args:
-            request: The encoded request, head and body.
+            request: The encoded request, its head or also its body.
             response_handler: Handles the response.
             expected_id: Value that the ``Attempt-Id`` header of the response must have;
                 None if responses have no such header. An error response to the first
                 request on the connection may lack the header.
+            body: Rest of the request.
         """
         self._response_handler = response_handler
         self._expected_id = None if expected_id is None else expected_id.strip()
         self._skipped_responses = 0
         self._exchanges += 1
-        self._unsent = request
+        self._unsent = [memoryview(part) for part in (request, body) if part]
         self._has_sent = False
         self._is_head_request = request.startswith(b"HEAD ")
         self._reset_parser()
@@ -236,6 +240,7 @@
             return
         self._closed = True
         self._cancel_timer()
+        self._unsent = []
         self._loop.forget(self._sock)
         self._sock.close()
         if self._on_closed is not None:
@@ -282,14 +287,17 @@
         if not self._unsent or self._closed:
             return
         try:
-            count = self._sock.send(self._unsent)
+            count = self._sock.sendmsg(self._unsent)
         except BlockingIOError:
             count = 0
         except OSError:
             self._fail(FailureKind.RESET)
             return
         self._has_sent = self._has_sent or count > 0
-        self._unsent = self._unsent[count:]
+        while self._unsent and count >= len(self._unsent[0]):
+            count -= len(self._unsent.pop(0))
+        if count:
+            self._unsent[0] = self._unsent[0][count:]
         self._watch()
 
     def _read(self) -> None:
