--- a/fighitch/runtime/http_callers.py
+++ b/fighitch/runtime/http_callers.py
@@ -70,7 +70,7 @@
         method: HTTP method.
         target: Path and query string as sent.
         headers: Headers as sent, in order.
-        body: Complete body, with the transfer coding removed.
+        body: Complete body, with the transfer coding removed; a view if it is large.
         received_at: Time at which its first byte was read.
         on_released: Called once when the memory of the request is released.
     """
@@ -78,7 +78,7 @@
     method: bytes
     target: bytes
     headers: Headers
-    body: bytes
+    body: bytes | memoryview
     received_at: Seconds
     on_released: Callable[[], None] | None = field(
         default=None, repr=False, compare=False
@@ -305,9 +305,11 @@
         else:
             self._handle_disconnect()
 
-    def _reserve_memory(self, size: int) -> None:
-        """Requests memory for a large request; without it, reading pauses."""
+    def _reserve_memory(self, body_bytes: int) -> None:
+        """Requests memory for a large body; without it, reading pauses."""
         self._has_reserved = True
+        self._body.expect(body_bytes)
+        size = self._record_request() - len(self._body) + body_bytes
         self._memory.budget.reserve(self._holding, size, self._loop.now())
 
     def _record_request(self) -> int:
@@ -548,7 +550,7 @@
             self._error_status = 413
             raise _RequestTooLargeError("request body is too large")
         if announced > SMALL_BYTES:
-            self._reserve_memory(self._record_request() + announced)
+            self._reserve_memory(announced)
         if not self._holding.awaited:
             self._send_continue()
         self._is_reading_body = True
@@ -558,13 +560,13 @@
     def on_body(self, data: bytes) -> None:
         """Appends to the body and enforces its size limit."""
         self._has_boundary = True
-        self._body.append(data)
-        if len(self._body) > self._limits.body_bytes:
+        if len(self._body) + len(data) > self._limits.body_bytes:
             self._error_status = 413
             raise _RequestTooLargeError("request body is too large")
+        self._body.append(data)
         if len(self._body) > SMALL_BYTES and not self._has_reserved:
             # The length of a chunked body is not known.
-            self._reserve_memory(self._limits.body_bytes + self._record_request())
+            self._reserve_memory(self._limits.body_bytes)
 
     def on_message_complete(self) -> None:
         """Queues the complete request."""
--- a/fighitch/runtime/http_exchange.py
+++ b/fighitch/runtime/http_exchange.py
@@ -199,7 +199,7 @@
         response_handler: ResponseHandler,
         *,
         expected_id: bytes | None = None,
-        body: bytes = b"",
+        body: bytes | memoryview = b"",
     ) -> None:
         """Starts an exchange.
 
--- a/standins/platform_backends.py
+++ b/standins/platform_backends.py
@@ -314,7 +314,7 @@
     def record_run(self, request: CallerRequest, headers: dict[str, str]) -> None:
         """Records that a request started to run."""
         target = request.target.decode()
-        record = RunRecord(headers["attempt-id"], headers, request.body, target)
+        record = RunRecord(headers["attempt-id"], headers, bytes(request.body), target)
         self.runs.append(record)
         self.arrivals.append(time.monotonic())
 
