--- a/fighitch/tests/test_http_callers.py
+++ b/fighitch/tests/test_http_callers.py
@@ -1,3 +1,4 @@
+import contextlib
 import socket
 import threading
 import time
@@ -5,7 +6,9 @@
 from dataclasses import replace
 from unittest import mock
 
+from fighitch.core.gateway.memory_budget import MemoryBudget
 from fighitch.core.gateway.model import CallerLimits
+from fighitch.runtime.caller_memory import CallerMemory
 from fighitch.runtime.event_loop import READ, EventLoop
 from fighitch.runtime.http_callers import CallerConnection, CallerRequest
 from fighitch.runtime.sockets import listen
@@ -412,3 +415,180 @@
         self.loop.run_once(0.0)
         self.caller.sendall(request)
         self.read_response()
+
+
+class CallerMemoryTests(unittest.TestCase):
+    """Connections that share a small memory budget, on a clock of the test."""
+
+    def setUp(self):
+        self.now = 0.0
+        self.loop = EventLoop(lambda: self.now)
+        self.requests: list[CallerRequest] = []
+        self.answers = True
+        self.body_limit = 100_000
+        self.refusals = []
+        self.memory = CallerMemory(
+            self.loop, MemoryBudget(150_000), self.refusals.append
+        )
+
+    def connect(self) -> tuple[CallerConnection, socket.socket]:
+        ours, theirs = socket.socketpair()
+        self.addCleanup(theirs.close)
+        ours.setblocking(False)
+        theirs.setblocking(False)
+        with mock.patch("fighitch.runtime.http_callers.set_stream_options"):
+            connection = CallerConnection(
+                self.loop,
+                ours,
+                lambda: CallerLimits(body_bytes=self.body_limit),
+                on_request=self.handle,
+                on_closed=mock.Mock(),
+                memory=self.memory,
+            )
+        self.addCleanup(connection.close)
+        return connection, theirs
+
+    def handle(self, caller: CallerConnection, request: CallerRequest) -> None:
+        self.requests.append(request)
+        if self.answers:
+            caller.send_head(200, [], length=1_000)
+            caller.send_body(b"x" * 1_000)
+            caller.finish()
+
+    def run_loop(self, seconds: float = 0.0) -> None:
+        for _ in range(1 + round(seconds / 0.05)):
+            self.now += 0.05 if seconds else 0.0
+            for _ in range(20):
+                self.loop.run_once(0.0)
+
+    def post(self, sock: socket.socket, announced: int, sent: int) -> None:
+        head = b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n" % announced
+        sock.sendall(head + b"y" * sent)
+        self.run_loop()
+
+    def received(self, sock: socket.socket) -> bytes:
+        try:
+            return sock.recv(65_536)
+        except BlockingIOError:
+            return b""
+
+    def test_announced_length_over_the_limit_is_refused_before_the_body(self):
+        connection, sock = self.connect()
+        self.post(sock, 100_001, 0)
+        self.assertIn(b" 413 ", self.received(sock))
+        sock.sendall(b"y" * 60_000)
+        self.run_loop()
+        self.assertEqual(len(connection._body), 0)
+        self.assertEqual(self.memory.budget.held, connection._holding.response)
+
+    def test_body_without_room_is_not_read_and_gets_503_with_retry_after(self):
+        self.answers = False
+        _, first = self.connect()
+        self.post(first, 90_000, 90_000)
+        waiting, second = self.connect()
+        self.post(second, 90_000, 80_000)
+        self.assertLess(len(waiting._body), 20_000)
+        self.assertEqual(self.received(second), b"")
+        self.run_loop(3.2)
+        response = self.received(second)
+        self.assertIn(b" 503 ", response)
+        self.assertIn(b"Retry-After: ", response)
+        self.assertEqual([item.reason.value for item in self.refusals], ["no_room"])
+        self.assertEqual(len(self.requests), 1)
+
+    def test_waiting_body_is_read_once_there_is_room(self):
+        _, first = self.connect()
+        self.post(first, 90_000, 50_000)
+        _, second = self.connect()
+        self.post(second, 90_000, 90_000)
+        self.assertEqual(self.requests, [])
+        first.sendall(b"y" * 40_000)
+        self.run_loop(0.2)
+        self.assertEqual([len(item.body) for item in self.requests], [90_000] * 2)
+        self.assertEqual(self.requests[1].body, b"y" * 90_000)
+        self.assertIn(b" 200 ", self.received(second))
+
+    def test_continue_is_sent_only_once_there_is_room(self):
+        self.answers = False
+        _, first = self.connect()
+        self.post(first, 90_000, 90_000)
+        _, second = self.connect()
+        second.sendall(
+            b"POST / HTTP/1.1\r\nHost: h\r\nExpect: 100-continue\r\n"
+            b"Content-Length: 90000\r\n\r\n"
+        )
+        self.run_loop()
+        self.assertEqual(self.received(second), b"")
+        self.requests[0].release()
+        self.run_loop(0.2)
+        self.assertIn(b" 100 Continue", self.received(second))
+
+    def test_stalled_body_makes_room_and_small_requests_are_answered(self):
+        stalled, first = self.connect()
+        self.post(first, 90_000, 89_999)
+        _, second = self.connect()
+        self.post(second, 90_000, 90_000)
+        _, small = self.connect()
+        self.post(small, 5_000, 5_000)
+        self.assertIn(b" 200 ", self.received(small))
+        self.run_loop(1.0)
+        self.assertIn(b" 503 ", self.received(first))
+        self.assertIn(b" 200 ", self.received(second))
+        self.assertEqual(len(stalled._body), 0)
+
+    def test_large_body_in_small_chunks_is_whole(self):
+        # Guards against bytes lost at the change to the pages of a large body.
+        _, sock = self.connect()
+        body = bytes(number % 251 for number in range(95_000))
+        sock.sendall(
+            b"POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+        )
+        for start in range(0, len(body), 95):
+            sock.sendall(b"5f\r\n%s\r\n" % body[start : start + 95])
+            self.run_loop()
+        sock.sendall(b"0\r\n\r\n")
+        self.run_loop()
+        self.assertEqual(bytes(self.requests[0].body), body)
+
+    def test_memory_is_released_with_the_connection_and_the_request(self):
+        self.answers = False
+        connection, sock = self.connect()
+        self.post(sock, 90_000, 90_000)
+        self.post(sock, 90_000, 10)
+        connection.close()
+        self.assertGreater(self.memory.budget.held, 90_000)
+        self.requests[0].discard()
+        self.assertEqual(self.memory.budget.held, 0)
+
+    def test_pipelined_requests_are_not_answered_without_a_reader(self):
+        # Guards against responses that are held without limit for such a caller.
+        connection, sock = self.connect()
+        request = b"GET / HTTP/1.1\r\n\r\n"
+        for _ in range(300):
+            with contextlib.suppress(BlockingIOError):
+                sock.send(request * 200)
+            self.run_loop()
+        self.assertLess(len(connection._unsent), 70_000)
+        self.assertLess(len(connection._requests) * len(request), 5_000)
+        self.assertLess(len(self.requests), 10_000)
+
+    def test_pipelined_requests_in_one_read_are_answered_in_order(self):
+        # Guards against a recursion as deep as the number of pipelined requests.
+        self.memory.budget.limit = 1_000_000
+        _, sock = self.connect()
+        lines = b"".join(b"GET /%d HTTP/1.1\r\n\r\n" % n for n in range(600))
+        sock.sendall(lines)
+        received = b""
+        for _ in range(100):
+            self.run_loop()
+            received += self.received(sock)
+        self.assertEqual(received.count(b" 200 "), 600)
+        targets = [int(item.target[1:]) for item in self.requests]
+        self.assertEqual(targets, list(range(600)))
+
+    def test_many_short_headers_count_with_their_objects(self):
+        self.memory.budget.limit = 1_000_000
+        _, sock = self.connect()
+        sock.sendall(b"GET / HTTP/1.1\r\n" + b"a:b\r\n" * 1_000)
+        self.run_loop()
+        self.assertGreater(self.memory.budget.held, 200_000)
