Bound what peers of an agent may send and how many connect

Cause: an unidentified peer could send messages of 1 MiB, and nothing bounded the number of peers or the sum of their unfinished messages and unread statuses.

Change: a first message has at most 64 KiB and comes within 5 s; the memory of all peers is one budget; the number of peers follows MaxFds, at most 1,024, and the oldest unidentified one makes room.

--- a/fighitch/gateway/agent.py
+++ b/fighitch/gateway/agent.py
@@ -16,6 +16,7 @@
 from fighitch.core.gateway.server_limits import ServerLimits
 from fighitch.core.gateway.server_pauses import ServerPauses
 from fighitch.core.gateway.settings import Address, InstanceSettings
+from fighitch.gateway.caller_bounds import create_caller_memory, make_peer_room
 from fighitch.gateway.crash_reports import CrashReportRelay
 from fighitch.gateway.engine_control import EngineClaim, EngineControl, order_outcome
 from fighitch.gateway.metrics import AgentMetrics
@@ -80,6 +81,7 @@
         self._instance_ids: dict[int, str] = {}
         self._peers: dict[int, PeerConnection] = {}
         self._next_peer_number = 1
+        self._memory = create_caller_memory(loop, settings, log, metrics.memory)
         self._crash_reports = CrashReportRelay()
         self._failed_reports = 0
         self._serving = False
@@ -117,8 +119,16 @@
         accept_pending(self._listener, self._add_peer, self._log.accept_failed)
 
     def _add_peer(self, sock: socket.socket) -> None:
+        if not make_peer_room(self._peers.values(), self._settings.descriptor_limit):
+            self._log.event("peer_refused", peers=len(self._peers))
+            sock.close()
+            return
         peer = PeerConnection(
-            self._loop, sock, on_message=self._on_message, on_closed=self._on_closed
+            self._loop,
+            sock,
+            on_message=self._on_message,
+            on_closed=self._on_closed,
+            memory=self._memory,
         )
         peer.number = self._next_peer_number
         self._next_peer_number += 1
--- a/fighitch/gateway/caller_bounds.py
+++ b/fighitch/gateway/caller_bounds.py
@@ -5,6 +5,7 @@
 from fighitch.core.gateway.memory_budget import MemoryBudget, Refusal, budget_size
 from fighitch.core.gateway.settings import InstanceSettings
 from fighitch.gateway.metrics import MemoryMetrics
+from fighitch.gateway.peer_connection import PeerConnection
 from fighitch.observability.bounded_log import BoundedLog
 from fighitch.runtime.caller_memory import CallerMemory
 from fighitch.runtime.event_loop import EventLoop
@@ -17,6 +18,8 @@
 # A caller's request needs a descriptor for its connection to a server, too.
 _DESCRIPTORS_PER_CALLER = 2
 _MIN_CALLERS = 16
+# More than the entries that are expected in two years (710 nodes).
+_MAX_PEERS = 1_024
 
 
 def max_callers(descriptor_limit: int) -> int:
@@ -49,6 +52,27 @@
     return len(callers) < limit
 
 
+def make_peer_room(peers: Collection[PeerConnection], descriptor_limit: int) -> bool:
+    """Closes the oldest unidentified peer if no other connection of a peer fits.
+
+    Args:
+        peers: Open connections, which are removed from it as they close.
+        descriptor_limit: Descriptors of the process; 0 if not stated.
+
+    Returns:
+        Whether another connection fits.
+    """
+    limit = _MAX_PEERS
+    if descriptor_limit:
+        limit = max(_MIN_CALLERS, min(limit, descriptor_limit - _OWN_DESCRIPTORS))
+    if len(peers) >= limit:
+        unidentified = (peer for peer in peers if not peer.is_identified)
+        oldest = min(unidentified, key=lambda peer: peer.number, default=None)
+        if oldest is not None:
+            oldest.close("no_room")
+    return len(peers) < limit
+
+
 def create_caller_memory(
     loop: EventLoop,
     settings: InstanceSettings,
--- a/fighitch/gateway/metrics.py
+++ b/fighitch/gateway/metrics.py
@@ -134,6 +134,7 @@
             "Time until the prompt of new work that can be on time is read.",
             registry=self.registry,
         )
+        self.memory = MemoryMetrics(self.registry)
 
     def observe_admission(self, waited: Seconds) -> None:
         """Observes the time that an admitted request waited in the queue."""
--- a/fighitch/gateway/peer_connection.py
+++ b/fighitch/gateway/peer_connection.py
@@ -3,12 +3,16 @@
 import socket
 from collections.abc import Callable
 
+from fighitch.core.gateway.memory_budget import RefusalReason
 from fighitch.gateway.peer_messages import (
+    MAX_FIRST_MESSAGE_BYTES,
+    MAX_MESSAGE_BYTES,
     BadMessageError,
     Message,
     MessageReader,
     encode,
 )
+from fighitch.runtime.caller_memory import CallerMemory
 from fighitch.runtime.event_loop import READ, WRITE, EventLoop
 from fighitch.runtime.sockets import set_stream_options
 from fighitch.types import Seconds
@@ -16,6 +20,8 @@
 _READ_SIZE = 65_536
 # A connection with more unsent data is closed: its peer counts as unresponsive.
 _MAX_SEND_BUFFER_BYTES = 4_194_304
+# Entries send their first message as soon as they are connected.
+_IDENTIFICATION_TIMEOUT: Seconds = 5.0
 
 
 class PeerConnection:
@@ -29,6 +35,7 @@
         on_message: Callable[["PeerConnection", Message], None],
         on_closed: Callable[["PeerConnection", str], None],
         connected: bool = True,
+        memory: CallerMemory | None = None,
     ) -> None:
         """Starts to read from the socket.
 
@@ -38,6 +45,8 @@
             on_message: Called with each received message.
             on_closed: Called once, with the reason, when the connection closes.
             connected: Whether the socket is already connected.
+            memory: Memory of all peers that connect to the process, which must identify
+                themselves; None on the side that connects.
         """
         set_stream_options(sock)
         # Number that an agent gives to the connection; entries do not use it.
@@ -48,7 +57,15 @@
         self._on_message = on_message
         self._on_closed = on_closed
         self._connected = connected
-        self._reader = MessageReader()
+        self._memory = memory
+        self._holding = None if memory is None else memory.open(self)
+        is_accepted = memory is not None
+        self._reader = MessageReader(
+            MAX_FIRST_MESSAGE_BYTES if is_accepted else MAX_MESSAGE_BYTES
+        )
+        self.is_identified = not is_accepted
+        if is_accepted:
+            loop.call_later(_IDENTIFICATION_TIMEOUT, self._close_if_unidentified)
         self._send_buffer = bytearray()
         self._closed = False
         self._flush_scheduled = False
@@ -68,6 +85,7 @@
             self._is_overflowing = True
             self._loop.call_later(0, lambda: self.close("peer_reads_too_slowly"))
             return
+        self._record_memory()
         if not self._flush_scheduled:
             self._flush_scheduled = True
             self._loop.call_later(0, self._run_scheduled_flush)
@@ -79,8 +97,30 @@
         self._closed = True
         self._loop.forget(self._sock)
         self._sock.close()
+        if self._memory is not None and self._holding is not None:
+            self._memory.close(self._holding)
         self._on_closed(self, reason)
 
+    def on_room(self) -> None:
+        """Has no effect, as no message waits for room."""
+
+    def refuse(self, reason: RefusalReason) -> None:
+        """Closes the connection to free its memory."""
+        self.close(f"memory_{reason.value}")
+
+    def _close_if_unidentified(self) -> None:
+        if not self.is_identified:
+            self.close("unidentified")
+
+    def _record_memory(self, taken: int = 0) -> None:
+        memory, holding = self._memory, self._holding
+        if memory is None or holding is None:
+            return
+        now = self._loop.now()
+        memory.budget.record_request(holding, self._reader.buffered, now)
+        memory.budget.record_response(holding, len(self._send_buffer), now, taken=taken)
+        memory.watch()
+
     def _update_watch(self) -> None:
         if self._closed:
             return
@@ -121,6 +161,7 @@
             self.close("reset")
             return
         del self._send_buffer[:count]
+        self._record_memory(count)
 
     def _read(self) -> None:
         try:
@@ -139,7 +180,9 @@
         except BadMessageError:
             self.close("bad_message")
             return
+        self._record_memory()
         for message in messages:
             if self._closed:
                 return
+            self.is_identified = True
             self._on_message(self, message)
--- a/fighitch/gateway/peer_messages.py
+++ b/fighitch/gateway/peer_messages.py
@@ -6,6 +6,9 @@
 
 _LENGTH = struct.Struct(">I")
 MAX_MESSAGE_BYTES = 1_048_576
+# Limit of the first message, which identifies the peer: a Hello with the limits of an
+# engine has a few kB.
+MAX_FIRST_MESSAGE_BYTES = 65_536
 # Optional messages that this build understands, as announced to its peers. A peer of an
 # earlier build announces 0 and closes the connection at a message that it can't decode.
 PROTOCOL_VERSION = 1
@@ -267,8 +270,19 @@
 class MessageReader:
     """Decodes messages from a stream of bytes."""
 
-    def __init__(self) -> None:
+    def __init__(self, max_first: int = MAX_MESSAGE_BYTES) -> None:
+        """Starts without bytes.
+
+        Args:
+            max_first: Limit of the first message, in bytes.
+        """
         self._buffer = bytearray()
+        self._limit = max_first
+
+    @property
+    def buffered(self) -> int:
+        """Bytes of a message that is not complete."""
+        return len(self._buffer)
 
     def feed(self, data: bytes) -> list[Message]:
         """Appends received bytes and returns the messages that are complete.
@@ -280,9 +294,9 @@
         messages = []
         while len(self._buffer) >= _LENGTH.size:
             (length,) = _LENGTH.unpack_from(self._buffer)
-            if length > MAX_MESSAGE_BYTES:
+            if length > self._limit:
                 raise BadMessageError(
-                    f"message of {length} bytes; the limit is {MAX_MESSAGE_BYTES}"
+                    f"message of {length} bytes; the limit is {self._limit}"
                 )
             end = _LENGTH.size + length
             if len(self._buffer) < end:
@@ -293,4 +307,5 @@
                 # RecursionError: unknown fields are nested too deeply.
                 raise BadMessageError(str(error)) from error
             del self._buffer[:end]
+            self._limit = MAX_MESSAGE_BYTES
         return messages
--- a/fighitch/tests/test_bounded_memory.py
+++ b/fighitch/tests/test_bounded_memory.py
@@ -5,6 +5,7 @@
 import struct
 import unittest
 
+from fighitch.gateway.peer_messages import Heartbeat, encode
 from fighitch.gateway.process import METRICS_PORT
 from fighitch.tests.crowd_helpers import (
     BLOCK,
@@ -78,6 +79,14 @@
         crowd = ([head, *body_blocks(BODY_BYTES - 1)] for _ in range(CROWD - 1))
         self.check(*crowd, body=b"x" * BODY_BYTES)
 
+    def test_large_body_is_served_in_normal_operation(self):
+        body = b"x" * BODY_BYTES
+        response = self.fleet.send_request("lookup", "large", body=body)
+        self.assertEqual(response.status, 200)
+        runs = [run for server in self.fleet.plain_servers for run in server.runs]
+        self.assertEqual([run.body == body for run in runs], [True])
+        self.assertNotIn("memory_refused", self.entry.log())
+
     def test_bodies_in_one_large_chunk(self):
         head = CHUNKED + b"%x\r\n" % BODY_BYTES
         self.check(*([head, *body_blocks(BODY_BYTES - 1)] for _ in range(CROWD)))
@@ -225,6 +234,11 @@
     def test_connections_that_send_nothing(self):
         self.check_peers(list)
 
+    def test_identified_peers_whose_messages_stop_short_of_their_end(self):
+        size = 1_048_576
+        head = encode(Heartbeat()) + struct.pack(">I", size)
+        self.check_peers(lambda: [head, *body_blocks(size - 1)])
+
 
 if __name__ == "__main__":
     unittest.main()
