Bound the memory of requests at the daemons' HTTP listeners

Cause: werkzeug discards what follows a response in reads of 10 MB, one for each thread; http.server accepts 100 header lines of 64 KiB; the bodies of 128 threads had no common bound.

Seen on the code before (60 clients): bodies over the limit 1,257 MB announced and 1,422 MB in chunks, heads of long lines 413 MB resident. The other four crowds passed. A bound of 64 MiB left 166.9 MB in chunks, as a body is held twice while it is read.

Change: 32 MiB for all requests of a listener, 128 KiB for a head, discarding in parts of 64 KiB. Callers of the gateway entry that wait for the rest of a request make room for new connections, too; decisions of the budget are 10 ms apart.

--- a/fighitch/gateway/caller_bounds.py
+++ b/fighitch/gateway/caller_bounds.py
@@ -35,7 +35,9 @@
 
 
 def make_room(callers: Collection[CallerConnection], limit: int) -> bool:
-    """Closes the connection that is idle for longest if no other fits.
+    """Closes the connection that waits longest for a request if no other fits.
+
+    Idle connections come before those that have sent a part of a request.
 
     Args:
         callers: Open connections, which are removed from it as they close.
@@ -46,9 +48,13 @@
     """
     if len(callers) < limit:
         return True
-    idle = [caller for caller in callers if caller.idle]
-    if idle:
-        min(idle, key=lambda caller: caller.idle_since).close_if_idle()
+    waiting = [caller for caller in callers if caller.awaits_request]
+    if waiting:
+        longest = min(waiting, key=lambda item: (not item.idle, item.idle_since))
+        if longest.idle:
+            longest.close_if_idle()
+        else:
+            longest.close()
     return len(callers) < limit
 
 
--- a/fighitch/gateway/status_server.py
+++ b/fighitch/gateway/status_server.py
@@ -23,7 +23,7 @@
 _LIMITS = CallerLimits(
     header_bytes=8_192, body_bytes=1_024, header_timeout=3.0, idle_timeout=5.0
 )
-# Room for the metrics of each connection that reads them slowly, at up to 64 KB.
+# 64 KiB for each connection, as its responses wait above the high-water mark.
 _BUDGET_BYTES = 2_097_152
 
 
--- a/fighitch/runtime/caller_memory.py
+++ b/fighitch/runtime/caller_memory.py
@@ -15,6 +15,8 @@
 
 # Time between two decisions while the budget is short.
 _POLL_INTERVAL: Seconds = 0.05
+# Shortest time between two decisions; each looks at all connections.
+_MIN_INTERVAL: Seconds = 0.01
 
 
 class MemoryUser(Protocol):
@@ -42,6 +44,7 @@
     on_refused: Callable[[Refusal], None] = lambda _refusal: None
     _users: dict[Holding, MemoryUser] = field(default_factory=dict)
     _is_polling: bool = False
+    _relieved_at: Seconds = float("-inf")
 
     def open(self, user: MemoryUser) -> Holding:
         """Adds a connection."""
@@ -55,14 +58,19 @@
         self._users.pop(holding, None)
 
     def relieve(self) -> None:
-        """Refuses and resumes connections while the budget is short.
+        """Refuses connections if more is held than the budget allows.
 
         Must not be called within a callback of a parser, as it may end the request that
         is being parsed.
         """
-        if not self.budget.is_short:
-            return
-        now = self.loop.now()
+        is_due = self.loop.now() - self._relieved_at >= _MIN_INTERVAL
+        if self.budget.is_over and is_due:
+            self._decide()
+        self.watch()
+
+    def _decide(self) -> None:
+        """Refuses and resumes connections while the budget is short."""
+        now = self._relieved_at = self.loop.now()
         for refusal in self.budget.refuse(now):
             self.on_refused(refusal)
             user = self._users.get(refusal.holding)
@@ -70,7 +78,6 @@
                 user.refuse(refusal.reason)
         for holding in self.budget.grant_waiting(now):
             self._users[holding].on_room()
-        self.watch()
 
     def watch(self) -> None:
         """Decides again after a while if the budget is short."""
@@ -80,4 +87,5 @@
 
     def _poll(self) -> None:
         self._is_polling = False
-        self.relieve()
+        self._decide()
+        self.watch()
--- a/fighitch/runtime/http_callers.py
+++ b/fighitch/runtime/http_callers.py
@@ -191,6 +191,12 @@
             and not self._unsent
         )
 
+    @property
+    def awaits_request(self) -> bool:
+        """Whether no complete request is queued or handled, and no response is sent."""
+        is_answering = self._current_request is not None or bool(self._unsent)
+        return not (is_answering or self._requests or self._unparsed)
+
     @property
     def idle_since(self) -> Seconds:
         """Time of the end of the latest response, or else of the connection."""
--- a/fighitch/runtime/http_server.py
+++ b/fighitch/runtime/http_server.py
@@ -26,20 +26,71 @@
 # would occupy a thread indefinitely.
 REQUEST_TIMEOUT: Seconds = 30.0
 MAX_IDLE_CONNECTIONS = 4_096
+# http.server accepts 100 header lines of 64 KiB each. The heads of the entry's own
+# callers have a few KiB.
+MAX_HEAD_BYTES = 131_072
+# Bytes that all requests being handled may have sent together, and that one may send
+# when they have. A body is held twice while it is read: 60 chunked bodies took 166.9 MB
+# with a bound of 64 MiB, more than the memory of the smallest machines (152 MB).
+MAX_REQUEST_BYTES = 33_554_432
+MAX_SMALL_REQUEST_BYTES = 65_536
 # Longest wait for requests on connections that were accepted before the port closed.
 LAST_REQUEST_TIMEOUT: Seconds = 0.5
+# More than any body that is accepted; a larger read only discards.
+_MAX_READ_BYTES = 8_388_608
+_DISCARD_BYTES = 65_536
 _LAST_REQUEST_POLL_INTERVAL: Seconds = 0.05
 _POLL_INTERVAL: Seconds = 0.5
 
 WsgiApp = Callable[[dict[str, Any], Callable[..., Any]], Iterable[bytes]]
 
 
+class _RequestTooLargeError(ConnectionError):
+    """Raised if a request exceeds a limit on its size or on that of all requests."""
+
+
+class _RequestMemory:
+    """Counts what the requests being handled have sent; used on several threads."""
+
+    def __init__(self) -> None:
+        self._lock = threading.Lock()
+        self._held = 0
+
+    def add(self, count: int, *, total: int) -> None:
+        """Adds bytes of a request that has sent a total, if there is room.
+
+        Raises:
+            _RequestTooLargeError: If there is no room and the request is not small.
+        """
+        with self._lock:
+            is_full = self._held + count > MAX_REQUEST_BYTES
+            if is_full and total > MAX_SMALL_REQUEST_BYTES:
+                raise _RequestTooLargeError(f"no room for a request of {total} bytes")
+            self._held += count
+
+    def remove(self, count: int) -> None:
+        """Removes the bytes of a request that ended."""
+        with self._lock:
+            self._held -= count
+
+
 class _RequestReader(io.RawIOBase):
     """Reads from a socket, with a deadline for the whole request."""
 
-    def __init__(self, sock: socket.socket, deadline: Seconds) -> None:
+    def __init__(
+        self, sock: socket.socket, deadline: Seconds, memory: _RequestMemory
+    ) -> None:
         self._sock = sock
         self._deadline = deadline
+        self._memory = memory
+        self._received = 0
+        self.is_reading_head = True
+
+    def close(self) -> None:
+        """Releases the memory of the request."""
+        if not self.closed:
+            self._memory.remove(self._received)
+        super().close()
 
     def readable(self) -> bool:
         """Returns True."""
@@ -50,21 +101,42 @@
 
         Raises:
             TimeoutError: If the deadline has passed or no byte arrives in time.
+            _RequestTooLargeError: If the request exceeds a limit.
         """
+        if self.is_reading_head and self._received > MAX_HEAD_BYTES:
+            raise _RequestTooLargeError("the request head is too large")
         remaining = self._deadline - time.monotonic()
         if remaining <= 0:
             raise TimeoutError("the request did not arrive in time")
         self._sock.settimeout(min(remaining, SOCKET_TIMEOUT))
         try:
-            return self._sock.recv_into(buffer)
+            count = self._sock.recv_into(buffer)
         finally:
             self._sock.settimeout(SOCKET_TIMEOUT)
+        self._memory.add(count, total=self._received + count)
+        self._received += count
+        return count
+
+
+class _RequestBuffer(io.BufferedReader):
+    """Buffers a request; a read to discard the rest of it returns a part only."""
+
+    def read(self, size: int | None = -1) -> bytes:
+        """Reads bytes.
+
+        werkzeug discards what follows a response in reads of 10 MB, of which each
+        thread would hold one.
+        """
+        if size is not None and size > _MAX_READ_BYTES:
+            size = _DISCARD_BYTES
+        return super().read(size)
 
 
 class _Server(BaseWSGIServer):
     """werkzeug server whose handlers report rejected requests."""
 
     on_rejected: Callable[[str], None]
+    memory: _RequestMemory
 
 
 class _Handler(WSGIRequestHandler):
@@ -83,7 +155,15 @@
         super().setup()
         deadline = time.monotonic() + REQUEST_TIMEOUT
         self.rfile.close()
-        self.rfile = io.BufferedReader(_RequestReader(self.connection, deadline))
+        self._reader = _RequestReader(self.connection, deadline, self.server.memory)
+        self.rfile = _RequestBuffer(self._reader)
+
+    def parse_request(self) -> bool:
+        """Parses the head, after which the limit on its size ends."""
+        try:
+            return super().parse_request()
+        finally:
+            self._reader.is_reading_head = False
 
     def log_error(self, format: str, *args: Any) -> None:  # noqa: A002
         """Reports a request that is malformed, too large or too slow."""
@@ -95,6 +175,8 @@
         """Reports a request that was not complete in time."""
         if isinstance(error, TimeoutError):
             self.server.on_rejected(f"Request timed out: {error!r}")
+        if isinstance(error, _RequestTooLargeError):
+            self.server.on_rejected(f"Request too large: {error}")
 
     def log(self, type: str, message: str, *args: Any) -> None:  # noqa: A002
         """Discards the log lines of werkzeug; the application logs its own events."""
@@ -125,6 +207,7 @@
         host, _, port = address.rpartition(":")
         self._server = _Server(host, int(port), app, handler=_Handler)
         self._server.on_rejected = on_rejected
+        self._server.memory = _RequestMemory()
         # The application may be called on several threads concurrently.
         self._server.multithread = True
         self._executor = ThreadPoolExecutor(workers, thread_name_prefix=name)
--- a/fighitch/tests/test_peer_connection.py
+++ b/fighitch/tests/test_peer_connection.py
@@ -107,14 +107,20 @@
     def test_longest_idle_caller_makes_room(self):
         callers = []
         for number in range(4):
-            caller = mock.Mock(idle=number > 0, idle_since=10.0 - number)
-            caller.close_if_idle.side_effect = lambda item=caller: callers.remove(item)
+            caller = mock.Mock(idle=number < 3, idle_since=10.0 - number)
+            caller.awaits_request = number > 0
+            for close in (caller.close_if_idle, caller.close):
+                close.side_effect = lambda item=caller: callers.remove(item)
             callers.append(caller)
-        busy, *_, last = callers
+        busy, first, second, partial = callers
         self.assertTrue(make_room(callers, 4))
-        self.assertNotIn(last, callers)
-        self.assertTrue(make_room([busy], 2))
-        self.assertFalse(make_room([busy], 1))
+        self.assertEqual(callers, [busy, first, partial])
+        self.assertTrue(make_room(callers, 3))
+        self.assertTrue(make_room(callers, 2))
+        self.assertEqual(callers, [busy])
+        second.close.assert_not_called()
+        self.assertTrue(make_room(callers, 2))
+        self.assertFalse(make_room(callers, 1))
 
     def test_count_of_callers_follows_the_descriptors(self):
         for descriptors, expected in ((0, 1_500), (8_192, 1_500), (1_535, 703)):
