--- a/fighitch/core/gateway/memory_budget.py
+++ b/fighitch/core/gateway/memory_budget.py
@@ -51,6 +51,8 @@
         request: Bytes of the request that is being read.
         reserved: Bytes reserved for the whole of that request; 0 for a small one.
         response: Bytes of responses that the client has not read.
+        buffered: Bytes of a response that is not complete and not yet sent; the client
+            is not to blame for them.
         awaited: Bytes for which the request waits before more of it is read.
         awaits_since: Time since which it waits.
         moved: Bytes sent or read since the client last made progress.
@@ -62,6 +64,7 @@
     request: int = 0
     reserved: int = 0
     response: int = 0
+    buffered: int = 0
     awaited: int = 0
     awaits_since: Seconds = 0.0
     moved: int = 0
@@ -137,7 +140,7 @@
         if holding in self._holdings:
             del self._holdings[holding]
             self._waiting.pop(holding, None)
-            self._held -= holding.size
+            self._held -= holding.size + holding.buffered
 
     def reserve(self, holding: Holding, size: int, now: Seconds) -> bool:
         """Requests room for a large request before more of it is read.
@@ -204,6 +207,11 @@
         self._held += size - holding.response
         holding.response = size
 
+    def record_buffered(self, holding: Holding, size: int) -> None:
+        """Records the bytes of a response that is collected before it is sent."""
+        self._held += size - holding.buffered
+        holding.buffered = size
+
     def grant_waiting(self, now: Seconds) -> list[Holding]:
         """Gives room to waiting requests, the longest wait first; returns them."""
         granted = []
--- a/fighitch/gateway/caller_response.py
+++ b/fighitch/gateway/caller_response.py
@@ -57,6 +57,11 @@
             self._head = head
             self._caller.send_head(head.status, response_headers(head), length=length)
 
+    def record_buffered(self, size: int) -> None:
+        """Counts the bytes of a response that is collected before it is sent."""
+        if self._caller is not None:
+            self._caller.record_buffered(size)
+
     def send_body(self, data: bytes) -> bool:
         """Sends a part of the body; returns whether the caller reads too slowly."""
         if self._caller is not None:
--- a/fighitch/gateway/relay.py
+++ b/fighitch/gateway/relay.py
@@ -471,6 +471,7 @@
                 self._on_events(events)
             return
         self._buffered_body += data
+        self._response.record_buffered(len(self._buffered_body))
         is_forwarding = self._head_sent and not self._is_continuation
         if len(self._buffered_body) <= _MAX_BUFFERED_BYTES and not is_forwarding:
             return
--- a/fighitch/runtime/http_callers.py
+++ b/fighitch/runtime/http_callers.py
@@ -213,6 +213,11 @@
         timeout = self._current_limits().idle_timeout + _IDLE_SLACK
         return self._idle_since + timeout - self._loop.now()
 
+    def record_buffered(self, size: int) -> None:
+        """Records the bytes of a response that is collected before it is sent."""
+        if not self._closed:
+            self._memory.budget.record_buffered(self._holding, size)
+
     def send_head(self, status: int, headers: Headers, *, length: int | None) -> None:
         """Sends the head of a response.
 
@@ -222,6 +227,7 @@
                 ``Connection``.
             length: Length of the body; None selects chunked transfer coding.
         """
+        self.record_buffered(0)
         self._close_after_last_request()
         reason = _REASON_PHRASES.get(status, b"Status")
         lines = [b"HTTP/1.1 %d %s" % (status, reason)]
--- a/fighitch/tests/test_memory_budget.py
+++ b/fighitch/tests/test_memory_budget.py
@@ -149,9 +149,18 @@
         self.budget.hold(self.budget.limit - self.budget.held + 1)
         self.assertEqual(self.refuse(), [(reader, RefusalReason.STALLED)])
 
+    def test_client_is_not_refused_for_a_response_that_is_collected(self):
+        client = self.open()
+        self.budget.record_buffered(client, 60_000)
+        self.assertEqual(self.budget.held, 60_000)
+        self.budget.hold(self.budget.limit)
+        self.now += 10.0
+        self.assertEqual(self.refuse(), [])
+
     def test_everything_is_released(self):
         for size in (0, BODY, BODY, 50 * BODY):
             holding = self.upload(size)
+            self.budget.record_buffered(holding, 500)
             self.budget.record_response(holding, 1_000, self.now)
             self.budget.close(holding)
             self.budget.close(holding)
