--- a/fighitch/gateway/metrics.py
+++ b/fighitch/gateway/metrics.py
@@ -1,6 +1,6 @@
 """Metrics of gateway entries and engine agents."""
 
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 
 from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
 from prometheus_client.exposition import generate_latest
@@ -13,6 +13,31 @@
 _LATENCY_BUCKETS = (0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.5, 3, 6, 12)
 
 
+class MemoryMetrics:
+    """Metrics of the memory that a process holds for its callers."""
+
+    def __init__(self, registry: CollectorRegistry) -> None:
+        self._held = Gauge(
+            "fighitch_held_bytes",
+            "Bytes held or reserved for requests and unread responses.",
+            registry=registry,
+        )
+        self._refused = Counter(
+            "fighitch_memory_refused",
+            "Connections refused as the memory budget was short, by reason.",
+            ("reason",),
+            registry=registry,
+        )
+
+    def follow(self, held: Callable[[], int]) -> None:
+        """Makes the gauge report what a function returns."""
+        self._held.set_function(held)
+
+    def count_refused(self, reason: str) -> None:
+        """Counts a refused connection by reason."""
+        self._refused.labels(reason).inc()
+
+
 class EntryMetrics:
     """Metrics of a gateway entry."""
 
@@ -57,6 +82,7 @@
             "Whether keys are refused for lack of contact with the store (1 or 0).",
             registry=self.registry,
         )
+        self.memory = MemoryMetrics(self.registry)
 
     def count_request(self, route: str, outcome: str) -> None:
         """Counts a finished request by route and outcome."""
@@ -149,6 +175,7 @@
             registry=self.registry,
         )
         self._account_labels: set[str] = set()
+        self.memory = MemoryMetrics(self.registry)
 
     def observe_admission(self, waited: Seconds, account: str, tokens: int) -> None:
         """Observes an admitted request.
--- a/fighitch/gateway/relay.py
+++ b/fighitch/gateway/relay.py
@@ -321,7 +321,7 @@
         priority = None
         if self._service.engine is not None:
             priority = engine_priority(self._route.rank, late=late)
-        data = encode_request(
+        head = encode_request(
             self._request,
             time_left=time_left,
             instance_id=server.instance_id,
@@ -342,7 +342,9 @@
         self._timers.start(
             time_left, may_retry=self._may_retry(), waited=now - waiting_since
         )
-        self._connection.send(data, receiver, expected_id=request_id)
+        self._connection.send(
+            head, receiver, expected_id=request_id, body=self._request.body
+        )
 
     def _expected_version(self) -> int:
         """Returns the version that the server must hold; 0 if its agent sees to it."""
@@ -472,6 +474,7 @@
                 self._on_events(events)
             return
         self._buffered_body += data
+        self._response.record_buffered(len(self._buffered_body))
         is_forwarding = self._head_sent and not self._is_continuation
         if len(self._buffered_body) <= _MAX_BUFFERED_BYTES and not is_forwarding:
             return
@@ -743,6 +746,7 @@
         self._units.end()
         self._admission.end()
         self._response.release()
+        self._request.discard()
         server = "" if self._server is None else self._server.instance_id
         self._entry.record_end(
             self,
--- a/fighitch/platform/requests.py
+++ b/fighitch/platform/requests.py
@@ -151,7 +151,7 @@
     resume_after: str = "",
     account: str | None = None,
 ) -> bytes:
-    """Encodes a caller's request for a backend server.
+    """Encodes the head of a caller's request for a backend server.
 
     Args:
         request: Request as received from the caller.
@@ -186,7 +186,7 @@
         lines.append(b"Last-Event-Id: " + resume_after.encode("latin-1"))
     if request.body or request.method in (b"POST", b"PUT", b"PATCH"):
         lines.append(b"Content-Length: %d" % len(request.body))
-    return b"\r\n".join(lines) + b"\r\n\r\n" + request.body
+    return b"\r\n".join(lines) + b"\r\n\r\n"
 
 
 def response_headers(head: ResponseHead) -> Headers:
