Watch the store less often where there are many entries

Ruled out: longer waits of the configuration's watch, as an answer that was lost would then be noticed too late.

Change: with more than 16 entries, servers are read after 0.6 instead of 0.4 of the drain notice, and versions with a wait of 10 s, repeated at once when the store is regained. The watches moved from the entry to store_watches.

--- a/fighitch/gateway/entry.py
+++ b/fighitch/gateway/entry.py
@@ -47,16 +47,11 @@
 from fighitch.gateway.relay_host import RelayedRequest
 from fighitch.gateway.request_keys import RequestKeys
 from fighitch.gateway.store_calls import StoreCalls
-from fighitch.gateway.store_watch import KindWatcher, WatchOptions
+from fighitch.gateway.store_watches import StoreWatches, WatchHandlers
 from fighitch.gateway.unreadable_objects import UnreadableObjects
 from fighitch.observability.bounded_log import BoundedLog
-from fighitch.platform.configuration import (
-    CONFIGURATION_KIND,
-    VERSIONS_KIND,
-    decode_adapter_version,
-)
-from fighitch.platform.engine import SERVERS_KIND, decode_heartbeat
-from fighitch.platform.quarantine import QUARANTINE_KIND
+from fighitch.platform.configuration import decode_adapter_version
+from fighitch.platform.engine import decode_heartbeat
 from fighitch.platform.requests import (
     RequestMetadata,
     asked_pause,
@@ -73,18 +68,6 @@
 from fighitch.runtime.sockets import accept_pending, listen
 from fighitch.types import Seconds
 
-# Pause between server watches, as a share of the drain notice. Every heartbeat of an
-# engine changes its server object; the pause batches these changes into one call. The
-# rest of the notice leaves time for a slow or repeated call.
-_SERVER_WATCH_PAUSE_SHARE = 0.4
-# Longest wait of a watch; each call is billed.
-_WATCH_WAIT: Seconds = 2.0
-# Batches configurations written in quick succession; they must apply within 2 s.
-_CONFIGURATION_WATCH_PAUSE: Seconds = 0.25
-_VERSION_WATCH_PAUSE: Seconds = 0.5
-_VERSION_WATCH_WAIT: Seconds = 3.0
-# Entries tell each other about quarantined prompts; the store is for later starts.
-_QUARANTINE_WATCH_WAIT: Seconds = 10.0
 _HOUSEKEEPING_INTERVAL: Seconds = 0.2
 # The platform probes readiness every second and stops routing callers to an entry after
 # two failed probes.
@@ -166,7 +149,20 @@
         self._listener: socket.socket | None = listen(
             settings.callers.host, settings.callers.port
         )
-        self._watchers: list[KindWatcher] = []
+        self._watches = StoreWatches(
+            loop,
+            log,
+            self.quarantine,
+            WatchHandlers(
+                on_configuration=self._on_configuration,
+                on_configuration_read=self._keys.record_contact,
+                on_server_list=self._on_server_list,
+                on_server_change=self._on_server_change,
+                on_contact=self._on_store_contact,
+                on_servers_restored=self._on_servers_restored,
+                on_version=self._on_version,
+            ),
+        )
         self._unreadable_entries = UnreadableObjects(
             log, "server_entry_unreadable", loop.now
         )
@@ -180,7 +176,7 @@
         """Starts to accept callers and to watch the store."""
         if self._listener is not None:
             self.loop.watch(self._listener, READ, self._accept)
-        self._restart_watchers()
+        self._update_watches()
         self.loop.call_every(_HOUSEKEEPING_INTERVAL, self._run_housekeeping)
 
     def ready(self) -> bool:
@@ -204,8 +200,7 @@
             self.quarantine.connect(settings.store, self._store_calls)
             self._on_servers_restored()
         self._store_calls.contact.set_heartbeat_interval(settings.heartbeat_interval)
-        if not is_same_store or _watch_timing(previous) != _watch_timing(settings):
-            self._restart_watchers()
+        self._update_watches(is_new_store=not is_same_store)
 
     def stop(self) -> None:
         """Becomes not ready, drains the requests in flight and stops the event loop."""
@@ -256,69 +251,24 @@
         interval = self._settings.heartbeat_interval
         return StoreCalls(self.loop, self._log, heartbeat_interval=interval)
 
-    def _restart_watchers(self) -> None:
-        for watcher in self._watchers:
-            watcher.stop()
-        address = self._settings.store
-        wait = min(_WATCH_WAIT, self._store_calls.contact.max_watch)
-        servers_pause = _SERVER_WATCH_PAUSE_SHARE * self._settings.drain_notice
-        configuration = KindWatcher(
-            self.loop,
-            address,
-            WatchOptions(
-                CONFIGURATION_KIND,
-                wait=min(wait, self._keys.max_watch),
-                pause=_CONFIGURATION_WATCH_PAUSE,
-            ),
-            self._log,
-            on_change=self._on_configuration,
-            on_read=self._keys.record_contact,
-            calls=self._store_calls,
-        )
-        servers = KindWatcher(
-            self.loop,
-            address,
-            WatchOptions(SERVERS_KIND, wait=wait, pause=servers_pause),
-            self._log,
-            on_list=self._on_server_list,
-            on_change=self._on_server_change,
-            on_contact=self._on_store_contact,
-            on_restored=self._on_servers_restored,
-            calls=self._store_calls,
-        )
-        versions = KindWatcher(
-            self.loop,
-            address,
-            WatchOptions(
-                VERSIONS_KIND, wait=_VERSION_WATCH_WAIT, pause=_VERSION_WATCH_PAUSE
-            ),
-            self._log,
-            on_change=self._on_version,
-            calls=self._store_calls,
+    def _update_watches(self, *, is_new_store: bool = False) -> None:
+        self._watches.update(
+            self._settings,
+            self._store_calls,
+            entries=self.links.entries,
+            max_configuration_watch=self._keys.max_watch,
+            is_new_store=is_new_store,
         )
-        quarantines = KindWatcher(
-            self.loop,
-            address,
-            WatchOptions(QUARANTINE_KIND, wait=_QUARANTINE_WATCH_WAIT),
-            self._log,
-            on_list=self.quarantine.on_stored_list,
-            on_change=self.quarantine.on_stored_change,
-            on_restored=self.quarantine.on_store_restored,
-            calls=self._store_calls,
-        )
-        self._watchers = [configuration, servers, versions, quarantines]
-        for watcher in self._watchers:
-            watcher.start()
 
     def _run_housekeeping(self) -> None:
-        # The second watcher is that of the servers.
-        if not self._watchers[1].is_lost:
+        if not self._watches.are_servers_lost:
             expired = self._membership.expire(self.loop.polled_at)
             self._on_membership_changes(expired)
         self._pauses.drop_ended(self.loop.now())
         self.quarantine.run_housekeeping()
         self._limit_shares.set_entries(self._entry_count, self.loop.now())
         self._keys.update_state()
+        self._update_watches()
         self.metrics.set_open_requests(len(self._relays))
 
     def _reject_quarantined(self) -> None:
@@ -397,8 +347,8 @@
             return None
         route = self._routes.find(metadata.host, metadata.path)
         # Without current contact with the store, the route or the key may exist in a
-        # newer configuration. The first watcher is that of the configuration.
-        is_current = self._watchers[0].is_current(self.loop.now())
+        # newer configuration.
+        is_current = self._watches.is_configuration_current(self.loop.now())
         if route is None:
             kind = FailureKind.NO_ROUTE if is_current else FailureKind.NOT_CONFIGURED
             self._send_failure_response(caller, metadata, kind)
@@ -781,8 +731,3 @@
             if service is not None and service.engine is not None:
                 engines[server.instance_id] = (server, service.engine)
         self.links.update(engines)
-
-
-def _watch_timing(settings: InstanceSettings) -> tuple[Seconds | None, ...]:
-    """Returns the settings on which the timing of the watches depends."""
-    return settings.drain_notice, settings.heartbeat_interval, settings.revoke_within
--- a/fighitch/gateway/store_watch.py
+++ b/fighitch/gateway/store_watch.py
@@ -1,13 +1,13 @@
 """Watches the objects of one kind in the platform's store."""
 
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass
 from typing import TypeVar
 
 import msgspec
 
 from fighitch.core.gateway.settings import Address
 from fighitch.core.gateway.store_epoch import is_restored_copy
+from fighitch.core.gateway.watch_timing import WatchOptions
 from fighitch.gateway.store_calls import StoreCalls
 from fighitch.observability.bounded_log import BoundedLog
 from fighitch.platform import store
@@ -40,23 +40,6 @@
 _MIN_WAIT_SHARE = 0.5
 
 
-@dataclass(frozen=True, slots=True)
-class WatchOptions:
-    """Options for watching a kind.
-
-    Attributes:
-        kind: Kind of the objects.
-        wait: Long-poll timeout of one watch call. A dead connection is detected after
-            this time.
-        pause: Delay before the next watch call after one that returned changes, to
-            batch changes in quick succession.
-    """
-
-    kind: str
-    wait: Seconds = 2.0
-    pause: Seconds = 0.0
-
-
 class KindWatcher:
     """Reports changes of the objects of one kind, from a list and long-poll watches."""
 
@@ -72,6 +55,7 @@
         on_contact: Callable[[bool], None] | None = None,
         on_restored: Callable[[], None] | None = None,
         on_read: Callable[[Seconds], None] | None = None,
+        on_regained: Callable[[], None] | None = None,
         calls: StoreCalls | None = None,
     ) -> None:
         """Initializes the watcher; ``start`` makes the first call.
@@ -91,6 +75,7 @@
             on_read: Called after each successful call with the time at which it was
                 sent, once the objects are passed on. They reflect the store at that
                 time or later. It is not called while an object could not be read.
+            on_regained: Called after the first successful call after a failed one.
             calls: Calls to the store, shared with its other clients; None for calls of
                 this watcher alone.
         """
@@ -106,6 +91,8 @@
         self._on_contact = on_contact
         self._on_restored = on_restored
         self._on_read = on_read
+        self._on_regained = on_regained
+        self._is_waiting = False
         # Number of the last call; responses to earlier ones are ignored.
         self._call_number = 0
         self._next_call: Timer | None = None
@@ -147,6 +134,19 @@
         """Whether the last call failed."""
         return self._lost_since is not None
 
+    def set_options(self, options: WatchOptions) -> None:
+        """Changes the timing from the next call on."""
+        self._options = options
+
+    def recheck(self) -> None:
+        """Repeats a watch that waits, in case its response was lost."""
+        if self._stopped or not self._is_waiting:
+            return
+        self._is_waiting = False
+        self._call_number += 1
+        self._client.close()
+        self._check()
+
     def stop(self) -> None:
         """Closes the connection and makes no further calls."""
         self._stopped = True
@@ -179,6 +179,7 @@
 
         def on_current_response(status: int, body: bytes) -> None:
             if number == self._call_number:
+                self._is_waiting = False
                 on_response(status, body)
 
         self._calls.call(
@@ -245,6 +246,7 @@
         self._request_changes(
             self._options.wait, self._on_watch_response, reuse_connection=may_reuse
         )
+        self._is_waiting = True
 
     def _check(self) -> None:
         """Requests the changes without a wait.
@@ -384,6 +386,8 @@
             )
         if self._on_contact is not None:
             self._on_contact(had_outage)
+        if lost_since is not None and self._on_regained is not None:
+            self._on_regained()
 
     def _retry_later(self, call: Callable[[], None], status: int) -> None:
         if self._lost_since is None:
--- a/fighitch/tests/test_accounts.py
+++ b/fighitch/tests/test_accounts.py
@@ -21,7 +21,7 @@
     WorkKind,
 )
 from fighitch.core.gateway.settings import Address
-from fighitch.gateway import entry as entry_module, store_watch
+from fighitch.gateway import entry as entry_module, store_watch, store_watches
 from fighitch.gateway.entry import GatewayEntry
 from fighitch.gateway.metrics import EntryMetrics
 from fighitch.gateway.process import METRICS_PORT
@@ -254,7 +254,7 @@
     """Requests at an entry before any of them is placed."""
 
     def setUp(self):
-        self.watcher = mock.patch.object(entry_module, "KindWatcher").start()
+        self.watcher = mock.patch.object(store_watches, "KindWatcher").start()
         listener = mock.patch.object(entry_module, "listen").start()
         listener.return_value = None
         self.addCleanup(mock.patch.stopall)
@@ -331,7 +331,8 @@
 
     def test_unknown_key_gets_503_if_the_copy_is_not_current(self):
         self.configure(KEY)
-        self.entry._watchers[0].is_current.return_value = False
+        watcher = self.entry._watches._watchers[CONFIGURATION_KIND]
+        watcher.is_current.return_value = False
         self.assertEqual(self.outcome(with_key("new")), "keys_not_current")
 
     def test_key_is_judged_by_the_present_time(self):
--- a/fighitch/tests/test_gateway_entry.py
+++ b/fighitch/tests/test_gateway_entry.py
@@ -12,7 +12,7 @@
 from fighitch.core.gateway.model import Configuration, Service
 from fighitch.core.gateway.retry_budget import BudgetLimits
 from fighitch.core.gateway.settings import Address, InstanceSettings
-from fighitch.gateway import agent_links, entry as entry_module
+from fighitch.gateway import agent_links, entry as entry_module, store_watches
 from fighitch.gateway.entry import GatewayEntry
 from fighitch.gateway.peer_messages import Hello, encode
 from fighitch.observability.logs import format_event
@@ -44,7 +44,7 @@
 
 class ReloadTests(unittest.TestCase):
     def setUp(self):
-        self.watcher = mock.patch.object(entry_module, "KindWatcher").start()
+        self.watcher = mock.patch.object(store_watches, "KindWatcher").start()
         listener = mock.patch.object(entry_module, "listen").start()
         listener.return_value = None
         self.addCleanup(mock.patch.stopall)
@@ -74,7 +74,7 @@
         # Each heartbeat of an engine may list other adapters. A request that waited for
         # its place gave the place up and took another one.
         with (
-            mock.patch.object(entry_module, "KindWatcher"),
+            mock.patch.object(store_watches, "KindWatcher"),
             mock.patch.object(entry_module, "listen", return_value=None),
         ):
             entry = GatewayEntry(mock.Mock(), SETTINGS, mock.Mock(), mock.Mock())
@@ -92,12 +92,12 @@
         # Guards against a removal after a long callback, when the grace period has
         # ended but what the store sent in time has not been read.
         with (
-            mock.patch.object(entry_module, "KindWatcher"),
+            mock.patch.object(store_watches, "KindWatcher"),
             mock.patch.object(entry_module, "listen", return_value=None),
         ):
             entry = GatewayEntry(mock.Mock(), SETTINGS, mock.Mock(), mock.Mock())
             entry.start()
-        entry._watchers[1].is_lost = False
+        entry._watches._watchers[SERVERS_KIND].is_lost = False
         entry._membership.put(server("e1"))
         entry._membership.record_store_contact(0.0, after_outage=True)
         entry._membership.remove("e1", 0.0)
@@ -116,7 +116,7 @@
     def test_request_is_rejected_at_once(self):
         # Guards against a complete request that gets neither answer nor rejection.
         with (
-            mock.patch.object(entry_module, "KindWatcher"),
+            mock.patch.object(store_watches, "KindWatcher"),
             mock.patch.object(entry_module, "listen", return_value=None),
         ):
             entry = GatewayEntry(mock.Mock(), SETTINGS, mock.Mock(), mock.Mock())
@@ -184,7 +184,7 @@
     """Entries of other writers in the list of servers."""
 
     def setUp(self):
-        patches = [mock.patch.object(entry_module, "KindWatcher")]
+        patches = [mock.patch.object(store_watches, "KindWatcher")]
         patches.append(mock.patch.object(entry_module, "listen", return_value=None))
         patches.append(mock.patch.object(agent_links, "PeerConnection"))
         patches.append(mock.patch.object(agent_links, "start_connecting"))
@@ -208,7 +208,7 @@
 
     def watcher_callbacks(self) -> dict:
         self.entry.start()
-        calls = reversed(entry_module.KindWatcher.call_args_list)
+        calls = reversed(store_watches.KindWatcher.call_args_list)
         return next(call.kwargs for call in calls if call.args[2].kind == SERVERS_KIND)
 
     def page(self, odd_name: str, odd_spec: bytes, *, watch: bool) -> ObjectPage:
@@ -293,9 +293,11 @@
 
     def setUp(self):
         self.loop = EventLoop()
-        for name in ("KindWatcher", "_LISTENER_CLOSE_DELAY"):
-            value = mock.Mock() if name == "KindWatcher" else 0.0
-            patch = mock.patch.object(entry_module, name, value)
+        patches = (
+            mock.patch.object(store_watches, "KindWatcher"),
+            mock.patch.object(entry_module, "_LISTENER_CLOSE_DELAY", 0.0),
+        )
+        for patch in patches:
             patch.start()
             self.addCleanup(patch.stop)
         self.listener = listen("127.0.0.1", 0)
