Judge the age of a response by its call, not by its reading

Cause: a watcher counted a response as of the time at which it was read. A process that stood still reads the response to its last watch when it goes on, and then took its copy for current. A key (or a route) that was added meanwhile got 401 (404) instead of 503, always without RevokeFailClosed, and with it if the freeze was shorter than the bound.

Ruled out: the bound for removed keys, which counts from the sending of the call; comparing the age of the call alone with two waits, which allows 4.9 s with a wait of 2 s and so more than ConfigApplyMs.

Change: a response counts as sent at most the wait of its call and the margin of a watch after that call. A copy that is current at a response read in time stays so for as long as before.

--- a/fighitch/gateway/store_watch.py
+++ b/fighitch/gateway/store_watch.py
@@ -110,9 +110,15 @@
         self._call_number = 0
         self._next_call: Timer | None = None
         self._called_at: Seconds = float("-inf")
+        # Time by which the store had sent its latest valid response.
+        self._answered_at: Seconds = float("-inf")
         self._listed_at: Seconds = float("-inf")
         # Whether an object that could not be read may have changed since the last list.
         self._has_unread = False
+        # Wait that the last call asked for.
+        self._asked_wait: Seconds = 0.0
+        # The same on a reused connection, on which an earlier empty response may be a
+        # second copy; otherwise 0.
         self._wait: Seconds = 0.0
         self._may_reuse_connection = True
         self._restored_at: Seconds = float("-inf")
@@ -134,13 +140,14 @@
         """Returns whether the known objects are up to date.
 
         They are if contact is not lost and the last response is not older than the
-        duration of one watch. After a restore, changes that were acknowledged before
-        may still have to be written again.
+        duration of one watch. A process that stood still reads responses long after the
+        store sent them, so that the time of reading does not count. After a restore,
+        changes that were acknowledged before may still have to be written again.
         """
         if now - self._restored_at < _REWRITE_TIME:
             return False
         max_age = self._options.wait + self._options.pause + _WATCH_TIMEOUT_MARGIN
-        return self._lost_since is None and now - self.last_contact < max_age
+        return self._lost_since is None and now - self._answered_at < max_age
 
     @property
     def is_lost(self) -> bool:
@@ -195,6 +202,7 @@
         if not after:
             self._listed_at = self._loop.now()
             self._has_unread = False
+        self._asked_wait = 0.0
         target = store.list_target(self._options.kind, after)
         # The last page of an earlier list would count as the whole list.
         self._call(
@@ -260,6 +268,7 @@
         *,
         reuse_connection: bool,
     ) -> None:
+        self._asked_wait = wait
         self._wait = wait if reuse_connection else 0.0
         target = store.watch_target(self._options.kind, self._revision, wait)
         self._call(
@@ -374,6 +383,8 @@
         now = self._loop.now()
         had_outage = self._calls.contact.had_outage_since(self.last_contact)
         self.last_contact = now
+        latest = self._called_at + self._asked_wait + _WATCH_TIMEOUT_MARGIN
+        self._answered_at = min(now, latest)
         lost_since, self._lost_since = self._lost_since, None
         if lost_since is not None:
             self._log.event(
--- a/fighitch/tests/test_accounts.py
+++ b/fighitch/tests/test_accounts.py
@@ -478,6 +478,28 @@
         self.respond(NO_EVENTS, after=self.WAIT)
         self.assertEqual(self.contacts, [])
 
+    def test_response_that_is_read_late_does_not_make_the_copy_current(self):
+        # Guards against a 401 for a key that was added while the process stood still:
+        # the response to its last watch was sent before.
+        self.respond(EMPTY_LIST)
+        self.next_call()
+        self.respond(NO_EVENTS, after=self.WAIT)
+        self.assertTrue(self.watcher.is_current(self.now))
+        self.next_call()
+        self.respond(NO_EVENTS, after=10.0)
+        self.assertFalse(self.watcher.is_current(self.now))
+        self.next_call()
+        self.respond(NO_EVENTS, after=self.WAIT)
+        self.assertTrue(self.watcher.is_current(self.now))
+
+    def test_copy_stays_current_at_a_slow_store(self):
+        # Guards against 503 instead of 401 in calm.
+        self.respond(EMPTY_LIST, after=0.3)
+        for _ in range(3):
+            self.next_call()
+            self.respond(NO_EVENTS, after=self.WAIT + 0.3)
+            self.assertTrue(self.watcher.is_current(self.now + self.WAIT + 0.3))
+
     def test_second_copy_of_a_response_is_no_contact(self):
         # Guards against a response to an earlier call, which tells of an earlier time.
         self.respond(EMPTY_LIST)
