Accept keys with letters beyond ASCII

Cause: the configuration is JSON in UTF-8, but keys of requests were decoded as Latin-1, so that a configured key with such a letter got 401 from clients that send UTF-8.

Ruled out: comparing bytes, as clients' HTTP libraries use either encoding.

Change: a key that is no UTF-8 is decoded as Latin-1, all others as UTF-8.

--- a/fighitch/platform/requests.py
+++ b/fighitch/platform/requests.py
@@ -339,7 +339,10 @@
     key = key.strip()
     if scheme.lower() != _KEY_SCHEME or not key:
         return None
-    return key.decode("latin-1")
+    try:
+        return key.decode()
+    except UnicodeDecodeError:
+        return key.decode("latin-1")
 
 
 def _clamp_tokens(count: int) -> int:
--- a/fighitch/tests/test_accounts.py
+++ b/fighitch/tests/test_accounts.py
@@ -131,6 +131,12 @@
             header = (name, scheme + b" " + KEY.encode())
             self.assertEqual(decode_request(request(header)).key, KEY)
 
+    def test_key_may_have_any_letters(self):
+        # Guards against a 401 for a configured key. Clients use either encoding.
+        for encoding in ("utf-8", "latin-1"):
+            header = (b"Authorization", "Token clé".encode(encoding))
+            self.assertEqual(decode_request(request(header)).key, "clé", encoding)
+
     def test_key_is_in_no_representation(self):
         # Errors are logged with the representations of what caused them.
         for item in (
