Keep the number of entries right without agents and after reconnections

Causes: - Without any agent the number of entries was recorded as 1, so that after 300 s twelve entries on their own each spent a quarter of the quota. - An agent counted connections, so that an entry that connected again counted twice until the old connection was closed.

Ruled out: ignoring higher counts until they last, since entries that start together would then spend too much; a longer memory, since entries that were removed would keep their shares.

Change: the number is recorded only while an agent is connected; agents count entries by name; the poll schedules its successor first.

Not covered: a partition of over 300 s in which each side has agents, and a replaced entry that has another name.

--- a/fighitch/gateway/agent.py
+++ b/fighitch/gateway/agent.py
@@ -81,6 +81,8 @@
         # as the instance list keeps earlier incarnations for a while.
         self._instance_ids: dict[int, str] = {}
         self._peers: dict[int, PeerConnection] = {}
+        # Names of the connected entries, by number of the connection.
+        self._entry_names: dict[int, str] = {}
         self._next_peer_number = 1
         self._crash_reports = CrashReportRelay()
         self._quotas = QuotaLender(loop, log, metrics)
@@ -131,6 +133,7 @@
 
     def _on_closed(self, peer: PeerConnection, reason: str) -> None:
         self._peers.pop(peer.number, None)
+        self._entry_names.pop(peer.number, None)
         self._crash_reports.remove_peer(peer)
         self._quotas.remove_peer(peer)
         admitted = self._queue.drop_connection(peer.number)
@@ -170,6 +173,7 @@
     def _on_hello(self, peer: PeerConnection, hello: Hello) -> None:
         spec = msgspec.json.decode(hello.engine_spec, type=EngineSpec)
         self._instance_ids[hello.engine_start_time_ms] = hello.engine_id
+        self._entry_names[peer.number] = hello.entry
         if hello.protocol >= CRASH_REPORT_VERSION:
             self._crash_reports.add_peer(peer, self._loop.now())
         self._quotas.add_peer(peer, hello)
@@ -506,6 +510,12 @@
         )
         self._broadcast(status)
 
+    @property
+    def _entry_count(self) -> int:
+        """Number of entries; one that connected again counts once."""
+        names = self._entry_names
+        return len({names.get(number, number) for number in self._peers})
+
     def _build_status(self, now: Seconds) -> Status:
         return Status(
             engine_start_time_ms=self._engine_start_time_ms(),
@@ -516,7 +526,7 @@
                 self._queue.prefill_speed.seconds_per_token * _NS_PER_SECOND
             ),
             load_wait_ms=round(self._estimate_load_wait(now) * _MS_PER_SECOND),
-            entries=len(self._peers),
+            entries=self._entry_count,
             protocol=PROTOCOL_VERSION,
             pause_ms=round(self._pause_left(now) * _MS_PER_SECOND),
             token=self._claim.token,
--- a/fighitch/gateway/quotas.py
+++ b/fighitch/gateway/quotas.py
@@ -173,7 +173,7 @@
     def _set_agents(self, released: tuple[str, ...] = ()) -> None:
         if not self.is_active:
             return
-        self._allowances.entries.record(self._links.entries, self._loop.now())
+        self._record_entries()
         agents = dict.fromkeys(self._links.quota_peers, 1.0)
         self._ranking.update(agents)
         self._allowances.set_agents(
@@ -185,6 +185,15 @@
         )
         self._schedule_flush(0.0)
 
+    def _record_entries(self) -> None:
+        """Records the number of entries, unless no agent is there to report it.
+
+        The last number counts then, however long it lasts.
+        """
+        if any(view.connected for view in self._links.views.values()):
+            now = self._loop.now()
+            self._allowances.entries.record(self._links.entries, now)
+
     def _on_grant(self, engine: str, message: QuotaGrant) -> None:
         now = self._loop.now()
         self._allowances.announce(message.opened, now)
@@ -234,14 +243,15 @@
             self._schedule_flush(_FLUSH_DELAY)
 
     def _poll(self) -> None:
+        # An error below must not end the polls: requests would wait, and shares lapse.
+        self._is_polling = self.is_active
+        if self._is_polling:
+            self._loop.call_later(_POLL_INTERVAL, self._poll)
         # Messages that arrived before the latest poll of the sockets were handled, also
         # if this process did not run for a while.
         self._allowances.poll(self._loop.polled_at)
         self._flush()
         self._report()
-        self._is_polling = self.is_active
-        if self._is_polling:
-            self._loop.call_later(_POLL_INTERVAL, self._poll)
 
     def _report(self) -> None:
         """Updates the number of entries, metrics and log, once in a while."""
@@ -249,7 +259,7 @@
         if now - self._reported_at < _REPORT_INTERVAL or self._quota_metrics is None:
             return
         self._reported_at = now
-        self._allowances.entries.record(self._links.entries, now)
+        self._record_entries()
         held = self._allowances.held()
         for account in self._holders.keys() - held.keys():
             self._quota_metrics.set_held(account, 0.0)
--- a/fighitch/tests/test_quota_exchange.py
+++ b/fighitch/tests/test_quota_exchange.py
@@ -8,6 +8,8 @@
 import unittest
 from unittest import mock
 
+import msgspec
+
 from fighitch.core.gateway.accounts import Account, AccountTable, Quota, QuotaUnit
 from fighitch.core.gateway.failures import (
     FAILURE_RESPONSES,
@@ -95,7 +97,8 @@
         self.results: list = []
 
     def build_entry(self, name: str) -> Quotas:
-        links = mock.Mock(entries=3, quota_peers={})
+        views = {"g": mock.Mock(connected=True)}
+        links = mock.Mock(entries=3, quota_peers={}, views=views)
         settings = mock.Mock(instance=name, quota_window=QuotaWindow())
         quotas = Quotas(self.loop, settings, links, self.log, EntryMetrics())
         quotas.links = links
@@ -225,6 +228,35 @@
         self.assertEqual(sent, [len(quotas.entry_end.sent) for quotas in self.entries])
         self.assertNotIn(b'account="a"', self.agent_metrics.render())
 
+    def test_number_of_entries_outlasts_the_agents(self):
+        # Guards against entries that spend several times the quota together, at servers
+        # without agents, once all engines have been gone for minutes.
+        self.start()
+        quotas = self.entries[0]
+        quotas.links.entries = 12
+        self.loop.run(10.0)
+        quotas.links.entries = 1
+        quotas.links.views = {}
+        quotas.links.quota_peers.clear()
+        quotas.links.on_quota_agent_lost("g", "reset")
+        self.loop.run(400.0)
+        self.assertEqual(quotas._allowances.entries.value, 12)
+
+    def test_failed_callback_does_not_end_the_polls(self):
+        # Guards against requests that wait until their deadline after one error.
+        self.start()
+        quotas = self.entries[0]
+        with (
+            mock.patch.object(quotas._allowances, "poll", side_effect=OSError),
+            self.assertRaises(OSError),
+        ):
+            self.loop.run(0.1)
+        for _ in range(2):
+            self.take(quotas, 0.9 * QUOTA.burst)
+        quotas.entry_end.send = mock.Mock()
+        self.loop.run(1.0)
+        self.assertEqual(len(self.results), 2)
+
     def test_metrics_by_account(self):
         self.start()
         for _ in range(30):
@@ -401,11 +433,34 @@
         self.links.on_quota_agent_lost.assert_called_once_with("e1", "reset")
         self.assertEqual(self.links.quota_peers, {})
 
-    def test_agent_passes_requests_on(self):
+    def build_agent(self) -> EngineAgent:
         with mock.patch("fighitch.gateway.agent.listen"):
-            agent = EngineAgent(
+            return EngineAgent(
                 mock.Mock(), mock.Mock(), mock.Mock(), mock.Mock(), AgentMetrics()
             )
+
+    def test_entry_that_connects_again_counts_once(self):
+        # Guards against shares that are halved, and requests below the quota that are
+        # refused, while the connections from before a restart of all entries remain.
+        agent = self.build_agent()
+        spec = msgspec.json.encode(engine_spec())
+        agent._claim = mock.Mock(token=0)
+        agent._queue = mock.Mock(prefill_speed=mock.Mock(seconds_per_token=0.0))
+        agent._queue.backlog.return_value = 0.0
+        agent._crash_reports = mock.Mock()
+        agent._estimate_load_wait = agent._pause_left = lambda *_now: 0.0
+        for number, name in enumerate(("e1", "e2", "e1", "e2")):
+            agent._peers[number] = peer = mock.Mock(number=number)
+            agent._on_message(peer, Hello(name, "g", 1, spec, PROTOCOL_VERSION))
+        self.assertEqual(agent._build_status(0.0).entries, 2)
+        agent._queue.drop_connection.return_value = []
+        agent._on_closed(agent._peers[0], "silent")
+        self.assertEqual(agent._build_status(0.0).entries, 2)
+        agent._on_closed(agent._peers[2], "silent")
+        self.assertEqual(agent._build_status(0.0).entries, 1)
+
+    def test_agent_passes_requests_on(self):
+        agent = self.build_agent()
         agent._quotas = mock.Mock()
         peer, message = mock.Mock(), QuotaRequest("e", 1, 1, 1, [])
         agent._on_message(peer, message)
