Handle a quota request without visiting all shares

Cause: for each line a holder searched all shares for the oldest, for the highest number of entries and for waiting lines.

Ruled out: fewer reports, as a share lapses after 1 s without one.

Change: shares are kept in the order of their latest request, the highest number of entries is kept and counted again only when its reporter leaves or lowers it, and waiting lines have their own dict. Decisions are the same.

--- a/fighitch/core/gateway/quota_holder.py
+++ b/fighitch/core/gateway/quota_holder.py
@@ -134,19 +134,33 @@
         entries: Number of entries that the entry knows.
         sent_at: Time of the latest request by the entry's clock.
         reserved: Units lent to the entry and not reported as used or returned.
-        parked: Line that waits for other entries to lend their shares.
     """
 
     heard_at: Seconds
     entries: int
     sent_at: int
     reserved: float = 0.0
-    parked: QuotaLine | None = None
 
 
 @dataclass(slots=True)
 class _Bucket:
-    """Token bucket of one account, made of the shares that entries lend."""
+    """Token bucket of one account, made of the shares that entries lend.
+
+    The work for one request does not grow with the number of shares.
+
+    Attributes:
+        limit: Limit of the bucket.
+        version: Version of the configuration that the limit is from.
+        opened_at: Time of the first request.
+        at: Time up to which units have flowed in.
+        used_at: Time of the latest request that used or needed units.
+        announced_at: Time of the latest announcement.
+        level: Units in the bucket, those lent included.
+        reserved: Units lent.
+        entries: Highest number of entries that the shares' entries know.
+        shares: Shares by entry, the one that was silent for longest first.
+        parked: Lines that wait for other entries to lend their shares, by entry.
+    """
 
     limit: QuotaLimit
     version: int
@@ -156,13 +170,14 @@
     announced_at: Seconds = float("-inf")
     level: float = 0.0
     reserved: float = 0.0
+    entries: int = 1
     shares: dict[str, _Share] = field(default_factory=dict)
+    parked: dict[str, QuotaLine] = field(default_factory=dict)
 
     @property
     def fraction(self) -> float:
         """Fraction of the quota that is lent to this holder."""
-        entries = max((share.entries for share in self.shares.values()), default=1)
-        return len(self.shares) / max(entries, len(self.shares), 1)
+        return len(self.shares) / max(self.entries, len(self.shares), 1)
 
     @property
     def rate(self) -> float:
@@ -183,7 +198,7 @@
     def advance(self, now: Seconds) -> None:
         """Lets units flow in and removes the shares of silent entries."""
         while self.shares:
-            name, share = min(self.shares.items(), key=lambda item: item[1].heard_at)
+            name, share = next(iter(self.shares.items()))
             lapse = share.heard_at + LEASE
             if lapse > now:
                 break
@@ -197,11 +212,29 @@
         self.level = min(self.limit.capacity * fraction, self.level + inflow)
         self.at = max(self.at, now)
 
+    def record(self, entry: str, *, entries: int, sent_at: int, now: Seconds) -> _Share:
+        """Records a request of an entry that lends a share."""
+        share = self.shares.pop(entry, None) or _Share(now, entries, sent_at)
+        was_highest = share.entries >= self.entries
+        share.heard_at, share.entries, share.sent_at = now, entries, sent_at
+        self.shares[entry] = share
+        if entries >= self.entries:
+            self.entries = entries
+        elif was_highest:
+            self._count_entries()
+        return share
+
+    def _count_entries(self) -> None:
+        self.entries = max((item.entries for item in self.shares.values()), default=1)
+
     def remove(self, entry: str) -> None:
         """Removes an entry's share; its units count as used, as it may use them."""
         share = self.shares.pop(entry, None)
         if share is None:
             return
+        self.parked.pop(entry, None)
+        if share.entries >= self.entries:
+            self._count_entries()
         self.reserved -= share.reserved
         self.level -= share.reserved
         self.level = min(self.level, self.limit.capacity * self.fraction)
@@ -221,11 +254,7 @@
     @property
     def has_parked(self) -> bool:
         """Whether a request waits for other entries to lend their shares."""
-        return any(
-            share.parked is not None
-            for bucket in self._buckets.values()
-            for share in bucket.shares.values()
-        )
+        return any(bucket.parked for bucket in self._buckets.values())
 
     def state(self, account: str) -> tuple[float, float, int]:
         """Returns the state of an open account.
@@ -262,17 +291,16 @@
         grants = []
         for line in lines:
             bucket = self._open(line, version, now)
-            share = bucket.shares.get(entry)
-            if share is None:
-                share = bucket.shares[entry] = _Share(now, entries, sent_at)
+            is_new = entry not in bucket.shares
+            share = bucket.record(entry, entries=entries, sent_at=sent_at, now=now)
+            if is_new:
                 capacity = bucket.limit.capacity * bucket.fraction
                 bucket.level = min(capacity, bucket.level + max(0.0, line.credit))
-            share.heard_at, share.entries, share.sent_at = now, entries, sent_at
             self._settle(bucket, share, line, now)
-            grants += self._serve(bucket, entry, share, line, now)
-            for name, other in bucket.shares.items():
-                if other.parked is not None and name != entry:
-                    grants += self._serve(bucket, name, other, other.parked, now)
+            grants += self._serve(bucket, entry, line, now)
+            for name, parked in list(bucket.parked.items()):
+                if name != entry:
+                    grants += self._serve(bucket, name, parked, now)
         return grants
 
     def leave(self, entry: str, accounts: Iterable[str], now: Seconds) -> None:
@@ -295,9 +323,8 @@
             if not bucket.shares:
                 del self._buckets[account]
                 continue
-            for name, share in bucket.shares.items():
-                if share.parked is not None:
-                    grants += self._serve(bucket, name, share, share.parked, now)
+            for name, line in list(bucket.parked.items()):
+                grants += self._serve(bucket, name, line, now)
         return grants
 
     def due_announcements(self, now: Seconds) -> list[tuple[str, frozenset[str]]]:
@@ -353,19 +380,19 @@
         self,
         bucket: _Bucket,
         entry: str,
-        share: _Share,
         line: QuotaLine,
         now: Seconds,
     ) -> list[Grant]:
         """Lends units; returns no answer if other entries may still lend shares."""
+        share = bucket.shares[entry]
         free = max(0.0, bucket.free)
         granted = min(line.needed, free)
         is_short = granted < line.needed - _EPSILON
         is_opening = now - bucket.opened_at < OPENING_TIME - _EPSILON
         if is_short and is_opening and bucket.fraction < 1:
-            share.parked = line
+            bucket.parked[entry] = line
             return []
-        share.parked = None
+        bucket.parked.pop(entry, None)
         headroom = bucket.limit.headroom * bucket.fraction - bucket.reserved - granted
         # Half of what is left, so that entries that ask later get some too.
         ahead = min(line.wanted, max(0.0, headroom) / 2, (free - granted) / 2)
--- a/fighitch/tests/test_quotas.py
+++ b/fighitch/tests/test_quotas.py
@@ -738,6 +738,72 @@
         self.assertEqual(self.results, [])
 
 
+class _CountedShares(dict):
+    """Counts the shares that are looked at one after the other."""
+
+    visited = 0
+
+    def __iter__(self):
+        for name in super().__iter__():
+            self.visited += 1
+            yield name
+
+    def items(self):
+        return ((name, self[name]) for name in self)
+
+    def values(self):
+        return (self[name] for name in self)
+
+
+class HolderCostTests(unittest.TestCase):
+    def test_request_does_not_visit_all_shares(self):
+        # Guards against work that grows with the square of the number of entries: each
+        # entry sends a few requests per second.
+        holder = QuotaHolder()
+        limit = quota_limit(QUOTA, WINDOW)
+
+        def report(now: float) -> None:
+            for number in range(200):
+                holder.handle(
+                    f"e{number}",
+                    [QuotaLine("a", limit, needed=1.0)],
+                    sent_at=1,
+                    entries=200,
+                    version=1,
+                    now=now,
+                )
+
+        report(0.0)
+        bucket = holder._buckets["a"]
+        bucket.shares = _CountedShares(bucket.shares)
+        report(0.25)
+        self.assertLessEqual(bucket.shares.visited, 2 * 200)
+
+    def test_share_of_a_silent_entry_ends_before_those_of_others(self):
+        # Guards against a lapsed share that stays behind one of a later report.
+        holder = QuotaHolder()
+        line = [QuotaLine("a", quota_limit(QUOTA, WINDOW))]
+        for name, now in (("e1", 0.0), ("e2", 0.1), ("e1", 0.8), ("e3", 1.2)):
+            holder.handle(name, line, sent_at=1, entries=3, version=1, now=now)
+        self.assertEqual(list(holder._buckets["a"].shares), ["e1", "e3"])
+
+    def test_fraction_follows_the_highest_number_of_entries(self):
+        # Guards against a number of entries that outlives its only reporter.
+        holder = QuotaHolder()
+        line = [QuotaLine("a", quota_limit(QUOTA, WINDOW))]
+
+        def report(name: str, entries: int) -> float:
+            holder.handle(name, line, sent_at=1, entries=entries, version=1, now=0.0)
+            return holder._buckets["a"].fraction
+
+        self.assertEqual(report("e1", 4), 1 / 4)
+        self.assertEqual(report("e2", 8), 2 / 8)
+        self.assertEqual(report("e2", 5), 2 / 5)
+        self.assertEqual(report("e2", 8), 2 / 8)
+        holder.disconnect("e2", 0.0)
+        self.assertEqual(holder._buckets["a"].fraction, 1 / 4)
+
+
 class EntryCountTests(unittest.TestCase):
     def test_short_rise_is_not_remembered(self):
         # The agents count a replaced entry twice for two seconds; each such replacement
