Remove cancelled timers before they are due; parse in smaller steps

Cause: each request cancels an idle timer of about 16 s, which stayed in the loop until it was due: 60 callers that pipelined 3,500 small requests each behind a running one raised an entry to 70.3 to 73.3 MB. Steps of 4 KiB let 227 requests wait on a connection; that was ruled out as the cause, but at 703 connections their memory would exceed the budget, so steps are 512 bytes and at most 30 requests wait.

--- a/fighitch/runtime/event_loop.py
+++ b/fighitch/runtime/event_loop.py
@@ -15,6 +15,8 @@
 # If the callbacks of a round take longer, timers that became due meanwhile wait until
 # the sockets have been polled again.
 _MAX_POLL_AGE: Seconds = 0.02
+# Smallest number of timers at which cancelled ones are removed before they are due.
+_MIN_PURGE_TIMERS = 1_024
 
 
 class Timer:
@@ -37,6 +39,7 @@
         self._clock = clock
         self._selector = selectors.DefaultSelector()
         self._timers: list[tuple[Seconds, int, Timer]] = []
+        self._purge_at = _MIN_PURGE_TIMERS
         self._sequence = itertools.count()
         self._running = False
         self._polled_at: Seconds = clock()
@@ -57,11 +60,22 @@
 
     def call_later(self, delay: Seconds, callback: Callable[[], None]) -> Timer:
         """Schedules a single call after a delay in seconds."""
+        if len(self._timers) >= self._purge_at:
+            self._purge_cancelled()
         timer = Timer(callback)
         due = self._clock() + delay
         heapq.heappush(self._timers, (due, next(self._sequence), timer))
         return timer
 
+    def _purge_cancelled(self) -> None:
+        """Removes cancelled timers.
+
+        A caller with many small requests cancels a long timer for each of them.
+        """
+        self._timers = [item for item in self._timers if item[2].callback is not None]
+        heapq.heapify(self._timers)
+        self._purge_at = max(_MIN_PURGE_TIMERS, 2 * len(self._timers))
+
     def call_every(self, interval: Seconds, callback: Callable[[], None]) -> None:
         """Calls a function repeatedly, an interval apart, while the loop runs."""
 
--- a/fighitch/runtime/http_callers.py
+++ b/fighitch/runtime/http_callers.py
@@ -28,7 +28,7 @@
 _SMALL_RECEIVE_BYTES = 16_384
 # Bytes parsed before it is checked how many requests they completed; a request has at
 # least 18 bytes.
-_PARSE_BYTES = 4_096
+_PARSE_BYTES = 512
 # Size of the send buffer above which reading of the response from its source pauses.
 _HIGH_WATER_MARK = 65_536
 _BODY_TIMEOUT: Seconds = 10.0
--- a/fighitch/tests/test_event_loop.py
+++ b/fighitch/tests/test_event_loop.py
@@ -62,3 +62,20 @@
         self.busy_peer.send(b"x")
         self.loop.run_once(0.01)
         self.assertEqual(self.calls, ["immediate"])
+
+
+class CancelledTimerTests(unittest.TestCase):
+    """Guards against memory that grows with each cancelled timer until it is due."""
+
+    def test_cancelled_timers_are_removed_and_the_others_run_in_order(self):
+        now = 0.0
+        loop = EventLoop(lambda: now)
+        calls: list[int] = []
+        for number in range(50_000):
+            loop.call_later(60.0, lambda: calls.append(-1)).cancel()
+            if number % 10_000 == 0:
+                loop.call_later(50.0 - number / 1_000, lambda n=number: calls.append(n))
+        self.assertLess(len(loop._timers), 2_000)
+        now = 70.0
+        loop.run_once(0.0)
+        self.assertEqual(calls, [40_000, 30_000, 20_000, 10_000, 0])
