Charge servers of other zones by measurements

The rankers added a fixed 0.01 s to servers of other zones, whatever the crossing took, how old the zone's reports were and how many entries acted on them. zone_choice computes the charge for each service; plain_load measures plain servers, counts refusals apart from responses, which made a server that refused fast look fast, and probes servers that were slow.

Not in use by the entry yet.

--- a/fighitch/core/gateway/backend_choice.py
+++ b/fighitch/core/gateway/backend_choice.py
@@ -8,9 +8,12 @@
 
 from collections.abc import Callable, Container, Mapping, Sequence
 from dataclasses import dataclass, field
+from random import Random
 
 from fighitch.core.gateway.model import AdapterName, BackendServer
+from fighitch.core.gateway.plain_load import PlainServerLoad, typical_response_time
 from fighitch.core.gateway.recent_adapters import RecentAdapters
+from fighitch.core.gateway.zone_choice import UNKNOWN_CHARGE, ZoneCharges
 from fighitch.core.rendezvous import RankedPartitions
 from fighitch.types import Seconds
 
@@ -21,8 +24,6 @@
 # other than the home occupies a slot there, and the next load is cold again.
 _HOME_RANK_PENALTY: Seconds = 0.06
 _MAX_HOME_RANK = 4
-# Tie-breaker between equally loaded servers: traffic between zones is billed.
-_CROSS_ZONE_PENALTY: Seconds = 0.01
 # A restarted engine can't serve requests until its model is loaded.
 _MODEL_LOAD_TIME: Seconds = 3.0
 _PAUSED_PENALTY: Seconds = 5.0
@@ -30,6 +31,10 @@
 _DISCONNECTED_PENALTY: Seconds = 0.5
 # Without an agent, nobody orders an engine to replace an outdated adapter.
 _OUTDATED_PENALTY: Seconds = 5.0
+# Plain servers whose expected response times differ by less than this share are chosen
+# at random. Entries that measured the same would otherwise all move to the same server.
+_RANDOM_SHARE = 0.2
+_DEFAULT_CHARGES = ZoneCharges()
 # Maximum number of engines that are asked to admit a request before it is accepted as
 # late or rejected.
 _MAX_ADMISSION_REQUESTS = 3
@@ -52,6 +57,7 @@
         seconds_per_token: Prefill time of one prompt token.
         load_wait: Time until a load requested now would start.
         pause: Time for which the engine has asked another entry for no request.
+        reported_at: Time of the latest status; infinite if it is not recorded.
     """
 
     instance_id: str
@@ -65,6 +71,7 @@
     seconds_per_token: Seconds = 5e-5
     load_wait: Seconds = 0.0
     pause: Seconds = 0.0
+    reported_at: Seconds = float("inf")
 
 
 @dataclass(frozen=True, slots=True)
@@ -114,8 +121,15 @@
 class EngineRanker:
     """Ranks engines for a request."""
 
-    def __init__(self, zone: str) -> None:
+    def __init__(self, zone: str, rng: Random | None = None) -> None:
+        """Starts without servers.
+
+        Args:
+            zone: Availability zone of the entry.
+            rng: Source of the random part of charges; seeded differently on each entry.
+        """
         self._zone = zone
+        self._rng = rng or Random()
         self._rendezvous = RankedPartitions({})
         self._servers: Sequence[BackendServer] = ()
 
@@ -128,6 +142,7 @@
         *,
         required_version: int = 0,
         avoid: Container[str] = (),
+        charges: ZoneCharges = _DEFAULT_CHARGES,
     ) -> list[Candidate]:
         """Returns the engines that may run a request, the cheapest first.
 
@@ -140,10 +155,14 @@
             required_version: Oldest version of the adapter that may serve the request;
                 0 for any.
             avoid: Instance ids to leave out.
+            charges: What engines of other zones are charged.
         """
         home_ranks = self._home_ranks(adapter, servers)
         model = AdapterName(adapter.model)
         candidates = []
+        # Servers of other zones, with their costs and crowd charges.
+        away: list[tuple[BackendServer, Seconds, Seconds]] = []
+        is_held_here = False
         for server in servers:
             if server.instance_id in avoid:
                 continue
@@ -157,19 +176,30 @@
                     cost += _OUTDATED_PENALTY
             if not view.serving:
                 cost += _PAUSED_PENALTY
-            if server.zone != self._zone:
-                cost += _CROSS_ZONE_PENALTY
+            is_away = server.zone != self._zone
+            if is_away:
+                cost += charges.charge(server.zone)
+                if not view.connected:
+                    cost += UNKNOWN_CHARGE
             if model not in view.adapters:
                 cost += _MODEL_LOAD_TIME
-            if adapter.adapter and adapter not in view.adapters:
+            if adapter in view.adapters:
+                is_held_here = is_held_here or not is_away
+            elif adapter.adapter:
                 cost += view.load_wait
                 is_recent = adapter in view.recently_unloaded
                 cost += _RELOAD_TIME if is_recent else _COLD_LOAD_TIME
                 home_rank = home_ranks.get(server.instance_id, _MAX_HOME_RANK)
                 cost += _HOME_RANK_PENALTY * min(home_rank, _MAX_HOME_RANK)
-            candidates.append(Candidate(server, cost))
-        candidates.sort(key=lambda candidate: candidate.cost)
-        return candidates
+            if is_away:
+                pending = view.pending_prefill
+                extra = charges.crowd_charge(server.zone, pending, self._rng.random())
+                away.append((server, cost, extra))
+            else:
+                candidates.append(Candidate(server, cost))
+        for server, cost, extra in away:
+            candidates.append(Candidate(server, cost + extra * is_held_here))
+        return _sorted_by_cost(candidates, self._zone, charges)
 
     def _home_ranks(
         self, adapter: AdapterName, servers: Sequence[BackendServer]
@@ -183,23 +213,6 @@
         return {name: home_rank for home_rank, name in enumerate(ranking)}
 
 
-@dataclass(slots=True)
-class PlainServerLoad:
-    """Load that one entry puts on one plain server.
-
-    Attributes:
-        running: Number of requests in flight.
-        response_time: Moving average of the response time.
-    """
-
-    running: int = 0
-    response_time: Seconds = 0.05
-
-    def record_response_time(self, elapsed: Seconds) -> None:
-        """Updates the average with the response time of a request."""
-        self.response_time += 0.1 * (elapsed - self.response_time)
-
-
 def rank_plain_servers(
     servers: Sequence[BackendServer],
     loads: dict[str, PlainServerLoad],
@@ -207,6 +220,10 @@
     penalty: Callable[[str], Seconds],
     *,
     avoid: Container[str] = (),
+    charges: ZoneCharges = _DEFAULT_CHARGES,
+    now: Seconds = 0.0,
+    rng: Random | None = None,
+    probe: str | None = None,
 ) -> list[Candidate]:
     """Ranks plain servers by expected response time, the shortest first.
 
@@ -216,17 +233,50 @@
         zone: Availability zone of the entry.
         penalty: Returns the cost of a server's recent failures.
         avoid: Instance ids to leave out.
+        charges: What servers of other zones are charged.
+        now: Current time.
+        rng: Chooses between servers that are nearly equal; None for the order of the
+            list.
+        probe: Instance id of a server that should get the request unless it is paused.
     """
+    typical, _ = typical_response_time(servers, loads)
     candidates = []
     for server in servers:
-        if server.instance_id in avoid:
+        name = server.instance_id
+        if name in avoid:
             continue
-        load = loads.get(server.instance_id) or PlainServerLoad()
-        cost = load.running * load.response_time / max(1, server.slots)
-        cost += load.response_time + penalty(server.instance_id)
+        load = loads.get(name) or PlainServerLoad()
+        is_measured = load.measured_at is not None
+        response_time = load.response_time if is_measured else typical
+        penalty_time = penalty(name)
+        cost = response_time * (1 + load.running / max(1, server.slots))
+        if rng is not None:
+            # Lowers the cost in the own zone and raises it elsewhere, so that chance
+            # alone makes no request cross.
+            factor = _RANDOM_SHARE * rng.random()
+            cost *= 1 - factor if server.zone == zone else 1 + factor
+        cost += penalty_time + max(0.0, load.refused_until - now)
         if server.zone != zone:
-            cost += _CROSS_ZONE_PENALTY
+            cost += charges.charge(server.zone) + charges.noise
+        if name == probe and penalty_time < _PAUSED_PENALTY:
+            cost = 0.0
         candidates.append(Candidate(server, cost))
+    return _sorted_by_cost(candidates, zone, charges)
+
+
+def _sorted_by_cost(
+    candidates: list[Candidate], zone: str, charges: ZoneCharges
+) -> list[Candidate]:
+    """Sorts candidates; latency targets take precedence over the price of bytes."""
+    if charges.price:
+        own = [item.cost for item in candidates if item.server.zone == zone]
+        if min(own, default=0.0) > charges.price_limit:
+            candidates = [
+                item
+                if item.server.zone == zone
+                else Candidate(item.server, item.cost - charges.price)
+                for item in candidates
+            ]
     candidates.sort(key=lambda candidate: candidate.cost)
     return candidates
 
--- /dev/null
+++ b/fighitch/core/gateway/plain_load.py
@@ -0,0 +1,163 @@
+"""Load and speed of backend servers without an agent, as measured by one entry.
+
+Load pattern: several entries share a few plain servers. Some servers run several times
+as slow without saying so, refuse requests at once, or leave a part of them without a
+response. An entry knows only its own requests, so that a server that answers fast with
+refusals would attract all of them, and one that was slow once would never be tried
+again.
+"""
+
+from collections.abc import Container, Iterable, Mapping, Sequence
+from dataclasses import dataclass, field
+
+from fighitch.core.gateway.model import BackendServer
+from fighitch.types import Seconds
+
+# Response time of a service before its first response.
+_INITIAL_RESPONSE_TIME: Seconds = 0.05
+# Weight of a new response time among frequent ones.
+_SMOOTHING_FACTOR = 0.1
+# Time after which a measurement counts half: a server that is rarely used is judged by
+# its latest response.
+_HALF_LIFE: Seconds = 5.0
+# A server without a response for this long gets one request as a probe.
+_PROBE_INTERVAL: Seconds = 5.0
+# A service sends at most one request in so many as a probe: a probe may be slow, or
+# cross zones for nothing.
+_REQUESTS_PER_PROBE = 40
+# A refusal holds requests back for the time in which the server ends a request, and
+# twice as long for each further one, but a recovered server must be found again.
+_MAX_HOLD: Seconds = 1.0
+_MAX_HOLD_DOUBLINGS = 6
+
+
+@dataclass(slots=True)
+class PlainServerLoad:
+    """Load that one entry puts on one plain server.
+
+    Attributes:
+        running: Number of requests in flight.
+        response_time: Moving average of the response time.
+        deviation: Moving average of the distance of response times from it.
+        measured_at: Time of the latest response; None if there was none.
+        refused_until: Time until which the server is expected to refuse requests.
+        refusals: Number of refusals since the latest response.
+    """
+
+    running: int = 0
+    response_time: Seconds = _INITIAL_RESPONSE_TIME
+    deviation: Seconds = 0.0
+    measured_at: Seconds | None = None
+    refused_until: Seconds = 0.0
+    refusals: int = 0
+
+    def record_response_time(self, elapsed: Seconds, now: Seconds = 0.0) -> None:
+        """Updates the averages with the response time of a request."""
+        distance = abs(elapsed - self.response_time)
+        weight = self._weight(now)
+        if self.measured_at is not None:
+            self.deviation += weight * (distance - self.deviation)
+        self.response_time += weight * (elapsed - self.response_time)
+        self.measured_at = now
+        self.refusals = 0
+        self.refused_until = 0.0
+
+    def record_unanswered(self, elapsed: Seconds, now: Seconds) -> None:
+        """Updates the average with a request that ended without a response.
+
+        Its response time would have been longer. The deviation stays as it is: it tells
+        how much the response times of a sound server differ.
+        """
+        if elapsed > self.response_time:
+            self.response_time += self._weight(now) * (elapsed - self.response_time)
+            self.measured_at = now
+
+    def record_refusal(self, now: Seconds) -> None:
+        """Records that the server refused a request without running it."""
+        hold = self.response_time * 2 ** min(self.refusals, _MAX_HOLD_DOUBLINGS)
+        self.refusals += 1
+        self.refused_until = now + min(_MAX_HOLD, hold)
+
+    def needs_probe(self, now: Seconds) -> bool:
+        """Returns whether a request should be sent to learn the server's speed."""
+        if self.running or now < self.refused_until:
+            return False
+        return self.measured_at is None or now - self.measured_at >= _PROBE_INTERVAL
+
+    def _weight(self, now: Seconds) -> float:
+        if self.measured_at is None:
+            return 1.0
+        gap = max(0.0, now - self.measured_at)
+        return max(_SMOOTHING_FACTOR, 1 - 0.5 ** (gap / _HALF_LIFE))
+
+
+_UNKNOWN_LOAD = PlainServerLoad()
+
+
+@dataclass(slots=True)
+class PlainLoads:
+    """Loads that one entry puts on all servers, and its probes.
+
+    Attributes:
+        by_id: Load of each server that was sent a request, by instance id.
+    """
+
+    by_id: dict[str, PlainServerLoad] = field(default_factory=dict)
+    # Requests of each service since its latest probe.
+    _since_probe: dict[str, int] = field(default_factory=dict)
+
+    def record_sent(self, server: BackendServer, now: Seconds) -> None:
+        """Records that a request was sent to a server."""
+        load = self.by_id.setdefault(server.instance_id, PlainServerLoad())
+        count = self._since_probe.get(server.service, _REQUESTS_PER_PROBE)
+        is_probe = count >= _REQUESTS_PER_PROBE and load.needs_probe(now)
+        self._since_probe[server.service] = 0 if is_probe else count + 1
+        load.running += 1
+
+    def find_probe(
+        self,
+        servers: Iterable[BackendServer],
+        now: Seconds,
+        avoid: Container[str] = (),
+    ) -> str | None:
+        """Returns the instance id of a server that the next request should probe.
+
+        Args:
+            servers: Servers of one service, in the order in which they are probed.
+            now: Current time.
+            avoid: Instance ids to leave out.
+        """
+        for server in servers:
+            count = self._since_probe.get(server.service, _REQUESTS_PER_PROBE)
+            if count < _REQUESTS_PER_PROBE:
+                return None
+            name = server.instance_id
+            if name in avoid:
+                continue
+            if self.by_id.get(name, _UNKNOWN_LOAD).needs_probe(now):
+                return name
+        return None
+
+    def forget(self, instance_id: str) -> None:
+        """Removes the state of a server that is gone."""
+        self.by_id.pop(instance_id, None)
+
+
+def typical_response_time(
+    servers: Sequence[BackendServer], loads: Mapping[str, PlainServerLoad]
+) -> tuple[Seconds, Seconds]:
+    """Returns the shortest average response time of a service, and its deviation.
+
+    Servers without a measurement are assumed to be as fast. The deviation is the
+    smallest of all, so that one faulty server doesn't hide how fast it is.
+    """
+    measured = [
+        load
+        for server in servers
+        if (load := loads.get(server.instance_id)) is not None
+        and load.measured_at is not None
+    ]
+    return (
+        min((load.response_time for load in measured), default=_INITIAL_RESPONSE_TIME),
+        min((load.deviation for load in measured), default=0.0),
+    )
