Rank by zone and load in the entry, and record what leaves

ZoneTraffic holds the rankers, the loads of plain servers and the charges of other zones, which the entry held before. The settings gain Bounds.CrossZoneMsPerMb, the metrics fighitch_zone_attempts, the log the event zone_left and the fields zone, left_zone and size of request_ended.

A refusal of a plain server no longer counts as a fast response.

--- a/fighitch/core/gateway/backend_choice.py
+++ b/fighitch/core/gateway/backend_choice.py
@@ -268,15 +268,18 @@
     candidates: list[Candidate], zone: str, charges: ZoneCharges
 ) -> list[Candidate]:
     """Sorts candidates; latency targets take precedence over the price of bytes."""
-    if charges.price:
-        own = [item.cost for item in candidates if item.server.zone == zone]
-        if min(own, default=0.0) > charges.price_limit:
-            candidates = [
-                item
-                if item.server.zone == zone
-                else Candidate(item.server, item.cost - charges.price)
-                for item in candidates
-            ]
+    candidates.sort(key=lambda candidate: candidate.cost)
+    if not charges.price:
+        return candidates
+    own = (item.cost for item in candidates if item.server.zone == zone)
+    if next(own, 0.0) <= charges.price_limit:
+        return candidates
+    candidates = [
+        item
+        if item.server.zone == zone
+        else Candidate(item.server, item.cost - charges.price)
+        for item in candidates
+    ]
     candidates.sort(key=lambda candidate: candidate.cost)
     return candidates
 
--- a/fighitch/core/gateway/settings.py
+++ b/fighitch/core/gateway/settings.py
@@ -7,6 +7,9 @@
 
 # Used if the settings do not state the interval.
 DEFAULT_HEARTBEAT_INTERVAL: Seconds = 1.2
+# Waiting time of a client that a byte across zones is worth: 10 ms for a megabyte. The
+# few kilobytes of a prompt and its response don't delay a client noticeably.
+DEFAULT_CROSS_ZONE_SECONDS_PER_BYTE: Seconds = 1e-8
 
 
 @dataclass(frozen=True, slots=True)
@@ -59,6 +62,8 @@
             instance may accept it, in contact with the store or not; None if an
             instance without contact may go on.
         quota_window: How closely the quotas of client accounts hold.
+        cross_zone_seconds_per_byte: Waiting time of a client, in seconds, that one byte
+            across zones is worth; 0 if such traffic is free.
         memory_limit: Memory of the instance's process, in bytes; 0 if not stated.
         descriptor_limit: File descriptors of the process; 0 if not stated.
     """
@@ -78,5 +83,6 @@
     heartbeat_interval: Seconds = DEFAULT_HEARTBEAT_INTERVAL
     revoke_within: Seconds | None = None
     quota_window: QuotaWindow = QuotaWindow()
+    cross_zone_seconds_per_byte: Seconds = DEFAULT_CROSS_ZONE_SECONDS_PER_BYTE
     memory_limit: int = 0
     descriptor_limit: int = 0
--- a/fighitch/core/gateway/zone_choice.py
+++ b/fighitch/core/gateway/zone_choice.py
@@ -66,6 +66,10 @@
     ADAPTER = "adapter"
     SLOW = "slow"
     FULL = "full"
+    # A server of the own zone has refused or failed the request before.
+    RETRY = "retry"
+    # The server has not been measured for a while.
+    PROBE = "probe"
 
 
 class EngineState(Protocol):
@@ -364,17 +368,20 @@
     known = [view for view in known if view.connected and view.serving]
     if not known:
         return LeaveReason.NONE_READY
+    if adapter is not None and not any(adapter in view.adapters for view in known):
+        return LeaveReason.ADAPTER
+    fastest = min(view.seconds_per_token for view in known)
     chosen = views.get(server.instance_id)
-    if chosen is None or adapter is None or adapter not in chosen.adapters:
-        return LeaveReason.FULL
-    is_held = any(adapter in view.adapters for view in known)
-    return LeaveReason.FULL if is_held else LeaveReason.ADAPTER
+    is_slow = chosen is not None and fastest > _SLOW_FACTOR * chosen.seconds_per_token
+    return LeaveReason.SLOW if is_slow else LeaveReason.FULL
 
 
 def plain_leave_reason(
     server: BackendServer,
     home: Sequence[BackendServer],
     loads: Mapping[str, PlainServerLoad],
+    *,
+    is_probe: bool = False,
 ) -> LeaveReason:
     """Returns why a request left its zone for a plain server.
 
@@ -382,9 +389,12 @@
         server: Server of another zone that gets the request.
         home: Servers of the own zone that could have got it.
         loads: Load that the entry puts on each server, by instance id.
+        is_probe: Whether the request measures the speed of the server.
     """
     if not home:
         return LeaveReason.NONE_READY
+    if is_probe:
+        return LeaveReason.PROBE
     known = [load for item in home if (load := loads.get(item.instance_id))]
     chosen = loads.get(server.instance_id)
     if chosen is None or not known:
--- a/fighitch/gateway/agent_links.py
+++ b/fighitch/gateway/agent_links.py
@@ -420,6 +420,7 @@
             self._send_all_crashes(link)
         view.backlog = status.backlog_ms / _MS_PER_SECOND
         view.pending_prefill = 0.0
+        view.reported_at = self._loop.now()
         # The agent may serve a later incarnation than the one in the instance list.
         is_same_incarnation = status.engine_start_time_ms in (
             0,
--- a/fighitch/gateway/caller_response.py
+++ b/fighitch/gateway/caller_response.py
@@ -33,6 +33,7 @@
         self._caller: CallerConnection | None = caller
         self._on_gone = on_gone
         self._head: ResponseHead | None = None
+        self._body_bytes = 0
         caller.on_disconnected = self._on_disconnected
         caller.on_buffer_drained = on_drained
 
@@ -41,6 +42,11 @@
         """Head that the caller has; None if it has none."""
         return self._head
 
+    @property
+    def body_bytes(self) -> int:
+        """Bytes of the body that were sent to the caller."""
+        return self._body_bytes
+
     @property
     def is_caller_gone(self) -> bool:
         """Whether the caller has left."""
@@ -60,6 +66,7 @@
     def send_body(self, data: bytes) -> bool:
         """Sends a part of the body; returns whether the caller reads too slowly."""
         if self._caller is not None:
+            self._body_bytes += len(data)
             self._caller.send_body(data)
         return self._caller is not None and self._caller.is_backlogged
 
@@ -67,6 +74,7 @@
         """Sends the rest of the body and completes the response."""
         if self._caller is not None:
             caller = self._caller
+            self._body_bytes += len(body)
             caller.send_body(body)
             caller.finish()
 
--- a/fighitch/gateway/entry.py
+++ b/fighitch/gateway/entry.py
@@ -9,10 +9,7 @@
 
 from fighitch.core.gateway.backend_choice import (
     Candidate,
-    EngineRanker,
-    PlainServerLoad,
     failure_penalty,
-    rank_plain_servers,
 )
 from fighitch.core.gateway.failures import FailureKind
 from fighitch.core.gateway.left_incarnations import LeftIncarnations
@@ -41,6 +38,7 @@
 from fighitch.gateway.store_calls import StoreCalls
 from fighitch.gateway.store_watch import KindWatcher, WatchOptions
 from fighitch.gateway.unreadable_objects import UnreadableObjects
+from fighitch.gateway.zone_traffic import ZoneTraffic
 from fighitch.observability.bounded_log import BoundedLog
 from fighitch.platform.configuration import (
     CONFIGURATION_KIND,
@@ -118,11 +116,12 @@
         self._configuration: Configuration | None = None
         self._routes = RouteTable(())
         self._has_server_list = False
-        self._engine_ranker = EngineRanker(settings.zone)
         self._outliers = OutlierDetector()
         self._server_limits = ServerLimits()
         self._limit_shares = LimitShares()
-        self._plain_loads: dict[str, PlainServerLoad] = {}
+        self._zones = ZoneTraffic(
+            loop, settings, log, metrics, is_usable=self._is_usable
+        )
         self._retry_budgets: dict[str, RetryBudget] = {}
         self._callers: set[CallerConnection] = set()
         self._relays: set[RelayedRequest] = set()
@@ -192,6 +191,7 @@
             self._store_calls = self._create_store_calls()
             self.quarantine.connect(settings.store, self._store_calls)
             self._on_servers_restored()
+        self._zones.apply_settings(settings)
         self._store_calls.contact.set_heartbeat_interval(settings.heartbeat_interval)
         if not is_same_store or _watch_timing(previous) != _watch_timing(settings):
             self._restart_watchers()
@@ -422,23 +422,19 @@
         penalty: Callable[[str], Seconds] = self._failure_penalty
         if self._limit_shares.is_active:
             penalty = self._limit_penalty(servers)
-        if service.engine is not None and metadata.adapter is not None:
-            return self._engine_ranker.rank(
-                metadata.adapter,
-                servers,
-                self.links.views,
-                penalty,
-                required_version=self.links.required_version(metadata.adapter),
-                avoid=avoid,
-            )
-        return rank_plain_servers(
+        return self._zones.rank(
+            service.name,
+            None if service.engine is None else metadata.adapter,
             servers,
-            self._plain_loads,
-            self._settings.zone,
+            self.links,
             penalty,
             avoid=avoid,
         )
 
+    def _is_usable(self, server: BackendServer) -> bool:
+        is_paused = self._outliers.is_paused(server.instance_id, self.loop.now())
+        return not is_paused and self._pause_left(server) <= 0
+
     def _pause_left(self, server: BackendServer) -> Seconds:
         return self._pauses.time_left(server.incarnation, self.loop.now())
 
@@ -507,14 +503,20 @@
         """Returns whether a server still accepts new requests from this entry."""
         return self._membership.is_ready(server) and self._pause_left(server) <= 0
 
-    def record_sent(self, server: BackendServer) -> None:
-        """Records that a request was sent to a server."""
-        self._plain_loads.setdefault(server.instance_id, PlainServerLoad()).running += 1
+    def record_sent(
+        self, server: BackendServer, metadata: RequestMetadata, avoid: set[str]
+    ) -> str:
+        """Records that a request was sent; returns why it left its zone, if it did."""
+        ready = self._membership.ready(server.service)
+        return self._zones.record_sent(
+            server, metadata.adapter, ready, self.links.views, avoid
+        )
 
     def record_head(
         self, server: BackendServer, head: ResponseHead, *, sent_at: Seconds
     ) -> None:
         """Records what a response says of its server: its limit, a pause, a leave."""
+        self._zones.record_head(server, head.status, sent_at=sent_at)
         pause = asked_pause(head)
         if pause is not None:
             self._record_pause(server, pause)
@@ -602,11 +604,13 @@
                 outcome=outcome,
                 parts=",".join(metadata.shared_parts),
             )
-        load = self._plain_loads.get(server.instance_id)
-        if load is not None:
-            load.running = max(0, load.running - 1)
-            if not failed:
-                load.record_response_time(elapsed)
+        self._zones.record_outcome(
+            server,
+            unreachable=unreachable,
+            outcome=outcome,
+            elapsed=elapsed,
+            answered=answered,
+        )
         self.metrics.count_attempt(service.name, outcome)
         if failed:
             self._log.event(
@@ -659,6 +663,9 @@
         """Records the end of a request."""
         self._relays.discard(relay)
         self.metrics.count_request(fields["route"], fields["outcome"])
+        self._zones.record_end(
+            fields["service"], size=fields["size"], prompt_tokens=fields["tokens"]
+        )
         self._log.event("request_ended", **fields)
 
     def _failure_penalty(self, instance_id: str) -> Seconds:
@@ -696,6 +703,7 @@
             return
         self._configuration = configuration
         self._routes = RouteTable(configuration.routes)
+        self._zones.set_routes(configuration.routes)
         self._log.event(
             "configuration_applied",
             version=configuration.version,
@@ -766,7 +774,7 @@
                 self._outliers.forget(change.instance_id)
                 self._server_limits.forget(change.instance_id)
                 self._limit_shares.forget(change.instance_id)
-                self._plain_loads.pop(change.instance_id, None)
+                self._zones.forget(change.instance_id)
         self._update_links()
 
     def _update_links(self) -> None:
--- a/fighitch/gateway/metrics.py
+++ b/fighitch/gateway/metrics.py
@@ -25,6 +25,12 @@
             ("service", "outcome"),
             registry=self.registry,
         )
+        self._zone_attempts = Counter(
+            "fighitch_zone_attempts",
+            "Requests sent by service, zone of the server and reason to choose it.",
+            ("service", "zone", "reason"),
+            registry=self.registry,
+        )
         self._first_byte = Histogram(
             "fighitch_first_byte_seconds",
             "Time from a request to the first byte of its answer.",
@@ -50,6 +56,10 @@
         """Counts an attempt at a backend server by service and outcome."""
         self._attempts.labels(service, outcome).inc()
 
+    def count_zone_attempt(self, service: str, zone: str, reason: str) -> None:
+        """Counts a request sent to a zone, with why it left the entry's own."""
+        self._zone_attempts.labels(service, zone, reason).inc()
+
     def observe_first_byte(self, route: str, elapsed: Seconds) -> None:
         """Observes the time to the first byte of a response."""
         self._first_byte.labels(route).observe(elapsed)
--- a/fighitch/gateway/relay.py
+++ b/fighitch/gateway/relay.py
@@ -112,6 +112,7 @@
         self._is_stream = False
         self._late = False
         self._sent_at: Seconds = 0.0
+        self._left_zone = ""
         # First event of the current attempt, and whether its answer is under way
         # without harm to the server.
         self._begun_at: Seconds | None = None
@@ -325,7 +326,7 @@
         )
         self._exchange_number += 1
         self._in_flight = True
-        self._entry.record_sent(server)
+        self._left_zone = self._entry.record_sent(server, self._metadata, self._avoid)
         self._connection = self._connect(server)
         receiver = AttemptReceiver(self, self._exchange_number)
         request_id = self._metadata.request_id.encode("latin-1")
@@ -737,7 +738,7 @@
         self._deadline.cancel()
         self._admission.end()
         self._response.release()
-        server = "" if self._server is None else self._server.instance_id
+        server = self._server
         self._entry.record_end(
             self,
             route=self._route.name,
@@ -746,7 +747,10 @@
             service=self._service.name,
             adapter=self._metadata.adapter or "",
             tokens=self._metadata.size.prompt_tokens,
-            server=server,
+            server="" if server is None else server.instance_id,
+            zone="" if server is None else server.zone,
+            left_zone=self._left_zone,
+            size=len(self._request.body) + self._response.body_bytes,
             late=int(self._late),
             asks=self._admission.requests,
             rejected=self._rejections,
--- a/fighitch/gateway/relay_host.py
+++ b/fighitch/gateway/relay_host.py
@@ -70,8 +70,10 @@
     def is_ready(self, server: BackendServer) -> bool:
         """Returns whether a server still accepts new requests from this entry."""
 
-    def record_sent(self, server: BackendServer) -> None:
-        """Records that a request was sent to a server."""
+    def record_sent(
+        self, server: BackendServer, metadata: RequestMetadata, avoid: set[str]
+    ) -> str:
+        """Records that a request was sent; returns why it left its zone, if it did."""
 
     def record_head(
         self, server: BackendServer, head: ResponseHead, *, sent_at: Seconds
--- a/fighitch/platform/settings.py
+++ b/fighitch/platform/settings.py
@@ -4,12 +4,13 @@
 
 from fighitch.core.gateway.retry_budget import BudgetLimits
 from fighitch.core.gateway.settings import (
+    DEFAULT_CROSS_ZONE_SECONDS_PER_BYTE,
     DEFAULT_HEARTBEAT_INTERVAL,
     Address,
     InstanceSettings,
     QuotaWindow,
 )
-from fighitch.platform.decoding import Port, decode, parse_address
+from fighitch.platform.decoding import Amount, Port, decode, parse_address
 
 SETTINGS_VARIABLE = "FIGHITCH_SETTINGS"
 _MS_PER_SECOND = 1_000
@@ -35,6 +36,10 @@
     quota_window_s: float = 8
     quota_overage: float = 0.1
     quota_slack: float = 0
+    # Waiting time of a client that a megabyte across zones is worth.
+    cross_zone_ms_per_mb: Amount = (
+        DEFAULT_CROSS_ZONE_SECONDS_PER_BYTE * _MS_PER_SECOND * _BYTES_PER_MB
+    )
 
 
 class _Limits(msgspec.Struct, rename="pascal"):
@@ -102,6 +107,9 @@
             overage=bounds.quota_overage,
             slack=bounds.quota_slack,
         ),
+        cross_zone_seconds_per_byte=(
+            bounds.cross_zone_ms_per_mb / _MS_PER_SECOND / _BYTES_PER_MB
+        ),
         memory_limit=int(decoded.limits.memory_mb * _BYTES_PER_MB),
         descriptor_limit=decoded.limits.max_fds,
     )
