Test the choice of zones over several entries and rounds

Ran test_zone_choice and test_plain_load: 35 tests passed; the process test failed once because it sent one adapter again and again, which stays where it is held, and was changed to use another adapter each time.

--- a/fighitch/core/gateway/backend_choice.py
+++ b/fighitch/core/gateway/backend_choice.py
@@ -247,7 +247,7 @@
             continue
         load = loads.get(name) or PlainServerLoad()
         is_measured = load.measured_at is not None
-        response_time = load.response_time if is_measured else typical
+        response_time = load.expected_response_time(now) if is_measured else typical
         penalty_time = penalty(name)
         cost = response_time * (1 + load.running / max(1, server.slots))
         if rng is not None:
--- a/fighitch/core/gateway/plain_load.py
+++ b/fighitch/core/gateway/plain_load.py
@@ -29,6 +29,8 @@
 # twice as long for each further one, but a recovered server must be found again.
 _MAX_HOLD: Seconds = 1.0
 _MAX_HOLD_DOUBLINGS = 6
+# Requests of a sound server take up to this multiple of the average without notice.
+_PATIENCE = 1.5
 
 
 @dataclass(slots=True)
@@ -42,6 +44,8 @@
         measured_at: Time of the latest response; None if there was none.
         refused_until: Time until which the server is expected to refuse requests.
         refusals: Number of refusals since the latest response.
+        waiting_since: Time of the latest response, or of the first request in flight
+            if it was sent later.
     """
 
     running: int = 0
@@ -50,6 +54,27 @@
     measured_at: Seconds | None = None
     refused_until: Seconds = 0.0
     refusals: int = 0
+    waiting_since: Seconds = 0.0
+
+    def record_sent(self, now: Seconds) -> None:
+        """Records that a request was sent."""
+        if not self.running:
+            self.waiting_since = now
+        self.running += 1
+
+    def record_ended(self) -> None:
+        """Records that a request is no longer in flight."""
+        self.running = max(0, self.running - 1)
+
+    def expected_response_time(self, now: Seconds) -> Seconds:
+        """Returns the average response time, or more if the server is silent.
+
+        Responses of a server that has become slow arrive too late: with few requests
+        of one entry, the average follows only after seconds.
+        """
+        if not self.running:
+            return self.response_time
+        return max(self.response_time, (now - self.waiting_since) / _PATIENCE)
 
     def record_response_time(self, elapsed: Seconds, now: Seconds = 0.0) -> None:
         """Updates the averages with the response time of a request."""
@@ -58,7 +83,7 @@
         if self.measured_at is not None:
             self.deviation += weight * (distance - self.deviation)
         self.response_time += weight * (elapsed - self.response_time)
-        self.measured_at = now
+        self.measured_at = self.waiting_since = now
         self.refusals = 0
         self.refused_until = 0.0
 
@@ -112,7 +137,7 @@
         count = self._since_probe.get(server.service, _REQUESTS_PER_PROBE)
         is_probe = count >= _REQUESTS_PER_PROBE and load.needs_probe(now)
         self._since_probe[server.service] = 0 if is_probe else count + 1
-        load.running += 1
+        load.record_sent(now)
 
     def find_probe(
         self,
--- a/fighitch/gateway/entry.py
+++ b/fighitch/gateway/entry.py
@@ -7,10 +7,7 @@
 
 import msgspec
 
-from fighitch.core.gateway.backend_choice import (
-    Candidate,
-    failure_penalty,
-)
+from fighitch.core.gateway.backend_choice import Candidate, failure_penalty
 from fighitch.core.gateway.failures import FailureKind
 from fighitch.core.gateway.left_incarnations import LeftIncarnations
 from fighitch.core.gateway.limit_shares import LimitShares
--- a/fighitch/gateway/zone_traffic.py
+++ b/fighitch/gateway/zone_traffic.py
@@ -219,7 +219,7 @@
         load = self._plain.by_id.get(server.instance_id)
         if load is None:
             return
-        load.running = max(0, load.running - 1)
+        load.record_ended()
         if unreachable or outcome == _WITHDRAWN:
             return
         if outcome.startswith(_REJECTED_PREFIX):
--- a/fighitch/tests/test_gateway_processes.py
+++ b/fighitch/tests/test_gateway_processes.py
@@ -1,3 +1,4 @@
+import itertools
 import signal
 import threading
 import time
@@ -474,3 +475,78 @@
         self.assertEqual(responses[0].headers.get("connection"), None)
         self.assertFalse(self.fleet.is_ready(self.fleet.entries[0]))
         self.assertEqual(self.fleet.entries[0].process.wait(15), 0)
+
+
+class ZoneTests(FleetTestCase):
+    """A zone loses its servers and gets them back; the entries are in it."""
+
+    def setUp(self):
+        self.fleet = PlatformFleet()
+        self.addCleanup(self.fleet.stop)
+        self.own = (self.fleet.plain_servers[0], self.fleet.engines[0])
+        self.other = (self.fleet.plain_servers[1], self.fleet.engines[1])
+        for server in self.other:
+            server.zone = "z2"
+        self.fleet.start()
+
+    def send_round(self, name: str) -> None:
+        for number in range(6):
+            lookup, stream = f"l-{name}-{number}", f"s-{name}-{number}"
+            entry = number % 2
+            response = self.fleet.send_request("lookup", lookup, entry=entry)
+            self.assertEqual(response.status, 200)
+            response = self.fleet.send_request(
+                "stream", stream, entry=entry, adapter="a1"
+            )
+            self.assert_complete_stream(response, stream)
+
+    def ended(self, request_id: str) -> str:
+        """Returns the log line of a request that ended."""
+        mark = f"request={request_id} "
+
+        def lines() -> list[str]:
+            text = "".join(entry.log() for entry in self.fleet.entries)
+            return [
+                line
+                for line in text.splitlines()
+                if "event=request_ended" in line and mark in line
+            ]
+
+        self.assertTrue(wait_until(lambda: lines() != []))
+        return lines()[0]
+
+    def wait_for_changes(self, change: str, count: int) -> None:
+        def is_known() -> bool:
+            return all(
+                entry.log().count(f"change={change}") >= count
+                for entry in self.fleet.entries
+            )
+
+        self.assertTrue(wait_until(is_known))
+
+    def test_work_leaves_a_zone_without_servers_and_comes_back(self):
+        self.assertTrue(wait_until(self.agents_connected))
+        self.send_round("before")
+        for server in self.own:
+            self.fleet.store.remove("servers", server.instance_id)
+        self.wait_for_changes("removed", 2)
+        before = [len(server.runs) for server in (*self.own, *self.other)]
+        self.send_round("lost")
+        after = [len(server.runs) for server in (*self.own, *self.other)]
+        added = [new - old for old, new in zip(before, after, strict=True)]
+        self.assertEqual(added, [0, 0, 6, 6])
+        for name in ("l-lost-0", "s-lost-1"):
+            self.assertRegex(self.ended(name), " zone=z2 left_zone=none_ready ")
+        for server in self.own:
+            self.fleet.publish_heartbeat(server)
+        self.wait_for_changes("added", 6)
+        self.assertTrue(wait_until(lambda: self.is_back("lookup")))
+        # An adapter that the other zone holds stays there.
+        adapters = (f"a{number}" for number in itertools.count(2))
+        self.assertTrue(wait_until(lambda: self.is_back("stream", next(adapters))))
+
+    def is_back(self, route: str, adapter: str = "") -> bool:
+        name = f"{route}-{adapter}-{time.monotonic_ns()}"
+        response = self.fleet.send_request(route, name, adapter=adapter)
+        self.assertEqual(response.status, 200)
+        return " zone=z1 left_zone=" in self.ended(name)
--- a/standins/platform_backends.py
+++ b/standins/platform_backends.py
@@ -168,6 +168,7 @@
         self.runs: list[RunRecord] = []
         self.cancelled: list[str] = []
         self.state = "ready"
+        self.zone = "z1"
         # Requests per second that responses name as the limit; None for no limit.
         self.server_limit: float | None = None
         # Whether all responses say that the server leaves; its state is separate.
@@ -205,7 +206,7 @@
         return {
             "Service": self.service,
             "Address": self.advertised_address or self.address,
-            "Zone": "z1",
+            "Zone": self.zone,
             "Version": "v1",
             "Slots": 4,
             "State": self.state,
