Charge the crowd only for engines that the own zone can stand in for

The random part was computed for every engine of other zones, also where it was not used.

An adapter holder that does not serve no longer counts as one of the own zone.

--- a/fighitch/core/gateway/backend_choice.py
+++ b/fighitch/core/gateway/backend_choice.py
@@ -160,7 +160,8 @@
         home_ranks = self._home_ranks(adapter, servers)
         model = AdapterName(adapter.model)
         candidates = []
-        # Servers of other zones, with their costs and crowd charges.
+        crossings, unlisted = charges.by_zone, charges.unlisted
+        # Servers of other zones, with their costs and pending work.
         away: list[tuple[BackendServer, Seconds, Seconds]] = []
         is_held_here = False
         for server in servers:
@@ -176,15 +177,12 @@
                     cost += _OUTDATED_PENALTY
             if not view.serving:
                 cost += _PAUSED_PENALTY
-            is_away = server.zone != self._zone
-            if is_away:
-                cost += charges.charge(server.zone)
-                if not view.connected:
-                    cost += UNKNOWN_CHARGE
             if model not in view.adapters:
                 cost += _MODEL_LOAD_TIME
+            is_away = server.zone != self._zone
             if adapter in view.adapters:
-                is_held_here = is_held_here or not is_away
+                if not is_away and view.connected and view.serving:
+                    is_held_here = True
             elif adapter.adapter:
                 cost += view.load_wait
                 is_recent = adapter in view.recently_unloaded
@@ -192,15 +190,42 @@
                 home_rank = home_ranks.get(server.instance_id, _MAX_HOME_RANK)
                 cost += _HOME_RANK_PENALTY * min(home_rank, _MAX_HOME_RANK)
             if is_away:
-                pending = view.pending_prefill
-                extra = charges.crowd_charge(server.zone, pending, self._rng.random())
-                away.append((server, cost, extra))
+                cost += crossings.get(server.zone, unlisted)
+                if not view.connected:
+                    cost += UNKNOWN_CHARGE
+                away.append((server, cost, view.pending_prefill))
             else:
                 candidates.append(Candidate(server, cost))
-        for server, cost, extra in away:
-            candidates.append(Candidate(server, cost + extra * is_held_here))
+        self._add_away(candidates, away, charges, is_choice=is_held_here)
         return _sorted_by_cost(candidates, self._zone, charges)
 
+    def _add_away(
+        self,
+        candidates: list[Candidate],
+        away: list[tuple[BackendServer, Seconds, Seconds]],
+        charges: ZoneCharges,
+        *,
+        is_choice: bool,
+    ) -> None:
+        """Adds the servers of other zones to the candidates.
+
+        Args:
+            candidates: Candidates of the own zone.
+            away: Servers of other zones, with their costs and the work that the entry
+                sent to them since their latest reports.
+            charges: What they are charged.
+            is_choice: Whether the own zone can run the request without a load. Only
+                then do entries that see the same reports crowd the same engines.
+        """
+        if not is_choice:
+            candidates += [Candidate(server, cost) for server, cost, _ in away]
+            return
+        margins, crowd, spread = charges.margins, charges.crowd, charges.spread
+        random = self._rng.random
+        for server, cost, pending in away:
+            cost += margins.get(server.zone, 0.0) + crowd * pending + spread * random()
+            candidates.append(Candidate(server, cost))
+
     def _home_ranks(
         self, adapter: AdapterName, servers: Sequence[BackendServer]
     ) -> dict[str, int]:
@@ -257,7 +282,7 @@
             cost *= 1 - factor if server.zone == zone else 1 + factor
         cost += penalty_time + max(0.0, load.refused_until - now)
         if server.zone != zone:
-            cost += charges.charge(server.zone) + charges.noise
+            cost += charges.unlisted + charges.noise
         if name == probe and penalty_time < _PAUSED_PENALTY:
             cost = 0.0
         candidates.append(Candidate(server, cost))
--- a/fighitch/core/gateway/zone_choice.py
+++ b/fighitch/core/gateway/zone_choice.py
@@ -91,13 +91,13 @@
     """What a server of another zone is charged, in seconds.
 
     Attributes:
-        by_zone: Charges by zone, without the price and the parts below.
+        by_zone: Charges by zone for any request, with the price.
         margins: Advantage by zone that is needed to begin to leave.
-        price: Price of the bytes of one request; included in no other part.
+        price: Price of the bytes of one request.
         price_limit: Expected wait in the own zone above which the price is not charged.
         spread: Upper bound of a random part.
-        crowd: Number of other entries that send as much as this one, on the same
-            reports.
+        crowd: Number of other entries that send as much as this one to an engine, on
+            the same reports.
         noise: Difference of two response times that is not significant.
     """
 
@@ -109,22 +109,10 @@
     crowd: float = 0.0
     noise: Seconds = 0.0
 
-    def charge(self, zone: str) -> Seconds:
-        """Returns the charge for any request to a zone."""
-        return self.by_zone.get(zone, MIN_CHARGE) + self.price
-
-    def crowd_charge(
-        self, zone: str, pending: Seconds, random_number: float
-    ) -> Seconds:
-        """Returns the further charge for a request that the own zone could run as well.
-
-        Args:
-            zone: Zone of the engine.
-            pending: Work that this entry sent to the engine since its latest report.
-            random_number: Uniform random number, 0 to 1.
-        """
-        margin = self.margins.get(zone, 0.0)
-        return margin + self.crowd * pending + self.spread * random_number
+    @property
+    def unlisted(self) -> Seconds:
+        """Charge for a zone that is not listed."""
+        return MIN_CHARGE + self.price
 
 
 @dataclass(slots=True)
@@ -277,11 +265,12 @@
         price = self._price(state)
         home = loads.pop(self._zone, _ZoneLoad())
         by_zone = {
-            zone: self._crossing(state, zone, now) if load.engines else UNKNOWN_CHARGE
+            zone: price
+            + (self._crossing(state, zone, now) if load.engines else UNKNOWN_CHARGE)
             for zone, load in loads.items()
         }
         for zone, load in loads.items():
-            wait = load.mean_wait + by_zone[zone] + price
+            wait = load.mean_wait + by_zone[zone]
             self._update_away(state.away, zone, home.mean_wait, wait, work)
         state.charges = ZoneCharges(
             by_zone,
--- /dev/null
+++ b/fighitch/tests/test_zone_traffic.py
@@ -0,0 +1,134 @@
+"""Tests of ``fighitch.gateway.zone_traffic``."""
+
+import json
+import unittest
+from unittest import mock
+
+import msgspec
+
+from fighitch.core.gateway.backend_choice import EngineView
+from fighitch.core.gateway.settings import Address, InstanceSettings
+from fighitch.gateway.metrics import EntryMetrics
+from fighitch.gateway.zone_traffic import ZoneTraffic
+from fighitch.platform.settings import decode_settings
+from fighitch.tests.gateway_helpers import A1, server
+
+SETTINGS = {
+    "NodeName": "front-1",
+    "Ip": "127.0.0.1",
+    "Zone": "z1",
+    "InternalPorts": [1],
+    "Platform": {"Address": "127.0.0.1:1"},
+}
+
+
+def settings(**bounds: float) -> InstanceSettings:
+    return decode_settings(json.dumps(SETTINGS | {"Bounds": bounds}).encode())
+
+
+class SettingsTests(unittest.TestCase):
+    def test_price_of_a_byte(self):
+        self.assertEqual(settings().store, Address("127.0.0.1", 1))
+        self.assertAlmostEqual(settings().cross_zone_seconds_per_byte, 1e-8)
+        changed = settings(CrossZoneMsPerMb=500)
+        self.assertAlmostEqual(changed.cross_zone_seconds_per_byte, 5e-7)
+
+    def test_negative_price_is_rejected(self):
+        # It would draw all work out of its zone.
+        with self.assertRaises(msgspec.ValidationError):
+            settings(CrossZoneMsPerMb=-1)
+
+
+class ZoneTrafficTests(unittest.TestCase):
+    def setUp(self):
+        self.loop, self.log = mock.Mock(), mock.Mock()
+        self.loop.now.return_value = 0.0
+        self.metrics = EntryMetrics()
+        self.unusable = set()
+        self.traffic = ZoneTraffic(
+            self.loop,
+            settings(),
+            self.log,
+            self.metrics,
+            is_usable=lambda item: item.instance_id not in self.unusable,
+        )
+        self.servers = [server("a"), server("b", zone="z2")]
+
+    def send(self, name, adapter=None, views=None, avoid=()):
+        chosen = next(item for item in self.servers if item.instance_id == name)
+        return self.traffic.record_sent(
+            chosen, adapter, self.servers, views or {}, avoid
+        )
+
+    def end(self, name, outcome, elapsed=0.1, unreachable=False):
+        chosen = next(item for item in self.servers if item.instance_id == name)
+        self.traffic.record_outcome(
+            chosen,
+            unreachable=unreachable,
+            outcome=outcome,
+            elapsed=elapsed,
+            answered=outcome == "answered",
+        )
+
+    def best(self):
+        links = mock.Mock(views={})
+        ranked = self.traffic.rank(
+            "models", None, self.servers, links, lambda _: 0.0, avoid=set()
+        )
+        return ranked[0].server.instance_id
+
+    def test_reasons_to_leave(self):
+        views = {
+            name: EngineView(name, adapters={A1: 1}, connected=True) for name in "ab"
+        }
+        self.assertEqual(self.send("a", A1, views), "")
+        self.assertEqual(self.send("b", A1, views), "full")
+        self.assertEqual(self.send("b", A1, views, avoid={"a"}), "retry")
+        views["a"].adapters.clear()
+        self.assertEqual(self.send("b", A1, views), "adapter")
+        self.unusable = {"a"}
+        self.assertEqual(self.send("b", A1, views), "none_ready")
+        rendered = self.metrics.render().decode()
+        self.assertIn(
+            'fighitch_zone_attempts_total{reason="adapter",service="models",'
+            'zone="z2"} 1.0',
+            rendered,
+        )
+        self.assertIn('reason="own_zone",service="models",zone="z1"} 1.0', rendered)
+
+    def test_summary_names_what_left_and_why(self):
+        for name in ("a", "a", "a", "b"):
+            self.send(name)
+        (_, log_summary), _ = self.loop.call_every.call_args
+        log_summary()
+        log_summary()
+        self.log.event.assert_called_once_with(
+            "zone_left",
+            service="models",
+            zone="z2",
+            reason="full",
+            attempts=1,
+            share="0.250",
+        )
+
+    def test_refusals_are_not_fast_responses(self):
+        self.assertEqual(self.best(), "a")
+        self.send("a")
+        self.end("a", "answered")
+        self.assertEqual(self.best(), "a")
+        self.send("a")
+        self.end("a", "rejected_503", elapsed=0.001)
+        self.assertEqual(self.best(), "b")
+
+    def test_request_that_was_not_sent_says_nothing_of_its_server(self):
+        for outcome, unreachable in (("withdrawn", False), ("reset", True)):
+            self.send("a")
+            self.end("a", outcome, elapsed=9.0, unreachable=unreachable)
+        load = self.traffic._plain.by_id["a"]
+        self.assertEqual((load.running, load.measured_at), (0, None))
+
+    def test_removed_server_is_forgotten(self):
+        self.send("a")
+        self.traffic.forget("a")
+        self.end("a", "answered")
+        self.assertEqual(self.traffic._plain.by_id, {})
