--- a/fighitch/gateway/zone_traffic.py
+++ b/fighitch/gateway/zone_traffic.py
@@ -28,7 +28,7 @@
 # Reason in metrics and log lines of requests that stayed in their zone.
 _OWN_ZONE = "own_zone"
 _LOG_INTERVAL: Seconds = 10.0
-_FIRST_ERROR_STATUS = 500
+_FIRST_NON_SUCCESS = 300
 # Outcomes of attempts, as named by relays.
 _ANSWERED = "answered"
 _WITHDRAWN = "withdrawn"
@@ -189,8 +189,8 @@
     def record_head(
         self, server: BackendServer, status: int, *, sent_at: Seconds
     ) -> None:
-        """Records the time to the head of a response that is no error."""
-        if status < _FIRST_ERROR_STATUS:
+        """Records the time to the head of a response; refusals say nothing of it."""
+        if status < _FIRST_NON_SUCCESS:
             now = self._loop.now()
             elapsed = now - sent_at
             self._choice.record_first_byte(server.service, server.zone, elapsed, now)
--- a/fighitch/tests/test_plain_load.py
+++ b/fighitch/tests/test_plain_load.py
@@ -63,7 +63,7 @@
 class Fleet:
     """Entries of three zones and a plain server in each, with a virtual clock."""
 
-    def __init__(self, entries=4, choose=Entry.choose):
+    def __init__(self, entries=4, choose=Entry.choose, record=Entry.record):
         self.servers = [
             replace(server(zone, zone=zone, service="orders"), slots=SLOTS)
             for zone in ZONES
@@ -74,11 +74,12 @@
             for number in range(entries)
         ]
         self.choose = choose
+        self.record = record
         self.speed = dict.fromkeys(ZONES, 1.0)
         self.silent = dict.fromkeys(ZONES, 0.0)  # share without a response
         self.refuses = set()
-        self.running = Counter()
-        self.waiting = {zone: deque() for zone in ZONES}
+        self.running: Counter[str] = Counter()
+        self.waiting: dict[str, deque] = {zone: deque() for zone in ZONES}
         self.rng = random.Random(7)
         self.now = 0.0
         self.events = []
@@ -127,7 +128,7 @@
 
     def end(self, outcome, entry, name, sent_at):
         elapsed = self.now - sent_at
-        entry.record(outcome, name, elapsed, self.now)
+        self.record(entry, outcome, name, elapsed, self.now)
         self.results.append((self.now, entry.zone, name, outcome, elapsed))
 
 
--- a/fighitch/tests/test_zone_choice.py
+++ b/fighitch/tests/test_zone_choice.py
@@ -37,7 +37,6 @@
         self.views = {
             item.instance_id: EngineView(item.instance_id) for item in servers
         }
-        self.sent = Counter()
 
     def choose(self, servers, now, adapter=BASE):
         charges = self.choice.engine_charges(SERVICE, servers, self.views, now)
@@ -63,6 +62,7 @@
         ]
         self.busy_until = {item.instance_id: 0.0 for item in self.servers}
         self.speed = dict.fromkeys(self.busy_until, 1.0)
+        self.held: dict[str, tuple[AdapterName, ...]]
         self.held = dict.fromkeys(self.busy_until, (BASE,))
         self.latency = dict.fromkeys(zones, 0.0)  # of connections to a zone
         self.silent = set()  # zones whose reports don't arrive
@@ -162,7 +162,7 @@
 
 def shares_by_second(results, zone):
     """Returns the share of a zone's requests that left it, for each second."""
-    seconds = {}
+    seconds: dict[int, list[tuple[float, str, str, float]]] = {}
     for item in results:
         if item[1] == zone:
             seconds.setdefault(int(item[0]), []).append(item)
