Probe servers of the own zone sooner after a slow response

test_pausing_servers failed once in a run of 389 tests: the first response of a sound server was slow, and it got no request for seconds. Servers of the own zone are now probed after ten response times.

--- a/fighitch/core/gateway/plain_load.py
+++ b/fighitch/core/gateway/plain_load.py
@@ -7,7 +7,7 @@
 again.
 """
 
-from collections.abc import Container, Iterable, Mapping, Sequence
+from collections.abc import Container, Mapping, Sequence
 from dataclasses import dataclass, field
 
 from fighitch.core.gateway.model import BackendServer
@@ -22,9 +22,14 @@
 _HALF_LIFE: Seconds = 5.0
 # A server without a response for this long gets one request as a probe.
 _PROBE_INTERVAL: Seconds = 5.0
-# A service sends at most one request in so many as a probe: a probe may be slow, or
-# cross zones for nothing.
-_REQUESTS_PER_PROBE = 40
+# A server of the own zone is probed after this multiple of its response time, if that
+# is shorter. One slow response, such as the first one, otherwise kept all requests away
+# from a sound server for seconds.
+_PROBE_INTERVAL_FACTOR = 10
+# A service sends at most one request in so many as a probe: a probe may be slow, and to
+# another zone it may cross for nothing.
+_REQUESTS_PER_OWN_PROBE = 10
+_REQUESTS_PER_DISTANT_PROBE = 40
 # A refusal holds requests back for the time in which the server ends a request, and
 # twice as long for each further one, but a recovered server must be found again.
 _MAX_HOLD: Seconds = 1.0
@@ -103,11 +108,21 @@
         self.refusals += 1
         self.refused_until = now + min(_MAX_HOLD, hold)
 
-    def needs_probe(self, now: Seconds) -> bool:
-        """Returns whether a request should be sent to learn the server's speed."""
+    def needs_probe(self, now: Seconds, *, is_near: bool) -> bool:
+        """Returns whether a request should be sent to learn the server's speed.
+
+        Args:
+            now: Current time.
+            is_near: Whether the server is in the zone of the entry.
+        """
         if self.running or now < self.refused_until:
             return False
-        return self.measured_at is None or now - self.measured_at >= _PROBE_INTERVAL
+        if self.measured_at is None:
+            return True
+        interval = _PROBE_INTERVAL
+        if is_near:
+            interval = min(interval, _PROBE_INTERVAL_FACTOR * self.response_time)
+        return now - self.measured_at >= interval
 
     def _weight(self, now: Seconds) -> float:
         if self.measured_at is None:
@@ -124,44 +139,55 @@
     """Loads that one entry puts on all servers, and its probes.
 
     Attributes:
+        zone: Availability zone of the entry.
         by_id: Load of each server that was sent a request, by instance id.
     """
 
+    zone: str
     by_id: dict[str, PlainServerLoad] = field(default_factory=dict)
-    # Requests of each service since its latest probe.
-    _since_probe: dict[str, int] = field(default_factory=dict)
+    # Requests since the latest probe, by service and whether the probe was near.
+    _since_probe: dict[tuple[str, bool], int] = field(default_factory=dict)
 
     def record_sent(self, server: BackendServer, now: Seconds) -> None:
         """Records that a request was sent to a server."""
-        load = self.by_id.setdefault(server.instance_id, PlainServerLoad())
-        count = self._since_probe.get(server.service, _REQUESTS_PER_PROBE)
-        is_probe = count >= _REQUESTS_PER_PROBE and load.needs_probe(now)
-        self._since_probe[server.service] = 0 if is_probe else count + 1
-        load.record_sent(now)
+        is_probe = self.is_probe_due(server, now)
+        for is_near in (True, False):
+            key = server.service, is_near
+            is_this = is_probe and is_near == (server.zone == self.zone)
+            self._since_probe[key] = 0 if is_this else self._since_probe.get(key, 0) + 1
+        self.by_id.setdefault(server.instance_id, PlainServerLoad()).record_sent(now)
+
+    def is_probe_due(self, server: BackendServer, now: Seconds) -> bool:
+        """Returns whether the next request should probe a server."""
+        is_near = server.zone == self.zone
+        needed = _REQUESTS_PER_OWN_PROBE if is_near else _REQUESTS_PER_DISTANT_PROBE
+        if self._since_probe.get((server.service, is_near), 0) < needed:
+            return False
+        load = self.by_id.get(server.instance_id, _UNKNOWN_LOAD)
+        return load.needs_probe(now, is_near=is_near)
 
     def find_probe(
         self,
-        servers: Iterable[BackendServer],
+        servers: Sequence[BackendServer],
         now: Seconds,
         avoid: Container[str] = (),
     ) -> str | None:
         """Returns the instance id of a server that the next request should probe.
 
         Args:
-            servers: Servers of one service, in the order in which they are probed.
+            servers: Servers of one service; those of the own zone are probed first.
             now: Current time.
             avoid: Instance ids to leave out.
         """
+        distant = None
         for server in servers:
-            count = self._since_probe.get(server.service, _REQUESTS_PER_PROBE)
-            if count < _REQUESTS_PER_PROBE:
-                return None
             name = server.instance_id
-            if name in avoid:
+            if name in avoid or not self.is_probe_due(server, now):
                 continue
-            if self.by_id.get(name, _UNKNOWN_LOAD).needs_probe(now):
+            if server.zone == self.zone:
                 return name
-        return None
+            distant = distant or name
+        return distant
 
     def forget(self, instance_id: str) -> None:
         """Removes the state of a server that is gone."""
--- a/fighitch/gateway/zone_traffic.py
+++ b/fighitch/gateway/zone_traffic.py
@@ -68,7 +68,7 @@
             settings.zone, seconds_per_byte=settings.cross_zone_seconds_per_byte
         )
         self._engine_ranker = EngineRanker(settings.zone, self._rng)
-        self._plain = PlainLoads()
+        self._plain = PlainLoads(settings.zone)
         # Attempts since the latest summary, by service, zone and reason.
         self._attempts: Counter[tuple[str, str, str]] = Counter()
         loop.call_every(_LOG_INTERVAL, self._log_summary)
@@ -123,8 +123,6 @@
         now: Seconds,
     ) -> list[Candidate]:
         loads = self._plain.by_id
-        # The servers of the own zone are the first to be probed.
-        by_zone = sorted(servers, key=lambda server: server.zone != self._zone)
         return rank_plain_servers(
             servers,
             loads,
@@ -134,7 +132,7 @@
             charges=self._choice.plain_charges(service, servers, loads),
             now=now,
             rng=self._rng,
-            probe=self._plain.find_probe(by_zone, now, avoid),
+            probe=self._plain.find_probe(servers, now, avoid),
         )
 
     def record_sent(
@@ -183,7 +181,7 @@
         if server.instance_id in views:
             return engine_leave_reason(adapter, server, untried, views)
         now = self._loop.now()
-        is_probe = self._plain.find_probe([server], now) is not None
+        is_probe = self._plain.is_probe_due(server, now)
         return plain_leave_reason(server, untried, self._plain.by_id, is_probe=is_probe)
 
     def record_head(
--- a/fighitch/tests/test_plain_load.py
+++ b/fighitch/tests/test_plain_load.py
@@ -26,13 +26,12 @@
     def __init__(self, number, zone):
         self.zone = zone
         self.rng = random.Random(f"front-{number}")
-        self.loads = PlainLoads()
+        self.loads = PlainLoads(zone)
         self.choice = ZoneChoice(zone)
         self.outliers = OutlierDetector()
 
     def choose(self, servers, now):
         loads = self.loads.by_id
-        by_zone = sorted(servers, key=lambda item: item.zone != self.zone)
         return rank_plain_servers(
             servers,
             loads,
@@ -44,7 +43,7 @@
             charges=self.choice.plain_charges("orders", servers, loads),
             now=now,
             rng=self.rng,
-            probe=self.loads.find_probe(by_zone, now),
+            probe=self.loads.find_probe(servers, now),
         )[0].server
 
     def record(self, outcome, name, elapsed, now):
@@ -211,7 +210,7 @@
 
 class PlainLoadsTests(unittest.TestCase):
     def setUp(self):
-        self.loads = PlainLoads()
+        self.loads = PlainLoads("z1")
         self.servers = [server("a"), server("b", zone="z2")]
 
     def send(self, name, now, elapsed=0.1):
@@ -229,9 +228,24 @@
             probes += probe is not None
             self.send(probe or "a", now)
         self.assertGreater(probes, 15)
-        self.assertLessEqual(probes, 1 + 1_000 // 40)
+        self.assertLessEqual(probes, 1_000 // 40)
+
+    def test_one_slow_response_keeps_no_requests_away_for_long(self):
+        # The first response of a sound server was slow, and it got no request for 5 s.
+        self.servers[1] = server("b")
+        self.send("a", 0.0, elapsed=0.002)
+        self.send("b", 0.0, elapsed=0.1)
+        probes = []
+        for step in range(1, 100):
+            probe = self.loads.find_probe(self.servers, step * 0.02)
+            probes.append(probe)
+            self.send(probe or "a", step * 0.02, elapsed=0.002)
+        self.assertIn("b", probes)
+        self.assertLess(self.loads.by_id["b"].response_time, 0.1)
 
     def test_busy_or_refusing_server_is_not_probed(self):
+        for _ in range(50):
+            self.send("a", 0.0)
         load = self.loads.by_id["a"] = PlainServerLoad(running=1)
         self.assertEqual(self.loads.find_probe(self.servers, 9.0), "b")
         load.running = 0
