--- a/fighitch/gateway/agent_links.py
+++ b/fighitch/gateway/agent_links.py
@@ -436,6 +436,7 @@
             for account, backlog_ms in status.account_backlogs_ms.items()
         }
         view.pending_prefill = 0.0
+        view.reported_at = self._loop.now()
         # The agent may serve a later incarnation than the one in the instance list.
         is_same_incarnation = status.engine_start_time_ms in (
             0,
