Move the state of an attempt and the checks of heads out of the relay

Change: AttemptState holds what a relay knows of its current attempt; response_checks decides on heads. No change of behaviour.

--- a/fighitch/gateway/relay.py
+++ b/fighitch/gateway/relay.py
@@ -10,12 +10,18 @@
 from fighitch.core.gateway.response_limits import LimitKind
 from fighitch.gateway.admission import Admission
 from fighitch.gateway.attempt_receiver import AttemptReceiver
+from fighitch.gateway.attempt_state import AttemptState
 from fighitch.gateway.attempt_timers import AttemptTimers
 from fighitch.gateway.caller_response import CallerResponse
 from fighitch.gateway.quotas import RequestUnits
 from fighitch.gateway.relay_host import RelayHost
 from fighitch.gateway.request_deadline import RequestDeadline
 from fighitch.gateway.request_times import RequestTimes
+from fighitch.gateway.response_checks import (
+    FIRST_SERVER_ERROR,
+    is_event_stream,
+    may_forward,
+)
 from fighitch.gateway.takeover import Takeover
 from fighitch.platform.requests import (
     RequestMetadata,
@@ -23,7 +29,6 @@
     encode_request,
     is_from_another_instance,
     is_genuine,
-    is_success,
     is_unsigned,
     stream_format,
     was_not_run,
@@ -107,16 +112,8 @@
         self._avoid: set[str] = set()
         resume_after = metadata.resume_after if route.resumable else ""
         self._event_buffer = EventBuffer(resume_after)
-        self._head: ResponseHead | None = None
-        self._buffered_body = bytearray()
-        self._is_stream = False
-        self._late = False
-        self._sent_at: Seconds = 0.0
+        self._attempt = AttemptState()
         self._left_zone = ""
-        # First event of the current attempt, and whether its answer is under way
-        # without harm to the server.
-        self._begun_at: Seconds | None = None
-        self._answered = False
         self._times = RequestTimes(entry.metrics, route.name, request.received_at)
         # Changes when an attempt ends, so that data that arrives later is ignored.
         self._exchange_number = 0
@@ -147,7 +144,7 @@
     @property
     def _is_continuation(self) -> bool:
         """Whether the caller has the head of an earlier attempt."""
-        return self._head_sent and self._response.head is not self._head
+        return self._head_sent and self._response.head is not self._attempt.head
 
     # Placement.
 
@@ -310,13 +307,7 @@
             return
         self._state = RelayState.SENT
         self._server = server
-        self._late = late
-        self._sent_at = now
-        self._begun_at = None
-        self._answered = False
-        self._head = None
-        self._is_stream = False
-        self._buffered_body.clear()
+        self._attempt = AttemptState(sent_at=now, late=late)
         self._event_buffer.start_run()
         self._times.record_placement(now)
         priority = None
@@ -422,7 +413,7 @@
             # Another attempt could crash another engine.
             return False
         sent_head = self._response.head
-        if sent_head is not None and not self._is_event_stream(sent_head):
+        if sent_head is not None and not is_event_stream(self._route, sent_head):
             # The caller has a part of the first attempt's body.
             return False
         if not self._event_buffer.can_resume:
@@ -452,21 +443,18 @@
 
     def on_head(self, head: ResponseHead) -> None:
         """Handles the head of a response."""
-        self._head = head
+        self._attempt.head = head
         if self._server is not None:
-            self._entry.record_head(self._server, head, sent_at=self._sent_at)
+            self._entry.record_head(self._server, head, sent_at=self._attempt.sent_at)
         sent_head = self._response.head
-        self._is_stream = self._is_event_stream(head) and (
+        self._attempt.is_stream = is_event_stream(self._route, head) and (
             sent_head is None
             or stream_format(head).can_continue(stream_format(sent_head))
         )
 
-    def _is_event_stream(self, head: ResponseHead) -> bool:
-        return self._route.kind is WorkKind.STREAMING and is_success(head)
-
     def on_body(self, data: bytes) -> None:
         """Handles a chunk of the response body."""
-        if self._is_stream:
+        if self._attempt.is_stream:
             events = self._event_buffer.feed(data)
             if self._event_buffer.is_out_of_order:
                 kind = ExchangeFailureKind.BAD_ANSWER
@@ -474,15 +462,16 @@
             else:
                 self._on_events(events)
             return
-        self._buffered_body += data
-        self._response.record_buffered(len(self._buffered_body))
+        head, buffered = self._attempt.head, self._attempt.buffered_body
+        buffered += data
+        self._response.record_buffered(len(buffered))
         is_forwarding = self._head_sent and not self._is_continuation
-        if len(self._buffered_body) <= _MAX_BUFFERED_BYTES and not is_forwarding:
+        if len(buffered) <= _MAX_BUFFERED_BYTES and not is_forwarding:
             return
-        if self._head is not None and was_not_run(self._head):
-            self._on_rejected(self._head)
+        if head is not None and was_not_run(head):
+            self._on_rejected(head)
             return
-        if not self._may_forward():
+        if not may_forward(head, is_continuation=self._is_continuation):
             # A response that is not forwarded is buffered as a whole.
             failure = ExchangeFailure(
                 ExchangeFailureKind.BAD_ANSWER, sent=True, limit=LimitKind.BODY_BYTES
@@ -490,28 +479,28 @@
             self.on_failure(failure)
             return
         self._forward_head(length=None)
-        self._forward_body(bytes(self._buffered_body))
-        self._buffered_body.clear()
+        self._forward_body(bytes(buffered))
+        buffered.clear()
 
     def on_complete(self) -> None:
         """Handles the end of a response."""
-        head = self._head
+        head = self._attempt.head
         if head is None:
             self.on_failure(ExchangeFailure(ExchangeFailureKind.BAD_ANSWER, sent=True))
             return
         if was_not_run(head):
             self._on_rejected(head)
             return
-        is_cut = self._is_stream and not self._event_buffer.may_end(
+        is_cut = self._attempt.is_stream and not self._event_buffer.may_end(
             is_framed=head.is_framed
         )
         if is_cut or not is_genuine(head):
             self.on_failure(ExchangeFailure(ExchangeFailureKind.BAD_ANSWER, sent=True))
             return
-        if head.status >= _SERVER_ERROR:
+        if head.status >= FIRST_SERVER_ERROR:
             self._on_server_error(head)
             return
-        if self._is_continuation and not self._is_stream:
+        if self._is_continuation and not self._attempt.is_stream:
             self._on_other_response(head)
             return
         self._record_answered()
@@ -530,11 +519,10 @@
         if self._response.is_caller_gone:
             self._end("caller_left")
             return
+        body = bytes(self._attempt.buffered_body)
         if not self._head_sent:
-            self._forward_head(
-                length=None if self._is_stream else len(self._buffered_body)
-            )
-        self._response.finish(bytes(self._buffered_body))
+            self._forward_head(length=None if self._attempt.is_stream else len(body))
+        self._response.finish(body)
         self._end(str(head.status))
 
     def _on_events(self, events: bytes) -> None:
@@ -542,24 +530,21 @@
             return
         if self._state is RelayState.SENT:
             self._state = RelayState.STREAMING
-            self._begun_at = self._loop.now()
+            self._attempt.begun_at = self._loop.now()
             self._times.record_first_byte(self._loop.now())
             self._admission.report_first_event()
         if self._event_buffer.has_new_event:
             self._last_event_at = self._loop.now()
             self._restart_stream_timers()
-        if not self._answered and self._has_survived_start():
+        has_survived = self._loop.now() - self._attempt.begun_at >= _CRASH_DELAY
+        if not self._attempt.answered and has_survived:
             self._record_answered()
         if not self._head_sent:
             self._forward_head(length=None)
         self._forward_body(events)
 
-    def _has_survived_start(self) -> bool:
-        begun_at = self._begun_at
-        return begun_at is not None and self._loop.now() - begun_at >= _CRASH_DELAY
-
     def _record_answered(self) -> None:
-        self._answered = True
+        self._attempt.answered = True
         self._entry.quarantine.record_answered(self._metadata.shared_parts)
 
     def _restart_stream_timers(self) -> None:
@@ -573,25 +558,20 @@
         self._timers.cancel()
 
     def _forward_head(self, *, length: int | None) -> None:
-        if self._head is None or self._head_sent or self._response.is_caller_gone:
+        head = self._attempt.head
+        if head is None or self._head_sent or self._response.is_caller_gone:
             return
         self._times.record_first_byte(self._loop.now())
-        self._response.send_head(self._head, length=length)
+        self._response.send_head(head, length=length)
 
     def _forward_body(self, data: bytes) -> None:
         is_backlogged = self._response.send_body(data)
         if is_backlogged and self._connection is not None:
             self._connection.pause_reading()
-            if self._is_stream:
+            if self._attempt.is_stream:
                 # No event can arrive until the caller has read the earlier ones.
                 self._cancel_stream_timers()
 
-    def _may_forward(self) -> bool:
-        head = self._head
-        if head is None or self._is_continuation or was_not_run(head):
-            return False
-        return head.status < _SERVER_ERROR and is_genuine(head)
-
     def _on_server_error(self, head: ResponseHead) -> None:
         asks_pause = (asked_pause(head) or 0.0) > 0
         self._end_exchange(failed=not asks_pause, outcome=f"status_{head.status}")
@@ -680,9 +660,9 @@
             unreachable=unreachable,
             refused=refused,
             outcome=outcome,
-            elapsed=self._loop.now() - self._sent_at,
+            elapsed=self._loop.now() - self._attempt.sent_at,
             metadata=self._metadata,
-            answered=self._answered,
+            answered=self._attempt.answered,
         )
 
     def end_by(self, time: Seconds, *, max_run_time: Seconds) -> None:
@@ -719,7 +699,7 @@
     def _on_caller_drained(self) -> None:
         if self._connection is not None:
             self._connection.resume_reading()
-            if self._is_stream:
+            if self._attempt.is_stream:
                 self._restart_stream_timers()
 
     def _fail(self, kind: FailureKind) -> None:
@@ -762,7 +742,7 @@
             zone="" if server is None else server.zone,
             left_zone=self._left_zone,
             size=size,
-            late=int(self._late),
+            late=int(self._attempt.late),
             asks=self._admission.requests,
             rejected=self._rejections,
             runs=self._previous_runs + int(self._may_have_run or self._head_sent),
