Handle requests only after the input read with them is parsed

Cause: with parse steps of 512 bytes a request was answered before the invalid one behind it was seen, and that one got a response of its own; test_request_with_a_too_large_one_behind_it_is_answered failed (1 of 260 tests). Larger steps were ruled out, as many small requests then wait.

--- a/fighitch/runtime/http_callers.py
+++ b/fighitch/runtime/http_callers.py
@@ -412,6 +412,9 @@
             if self._closed or self._close_after_response or self._has_stopped_reading:
                 self._unparsed = b""
                 break
+        # Invalid input behind a request decides how the connection ends; the request is
+        # therefore handled only afterwards.
+        self._next_request()
         self._memory.watch()
         if not self._closed:
             self._watch()
@@ -443,7 +446,6 @@
             and self._timer is None
         ):
             self._start_request_timer()
-        self._next_request()
 
     def _check_header_size(self, received: int) -> None:
         """Limits a header line, trailer or chunk extension that never ends.
