Add failing tests of quotas without a known number of entries

In floods of 4 and 6 times the quota, entries that never learned the number of others exceed the window rule (limit 990,000 units): 2,409,400 in a deployment without agents, 2,416,400 after a restart of all entries without agents, 1,619,800 after one within a partition. After a restart of all agents that takes 2 s, 60 requests at 60% of the quota are refused where 70% of the load arrives at two of twelve entries.

--- a/fighitch/tests/test_quotas.py
+++ b/fighitch/tests/test_quotas.py
@@ -572,6 +572,63 @@
         self.finish()
 
 
+class UnknownEntryCountTests(QuotaTestCase):
+    """Entries that never learned how many others there are, in a flood."""
+
+    def setUp(self):
+        self.fleet = Fleet()
+        self.fleet.run(3.0)
+        self.fleet.load(40.0, 4 * QUOTA.rate)
+        self.fleet.run(4.0)
+
+    def restart_entries(self) -> None:
+        self.fleet.run(1.0)
+        for entry in self.fleet.entries:
+            entry.kill()
+            entry.start()
+        self.fleet.run(25.0)
+        self.assert_window_rule(self.fleet)
+
+    def test_restart_without_agents(self):
+        # Guards against twelve entries that each spend a quarter of the quota.
+        for entry in self.fleet.entries:
+            for agent in self.fleet.agents:
+                self.fleet.cut.add((entry.name, agent.name))
+        self.restart_entries()
+
+    def test_restart_within_a_partition(self):
+        # Guards against two holders that each count only the entries on their side.
+        for number, entry in enumerate(self.fleet.entries):
+            for agent in self.fleet.agents[1 - number % 2 :: 2]:
+                self.fleet.cut.add((entry.name, agent.name))
+        self.restart_entries()
+
+    def test_deployment_without_agents(self):
+        # Guards against twelve entries that each spend a quarter of the quota.
+        fleet = Fleet(agents=0)
+        fleet.load(20.0, 6 * QUOTA.rate)
+        fleet.run(20.0)
+        self.assert_window_rule(fleet)
+
+
+class OutageTests(QuotaTestCase):
+    def test_usual_load_after_a_restart_of_all_agents(self):
+        # Guards against refusals below the quota while no agent lends units: clients
+        # are spread unevenly, and shares are equal.
+        fleet = Fleet()
+        fleet.run(3.0)
+        fleet.load(20.0, 0.42 * QUOTA.rate, entries=fleet.entries[:2])
+        fleet.load(20.0, 0.18 * QUOTA.rate)
+        fleet.run(5.0)
+        for agent in fleet.agents:
+            agent.is_alive = False
+        fleet.run(2.0)
+        for agent in fleet.agents:
+            agent.is_alive, agent.holder = True, QuotaHolder()
+        fleet.run(12.0)
+        self.assertEqual(fleet.refused, [])
+
+
 class RandomFaultTests(QuotaTestCase):
     """Any faults together, in a flood."""
 
