Count the entries that share quotas in the platform's store

Cause: the number of entries came from agents only. An entry that had never heard of one assumed 4, so that twelve entries spent up to 2,416,400 units in a window (limit 990,000). Ruled out: a larger assumed number (refuses too much in small deployments) and shares that follow an agent's number alone (absent in these cases). Change: with a quota, each entry writes an object of the kind gateway-entries and watches the kind. The higher one of both numbers counts; without the store's one the entry spends no share of its own. Agents name the connected entries once a minute, so that objects of entries that are gone are deleted.

--- a/fighitch/core/gateway/quota_allowances.py
+++ b/fighitch/core/gateway/quota_allowances.py
@@ -14,6 +14,7 @@
 from enum import Enum
 
 from fighitch.core.gateway.accounts import Account, Quota
+from fighitch.core.gateway.entry_count import EntryCount
 from fighitch.core.gateway.quota_holder import (
     CLOSE_DELAY,
     LEASE,
@@ -49,14 +50,6 @@
 # Time after a short answer for which nothing more is asked; doubles up to the limit.
 _MIN_SHORT_TIME: Seconds = 0.025
 _MAX_SHORT_TIME: Seconds = 0.2
-# Entries that a lone entry assumes, as it does for other shared limits.
-_MIN_ENTRIES = 4
-# Agents count the connection of an entry that was replaced for 2 s; a larger number of
-# entries is remembered only if it lasts for longer.
-_COUNT_PERIOD: Seconds = 3.0
-# Time for which the highest number of entries is remembered. It outlasts partitions,
-# in which agents report too few, and limits how long removed entries count.
-_COUNT_MEMORY: Seconds = 300.0
 # Time constant of the measured demand.
 _DEMAND_TIME: Seconds = 1.0
 _EPSILON = 1e-6
@@ -103,32 +96,6 @@
     is_cancelled: bool = False
 
 
-class EntryCount:
-    """Highest number of entries that has been reported for some time."""
-
-    def __init__(self) -> None:
-        self._current = 1
-        self._lowest = 1
-        self._period_start: Seconds = float("-inf")
-        self._highest = 1
-        self._highest_at: Seconds = float("-inf")
-
-    @property
-    def value(self) -> int:
-        """Number of entries that share the quotas."""
-        return max(self._current, self._highest)
-
-    def record(self, count: int, now: Seconds) -> None:
-        """Records the number of entries that the agents report."""
-        self._current = count
-        self._lowest = min(self._lowest, count)
-        if now - self._period_start < _COUNT_PERIOD:
-            return
-        if self._lowest >= self._highest or now - self._highest_at > _COUNT_MEMORY:
-            self._highest, self._highest_at = self._lowest, now
-        self._lowest, self._period_start = count, now
-
-
 class _Rate:
     """Units per second, averaged over about a second."""
 
@@ -217,11 +184,11 @@
         if now >= self.carried_until:
             self.carried = 0.0
 
-    def own_capacity(self, entries: int) -> float:
+    def own_capacity(self, entries: float) -> float:
         """Returns the units that the own share holds, at least one request's."""
         return max(self.limit.capacity / entries, self.largest)
 
-    def refill(self, now: Seconds, entries: int) -> None:
+    def refill(self, now: Seconds, entries: float) -> None:
         """Fills the own share while it is not lent."""
         if self.is_lent or now <= self.own_at:
             return
@@ -229,7 +196,7 @@
         self.own = min(self.own_capacity(entries), self.own + inflow)
         self.own_at = now
 
-    def spend(self, cost: float, now: Seconds, entries: int) -> bool:
+    def spend(self, cost: float, now: Seconds, entries: float) -> bool:
         """Takes units if enough are held; returns whether they were."""
         self.expire(now)
         if self.holder is None:
@@ -600,8 +567,8 @@
             self._drop_if_idle(allowance, now)
 
     @property
-    def _own_entries(self) -> int:
-        return max(_MIN_ENTRIES, self.entries.value)
+    def _own_entries(self) -> float:
+        return self.entries.own_divisor
 
     def _open(self, account: str, now: Seconds, cost: float = 0.0) -> _Allowance:
         allowance = self._allowances.get(account)
@@ -644,11 +611,11 @@
 
     def _may_wait(self, allowance: _Allowance, now: Seconds) -> bool:
         if allowance.holder is None:
-            return now < self._may_connect_until
+            return not self.entries.is_known or now < self._may_connect_until
         return now >= allowance.short_until
 
     def _exceeded(self, allowance: _Allowance, cost: float, now: Seconds) -> Refusal:
-        retry_after = allowance.retry_after(cost, now, self._own_entries)
+        retry_after = allowance.retry_after(cost, now, self.entries.value)
         return Refusal(RefusalReason.EXCEEDED, min(retry_after, self._window.length))
 
     def _serve(self, allowance: _Allowance, now: Seconds, *, is_short: bool) -> None:
@@ -684,7 +651,7 @@
             waiter = waiters.popleft()
             if waiter.is_cancelled:
                 continue
-            if allowance.holder is None:
+            if allowance.holder is None and self.entries.is_known:
                 waiter.on_result(self._exceeded(allowance, waiter.cost, now))
             else:
                 refusal = Refusal(RefusalReason.NO_ANSWER, HOLDER_TIMEOUT)
@@ -693,11 +660,14 @@
     def _serve_unlent(self, allowance: _Allowance, now: Seconds) -> None:
         """Serves requests that wait while the entry spends its share itself."""
         if allowance.holder is None and allowance.waiters:
-            self._serve(allowance, now, is_short=now >= self._may_connect_until)
+            may_wait = not self.entries.is_known or now < self._may_connect_until
+            self._serve(allowance, now, is_short=not may_wait)
 
     def _drop_if_idle(self, allowance: _Allowance, now: Seconds) -> None:
         if allowance.holder is not None or allowance.waiters:
             return
+        if not self.entries.is_known:
+            return
         allowance.refill(now, self._own_entries)
         is_full = allowance.own >= allowance.own_capacity(self._own_entries)
         if is_full and now - allowance.used_at >= CLOSE_DELAY:
--- a/fighitch/gateway/entry.py
+++ b/fighitch/gateway/entry.py
@@ -39,6 +39,7 @@
     max_callers,
 )
 from fighitch.gateway.configuration_reader import read_configuration
+from fighitch.gateway.entry_registry import EntryRegistry
 from fighitch.gateway.failure_response import send_failure_response
 from fighitch.gateway.metrics import EntryMetrics
 from fighitch.gateway.part_quarantine import PartQuarantine
@@ -146,6 +147,15 @@
             pause_left=self._pause_left,
         )
         self.quotas = Quotas(loop, settings, self.links, log, metrics)
+        self._registry = EntryRegistry(
+            loop,
+            settings.store,
+            log,
+            entry=settings.instance,
+            entries=self.quotas.entries,
+            calls=self._store_calls,
+        )
+        self.quotas.on_reported_entries = self._registry.record_reported
         self._listener: socket.socket | None = listen(
             settings.callers.host, settings.callers.port
         )
@@ -198,6 +208,7 @@
         if not is_same_store:
             self._store_calls = self._create_store_calls()
             self.quarantine.connect(settings.store, self._store_calls)
+            self._registry.connect(settings.store, self._store_calls)
             self._on_servers_restored()
         self._store_calls.contact.set_heartbeat_interval(settings.heartbeat_interval)
         self._update_watches(is_new_store=not is_same_store)
@@ -207,6 +218,7 @@
         if self._stopping_since is not None:
             return
         self._stopping_since = self.loop.now()
+        self._registry.stop()
         self._log.event(
             "stopping", requests=len(self._relays), callers=len(self._callers)
         )
@@ -266,6 +278,7 @@
             self._on_membership_changes(expired)
         self._pauses.drop_ended(self.loop.now())
         self.quarantine.run_housekeeping()
+        self._registry.run_housekeeping(is_needed=self.quotas.is_active)
         self._limit_shares.set_entries(self._entry_count, self.loop.now())
         self._keys.update_state()
         self._update_watches()
--- a/fighitch/gateway/peer_messages.py
+++ b/fighitch/gateway/peer_messages.py
@@ -276,12 +276,15 @@
             is that of ``GrantLine``.
         opened: Accounts with traffic, for entries that lend no share of them yet.
         closed: Accounts without traffic, whose shares the entries get back.
+        entries: Names of all connected entries that understand quotas; empty if they
+            are not reported.
     """
 
     sent_at_us: int
     lines: list[tuple[str, float, bool, float, float]]
     opened: list[str] = []
     closed: list[str] = []
+    entries: list[str] = []
 
 
 Message = (
--- a/fighitch/gateway/quota_lender.py
+++ b/fighitch/gateway/quota_lender.py
@@ -23,6 +23,9 @@
 from fighitch.types import Seconds
 
 _POLL_INTERVAL: Seconds = 0.25
+# Names of the entries are reported to each of them; only their absence for minutes
+# matters.
+_NAMES_INTERVAL: Seconds = 60.0
 
 
 class QuotaLender:
@@ -34,6 +37,7 @@
         self._metrics = HolderMetrics(metrics.registry)
         self._holder = QuotaHolder()
         self._peers: dict[str, PeerConnection] = {}
+        self._named_at: dict[str, Seconds] = {}
         self._known: set[str] = set()
         self._is_polling = False
         self._is_answer_due = False
@@ -52,6 +56,7 @@
         """Removes an entry whose connection is closed."""
         for entry in [name for name, item in self._peers.items() if item is peer]:
             del self._peers[entry]
+            self._named_at.pop(entry, None)
             self._holder.disconnect(entry, self._loop.now())
 
     def on_request(self, peer: PeerConnection, request: QuotaRequest) -> None:
@@ -73,6 +78,7 @@
         )
         self._send(grants)
         self._announce(now)
+        self._report_entries(request.entry, now)
         if not self._is_polling and self._holder.accounts:
             self._is_polling = True
             self._loop.call_later(_POLL_INTERVAL, self._poll)
@@ -80,6 +86,11 @@
             self._is_answer_due = True
             self._loop.call_later(OPENING_TIME, self._answer_parked)
 
+    def _report_entries(self, entry: str, now: Seconds) -> None:
+        if now - self._named_at.get(entry, float("-inf")) >= _NAMES_INTERVAL:
+            self._named_at[entry] = now
+            self._peers[entry].send(QuotaGrant(0, [], entries=sorted(self._peers)))
+
     def _answer_parked(self) -> None:
         self._is_answer_due = False
         self._send(self._holder.poll(self._loop.now()))
--- a/fighitch/gateway/quotas.py
+++ b/fighitch/gateway/quotas.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 from functools import partial
 
+from fighitch.core.gateway.entry_count import EntryCount
 from fighitch.core.gateway.failures import FailureKind
 from fighitch.core.gateway.model import Configuration
 from fighitch.core.gateway.quota_allowances import (
@@ -68,6 +69,8 @@
         self._refused: dict[str, int] = {}
         self._reported_at: Seconds = float("-inf")
         self._holders: dict[str, str | None] = {}
+        # Called with the names of connected entries that an agent reports.
+        self.on_reported_entries: Callable[[list[str]], None] = lambda _names: None
         links.on_quota_agent = self._on_agent
         links.on_quota_agent_lost = self._on_agent_lost
         links.on_quota_grant = self._on_grant
@@ -77,6 +80,11 @@
         """Whether any account has a quota."""
         return self._allowances.is_active
 
+    @property
+    def entries(self) -> EntryCount:
+        """Number of entries that share the quotas."""
+        return self._allowances.entries
+
     def configure(self, configuration: Configuration) -> None:
         """Applies the quotas of a configuration."""
         if configuration.accounts is None and not self.is_active:
@@ -196,6 +204,8 @@
 
     def _on_grant(self, engine: str, message: QuotaGrant) -> None:
         now = self._loop.now()
+        if message.entries:
+            self.on_reported_entries(message.entries)
         self._allowances.announce(message.opened, now)
         self._allowances.close(engine, message.closed)
         lines = [GrantLine(*line) for line in message.lines]
--- a/fighitch/tests/test_quota_exchange.py
+++ b/fighitch/tests/test_quota_exchange.py
@@ -102,6 +102,7 @@
         settings = mock.Mock(instance=name, quota_window=QuotaWindow())
         quotas = Quotas(self.loop, settings, links, self.log, EntryMetrics())
         quotas.links = links
+        quotas.entries.record_stored(3, self.loop.now())
         return quotas
 
     def configure(self, *accounts: Account) -> None:
--- a/fighitch/tests/test_quotas.py
+++ b/fighitch/tests/test_quotas.py
@@ -13,8 +13,8 @@
 from dataclasses import replace
 
 from fighitch.core.gateway.accounts import Account, Quota, QuotaUnit
+from fighitch.core.gateway.entry_count import EntryCount
 from fighitch.core.gateway.quota_allowances import (
-    EntryCount,
     QuotaAllowances,
     Refusal,
     RefusalReason,
@@ -75,7 +75,9 @@
             sum(self.fleet.is_linked(entry, agent) for entry in self.fleet.entries)
             for agent in self.agents
         ]
-        self.allowances.entries.record(max(counts, default=1), now)
+        if self.agents:
+            self.allowances.entries.record(max(counts), now)
+        self.allowances.entries.record_stored(self.fleet.stored_entries, now)
         names = {agent.name: 1.0 for agent in self.agents}
         # Changed connections only: an unchanged set keeps its holders.
         self.allowances.set_agents(
@@ -214,6 +216,8 @@
         self._events: list = []
         self._numbers = itertools.count()
         self.agents = [Agent(self, f"g{number}") for number in range(agents)]
+        # Entries with an object in the platform's store.
+        self.stored_entries = entries
         self.entries: list[Entry] = []
         for number in range(entries):
             self.entries.append(Entry(self, f"e{number}"))
