--- a/fighitch/tests/test_quota_exchange.py
+++ b/fighitch/tests/test_quota_exchange.py
@@ -258,6 +258,21 @@
         self.loop.run(1.0)
         self.assertEqual(len(self.results), 2)
 
+    def test_agent_names_the_entries_once_a_minute(self):
+        # Guards against objects of ended entries that stay, and against a message with
+        # all names for each request.
+        reported = mock.Mock()
+        self.entries[0].on_reported_entries = reported
+        self.start()
+        for _ in range(100):
+            self.take(self.entries[0], 1.0)
+            self.loop.run(0.3)
+        reported.assert_called_once_with(["e0", "e1", "e2"])
+        for _ in range(150):
+            self.take(self.entries[0], 1.0)
+            self.loop.run(0.3)
+        self.assertEqual(reported.call_count, 2)
+
     def test_metrics_by_account(self):
         self.start()
         for _ in range(30):
