--- a/fighitch/gateway/entry.py
+++ b/fighitch/gateway/entry.py
@@ -33,6 +33,7 @@
     max_callers,
 )
 from fighitch.gateway.configuration_reader import read_configuration
+from fighitch.gateway.entry_registry import EntryRegistry
 from fighitch.gateway.failure_response import send_failure_response
 from fighitch.gateway.metrics import EntryMetrics
 from fighitch.gateway.part_quarantine import PartQuarantine
@@ -142,6 +143,15 @@
             pause_left=self._pause_left,
         )
         self.quotas = Quotas(loop, settings, self.links, log, metrics)
+        self._registry = EntryRegistry(
+            loop,
+            settings.store,
+            log,
+            entry=settings.instance,
+            entries=self.quotas.entries,
+            calls=self._store_calls,
+        )
+        self.quotas.on_reported_entries = self._registry.record_reported
         self._listener: socket.socket | None = listen(
             settings.callers.host, settings.callers.port
         )
@@ -194,6 +204,7 @@
         if not is_same_store:
             self._store_calls = self._create_store_calls()
             self.quarantine.connect(settings.store, self._store_calls)
+            self._registry.connect(settings.store, self._store_calls)
             self._on_servers_restored()
         self._zones.apply_settings(settings)
         self._store_calls.contact.set_heartbeat_interval(settings.heartbeat_interval)
@@ -204,6 +215,7 @@
         if self._stopping_since is not None:
             return
         self._stopping_since = self.loop.now()
+        self._registry.stop()
         self._log.event(
             "stopping", requests=len(self._relays), callers=len(self._callers)
         )
@@ -263,6 +275,7 @@
             self._on_membership_changes(expired)
         self._pauses.drop_ended(self.loop.now())
         self.quarantine.run_housekeeping()
+        self._registry.run_housekeeping(is_needed=self.quotas.is_active)
         self._limit_shares.set_entries(self._entry_count, self.loop.now())
         self._keys.update_state()
         self._update_watches()
