Let the rate of quotas use a part of the permitted overage

Change: of the overage and slack, 0.3 and 0.4 raise the rate; the rest of the bucket is as before. request_ended names the account.

--- a/fighitch/core/gateway/quota_holder.py
+++ b/fighitch/core/gateway/quota_holder.py
@@ -29,12 +29,17 @@
 CLOSE_DELAY: Seconds = 10.0
 # Interval at which open accounts are announced to entries that lend no share.
 ANNOUNCE_INTERVAL: Seconds = 1.0
-# Share of the permitted overage that the bucket uses beyond the burst, so that units
-# held by other entries don't cause rejections below the quota. The rest is for shares
-# that count at two holders until the first one notices that they have moved.
-_OVERAGE_SHARE = 0.5
-# The same for the slack. It counts tokens, so that quotas of requests don't use it.
-_SLACK_SHARE = 0.25
+# Shares of the permitted overage and slack that the bucket uses. Quotas hold over
+# windows, in which an account may use its burst again and again, so that a bucket with
+# exactly its rate would refuse steady work that the quota allows: a part of the overage
+# raises the rate. Another one is held beyond the burst, so that units held by other
+# entries don't cause rejections below the quota. What is left covers shares that count
+# at two holders until the first one notices that they have moved. The slack counts
+# tokens, so that quotas of requests don't use it.
+_RATE_OVERAGE_SHARE = 0.3
+_RATE_SLACK_SHARE = 0.4
+_HEADROOM_OVERAGE_SHARE = 0.5
+_HEADROOM_SLACK_SHARE = 0.25
 # Rounding errors of sums of units.
 _EPSILON = 1e-6
 
@@ -58,12 +63,15 @@
 def quota_limit(quota: Quota, window: QuotaWindow) -> QuotaLimit:
     """Returns the limit of the bucket that enforces a quota."""
     overage = window.overage * (quota.rate * window.length + quota.burst)
-    headroom = _OVERAGE_SHARE * overage
-    if quota.unit is QuotaUnit.TOKENS:
-        headroom += _SLACK_SHARE * window.slack
-        return QuotaLimit(quota.rate, quota.burst + headroom, headroom)
-    # A bucket that holds less than one request would never let one pass.
-    return QuotaLimit(quota.rate, max(1.0, quota.burst + headroom), headroom)
+    slack = window.slack if quota.unit is QuotaUnit.TOKENS else 0.0
+    spare = _RATE_OVERAGE_SHARE * overage + _RATE_SLACK_SHARE * slack
+    headroom = _HEADROOM_OVERAGE_SHARE * overage + _HEADROOM_SLACK_SHARE * slack
+    rate = quota.rate + spare / window.length
+    capacity = quota.burst + headroom
+    if quota.unit is QuotaUnit.REQUESTS:
+        # A bucket that holds less than one request would never let one pass.
+        capacity = max(1.0, capacity)
+    return QuotaLimit(rate, capacity, headroom)
 
 
 @dataclass(frozen=True, slots=True)
--- a/fighitch/gateway/relay.py
+++ b/fighitch/gateway/relay.py
@@ -736,6 +736,7 @@
             outcome=outcome,
             request=self._metadata.request_id,
             service=self._service.name,
+            account=self._metadata.account,
             adapter=self._metadata.adapter or "",
             tokens=self._metadata.size.prompt_tokens,
             server="" if server is None else server.instance_id,
