Weight the shares of client accounts by their quotas

Cause: all accounts had equal shares of an engine, so that accounts which are large by agreement lost their usual work while another one flooded.

Change: virtual times advance by cost / weight, and adapter places are shared in proportion to weights, with at least one for each account. The weight is the rate of the account's quota over the mean rate of its unit; an account without a quota has the mean, 1. The entry sends it in a new last field of AdmissionRequest, so that entries of an earlier build mean equal shares. Tolerance and lags stay times of the engine: levels begin one tolerance of engine time after the virtual time of the engine and have a common length in virtual time from there on.

Ruled out: levels of one tolerance of each account's own engine time, which give equal shares within a backlog; levels of a common length in virtual time only, where an account of ten times the weight goes ahead of a small one for ten tolerances.

--- a/fighitch/core/gateway/accounts.py
+++ b/fighitch/core/gateway/accounts.py
@@ -4,6 +4,13 @@
 from dataclasses import dataclass, field
 from enum import Enum
 
+# Lowest and highest weight of an account, where 1 is the mean. An account at a tenth of
+# the mean among 16 gets one prompt of 500 tokens in 4 s from a full engine of 20 tokens
+# per ms; with less, its requests would wait until usual deadlines. An account at ten
+# times the mean takes 1.5 s of engine time in one step of the order of admission.
+MIN_WEIGHT = 0.1
+MAX_WEIGHT = 10.0
+
 
 class QuotaUnit(Enum):
     """What a quota counts."""
@@ -65,6 +72,7 @@
         self._by_key = {
             key: account for account in self._accounts.values() for key in account.keys
         }
+        self._weights = _weights(self._accounts.values())
 
     def __iter__(self) -> Iterator[Account]:
         return iter(self._accounts.values())
@@ -76,3 +84,35 @@
     def get(self, name: str) -> Account | None:
         """Returns the account with a name, or None."""
         return self._accounts.get(name)
+
+    def weight(self, name: str) -> float:
+        """Returns the share of an account relative to the mean of the others'.
+
+        The weight is proportional to the rate of the account's quota. An account
+        without a quota has the mean weight, 1: a lower one would punish it for a limit
+        that was never agreed on, a higher one would turn the absence of a limit into a
+        claim on the others' shares.
+        """
+        return self._weights.get(name, 1.0)
+
+
+def bounded_weight(weight: float) -> float:
+    """Returns a weight within its limits; the lowest one if it is not a number."""
+    return min(MAX_WEIGHT, max(MIN_WEIGHT, weight))
+
+
+def _weights(accounts: Iterable[Account]) -> dict[str, float]:
+    """Returns the weights of the accounts with quotas.
+
+    Rates in tokens and rates in requests can't be compared. Each is divided by the mean
+    rate of its unit.
+    """
+    rates: dict[QuotaUnit, dict[str, float]] = {}
+    for account in accounts:
+        if account.quota is not None and account.quota.rate > 0:
+            rates.setdefault(account.quota.unit, {})[account.name] = account.quota.rate
+    return {
+        name: bounded_weight(rate * len(group) / sum(group.values()))
+        for group in rates.values()
+        for name, rate in group.items()
+    }
--- a/fighitch/core/gateway/adapter_cache.py
+++ b/fighitch/core/gateway/adapter_cache.py
@@ -242,12 +242,24 @@
         self._outdated_since.setdefault(adapter, now)
 
     def record_demand(
-        self, adapter: AdapterName, now: Seconds, account: str = ""
+        self,
+        adapter: AdapterName,
+        now: Seconds,
+        account: str = "",
+        *,
+        weight: float = 1.0,
     ) -> None:
-        """Counts a request of an account for an adapter in the demand estimate."""
+        """Counts a request of an account for an adapter in the demand estimate.
+
+        Args:
+            adapter: Requested adapter.
+            now: Current time.
+            account: Client account of the request; empty for none.
+            weight: Weight of the account in shares of the places.
+        """
         self._demand.record(adapter, now)
         if adapter.adapter:
-            self._shares.record_use(adapter, account, now)
+            self._shares.record_use(adapter, account, now, weight=weight)
 
     def record_admission(self, adapter: AdapterName, now: Seconds) -> None:
         """Records that an admitted request uses an adapter."""
--- a/fighitch/core/gateway/engine_queue.py
+++ b/fighitch/core/gateway/engine_queue.py
@@ -74,6 +74,7 @@
         request_id: Id of the request, for the log.
         gap_target: Longest pause between events with which a stream is on time.
         account: Client account of the request; empty for none.
+        weight: Share of the account relative to the mean of all accounts.
     """
 
     key: RequestKey
@@ -87,6 +88,7 @@
     request_id: str = ""
     gap_target: Seconds = float("inf")
     account: str = ""
+    weight: float = 1.0
 
     @property
     def tokens(self) -> int:
@@ -242,18 +244,24 @@
         return sorted(demands.values(), key=AdapterDemand.sort_key)
 
     def count_missing_adapters(
-        self, loaded: "LoadedAdapters", now: Seconds, account: str | None = None
+        self,
+        loaded: "LoadedAdapters",
+        now: Seconds,
+        account: str | None = None,
+        *,
+        weight: float = 1.0,
     ) -> int:
         """Returns how many loads precede a load for a new request.
 
         These are the adapters that are missing for waiting requests that are not late.
         With named accounts, each other account precedes with as many of them as the
-        account of the request has, and one more.
+        account of the request has, and one more, in proportion to their weights.
 
         Args:
             loaded: Adapters that the engine can serve.
             now: Current time.
             account: Account of the new request; None for one without other requests.
+            weight: Weight of this account.
         """
         first_event = self._earliest_first_event(now)
         missing = [
@@ -269,7 +277,12 @@
             {request.adapter: request.account for request in missing}.values()
         )
         own = 0 if account is None else loads.pop(account, 0)
-        return own + sum(min(count, own + 1) for count in loads.values())
+        return own + sum(
+            min(
+                count, max(1, int((own + 1) * (self._fair_order.weight(name) / weight)))
+            )
+            for name, count in loads.items()
+        )
 
     @property
     def drain_time(self) -> Seconds:
@@ -335,15 +348,16 @@
         now: Seconds,
     ) -> Seconds:
         """Returns the backlog for a new request of one account."""
-        level = self._fair_order.level(
-            self._fair_order.virtual_start(account) + own.cost
-        )
+        scale = self._fair_order.level_scale
+        weight = 1.0 if account is None else self._fair_order.weight(account)
+        start = self._fair_order.virtual_start(account) + own.cost / weight
+        level = scale.level(start, weight)
         ahead = AccountLoad()
         for name, load in loads.items():
             share = 1.0
             if name != account:
                 share = self._fair_order.share_ahead(
-                    level, name, load, earlier=load.cost
+                    level, name, load, scale=scale, earlier=load.cost
                 )
             ahead.add_share(load, share)
         return self._start_delay(ahead.prompt_tokens, round(ahead.requests), now)
@@ -393,7 +407,7 @@
         self._remove_waiting(request.key)
         self._waiting[request.key] = request
         self._waiting_prompt_tokens += request.size.prompt_tokens
-        self._fair_order.add(request.account)
+        self._fair_order.add(request.account, request.weight)
         return None
 
     def admit_ready(
@@ -715,7 +729,7 @@
         """Estimates the requests that precede a new one in the fair order."""
         requests = list(self._waiting.values())
         (new,) = self._work([request], now)
-        comparison = LoadAhead(new)
+        comparison = LoadAhead(new, request.weight)
         for other, work in zip(requests, self._work(requests, now), strict=True):
             comparison.add(work, other.size.prompt_tokens)
         return comparison.total(self._fair_order)
--- a/fighitch/core/gateway/fair_order.py
+++ b/fighitch/core/gateway/fair_order.py
@@ -3,9 +3,10 @@
 Load pattern: one account sends several times its usual load while the others send
 theirs. In order of target times, the requests of all accounts would wait behind the
 backlog of this one. Start-time fair queueing gives each account a virtual time that
-advances by the cost of its admitted requests, and the account with the lowest one goes
-next. An account that was idle starts at the virtual time of the engine, so that its
-first request does not wait behind a backlog, and the share of an idle account is lent.
+advances by the cost of its admitted requests divided by the account's weight, and the
+account with the lowest one goes next. An account that was idle starts at the virtual
+time of the engine, so that its first request does not wait behind a backlog, and the
+share of an idle account is lent.
 """
 
 from collections.abc import Sequence
@@ -13,13 +14,15 @@
 
 from fighitch.types import Seconds
 
-# Accounts whose virtual times differ by less than this are served in the order of
-# target times. Exact order by virtual time ignores the targets: in the replay of
-# test_account_floods without a flood, it made 7% of the requests late instead of 5%.
+# An account that is ahead by less than this much engine time is level with the others,
+# and requests of level accounts are served in the order of target times. Exact order by
+# virtual time ignores the targets: in the replay of test_account_floods without a
+# flood, it made 7% of the requests late instead of 5%.
 _TOLERANCE: Seconds = 0.15
 # An account that is further behind than this is treated as if it were this far behind.
 # Otherwise, an account that waited for an adapter load or behind urgent ranks could
-# claim the engine for as long as it waited.
+# claim the engine for as long as it waited. Like the other limits, it is a time of the
+# engine, so that it does not depend on the weight of the account.
 _MAX_LAG: Seconds = 1.0
 # A late request goes before requests that are on time once its account is this far
 # behind: it is not served before those of accounts that are level with its own.
@@ -70,17 +73,52 @@
         self.cost += share * load.cost
 
 
+@dataclass(frozen=True, slots=True)
+class LevelScale:
+    """Steps into which virtual start times are divided.
+
+    Accounts of the same level are served in the order of target times. An account is at
+    level 0 until it is ahead by the tolerance, in engine time that it has used. From
+    there on, levels have the same length in virtual time for all accounts, so that each
+    gets engine time in proportion to its weight; an account of the mean weight uses one
+    tolerance of engine time in each.
+
+    Attributes:
+        virtual_time: Virtual time of the engine.
+        mean_weight: Mean weight of the accounts with waiting requests.
+    """
+
+    virtual_time: Seconds
+    mean_weight: float
+
+    def offset(self, weight: float) -> float:
+        """Returns how much less than one level the tolerance of an account covers."""
+        return 1.0 - self.mean_weight / weight
+
+    def level(self, start: Seconds, weight: float) -> int:
+        """Returns the level of a virtual start time of an account; 0 is the lowest."""
+        levels = (start - self.virtual_time) * self.mean_weight / _TOLERANCE
+        return max(0, int(levels + self.offset(weight)))
+
+    def begin(self, level: int, weight: float) -> Seconds:
+        """Returns by how much engine time an account is ahead where a level begins."""
+        width = _TOLERANCE * weight / self.mean_weight
+        return (level - self.offset(weight)) * width
+
+
 @dataclass(slots=True)
 class _AccountState:
     """Service of one account.
 
     Attributes:
+        weight: Its share of the engine relative to those of other accounts.
         virtual_time: Virtual start time of its next request.
         waiting: Number of its waiting requests.
         on_time_cost: Cost of its requests that were admitted on time since its latest
             late one.
     """
 
+    weight: float
     virtual_time: Seconds
     waiting: int = 0
     on_time_cost: Seconds = 0.0
@@ -107,11 +145,21 @@
         """Whether requests of a named account wait."""
         return len(self._waiting_accounts) > ("" in self._waiting_accounts)
 
-    def add(self, account: str) -> None:
-        """Records that a request of an account waits."""
+    def add(self, account: str, weight: float = 1.0) -> None:
+        """Records that a request of an account waits.
+
+        Args:
+            account: Account of the request.
+            weight: Weight of the account.
+        """
         state = self._accounts.get(account)
         if state is None:
-            state = self._accounts[account] = _AccountState(self._virtual_time)
+            state = self._accounts[account] = _AccountState(weight, self._virtual_time)
+        elif state.weight != weight:
+            # What it is ahead or behind remains the same time of the engine.
+            lead = (state.virtual_time - self._virtual_time) * state.weight
+            state.virtual_time = self._virtual_time + lead / weight
+            state.weight = weight
         if not state.waiting:
             state.virtual_time = max(state.virtual_time, self._virtual_time)
             self._waiting_accounts.add(account)
@@ -139,12 +187,12 @@
         """
         state = self._accounts[account]
         start = self.virtual_start(account)
-        state.virtual_time = start + cost
+        state.virtual_time = start + cost / state.weight
         state.on_time_cost = 0.0 if late else state.on_time_cost + cost
         # Waiting accounts share the engine, so that each is entitled to its part of the
         # time. The second term lends time that the accounts behind can't use.
-        entitled = self._virtual_time + cost / len(self._waiting_accounts)
-        self._virtual_time = max(entitled, start - _TOLERANCE)
+        entitled = self._virtual_time + cost / self._waiting_weight
+        self._virtual_time = max(entitled, start - _TOLERANCE / state.weight)
 
     def virtual_start(self, account: str | None) -> Seconds:
         """Returns the virtual start time of the next request of an account.
@@ -157,11 +205,24 @@
             return self._virtual_time
         if not state.waiting:
             return max(state.virtual_time, self._virtual_time)
-        return max(state.virtual_time, self._virtual_time - _MAX_LAG)
+        return max(state.virtual_time, self._virtual_time - _MAX_LAG / state.weight)
+
+    @property
+    def level_scale(self) -> "LevelScale":
+        """Steps into which the present virtual times are divided."""
+        count = len(self._waiting_accounts)
+        mean_weight = self._waiting_weight / count if count else 1.0
+        return LevelScale(self._virtual_time, mean_weight)
 
-    def level(self, start: Seconds) -> int:
-        """Returns by how many tolerances a virtual start time is ahead; 0 for none."""
-        return max(0, int((start - self._virtual_time) / _TOLERANCE))
+    @property
+    def _waiting_weight(self) -> float:
+        """Sum of the weights of accounts with waiting requests."""
+        return sum(self._accounts[name].weight for name in self._waiting_accounts)
+
+    def weight(self, account: str) -> float:
+        """Returns the weight of an account; that of the mean if it is not known."""
+        state = self._accounts.get(account)
+        return 1.0 if state is None else state.weight
 
     def arrange(self, work: Sequence[Work]) -> list[int]:
         """Returns the order of admission of waiting requests, as indices.
@@ -173,6 +234,8 @@
         Args:
             work: Waiting requests; those that compare equal keep their order.
         """
+        scale = self.level_scale
+        weights: dict[str, float] = {}
         starts: dict[str, Seconds] = {}
         accounts_with_late: set[str] = set()
         heads: dict[str, int] = {}
@@ -185,7 +248,9 @@
             start = starts.get(account)
             if start is None:
                 start = self.virtual_start(account)
-            starts[account] = start + cost
+                weights[account] = self.weight(account)
+            weight = weights[account]
+            starts[account] = start + cost / weight
             if late and account not in accounts_with_late:
                 accounts_with_late.add(account)
                 if account in heads and self._is_overtaken(account, cost):
@@ -195,12 +260,17 @@
             elif not late:
                 heads.setdefault(account, position)
             keys = late_keys if late else on_time_keys
-            keys.append((rank, self.level(start), position, start, index))
+            keys.append((rank, scale.level(start, weight), position, start, index))
         on_time_keys.sort()
         late_keys.sort()
-        return self._merge(on_time_keys, late_keys)
+        return self._merge(on_time_keys, late_keys, [weights[item[3]] for item in work])
 
-    def _merge(self, on_time_keys: list[_Key], late_keys: list[_Key]) -> list[int]:
+    def _merge(
+        self,
+        on_time_keys: list[_Key],
+        late_keys: list[_Key],
+        weights: Sequence[float],
+    ) -> list[int]:
         """Returns the indices of all keys in the order of admission.
 
         A late request goes before others of its rank that are on time as soon as the
@@ -212,12 +282,13 @@
         for rank, _, _, start, index in on_time_keys:
             while next_late < len(late_keys):
                 late_rank, _, _, late_start, late_index = late_keys[next_late]
-                is_behind = virtual_time - late_start >= _LATE_REQUEST_LAG
+                lag = (virtual_time - late_start) * weights[late_index]
+                is_behind = lag >= _LATE_REQUEST_LAG
                 if late_rank > rank or not is_behind:
                     break
                 order.append(late_index)
                 next_late += 1
-            virtual_time = max(virtual_time, start - _TOLERANCE)
+            virtual_time = max(virtual_time, start - _TOLERANCE / weights[index])
             order.append(index)
         return order + [key[-1] for key in late_keys[next_late:]]
 
@@ -227,6 +298,7 @@
         account: str,
         load: AccountLoad,
         *,
+        scale: LevelScale,
         earlier: Seconds,
         before: Seconds = 0.0,
     ) -> float:
@@ -236,16 +308,18 @@
             level: Level of the request of the other account.
             account: Account of the load.
             load: Waiting requests of this account.
+            scale: Scale of the level.
             earlier: Cost of those with an earlier target time than the other request.
             before: Cost of requests that this account has ahead of the load.
         """
         if not load.cost:
             return 1.0
         # Position in the account's sequence at which this level and the next one begin.
-        begin = self._virtual_time - self.virtual_start(account) - before
-        begin += level * _TOLERANCE
-        end = begin + _TOLERANCE
-        ahead = max(begin if level else 0.0, min(end, earlier))
+        weight = self.weight(account)
+        lead = (self.virtual_start(account) - self._virtual_time) * weight + before
+        begin = scale.begin(level, weight) - lead if level else 0.0
+        end = scale.begin(level + 1, weight) - lead
+        ahead = max(begin, min(end, earlier))
         return min(1.0, max(0.0, ahead / load.cost))
 
     def _is_overtaken(self, account: str, cost: Seconds) -> bool:
@@ -272,8 +346,15 @@
     The order itself takes two sorts, which is too much for each request for admission.
     """
 
-    def __init__(self, new: Work) -> None:
+    def __init__(self, new: Work, weight: float = 1.0) -> None:
+        """Initializes the estimate.
+
+        Args:
+            new: The new request.
+            weight: Weight of its account.
+        """
         self._late, self._rank, self._target_time, self._account, _ = new
+        self._weight = weight
         self._ahead = AccountLoad()
         self._own_cost: Seconds = 0.0
         # Requests of other accounts ahead in any case, and those that share the engine
@@ -315,15 +396,16 @@
 
     def total(self, order: FairOrder) -> AccountLoad:
         """Returns the requests ahead under the present virtual times."""
-        start = order.virtual_start(self._account) + self._own_cost
-        if self._late:
-            start += _LATE_REQUEST_LAG
-        level = order.level(start)
+        scale = order.level_scale
+        ahead = self._own_cost + (_LATE_REQUEST_LAG if self._late else 0.0)
+        start = order.virtual_start(self._account) + ahead / self._weight
+        level = scale.level(start, self._weight)
         for account, load in self._sharing.items():
             share = order.share_ahead(
                 level,
                 account,
                 load,
+                scale=scale,
                 earlier=self._earlier[account],
                 before=self._before.get(account, 0.0),
             )
--- a/fighitch/gateway/admission_requests.py
+++ b/fighitch/gateway/admission_requests.py
@@ -49,4 +49,5 @@
         request_id=metadata.request_id,
         gap_ms=round(route.gap_target * _MS_PER_SECOND),
         account=metadata.account,
+        weight=metadata.weight,
     )
--- a/fighitch/gateway/agent.py
+++ b/fighitch/gateway/agent.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from fighitch.core.gateway.accounts import bounded_weight
 from fighitch.core.gateway.adapter_cache import AdapterCache, EngineReport
 from fighitch.core.gateway.engine_queue import EngineQueue, EngineRequest, Rejection
 from fighitch.core.gateway.left_incarnations import LeftIncarnations
@@ -206,12 +207,15 @@
             request_id=admission_request.request_id,
             gap_target=admission_request.gap_ms / _MS_PER_SECOND or float("inf"),
             account=admission_request.account,
+            weight=bounded_weight(admission_request.weight),
         )
         if self._draining or not self._serving:
             reason = "draining" if self._draining else "engine_not_answering"
             self._deny(Rejection(request, self._queue.retry_after(now), reason))
             return
-        loads_ahead = self._count_missing_adapters(now, request.account)
+        loads_ahead = self._count_missing_adapters(
+            now, request.account, weight=request.weight
+        )
         load_wait = self._adapter_cache.load_wait(adapter, loads_ahead, now)
         if admission_request.may_decline:
             first_event = self._queue.expected_first_event_delay(request, load_wait)
@@ -223,7 +227,9 @@
                     load_wait=load_wait,
                 )
                 return
-        self._adapter_cache.record_demand(adapter, now, request.account)
+        self._adapter_cache.record_demand(
+            adapter, now, request.account, weight=request.weight
+        )
         rejection = self._queue.enqueue(request, load_wait)
         if rejection is not None:
             self._deny(rejection)
@@ -409,8 +415,12 @@
             on_end=on_order_end,
         )
 
-    def _count_missing_adapters(self, now: Seconds, account: str | None = None) -> int:
-        return self._queue.count_missing_adapters(self._adapter_cache, now, account)
+    def _count_missing_adapters(
+        self, now: Seconds, account: str | None = None, *, weight: float = 1.0
+    ) -> int:
+        return self._queue.count_missing_adapters(
+            self._adapter_cache, now, account, weight=weight
+        )
 
     # Engine reports.
 
--- a/fighitch/gateway/peer_messages.py
+++ b/fighitch/gateway/peer_messages.py
@@ -78,6 +78,7 @@
         gap_ms: Longest pause between events with which the stream is on time; 0 for
             no limit.
         account: Client account of the request; empty for none.
+        weight: Share of the account relative to the mean of all accounts.
     """
 
     number: int
@@ -93,6 +94,7 @@
     request_id: str = ""
     gap_ms: int = 0
     account: str = ""
+    weight: float = 1.0
 
 
 class Grant(_Message, frozen=True, tag=4):
--- a/fighitch/gateway/request_keys.py
+++ b/fighitch/gateway/request_keys.py
@@ -105,7 +105,12 @@
         if account is None:
             return replace(metadata, has_accounts=True), route
         self._metrics.count_key_check(_ACCEPTED)
-        checked = replace(metadata, account=account.name, has_accounts=True)
+        checked = replace(
+            metadata,
+            account=account.name,
+            weight=accounts.weight(account.name),
+            has_accounts=True,
+        )
         return checked, self._ranked_route(route, account)
 
     def update_state(self) -> None:
--- a/fighitch/platform/requests.py
+++ b/fighitch/platform/requests.py
@@ -97,6 +97,7 @@
             but set once the key was checked.
         has_accounts: Whether the configuration has client accounts, so that callers'
             ``Authorization`` and ``Tenant`` headers are not forwarded.
+        weight: Share of the account relative to the mean of all accounts.
     """
 
     request_id: str
@@ -111,6 +112,7 @@
     states_tokens: bool = False
     account: str = ""
     has_accounts: bool = False
+    weight: float = 1.0
 
     @property
     def forwarded_account(self) -> str | None:
--- a/fighitch/tests/gateway_helpers.py
+++ b/fighitch/tests/gateway_helpers.py
@@ -82,6 +82,7 @@
     connection: int = 1,
     gap_target: float = float("inf"),
     account: str = "",
+    weight: float = 1.0,
 ) -> EngineRequest:
     return EngineRequest(
         key=(connection, number),
@@ -94,6 +95,7 @@
         deadline=arrived + timeout,
         gap_target=gap_target,
         account=account,
+        weight=weight,
     )
 
 
