Replay a flood beside accounts that are large by agreement

Cause: the replay had accounts of one size only, so that it could not show what equal shares take from large ones.

Change: three of 16 accounts usually send six times as much as the others, and a small one sends 30 times its usual for 6 s.

--- a/fighitch/tests/test_account_floods.py
+++ b/fighitch/tests/test_account_floods.py
@@ -10,6 +10,7 @@
 from collections import Counter
 from dataclasses import dataclass, field
 
+from fighitch.core.gateway.accounts import Account, AccountTable, Quota
 from fighitch.core.gateway.adapter_cache import (
     AdapterCache,
     LoadAdapter,
@@ -49,7 +50,7 @@
 
     def load_wait(self, item) -> float:
         ahead = self.queue.count_missing_adapters(
-            self.cache, item.arrived, item.account
+            self.cache, item.arrived, item.account, weight=item.weight
         )
         return self.cache.load_wait(item.adapter, ahead, item.arrived)
 
@@ -58,7 +59,9 @@
         return item.arrived + delay > item.target_time
 
     def accept(self, item) -> bool:
-        self.cache.record_demand(item.adapter, item.arrived, item.account)
+        self.cache.record_demand(
+            item.adapter, item.arrived, item.account, weight=item.weight
+        )
         return self.queue.enqueue(item, self.load_wait(item)) is None
 
     def advance(self, now: float) -> list[tuple[float, object]]:
@@ -99,7 +102,7 @@
 
 @dataclass(frozen=True)
 class Load:
-    """Requests of 16 accounts; one sends seven times its usual from 2 s to 8 s.
+    """Requests of 16 accounts; one sends several times its usual from 2 s to 8 s.
 
     Attributes:
         engines: Number of engines.
@@ -108,6 +111,9 @@
         factor: Rate of the flood relative to the usual one.
         named: Whether the requests carry the accounts' names.
         large_adapters: Adapters of the account that sends the flood.
+        large_accounts: Number of other accounts that are large by agreement.
+        size: Usual rate of these relative to that of the rest.
+        weighted: Whether weights state the sizes.
         seed: Seed of the arrivals.
     """
 
@@ -117,8 +123,22 @@
     factor: float = 7.0
     named: bool = True
     large_adapters: int = 1
+    large_accounts: int = 0
+    size: float = 6.0
+    weighted: bool = True
     seed: int = 7
 
+    def usual_size(self, account: int) -> float:
+        """Returns the usual rate of an account relative to the smallest ones."""
+        return self.size if account >= 16 - self.large_accounts else 1.0
+
+    def weight(self, account: str) -> float:
+        accounts = AccountTable(
+            Account(f"a{number}", frozenset(), quota=Quota(size, size))
+            for number, size in enumerate(map(self.usual_size, range(16)))
+        )
+        return accounts.weight(account) if self.weighted else 1.0
+
     def requests(self):
         """Returns the requests, ordered by arrival, with their account."""
         source = random.Random(self.seed)
@@ -127,12 +147,14 @@
             now = 0.0
             while now < 9.0:
                 in_flood = f"a{account}" == LARGE and 2.0 <= now < 8.0
-                rate = self.rate * (self.factor if in_flood else 1.0)
+                rate = self.rate * self.usual_size(account)
+                rate *= self.factor if in_flood else 1.0
                 now += source.expovariate(rate)
                 count = self.large_adapters if account == 0 else self.adapters
                 adapter = f"{account}-{source.randrange(count)}"
                 prompt = 4_000 if source.random() < 0.1 else 500
                 arrivals.append((now, f"a{account}", adapter, prompt))
+        weights = {f"a{number}": self.weight(f"a{number}") for number in range(16)}
         for number, (now, account, adapter, prompt) in enumerate(sorted(arrivals)):
             item = request(
                 number,
@@ -143,6 +165,7 @@
                 target_latency=1.0,
                 timeout=5.0,
                 account=account if self.named else "",
+                weight=weights[account] if self.named else 1.0,
             )
             yield item, account
 
@@ -161,6 +184,11 @@
     def served_share(self, key) -> float:
         return self.served[key] / max(1, self.sent[key])
 
+    def group_share(self, accounts) -> float:
+        """Returns the share on time of the requests of several accounts."""
+        on_time = sum(self.on_time[name] for name in accounts)
+        return on_time / sum(self.sent[name] for name in accounts)
+
     @property
     def others(self) -> float:
         """Share on time of all requests but those of the large account."""
@@ -280,5 +308,53 @@
             self.assertGreater(named.others, unnamed.others - 0.02)
 
 
+class LargeAccountTests(unittest.TestCase):
+    """Three accounts usually send six times as much as the others; a small one floods.
+
+    Guards against equal shares that take the usual work of accounts which are large by
+    agreement, and against weights that take that of the small ones.
+    """
+
+    LARGE_ACCOUNTS = ("a13", "a14", "a15")
+    SMALL_ACCOUNTS = tuple(f"a{number}" for number in range(1, 13))
+
+    def check(self, *, max_loss: float, min_gain: float, **options) -> None:
+        """Compares a flood with the usual load, and with equal shares.
+
+        Args:
+            max_loss: Limit of what large and small accounts lose against the usual
+                load.
+            min_gain: What the large ones gain at least against equal shares.
+            options: Options of the load.
+        """
+        options = {"large_accounts": 3, "factor": 30.0, **options}
+        usual = total(**{**options, "factor": 1.0})
+        flood = total(**options)
+        for group in (self.LARGE_ACCOUNTS, self.SMALL_ACCOUNTS):
+            limit = usual.group_share(group) - max_loss
+            self.assertGreater(flood.group_share(group), limit)
+        equal = total(weighted=False, **options).group_share(self.LARGE_ACCOUNTS)
+        gain = flood.group_share(self.LARGE_ACCOUNTS) - equal
+        self.assertGreater(gain, min_gain)
+        self.assertGreater(flood.served_share(LARGE), 0.4)
+
+    def test_accounts_keep_their_usual_work_at_one_engine(self):
+        self.check(max_loss=0.02, min_gain=0.04, rate=0.62)
+
+    def test_accounts_keep_their_usual_work_at_several_engines(self):
+        self.check(max_loss=0.06, min_gain=0.15, engines=3, rate=1.86)
+
+    def test_accounts_keep_their_usual_work_with_adapter_loads(self):
+        self.check(
+            max_loss=0.04,
+            min_gain=0.08,
+            loaded=False,
+            engines=3,
+            rate=1.5,
+            adapters=2,
+            large_adapters=100,
+        )
+
+
 if __name__ == "__main__":
     unittest.main()
