Bound the waits of small accounts under weights

Cause: two faults of weighted shares, found in review. A late request goes ahead once its account is behind by 0.5 s of engine time; an account of a tenth of the mean weight reached this after 15.5 s instead of 2 s. And all ten missing adapters of a large account counted as loaded before the first one of a small account, which could reject a request that is in time: the account without places loads first.

Ruled out: a lag in virtual time for all accounts, with which late requests of an account of ten times the weight would wait for ten times the engine time.

Change: late requests of accounts below the mean weight wait for as long as those of the mean, also in the estimate. Other accounts precede with one load, and with more only in proportion to the own missing adapters.

--- a/fighitch/core/gateway/engine_queue.py
+++ b/fighitch/core/gateway/engine_queue.py
@@ -254,8 +254,8 @@
         """Returns how many loads precede a load for a new request.
 
         These are the adapters that are missing for waiting requests that are not late.
-        With named accounts, each other account precedes with as many of them as the
-        account of the request has, and one more, in proportion to their weights.
+        With named accounts, each other account precedes with one of them, and as many
+        more as the account of the request has, in proportion to their weights.
 
         Args:
             loaded: Adapters that the engine can serve.
@@ -278,9 +278,7 @@
         )
         own = 0 if account is None else loads.pop(account, 0)
         return own + sum(
-            min(
-                count, max(1, int((own + 1) * (self._fair_order.weight(name) / weight)))
-            )
+            min(count, 1 + int(own * (self._fair_order.weight(name) / weight)))
             for name, count in loads.items()
         )
 
--- a/fighitch/core/gateway/fair_order.py
+++ b/fighitch/core/gateway/fair_order.py
@@ -106,6 +106,15 @@
         levels = (start - self.virtual_time) * self.mean_weight / _TOLERANCE
         return max(0, int(levels + self.offset(weight)))
 
+    def late_lag(self, weight: float) -> Seconds:
+        """Returns by how much an account is behind when its late requests may go first.
+
+        An account below the mean weight takes longer to be behind by the same engine
+        time. Its late requests wait for as long as those of one of the mean weight:
+        otherwise, its long prompts would wait until their deadlines.
+        """
+        return _LATE_REQUEST_LAG / max(weight, self.mean_weight)
+
     def begin(self, level: int, weight: float) -> Seconds:
         """Returns by how much engine time an account is ahead where a level begins."""
         width = _TOLERANCE * weight / self.mean_weight
@@ -310,8 +319,8 @@
             rank, *_, index, start, sequence = on_time[0]
             while late:
                 late_rank, *_, late_index, late_start, late_sequence = late[0]
-                lag = (virtual_time - late_start) * late_sequence.weight
-                if late_rank > rank or lag < _LATE_REQUEST_LAG:
+                lag = virtual_time - late_start
+                if late_rank > rank or lag < scale.late_lag(late_sequence.weight):
                     break
                 yield late_index
                 late_sequence.advance(late, scale)
@@ -467,9 +476,13 @@
     def total(self, order: FairOrder) -> AccountLoad:
         """Returns the requests ahead under the present virtual times."""
         scale = order.level_scale
-        ahead = self._own_cost + (_LATE_REQUEST_LAG if self._late else 0.0)
-        start = order.virtual_start(self._account) + ahead / self._weight
-        level = scale.level(start, self._weight)
+        start = order.virtual_start(self._account) + self._own_cost / self._weight
+        weight = self._weight
+        if self._late:
+            # It waits for the virtual time of the engine, whatever its own tolerance.
+            start += scale.late_lag(weight)
+            weight = scale.mean_weight
+        level = scale.level(start, weight)
         for account, load in self._sharing.items():
             share = order.share_ahead(
                 level,
--- a/fighitch/tests/test_account_weights.py
+++ b/fighitch/tests/test_account_weights.py
@@ -31,6 +31,7 @@
     A3,
     MODEL,
     AllAdaptersLoaded,
+    NoAdaptersLoaded,
     engine_spec,
     request,
 )
@@ -331,6 +332,67 @@
             lag = self.order._virtual_time - self.order.virtual_start("w")
             self.assertAlmostEqual(lag * weight, _MAX_LAG)
 
+    def late_request_waits(self, weight: float) -> float:
+        """Returns the engine time until a late request goes before those on time."""
+        self.setUp()
+        for name in ("a", "b", "c"):
+            for _ in range(500):
+                self.order.add(name)
+        self.order.add("s", weight)
+        rows = [(False, 0, 1.0, name, 0.05) for name in ("a", "b", "c")]
+        rows.append((True, 0, 0.5, "s", 0.05))
+        for count in range(400):
+            index = next(self.order.arrange(rows))
+            if index == 3:
+                return count * 0.05
+            self.order.charge(rows[index][3], 0.05, late=False)
+        return float("inf")
+
+    def test_late_request_of_a_small_account_is_not_starved(self):
+        # Guards against long prompts that wait until their deadlines, because a small
+        # account takes far longer to be behind by the same engine time.
+        self.assertLess(
+            self.late_request_waits(0.1), self.late_request_waits(1.0) + 0.2
+        )
+
+    def test_estimate_for_a_late_request_of_a_small_account(self):
+        # Guards against rejections of late requests that would be served in time.
+        queue = EngineQueue()
+        queue.configure(engine_spec(slots=64))
+        for number in range(120):
+            queue.enqueue(
+                request(
+                    number,
+                    account="abc"[number % 3],
+                    target_latency=30.0,
+                    timeout=100.0,
+                )
+            )
+        late = request(900, account="s", weight=0.1, target_latency=-1.0, timeout=100.0)
+        delay = queue.expected_first_event_delay(late)
+        queue.enqueue(late)
+        order = list(queue._arrange(queue._waiting.values(), 0.0))
+        tokens = sum(item.size.prompt_tokens for item in order[: order.index(late) + 1])
+        exact = tokens * queue.prefill_speed.seconds_per_token
+        self.assertAlmostEqual(delay, exact, delta=0.15 + 0.25 * exact)
+
+    def test_loads_ahead_of_a_small_account(self):
+        # Guards against rejections for the wait for loads that don't go first: an
+        # account without any adapter loads its first one before others load a second.
+        queue = EngineQueue()
+        queue.configure(engine_spec(slots=64))
+        for number in range(10):
+            queue.enqueue(
+                request(
+                    number,
+                    adapter=AdapterName(MODEL, f"l{number}"),
+                    account="l",
+                    weight=10.0,
+                )
+            )
+        loads = queue.count_missing_adapters(NoAdaptersLoaded(), 0.0, "s", weight=0.1)
+        self.assertEqual(loads, 1)
+
     def test_lead_is_kept_in_engine_time_if_the_weight_changes(self):
         # Guards against an account that has to wait for a hundred times as long after
         # its quota was raised.
