Test weighted shares after restarts, lost entries and left accounts

Cause: the review of shares asked whether the order holds after an agent restart, after an entry is killed with requests waiting, after an account leaves the configuration, and between requests with and without accounts.

Result: no fault found in these cases; the tests guard the present behaviour. The weight is followed from the quota to the agent's queue, and one from a faulty entry is bounded there.

--- a/fighitch/tests/test_account_weights.py
+++ b/fighitch/tests/test_account_weights.py
@@ -1,5 +1,6 @@
 import random
 import unittest
+from unittest import mock
 
 import msgspec
 from hypothesis import given, settings, strategies as st
@@ -24,6 +25,8 @@
 )
 from fighitch.core.gateway.model import AdapterName
 from fighitch.core.gateway.place_shares import PlaceShares
+from fighitch.gateway.agent import EngineAgent
+from fighitch.gateway.metrics import AgentMetrics
 from fighitch.gateway.peer_messages import AdmissionRequest
 from fighitch.tests.gateway_helpers import (
     A1,
@@ -225,6 +228,38 @@
     return results
 
 
+class AgentTests(unittest.TestCase):
+    def test_agent_weights_requests_as_the_entry_states(self):
+        # Guards against a weight that is lost between the message and the queue, and
+        # against one that a faulty entry sends.
+        with mock.patch("fighitch.gateway.agent.listen"):
+            loop = mock.Mock()
+            loop.now.return_value = 0.0
+            agent = EngineAgent(
+                loop, mock.Mock(), mock.Mock(), mock.Mock(), AgentMetrics()
+            )
+        agent._queue.configure(engine_spec())
+        agent._serving = True
+        peer = mock.Mock(number=1)
+        for number, weight in enumerate((2.5, 1e9, float("nan"))):
+            message = AdmissionRequest(
+                number,
+                MODEL,
+                "a",
+                version=0,
+                rank=0,
+                prompt_tokens=10,
+                output_tokens=10,
+                target_ms=5_000,
+                deadline_ms=9_000,
+                account=f"a{number}",
+                weight=weight,
+            )
+            agent._on_message(peer, message)
+        weights = [item.weight for item in agent._queue.waiting_requests]
+        self.assertEqual(weights, [2.5, MAX_WEIGHT, MIN_WEIGHT])
+
+
 class EqualWeightTests(unittest.TestCase):
     @given(_STEPS)
     @settings(max_examples=300, deadline=None)
@@ -441,6 +476,92 @@
             self.assertAlmostEqual(delay, exact, delta=0.1 + 0.2 * exact)
 
 
+class ChangingAccountsTests(unittest.TestCase):
+    def setUp(self):
+        self.queue = EngineQueue()
+        self.queue.configure(engine_spec(slots=64))
+
+    def fill(self, name, count, *, first=0, connection=1, weight=1.0):
+        for number in range(first, first + count):
+            self.queue.enqueue(
+                request(
+                    number,
+                    account=name,
+                    weight=weight,
+                    connection=connection,
+                    target_latency=20.0,
+                    timeout=100.0,
+                )
+            )
+
+    def served(self, rounds: int) -> list[str]:
+        """Returns the accounts of requests that the engine serves window by window.
+
+        Without first events, the estimated prefill speed remains the initial one.
+        """
+        names = []
+        for step in range(rounds):
+            now = 0.05 * step
+            for item in self.queue.admit_ready(now, AllAdaptersLoaded()):
+                names.append(item.account)
+                self.queue.record_end(item.key)
+        return names
+
+    def test_restarted_agent_gives_weighted_shares_from_the_start(self):
+        # Guards against weights that only a history brings: an agent that restarts
+        # during a flood has none.
+        self.fill("small", 200)
+        self.fill("large", 200, first=200, weight=6.0)
+        names = self.served(60)[:100]
+        self.assertGreater(names.count("large"), 5 * names.count("small") - 20)
+        self.assertGreater(names.count("small"), 10)
+
+    def test_requests_of_a_lost_entry_leave_no_claim(self):
+        self.fill("a", 50, connection=1, weight=5.0)
+        self.fill("a", 5, connection=2, weight=5.0)
+        self.fill("b", 50, connection=2, first=100)
+        self.served(5)
+        self.queue.drop_connection(1)
+        left = self.queue.waiting_by_account
+        self.assertEqual(sum(left.values()), self.queue.waiting)
+        self.queue.drop_connection(2)
+        self.assertEqual(self.queue.waiting_by_account, {})
+        self.assertLessEqual(len(self.queue._fair_order), 2)
+        self.fill("c", 1)
+        self.assertLess(self.queue.backlog(9.0), 0.1)
+
+    def test_account_that_leaves_the_configuration_is_forgotten(self):
+        for number in range(600):
+            self.fill(f"a{number}", 1, first=number, weight=0.1)
+        self.served(200)
+        self.assertEqual(self.queue.waiting, 0)
+        self.assertLess(len(self.queue._fair_order), 300)
+
+    def test_requests_with_and_without_accounts_share_the_engine(self):
+        # Guards against requests of anonymous routes that go first or last of all.
+        self.fill("", 100)
+        self.served(5)
+        self.fill("a", 100, first=200)
+        names = self.served(10)
+        self.assertGreater(len(names), 40)
+        self.assertAlmostEqual(names.count("a"), names.count(""), delta=6)
+
+    def test_requests_without_accounts_build_up_no_debt(self):
+        # Guards against anonymous requests that wait for the work that they had while
+        # no account was active.
+        self.fill("", 200)
+        self.served(20)
+        self.fill("a", 20, first=300)
+        new = request(900, target_latency=0.1, timeout=100.0)
+        self.assertEqual(
+            self.queue._fair_order.level_scale.level(
+                self.queue._fair_order.virtual_start(""), 1.0
+            ),
+            0,
+        )
+        self.assertLess(self.queue.expected_first_event_delay(new), 6.0)
+
+
 class WeightedPlacesTests(unittest.TestCase):
     def setUp(self):
         self.shares = PlaceShares()
--- a/fighitch/tests/test_accounts.py
+++ b/fighitch/tests/test_accounts.py
@@ -12,7 +12,7 @@
 
 import msgspec
 
-from fighitch.core.gateway.accounts import Account, AccountTable
+from fighitch.core.gateway.accounts import Account, AccountTable, Quota
 from fighitch.core.gateway.failures import FailureKind
 from fighitch.core.gateway.model import (
     Configuration,
@@ -22,6 +22,7 @@
 )
 from fighitch.core.gateway.settings import Address
 from fighitch.gateway import entry as entry_module, store_watch
+from fighitch.gateway.admission_requests import build_admission_request
 from fighitch.gateway.entry import GatewayEntry
 from fighitch.gateway.metrics import EntryMetrics
 from fighitch.gateway.process import METRICS_PORT
@@ -166,6 +167,28 @@
         self.assertEqual(replace(route, rank=3), ROUTE)
         self.assertIs(self.check(with_key(SECOND_KEY))[1], route)
 
+    def test_weight_of_the_account_reaches_the_agent(self):
+        # Guards against quotas that state shares which no engine applies.
+        quota = Quota(rate=30.0, burst=30.0)
+        accounts = (
+            replace(ACCOUNT, quota=quota),
+            replace(UNRANKED, quota=replace(quota, rate=10.0)),
+        )
+        table = AccountTable(accounts)
+        self.keys.configure(replace(CONFIGURATION, accounts=table))
+        metadata, route = self.check(with_key())
+        message = build_admission_request(
+            metadata,
+            route,
+            arrived=0.0,
+            waiting_since=0.0,
+            deadline=9.0,
+            now=0.0,
+            version=0,
+            may_decline=False,
+        )
+        self.assertEqual((message.account, message.weight), ("small", 1.5))
+
     def test_account_without_a_rank_has_that_of_the_route(self):
         metadata, route = self.check(with_key("other"))
         self.assertEqual((metadata.account, route), ("plain", ROUTE))
@@ -192,7 +215,7 @@
     def test_without_accounts_the_request_is_unchanged(self):
         self.keys.configure(replace(CONFIGURATION, accounts=None))
         self.now += 2 * BOUND
-        metadata, route = self.check()
+        metadata, route = self.check(with_key())
         self.assertIsNone(metadata.forwarded_account)
         self.assertIs(route, ROUTE)
         self.keys.update_state()
