Estimate backlogs of accounts only for published statuses

Cause: each tick of the agent, 20 per second, estimated the backlogs of the accounts with most waiting work (560 us with 300 waiting requests) and dropped them unless the status was published, usually 4 per second.

Change: they are added to a status when it is published or sent to a new entry. Whether it is published never depended on them.

Result: a test checks that a published status has them and that a tick without a change does not estimate them.

--- a/fighitch/core/gateway/engine_queue.py
+++ b/fighitch/core/gateway/engine_queue.py
@@ -18,7 +18,13 @@
 
 from fighitch.core.gateway.adapter_demand import AdapterDemand
 from fighitch.core.gateway.event_gaps import EventPace, GapLimits
-from fighitch.core.gateway.fair_order import AccountLoad, FairOrder, LoadAhead, Work
+from fighitch.core.gateway.fair_order import (
+    AccountLoad,
+    FairOrder,
+    LevelScale,
+    LoadAhead,
+    Work,
+)
 from fighitch.core.gateway.model import AdapterName, EngineSpec, RequestSize
 from fighitch.core.gateway.request_pacer import RequestPacer
 from fighitch.types import Seconds
@@ -299,7 +305,8 @@
         """
         if self._fair_order.has_named_accounts:
             loads = self._account_loads(now)
-            return self._backlog_of(None, AccountLoad(), loads, now)
+            scale = self._fair_order.level_scale
+            return self._backlog_of(None, AccountLoad(), loads, scale, now)
         first_event = self._earliest_first_event(now)
         ahead = [
             request.size.prompt_tokens
@@ -316,12 +323,12 @@
         """
         if not self._fair_order.has_named_accounts:
             return {}
-        loads = self._account_loads(now)
+        loads, scale = self._account_loads(now), self._fair_order.level_scale
         largest = heapq.nlargest(
             _MAX_ACCOUNT_BACKLOGS, loads.items(), key=lambda item: item[1].cost
         )
         return {
-            account: self._backlog_of(account, load, loads, now)
+            account: self._backlog_of(account, load, loads, scale, now)
             for account, load in largest
         }
 
@@ -343,10 +350,10 @@
         account: str | None,
         own: AccountLoad,
         loads: Mapping[str, AccountLoad],
+        scale: LevelScale,
         now: Seconds,
     ) -> Seconds:
         """Returns the backlog for a new request of one account."""
-        scale = self._fair_order.level_scale
         weight = 1.0 if account is None else self._fair_order.weight(account)
         start = self._fair_order.virtual_start(account) + own.cost / weight
         level = scale.level(start, weight)
--- a/fighitch/gateway/agent.py
+++ b/fighitch/gateway/agent.py
@@ -127,7 +127,8 @@
         peer.number = self._next_peer_number
         self._next_peer_number += 1
         self._peers[peer.number] = peer
-        peer.send(self._build_status(self._loop.now()))
+        now = self._loop.now()
+        peer.send(self._with_account_backlogs(self._build_status(now), now))
         peer.send(self._all_adapters_message())
 
     def _on_closed(self, peer: PeerConnection, reason: str) -> None:
@@ -520,9 +521,27 @@
             self._queue.running, self._queue.waiting, status.backlog_ms / _MS_PER_SECOND
         )
         self._metrics.set_account_waiting(self._queue.waiting_by_account)
-        self._broadcast(status)
+        self._broadcast(self._with_account_backlogs(status, now))
+
+    def _with_account_backlogs(self, status: Status, now: Seconds) -> Status:
+        """Returns a status that also has the backlogs of accounts.
+
+        They take longer to estimate than the rest, which is compared in each tick with
+        the status that was published last.
+        """
+        backlogs = self._queue.account_backlogs(now)
+        if not backlogs:
+            return status
+        return msgspec.structs.replace(
+            status,
+            account_backlogs_ms={
+                account: round(backlog * _MS_PER_SECOND)
+                for account, backlog in backlogs.items()
+            },
+        )
 
     def _build_status(self, now: Seconds) -> Status:
+        """Returns the status without the backlogs of accounts."""
         return Status(
             engine_start_time_ms=self._engine_start_time_ms(),
             serving=self._serving,
@@ -536,10 +555,6 @@
             protocol=PROTOCOL_VERSION,
             pause_ms=round(self._pause_left(now) * _MS_PER_SECOND),
             token=self._claim.token,
-            account_backlogs_ms={
-                account: round(backlog * _MS_PER_SECOND)
-                for account, backlog in self._queue.account_backlogs(now).items()
-            },
         )
 
     def _pause_left(self, now: Seconds) -> Seconds:
--- a/fighitch/tests/test_account_weights.py
+++ b/fighitch/tests/test_account_weights.py
@@ -229,9 +229,7 @@
 
 
 class AgentTests(unittest.TestCase):
-    def test_agent_weights_requests_as_the_entry_states(self):
-        # Guards against a weight that is lost between the message and the queue, and
-        # against one that a faulty entry sends.
+    def make_agent(self) -> EngineAgent:
         with mock.patch("fighitch.gateway.agent.listen"):
             loop = mock.Mock()
             loop.now.return_value = 0.0
@@ -240,6 +238,29 @@
             )
         agent._queue.configure(engine_spec())
         agent._serving = True
+        return agent
+
+    def test_backlogs_of_accounts_are_published_but_not_estimated_in_each_tick(self):
+        # Guards against the cost of these estimates, which only published statuses
+        # need, and against a status without them.
+        agent = self.make_agent()
+        peer = agent._peers[1] = mock.Mock(number=1)
+        for number in range(40):
+            item = request(number, account="a", target_latency=9.0)
+            self.assertIsNone(agent._queue.enqueue(item))
+        agent._publish_status_if_due(0.0)
+        (status,) = peer.send.call_args.args
+        self.assertEqual(set(status.account_backlogs_ms), {"a"})
+        estimate = "fighitch.core.gateway.engine_queue.EngineQueue.account_backlogs"
+        with mock.patch(estimate) as account_backlogs:
+            agent._publish_status_if_due(0.05)
+        account_backlogs.assert_not_called()
+        self.assertEqual(peer.send.call_count, 1)
+
+    def test_agent_weights_requests_as_the_entry_states(self):
+        # Guards against a weight that is lost between the message and the queue, and
+        # against one that a faulty entry sends.
+        agent = self.make_agent()
         peer = mock.Mock(number=1)
         for number, weight in enumerate((2.5, 1e9, float("nan"))):
             message = AdmissionRequest(
