--- a/fighitch/core/gateway/engine_queue.py
+++ b/fighitch/core/gateway/engine_queue.py
@@ -18,7 +18,13 @@
 
 from fighitch.core.gateway.adapter_demand import AdapterDemand
 from fighitch.core.gateway.event_gaps import EventPace, GapLimits
-from fighitch.core.gateway.fair_order import AccountLoad, FairOrder, LoadAhead, Work
+from fighitch.core.gateway.fair_order import (
+    AccountLoad,
+    FairOrder,
+    LevelScale,
+    LoadAhead,
+    Work,
+)
 from fighitch.core.gateway.model import AdapterName, EngineSpec, RequestSize
 from fighitch.core.gateway.request_pacer import RequestPacer
 from fighitch.types import Seconds
@@ -74,6 +80,7 @@
         request_id: Id of the request, for the log.
         gap_target: Longest pause between events with which a stream is on time.
         account: Client account of the request; empty for none.
+        weight: Share of the account relative to the mean of all accounts.
     """
 
     key: RequestKey
@@ -87,6 +94,7 @@
     request_id: str = ""
     gap_target: Seconds = float("inf")
     account: str = ""
+    weight: float = 1.0
 
     @property
     def tokens(self) -> int:
@@ -242,18 +250,24 @@
         return sorted(demands.values(), key=AdapterDemand.sort_key)
 
     def count_missing_adapters(
-        self, loaded: "LoadedAdapters", now: Seconds, account: str | None = None
+        self,
+        loaded: "LoadedAdapters",
+        now: Seconds,
+        account: str | None = None,
+        *,
+        weight: float = 1.0,
     ) -> int:
         """Returns how many loads precede a load for a new request.
 
         These are the adapters that are missing for waiting requests that are not late.
-        With named accounts, each other account precedes with as many of them as the
-        account of the request has, and one more.
+        With named accounts, each other account precedes with one of them, and as many
+        more as the account of the request has, in proportion to their weights.
 
         Args:
             loaded: Adapters that the engine can serve.
             now: Current time.
             account: Account of the new request; None for one without other requests.
+            weight: Weight of this account.
         """
         first_event = self._earliest_first_event(now)
         missing = [
@@ -269,7 +283,10 @@
             {request.adapter: request.account for request in missing}.values()
         )
         own = 0 if account is None else loads.pop(account, 0)
-        return own + sum(min(count, own + 1) for count in loads.values())
+        return own + sum(
+            min(count, 1 + int(own * (self._fair_order.weight(name) / weight)))
+            for name, count in loads.items()
+        )
 
     @property
     def drain_time(self) -> Seconds:
@@ -288,7 +305,8 @@
         """
         if self._fair_order.has_named_accounts:
             loads = self._account_loads(now)
-            return self._backlog_of(None, AccountLoad(), loads, now)
+            scale = self._fair_order.level_scale
+            return self._backlog_of(None, AccountLoad(), loads, scale, now)
         first_event = self._earliest_first_event(now)
         ahead = [
             request.size.prompt_tokens
@@ -305,12 +323,12 @@
         """
         if not self._fair_order.has_named_accounts:
             return {}
-        loads = self._account_loads(now)
+        loads, scale = self._account_loads(now), self._fair_order.level_scale
         largest = heapq.nlargest(
             _MAX_ACCOUNT_BACKLOGS, loads.items(), key=lambda item: item[1].cost
         )
         return {
-            account: self._backlog_of(account, load, loads, now)
+            account: self._backlog_of(account, load, loads, scale, now)
             for account, load in largest
         }
 
@@ -332,18 +350,19 @@
         account: str | None,
         own: AccountLoad,
         loads: Mapping[str, AccountLoad],
+        scale: LevelScale,
         now: Seconds,
     ) -> Seconds:
         """Returns the backlog for a new request of one account."""
-        level = self._fair_order.level(
-            self._fair_order.virtual_start(account) + own.cost
-        )
+        weight = 1.0 if account is None else self._fair_order.weight(account)
+        start = self._fair_order.virtual_start(account) + own.cost / weight
+        level = scale.level(start, weight)
         ahead = AccountLoad()
         for name, load in loads.items():
             share = 1.0
             if name != account:
                 share = self._fair_order.share_ahead(
-                    level, name, load, earlier=load.cost
+                    level, name, load, scale=scale, earlier=load.cost
                 )
             ahead.add_share(load, share)
         return self._start_delay(ahead.prompt_tokens, round(ahead.requests), now)
@@ -393,7 +412,7 @@
         self._remove_waiting(request.key)
         self._waiting[request.key] = request
         self._waiting_prompt_tokens += request.size.prompt_tokens
-        self._fair_order.add(request.account)
+        self._fair_order.add(request.account, request.weight)
         return None
 
     def admit_ready(
@@ -445,7 +464,10 @@
         rejections = []
         kept = prompt_tokens = 0
         is_shared = loaded is not None and self._fair_order.has_named_accounts
-        for request in self._by_urgency(now):
+        if is_shared and not self._may_miss_deadlines(now):
+            return []
+        # The order is complete before requests are removed.
+        for request in list(self._by_urgency(now)):
             # Requests without a chance must not wait for their turn.
             delay = self._pacing_delay(now, kept)
             if is_shared:
@@ -463,7 +485,22 @@
                 prompt_tokens += is_loaded * request.size.prompt_tokens
         return rejections
 
-    def _by_urgency(self, now: Seconds) -> list[EngineRequest]:
+    def _may_miss_deadlines(self, now: Seconds) -> bool:
+        """Returns whether a request would miss its deadline as the last of the queue.
+
+        This is quick to tell, and usually spares the order of the whole queue.
+        """
+        certain = _CERTAIN_SHARE_AHEAD * self._waiting_prompt_tokens
+        start = now + self._start_delay(certain, len(self._waiting), now)
+        first_event = start + self.prefill_speed.overhead
+        speed = self.prefill_speed.seconds_per_token
+        return any(
+            first_event + request.size.prompt_tokens * speed + _GENERATION_RESERVE
+            > request.deadline
+            for request in self._waiting.values()
+        )
+
+    def _by_urgency(self, now: Seconds) -> Iterable[EngineRequest]:
         """Returns the waiting requests in the order of admission."""
         if self.pacer is None and not self._fair_order.has_named_accounts:
             return list(self._waiting.values())
@@ -471,17 +508,18 @@
 
     def _arrange(
         self, requests: Iterable[EngineRequest], now: Seconds
-    ) -> list[EngineRequest]:
+    ) -> Iterable[EngineRequest]:
         """Returns requests in the order of admission.
 
         Without named accounts, the order within a rank is that of the target times.
+        With them, the order is computed as far as the caller takes it.
         """
         if not self._fair_order.has_named_accounts:
             first_event = self._earliest_first_event(now)
             return sorted(requests, key=lambda item: self._sort_key(item, first_event))
         listed = list(requests)
         order = self._fair_order.arrange(self._work(listed, now))
-        return [listed[index] for index in order]
+        return (listed[index] for index in order)
 
     def _work(self, requests: Sequence[EngineRequest], now: Seconds) -> list[Work]:
         """Returns what the fair order needs to know of requests.
@@ -715,7 +753,7 @@
         """Estimates the requests that precede a new one in the fair order."""
         requests = list(self._waiting.values())
         (new,) = self._work([request], now)
-        comparison = LoadAhead(new)
+        comparison = LoadAhead(new, request.weight)
         for other, work in zip(requests, self._work(requests, now), strict=True):
             comparison.add(work, other.size.prompt_tokens)
         return comparison.total(self._fair_order)
--- a/fighitch/core/gateway/quota_holder.py
+++ b/fighitch/core/gateway/quota_holder.py
@@ -36,8 +36,8 @@
 # entries don't cause rejections below the quota. What is left covers shares that count
 # at two holders until the first one notices that they have moved. The slack counts
 # tokens, so that quotas of requests don't use it.
-_RATE_OVERAGE_SHARE = 0.3
-_RATE_SLACK_SHARE = 0.4
+_RATE_OVERAGE_SHARE = 0.25
+_RATE_SLACK_SHARE = 0.3
 _HEADROOM_OVERAGE_SHARE = 0.5
 _HEADROOM_SLACK_SHARE = 0.25
 # Rounding errors of sums of units.
--- a/fighitch/gateway/agent.py
+++ b/fighitch/gateway/agent.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from fighitch.core.gateway.accounts import bounded_weight
 from fighitch.core.gateway.adapter_cache import AdapterCache, EngineReport
 from fighitch.core.gateway.engine_queue import EngineQueue, EngineRequest, Rejection
 from fighitch.core.gateway.left_incarnations import LeftIncarnations
@@ -138,7 +139,8 @@
         peer.number = self._next_peer_number
         self._next_peer_number += 1
         self._peers[peer.number] = peer
-        peer.send(self._build_status(self._loop.now()))
+        now = self._loop.now()
+        peer.send(self._with_account_backlogs(self._build_status(now), now))
         peer.send(self._all_adapters_message())
 
     def _on_closed(self, peer: PeerConnection, reason: str) -> None:
@@ -220,12 +222,15 @@
             request_id=admission_request.request_id,
             gap_target=admission_request.gap_ms / _MS_PER_SECOND or float("inf"),
             account=admission_request.account,
+            weight=bounded_weight(admission_request.weight),
         )
         if self._draining or not self._serving:
             reason = "draining" if self._draining else "engine_not_answering"
             self._deny(Rejection(request, self._queue.retry_after(now), reason))
             return
-        loads_ahead = self._count_missing_adapters(now, request.account)
+        loads_ahead = self._count_missing_adapters(
+            now, request.account, weight=request.weight
+        )
         load_wait = self._adapter_cache.load_wait(adapter, loads_ahead, now)
         if admission_request.may_decline:
             first_event = self._queue.expected_first_event_delay(request, load_wait)
@@ -237,7 +242,9 @@
                     load_wait=load_wait,
                 )
                 return
-        self._adapter_cache.record_demand(adapter, now, request.account)
+        self._adapter_cache.record_demand(
+            adapter, now, request.account, weight=request.weight
+        )
         rejection = self._queue.enqueue(request, load_wait)
         if rejection is not None:
             self._deny(rejection)
@@ -423,8 +430,12 @@
             on_end=on_order_end,
         )
 
-    def _count_missing_adapters(self, now: Seconds, account: str | None = None) -> int:
-        return self._queue.count_missing_adapters(self._adapter_cache, now, account)
+    def _count_missing_adapters(
+        self, now: Seconds, account: str | None = None, *, weight: float = 1.0
+    ) -> int:
+        return self._queue.count_missing_adapters(
+            self._adapter_cache, now, account, weight=weight
+        )
 
     # Engine reports.
 
@@ -524,7 +535,24 @@
             self._queue.running, self._queue.waiting, status.backlog_ms / _MS_PER_SECOND
         )
         self._metrics.set_account_waiting(self._queue.waiting_by_account)
-        self._broadcast(status)
+        self._broadcast(self._with_account_backlogs(status, now))
+
+    def _with_account_backlogs(self, status: Status, now: Seconds) -> Status:
+        """Returns a status that also has the backlogs of accounts.
+
+        They take longer to estimate than the rest, which is compared in each tick with
+        the status that was published last.
+        """
+        backlogs = self._queue.account_backlogs(now)
+        if not backlogs:
+            return status
+        return msgspec.structs.replace(
+            status,
+            account_backlogs_ms={
+                account: round(backlog * _MS_PER_SECOND)
+                for account, backlog in backlogs.items()
+            },
+        )
 
     @property
     def _entry_count(self) -> int:
@@ -533,6 +561,7 @@
         return len({names.get(number, number) for number in self._peers})
 
     def _build_status(self, now: Seconds) -> Status:
+        """Returns the status without the backlogs of accounts."""
         return Status(
             engine_start_time_ms=self._engine_start_time_ms(),
             serving=self._serving,
@@ -546,10 +575,6 @@
             protocol=PROTOCOL_VERSION,
             pause_ms=round(self._pause_left(now) * _MS_PER_SECOND),
             token=self._claim.token,
-            account_backlogs_ms={
-                account: round(backlog * _MS_PER_SECOND)
-                for account, backlog in self._queue.account_backlogs(now).items()
-            },
         )
 
     def _pause_left(self, now: Seconds) -> Seconds:
--- a/fighitch/tests/test_quota_exchange.py
+++ b/fighitch/tests/test_quota_exchange.py
@@ -468,7 +468,11 @@
     def build_agent(self) -> EngineAgent:
         with mock.patch("fighitch.gateway.agent.listen"):
             return EngineAgent(
-                mock.Mock(), mock.Mock(), mock.Mock(), mock.Mock(), AgentMetrics()
+                mock.Mock(),
+                mock.Mock(memory_limit=0, descriptor_limit=0),
+                mock.Mock(),
+                mock.Mock(),
+                AgentMetrics(),
             )
 
     def test_entry_that_connects_again_counts_once(self):
