Keep the list of a restored store when a watch is checked again

Cause: a restart after a restore gives up the watch that waits, but left it marked as waiting. When another kind regained contact, the check of the versions replaced the list in flight by a watch from a revision of the earlier epoch, so that versions of the restored store stayed unknown. Ruled out: a watch whose call failed, which clears the mark. Change: the restart clears the mark. Measured: the new test fails before and passes after the change.

--- a/fighitch/gateway/store_watch.py
+++ b/fighitch/gateway/store_watch.py
@@ -164,6 +164,7 @@
         """Lists again, as the known revisions are of an earlier epoch."""
         self._restored_at = self._loop.now()
         self._call_number += 1
+        self._is_waiting = False
         self._client.close()
         if self._next_call is not None:
             self._next_call.cancel()
--- a/fighitch/tests/test_watch_timing.py
+++ b/fighitch/tests/test_watch_timing.py
@@ -83,6 +83,16 @@
         self.watcher.recheck()
         self.assertEqual(len(self.targets()), 1)
 
+    def test_list_of_a_restored_store_is_not_given_up(self):
+        # The watch that waited is given up for the list. Taken for one that still
+        # waits, it was repeated from a revision of the earlier epoch, and the list of
+        # the restored store never arrived.
+        self.watcher._watch()
+        self.watcher._restart()
+        listed = self.calls.call.call_args
+        self.watcher.recheck()
+        self.assertIs(self.calls.call.call_args, listed)
+
 
 if __name__ == "__main__":
     unittest.main()
