Send no request that may not run twice as a probe of a suspect server

Cause: any request could be the probe of a plain server, so that an order that may not run twice failed for its caller if the server still resets or hangs. Ruled out: no probes by such requests at all, as one slow response would then keep all of them away from a sound server at low load. Change: relays say whether a request may be repeated; others probe only servers without a failure among about their latest four outcomes. Measured: both new tests fail before and pass after the change; tests of zone traffic, plain loads, zone choice and relays pass. Stubs of candidates in the tests of relays take the new argument; their checks are unchanged.

--- a/fighitch/gateway/entry.py
+++ b/fighitch/gateway/entry.py
@@ -381,7 +381,12 @@
     # Interface for relays.
 
     def candidates(
-        self, service: Service, metadata: RequestMetadata, avoid: set[str]
+        self,
+        service: Service,
+        metadata: RequestMetadata,
+        avoid: set[str],
+        *,
+        may_probe: bool,
     ) -> list[Candidate]:
         """Returns the servers that may run a request, the best candidate first."""
         servers = self._membership.ready(service.name)
@@ -397,6 +402,7 @@
             penalty,
             avoid=avoid,
             account=metadata.account,
+            may_probe=may_probe,
         )
 
     def _is_usable(self, server: BackendServer) -> bool:
--- a/fighitch/gateway/relay.py
+++ b/fighitch/gateway/relay.py
@@ -1,6 +1,7 @@
 """Relays one caller's request to a backend server and its response back."""
 
 from enum import Enum
+from functools import partial
 
 from fighitch.core.gateway.attempts import engine_priority
 from fighitch.core.gateway.backend_choice import next_server
@@ -241,7 +242,7 @@
         self._fail(FailureKind.PROMPT_QUARANTINED)
 
     def _choose_server(self) -> BackendServer | None:
-        find_candidates = self._entry.candidates
+        find_candidates = partial(self._entry.candidates, may_probe=self._may_retry())
         candidates = find_candidates(self._service, self._metadata, self._avoid)
         if not candidates and self._avoid and not self._admission.requests:
             candidates = find_candidates(self._service, self._metadata, set())
--- a/fighitch/gateway/relay_host.py
+++ b/fighitch/gateway/relay_host.py
@@ -56,7 +56,12 @@
     quotas: Quotas
 
     def candidates(
-        self, service: Service, metadata: RequestMetadata, avoid: set[str]
+        self,
+        service: Service,
+        metadata: RequestMetadata,
+        avoid: set[str],
+        *,
+        may_probe: bool,
     ) -> list[Candidate]:
         """Returns the servers that may run a request, the best candidate first."""
 
--- a/fighitch/gateway/takeover.py
+++ b/fighitch/gateway/takeover.py
@@ -74,7 +74,13 @@
 
     def _next_server(self) -> BackendServer | None:
         """Returns the best server that shows that it takes the request, if any does."""
-        candidates = self._host.candidates(self._service, self._metadata, self._avoid)
+        candidates = self._host.candidates(
+            # Only a request that may be repeated is taken over.
+            self._service,
+            self._metadata,
+            self._avoid,
+            may_probe=True,
+        )
         return next_server(
             [item for item in candidates if self._may_take(item.server)],
             admission_requests=self._admission.requests,
--- a/fighitch/gateway/zone_traffic.py
+++ b/fighitch/gateway/zone_traffic.py
@@ -29,6 +29,9 @@
 _OWN_ZONE = "own_zone"
 _LOG_INTERVAL: Seconds = 10.0
 _FIRST_NON_SUCCESS = 300
+# Penalty of a server for a failure among its latest four outcomes. A request that may
+# not run twice is not sent there as a probe: if that fails, its caller gets an error.
+_SUSPECT_PENALTY: Seconds = 0.01
 # Outcomes of attempts, as named by relays.
 _ANSWERED = "answered"
 _WITHDRAWN = "withdrawn"
@@ -91,6 +94,7 @@
         *,
         avoid: Container[str],
         account: str = "",
+        may_probe: bool,
     ) -> list[Candidate]:
         """Returns the servers that may run a request, the cheapest first.
 
@@ -102,10 +106,14 @@
             penalty: Returns the cost of a server's recent failures.
             avoid: Instance ids to leave out.
             account: Client account of the request; empty for none.
+            may_probe: Whether the request may be sent to a server that has failed, to
+                learn whether it has recovered.
         """
         now = self._loop.now()
         if adapter is None:
-            return self._rank_plain(service, servers, penalty, avoid, now)
+            return self._rank_plain(
+                service, servers, penalty, avoid, now, may_probe=may_probe
+            )
         return self._engine_ranker.rank(
             adapter,
             servers,
@@ -124,8 +132,15 @@
         penalty: Callable[[str], Seconds],
         avoid: Container[str],
         now: Seconds,
+        *,
+        may_probe: bool,
     ) -> list[Candidate]:
         loads = self._plain.by_id
+        probed = servers
+        if not may_probe:
+            probed = [
+                item for item in servers if penalty(item.instance_id) < _SUSPECT_PENALTY
+            ]
         return rank_plain_servers(
             servers,
             loads,
@@ -135,7 +150,7 @@
             charges=self._choice.plain_charges(service, servers, loads),
             now=now,
             rng=self._rng,
-            probe=self._plain.find_probe(servers, now, avoid),
+            probe=self._plain.find_probe(probed, now, avoid),
         )
 
     def record_sent(
--- a/fighitch/tests/test_relay.py
+++ b/fighitch/tests/test_relay.py
@@ -217,9 +217,11 @@
         self.entry.links.is_connected.return_value = True
         self.entry.links.required_version.return_value = 0
         self.engines = [Candidate(server(name), 0.0) for name in ("e1", "e2", "e3")]
-        self.entry.candidates.side_effect = lambda _service, _metadata, avoid: [
-            item for item in self.engines if item.server.instance_id not in avoid
-        ]
+        self.entry.candidates.side_effect = (
+            lambda _service, _metadata, avoid, **_options: [
+                item for item in self.engines if item.server.instance_id not in avoid
+            ]
+        )
 
     def admission_requests(self) -> list[tuple[str, bool]]:
         return [
@@ -276,9 +278,11 @@
         self.entry.links.required_version.return_value = 0
         self.entry.links.request_admission.return_value = 7
         self.engines = [Candidate(server(name), 0.0) for name in ("e1", "e2")]
-        self.entry.candidates.side_effect = lambda _service, _metadata, avoid: [
-            item for item in self.engines if item.server.instance_id not in avoid
-        ]
+        self.entry.candidates.side_effect = (
+            lambda _service, _metadata, avoid, **_options: [
+                item for item in self.engines if item.server.instance_id not in avoid
+            ]
+        )
 
     def asked(self) -> list[str]:
         calls = self.entry.links.request_admission.call_args_list
@@ -497,10 +501,18 @@
         self.entry.candidates.side_effect = self.candidates
         self.has_other_server = True
 
-    def candidates(self, _service, _metadata, avoid):
+    def candidates(self, _service, _metadata, avoid, *, may_probe):
         names = ("e1", "e2") if self.has_other_server else ("e1",)
         return [Candidate(server(name), 0.0) for name in names if name not in avoid]
 
+    def test_only_a_request_that_may_be_repeated_may_probe(self):
+        # Guards against an order that fails because it was sent to find out whether a
+        # server has recovered.
+        for kind in (WorkKind.IDEMPOTENT, WorkKind.NON_IDEMPOTENT):
+            self.relay(kind=kind, deadline_ms=1_000, plain=True).place()
+            options = self.entry.candidates.call_args.kwargs
+            self.assertEqual(options["may_probe"], kind is WorkKind.IDEMPOTENT)
+
     def test_silent_server_is_left_for_another_one(self):
         self.relay(kind=WorkKind.IDEMPOTENT, deadline_ms=1_000, plain=True).place()
         self.run_for(0.6)
--- a/fighitch/tests/test_zone_traffic.py
+++ b/fighitch/tests/test_zone_traffic.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from fighitch.core.gateway.backend_choice import EngineView
+from fighitch.core.gateway.backend_choice import EngineView, failure_penalty
 from fighitch.core.gateway.settings import Address, InstanceSettings
 from fighitch.gateway.metrics import EntryMetrics
 from fighitch.gateway.zone_traffic import ZoneTraffic
@@ -70,10 +70,17 @@
             answered=outcome == "answered",
         )
 
-    def best(self):
+    def best(self, *, may_probe=True, penalties=None):
         links = mock.Mock(views={})
+        penalty = (penalties or {}).get
         ranked = self.traffic.rank(
-            "models", None, self.servers, links, lambda _: 0.0, avoid=set()
+            "models",
+            None,
+            self.servers,
+            links,
+            lambda name: penalty(name, 0.0),
+            avoid=set(),
+            may_probe=may_probe,
         )
         return ranked[0].server.instance_id
 
@@ -127,6 +134,18 @@
         load = self.traffic._plain.by_id["a"]
         self.assertEqual((load.running, load.measured_at), (0, None))
 
+    def test_request_that_may_not_run_twice_probes_no_suspect_server(self):
+        # The caller of an order got an error because its order was the probe of a
+        # server that had failed before.
+        for _ in range(50):
+            self.send("a")
+            self.end("a", "answered")
+        failed = failure_penalty(paused=False, failure_ratio=0.2)
+        self.assertEqual(self.best(may_probe=False, penalties={"b": failed}), "a")
+        self.assertEqual(self.best(may_probe=True, penalties={"b": failed}), "b")
+        # One that is only slow, or not known, is tried again by any request.
+        self.assertEqual(self.best(may_probe=False), "b")
+
     def test_removed_server_is_forgotten(self):
         self.send("a")
         self.traffic.forget("a")
