Answer requests that wait for memory before a stopping entry ends

Cause: a large request may wait up to 3 s for memory and is not read meanwhile. If the grace of a planned stop ended first, the process closed its connection without an answer, although the whole request may have arrived. Ruled out: requests that are read or run, which relays end in time. Change: at the time at which the entry answers its running requests itself, those that wait get 503, which is accurate.

--- a/fighitch/core/gateway/memory_budget.py
+++ b/fighitch/core/gateway/memory_budget.py
@@ -241,6 +241,13 @@
         self._take(others, excess - awaited, RefusalReason.OVER_BUDGET, refusals)
         return refusals
 
+    def refuse_waiting(self) -> list[Refusal]:
+        """Returns all requests that wait for room, to be refused now."""
+        refusals: list[Refusal] = []
+        for holding in list(self._waiting):
+            self._refuse(holding, RefusalReason.NO_ROOM, refusals)
+        return refusals
+
     def _refuse_waiting(self, now: Seconds) -> list[Refusal]:
         refusals: list[Refusal] = []
         for holding in list(self._waiting):
--- a/fighitch/gateway/entry.py
+++ b/fighitch/gateway/entry.py
@@ -211,9 +211,11 @@
             caller.is_shutting_down = True
         self.loop.call_later(_LISTENER_CLOSE_DELAY, self._close_idle_callers)
         grace = self._settings.stop_grace
-        self._answer_by = self.loop.now() + max(0.0, grace - _ANSWER_MARGIN)
+        answer_time = max(0.0, grace - _ANSWER_MARGIN)
+        self._answer_by = self.loop.now() + answer_time
         for relay in list(self._relays):
             self._end_before_stop(relay)
+        self.loop.call_later(answer_time, self._memory.refuse_waiting)
         self.loop.call_later(max(0.0, grace - _STOP_MARGIN), self._finish_stop)
 
     def _end_before_stop(self, relay: RelayedRequest) -> None:
--- a/fighitch/runtime/caller_memory.py
+++ b/fighitch/runtime/caller_memory.py
@@ -1,6 +1,6 @@
 """Applies a memory budget to the connections of callers."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 from typing import Protocol
 
@@ -65,14 +65,21 @@
             self._is_deciding = True
             self.loop.call_later(_DECISION_DELAY, self._decide)
 
-    def _decide(self) -> None:
-        self._is_deciding = False
-        now = self.loop.polled_at
-        for refusal in self.budget.refuse(now):
+    def refuse_waiting(self) -> None:
+        """Refuses all requests that wait for room, before the process ends."""
+        self._refuse(self.budget.refuse_waiting())
+
+    def _refuse(self, refusals: Iterable[Refusal]) -> None:
+        for refusal in refusals:
             self.on_refused(refusal)
             user = self._users.get(refusal.holding)
             if user is not None:
                 user.refuse(refusal.reason)
+
+    def _decide(self) -> None:
+        self._is_deciding = False
+        now = self.loop.polled_at
+        self._refuse(self.budget.refuse(now))
         for holding in self.budget.grant_waiting(self.loop.now()):
             self._users[holding].on_room()
         self.watch()
--- a/fighitch/tests/test_http_callers.py
+++ b/fighitch/tests/test_http_callers.py
@@ -529,6 +529,19 @@
         self.assertEqual([item.reason.value for item in self.refusals], ["no_room"])
         self.assertEqual(len(self.requests), 1)
 
+    def test_waiting_body_gets_503_before_the_process_ends(self):
+        # Guards against a whole request that waits unread for memory and is dropped
+        # without an answer, as a planned stop may end before its wait does.
+        self.answers = False
+        _, first = self.connect()
+        self.post(first, 90_000, 90_000)
+        _, second = self.connect()
+        self.post(second, 90_000, 90_000)
+        self.memory.refuse_waiting()
+        self.assertIn(b" 503 ", self.received(second))
+        self.assertEqual([item.reason.value for item in self.refusals], ["no_room"])
+        self.assertEqual(len(self.requests), 1)
+
     def test_waiting_body_is_read_once_there_is_room(self):
         _, first = self.connect()
         self.post(first, 90_000, 50_000)
