Close the next idle connection if the longest idle one has unread input

Cause: at the limit of connections only the longest idle one was tried. It stays open if it has unread input, and the new caller was refused although other idle connections could be closed. Ruled out: closing it all the same, as its input may be a request. Change: the connections that wait are tried in order until another fits. Measured: the new test fails before and passes after; the tests of test_peer_connection pass.

--- a/fighitch/gateway/caller_bounds.py
+++ b/fighitch/gateway/caller_bounds.py
@@ -49,13 +49,16 @@
     if len(callers) < limit:
         return True
     waiting = [caller for caller in callers if caller.awaits_request]
-    if waiting:
-        longest = min(waiting, key=lambda item: (not item.idle, item.idle_since))
-        if longest.idle:
-            longest.close_if_idle()
+    waiting.sort(key=lambda item: (not item.idle, item.idle_since))
+    for caller in waiting:
+        if caller.idle:
+            # It stays open if it has unread input, which may be a request.
+            caller.close_if_idle()
         else:
-            longest.close()
-    return len(callers) < limit
+            caller.close()
+        if len(callers) < limit:
+            return True
+    return False
 
 
 def make_peer_room(peers: Collection[PeerConnection], descriptor_limit: int) -> bool:
