Refuse unread responses of a connection whose request was refused before

Cause: a connection was refused once only. If the request behind a running one was refused, the connection stayed open and its unread responses were no longer bounded, so that many such readers could exceed the memory. Ruled out: the limit on what one connection has unsent, as it bounds no sum. Change: the end of the refused request makes the connection a candidate again. Measured: the new test fails before and passes after; tests of the budget and of caller memory pass.

--- a/fighitch/core/gateway/memory_budget.py
+++ b/fighitch/core/gateway/memory_budget.py
@@ -57,7 +57,8 @@
         awaits_since: Time since which it waits.
         moved: Bytes sent or read since the client last made progress.
         progress_at: Time at which the client last made progress.
-        is_refused: Whether the budget has refused the connection.
+        is_refused: Whether the budget has refused the request that is being read, or
+            the connection.
     """
 
     opened_at: Seconds
@@ -177,6 +178,8 @@
         """
         before, size = holding.size, holding.request
         holding.request = holding.reserved = holding.awaited = 0
+        # Requests before it may still be answered, so that the connection stays open.
+        holding.is_refused = False
         self._waiting.pop(holding, None)
         self._held += holding.size - before
         return size
@@ -222,7 +225,7 @@
         return granted
 
     def refuse(self, now: Seconds) -> list[Refusal]:
-        """Returns the connections to refuse now, each once.
+        """Returns the connections to refuse now, each once for what it holds.
 
         Those that make no progress come first, by the time without progress, then by
         size, the newest first. Others follow only while more is held than the budget
--- a/fighitch/tests/test_memory_budget.py
+++ b/fighitch/tests/test_memory_budget.py
@@ -149,6 +149,18 @@
         self.budget.hold(self.budget.limit - self.budget.held + 1)
         self.assertEqual(self.refuse(), [(reader, RefusalReason.STALLED)])
 
+    def test_reader_whose_next_request_was_refused_is_refused_in_turn(self):
+        # Guards against unread responses that nothing bounds: a connection stays open
+        # for its running request after the one behind it was refused.
+        reader = self.open()
+        self.budget.reserve(reader, 50 * BODY, self.now)
+        self.assertEqual(self.refuse(), [(reader, RefusalReason.TOO_LARGE)])
+        self.budget.end_request(reader)
+        self.budget.record_response(reader, 100_000, self.now)
+        self.budget.hold(self.budget.limit)
+        self.now += STALLED
+        self.assertEqual(self.refuse(), [(reader, RefusalReason.STALLED)])
+
     def test_client_is_not_refused_for_a_response_that_is_collected(self):
         client = self.open()
         self.budget.record_buffered(client, 60_000)
