Report no calls that a client of the store has given up

Cause: closing a client closed its connection, but the timeout of the call in flight went on and reported a failure up to 10 s later. A re-check of a watch or a restart after a restore thus counted as a failed call to the store; with a freeze of the process at that time it looks like an outage. Ruled out: the number of the call, as it guards the watch only, not the record of failures. Change: closing gives up the call in flight, as the documentation of the method states. Measured: the new test fails before and passes after; 80 tests of store, quarantine and engine control modules pass.

--- a/fighitch/runtime/http_client.py
+++ b/fighitch/runtime/http_client.py
@@ -59,6 +59,11 @@
         """Reports that there is no complete response."""
         self._finish(NO_RESPONSE)
 
+    def cancel(self) -> None:
+        """Gives up the response; the callback is not called."""
+        self._on_response = None
+        self._timer.cancel()
+
     def _on_timeout(self) -> None:
         self._abort(FailureKind.TIMEOUT)
 
@@ -81,6 +86,7 @@
         self._loop = loop
         self._address = address
         self._connection: HttpConnection | None = None
+        self._collector: _ResponseCollector | None = None
 
     @property
     def address(self) -> Address:
@@ -126,10 +132,14 @@
             self._connection = connection
         collector = _ResponseCollector(self._loop, timeout, on_response, on_head)
         collector.connection = connection
+        self._collector = collector
         connection.send(request, collector)
 
     def close(self) -> None:
         """Closes the connection; the callback of a request in flight is not called."""
+        if self._collector is not None:
+            self._collector.cancel()
+            self._collector = None
         if self._connection is not None:
             self._connection.close()
             self._connection = None
--- a/fighitch/tests/test_early_responses.py
+++ b/fighitch/tests/test_early_responses.py
@@ -4,6 +4,7 @@
 import threading
 import time
 import unittest
+from unittest import mock
 
 from fighitch.clients.http_client import HttpClient
 from fighitch.core.gateway.model import WorkKind
@@ -196,6 +197,22 @@
     def test_early_unframed_response_is_no_response(self):
         self.assertEqual(self.call(UNFRAMED, LONG_BODY, "half_close"), NO_RESPONSE)
 
+    def test_call_that_was_given_up_is_not_reported(self):
+        # A watch of the store that was repeated early counted as a failed call once its
+        # timeout was over, although the store had answered all calls since.
+        loop = mock.Mock()
+        client = SerialClient(loop, Address("127.0.0.1", self.serve(b"").port))
+        on_response = mock.Mock()
+        client.call(upload(b"x"), on_response, timeout=10)
+        client.close()
+        timeouts = [
+            item.args[1]
+            for item in loop.call_later.call_args_list
+            if item.args[0] == 10
+        ]
+        timeouts[0]()
+        on_response.assert_not_called()
+
     def test_status_000_is_no_response(self):
         response = FRAMED.replace(b"200", b"000", 1) + FRAMED
         self.assertEqual(self.call(response, b"x", "drain"), NO_RESPONSE)
