Send no probe to a server whose limit makes it wait

Cause: a probe ranks first whatever the limit of its server, so that a request waited for the limit, or got 503 if that took too long, while another server had room. Ruled out: paused servers, which are not probed. Change: the entry passes the delays of limiting servers apart from the penalties for failures, and servers with a delay are not probed; their costs are as before. Measured: the new test fails without the condition and passes with it.

--- a/fighitch/gateway/entry.py
+++ b/fighitch/gateway/entry.py
@@ -2,7 +2,7 @@
 
 import random
 import socket
-from collections.abc import Callable, Iterable
+from collections.abc import Iterable
 from typing import Any
 
 import msgspec
@@ -395,16 +395,16 @@
         if self._pauses.is_active:
             avoid = avoid | self._pausing(servers)
         is_limited = self._limit_shares.is_active
-        penalty = self._limit_penalty(servers) if is_limited else self._failure_penalty
         return self._zones.rank(
             service.name,
             None if service.engine is None else metadata.adapter,
             servers,
             self.links,
-            penalty,
+            self._failure_penalty,
             avoid=avoid,
             account=metadata.account,
             may_probe=may_probe,
+            delays=self._limit_delays(servers) if is_limited else {},
         )
 
     def _is_usable(self, server: BackendServer) -> bool:
@@ -430,19 +430,14 @@
         pauses = [self._pause_left(item) for item in servers]
         return min(pauses) if pauses and min(pauses) > 0 else None
 
-    def _limit_penalty(
-        self, servers: Iterable[BackendServer]
-    ) -> Callable[[str], Seconds]:
-        """Returns the penalties with the delays at servers that limit requests."""
+    def _limit_delays(self, servers: Iterable[BackendServer]) -> dict[str, Seconds]:
+        """Returns the delays at servers that limit requests, by instance id."""
         now = self.loop.now()
-        delays = {
+        return {
             server.instance_id: self._limit_shares.delay(server.incarnation, now)
             for server in servers
             if not self.links.is_connected(server.instance_id)
         }
-        return lambda instance_id: (
-            delays.get(instance_id, 0.0) + self._failure_penalty(instance_id)
-        )
 
     def has_retry(self, service: str) -> bool:
         """Returns whether the budget of a service allows a retry."""
--- a/fighitch/gateway/zone_traffic.py
+++ b/fighitch/gateway/zone_traffic.py
@@ -1,7 +1,7 @@
 """Ranks backend servers for an entry, and records what leaves its zone and why."""
 
 from collections import Counter
-from collections.abc import Callable, Container, Iterable, Sequence
+from collections.abc import Callable, Container, Iterable, Mapping, Sequence
 from random import Random
 
 from fighitch.core.gateway.backend_choice import (
@@ -95,6 +95,7 @@
         avoid: Container[str],
         account: str = "",
         may_probe: bool,
+        delays: Mapping[str, Seconds],
     ) -> list[Candidate]:
         """Returns the servers that may run a request, the cheapest first.
 
@@ -108,17 +109,28 @@
             account: Client account of the request; empty for none.
             may_probe: Whether the request may be sent to a server that has failed, to
                 learn whether it has recovered.
+            delays: Times until servers that limit requests take one, by instance id.
         """
         now = self._loop.now()
+
+        def cost(instance_id: str) -> Seconds:
+            return penalty(instance_id) + delays.get(instance_id, 0.0)
+
         if adapter is None:
-            return self._rank_plain(
-                service, servers, penalty, avoid, now, may_probe=may_probe
-            )
+            # A probe must neither wait nor be refused while another server has room.
+            probed = [
+                item
+                for item in servers
+                if not delays.get(item.instance_id)
+                and (may_probe or penalty(item.instance_id) < _SUSPECT_PENALTY)
+            ]
+            probe = self._plain.find_probe(probed, now, avoid)
+            return self._rank_plain(service, servers, cost, avoid, now, probe=probe)
         return self._engine_ranker.rank(
             adapter,
             servers,
             links.views,
-            penalty,
+            cost,
             required_version=links.required_version(adapter),
             avoid=avoid,
             account=account,
@@ -133,14 +145,9 @@
         avoid: Container[str],
         now: Seconds,
         *,
-        may_probe: bool,
+        probe: str | None,
     ) -> list[Candidate]:
         loads = self._plain.by_id
-        probed = servers
-        if not may_probe:
-            probed = [
-                item for item in servers if penalty(item.instance_id) < _SUSPECT_PENALTY
-            ]
         return rank_plain_servers(
             servers,
             loads,
@@ -150,7 +157,7 @@
             charges=self._choice.plain_charges(service, servers, loads),
             now=now,
             rng=self._rng,
-            probe=self._plain.find_probe(probed, now, avoid),
+            probe=probe,
         )
 
     def record_sent(
--- a/fighitch/tests/test_zone_traffic.py
+++ b/fighitch/tests/test_zone_traffic.py
@@ -70,7 +70,7 @@
             answered=outcome == "answered",
         )
 
-    def best(self, *, may_probe=True, penalties=None):
+    def best(self, *, may_probe=True, penalties=None, delays=None):
         links = mock.Mock(views={})
         penalty = (penalties or {}).get
         ranked = self.traffic.rank(
@@ -81,6 +81,7 @@
             lambda name: penalty(name, 0.0),
             avoid=set(),
             may_probe=may_probe,
+            delays=delays or {},
         )
         return ranked[0].server.instance_id
 
@@ -146,6 +147,15 @@
         # One that is only slow, or not known, is tried again by any request.
         self.assertEqual(self.best(may_probe=False), "b")
 
+    def test_probe_does_not_wait_for_the_limit_of_its_server(self):
+        # A request waited, or got 503, as the probe of a server that limits requests
+        # while another server had room.
+        for _ in range(50):
+            self.send("a")
+            self.end("a", "answered")
+        self.assertEqual(self.best(delays={"b": 0.8}), "a")
+        self.assertEqual(self.best(delays={"b": 0.0}), "b")
+
     def test_removed_server_is_forgotten(self):
         self.send("a")
         self.traffic.forget("a")
