Accept the new argument in the stubs of candidates of two more tests

Cause: stubs with a fixed signature failed since relays say whether a request may probe. Their checks are unchanged.

--- a/fighitch/tests/test_repeated_refusals.py
+++ b/fighitch/tests/test_repeated_refusals.py
@@ -245,9 +245,13 @@
             )
             backends.append(backend)
             self.addCleanup(self.entry.pool.close_idle, backend)
-        self.entry.candidates.side_effect = lambda _service, _metadata, avoid: [
-            Candidate(item, 0.0) for item in backends if item.instance_id not in avoid
-        ]
+        self.entry.candidates.side_effect = (
+            lambda _service, _metadata, avoid, **_options: [
+                Candidate(item, 0.0)
+                for item in backends
+                if item.instance_id not in avoid
+            ]
+        )
 
     def run_request(self, relay: Relay) -> int:
         """Returns the status that the caller receives."""
--- a/fighitch/tests/test_unframed_responses.py
+++ b/fighitch/tests/test_unframed_responses.py
@@ -42,9 +42,11 @@
     def serve(self, *servers: ScriptedServer) -> None:
         """Lets each attempt reach the next of these servers."""
         names = [f"e{number}" for number in range(len(servers))]
-        self.entry.candidates.side_effect = lambda _service, _metadata, avoid: [
-            Candidate(server(name), 0.0) for name in names if name not in avoid
-        ]
+        self.entry.candidates.side_effect = (
+            lambda _service, _metadata, avoid, **_options: [
+                Candidate(server(name), 0.0) for name in names if name not in avoid
+            ]
+        )
         remaining = iter(servers)
 
         def acquire(_server, *, repeatable):
