Charge silent engines of another zone as unknown one by one

Cause: a zone was charged as unknown only if none of its engines had a current report. A single silent engine, hung or cut off, kept its last report; if that showed an idle engine, it drew the work that left a full zone until its connection timed out. Ruled out: engines without a connection, which are charged already, and engines of the own zone, which are treated as before. Change: the charge of an unknown zone also counts for each engine whose latest report is no longer current.

--- a/fighitch/core/gateway/zone_choice.py
+++ b/fighitch/core/gateway/zone_choice.py
@@ -99,6 +99,7 @@
         crowd: Number of other entries that send as much as this one to an engine, on
             the same reports.
         noise: Difference of two response times that is not significant.
+        reported_since: Time of a report before which it is no longer current.
     """
 
     by_zone: Mapping[str, Seconds] = field(default_factory=dict)
@@ -108,6 +109,7 @@
     spread: Seconds = 0.0
     crowd: float = 0.0
     noise: Seconds = 0.0
+    reported_since: Seconds = float("-inf")
 
     @property
     def unlisted(self) -> Seconds:
@@ -253,7 +255,7 @@
             view = views.get(server.instance_id)
             if view is None or not (view.connected and view.serving):
                 continue
-            if now - view.reported_at > _MAX_REPORT_AGE:
+            if view.reported_at < now - _MAX_REPORT_AGE:
                 continue
             load.engines += 1
             load.wait += view.backlog + view.pending_prefill + view.pause
@@ -279,6 +281,7 @@
             price_limit=_MAX_WAIT_SHARE_OF_TARGET * state.target,
             spread=min(_MAX_SPREAD, crowd * work),
             crowd=crowd,
+            reported_since=now - _MAX_REPORT_AGE,
         )
         return state.charges
 
--- a/fighitch/tests/test_zone_choice.py
+++ b/fighitch/tests/test_zone_choice.py
@@ -357,6 +357,21 @@
         self.views["eb"].reported_at = self.now + 1.0
         self.assertEqual(self.charges().by_zone["b"], MIN_CHARGE)
 
+    def test_silent_engine_of_a_zone_with_others_is_not_used_from_another_zone(self):
+        # Its last report showed an idle engine. Until its connection timed out, it drew
+        # the work that left, as only zones without any current report were charged.
+        self.servers.append(server("eb2", zone="b"))
+        self.views["eb2"] = EngineView("eb2", adapters={BASE: 1}, connected=True)
+        self.views["eb2"].reported_at = 0.0
+        self.views["eb"].reported_at = 0.9
+        charges = self.charges(ea=3.0, eb=1.0)
+        ranked = EngineRanker("a").rank(
+            BASE, self.servers, self.views, lambda _: 0.0, charges=charges
+        )
+        self.assertEqual(
+            [item.server.instance_id for item in ranked], ["eb", "ea", "eb2"]
+        )
+
     def test_engine_without_its_agent_is_not_used_from_another_zone(self):
         # Its last backlog was forgotten with the connection, so that it looked idle.
         self.views["eb"].connected = False
