Forget plain services that no route uses

Cause: averages and counts of probes by service were kept for each service that was ever configured. Ruled out: loads by server, which are removed with the server. Measured: the new test fails before (no such method) and passes after; tests of plain loads and zone traffic pass.

--- a/fighitch/core/gateway/plain_load.py
+++ b/fighitch/core/gateway/plain_load.py
@@ -223,6 +223,13 @@
             distant = distant or name
         return distant
 
+    def keep_services(self, services: Container[str]) -> None:
+        """Removes the state of services that are no longer used."""
+        for name in [name for name in self._averages if name not in services]:
+            del self._averages[name]
+        for key in [key for key in self._since_probe if key[0] not in services]:
+            del self._since_probe[key]
+
     def forget(self, instance_id: str) -> None:
         """Removes the state of a server that is gone."""
         self.by_id.pop(instance_id, None)
--- a/fighitch/gateway/zone_traffic.py
+++ b/fighitch/gateway/zone_traffic.py
@@ -81,8 +81,12 @@
         self._choice.set_price(settings.cross_zone_seconds_per_byte)
 
     def set_routes(self, routes: Iterable[Route]) -> None:
-        """Sets the routes of the configuration, for their latency targets."""
+        """Sets the routes of the configuration, for targets and services in use."""
+        routes = list(routes)
         self._choice.set_routes(routes)
+        self._plain.keep_services(
+            {item.service for route in routes for item in route.services}
+        )
 
     def rank(
         self,
--- a/fighitch/tests/test_plain_load.py
+++ b/fighitch/tests/test_plain_load.py
@@ -254,6 +254,15 @@
         self.assertEqual(self.loads.find_probe(self.servers, 9.01), "b")
         self.assertIsNone(self.loads.find_probe(self.servers, 9.01, avoid={"b"}))
 
+    def test_services_that_are_no_longer_used_are_forgotten(self):
+        # Guards against state that grows with each service that was ever configured.
+        self.send("a", 0.0)
+        service = self.servers[0].service
+        self.loads.keep_services({service})
+        self.assertTrue(self.loads._averages)
+        self.loads.keep_services(set())
+        self.assertEqual((self.loads._averages, self.loads._since_probe), ({}, {}))
+
     def test_latest_response_counts_more_after_a_gap(self):
         load = PlainServerLoad()
         load.record_response_time(1.0, 0.0)
