Pass no head with a status above 599 to the callers of the product's entry

Cause: a transfer reported status and body as they arrived and the invalid status only at its end, so that a caller received the head of a response with status 600. Ruled out: 000 and 099, which libcurl rejects itself. Change: the line with an invalid status ends the transfer.

--- a/fighitch/core/response_heads.py
+++ b/fighitch/core/response_heads.py
@@ -36,6 +36,11 @@
         """Whether the head of a final response ended; interim ones precede it."""
         return self._is_complete
 
+    @property
+    def has_invalid_status(self) -> bool:
+        """Whether a head had a status that no response may have."""
+        return self._has_invalid_status
+
     def add(self, line: str) -> None:
         """Adds a line with its line end; lines of trailers change nothing.
 
--- a/fighitch/runtime/transfers.py
+++ b/fighitch/runtime/transfers.py
@@ -131,18 +131,22 @@
         self._start()
         self.on_event(TransferEnded())
 
-    def _on_header(self, line: bytes) -> None:
+    def _on_header(self, line: bytes) -> int | None:
+        """Collects a header; returns 0 to end a transfer with an invalid status."""
         text = line.decode("latin-1")
         self._head_lines.add(text)
+        if self._head_lines.has_invalid_status:
+            return 0
         text = text.strip()
         if text.startswith("HTTP/"):
             # getinfo must not be called on the handle while the transfer is running.
             self._status = int(text.split(" ", 2)[1])
             self._headers = {}
-            return
+            return None
         name, colon, value = text.partition(":")
         if colon:
             self._headers[name.lower()] = value.strip()
+        return None
 
     def _on_body(self, data: bytes) -> None:
         self._start()
--- a/fighitch/tests/test_early_responses.py
+++ b/fighitch/tests/test_early_responses.py
@@ -1,5 +1,6 @@
 """Responses that end before their request was written, and invalid statuses."""
 
+import queue
 import socket
 import threading
 import time
@@ -13,6 +14,7 @@
 from fighitch.runtime.event_loop import EventLoop
 from fighitch.runtime.http_client import NO_RESPONSE, SerialClient
 from fighitch.runtime.http_exchange import FailureKind, HttpConnection
+from fighitch.runtime.transfers import Transfer, TransferFailed, Transfers
 from fighitch.tests.test_gateway_processes import FleetTestCase
 from fighitch.tests.test_http_exchange import RecordingHandler
 from fighitch.tests.test_unframed_responses import UnframedTestCase
@@ -244,6 +246,26 @@
         self.assertEqual((result.status, result.body), (200, b"body"))
 
 
+class TransferTests(EarlyServerTestCase):
+    """Transfers of the product's own entry."""
+
+    def test_head_with_an_invalid_status_is_not_passed_on(self):
+        # The head and the body were reported, and the failure only after them.
+        for status in (b"000", b"099", b"600"):
+            with self.subTest(status):
+                response = FRAMED.replace(b"200", status, 1)
+                url = f"http://127.0.0.1:{self.serve(response).port}/"
+                transfers, events = Transfers(), queue.Queue()
+                thread = threading.Thread(target=transfers.run, daemon=True)
+                thread.start()
+                transfers.submit(Transfer("POST", url, body=b"x"), events.put)
+                first = events.get(timeout=10)
+                transfers.stop()
+                thread.join(5)
+                self.assertIsInstance(first, TransferFailed)
+                self.assertTrue(first.sent)
+
+
 class RelayTests(UnframedTestCase):
     """A relay over a real connection: what its caller receives."""
 
