--- a/fighitch/gateway/entry.py
+++ b/fighitch/gateway/entry.py
@@ -2,7 +2,7 @@
 
 import random
 import socket
-from collections.abc import Callable, Iterable
+from collections.abc import Iterable
 from typing import Any
 
 import msgspec
@@ -223,9 +223,11 @@
             caller.is_shutting_down = True
         self.loop.call_later(_LISTENER_CLOSE_DELAY, self._close_idle_callers)
         grace = self._settings.stop_grace
-        self._answer_by = self.loop.now() + max(0.0, grace - _ANSWER_MARGIN)
+        answer_time = max(0.0, grace - _ANSWER_MARGIN)
+        self._answer_by = self.loop.now() + answer_time
         for relay in list(self._relays):
             self._end_before_stop(relay)
+        self.loop.call_later(answer_time, self._memory.refuse_waiting)
         self.loop.call_later(max(0.0, grace - _STOP_MARGIN), self._finish_stop)
 
     def _end_before_stop(self, relay: RelayedRequest) -> None:
@@ -394,22 +396,28 @@
     # Interface for relays.
 
     def candidates(
-        self, service: Service, metadata: RequestMetadata, avoid: set[str]
+        self,
+        service: Service,
+        metadata: RequestMetadata,
+        avoid: set[str],
+        *,
+        may_probe: bool,
     ) -> list[Candidate]:
         """Returns the servers that may run a request, the best candidate first."""
         servers = self._membership.ready(service.name)
         if self._pauses.is_active:
             avoid = avoid | self._pausing(servers)
         is_limited = self._limit_shares.is_active
-        penalty = self._limit_penalty(servers) if is_limited else self._failure_penalty
         return self._zones.rank(
             service.name,
             None if service.engine is None else metadata.adapter,
             servers,
             self.links,
-            penalty,
+            self._failure_penalty,
             avoid=avoid,
             account=metadata.account,
+            may_probe=may_probe,
+            delays=self._limit_delays(servers) if is_limited else {},
         )
 
     def _is_usable(self, server: BackendServer) -> bool:
@@ -435,19 +443,14 @@
         pauses = [self._pause_left(item) for item in servers]
         return min(pauses) if pauses and min(pauses) > 0 else None
 
-    def _limit_penalty(
-        self, servers: Iterable[BackendServer]
-    ) -> Callable[[str], Seconds]:
-        """Returns the penalties with the delays at servers that limit requests."""
+    def _limit_delays(self, servers: Iterable[BackendServer]) -> dict[str, Seconds]:
+        """Returns the delays at servers that limit requests, by instance id."""
         now = self.loop.now()
-        delays = {
+        return {
             server.instance_id: self._limit_shares.delay(server.incarnation, now)
             for server in servers
             if not self.links.is_connected(server.instance_id)
         }
-        return lambda instance_id: (
-            delays.get(instance_id, 0.0) + self._failure_penalty(instance_id)
-        )
 
     def has_retry(self, service: str) -> bool:
         """Returns whether the budget of a service allows a retry."""
--- a/fighitch/gateway/zone_traffic.py
+++ b/fighitch/gateway/zone_traffic.py
@@ -1,7 +1,7 @@
 """Ranks backend servers for an entry, and records what leaves its zone and why."""
 
 from collections import Counter
-from collections.abc import Callable, Container, Iterable, Sequence
+from collections.abc import Callable, Container, Iterable, Mapping, Sequence
 from random import Random
 
 from fighitch.core.gateway.backend_choice import (
@@ -29,6 +29,9 @@
 _OWN_ZONE = "own_zone"
 _LOG_INTERVAL: Seconds = 10.0
 _FIRST_NON_SUCCESS = 300
+# Penalty of a server for a failure among its latest four outcomes. A request that may
+# not run twice is not sent there as a probe: if that fails, its caller gets an error.
+_SUSPECT_PENALTY: Seconds = 0.01
 # Outcomes of attempts, as named by relays.
 _ANSWERED = "answered"
 _WITHDRAWN = "withdrawn"
@@ -78,8 +81,12 @@
         self._choice.set_price(settings.cross_zone_seconds_per_byte)
 
     def set_routes(self, routes: Iterable[Route]) -> None:
-        """Sets the routes of the configuration, for their latency targets."""
+        """Sets the routes of the configuration, for targets and services in use."""
+        routes = list(routes)
         self._choice.set_routes(routes)
+        self._plain.keep_services(
+            {item.service for route in routes for item in route.services}
+        )
 
     def rank(
         self,
@@ -91,6 +98,8 @@
         *,
         avoid: Container[str],
         account: str = "",
+        may_probe: bool,
+        delays: Mapping[str, Seconds],
     ) -> list[Candidate]:
         """Returns the servers that may run a request, the cheapest first.
 
@@ -102,15 +111,30 @@
             penalty: Returns the cost of a server's recent failures.
             avoid: Instance ids to leave out.
             account: Client account of the request; empty for none.
+            may_probe: Whether the request may be sent to a server that has failed, to
+                learn whether it has recovered.
+            delays: Times until servers that limit requests take one, by instance id.
         """
         now = self._loop.now()
+
+        def cost(instance_id: str) -> Seconds:
+            return penalty(instance_id) + delays.get(instance_id, 0.0)
+
         if adapter is None:
-            return self._rank_plain(service, servers, penalty, avoid, now)
+            # A probe must neither wait nor be refused while another server has room.
+            probed = [
+                item
+                for item in servers
+                if not delays.get(item.instance_id)
+                and (may_probe or penalty(item.instance_id) < _SUSPECT_PENALTY)
+            ]
+            probe = self._plain.find_probe(probed, now, avoid)
+            return self._rank_plain(service, servers, cost, avoid, now, probe=probe)
         return self._engine_ranker.rank(
             adapter,
             servers,
             links.views,
-            penalty,
+            cost,
             required_version=links.required_version(adapter),
             avoid=avoid,
             account=account,
@@ -124,6 +148,8 @@
         penalty: Callable[[str], Seconds],
         avoid: Container[str],
         now: Seconds,
+        *,
+        probe: str | None,
     ) -> list[Candidate]:
         loads = self._plain.by_id
         return rank_plain_servers(
@@ -135,7 +161,7 @@
             charges=self._choice.plain_charges(service, servers, loads),
             now=now,
             rng=self._rng,
-            probe=self._plain.find_probe(servers, now, avoid),
+            probe=probe,
         )
 
     def record_sent(
--- a/fighitch/tests/test_early_responses.py
+++ b/fighitch/tests/test_early_responses.py
@@ -1,9 +1,11 @@
 """Responses that end before their request was written, and invalid statuses."""
 
+import queue
 import socket
 import threading
 import time
 import unittest
+from unittest import mock
 
 from fighitch.clients.http_client import HttpClient
 from fighitch.core.gateway.model import WorkKind
@@ -12,6 +14,7 @@
 from fighitch.runtime.event_loop import EventLoop
 from fighitch.runtime.http_client import NO_RESPONSE, SerialClient
 from fighitch.runtime.http_exchange import FailureKind, HttpConnection
+from fighitch.runtime.transfers import Transfer, TransferFailed, Transfers
 from fighitch.tests.test_gateway_processes import FleetTestCase
 from fighitch.tests.test_http_exchange import RecordingHandler
 from fighitch.tests.test_unframed_responses import UnframedTestCase
@@ -196,6 +199,22 @@
     def test_early_unframed_response_is_no_response(self):
         self.assertEqual(self.call(UNFRAMED, LONG_BODY, "half_close"), NO_RESPONSE)
 
+    def test_call_that_was_given_up_is_not_reported(self):
+        # A watch of the store that was repeated early counted as a failed call once its
+        # timeout was over, although the store had answered all calls since.
+        loop = mock.Mock()
+        client = SerialClient(loop, Address("127.0.0.1", self.serve(b"").port))
+        on_response = mock.Mock()
+        client.call(upload(b"x"), on_response, timeout=10)
+        client.close()
+        timeouts = [
+            item.args[1]
+            for item in loop.call_later.call_args_list
+            if item.args[0] == 10
+        ]
+        timeouts[0]()
+        on_response.assert_not_called()
+
     def test_status_000_is_no_response(self):
         response = FRAMED.replace(b"200", b"000", 1) + FRAMED
         self.assertEqual(self.call(response, b"x", "drain"), NO_RESPONSE)
@@ -227,6 +246,26 @@
         self.assertEqual((result.status, result.body), (200, b"body"))
 
 
+class TransferTests(EarlyServerTestCase):
+    """Transfers of the product's own entry."""
+
+    def test_head_with_an_invalid_status_is_not_passed_on(self):
+        # The head and the body were reported, and the failure only after them.
+        for status in (b"000", b"099", b"600"):
+            with self.subTest(status):
+                response = FRAMED.replace(b"200", status, 1)
+                url = f"http://127.0.0.1:{self.serve(response).port}/"
+                transfers, events = Transfers(), queue.Queue()
+                thread = threading.Thread(target=transfers.run, daemon=True)
+                thread.start()
+                transfers.submit(Transfer("POST", url, body=b"x"), events.put)
+                first = events.get(timeout=10)
+                transfers.stop()
+                thread.join(5)
+                self.assertIsInstance(first, TransferFailed)
+                self.assertTrue(first.sent)
+
+
 class RelayTests(UnframedTestCase):
     """A relay over a real connection: what its caller receives."""
 
