Charge engines of other zones by measurements only where settings ask for it

Cause: measured charges were on everywhere.

Change: without Bounds.CrossZoneMsPerMb, engines of other zones have the fixed charge of before, also where their agents are not connected.

--- a/fighitch/core/gateway/backend_choice.py
+++ b/fighitch/core/gateway/backend_choice.py
@@ -203,7 +203,8 @@
                 cost += _HOME_RANK_PENALTY * min(home_rank, _MAX_HOME_RANK)
             if is_away:
                 cost += crossings.get(server.zone, unlisted)
-                if not view.connected or view.reported_at < charges.reported_since:
+                is_known = view.connected and view.reported_at >= charges.reported_since
+                if charges.is_measured and not is_known:
                     cost += UNKNOWN_CHARGE
                 away.append((server, cost, view.pending_prefill))
             else:
--- a/fighitch/core/gateway/settings.py
+++ b/fighitch/core/gateway/settings.py
@@ -63,7 +63,8 @@
             instance without contact may go on.
         quota_window: How closely the quotas of client accounts hold.
         cross_zone_seconds_per_byte: Waiting time of a client, in seconds, that one byte
-            across zones is worth; 0 if such traffic is free.
+            across zones is worth; 0 if such traffic is free, None for a fixed charge of
+            engines in other zones and the default price elsewhere.
         memory_limit: Memory of the instance's process, in bytes; 0 if not stated.
         descriptor_limit: File descriptors of the process; 0 if not stated.
     """
@@ -83,6 +84,6 @@
     heartbeat_interval: Seconds = DEFAULT_HEARTBEAT_INTERVAL
     revoke_within: Seconds | None = None
     quota_window: QuotaWindow = QuotaWindow()
-    cross_zone_seconds_per_byte: Seconds = DEFAULT_CROSS_ZONE_SECONDS_PER_BYTE
+    cross_zone_seconds_per_byte: Seconds | None = None
     memory_limit: int = 0
     descriptor_limit: int = 0
--- a/fighitch/core/gateway/zone_choice.py
+++ b/fighitch/core/gateway/zone_choice.py
@@ -111,6 +111,11 @@
     noise: Seconds = 0.0
     reported_since: Seconds = float("-inf")
 
+    @property
+    def is_measured(self) -> bool:
+        """Whether the charges follow from reports, and not from a fixed crossing."""
+        return self.reported_since > float("-inf")
+
     @property
     def unlisted(self) -> Seconds:
         """Charge for a zone that is not listed."""
--- a/fighitch/gateway/zone_traffic.py
+++ b/fighitch/gateway/zone_traffic.py
@@ -12,9 +12,13 @@
 )
 from fighitch.core.gateway.model import AdapterName, BackendServer, Route
 from fighitch.core.gateway.plain_load import PlainLoads
-from fighitch.core.gateway.settings import InstanceSettings
+from fighitch.core.gateway.settings import (
+    DEFAULT_CROSS_ZONE_SECONDS_PER_BYTE,
+    InstanceSettings,
+)
 from fighitch.core.gateway.zone_choice import (
     LeaveReason,
+    ZoneCharges,
     ZoneChoice,
     engine_leave_reason,
     plain_leave_reason,
@@ -38,6 +42,10 @@
 _REJECTED_PREFIX = "rejected_"
 _SILENT_OUTCOMES = frozenset(("deadline", "slow", "stands_still", "timeout"))
 
+# Charges of engines unless the settings ask for measured ones: agents decline work that
+# would be late, so that entries need not hold it back.
+_FIXED_CHARGES = ZoneCharges()
+
 
 class ZoneTraffic:
     """Decides which servers get the requests of an entry, by zone and load."""
@@ -67,9 +75,8 @@
         self._is_usable = is_usable
         # Differs between entries, so that they don't make the same random choices.
         self._rng = Random(settings.instance)
-        self._choice = ZoneChoice(
-            settings.zone, seconds_per_byte=settings.cross_zone_seconds_per_byte
-        )
+        self._choice = ZoneChoice(settings.zone, seconds_per_byte=_price(settings))
+        self._weighs_engines = settings.cross_zone_seconds_per_byte is not None
         self._engine_ranker = EngineRanker(settings.zone, self._rng)
         self._plain = PlainLoads(settings.zone)
         # Attempts since the latest summary, by service, zone and reason.
@@ -78,7 +85,8 @@
 
     def apply_settings(self, settings: InstanceSettings) -> None:
         """Applies a changed price of bytes across zones."""
-        self._choice.set_price(settings.cross_zone_seconds_per_byte)
+        self._choice.set_price(_price(settings))
+        self._weighs_engines = settings.cross_zone_seconds_per_byte is not None
 
     def set_routes(self, routes: Iterable[Route]) -> None:
         """Sets the routes of the configuration, for targets and services in use."""
@@ -138,7 +146,11 @@
             required_version=links.required_version(adapter),
             avoid=avoid,
             account=account,
-            charges=self._choice.engine_charges(service, servers, links.views, now),
+            charges=(
+                self._choice.engine_charges(service, servers, links.views, now)
+                if self._weighs_engines
+                else _FIXED_CHARGES
+            ),
         )
 
     def _rank_plain(
@@ -282,3 +294,8 @@
                     attempts=count,
                     share=f"{count / totals[service]:.3f}",
                 )
+
+
+def _price(settings: InstanceSettings) -> Seconds:
+    price = settings.cross_zone_seconds_per_byte
+    return DEFAULT_CROSS_ZONE_SECONDS_PER_BYTE if price is None else price
--- a/fighitch/platform/settings.py
+++ b/fighitch/platform/settings.py
@@ -4,7 +4,6 @@
 
 from fighitch.core.gateway.retry_budget import BudgetLimits
 from fighitch.core.gateway.settings import (
-    DEFAULT_CROSS_ZONE_SECONDS_PER_BYTE,
     DEFAULT_HEARTBEAT_INTERVAL,
     Address,
     InstanceSettings,
@@ -36,10 +35,9 @@
     quota_window_s: float = 8
     quota_overage: float = 0.1
     quota_slack: float = 0
-    # Waiting time of a client that a megabyte across zones is worth.
-    cross_zone_ms_per_mb: Amount = (
-        DEFAULT_CROSS_ZONE_SECONDS_PER_BYTE * _MS_PER_SECOND * _BYTES_PER_MB
-    )
+    # Waiting time of a client that a megabyte across zones is worth. If it is stated,
+    # engines of other zones are chosen by measurements.
+    cross_zone_ms_per_mb: Amount | None = None
 
 
 class _Limits(msgspec.Struct, rename="pascal"):
@@ -108,7 +106,9 @@
             slack=bounds.quota_slack,
         ),
         cross_zone_seconds_per_byte=(
-            bounds.cross_zone_ms_per_mb / _MS_PER_SECOND / _BYTES_PER_MB
+            None
+            if bounds.cross_zone_ms_per_mb is None
+            else bounds.cross_zone_ms_per_mb / _MS_PER_SECOND / _BYTES_PER_MB
         ),
         memory_limit=int(decoded.limits.memory_mb * _BYTES_PER_MB),
         descriptor_limit=decoded.limits.max_fds,
