List the callbacks of the store's watches by kind

Cause: a match with guards on constants hid that each kind has fixed callbacks.

Change: no behaviour. Result: the 91 tests of watches, entry and accounts pass.

--- a/fighitch/gateway/store_watches.py
+++ b/fighitch/gateway/store_watches.py
@@ -53,8 +53,25 @@
     ) -> None:
         self._loop = loop
         self._log = log
-        self._quarantine = quarantine
-        self._handlers = handlers
+        # Callbacks of the watcher of each kind, by the names of its arguments.
+        self._callbacks: dict[str, dict[str, Callable[..., None]]] = {
+            CONFIGURATION_KIND: {
+                "on_change": handlers.on_configuration,
+                "on_read": handlers.on_configuration_read,
+            },
+            SERVERS_KIND: {
+                "on_list": handlers.on_server_list,
+                "on_change": handlers.on_server_change,
+                "on_contact": handlers.on_contact,
+                "on_restored": handlers.on_servers_restored,
+            },
+            VERSIONS_KIND: {"on_change": handlers.on_version},
+            QUARANTINE_KIND: {
+                "on_list": quarantine.on_stored_list,
+                "on_change": quarantine.on_stored_change,
+                "on_restored": quarantine.on_store_restored,
+            },
+        }
         self._timing: WatchTiming | None = None
         self._timing_settings: tuple[Seconds | None, ...] = ()
         self._watchers: dict[str, KindWatcher] = {}
@@ -121,29 +138,6 @@
     def _create(
         self, options: WatchOptions, settings: InstanceSettings, calls: StoreCalls
     ) -> KindWatcher:
-        handlers, quarantine = self._handlers, self._quarantine
-        callbacks: dict[str, Callable[..., None]]
-        match options.kind:
-            case kind if kind == CONFIGURATION_KIND:
-                callbacks = {
-                    "on_change": handlers.on_configuration,
-                    "on_read": handlers.on_configuration_read,
-                }
-            case kind if kind == SERVERS_KIND:
-                callbacks = {
-                    "on_list": handlers.on_server_list,
-                    "on_change": handlers.on_server_change,
-                    "on_contact": handlers.on_contact,
-                    "on_restored": handlers.on_servers_restored,
-                }
-            case kind if kind == VERSIONS_KIND:
-                callbacks = {"on_change": handlers.on_version}
-            case _:
-                callbacks = {
-                    "on_list": quarantine.on_stored_list,
-                    "on_change": quarantine.on_stored_change,
-                    "on_restored": quarantine.on_store_restored,
-                }
         return KindWatcher(
             self._loop,
             settings.store,
@@ -151,11 +145,14 @@
             self._log,
             on_regained=self._recheck,
             calls=calls,
-            **callbacks,
+            **self._callbacks[options.kind],
         )
 
     def _recheck(self) -> None:
-        """Repeats the longest watch: its response may have been lost too."""
+        """Repeats the watch of versions, whose response may have been lost too.
+
+        It waits longest where there are many entries.
+        """
         self._watchers[VERSIONS_KIND].recheck()
 
 
