--- a/review/harness_2.py
+++ b/review/harness_2.py
@@ -573,6 +573,7 @@
         super().__init__(host, "orders", instance_id, record)
         self.work_s = work_s
         self.is_silent = False
+        self.writes_runs = True
         self.arrived: list[tuple[float, str]] = []
 
     async def answer(
@@ -590,7 +591,8 @@
             return True
         attempt = message.headers.get("attempt-id", "")
         self.arrived.append((time.monotonic(), attempt))
-        self.record.write("run", attempt=attempt, at=self.instance_id)
+        if self.writes_runs:
+            self.record.write("run", attempt=attempt, at=self.instance_id)
         await asyncio.sleep(self.work_s)
         head = {
             "Attempt-Id": attempt,
@@ -678,6 +680,9 @@
     routes: dict[str, dict[str, Any]] = field(default_factory=dict)
     places: int = 3
     version: int = 1
+    limits: dict[str, int] = field(
+        default_factory=lambda: {"MemoryMb": 300, "MaxFds": 4_100}
+    )
 
     def __post_init__(self) -> None:
         pid = os.getpid()
@@ -691,9 +696,16 @@
         return f"{self._network}.{number}"
 
     async def start(
-        self, *, engines: int = 0, plain: int = 0, entries: int = 1, **bounds: float
+        self,
+        *,
+        engines: int = 0,
+        plain: int = 0,
+        entries: int = 1,
+        limits: dict[str, int] | None = None,
+        **bounds: float,
     ) -> None:
         """Starts everything and waits until the entries are ready."""
+        self.limits |= limits or {}
         await self.store.listen()
         for number in range(engines):
             engine = Engine(
@@ -732,7 +744,7 @@
             "Zone": "z1",
             "Region": "r",
             "InternalPorts": [self._peer_port, self._peer_port + 15],
-            "Limits": {"MemoryMb": 300, "MaxFds": 4_100},
+            "Limits": self.limits,
             "HeartbeatMs": 1_200,
             "Bounds": {
                 "DrainMs": 2_000,
