--- a/review/harness_2.py
+++ b/review/harness_2.py
@@ -575,6 +575,8 @@
         self.is_silent = False
         self.writes_runs = True
         self.arrived: list[tuple[float, str]] = []
+        # The requests that were run, if they are kept.
+        self.run_messages: list[Message] | None = None
 
     async def answer(
         self,
@@ -591,6 +593,8 @@
             return True
         attempt = message.headers.get("attempt-id", "")
         self.arrived.append((time.monotonic(), attempt))
+        if self.run_messages is not None:
+            self.run_messages.append(message)
         if self.writes_runs:
             self.record.write("run", attempt=attempt, at=self.instance_id)
         await asyncio.sleep(self.work_s)
