--- a/review/harness_2.py
+++ b/review/harness_2.py
@@ -575,6 +575,9 @@
         self.is_silent = False
         self.writes_runs = True
         self.arrived: list[tuple[float, str]] = []
+        # Events of a stream, and the time before each; 0 for a whole answer at once.
+        self.events = 0
+        self.event_interval_s = 0.4
         # The requests that were run, if they are kept.
         self.run_messages: list[Message] | None = None
 
@@ -602,9 +605,24 @@
             "Attempt-Id": attempt,
             "Response-Signature": f"{self.instance_id}.{attempt}",
         }
-        writer.write(encode_response(200, head, b"done " + attempt.encode()))
+        if self.events:
+            await self._stream(attempt, head, writer)
+        else:
+            writer.write(encode_response(200, head, b"done " + attempt.encode()))
         return True
 
+    async def _stream(
+        self, attempt: str, head: dict[str, str], writer: asyncio.StreamWriter
+    ) -> None:
+        head["Content-Type"] = "text/event-stream"
+        writer.write(encode_response(200, head, None))
+        for number in range(1, self.events + 1):
+            await asyncio.sleep(self.event_interval_s)
+            event = f"id: {number}\ndata: {attempt} {number}\n\n".encode()
+            writer.write(b"%x\r\n%s\r\n" % (len(event), event))
+            await writer.drain()
+        writer.write(b"0\r\n\r\n")
+
 
 class Program:
     """One of the project's own programs, started as the deploy file says."""
