Refuse complete requests while memory is short, and count their handling

Seen (review of the code, no crowd of the tests shows it alone): complete requests were counted but never refused, so that requests with large heads could be added without limit to bodies that fill the budget. The objects with which a request is handled were not counted, nor was a response of up to 64 KiB ever sent early when many were being collected.

Change: MemoryBudget.may_run decides when a request is complete. While more is held than the budget allows, a request of more than 16 KiB that reserved no room gets 503, and every request does from 15% above. A handled request counts with 16 kB for its objects (measured: 1,000 small requests at slow servers add 16 MB to an entry) and with a copy of its text. A sound response is sent rather than collected while memory is short; an error is still collected, as another server may answer.

Tests of the decision and of the connection fail without it.

--- a/fighitch/core/gateway/memory_budget.py
+++ b/fighitch/core/gateway/memory_budget.py
@@ -20,6 +20,8 @@
 _OWN_BYTES = 56_000_000
 # The allocator keeps freed blocks between those in use.
 _USABLE_SHARE = 0.8
+# What may be held over the limit for small requests, which never wait for room.
+_OVERDRAFT_SHARE = 0.15
 # Two bodies of the default limit fit, whatever the settings say.
 _MIN_BUDGET_BYTES = 8_388_608
 # A client that holds no more than this is never made to wait or closed. An ordinary
@@ -184,6 +186,17 @@
         self._held += holding.size - before
         return size
 
+    def may_run(self, holding: Holding) -> bool:
+        """Returns whether the request that was read may be handled, or is refused.
+
+        Handling holds its memory for as long as a server takes. While more is held than
+        the budget allows, only small requests are handled, and not without limit.
+        """
+        if self._held > self.limit * (1 + _OVERDRAFT_SHARE):
+            return False
+        is_small = holding.request <= SMALL_BYTES
+        return is_small or holding.reserved > 0 or not self.is_over
+
     def hold(self, size: int) -> None:
         """Adds bytes that are held until they are released."""
         self._held += size
--- a/fighitch/gateway/caller_response.py
+++ b/fighitch/gateway/caller_response.py
@@ -52,6 +52,11 @@
         """Whether the caller has left."""
         return self._caller is None
 
+    @property
+    def is_memory_short(self) -> bool:
+        """Whether a response should be sent rather than collected, to free memory."""
+        return self._caller is not None and self._caller.is_memory_short
+
     def send_head(self, head: ResponseHead, *, length: int | None) -> None:
         """Sends the head of a response.
 
--- a/fighitch/gateway/relay.py
+++ b/fighitch/gateway/relay.py
@@ -467,12 +467,14 @@
         buffered += data
         self._response.record_buffered(len(buffered))
         is_forwarding = self._head_sent and not self._is_continuation
-        if len(buffered) <= _MAX_BUFFERED_BYTES and not is_forwarding:
+        is_sound = may_forward(head, is_continuation=self._is_continuation)
+        has_room = not (is_sound and self._response.is_memory_short)
+        if len(buffered) <= _MAX_BUFFERED_BYTES and has_room and not is_forwarding:
             return
         if head is not None and was_not_run(head):
             self._on_rejected(head)
             return
-        if not may_forward(head, is_continuation=self._is_continuation):
+        if not is_sound:
             # A response that is not forwarded is buffered as a whole.
             failure = ExchangeFailure(
                 ExchangeFailureKind.BAD_ANSWER, sent=True, limit=LimitKind.BODY_BYTES
--- a/fighitch/runtime/caller_memory.py
+++ b/fighitch/runtime/caller_memory.py
@@ -69,9 +69,13 @@
         """Refuses all requests that wait for room, before the process ends."""
         self._refuse(self.budget.refuse_waiting())
 
+    def report(self, refusal: Refusal) -> None:
+        """Reports that a connection refused a request for lack of memory."""
+        self.on_refused(refusal)
+
     def _refuse(self, refusals: Iterable[Refusal]) -> None:
         for refusal in refusals:
-            self.on_refused(refusal)
+            self.report(refusal)
             user = self._users.get(refusal.holding)
             if user is not None:
                 user.refuse(refusal.reason)
--- a/fighitch/runtime/http_callers.py
+++ b/fighitch/runtime/http_callers.py
@@ -12,6 +12,7 @@
 from fighitch.core.gateway.memory_budget import (
     SMALL_BYTES,
     MemoryBudget,
+    Refusal,
     RefusalReason,
 )
 from fighitch.core.gateway.model import CallerLimits
@@ -43,6 +44,8 @@
 _HEAD_OVERHEAD_BYTES = 1_024
 # Memory of the objects of a request, beside its text.
 _REQUEST_OBJECT_BYTES = 1_000
+# Memory of the objects with which a complete request is handled.
+_HANDLING_BYTES = 16_000
 # Limits of the delay in Retry-After, which spreads out the retries of refused clients.
 _RETRY_DELAYS: tuple[Seconds, Seconds] = (0.5, 1.5)
 _REASON_PHRASES = {
@@ -66,6 +69,10 @@
     """Raised if a request exceeds a size limit."""
 
 
+class _NoMemoryError(Exception):
+    """Raised if a complete request can't be handled for lack of memory."""
+
+
 @dataclass(slots=True)
 class CallerRequest:
     """A complete request of a caller.
@@ -76,7 +83,6 @@
         headers: Headers as sent, in order.
         body: Complete body, with the transfer coding removed; a view if it is large.
         received_at: Time at which its first byte was read.
-        on_released: Called once when the memory of the request is released.
     """
 
     method: bytes
@@ -85,10 +91,8 @@
     headers: HeaderFields = field(repr=False)
     body: bytes | memoryview = field(repr=False)
     received_at: Seconds
-    on_released: Callable[[], None] | None = field(
-        default=None, repr=False, compare=False
-    )
-    _index: dict[bytes, list[bytes]] | None = field(default=None, repr=False)
+    _budget: MemoryBudget | None = field(default=None, repr=False, compare=False)
+    _held: int = field(default=0, repr=False, compare=False)
 
     def values(self, name: bytes) -> list[bytes]:
         """Returns all values of a header, given its name in lowercase."""
@@ -99,11 +103,17 @@
         values = self.values(name)
         return values[0] if values else None
 
+    def hold(self, budget: MemoryBudget, size: int) -> None:
+        """Counts more bytes against a memory budget until the request is released."""
+        budget.hold(size)
+        self._budget = budget
+        self._held += size
+
     def release(self) -> None:
-        """Reports that the request counts no longer against the memory budget."""
-        on_released, self.on_released = self.on_released, None
-        if on_released is not None:
-            on_released()
+        """Ends the counting against the memory budget."""
+        if self._budget is not None:
+            self._budget.release(self._held)
+            self._budget, self._held = None, 0
 
     def discard(self) -> None:
         """Drops the body of a request that is not sent again, and releases it."""
@@ -213,6 +223,11 @@
         timeout = self._current_limits().idle_timeout + _IDLE_SLACK
         return self._idle_since + timeout - self._loop.now()
 
+    @property
+    def is_memory_short(self) -> bool:
+        """Whether the process holds more for its callers than it should."""
+        return self._memory.budget.is_over
+
     def record_buffered(self, size: int) -> None:
         """Records the bytes of a response that is collected before it is sent."""
         if not self._closed:
@@ -431,7 +446,7 @@
             # Upgrades are not supported; the bytes that follow are the next request.
             self._unparsed = data[upgrade.args[0] :] + self._unparsed
             self._new_parser()
-        except (httptools.HttpParserError, _RequestTooLargeError):
+        except (httptools.HttpParserError, _RequestTooLargeError, _NoMemoryError):
             self._reject(self._error_status or 400)
             return
         if self._error_status:
@@ -513,9 +528,12 @@
                 and not self.is_backlogged
             ):
                 self._cancel_timer()
-                self._current_request = self._requests.popleft()
+                request = self._current_request = self._requests.popleft()
+                # Its text is decoded, and encoded for its server.
+                copies = len(request.target) + request.headers.size
+                request.hold(self._memory.budget, _HANDLING_BYTES + copies)
                 self._watch()
-                self._on_request(self, self._current_request)
+                self._on_request(self, request)
         finally:
             self._is_dispatching = False
         if self._unparsed and len(self._requests) < _MAX_PIPELINED:
@@ -588,12 +606,15 @@
     def on_message_complete(self) -> None:
         """Queues the complete request."""
         self._has_boundary = True
-        self._is_reading_request = False
         budget, size = self._memory.budget, self._record_request()
+        if not budget.may_run(self._holding):
+            self._memory.report(Refusal(self._holding, RefusalReason.OVER_BUDGET))
+            self._error_status = _UNAVAILABLE
+            raise _NoMemoryError("no memory for another request")
+        self._is_reading_request = False
         budget.end_request(self._holding)
         request = self._build_request(self._parser.get_method())
-        budget.hold(size)
-        request.on_released = lambda: budget.release(size)
+        request.hold(budget, size)
         if not self._parser.should_keep_alive():
             self._caller_requested_close = True
         self._requests.append(request)
--- a/fighitch/tests/test_http_callers.py
+++ b/fighitch/tests/test_http_callers.py
@@ -7,7 +7,7 @@
 from dataclasses import replace
 from unittest import mock
 
-from fighitch.core.gateway.memory_budget import MemoryBudget
+from fighitch.core.gateway.memory_budget import MemoryBudget, RefusalReason
 from fighitch.core.gateway.model import CallerLimits
 from fighitch.runtime.caller_memory import CallerMemory
 from fighitch.runtime.event_loop import READ, EventLoop
@@ -647,6 +647,36 @@
         targets = [int(item.target[1:]) for item in self.requests]
         self.assertEqual(targets, list(range(600)))
 
+    def test_complete_request_counts_with_its_handling_until_its_answer(self):
+        self.answers = False
+        connection, sock = self.connect()
+        sock.sendall(b"GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+        self.run_loop()
+        self.assertGreater(self.memory.budget.held, 10_000)
+        connection.send_head(200, [], length=0)
+        connection.finish()
+        self.assertEqual(self.memory.budget.held, 0)
+
+    def test_complete_head_is_refused_while_memory_is_short(self):
+        self.answers = False
+        for _ in range(3):
+            self.connect()[1].sendall(b"GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+        self.run_loop()
+        self.memory.budget.limit = self.memory.budget.held - 1
+        _, large = self.connect()
+        large.sendall(b"GET / HTTP/1.1\r\n" + b"abc:d\r\n" * 1_800 + b"\r\n")
+        self.run_loop()
+        response = self.received(large)
+        self.assertIn(b" 503 ", response)
+        self.assertIn(b"Retry-After", response)
+        self.assertEqual(len(self.requests), 3)
+        self.assertEqual(self.refusals[0].reason, RefusalReason.OVER_BUDGET)
+        self.answers = True
+        _, small = self.connect()
+        small.sendall(b"GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+        self.run_loop()
+        self.assertIn(b" 200 ", self.received(small))
+
     def test_memory_of_open_heads_is_counted(self):
         # Guards against many short header fields, whose objects outweigh their text.
         self.memory.budget.limit = 10_000_000
--- a/fighitch/tests/test_memory_budget.py
+++ b/fighitch/tests/test_memory_budget.py
@@ -110,6 +110,20 @@
         self.assertGreater(len(refused), 0)
         self.assertNotIn(small, refused)
 
+    def test_large_head_may_not_run_while_memory_is_short(self):
+        # Guards against complete requests without end, which hold their memory until
+        # their servers answer.
+        large, small, body = self.open(), self.open(), self.upload()
+        self.budget.record_request(large, SMALL_BYTES + 1, self.now)
+        self.budget.record_request(small, SMALL_BYTES, self.now)
+        holdings = large, small, body
+        self.assertEqual(list(map(self.budget.may_run, holdings)), [True] * 3)
+        self.budget.hold(self.budget.limit - self.budget.held + 1)
+        may_run = list(map(self.budget.may_run, holdings))
+        self.assertEqual(may_run, [False, True, True])
+        self.budget.hold(self.budget.limit // 4)
+        self.assertEqual(list(map(self.budget.may_run, holdings)), [False] * 3)
+
     def test_smaller_body_passes_a_larger_one_that_waits(self):
         for _ in range(10):
             self.upload(BODY - 10_000)
--- a/fighitch/tests/test_relay.py
+++ b/fighitch/tests/test_relay.py
@@ -42,6 +42,7 @@
         self.entry.reserve.return_value = 0.0
         self.entry.time_until_room.return_value = None
         self.caller = mock.Mock()
+        self.caller.is_memory_short = False
 
     def relay(
         self,
@@ -399,6 +400,38 @@
         self.entry.record_outcome.assert_called_once()
 
 
+class CollectedResponseTests(RelayTestCase):
+    """Responses that are collected before they are sent."""
+
+    def start(self, status: int) -> Relay:
+        self.entry.links.may_connect_soon.return_value = False
+        relay = self.relay(kind=WorkKind.IDEMPOTENT)
+        relay.place()
+        self.caller.is_backlogged = False
+        relay.on_head(ResponseHead(status, [(b"Response-Signature", b"s")]))
+        return relay
+
+    def test_response_is_collected_while_there_is_memory(self):
+        self.start(200).on_body(b"part")
+        self.caller.send_head.assert_not_called()
+
+    def test_response_is_passed_on_while_memory_is_short(self):
+        # Guards against 64 KiB for each of many callers whose servers are slow.
+        relay = self.start(200)
+        relay.on_body(b"part")
+        self.caller.is_memory_short = True
+        relay.on_body(b" and more")
+        self.caller.send_body.assert_called_once_with(b"part and more")
+
+    def test_error_is_collected_although_memory_is_short(self):
+        # Another server may still answer the request.
+        relay = self.start(500)
+        self.caller.is_memory_short = True
+        relay.on_body(b"part")
+        self.caller.send_head.assert_not_called()
+        self.entry.record_end.assert_not_called()
+
+
 class StalledStreamTests(RelayTestCase):
     """A stream without events is ended after the time at which callers leave it."""
 
