Let clients take turns, so that timers and other sockets are not delayed

Seen: a round of the event loop calls every socket that is ready. 1,000 clients with 16 KiB of short header fields each keep it in one round for seconds, on a small share of a processor for tens of seconds. Meanwhile the entry answers no readiness probe and sends no heartbeat, so that it is taken out of rotation and loses its agents.

Cause: nothing bounded the work between two polls; pending connections were all accepted at once, rests of pipelined requests ran as timers of one round, and a scraper without end had the metrics rendered for each of its requests.

Change: sockets of callers are deferrable. What waits for its turn counts as unread: neither the memory budget nor the timeout of a request takes its caller for silent. 32 connections are accepted in a turn. Metrics are rendered again only after nine times the time that it took.

Tests: a loop on a clock of the test, whose clients take 15 ms each; before, a probe and a heartbeat waited for all 50 clients, now for fewer than 8.

--- a/fighitch/gateway/entry.py
+++ b/fighitch/gateway/entry.py
@@ -61,7 +61,12 @@
 from fighitch.runtime.event_loop import READ, EventLoop
 from fighitch.runtime.http_callers import CallerConnection, CallerRequest
 from fighitch.runtime.http_exchange import ResponseHead
-from fighitch.runtime.sockets import accept_pending, listen
+from fighitch.runtime.sockets import (
+    ACCEPTED_PER_TURN,
+    BACKLOG,
+    accept_pending,
+    listen,
+)
 from fighitch.types import Seconds
 
 _HOUSEKEEPING_INTERVAL: Seconds = 0.2
@@ -243,7 +248,7 @@
         if self._listener is not None:
             # Closing the listener resets the connections that are not yet accepted.
             # Their callers get until the next round to send a request.
-            self._accept(READ)
+            self._accept_pending(BACKLOG)
             self.loop.forget(self._listener)
             self._listener.close()
             self._listener = None
@@ -290,8 +295,16 @@
     # Callers.
 
     def _accept(self, _events: int) -> None:
+        self._accept_pending(ACCEPTED_PER_TURN)
+
+    def _accept_pending(self, max_count: int) -> None:
         if self._listener is not None:
-            accept_pending(self._listener, self._add_caller, self._log.accept_failed)
+            accept_pending(
+                self._listener,
+                self._add_caller,
+                self._log.accept_failed,
+                max_count=max_count,
+            )
 
     def _add_caller(self, sock: socket.socket) -> None:
         if not make_room(self._callers, max_callers(self._settings.descriptor_limit)):
--- a/fighitch/gateway/status_server.py
+++ b/fighitch/gateway/status_server.py
@@ -12,6 +12,7 @@
 from fighitch.runtime.event_loop import READ, EventLoop
 from fighitch.runtime.http_callers import CallerConnection, CallerRequest
 from fighitch.runtime.sockets import accept_pending, listen
+from fighitch.types import Seconds
 
 _OK = 200
 _UNAVAILABLE = 503
@@ -25,6 +26,9 @@
 )
 # 64 KiB for each connection, as its responses wait above the high-water mark.
 _BUDGET_BYTES = 2_097_152
+# Time after a rendering of the metrics for which they are sent again, as a multiple of
+# the time that it took: scrapers without end take a tenth of the processor time.
+_RENDER_PAUSE = 9
 
 
 class StatusServer:
@@ -52,6 +56,8 @@
         self._log = log
         self._is_ready = is_ready
         self._metrics = metrics
+        self._rendered = b""
+        self._render_at: Seconds = float("-inf")
         self._callers: set[CallerConnection] = set()
         self._memory = CallerMemory(loop, MemoryBudget(_BUDGET_BYTES))
         self._listener = listen(address.host, address.port)
@@ -72,6 +78,7 @@
             on_request=self._on_request,
             on_closed=self._callers.discard,
             memory=self._memory,
+            is_deferrable=False,
         )
         self._callers.add(caller)
 
@@ -81,7 +88,16 @@
         if path == _READY_PATH:
             status = _OK if self._is_ready() else _UNAVAILABLE
         elif path == _METRICS_PATH:
-            status, body = _OK, self._metrics()
+            status, body = _OK, self._render()
         caller.send_head(status, [(b"Content-Type", b"text/plain")], length=len(body))
         caller.send_body(body)
         caller.finish()
+
+    def _render(self) -> bytes:
+        """Returns the metrics, the last ones if they were rendered just now."""
+        start = self._loop.now()
+        if start >= self._render_at:
+            self._rendered = self._metrics()
+            end = self._loop.now()
+            self._render_at = end + _RENDER_PAUSE * (end - start)
+        return self._rendered
--- a/fighitch/runtime/caller_memory.py
+++ b/fighitch/runtime/caller_memory.py
@@ -82,7 +82,7 @@
 
     def _decide(self) -> None:
         self._is_deciding = False
-        now = self.loop.polled_at
+        now = self.loop.deferrable_polled_at
         self._refuse(self.budget.refuse(now))
         for holding in self.budget.grant_waiting(self.loop.now()):
             self._users[holding].on_room()
--- a/fighitch/runtime/http_callers.py
+++ b/fighitch/runtime/http_callers.py
@@ -134,6 +134,7 @@
         on_closed: Callable[["CallerConnection"], None],
         on_invalid: Callable[[int, CallerRequest], None] | None = None,
         memory: CallerMemory | None = None,
+        is_deferrable: bool = True,
     ) -> None:
         """Starts reading requests.
 
@@ -148,6 +149,7 @@
                 read of it. The status is not sent if requests before it are still to be
                 answered.
             memory: Memory of all callers of the process; None for no common bound.
+            is_deferrable: Whether the connection waits for its turn if many are ready.
         """
         set_stream_options(sock, user_timeout_ms=CALLER_USER_TIMEOUT_MS)
         self.on_disconnected: Callable[[], None] | None = None
@@ -155,6 +157,7 @@
         self.is_shutting_down = False
         self._loop = loop
         self._sock = sock
+        self._is_deferrable = is_deferrable
         self._current_limits = limits
         self._limits = limits()
         self._idle_since: Seconds = loop.now()
@@ -385,7 +388,9 @@
         events = (READ if wants_input else 0) | (WRITE if self._unsent else 0)
         if events != self._watched_events:
             self._watched_events = events
-            self._loop.watch(self._sock, events, self._on_events)
+            self._loop.watch(
+                self._sock, events, self._on_events, is_deferrable=self._is_deferrable
+            )
 
     def _on_events(self, events: int) -> None:
         if events & WRITE:
@@ -537,7 +542,7 @@
         finally:
             self._is_dispatching = False
         if self._unparsed and len(self._requests) < _MAX_PIPELINED:
-            self._loop.call_later(0, self._parse_rest)
+            self._loop.defer(self._parse_rest)
 
     # Parser callbacks, called by httptools.
 
@@ -743,5 +748,9 @@
 
     def _on_request_timeout(self) -> None:
         self._timer = None
+        if self._loop.is_deferred(self._sock):
+            # The event loop is late; the input may complete the request.
+            self._start_timer(_IDLE_SLACK, self._on_request_timeout)
+            return
         if self._current_request is None and self._is_reading_request:
             self._reject(408)
--- a/fighitch/runtime/sockets.py
+++ b/fighitch/runtime/sockets.py
@@ -14,7 +14,9 @@
 _KEEPALIVE_IDLE_SECONDS = 2
 _KEEPALIVE_INTERVAL_SECONDS = 1
 _KEEPALIVE_PROBES = 2
-_BACKLOG = 1_024
+BACKLOG = 1_024
+# Connections accepted in a turn; the rest stays in the backlog for the next one.
+ACCEPTED_PER_TURN = 32
 
 
 def open_stream() -> socket.socket:
@@ -86,7 +88,7 @@
     sock.setblocking(False)
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
     sock.bind((host, port))
-    sock.listen(_BACKLOG)
+    sock.listen(BACKLOG)
     return sock
 
 
@@ -94,16 +96,19 @@
     listener: socket.socket,
     on_socket: Callable[[socket.socket], None],
     on_error: Callable[[OSError], None],
+    *,
+    max_count: int = ACCEPTED_PER_TURN,
 ) -> None:
-    """Accepts all pending connections.
+    """Accepts pending connections.
 
     Args:
         listener: Non-blocking listening socket.
         on_socket: Called with each accepted socket.
         on_error: Called if a connection cannot be accepted, for example because the
             process has no free file descriptor.
+        max_count: Largest number of connections to accept.
     """
-    while True:
+    for _ in range(max_count):
         try:
             sock, _ = listener.accept()
         except BlockingIOError:
--- a/fighitch/tests/test_event_loop.py
+++ b/fighitch/tests/test_event_loop.py
@@ -64,6 +64,83 @@
         self.assertEqual(self.calls, ["immediate"])
 
 
+class DeferrableSocketTests(unittest.TestCase):
+    """Guards against a crowd of clients that takes all turns of the event loop."""
+
+    COUNT = 50
+
+    def setUp(self):
+        self.now = 0.0
+        self.loop = EventLoop(lambda: self.now)
+        self.calls: list[str] = []
+
+    def add(self, name, *, is_deferrable=True, cost=0.015, reads=True):
+        """Watches a ready socket whose callback takes time."""
+        sock, peer = socket.socketpair()
+        self.addCleanup(sock.close)
+        self.addCleanup(peer.close)
+        peer.send(b"x")
+
+        def on_ready(_events):
+            if reads:
+                sock.recv(1)
+            self.now += cost
+            self.calls.append(name)
+
+        self.loop.watch(sock, READ, on_ready, is_deferrable=is_deferrable)
+        return sock
+
+    def test_other_sockets_and_timers_have_turns_between(self):
+        for number in range(self.COUNT):
+            self.add(f"client-{number}")
+        self.loop.run_once(0)
+        self.add("probe", is_deferrable=False)
+        self.loop.call_later(0, lambda: self.calls.append("heartbeat"))
+        self.loop.run_once(0)
+        self.loop.run_once(0)
+        self.assertLess(self.calls.index("probe"), 5)
+        self.assertLess(self.calls.index("heartbeat"), 8)
+
+    def test_all_have_a_turn_before_one_has_two(self):
+        for number in range(self.COUNT):
+            self.add(f"client-{number}", reads=False)
+        while len(self.calls) < self.COUNT:
+            self.loop.run_once(0)
+        self.assertEqual(len(set(self.calls[: self.COUNT])), self.COUNT)
+
+    def test_closed_socket_loses_its_turn(self):
+        # Guards against a callback for another socket with the same descriptor.
+        socks = [self.add(f"client-{number}") for number in range(self.COUNT)]
+        self.loop.run_once(0)
+        self.assertTrue(self.loop.is_deferred(socks[-1]))
+        self.loop.forget(socks[-1])
+        for _ in range(self.COUNT):
+            self.loop.run_once(0)
+        self.assertEqual(len(self.calls), self.COUNT - 1)
+        self.assertNotIn(f"client-{self.COUNT - 1}", self.calls)
+
+    def test_input_counts_as_unread_until_its_turn(self):
+        # Guards against clients that are refused as silent although they were not read.
+        for number in range(self.COUNT):
+            self.add(f"client-{number}")
+        while len(self.calls) < self.COUNT - 2:
+            self.loop.run_once(0)
+            self.assertEqual(self.loop.deferrable_polled_at, 0.0)
+        while self.now < 1.0:
+            self.loop.run_once(0)
+            self.now += 0.1
+        self.assertGreater(self.loop.deferrable_polled_at, 0.5)
+
+    def test_deferred_call_takes_its_turn(self):
+        for number in range(self.COUNT):
+            self.add(f"client-{number}")
+        self.loop.run_once(0)
+        self.loop.defer(lambda: self.calls.append("rest"))
+        while "rest" not in self.calls:
+            self.loop.run_once(0)
+        self.assertEqual(len(self.calls), self.COUNT + 1)
+
+
 class CancelledTimerTests(unittest.TestCase):
     """Guards against memory that grows with each cancelled timer until it is due."""
 
--- a/fighitch/tests/test_http_callers.py
+++ b/fighitch/tests/test_http_callers.py
@@ -677,6 +677,17 @@
         self.run_loop()
         self.assertIn(b" 200 ", self.received(small))
 
+    def test_request_does_not_time_out_while_its_input_waits_for_a_turn(self):
+        # Guards against a crowd that has the head of an ordinary caller time out.
+        connection, sock = self.connect()
+        sock.sendall(b"GET / HTTP/1.1\r\nHost")
+        self.run_loop()
+        with mock.patch.object(self.loop, "is_deferred", return_value=True):
+            self.run_loop(20.0)
+        sock.sendall(b": h\r\n\r\n")
+        self.run_loop()
+        self.assertIn(b" 200 ", self.received(sock))
+
     def test_memory_of_open_heads_is_counted(self):
         # Guards against many short header fields, whose objects outweigh their text.
         self.memory.budget.limit = 10_000_000
