Bound what peers and long names take at an agent

Seen: 60 peers that send messages without end exceed the memory of an agent of 152 MB or keep it from all other work. Callers reach the agent too: an entry passes on the adapter and the id of a request, of up to 16 KiB each.

Cause: an agent handled all messages of a read at once, up to thousands, each of which looks at the whole queue; waiting requests were bounded by nothing; names that were asked for stay in the estimate of their demand; instance ids of all starts that a peer named were kept.

Change: 16 messages of a peer are handled in a turn, and its next ones are read after that. Waiting requests may take a quarter of the budget for peers; beyond it they are denied. An adapter whose name has more than 1,024 characters is looked for at no engine: the request gets 503 at once. Agents get 256 characters of an id. 64 instance ids of an engine are kept.

--- a/fighitch/core/gateway/engine_queue.py
+++ b/fighitch/core/gateway/engine_queue.py
@@ -11,6 +11,7 @@
 """
 
 import heapq
+import sys
 from collections import Counter
 from collections.abc import Iterable, Mapping, Sequence
 from dataclasses import dataclass, field
@@ -60,6 +61,9 @@
 # others differ from the common estimate, and there are few of these at a time.
 _MAX_ACCOUNT_BACKLOGS = 8
 
+# Memory of a waiting request beside its text.
+_REQUEST_BYTES = 1_500
+
 # Number of the entry's connection, and number of the request on this connection.
 RequestKey = tuple[int, int]
 
@@ -101,6 +105,13 @@
         """Tokens that the request needs in the KV cache."""
         return self.size.prompt_tokens + self.size.output_tokens
 
+    @property
+    def memory(self) -> int:
+        """Bytes that the request takes in the queue."""
+        adapter = self.adapter
+        names = len(adapter.model) + len(adapter.adapter) + len(self.account)
+        return _REQUEST_BYTES + names + len(self.request_id)
+
 
 @dataclass(slots=True)
 class _RunningRequest:
@@ -177,6 +188,7 @@
         prefill_speed: Estimated prefill speed.
         event_pace: Pace of the running streams.
         pacer: Spaces the requests if the engine limits them; None for no limit.
+        max_memory: Bytes that waiting requests may take.
     """
 
     slots: int = 1
@@ -184,12 +196,14 @@
     prefill_speed: PrefillSpeed = field(default_factory=PrefillSpeed)
     event_pace: EventPace = field(default_factory=EventPace)
     pacer: RequestPacer | None = None
+    max_memory: int = sys.maxsize
     _waiting: dict[RequestKey, EngineRequest] = field(default_factory=dict)
     _running: dict[RequestKey, _RunningRequest] = field(default_factory=dict)
     _fair_order: FairOrder = field(default_factory=FairOrder)
     _pending_prefill_tokens: int = 0
     _reserved_kv_tokens: int = 0
     _waiting_prompt_tokens: int = 0
+    _waiting_memory: int = 0
 
     def configure(self, engine: EngineSpec) -> None:
         """Sets the limits of the engine."""
@@ -403,6 +417,8 @@
         Returns:
             The rejection; None if the request was queued.
         """
+        if self._waiting_memory + request.memory > self.max_memory:
+            return Rejection(request, _MAX_RETRY_AFTER, "queue_full")
         start = self._expected_start(request, load_wait)
         if request.tokens > self.kv_tokens > 0:
             return Rejection(request, _MAX_RETRY_AFTER, "larger_than_engine")
@@ -412,6 +428,7 @@
         self._remove_waiting(request.key)
         self._waiting[request.key] = request
         self._waiting_prompt_tokens += request.size.prompt_tokens
+        self._waiting_memory += request.memory
         self._fair_order.add(request.account, request.weight)
         return None
 
@@ -721,6 +738,7 @@
         request = self._waiting.pop(key, None)
         if request is not None:
             self._waiting_prompt_tokens -= request.size.prompt_tokens
+            self._waiting_memory -= request.memory
             self._fair_order.remove(request.account)
 
     def _charge(self, request: EngineRequest, now: Seconds) -> None:
--- a/fighitch/core/gateway/model.py
+++ b/fighitch/core/gateway/model.py
@@ -9,6 +9,9 @@
 from fighitch.core.gateway.accounts import AccountTable
 from fighitch.types import Seconds
 
+# Longest names of a model and its adapter together, in characters.
+_MAX_ADAPTER_NAME = 1_024
+
 
 class WorkKind(Enum):
     """Whether requests of a route may be retried and whether responses are streams."""
@@ -185,6 +188,14 @@
     def __str__(self) -> str:
         return f"{self.model}/{self.adapter}" if self.adapter else self.model
 
+    @property
+    def is_too_long(self) -> bool:
+        """Whether no engine is asked for an adapter of this name.
+
+        Agents keep the names that were asked for, and a caller may send some kB.
+        """
+        return len(self.model) + len(self.adapter) > _MAX_ADAPTER_NAME
+
 
 @dataclass(frozen=True, slots=True)
 class Incarnation:
--- a/fighitch/gateway/admission_requests.py
+++ b/fighitch/gateway/admission_requests.py
@@ -6,6 +6,9 @@
 from fighitch.types import Seconds
 
 _MS_PER_SECOND = 1_000
+# Characters of a request's id that an agent gets, for its log. Callers may send ids of
+# some kB, and an agent hears of the requests of all entries.
+_MAX_ID_LENGTH = 256
 
 
 def build_admission_request(
@@ -46,7 +49,7 @@
         target_ms=round((target_time - now) * _MS_PER_SECOND),
         deadline_ms=round((min(deadline, caller_cancels_at) - now) * _MS_PER_SECOND),
         may_decline=may_decline and now < target_time,
-        request_id=metadata.request_id,
+        request_id=metadata.request_id[:_MAX_ID_LENGTH],
         gap_ms=round(route.gap_target * _MS_PER_SECOND),
         account=metadata.account,
         weight=metadata.weight,
--- a/fighitch/gateway/agent.py
+++ b/fighitch/gateway/agent.py
@@ -59,6 +59,13 @@
 # may be transient.
 _FAILED_REPORT_LIMIT = 2
 _ORDER_RETRY_DELAY: Seconds = 0.05
+# Starts of the engine whose instance ids are known; the list of instances keeps few.
+_MAX_INCARNATIONS = 64
+# No engine ever has an adapter with such a name.
+_LONG_NAME_RETRY_AFTER: Seconds = 3.0
+# The queue may take this part of the budget for peers, beside it: some 12,000 requests
+# on the smallest machines.
+_QUEUE_PARTS_OF_BUDGET = 4
 
 
 class EngineAgent:
@@ -87,6 +94,7 @@
         self._entry_names: dict[int, str] = {}
         self._next_peer_number = 1
         self._memory = create_caller_memory(loop, settings, log, metrics.memory)
+        self._queue.max_memory = self._memory.budget.limit // _QUEUE_PARTS_OF_BUDGET
         self._crash_reports = CrashReportRelay()
         self._quotas = QuotaLender(loop, log, metrics)
         self._failed_reports = 0
@@ -185,6 +193,8 @@
     def _on_hello(self, peer: PeerConnection, hello: Hello) -> None:
         spec = msgspec.json.decode(hello.engine_spec, type=EngineSpec)
         self._instance_ids[hello.engine_start_time_ms] = hello.engine_id
+        if len(self._instance_ids) > _MAX_INCARNATIONS:
+            del self._instance_ids[next(iter(self._instance_ids))]
         self._entry_names[peer.number] = hello.entry
         if hello.protocol >= CRASH_REPORT_VERSION:
             self._crash_reports.add_peer(peer, self._loop.now())
@@ -224,6 +234,10 @@
             account=admission_request.account,
             weight=bounded_weight(admission_request.weight),
         )
+        if adapter.is_too_long:
+            # The name is not kept, as it would be in an estimate of its demand.
+            self._deny(Rejection(request, _LONG_NAME_RETRY_AFTER, "name_too_long"))
+            return
         if self._draining or not self._serving:
             reason = "draining" if self._draining else "engine_not_answering"
             self._deny(Rejection(request, self._queue.retry_after(now), reason))
@@ -508,7 +522,7 @@
         for rejection in self._queue.reject_overdue(now, self._adapter_cache):
             self._deny(rejection)
         for peer in list(self._peers.values()):
-            if self._loop.polled_at - peer.last_received_at > _ENTRY_TIMEOUT:
+            if self._loop.deferrable_polled_at - peer.last_received_at > _ENTRY_TIMEOUT:
                 peer.close("silent")
         self._process_queue()
         self._publish_status_if_due(now)
--- a/fighitch/gateway/entry.py
+++ b/fighitch/gateway/entry.py
@@ -417,13 +417,16 @@
         may_probe: bool,
     ) -> list[Candidate]:
         """Returns the servers that may run a request, the best candidate first."""
+        adapter = None if service.engine is None else metadata.adapter
+        if adapter is not None and adapter.is_too_long:
+            return []
         servers = self._membership.ready(service.name)
         if self._pauses.is_active:
             avoid = avoid | self._pausing(servers)
         is_limited = self._limit_shares.is_active
         return self._zones.rank(
             service.name,
-            None if service.engine is None else metadata.adapter,
+            adapter,
             servers,
             self.links,
             self._failure_penalty,
--- a/fighitch/gateway/peer_connection.py
+++ b/fighitch/gateway/peer_connection.py
@@ -1,6 +1,7 @@
 """Message connection between a gateway entry and an engine agent."""
 
 import socket
+from collections import deque
 from collections.abc import Callable
 
 from fighitch.core.gateway.memory_budget import RefusalReason
@@ -20,6 +21,9 @@
 _READ_SIZE = 65_536
 # A connection with more unsent data is closed: its peer counts as unresponsive.
 _MAX_SEND_BUFFER_BYTES = 4_194_304
+# Messages of a peer that an agent handles before others have their turn. A request for
+# admission looks at the whole queue of the engine.
+_MESSAGES_PER_TURN = 16
 # Entries send their first message as soon as they are connected.
 _IDENTIFICATION_TIMEOUT: Seconds = 5.0
 
@@ -66,7 +70,10 @@
         self.is_identified = not is_accepted
         if is_accepted:
             loop.call_later(_IDENTIFICATION_TIMEOUT, self._close_if_unidentified)
+        # Those of a peer that connected wait for its next turn.
+        self._unhandled: deque[Message] = deque()
         self._send_buffer = bytearray()
+        self._watched_events = 0
         self._closed = False
         self._flush_scheduled = False
         self._is_overflowing = False
@@ -95,6 +102,7 @@
         if self._closed:
             return
         self._closed = True
+        self._unhandled.clear()
         self._loop.forget(self._sock)
         self._sock.close()
         if self._memory is not None and self._holding is not None:
@@ -125,9 +133,13 @@
         if self._closed:
             return
         wants_write = bool(self._send_buffer) or not self._connected
-        self._loop.watch(
-            self._sock, READ | (WRITE if wants_write else 0), self._on_events
-        )
+        events = (WRITE if wants_write else 0) | (0 if self._unhandled else READ)
+        if events != self._watched_events:
+            self._watched_events = events
+            is_accepted = self._memory is not None
+            self._loop.watch(
+                self._sock, events, self._on_events, is_deferrable=is_accepted
+            )
 
     def _on_events(self, events: int) -> None:
         if events & WRITE:
@@ -174,15 +186,29 @@
         if not data:
             self.close("ended")
             return
-        self.last_received_at = self._loop.now()
         try:
-            messages = self._reader.feed(data)
+            self._unhandled.extend(self._reader.feed(data))
         except BadMessageError:
             self.close("bad_message")
             return
         self._record_memory()
-        for message in messages:
-            if self._closed:
-                return
-            self.is_identified = True
-            self._on_message(self, message)
+        self._handle_messages()
+
+    def _handle_messages(self) -> None:
+        """Handles what was received, all of it or as much as one turn allows."""
+        if self._closed:
+            return
+        self.last_received_at = self._loop.now()
+        count = len(self._unhandled)
+        if self._memory is not None:
+            count = min(count, _MESSAGES_PER_TURN)
+        try:
+            for _ in range(count):
+                self.is_identified = True
+                self._on_message(self, self._unhandled.popleft())
+                if self._closed:
+                    return
+        finally:
+            if self._unhandled:
+                self._loop.defer(self._handle_messages)
+            self._update_watch()
--- a/fighitch/tests/test_accounts.py
+++ b/fighitch/tests/test_accounts.py
@@ -196,6 +196,22 @@
         )
         self.assertEqual((message.account, message.weight), ("small", 1.5))
 
+    def test_agents_get_a_bounded_part_of_a_long_id(self):
+        # Guards against ids of some kB in the queues and messages of agents.
+        metadata, route = self.check(with_key())
+        metadata = replace(metadata, request_id="i" * 10_000)
+        message = build_admission_request(
+            metadata,
+            route,
+            arrived=0.0,
+            waiting_since=0.0,
+            deadline=9.0,
+            now=0.0,
+            version=0,
+            may_decline=False,
+        )
+        self.assertLess(len(message.request_id), 1_000)
+
     def test_account_without_a_rank_has_that_of_the_route(self):
         metadata, route = self.check(with_key("other"))
         self.assertEqual((metadata.account, route), ("plain", ROUTE))
--- a/fighitch/tests/test_bounded_memory.py
+++ b/fighitch/tests/test_bounded_memory.py
@@ -4,8 +4,22 @@
 import socket
 import struct
 import unittest
-
-from fighitch.gateway.peer_messages import Heartbeat, encode
+from collections.abc import Callable, Iterator
+
+import msgspec
+
+from fighitch.core.gateway.model import EngineSpec, ModelSpec
+from fighitch.gateway.peer_messages import (
+    PROTOCOL_VERSION,
+    AdapterVersions,
+    AdmissionRequest,
+    CrashReport,
+    Heartbeat,
+    Hello,
+    Message,
+    QuotaRequest,
+    encode,
+)
 from fighitch.gateway.process import METRICS_PORT
 from fighitch.tests.crowd_helpers import (
     BLOCK,
@@ -23,7 +37,7 @@
     repeat,
     request_head,
 )
-from standins.platform_fleet import FleetProcess, PlatformFleet, wait_until
+from standins.platform_fleet import MODEL, FleetProcess, PlatformFleet, wait_until
 
 # Memory of the smallest machines, in MB.
 MEMORY_MB = 152
@@ -219,6 +233,18 @@
             *([request_head(number, fields=SLOW)] for number in range(LARGE_CROWD))
         )
 
+    def test_streams_with_long_names_of_adapters(self):
+        numbers = itertools.count()
+
+        def payload() -> list[bytes]:
+            number = next(numbers)
+            fields = b"Model: base/%d-%s\r\n" % (number, LONG_NAME)
+            return [request_head(number, route="stream", fields=fields)]
+
+        for _ in range(ROUNDS):
+            self.check(*(payload() for _ in range(LARGE_CROWD)))
+        self.assert_streams()
+
     def test_long_names_of_hosts_and_connection_options(self):
         options = SLOW + b"Connection: " + b"a," * 7_000 + b"\r\n"
         host = SLOW + b"X-Host: " + LONG_NAME + b"\r\n"
@@ -437,5 +463,102 @@
         self.check_peers(lambda: [head, *body_blocks(size - 1)])
 
 
+class IdentifiedPeerTests(CrowdTestCase):
+    """Guards against identified peers that have an agent keep what they send."""
+
+    def check_messages(self, create_message: Callable[[str, int], Message]):
+        """Sends messages without end from a crowd of peers.
+
+        Args:
+            create_message: Creates a message from the name of the peer and from a
+                number that is unique.
+        """
+        numbers = itertools.count(1)
+
+        def payload() -> Iterator[bytes]:
+            name = f"peer-{next(numbers)}"
+            messages = (create_message(name, number) for number in numbers)
+            return map(encode, itertools.chain((hello(name),), messages))
+
+        address = (self.agent.settings["Ip"], self.agent.settings["InternalPorts"][0])
+        with Crowd(address) as crowd:
+            crowd.send(*(payload() for _ in range(CROWD)))
+            self.assert_within_limits(self.agent)
+        self.assert_streams()
+        self.assert_within_limits(self.agent)
+
+    def test_admission_requests_without_end(self):
+        self.check_messages(lambda _name, number: admission_request(number))
+
+    def test_admission_requests_with_long_ids(self):
+        self.check_messages(
+            lambda _name, number: admission_request(number, request_id="i" * 500_000)
+        )
+
+    def test_admission_requests_for_adapters_with_long_names(self):
+        self.check_messages(
+            lambda _name, number: admission_request(
+                number, adapter=f"{number}-" * 20_000
+            )
+        )
+
+    def test_versions_of_adapters_without_end(self):
+        self.check_messages(
+            lambda _name, number: AdapterVersions(
+                [(MODEL, f"a{number}-{item}", 1) for item in range(2_000)]
+            )
+        )
+
+    def test_starts_of_engines_without_end(self):
+        self.check_messages(lambda name, number: hello(name, "e" * 60_000, number))
+
+    def test_crash_reports_without_end(self):
+        parts = [f"part-{item}" for item in range(60)]
+        self.check_messages(
+            lambda _name, number: CrashReport(
+                [(f"engine-{number}-{item}", number, 0, parts) for item in range(100)],
+                [(f"part-{number}-{item}", 0) for item in range(1_000)],
+            )
+        )
+
+    def test_accounts_without_end(self):
+        units = (1.0,) * 9
+        self.check_messages(
+            lambda name, number: QuotaRequest(
+                name,
+                number,
+                1,
+                1,
+                [(f"account-{number}-{item}", *units) for item in range(1_000)],
+            )
+        )
+
+
+def hello(name: str, engine_id: str = "engine", start_time_ms: int = 0) -> Hello:
+    """Returns the first message of a peer, with the limits of the fleet's engines."""
+    models = {MODEL: ModelSpec(MODEL, 100.0, 0.0, 1.0)}
+    spec = EngineSpec(8, 100_000, 200.0, 3, 7.0, models)
+    encoded = msgspec.json.encode(spec)
+    return Hello(name, engine_id, start_time_ms, encoded, PROTOCOL_VERSION)
+
+
+def admission_request(
+    number: int, *, adapter: str = "", request_id: str = ""
+) -> AdmissionRequest:
+    """Returns a request for admission that waits for minutes."""
+    return AdmissionRequest(
+        number=number,
+        model=MODEL,
+        adapter=adapter or f"a{number}",
+        version=0,
+        rank=1,
+        prompt_tokens=100,
+        output_tokens=20,
+        target_ms=200_000,
+        deadline_ms=200_000,
+        request_id=request_id or f"request-{number}",
+    )
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/fighitch/tests/test_engine_queue.py
+++ b/fighitch/tests/test_engine_queue.py
@@ -1,4 +1,5 @@
 import unittest
+from dataclasses import replace
 
 from fighitch.core.gateway.engine_queue import PREFILL_WINDOW, EngineQueue
 from fighitch.tests.gateway_helpers import (
@@ -17,6 +18,22 @@
     return queue
 
 
+class MemoryTests(unittest.TestCase):
+    """Guards against waiting requests that fill the memory of an agent."""
+
+    def test_request_is_rejected_if_the_queue_has_no_memory_for_it(self):
+        queue = make_queue()
+        queue.max_memory = 10_000
+        waiting = [request(number) for number in range(5)]
+        long = replace(request(9), request_id="i" * 5_000)
+        self.assertEqual([queue.enqueue(item) for item in waiting], [None] * 5)
+        rejection = queue.enqueue(long)
+        self.assertEqual((rejection.request, rejection.reason), (long, "queue_full"))
+        for item in waiting:
+            queue.record_end(item.key)
+        self.assertIsNone(queue.enqueue(long))
+
+
 class AdmissionTests(unittest.TestCase):
     def test_burst_is_admitted_no_faster_than_it_is_prefilled(self):
         # Prompts that are all admitted at once delay each other past their latency
--- a/fighitch/tests/test_peer_connection.py
+++ b/fighitch/tests/test_peer_connection.py
@@ -17,8 +17,8 @@
 LARGE = encode(CrashReport([("e1", 1, 1, ["x" * 500_000])], []))
 
 
-class AcceptedPeerTests(unittest.TestCase):
-    """Guards against peers that fill an agent's memory with unfinished messages."""
+class PeerTestCase(unittest.TestCase):
+    """Accepts peers whose connections share a memory budget."""
 
     def setUp(self):
         self.now = 0.0
@@ -26,6 +26,7 @@
         self.memory = CallerMemory(self.loop, MemoryBudget(1_000_000))
         self.messages = []
         self.closed = []
+        self.peers = []
 
     def connect(self) -> socket.socket:
         ours, theirs = socket.socketpair()
@@ -41,6 +42,7 @@
                 memory=self.memory,
             )
         self.addCleanup(peer.close, "test")
+        self.peers.append(peer)
         return theirs
 
     def send(self, sock: socket.socket, data: bytes) -> None:
@@ -56,6 +58,10 @@
             self.now += 0.05
             self.loop.run_once(0.0)
 
+
+class AcceptedPeerTests(PeerTestCase):
+    """Guards against peers that fill an agent's memory with unfinished messages."""
+
     def test_large_first_message_closes_the_connection(self):
         self.send(self.connect(), LARGE)
         self.assertEqual((self.closed, self.messages), (["bad_message"], []))
@@ -87,6 +93,43 @@
         self.assertLess(self.memory.budget.held, 1_000_000)
 
 
+class MessageTurnTests(PeerTestCase):
+    """Guards against a peer whose messages take all turns of an agent."""
+
+    def test_messages_of_two_peers_take_turns(self):
+        many, few = self.connect(), self.connect()
+        many.sendall(encode(Heartbeat(1)) * 2_000)
+        few.sendall(encode(Heartbeat(2)))
+        self.loop.run_once(0.0)
+        self.loop.run_once(0.0)
+        epochs = [message.store_epoch for message in self.messages]
+        self.assertLess(epochs.index(2), 100)
+
+    def test_all_messages_are_handled_in_order(self):
+        self.send(self.connect(), b"".join(encode(Heartbeat(n)) for n in range(500)))
+        self.run_for(0.1)
+        epochs = [message.store_epoch for message in self.messages]
+        self.assertEqual(epochs, list(range(500)))
+
+    def test_peer_whose_messages_wait_is_not_silent(self):
+        with mock.patch("fighitch.runtime.event_loop._MAX_DEFERRABLE_TIME", -1.0):
+            sock = self.connect()
+            sock.sendall(encode(Heartbeat()) * 200)
+            for _ in range(5):
+                self.now += 1.0
+                self.loop.run_once(0.0)
+        (peer,) = self.peers
+        self.assertEqual(peer.last_received_at, self.now)
+
+    def test_closed_peer_gets_no_further_message(self):
+        self.connect().sendall(encode(Heartbeat()) * 200)
+        self.loop.run_once(0.0)
+        self.peers[0].close("test")
+        count = len(self.messages)
+        self.run_for(0.1)
+        self.assertEqual(len(self.messages), count)
+
+
 class ConnectionCountTests(unittest.TestCase):
     """Guards against silent connections that take all descriptors."""
 
