Keep slow callers from taking all threads of an HTTP listener

Seen: 1,000 connections that each send one byte keep an entry of the product from answering ordinary callers for minutes; it does not end within 120 s of SIGTERM. A listener with more than 4,096 connections stops accepting for ever.

Cause: a connection takes a thread with its first byte and may keep it for 30 s. Those that wait for a thread were bounded by nothing. The idle connection that makes room for a new one may be ready in the same round; the loop then failed with a KeyError and its thread ended.

Change: while a connection waits for a thread, requests that move less than 4 KiB within 0.75 s are ended, also while the server stops. Waiting and idle connections have one bound. The loop passes over connections that were dropped in the same round.

--- a/fighitch/runtime/http_server.py
+++ b/fighitch/runtime/http_server.py
@@ -5,6 +5,7 @@
 costs a file descriptor but no thread.
 """
 
+import contextlib
 import io
 import selectors
 import socket
@@ -34,6 +35,10 @@
 # with a bound of 64 MiB, more than the memory of the smallest machines (152 MB).
 MAX_REQUEST_BYTES = 33_554_432
 MAX_SMALL_REQUEST_BYTES = 65_536
+# While a connection waits for a thread, requests that move less than PROGRESS_BYTES
+# within STALL_TIME are ended. Callers on slow links move several times as much.
+PROGRESS_BYTES = 4_096
+STALL_TIME: Seconds = 0.75
 # Longest wait for requests on connections that were accepted before the port closed.
 LAST_REQUEST_TIMEOUT: Seconds = 0.5
 # More than any body that is accepted; a larger read only discards.
@@ -41,6 +46,7 @@
 _DISCARD_BYTES = 65_536
 _LAST_REQUEST_POLL_INTERVAL: Seconds = 0.05
 _POLL_INTERVAL: Seconds = 0.5
+_CROWDED_POLL_INTERVAL: Seconds = 0.05
 
 WsgiApp = Callable[[dict[str, Any], Callable[..., Any]], Iterable[bytes]]
 
@@ -85,6 +91,8 @@
         self._memory = memory
         self._received = 0
         self.is_reading_head = True
+        self._is_receiving = False
+        self._progress = 0, time.monotonic()
 
     def close(self) -> None:
         """Releases the memory of the request."""
@@ -92,6 +100,16 @@
             self._memory.remove(self._received)
         super().close()
 
+    def end_if_stalled(self, now: Seconds) -> None:
+        """Ends the reading of a request that does not progress; thread-safe."""
+        count, since = self._progress
+        if self._received - count >= PROGRESS_BYTES:
+            self._progress = self._received, now
+        elif self._is_receiving and now - since >= STALL_TIME:
+            # The waiting thread reads the end of the request.
+            with contextlib.suppress(OSError):
+                self._sock.shutdown(socket.SHUT_RD)
+
     def readable(self) -> bool:
         """Returns True."""
         return True
@@ -109,9 +127,11 @@
         if remaining <= 0:
             raise TimeoutError("the request did not arrive in time")
         self._sock.settimeout(min(remaining, SOCKET_TIMEOUT))
+        self._is_receiving = True
         try:
             count = self._sock.recv_into(buffer)
         finally:
+            self._is_receiving = False
             self._sock.settimeout(SOCKET_TIMEOUT)
         self._memory.add(count, total=self._received + count)
         self._received += count
@@ -137,6 +157,7 @@
 
     on_rejected: Callable[[str], None]
     memory: _RequestMemory
+    readers: "set[_RequestReader]"
 
 
 class _Handler(WSGIRequestHandler):
@@ -157,6 +178,12 @@
         self.rfile.close()
         self._reader = _RequestReader(self.connection, deadline, self.server.memory)
         self.rfile = _RequestBuffer(self._reader)
+        self.server.readers.add(self._reader)
+
+    def finish(self) -> None:
+        """Closes the streams."""
+        self.server.readers.discard(self._reader)
+        super().finish()
 
     def parse_request(self) -> bool:
         """Parses the head, after which the limit on its size ends."""
@@ -208,6 +235,7 @@
         self._server = _Server(host, int(port), app, handler=_Handler)
         self._server.on_rejected = on_rejected
         self._server.memory = _RequestMemory()
+        self._server.readers = set()
         # The application may be called on several threads concurrently.
         self._server.multithread = True
         self._executor = ThreadPoolExecutor(workers, thread_name_prefix=name)
@@ -215,6 +243,8 @@
             target=self._run, name=f"{name}-accept", daemon=True
         )
         self._is_stopping = False
+        # Connections that wait for a thread; changed by all threads.
+        self._waiting: set[Any] = set()
         self._idle: dict[int, tuple[Any, Any, Seconds]] = {}
         self._selector = selectors.DefaultSelector()
 
@@ -234,15 +264,20 @@
         """Stops accepting connections and waits for the requests in flight."""
         self._is_stopping = True
         self._thread.join()
+        while self._waiting:
+            self._end_stalled()
+            time.sleep(_CROWDED_POLL_INTERVAL)
         self._executor.shutdown(wait=True)
 
     def _run(self) -> None:
         while not self._is_stopping:
-            for key, _ in self._selector.select(_POLL_INTERVAL):
+            interval = _CROWDED_POLL_INTERVAL if self._waiting else _POLL_INTERVAL
+            for key, _ in self._selector.select(interval):
                 if key.fileobj is self._server.socket:
                     self._accept()
                 else:
                     self._start_handler(key.fd)
+            self._end_stalled()
             self._close_idle()
         self._handle_last_requests()
         for sock, _, _ in self._idle.values():
@@ -269,9 +304,13 @@
             sock, address = self._server.socket.accept()
         except OSError:
             return False
-        if len(self._idle) >= MAX_IDLE_CONNECTIONS:
+        if len(self._idle) + len(self._waiting) >= MAX_IDLE_CONNECTIONS:
             # The oldest idle connection is closed, so that idle connections cannot lock
             # out other callers.
+            if not self._idle:
+                sock.close()
+                self._server.on_rejected("too many waiting connections")
+                return True
             self._drop_idle(next(iter(self._idle)), "too many idle connections")
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self._idle[sock.fileno()] = (sock, address, time.monotonic())
@@ -279,10 +318,22 @@
         return True
 
     def _start_handler(self, descriptor: int) -> None:
+        if descriptor not in self._idle:
+            # It made room for a connection that was accepted in the same round.
+            return
         sock, address, _ = self._idle.pop(descriptor)
         self._selector.unregister(sock)
+        self._waiting.add(sock)
         self._executor.submit(self._handle, sock, address)
 
+    def _end_stalled(self) -> None:
+        """Ends requests that do not progress while connections wait for a thread."""
+        if not self._waiting:
+            return
+        now = time.monotonic()
+        for reader in self._server.readers.copy():
+            reader.end_if_stalled(now)
+
     def _close_idle(self) -> None:
         oldest = time.monotonic() - IDLE_TIMEOUT
         expired = [fd for fd, (_, _, since) in self._idle.items() if since < oldest]
@@ -296,6 +347,7 @@
         self._server.on_rejected(reason)
 
     def _handle(self, sock: Any, address: Any) -> None:
+        self._waiting.discard(sock)
         try:
             self._server.finish_request(sock, address)
         except OSError:
--- a/fighitch/tests/test_runtime.py
+++ b/fighitch/tests/test_runtime.py
@@ -5,6 +5,7 @@
 import queue
 import socket
 import threading
+import time
 import unittest
 from unittest import mock
 
@@ -204,6 +205,57 @@
             stopping.join(TIMEOUT)
         self.assertFalse(stopping.is_alive())
 
+    def test_caller_is_answered_beside_requests_that_stop_short_of_their_end(self):
+        """Guards against callers who wait while slow ones occupy all threads."""
+        socks = []
+        for _ in range(20):
+            sock = socket.create_connection(self.address_pair(), timeout=TIMEOUT)
+            self.addCleanup(sock.close)
+            sock.sendall(b"POST /stalled HTTP/1.1\r\nContent-Le")
+            socks.append(sock)
+        self.assertIn(b" 201 ", self.answer(b"GET /ordinary HTTP/1.1\r\n\r\n"))
+
+    def test_request_that_progresses_is_not_ended_while_others_wait(self):
+        """Guards against a slow upload that ends because the server is busy."""
+        with socket.create_connection(self.address_pair(), timeout=TIMEOUT) as slow:
+            slow.sendall(b"POST /slow HTTP/1.1\r\nContent-Length: 60000\r\n\r\n")
+            for _ in range(8):
+                sock = socket.create_connection(self.address_pair(), timeout=TIMEOUT)
+                self.addCleanup(sock.close)
+                sock.sendall(b"G")
+            for _ in range(6):
+                time.sleep(0.3)
+                slow.sendall(b"x" * 10_000)
+            received = b""
+            while len(received) < 60_000:
+                received += slow.recv(65_536)
+        self.assertIn(b" 201 ", received)
+
+    def test_connections_that_wait_for_a_thread_are_bounded(self):
+        """Guards against one byte per connection that takes all descriptors."""
+        rejected = []
+        self.server._server.on_rejected = rejected.append
+        with (
+            mock.patch.object(http_server, "MAX_IDLE_CONNECTIONS", 10),
+            mock.patch.object(http_server, "STALL_TIME", TIMEOUT),
+        ):
+            for _ in range(40):
+                sock = socket.create_connection(self.address_pair(), timeout=TIMEOUT)
+                self.addCleanup(sock.close)
+                sock.sendall(b"G")
+            while len(rejected) < 20:
+                time.sleep(0.01)
+            self.assertLessEqual(len(self.server._waiting), 10)
+        self.assertIn(b" 201 ", self.answer(b"GET /ordinary HTTP/1.1\r\n\r\n"))
+
+    def address_pair(self):
+        return _split_address(self.server.address)
+
+    def answer(self, request):
+        with socket.create_connection(self.address_pair(), timeout=TIMEOUT) as sock:
+            sock.sendall(request)
+            return sock.recv(65_536)
+
     def run_transfer(self, path, **options):
         events = queue.Queue()
         transfer = Transfer(
