--- a/fighitch/gateway/entry.py
+++ b/fighitch/gateway/entry.py
@@ -248,7 +248,7 @@
         if self._listener is not None:
             # Closing the listener resets the connections that are not yet accepted.
             # Their callers get until the next round to send a request.
-            self._accept_pending(BACKLOG)
+            self._accept(READ, max_count=BACKLOG)
             self.loop.forget(self._listener)
             self._listener.close()
             self._listener = None
@@ -294,10 +294,7 @@
 
     # Callers.
 
-    def _accept(self, _events: int) -> None:
-        self._accept_pending(ACCEPTED_PER_TURN)
-
-    def _accept_pending(self, max_count: int) -> None:
+    def _accept(self, _events: int, max_count: int = ACCEPTED_PER_TURN) -> None:
         if self._listener is not None:
             accept_pending(
                 self._listener,
--- a/fighitch/runtime/caller_memory.py
+++ b/fighitch/runtime/caller_memory.py
@@ -35,7 +35,8 @@
     Attributes:
         loop: Event loop of the process.
         budget: Decides who waits and who is refused.
-        on_refused: Called with each refusal before the connection is told.
+        on_refused: Called with each refusal, before the connection is told or by the
+            connection that refuses a complete request.
     """
 
     loop: EventLoop
@@ -69,13 +70,9 @@
         """Refuses all requests that wait for room, before the process ends."""
         self._refuse(self.budget.refuse_waiting())
 
-    def report(self, refusal: Refusal) -> None:
-        """Reports that a connection refused a request for lack of memory."""
-        self.on_refused(refusal)
-
     def _refuse(self, refusals: Iterable[Refusal]) -> None:
         for refusal in refusals:
-            self.report(refusal)
+            self.on_refused(refusal)
             user = self._users.get(refusal.holding)
             if user is not None:
                 user.refuse(refusal.reason)
--- a/fighitch/runtime/http_callers.py
+++ b/fighitch/runtime/http_callers.py
@@ -621,7 +621,8 @@
         self._has_boundary = True
         budget, size = self._memory.budget, self._record_request()
         if not budget.may_run(self._holding):
-            self._memory.report(Refusal(self._holding, RefusalReason.OVER_BUDGET))
+            refusal = Refusal(self._holding, RefusalReason.OVER_BUDGET)
+            self._memory.on_refused(refusal)
             self._error_status = _UNAVAILABLE
             raise _NoMemoryError("no memory for another request")
         self._is_reading_request = False
--- a/fighitch/settings_reference.py
+++ b/fighitch/settings_reference.py
@@ -79,6 +79,31 @@
         "4 KiB in 0.75 s",
         "18 callers that share the slowest link (5 Mbit/s) move six times as much",
     ),
+    (
+        "complete request that is not refused while memory is short",
+        "16 KiB, up to 1.15 times the bytes held for all",
+        "ordinary callers are served beside a crowd",
+    ),
+    (
+        "time in which callers take turns",
+        "20 ms, then probes, servers and timers",
+        "heartbeats are due every 0.5 s, also on a small share of a processor",
+    ),
+    (
+        "name of an adapter and its model",
+        "1,024 characters, then 503",
+        "agents keep the names that were asked for",
+    ),
+    (
+        "part of a request's id that agents get",
+        "256 characters",
+        "it stands in their queues and logs",
+    ),
+    (
+        "memory of the requests that wait at an agent",
+        "a quarter of the bytes held for all peers",
+        "an engine runs some tens of requests at once",
+    ),
     (
         "connections of callers",
         "(`MaxFds` - 128) / 2, at most 1,500, at least 16",
@@ -104,6 +129,21 @@
         "1 KiB, 8 KiB, 2 MiB",
         "probes send no body; 64 KiB for each connection",
     ),
+    (
+        "rendering of the metrics",
+        "at most a tenth of the time",
+        "scrapers come every 5 s",
+    ),
+    (
+        "connections at a listener of a daemon that are idle or wait for a thread",
+        "4,096",
+        "each takes a descriptor",
+    ),
+    (
+        "progress at a daemon while connections wait for a thread",
+        "4 KiB in 0.75 s",
+        "as for the gateway's callers",
+    ),
     (
         "head of a request to a daemon of the product",
         "128 KiB",
--- a/fighitch/tests/test_bounded_memory.py
+++ b/fighitch/tests/test_bounded_memory.py
@@ -244,6 +244,10 @@
         for _ in range(ROUNDS):
             self.check(*(payload() for _ in range(LARGE_CROWD)))
         self.assert_streams()
+        name = LONG_NAME.decode()
+        response = self.fleet.send_request("stream", "long-name", adapter=name)
+        self.assertEqual(response.status, 503)
+        self.assertNotIn("long-name", self.agent.log())
 
     def test_long_names_of_hosts_and_connection_options(self):
         options = SLOW + b"Connection: " + b"a," * 7_000 + b"\r\n"
